--- /dev/null
+++ b/internal/cell/task.go
@@ -0,0 +1,116 @@
+package cell
+
+import "time"
+
+// TaskID names a task for its whole life, over every attempt.
+type TaskID string
+
+// AttemptID numbers the attempts of one task under one owner epoch.
+type AttemptID uint32
+
+// JobID names a submitted job.
+type JobID string
+
+// Class orders tasks by priority.
+type Class string
+
+// The priority classes, most urgent first.
+const (
+	// ClassUrgent is interactive work that starts within seconds, preempting stoppable work when it must.
+	ClassUrgent Class = "urgent"
+	// ClassService is long-running work that stays up.
+	ClassService Class = "service"
+	// ClassNormal is ordinary requests and gangs.
+	ClassNormal Class = "normal"
+	// ClassBatch is work that may wait.
+	ClassBatch Class = "batch"
+)
+
+// Rank returns the position of c in priority order, 0 for the most urgent. An unknown class ranks last.
+func (c Class) Rank() int {
+	switch c {
+	case ClassUrgent:
+		return 0
+	case ClassService:
+		return 1
+	case ClassNormal:
+		return 2
+	default:
+		return 3
+	}
+}
+
+// Valid reports whether c is one of the known classes.
+func (c Class) Valid() bool {
+	return c == ClassUrgent || c == ClassService || c == ClassNormal || c == ClassBatch
+}
+
+// Kind tells how a task runs.
+type Kind string
+
+// The kinds of task.
+const (
+	// KindRequest runs once for a caller that waits for its answer.
+	KindRequest Kind = "request"
+	// KindBatch runs to its end as part of a batch job.
+	KindBatch Kind = "batch"
+	// KindGang starts together with every other task of its gang.
+	KindGang Kind = "gang"
+	// KindService runs until it is stopped and is replaced when it ends.
+	KindService Kind = "service"
+)
+
+// Task is one unit of placement.
+type Task struct {
+	ID   TaskID `json:"id"`
+	Job  JobID  `json:"job,omitempty"`
+	Kind Kind   `json:"kind"`
+	// Team is charged against its quota.
+	Team  string `json:"team"`
+	Class Class  `json:"class"`
+	// Pool restricts placement to workers of that pool; empty means any.
+	Pool  string    `json:"pool,omitempty"`
+	Claim Resources `json:"claim"`
+	// GangSize is the number of tasks of Job that must start together; 0 for a task that is no gang's.
+	GangSize int `json:"gang_size,omitempty"`
+	// Stoppable means that operators allow the task to be checkpointed, throttled or stopped for more urgent work.
+	Stoppable bool `json:"stoppable,omitempty"`
+	// Idempotent means that the task may be run again after an attempt that may have run.
+	Idempotent bool `json:"idempotent"`
+	// EstimatedRun is the declared run time. It orders and backfills work and protects no promise.
+	EstimatedRun time.Duration `json:"estimated_run,omitempty"`
+	// Payload is handed to the runner unchanged.
+	Payload []byte `json:"payload,omitempty"`
+}
+
+// Attempt identifies one try at running a task. Answers are matched on it on every hop.
+type Attempt struct {
+	Task TaskID `json:"task"`
+	// Epoch is the shard epoch under which the attempt was made.
+	Epoch Epoch     `json:"epoch"`
+	N     AttemptID `json:"n"`
+}
+
+// LeasePhase is the state of a lease as its worker reports it.
+type LeasePhase string
+
+// The phases of a lease. A lease moves from running to ended, or is a tombstone from the start.
+const (
+	// LeaseRunning means that the task runs now.
+	LeaseRunning LeasePhase = "running"
+	// LeaseEnded means that the task ran and does no longer.
+	LeaseEnded LeasePhase = "ended"
+	// LeaseTombstone means that the attempt never started and never will.
+	LeaseTombstone LeasePhase = "tombstone"
+)
+
+// Lease is a worker's record of one attempt.
+type Lease struct {
+	Attempt Attempt    `json:"attempt"`
+	Worker  WorkerID   `json:"worker"`
+	Phase   LeasePhase `json:"phase"`
+	// Task describes what runs, without its payload, so that a new owner can rebuild its ledger from leases alone.
+	Task Task `json:"task"`
+	// Elapsed is how long the attempt has run, on the worker's clock.
+	Elapsed time.Duration `json:"elapsed"`
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,134 @@
+// Package scheduler decides which task runs on which worker of one shard.
+//
+// A Scheduler holds the shard's ledger (workers, what runs on each) and its queue. Every method is a pure function of
+// that state, its arguments and the time it is given: there is no I/O, no clock and no dependence on map order.
+// One goroutine owns a Scheduler.
+//
+// A task moves through these states:
+//
+//	         Enqueue              Schedule (Place)            Release
+//	(absent) -------> queued ----------------------> placed ----------> (absent)
+//	    |               |  ^                           |
+//	    |               |  +---------------------------+
+//	    |               |        Requeue (known not started)
+//	    |               +--> (absent)  Cancel, Schedule (Expire)
+//	    +------------------------------------------> placed
+//	                   Adopt (a lease found on a worker)
+//
+// A placed task's claim is counted on its worker until Release or RemoveWorker, whatever else is known of it.
+package scheduler
+
+import (
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/platform"
+)
+
+// Item is a task that waits to be placed.
+type Item struct {
+	Task cell.Task
+	// Arrived is when the request reached its entry VM; waiting time counts from it.
+	Arrived time.Time
+	// Deadline is when the caller stops waiting; zero means never.
+	Deadline time.Time
+	// NotBefore delays placement, for back-off.
+	NotBefore time.Time
+	// Avoid lists workers and racks that earlier attempts failed on; they are used only if nothing else fits.
+	Avoid []cell.WorkerID
+}
+
+// DecisionKind tells what a Decision asks for.
+type DecisionKind int
+
+// The kinds of decision.
+const (
+	// Place starts Task on Worker. The claim is already counted.
+	Place DecisionKind = iota
+	// Stop ends a running task for more urgent work. Its claim stays counted until Release.
+	Stop
+	// Expire drops a queued task, whose request gets Reason as its final answer.
+	Expire
+)
+
+// Decision is one step that the scheduler asks its owner to carry out.
+type Decision struct {
+	Kind   DecisionKind
+	Task   cell.Task
+	Worker cell.WorkerID
+	Reason cell.Reason
+	// Waited is the time from arrival to this decision.
+	Waited time.Duration
+	// Mode tells how to stop. Only with Stop.
+	Mode platform.StopMode
+	// For is the task that the stop makes room for. Only with Stop.
+	For cell.TaskID
+}
+
+// State is a task's place in the life cycle above.
+type State string
+
+// The states of a task that the scheduler knows.
+const (
+	StateQueued   State = "queued"
+	StatePlaced   State = "placed"
+	StateStopping State = "stopping"
+)
+
+// Explanation answers why a task is where it is.
+type Explanation struct {
+	Found  bool
+	State  State
+	Worker cell.WorkerID
+	// Chain lists the reasons of the last decision about the task, the most general first.
+	Chain []cell.Reason
+}
+
+// Totals sums up the shard.
+type Totals struct {
+	Capacity    cell.Resources
+	Free        cell.Resources
+	LargestFree cell.Resources
+	Queued      int
+	Placed      int
+	Workers     int
+	Usable      int
+}
+
+// WorkerView is a worker as the ledger sees it.
+type WorkerView struct {
+	Worker cell.Worker
+	Usable bool
+	Used   cell.Resources
+	Tasks  int
+}
+
+// TeamView is a team's holding in this shard.
+type TeamView struct {
+	Team   string
+	Held   cell.Resources
+	Quota  cell.Resources
+	Queued int
+}
+
+// TeamPolicy is what operators allow one team.
+type TeamPolicy struct {
+	// Weight is the team's share against other teams when all have work waiting; 1 is ordinary.
+	Weight float64
+	// Quota bounds what the team may hold in this shard. A zero dimension is unbounded.
+	Quota cell.Resources
+}
+
+// Policy is the operators' part of every decision.
+type Policy struct {
+	// PackingWeight is between 0 (waiting time only) and 1 (packing only).
+	PackingWeight float64
+	// Teams is the policy of each known team. A team that is not listed has weight 1 and no quota.
+	Teams map[string]TeamPolicy
+	// MaxQueued bounds the queue; a task beyond it is refused at once.
+	MaxQueued int
+	// UrgentWait is the waiting time within which urgent work starts, if need be by stopping stoppable work.
+	UrgentWait time.Duration
+	// AgeingStep is the waiting time that raises a task by one class.
+	AgeingStep time.Duration
+}
