Shard owner: claims, dispatch, settling, intents

One control loop owns the scheduler and the table of entries; calls to workers and to the table run on other goroutines and report back as typed events. Package intent group-commits the rows of non-idempotent requests.

Found by the first tests: an entry whose start was fenced was answered unknown, since the supersession was applied before it (now the entry is dropped first); and adopted leases were released only at the next claim, five seconds late (now their answers are awaited).

Ruled out nothing yet under random faults.

--- /dev/null
+++ b/internal/intent/log.go
@@ -0,0 +1,224 @@
+// Package intent makes a non-idempotent request run at most once: before a task is dispatched, a row under the
+// request's key is inserted if it is absent, and only the process that wrote the row's present version may dispatch.
+//
+// An intent moves through these states:
+//
+//	         Acquire               Finish
+//	(absent) -------> pending --------------> done
+//	                   |   ^
+//	            Return |   | Acquire
+//	                   v   |
+//	                 returned
+//
+// Every write names the version that it replaces, so that a process that was paused can't undo a later one.
+// Writes of the whole process are committed in groups.
+package intent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/platform"
+)
+
+// Defaults of Options.
+const (
+	defaultWindow      = 3 * time.Millisecond
+	defaultLazyWindow  = 250 * time.Millisecond
+	defaultMaxBatch    = 100
+	defaultCallTimeout = time.Second
+	defaultMaxLazy     = 10_000
+)
+
+// Errors of a Log.
+var (
+	// ErrUnavailable means that the intent is not held and the caller of Acquire must not dispatch.
+	ErrUnavailable = errors.New("intent: table unavailable")
+	// ErrLost means that the handle no longer names the row's present version.
+	ErrLost = errors.New("intent: handle superseded")
+)
+
+// Options tunes a Log. Zero fields take defaults.
+type Options struct {
+	// Window is how long a write waits for others to share its transaction.
+	Window time.Duration
+	// LazyWindow is how long a recorded outcome may wait for a transaction that is made anyway.
+	LazyWindow time.Duration
+	// MaxBatch bounds the rows of one transaction.
+	MaxBatch int
+	// CallTimeout bounds one table call.
+	CallTimeout time.Duration
+	// MaxLazy bounds the outcomes that wait while the table is down; beyond it the newest is not recorded.
+	MaxLazy int
+}
+
+// Verdict says what Acquire found.
+type Verdict int
+
+// The verdicts of Acquire.
+const (
+	// Granted means that the caller may dispatch under the Handle.
+	Granted Verdict = iota
+	// Exists means that Record was there before: the caller must not dispatch.
+	Exists
+	// Mismatch means that the key belongs to a request of another content.
+	Mismatch
+)
+
+// Grant is the result of Acquire.
+type Grant struct {
+	Verdict Verdict
+	// Handle is the right to dispatch if Granted. If Exists it is good for Finish only.
+	Handle Handle
+	Record Record
+}
+
+// Log writes intents through one committer per process.
+type Log struct {
+	table  platform.Table
+	member cell.MemberID
+	opt    Options
+
+	mu      sync.Mutex
+	urgent  []*write
+	lazy    []*write
+	wake    chan struct{}
+	stop    chan struct{}
+	stopped chan struct{}
+}
+
+// New returns a Log that writes to table and starts its committer. Close stops it.
+func New(table platform.Table, member cell.MemberID, opt Options) *Log {
+	l := &Log{
+		table:   table,
+		member:  member,
+		opt:     withDefaults(opt),
+		wake:    make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+		stopped: make(chan struct{}),
+	}
+	go l.run()
+	return l
+}
+
+// Close stops the committer. Writes that wait fail with ErrUnavailable; outcomes not yet recorded are lost.
+func (l *Log) Close() {
+	close(l.stop)
+	<-l.stopped
+}
+
+// Acquire inserts the intent of task id, or takes over a returned one. It is the only way to a Handle.
+// Errors: ErrUnavailable, also when ctx ends first; an insertion that takes effect after that is returned again.
+func (l *Log) Acquire(ctx context.Context, id cell.TaskID, digest string, epoch cell.Epoch) (Grant, error) {
+	rec := Record{State: StatePending, Digest: digest, Epoch: epoch, Member: l.member}
+	version := uint64(0)
+	for {
+		w := newWrite(keyPrefix+string(id), version, rec)
+		w.returnIfAbandoned = true
+		res, ok := l.submit(ctx, w)
+		if !ok || errors.Is(res.err, ErrUnavailable) {
+			return Grant{}, ErrUnavailable
+		}
+		if res.err == nil {
+			return Grant{Verdict: Granted, Handle: Handle{key: w.key, version: res.version, record: w.record}}, nil
+		}
+		if res.row.Version == 0 {
+			version = 0
+			continue
+		}
+		found, err := decodeRow(res.row)
+		if err != nil {
+			return Grant{}, err
+		}
+		switch {
+		case found.Digest != digest:
+			return Grant{Verdict: Mismatch, Record: found}, nil
+		case found.State == StateReturned:
+			version = res.row.Version
+		default:
+			held := Handle{key: w.key, version: res.row.Version, record: found}
+			return Grant{Verdict: Exists, Handle: held, Record: found}, nil
+		}
+	}
+}
+
+// Return gives the intent back after every attempt under h is known not to have started and never to start.
+// Errors: ErrLost; ErrUnavailable if ctx ended first, and the write goes on in the background.
+func (l *Log) Return(ctx context.Context, h Handle) error {
+	rec := h.record
+	rec.State = StateReturned
+	w := newWrite(h.key, h.version, rec)
+	w.settle = true
+	res, ok := l.submit(ctx, w)
+	if !ok {
+		return ErrUnavailable
+	}
+	return res.err
+}
+
+// Finish records the outcome of a task that ran. It does not wait; the record is written with a later transaction,
+// at the latest after the lazy window, and again until the table answers.
+func (l *Log) Finish(h Handle, out cell.Outcome) {
+	rec := h.record
+	rec.State = StateDone
+	if len(out.Answer) <= maxInlineAnswer {
+		rec.Outcome = &out
+	}
+	w := newWrite(h.key, h.version, rec)
+	w.settle = true
+	l.mu.Lock()
+	if len(l.lazy) < l.opt.MaxLazy {
+		l.lazy = append(l.lazy, w)
+	}
+	l.mu.Unlock()
+}
+
+func (l *Log) submit(ctx context.Context, w *write) (result, bool) {
+	l.mu.Lock()
+	l.urgent = append(l.urgent, w)
+	l.mu.Unlock()
+	l.signal()
+	select {
+	case res := <-w.done:
+		return res, true
+	case <-ctx.Done():
+	case <-l.stopped:
+	}
+	l.mu.Lock()
+	w.abandoned = true
+	l.mu.Unlock()
+	select {
+	case res := <-w.done:
+		l.giveBack(w, res)
+	default:
+	}
+	return result{}, false
+}
+
+func (l *Log) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func withDefaults(o Options) Options {
+	set := func(d *time.Duration, def time.Duration) {
+		if *d == 0 {
+			*d = def
+		}
+	}
+	set(&o.Window, defaultWindow)
+	set(&o.LazyWindow, defaultLazyWindow)
+	set(&o.CallTimeout, defaultCallTimeout)
+	if o.MaxBatch == 0 {
+		o.MaxBatch = defaultMaxBatch
+	}
+	if o.MaxLazy == 0 {
+		o.MaxLazy = defaultMaxLazy
+	}
+	return o
+}
--- /dev/null
+++ b/internal/intent/record.go
@@ -0,0 +1,88 @@
+package intent
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/platform"
+)
+
+// keyPrefix starts the table key of every intent.
+const keyPrefix = "intent/"
+
+// maxInlineAnswer bounds the answer kept in a row, in bytes. A larger answer is not kept: the record then says only
+// that the task ended.
+const maxInlineAnswer = 16 << 10
+
+// tokenBytes is the number of random bytes in a token.
+const tokenBytes = 12
+
+// State is an intent's place in its life cycle.
+type State string
+
+// The states of an intent.
+const (
+	// StatePending means that the task may have been dispatched.
+	StatePending State = "pending"
+	// StateReturned means that no attempt started and none will; the next request may take the intent over.
+	StateReturned State = "returned"
+	// StateDone means that the task ran to its end.
+	StateDone State = "done"
+)
+
+// Record is the durable value of one intent.
+type Record struct {
+	State State `json:"state"`
+	// Digest identifies the request's content.
+	Digest string `json:"digest"`
+	// Token is unique to each write, so that a write whose answer was lost is recognized when it is read back.
+	Token  string        `json:"token"`
+	Epoch  cell.Epoch    `json:"epoch"`
+	Member cell.MemberID `json:"member"`
+	// Outcome is the recorded outcome. Only with StateDone; nil if the answer was too large to keep.
+	Outcome *cell.Outcome `json:"outcome,omitempty"`
+}
+
+// Handle is the right to dispatch one task, held by whoever wrote the row's present version.
+type Handle struct {
+	key     string
+	version uint64
+	record  Record
+}
+
+// Digest returns the digest of everything that makes two requests under one key the same request.
+func Digest(t cell.Task) string {
+	data, err := json.Marshal(t)
+	if err != nil {
+		panic(fmt.Sprintf("intent: a task always encodes: %v", err))
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+func (r Record) encode() []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(fmt.Sprintf("intent: a record always encodes: %v", err))
+	}
+	return data
+}
+
+func decodeRow(row platform.Row) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return r, fmt.Errorf("intent: row %s: %w", row.Key, err)
+	}
+	return r, nil
+}
+
+func newToken() string {
+	var b [tokenBytes]byte
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/shard/mailbox.go
@@ -0,0 +1,62 @@
+package shard
+
+import "sync"
+
+// event is a message to the control loop. Only the loop calls apply.
+type event interface {
+	apply(c *control)
+}
+
+// mailbox is an unbounded queue of events. Work is bounded at admission, and events that relieve a bound always pass.
+type mailbox struct {
+	mu     sync.Mutex
+	events []event
+	closed bool
+	ready  chan struct{}
+}
+
+func newMailbox() *mailbox {
+	return &mailbox{ready: make(chan struct{}, 1)}
+}
+
+// post adds an event. It returns false once the loop has ended.
+func (m *mailbox) post(e event) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	m.events = append(m.events, e)
+	m.kick()
+	return true
+}
+
+// take removes at most limit events, oldest first.
+func (m *mailbox) take(limit int) []event {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := min(limit, len(m.events))
+	out := m.events[:n:n]
+	m.events = m.events[n:]
+	if len(m.events) > 0 {
+		m.kick()
+	}
+	return out
+}
+
+// close refuses later events and returns those that were not taken.
+func (m *mailbox) close() []event {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = true
+	out := m.events
+	m.events = nil
+	return out
+}
+
+func (m *mailbox) kick() {
+	select {
+	case m.ready <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/shard/owner.go
@@ -0,0 +1,140 @@
+// Package shard runs the owner of one shard: it claims the shard's workers, decides placements, dispatches attempts and
+// answers every request once.
+//
+// One goroutine, the control loop, owns the scheduler and the table of entries. Other goroutines carry calls to workers
+// and to the table and send their results back as events. docs/design/requests.md and docs/design/recovery.md state why
+// the answers are true.
+//
+// A request moves through these phases:
+//
+//	          non-idempotent          granted
+//	Submit ------------------> intent -------+
+//	   |                         |           |
+//	   | keyed, or no VM list    | exists    |
+//	   +-----------------------> held -------+ every worker claimed
+//	   |                         |           v
+//	   +-------------------------|-------> queued <------+ known not started
+//	                             |           | Place      |
+//	                   lease found           v            |
+//	                             +-------> running -------+
+//	                                         | answer, or the lease is over
+//	                                         v
+//	                                      (answered)
+package shard
+
+import (
+	"context"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/scheduler"
+)
+
+// Owner is one ownership of a shard, under one epoch. Its methods may be called from any goroutine.
+type Owner struct {
+	c *control
+}
+
+// Start begins an ownership. The epoch must already be in the table.
+func Start(p Params) *Owner {
+	c := newControl(withDefaults(p))
+	go c.run()
+	return &Owner{c: c}
+}
+
+// Submit hands a request in. done is called exactly once, on another goroutine. A request for a task that is queued or
+// runs already joins it and gets the same outcome.
+func (o *Owner) Submit(r Request, done func(cell.Outcome)) {
+	o.submit(r, done)
+}
+
+// Run hands a request in and waits for its outcome. If ctx ends, the caller has gone away: queued work is dropped, and
+// running idempotent work that nobody else waits for is stopped.
+func (o *Owner) Run(ctx context.Context, r Request) cell.Outcome {
+	result := make(chan cell.Outcome, 1)
+	w := o.submit(r, func(out cell.Outcome) { result <- out })
+	select {
+	case out := <-result:
+		return out
+	case <-ctx.Done():
+		o.c.box.post(waiterGone{id: r.Task.ID, waiter: w, code: cell.ReasonCancelled})
+		return <-result
+	}
+}
+
+// SetWorkers gives the shard's workers as the platform lists them. A worker that was listed and is no longer has ended.
+func (o *Owner) SetWorkers(ws []cell.Worker) {
+	o.c.box.post(workersListed{workers: ws})
+}
+
+// NoteLeaving gives no new work to the named workers from now on.
+func (o *Owner) NoteLeaving(ids []cell.WorkerID) {
+	o.c.box.post(workersLeaving{ids: ids})
+}
+
+// Cancel drops queued tasks and stops running ones. It returns how many it found.
+func (o *Owner) Cancel(ids []cell.TaskID) int {
+	return ask(o, 0, func(reply func(int)) event { return &cancelTasks{ids: ids, reply: reply} })
+}
+
+// CancelJob cancels every task of a job. It returns how many it found.
+func (o *Owner) CancelJob(id cell.JobID) int {
+	return ask(o, 0, func(reply func(int)) event { return cancelJob{job: id, reply: reply} })
+}
+
+// Explain returns why a task is where it is.
+func (o *Owner) Explain(id cell.TaskID) scheduler.Explanation {
+	return ask(o, scheduler.Explanation{}, func(reply func(scheduler.Explanation)) event {
+		return explainTask{id: id, reply: reply}
+	})
+}
+
+// Status returns the shard's totals, the number of claimed workers, and the workers and teams.
+func (o *Owner) Status() (scheduler.Totals, int, []scheduler.WorkerView, []scheduler.TeamView) {
+	s := ask(o, status{}, func(reply func(status)) event { return readStatus{reply: reply} })
+	return s.totals, s.claimed, s.workers, s.teams
+}
+
+// Release hands the shard over. Nothing new is placed, what waits is answered at once for its entry VM to send to the
+// next owner, and the answers of running requests are waited for until ctx ends. The Owner is then closed.
+func (o *Owner) Release(ctx context.Context) {
+	o.c.box.post(beginRelease{})
+	select {
+	case <-o.c.stopped:
+	case <-ctx.Done():
+		o.c.box.post(endRelease{})
+		<-o.c.stopped
+	}
+}
+
+// Supersede says that another owner holds a higher epoch. What waits is answered at once; the answers of running
+// attempts are still delivered when they come.
+func (o *Owner) Supersede() {
+	o.c.box.post(fenced{detail: "told by the ownership table"})
+}
+
+// Stopped is closed when the owner has given its last answer after Release or Supersede.
+func (o *Owner) Stopped() <-chan struct{} {
+	return o.c.stopped
+}
+
+func (o *Owner) submit(r Request, done func(cell.Outcome)) *waiter {
+	w := &waiter{done: done, deadline: r.Deadline}
+	if !o.c.box.post(submit{request: r, waiter: w}) {
+		w.answer(refusal(r, cell.ReasonSuperseded))
+	}
+	return w
+}
+
+// ask posts an event that replies once and returns the reply, or none once the loop has ended.
+func ask[T any](o *Owner, none T, build func(reply func(T)) event) T {
+	result := make(chan T, 1)
+	if !o.c.box.post(build(func(v T) { result <- v })) {
+		return none
+	}
+	select {
+	case v := <-result:
+		return v
+	case <-o.c.stopped:
+		return none
+	}
+}
--- /dev/null
+++ b/internal/shard/params.go
@@ -0,0 +1,101 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/config"
+	"laburnumpoint/internal/intent"
+	"laburnumpoint/internal/platform"
+)
+
+// ErrNotOwner is what Params.Confirm returns if the table names another owner or a higher epoch.
+// Any other error means that the ownership can't be confirmed now.
+var ErrNotOwner = errors.New("shard: ownership superseded")
+
+// Defaults of the timing fields of Params.
+const (
+	defaultTTL           = 30 * time.Second
+	defaultClaimInterval = 5 * time.Second
+	defaultCallTimeout   = time.Second
+	defaultRetryPause    = time.Second
+	defaultReportGrace   = 2 * time.Second
+	defaultStopGrace     = time.Second
+	defaultStaleBound    = 5 * time.Second
+	defaultReturnWait    = 300 * time.Millisecond
+)
+
+// Params says what an Owner works with. Fields without a default must be set.
+type Params struct {
+	Shard  cell.ShardID
+	Epoch  cell.Epoch
+	Member cell.MemberID
+	Runner platform.Runner
+	// Intents makes non-idempotent requests run at most once.
+	Intents *intent.Log
+	// Confirm reads the table, linearizably, and returns nil if this ownership is still in it.
+	// Errors: ErrNotOwner; any other if the table does not answer.
+	Confirm func(ctx context.Context) error
+	// Config returns the configuration in force and whether it was confirmed within its bound.
+	Config func() (config.Versioned, bool)
+	// Share returns the part of a team's quota that this shard may place; nil gives every shard the whole quota.
+	Share func(team string, d config.Document) cell.Resources
+	// OnSuperseded is called once when a worker or the table shows a higher epoch. May be nil.
+	OnSuperseded func()
+	// Logger receives a line for each decision; nil drops them.
+	Logger *log.Logger
+
+	// TTL is how long workers keep leases without another claim. Zero means 30 s.
+	TTL time.Duration
+	// ClaimInterval separates the claims of one worker. Zero means 5 s.
+	ClaimInterval time.Duration
+	// CallTimeout bounds one call to a worker that does not wait for a task. Zero means 1 s.
+	CallTimeout time.Duration
+	// RetryPause separates repetitions of a call to an unreachable worker. Zero means 1 s.
+	RetryPause time.Duration
+	// ReportGrace is how old an attempt is before a report that does not list it counts against it. Zero means 2 s.
+	ReportGrace time.Duration
+	// StopGrace is how long the answer of a stopped attempt may follow the stop. Zero means 1 s.
+	StopGrace time.Duration
+	// StaleBound is how long a request waits while the configuration can't be confirmed. Zero means 5 s.
+	StaleBound time.Duration
+	// ReturnWait is how long a "not run" of a non-idempotent request waits for its intent to be returned. Zero means 300 ms.
+	ReturnWait time.Duration
+}
+
+// Request asks for one task to be run.
+type Request struct {
+	Task cell.Task
+	// Keyed means that the same id may have been sent before, here or through another owner.
+	Keyed  bool
+	Caller string
+	// Arrived is when the request reached its entry VM.
+	Arrived time.Time
+	// Deadline is when the caller stops waiting; zero means never.
+	Deadline time.Time
+}
+
+func withDefaults(p Params) Params {
+	set := func(d *time.Duration, def time.Duration) {
+		if *d == 0 {
+			*d = def
+		}
+	}
+	set(&p.TTL, defaultTTL)
+	set(&p.ClaimInterval, defaultClaimInterval)
+	set(&p.CallTimeout, defaultCallTimeout)
+	set(&p.RetryPause, defaultRetryPause)
+	set(&p.ReportGrace, defaultReportGrace)
+	set(&p.StopGrace, defaultStopGrace)
+	set(&p.StaleBound, defaultStaleBound)
+	set(&p.ReturnWait, defaultReturnWait)
+	if p.Logger == nil {
+		p.Logger = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/shard/query.go
@@ -0,0 +1,71 @@
+package shard
+
+import (
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/scheduler"
+)
+
+// status is a snapshot of the shard.
+type status struct {
+	totals  scheduler.Totals
+	claimed int
+	workers []scheduler.WorkerView
+	teams   []scheduler.TeamView
+}
+
+// readStatus asks for a snapshot.
+type readStatus struct {
+	reply func(status)
+}
+
+func (ev readStatus) apply(c *control) {
+	s := status{totals: c.sched.Totals(), workers: c.sched.Workers(), teams: c.sched.Teams()}
+	for _, w := range c.workers {
+		if w.claimed {
+			s.claimed++
+		}
+	}
+	ev.reply(s)
+}
+
+// explainTask asks why a task is where it is.
+type explainTask struct {
+	id    cell.TaskID
+	reply func(scheduler.Explanation)
+}
+
+func (ev explainTask) apply(c *control) {
+	x := c.sched.Explain(ev.id)
+	if e := c.entries[ev.id]; e != nil {
+		x.Found = true
+		c.explainEntry(e, &x)
+	}
+	ev.reply(x)
+}
+
+// explainEntry adds what the owner knows beyond the scheduler.
+func (c *control) explainEntry(e *entry, x *scheduler.Explanation) {
+	add := func(code cell.ReasonCode, detail string) {
+		x.Chain = append(x.Chain, cell.Reason{Code: code, Detail: detail})
+	}
+	switch {
+	case e.phase == phaseIntent:
+		x.State = scheduler.StateQueued
+		add(cell.ReasonStoreUnavailable, "waits for its intent in the table")
+	case e.phase == phaseHeld:
+		x.State = scheduler.StateQueued
+		add(cell.ReasonRecovering, "waits until every worker of the shard has been heard")
+	case e.phase == phaseQueued && c.stale:
+		add(cell.ReasonConfigStale, "the version in force can't be confirmed")
+	case e.stopping:
+		x.State = scheduler.StateStopping
+		add(e.stopCode, "is being stopped")
+	case e.settling:
+		x.State = scheduler.StatePlaced
+		x.Worker = e.worker
+		add(cell.ReasonInDoubt, "its worker is asked what became of the attempt")
+	}
+	if e.tries > 0 {
+		add(cell.ReasonWorkerLost, "earlier attempts did not bring an answer")
+	}
+}
--- /dev/null
+++ b/internal/shard/submit.go
@@ -0,0 +1,258 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/intent"
+)
+
+// intentWait bounds how long a request waits for its intent.
+const intentWait = 3 * time.Second
+
+// submit takes a request in.
+type submit struct {
+	request Request
+	waiter  *waiter
+}
+
+func (ev submit) apply(c *control) {
+	r, w := ev.request, ev.waiter
+	if c.state != stateServing {
+		w.answer(refusal(r, c.stateCode()))
+		return
+	}
+	if e := c.entries[r.Task.ID]; e != nil {
+		c.join(e, r, w)
+		return
+	}
+	e := newEntry(r)
+	e.keyed = r.Keyed && !c.recovered()
+	if reason := c.refuse(r.Task); reason.Code != cell.ReasonNone {
+		out := e.dropped(reason.Code, 0)
+		out.Reason = reason
+		w.answer(out)
+		return
+	}
+	c.add(e)
+	c.wait(e, w)
+	if r.Task.Idempotent {
+		c.admit(e)
+		return
+	}
+	e.phase = phaseIntent
+	c.acquire(e)
+}
+
+// refuse returns why a task can't be taken in under the configuration in force.
+func (c *control) refuse(t cell.Task) cell.Reason {
+	c.readConfig()
+	if _, ok := c.doc.Teams[t.Team]; !ok && c.version > 0 {
+		return cell.Reason{Code: cell.ReasonInvalid, Detail: "unknown team " + t.Team}
+	}
+	return cell.Reason{}
+}
+
+// join adds a waiter to a known entry.
+func (c *control) join(e *entry, r Request, w *waiter) {
+	if !e.adopted && !sameRequest(e.task, r.Task) {
+		w.answer(cell.NotRun(cell.Reason{Code: cell.ReasonDuplicateKey, Detail: "the id belongs to another request"}, 0))
+		return
+	}
+	if e.stopping && !e.requeue {
+		w.answer(e.unknown(e.stopCode, "the attempt is being stopped"))
+		return
+	}
+	c.wait(e, w)
+	if e.caller == "" {
+		e.caller = r.Caller
+	}
+	if e.phase == phaseRunning && !e.open && !e.settling && !e.accepted {
+		c.await(e)
+	}
+}
+
+// wait adds w to e and watches its deadline.
+func (c *control) wait(e *entry, w *waiter) {
+	e.waiters = append(e.waiters, w)
+	if w.deadline.IsZero() {
+		return
+	}
+	gone := waiterGone{id: e.task.ID, waiter: w, code: cell.ReasonDeadline}
+	w.timer = time.AfterFunc(time.Until(w.deadline), func() { c.box.post(gone) })
+}
+
+// recovered reports whether every worker of the shard has been claimed under this epoch, or is known to be over.
+func (c *control) recovered() bool {
+	if !c.listed {
+		return false
+	}
+	for _, w := range c.workers {
+		if !w.everClaimed {
+			return false
+		}
+	}
+	return true
+}
+
+// admit queues e, holds it, or joins it to the attempt that was found for it.
+func (c *control) admit(e *entry) {
+	if lease, ok := c.ended[e.task.ID]; ok && (e.keyed || e.inDoubt) {
+		c.joinEnded(e, lease)
+		return
+	}
+	if !c.listed || (e.keyed || e.inDoubt) && !c.recovered() {
+		e.phase = phaseHeld
+		return
+	}
+	if e.inDoubt {
+		c.finish(e, e.unknown(cell.ReasonInDoubt, "an earlier attempt may have run"))
+		return
+	}
+	e.keyed = false
+	c.enqueue(e)
+}
+
+func (c *control) enqueue(e *entry) {
+	now := time.Now()
+	ok, reason := c.sched.Enqueue(now, e.item(now))
+	if !ok {
+		e.phase = phaseHeld
+		out := e.dropped(reason.Code, 0)
+		if reason.Code == cell.ReasonQueueFull {
+			out.RetryAfter = retryLater
+		}
+		out.Reason = reason
+		c.drop(e, out)
+		return
+	}
+	e.phase = phaseQueued
+	c.dirty = true
+}
+
+// releaseHeld admits what was held, once every worker has been heard or is known to be over.
+func (c *control) releaseHeld() {
+	if !c.recovered() {
+		return
+	}
+	for _, id := range sortedKeys(c.entries) {
+		if e := c.entries[id]; e.phase == phaseHeld {
+			c.admit(e)
+		}
+	}
+}
+
+// joinEnded fetches the answer of an attempt that is over.
+func (c *control) joinEnded(e *entry, l endedLease) {
+	e.adopted, e.ran, e.keyed = true, true, false
+	e.attempt = l.attempt
+	c.occupy(e, c.workers[l.worker])
+	c.await(e)
+}
+
+// acquire asks for e's intent.
+func (c *control) acquire(e *entry) {
+	digest := intent.Digest(e.task)
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, intentWait)
+		defer cancel()
+		grant, err := c.p.Intents.Acquire(ctx, e.task.ID, digest, c.p.Epoch)
+		if !c.box.post(intentDone{entry: e, grant: grant, err: err}) {
+			c.giveBack(grant, err)
+		}
+	}()
+}
+
+// giveBack returns a granted intent that nobody waits for any more.
+func (c *control) giveBack(grant intent.Grant, err error) {
+	if err == nil && grant.Verdict == intent.Granted {
+		go func() { _ = c.p.Intents.Return(context.Background(), grant.Handle) }()
+	}
+}
+
+// intentDone says what became of an entry's intent.
+type intentDone struct {
+	entry *entry
+	grant intent.Grant
+	err   error
+}
+
+func (ev intentDone) apply(c *control) {
+	e := ev.entry
+	if c.entries[e.task.ID] != e || e.phase != phaseIntent {
+		c.giveBack(ev.grant, ev.err)
+		return
+	}
+	if ev.err != nil {
+		e.phase = phaseHeld
+		out := e.dropped(cell.ReasonStoreUnavailable, retryLater)
+		out.Reason.Detail = ev.err.Error()
+		c.drop(e, out)
+		return
+	}
+	handle := ev.grant.Handle
+	switch ev.grant.Verdict {
+	case intent.Granted:
+		// The row was absent or returned, so that no earlier attempt can have run.
+		e.handle, e.keyed = &handle, false
+	case intent.Mismatch:
+		e.phase = phaseHeld
+		c.drop(e, cell.NotRun(cell.Reason{Code: cell.ReasonDuplicateKey, Detail: "the key belongs to another request"}, 0))
+		return
+	case intent.Exists:
+		e.handle, e.finishOnly, e.inDoubt = &handle, true, true
+		if ev.grant.Record.Outcome != nil {
+			e.phase = phaseHeld
+			e.handle = nil
+			c.finish(e, *ev.grant.Record.Outcome)
+			return
+		}
+	}
+	e.phase = phaseHeld
+	c.admit(e)
+}
+
+// waiterGone says that a waiter's deadline passed or that its caller went away.
+type waiterGone struct {
+	id     cell.TaskID
+	waiter *waiter
+	code   cell.ReasonCode
+}
+
+func (ev waiterGone) apply(c *control) {
+	e := c.entries[ev.id]
+	if e == nil || !e.drop(ev.waiter) {
+		return
+	}
+	if e.phase == phaseRunning {
+		out := e.unknown(ev.code, "the attempt was not over")
+		ev.waiter.answer(out)
+		c.logOutcome(e, out)
+		if len(e.waiters) == 0 && e.task.Idempotent && e.task.Kind == cell.KindRequest {
+			c.stop(e, ev.code, stopNow)
+		}
+		return
+	}
+	if len(e.waiters) > 0 {
+		ev.waiter.answer(e.dropped(ev.code, 0))
+		return
+	}
+	e.waiters = []*waiter{ev.waiter}
+	code := ev.code
+	if e.phase == phaseHeld && e.keyed {
+		code = cell.ReasonRecovering
+	}
+	c.dropAll([]*entry{e}, code, 0)
+}
+
+// drop removes a waiter and reports whether it was there.
+func (e *entry) drop(w *waiter) bool {
+	for i, have := range e.waiters {
+		if have == w {
+			e.waiters = append(e.waiters[:i:i], e.waiters[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
