--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -187,8 +187,9 @@
 		return platform.StartReply{Result: platform.StartInDoubt}
 	}
 	l := h.leases[a]
+	known := l != nil && l.Phase != cell.LeaseTombstone
 	r.mu.Unlock()
-	if l == nil || l.Phase == cell.LeaseTombstone {
+	if !known {
 		return platform.StartReply{Result: platform.StartRefused}
 	}
 	return r.answer(ctx, l)
