--- a/internal/shard/attempt.go
+++ b/internal/shard/attempt.go
@@ -261,6 +261,9 @@
 			e.avoid = append(e.avoid, id)
 		}
 	}
+	if len(e.avoid) >= len(c.workers) {
+		e.avoid = nil
+	}
 }
 
 // abortGang stops the other members of a gang of which one did not start, so that all can start together later.
--- /dev/null
+++ b/internal/shard/faults_test.go
@@ -0,0 +1,300 @@
+package shard
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/standin"
+)
+
+// bubble runs a test on a fake clock with that many workers.
+func bubble(t *testing.T, workers int, runTime time.Duration, f func(t *testing.T, r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, workers, runTime)
+		f(t, r)
+		r.check()
+	})
+}
+
+func (r *rig) expectStarts(id string, want int) {
+	r.t.Helper()
+	r.runner.mu.Lock()
+	defer r.runner.mu.Unlock()
+	if got := r.runner.starts[cell.TaskID(id)]; got != want {
+		r.t.Errorf("task %s started %d times, want %d", id, got, want)
+	}
+}
+
+func TestLostStartIsSettledAndTriedElsewhere(t *testing.T) {
+	bubble(t, 2, time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		r.runner.set("w0", func(h *host) { h.loseStart = 2 })
+		expect(t, o.Run(t.Context(), request("a")), cell.ResultCompleted, cell.ReasonNone)
+		expect(t, o.Run(t.Context(), once(request("b"))), cell.ResultCompleted, cell.ReasonNone)
+		r.expectStarts("a", 1)
+		r.expectStarts("b", 1)
+	})
+}
+
+func TestLostAnswerIsFetchedAndTheTaskNotRunAgain(t *testing.T) {
+	bubble(t, 2, time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		r.runner.set("w0", func(h *host) { h.loseAnswer = 1 })
+		out := o.Run(t.Context(), once(request("a")))
+		expect(t, out, cell.ResultCompleted, cell.ReasonNone)
+		if string(out.Answer) != "answer of a" {
+			t.Errorf("answer = %q", out.Answer)
+		}
+		r.expectStarts("a", 1)
+	})
+}
+
+func TestSilentConnectionIsFoundByReports(t *testing.T) {
+	bubble(t, 1, time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		r.runner.set("w0", func(h *host) { h.silent = true })
+		long := once(request("a"))
+		long.Deadline = time.Now().Add(time.Minute)
+		expect(t, o.Run(t.Context(), long), cell.ResultCompleted, cell.ReasonNone)
+		r.expectStarts("a", 1)
+	})
+}
+
+func TestUnreachableWorkerLeavesNonIdempotentUnknown(t *testing.T) {
+	bubble(t, 2, 2*time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		time.AfterFunc(time.Second, func() { r.runner.set("w0", func(h *host) { h.down = true }) })
+		expect(t, o.Run(t.Context(), once(request("a"))), cell.ResultUnknown, cell.ReasonInDoubt)
+		expect(t, o.Run(t.Context(), once(request("a"))), cell.ResultUnknown, cell.ReasonInDoubt)
+		r.expectStarts("a", 1)
+	})
+}
+
+func TestIdempotentTaskRunsAgainOnlyOnceItsWorkerIsGone(t *testing.T) {
+	bubble(t, 2, 2*time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		time.AfterFunc(time.Second, func() { r.runner.set("w0", func(h *host) { h.down = true }) })
+		time.AfterFunc(6*time.Second, func() {
+			r.expectStarts("a", 1)
+			r.drop("w0")
+			o.SetWorkers(r.workers)
+		})
+		expect(t, o.Run(t.Context(), request("a")), cell.ResultCompleted, cell.ReasonNone)
+		r.expectStarts("a", 2)
+	})
+}
+
+// drop ends a worker VM and takes it off the list.
+func (r *rig) drop(id cell.WorkerID) {
+	r.runner.reboot(id, "gone")
+	r.runner.set(id, func(h *host) { h.down = true })
+	kept := r.workers[:0:0]
+	for _, w := range r.workers {
+		if w.ID != id {
+			kept = append(kept, w)
+		}
+	}
+	r.workers = kept
+}
+
+func TestRestartedRunnerEndsItsLeases(t *testing.T) {
+	bubble(t, 1, 4*time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		time.AfterFunc(time.Second, func() { r.runner.reboot("w0", "b2") })
+		outs := make(chan cell.Outcome, 1)
+		o.Submit(once(request("b")), func(out cell.Outcome) { outs <- out })
+		long := request("a")
+		long.Deadline = time.Now().Add(time.Minute)
+		expect(t, o.Run(t.Context(), long), cell.ResultCompleted, cell.ReasonNone)
+		expect(t, <-outs, cell.ResultUnknown, cell.ReasonWorkerLost)
+		r.expectStarts("b", 1)
+	})
+}
+
+// A tombstone that a restarted runner leaves says nothing of what ran before it restarted.
+func TestTombstoneOfAnotherBootIsNoProof(t *testing.T) {
+	bubble(t, 1, 4*time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, func() {
+			r.runner.reboot("w0", "b2")
+			o.Cancel([]cell.TaskID{"a"})
+		})
+		defer cancel()
+		out := o.Run(ctx, request("a"))
+		if out.Result == cell.ResultNotRun {
+			t.Errorf("outcome = %s (%s) of a task that ran", out.Result, out.Reason)
+		}
+		r.expectStarts("a", 1)
+	})
+}
+
+func TestDeadlineTellsQueuedFromRunning(t *testing.T) {
+	bubble(t, 1, time.Minute, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		outs := make(chan cell.Outcome, 3)
+		for i := range 3 {
+			o.Submit(request(fmt.Sprint(i)), func(out cell.Outcome) { outs <- out })
+		}
+		for range 3 {
+			out := <-outs
+			if out.Result == cell.ResultNotRun {
+				r.expectStarts(string(out.Attempt.Task), 0)
+				expect(t, out, cell.ResultNotRun, cell.ReasonDeadline)
+				continue
+			}
+			expect(t, out, cell.ResultUnknown, cell.ReasonDeadline)
+		}
+		time.Sleep(time.Second)
+		if r.runner.stops != 2 {
+			t.Errorf("%d attempts were stopped that nobody waits for, want 2", r.runner.stops)
+		}
+	})
+}
+
+func TestCancelRacingStart(t *testing.T) {
+	for delay := range 4 {
+		bubble(t, 1, time.Second, func(t *testing.T, r *rig) {
+			o := r.owner(1)
+			time.Sleep(time.Second)
+			r.runner.set("w0", func(h *host) { h.loseStart = delay % 2 })
+			outs := make(chan cell.Outcome, 1)
+			o.Submit(request("a"), func(out cell.Outcome) { outs <- out })
+			time.Sleep(time.Duration(delay/2) * time.Millisecond)
+			if n := o.Cancel([]cell.TaskID{"a", "absent"}); n > 1 {
+				t.Errorf("cancelled %d tasks", n)
+			}
+			out := <-outs
+			if started := r.runner.starts["a"] > 0; started == (out.Result == cell.ResultNotRun) {
+				t.Errorf("delay %d: outcome = %s (%s), started = %v", delay, out.Result, out.Reason, started)
+			}
+		})
+	}
+}
+
+func TestLeavingWorkerGetsNothingNew(t *testing.T) {
+	bubble(t, 2, time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		time.Sleep(time.Second)
+		o.NoteLeaving([]cell.WorkerID{"w0"})
+		for i := range 4 {
+			if out := o.Run(t.Context(), request(fmt.Sprint(i))); out.Worker != "w1" {
+				t.Errorf("task ran on %q, want w1", out.Worker)
+			}
+		}
+	})
+}
+
+func TestReleaseLosesNothingInFlight(t *testing.T) {
+	bubble(t, 1, 3*time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		outs := make(chan cell.Outcome, 5)
+		for i := range 4 {
+			o.Submit(request(fmt.Sprint(i)), func(out cell.Outcome) { outs <- out })
+		}
+		o.Submit(once(request("once")), func(out cell.Outcome) { outs <- out })
+		time.Sleep(time.Second)
+		start := time.Now()
+		o.Release(t.Context())
+		results := make(map[cell.Result]int)
+		for range 5 {
+			out := <-outs
+			results[out.Result]++
+			if out.Result == cell.ResultNotRun && (out.Reason.Code != cell.ReasonDraining || out.RetryAfter == 0) {
+				t.Errorf("outcome = %s, retry after %v", out.Reason, out.RetryAfter)
+			}
+		}
+		if results[cell.ResultCompleted] != 2 || results[cell.ResultNotRun] != 3 {
+			t.Errorf("results = %v after %v, want 2 completed and 3 not_run", results, time.Since(start))
+		}
+		// The next owner may run what was handed back, also under its key.
+		next := r.owner(2)
+		expect(t, next.Run(t.Context(), once(request("once"))), cell.ResultCompleted, cell.ReasonNone)
+	})
+}
+
+func TestKeyedRequestWaitsForEveryWorker(t *testing.T) {
+	bubble(t, 2, time.Second, func(t *testing.T, r *rig) {
+		r.runner.set("w1", func(h *host) { h.down = true })
+		o := r.owner(1)
+		expect(t, o.Run(t.Context(), request("fresh")), cell.ResultCompleted, cell.ReasonNone)
+		expect(t, o.Run(t.Context(), keyed(request("keyed"))), cell.ResultUnknown, cell.ReasonRecovering)
+		r.expectStarts("keyed", 0)
+		time.AfterFunc(time.Second, func() {
+			r.drop("w1")
+			o.SetWorkers(r.workers)
+		})
+		expect(t, o.Run(t.Context(), keyed(request("keyed"))), cell.ResultCompleted, cell.ReasonNone)
+	})
+}
+
+func TestKeyedRequestJoinsTheAttemptOfTheOwnerBefore(t *testing.T) {
+	bubble(t, 2, 3*time.Second, func(t *testing.T, r *rig) {
+		old := r.owner(1)
+		outs := make(chan cell.Outcome, 4)
+		for _, req := range []Request{keyed(request("a")), once(request("b"))} {
+			old.Submit(req, func(out cell.Outcome) { outs <- out })
+		}
+		time.Sleep(time.Second)
+		next := r.owner(2)
+		for _, req := range []Request{keyed(request("a")), once(request("b"))} {
+			next.Submit(req, func(out cell.Outcome) { outs <- out })
+		}
+		for range 4 {
+			expect(t, <-outs, cell.ResultCompleted, cell.ReasonNone)
+		}
+		last := r.owner(3)
+		time.Sleep(time.Second)
+		expect(t, last.Run(t.Context(), once(request("b"))), cell.ResultCompleted, cell.ReasonNone)
+		r.expectStarts("a", 1)
+		r.expectStarts("b", 1)
+	})
+}
+
+func TestTableDownRefusesOnlyNonIdempotentWork(t *testing.T) {
+	bubble(t, 1, time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		time.Sleep(time.Second)
+		r.table.SetFaults(standin.TableFaults{Down: true})
+		out := o.Run(t.Context(), once(request("a")))
+		expect(t, out, cell.ResultNotRun, cell.ReasonStoreUnavailable)
+		if out.RetryAfter == 0 {
+			t.Error("no time to come back")
+		}
+		expect(t, o.Run(t.Context(), request("b")), cell.ResultCompleted, cell.ReasonNone)
+		r.table.SetFaults(standin.TableFaults{})
+		expect(t, o.Run(t.Context(), once(request("a"))), cell.ResultCompleted, cell.ReasonNone)
+		r.expectStarts("a", 1)
+	})
+}
+
+func TestStaleConfigurationStopsPlacement(t *testing.T) {
+	bubble(t, 1, time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		time.Sleep(time.Second)
+		r.stale.Store(true)
+		expect(t, o.Run(t.Context(), request("a")), cell.ResultNotRun, cell.ReasonConfigStale)
+		time.AfterFunc(time.Second, func() { r.stale.Store(false) })
+		expect(t, o.Run(t.Context(), request("a")), cell.ResultCompleted, cell.ReasonNone)
+	})
+}
+
+func TestSecondSubmitJoinsTheFirst(t *testing.T) {
+	bubble(t, 1, time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		outs := make(chan cell.Outcome, 3)
+		other := request("a")
+		other.Task.Payload = []byte("another request")
+		for _, req := range []Request{request("a"), keyed(request("a")), other} {
+			o.Submit(req, func(out cell.Outcome) { outs <- out })
+		}
+		expect(t, <-outs, cell.ResultNotRun, cell.ReasonDuplicateKey)
+		expect(t, <-outs, cell.ResultCompleted, cell.ReasonNone)
+		expect(t, <-outs, cell.ResultCompleted, cell.ReasonNone)
+		r.expectStarts("a", 1)
+	})
+}
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -58,6 +58,7 @@
 		Config: func() (config.Versioned, bool) { return *r.doc.Load(), !r.stale.Load() },
 	})
 	o.SetWorkers(r.workers)
+	synctest.Wait()
 	r.t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
