shard: no busy loop while a wake-up is held up

Cause: with the configuration unconfirmed (or while draining) the scheduler's next wake-up lay in the past and was never consumed, so that the control loop reset its timer to zero and span at full speed.

--- a/internal/shard/control.go
+++ b/internal/shard/control.go
@@ -89,8 +89,9 @@
 			e.apply(c)
 		}
 		c.place(time.Now())
-		if !c.wake.IsZero() {
-			wake.Reset(max(0, time.Until(c.wake)))
+		// A wake that is due already was held up by something that the ticker watches.
+		if d := time.Until(c.wake); d > 0 {
+			wake.Reset(d)
 		}
 	}
 	c.close()
