Jobs: durable records, parts by shard, progress, closing and sweeping

Cause: a job must outlive every entry VM, and its tasks must not run twice when an owner is replaced.

A job is split into ranges when it is submitted and the split is durable, so each owner runs its range alone.

Moving a range to another shard after the loss of an availability zone is not built.

--- /dev/null
+++ b/internal/job/controller_test.go
@@ -0,0 +1,281 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/platform"
+	"laburnumpoint/internal/standin"
+)
+
+const testShard = cell.ShardID("a-0")
+
+// fakePlacer holds submitted tasks until the test ends them. It records every task that is submitted while outstanding.
+type fakePlacer struct {
+	mu         sync.Mutex
+	held       map[cell.TaskID]func(cell.Outcome)
+	submitted  map[cell.TaskID]int
+	violations []string
+	arrived    chan cell.TaskID
+}
+
+func newFakePlacer() *fakePlacer {
+	return &fakePlacer{
+		held:      make(map[cell.TaskID]func(cell.Outcome)),
+		submitted: make(map[cell.TaskID]int),
+		arrived:   make(chan cell.TaskID, 1000),
+	}
+}
+
+func (f *fakePlacer) SubmitTask(t cell.Task, done func(cell.Outcome)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.held[t.ID] != nil {
+		f.violations = append(f.violations, fmt.Sprintf("%s submitted while outstanding", t.ID))
+	}
+	f.held[t.ID] = done
+	f.submitted[t.ID]++
+	f.arrived <- t.ID
+}
+
+func (f *fakePlacer) CancelJob(id cell.JobID) int {
+	f.mu.Lock()
+	held := f.held
+	f.held = make(map[cell.TaskID]func(cell.Outcome))
+	f.mu.Unlock()
+	for _, done := range held {
+		go done(cell.NotRun(cell.Reason{Code: cell.ReasonCancelled}, 0))
+	}
+	return len(held)
+}
+
+func (f *fakePlacer) end(t *testing.T, id cell.TaskID, o cell.Outcome) {
+	t.Helper()
+	f.mu.Lock()
+	done := f.held[id]
+	delete(f.held, id)
+	f.mu.Unlock()
+	if done == nil {
+		t.Fatalf("%s is not outstanding", id)
+	}
+	done(o)
+}
+
+func (f *fakePlacer) await(t *testing.T, n int) []cell.TaskID {
+	t.Helper()
+	ids := make([]cell.TaskID, 0, n)
+	for range n {
+		ids = append(ids, <-f.arrived)
+	}
+	return ids
+}
+
+func testRecord(kind cell.Kind, count int) Record {
+	return Record{
+		Spec:  Spec{ID: "j", Kind: kind, Count: count, Template: cell.Task{Team: "t", Class: cell.ClassBatch, Idempotent: true}},
+		Parts: []Part{{Shard: testShard, From: 0, To: count}},
+	}
+}
+
+func startController(t *testing.T, store *Store, p Placer) *Controller {
+	t.Helper()
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	c := Start(testShard, store, p, logger, func() {})
+	t.Cleanup(func() { c.Stop(context.Background()) })
+	return c
+}
+
+func awaitEnded(t *testing.T, store *Store) Record {
+	t.Helper()
+	for {
+		r, _, err := store.Load(t.Context(), "j")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Ended() {
+			return r
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestBatchRunsEachTaskToItsEnd(t *testing.T) {
+	store := NewStore(standin.NewTable())
+	if _, err := store.Create(t.Context(), testRecord(cell.KindBatch, 3)); err != nil {
+		t.Fatal(err)
+	}
+	p := newFakePlacer()
+	startController(t, store, p)
+	p.await(t, 3)
+	p.end(t, "j/0", cell.Outcome{Result: cell.ResultCompleted})
+	p.end(t, "j/1", cell.Outcome{Result: cell.ResultFailed, Reason: cell.Reason{Code: cell.ReasonTaskFailed}})
+	p.end(t, "j/2", cell.NotRun(cell.Reason{Code: cell.ReasonWorkerLost}, 0))
+	p.await(t, 1)
+	p.end(t, "j/2", cell.Outcome{Result: cell.ResultCompleted})
+	got := awaitEnded(t, store).Closed[testShard]
+	if want := (Counts{Succeeded: 2, Failed: 1}); got != want {
+		t.Errorf("counts = %+v, want %+v", got, want)
+	}
+	if len(p.violations) > 0 {
+		t.Error(p.violations)
+	}
+}
+
+func TestNextOwnerSkipsWhatIsDone(t *testing.T) {
+	store := NewStore(standin.NewTable())
+	if _, err := store.Create(t.Context(), testRecord(cell.KindBatch, 3)); err != nil {
+		t.Fatal(err)
+	}
+	first := newFakePlacer()
+	c := startController(t, store, first)
+	first.await(t, 3)
+	first.end(t, "j/1", cell.Outcome{Result: cell.ResultCompleted})
+	c.Stop(context.Background())
+	second := newFakePlacer()
+	startController(t, store, second)
+	second.await(t, 2)
+	second.end(t, "j/0", cell.Outcome{Result: cell.ResultCompleted})
+	second.end(t, "j/2", cell.Outcome{Result: cell.ResultCompleted})
+	if got := awaitEnded(t, store).Closed[testShard].Succeeded; got != 3 {
+		t.Errorf("succeeded = %d, want 3", got)
+	}
+	if n := second.submitted["j/1"]; n != 0 {
+		t.Errorf("task that was done was submitted %d times", n)
+	}
+}
+
+func TestCancelledJobCloses(t *testing.T) {
+	store := NewStore(standin.NewTable())
+	if _, err := store.Create(t.Context(), testRecord(cell.KindBatch, 5)); err != nil {
+		t.Fatal(err)
+	}
+	p := newFakePlacer()
+	c := startController(t, store, p)
+	p.await(t, 5)
+	if _, err := store.Cancel(t.Context(), "j"); err != nil {
+		t.Fatal(err)
+	}
+	c.Notice("j")
+	if got := awaitEnded(t, store).Closed[testShard].Done(); got != 0 {
+		t.Errorf("%d tasks done, want 0", got)
+	}
+}
+
+func TestServiceReplicaRestarts(t *testing.T) {
+	store := NewStore(standin.NewTable())
+	if _, err := store.Create(t.Context(), testRecord(cell.KindService, 1)); err != nil {
+		t.Fatal(err)
+	}
+	p := newFakePlacer()
+	startController(t, store, p)
+	p.await(t, 1)
+	p.end(t, "j/0", cell.Outcome{Result: cell.ResultFailed})
+	p.await(t, 1)
+}
+
+func TestNonIdempotentTaskInDoubtIsNotSubmittedAgain(t *testing.T) {
+	store := NewStore(standin.NewTable())
+	r := testRecord(cell.KindBatch, 1)
+	r.Spec.Template.Idempotent = false
+	if _, err := store.Create(t.Context(), r); err != nil {
+		t.Fatal(err)
+	}
+	p := newFakePlacer()
+	startController(t, store, p)
+	p.await(t, 1)
+	p.end(t, "j/0", cell.Unknown(cell.Reason{Code: cell.ReasonInDoubt}, time.Second))
+	if got := awaitEnded(t, store).Closed[testShard].InDoubt; got != 1 {
+		t.Errorf("in doubt = %d, want 1", got)
+	}
+	if n := p.submitted["j/0"]; n != 1 {
+		t.Errorf("submitted %d times, want 1", n)
+	}
+}
+
+func TestCreateSettlesALostAnswer(t *testing.T) {
+	table := standin.NewTable()
+	store := NewStore(table)
+	table.SetFaults(standin.TableFaults{LoseAnswers: 1})
+	if _, err := store.Create(t.Context(), testRecord(cell.KindBatch, 1)); err != nil {
+		t.Errorf("create whose answer was lost: %v", err)
+	}
+	if _, err := store.Create(t.Context(), testRecord(cell.KindBatch, 1)); err != nil {
+		t.Errorf("the same job again: %v", err)
+	}
+	if _, err := store.Create(t.Context(), testRecord(cell.KindBatch, 2)); !errors.Is(err, ErrExists) {
+		t.Errorf("another job under the same id: %v, want ErrExists", err)
+	}
+	table.SetFaults(standin.TableFaults{Down: true})
+	if _, err := store.Create(t.Context(), testRecord(cell.KindBatch, 1)); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("table down: %v, want ErrUnavailable", err)
+	}
+}
+
+func TestSweepRemovesEndedJobsOnly(t *testing.T) {
+	store := NewStore(standin.NewTable())
+	r := testRecord(cell.KindBatch, 2)
+	r.Parts = []Part{{Shard: testShard, From: 0, To: 1}, {Shard: "b-0", From: 1, To: 2}}
+	if _, err := store.Create(t.Context(), r); err != nil {
+		t.Fatal(err)
+	}
+	hour := time.Unix(1_000_000, 0)
+	closePart(t, store, testShard, hour)
+	if err := store.Sweep(t.Context(), testShard, hour, hour.Add(time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := store.Load(t.Context(), "j"); err != nil {
+		t.Fatalf("a job with an open part was removed: %v", err)
+	}
+	closePart(t, store, "b-0", hour)
+	if err := store.Sweep(t.Context(), "b-0", hour, hour.Add(time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := store.Load(t.Context(), "j"); !errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("ended job after its sweep: %v, want ErrNotFound", err)
+	}
+}
+
+func closePart(t *testing.T, store *Store, shard cell.ShardID, now time.Time) {
+	t.Helper()
+	row, err := store.LoadPart(t.Context(), shard, "j")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := store.ClosePart(t.Context(), shard, row, now); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestSplit(t *testing.T) {
+	rooms := []Room{
+		{Shard: "a-0", Zone: "a", Free: 10, Total: 100},
+		{Shard: "b-0", Zone: "b", Free: 50, Total: 100},
+		{Shard: "c-0", Zone: "c", Free: 0, Total: 50},
+	}
+	cases := []struct {
+		name  string
+		kind  cell.Kind
+		count int
+		want  string
+	}{
+		{"small batch goes where room is", cell.KindBatch, 10, "[{b-0 0 10}]"},
+		{"large batch in proportion", cell.KindBatch, 251, "[{a-0 0 101} {b-0 101 201} {c-0 201 251}]"},
+		{"gang stays whole", cell.KindGang, 60, "[{b-0 0 60}]"},
+		{"gang too large for every shard", cell.KindGang, 101, "[]"},
+		{"service is spread over zones", cell.KindService, 4, "[{a-0 0 2} {b-0 2 3} {c-0 3 4}]"},
+	}
+	for _, c := range cases {
+		got := fmt.Sprint(Split(Spec{Kind: c.kind, Count: c.count}, rooms))
+		if got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
