Quota shares: one quota for the cell, divided over shards and moved on demand

Cause: placements are decided by each shard's owner alone, so a team's quota must be divided. A fixed split by capacity leaves a quota smaller than the number of shards unusable (one accelerator over four shards is none anywhere).

Ruled out: counting by heartbeat digests (overshoots by what is placed within a heartbeat); polling every team's row by every owner (73 teams by 51 shards is some 300 KB a read, a second). Shards that lack quota say so in one small row that every owner polls.

Each owner process reads one row a second for it.

--- /dev/null
+++ b/internal/quota/share.go
@@ -0,0 +1,152 @@
+// Package quota divides each team's quota over the shards of the cell.
+//
+// A team's quota is one number for the cell, and placements are decided by each shard's owner alone. Every shard holds
+// a share of the quota, and its owner places within that share only, so the shares' sum bounds what the team holds.
+// Shares move by transactions on one table row a team. A share is raised in the table before it is used, and is no
+// longer used before it is lowered in the table.
+//
+// Table rows:
+//
+//	quota/team/<team>    Row: the share of each shard
+//	quota/wants          Wants: which shards lack how much of which team's quota
+package quota
+
+import (
+	"maps"
+	"slices"
+
+	"laburnumpoint/internal/cell"
+)
+
+// Row holds the shares of one team's quota.
+type Row struct {
+	Shares map[cell.ShardID]cell.Resources `json:"shares"`
+}
+
+// Wants says how much each shard lacks of each team's quota.
+type Wants map[string]map[cell.ShardID]cell.Resources
+
+// Demand is what one team holds and waits for in one shard.
+type Demand struct {
+	Team    string
+	Held    cell.Resources
+	Waiting cell.Resources
+}
+
+// firstRow spreads quota evenly; what rounding leaves is unallocated.
+func firstRow(quota cell.Resources, shards []cell.ShardID) Row {
+	n := int64(len(shards))
+	each := perDimension(quota, quota, func(q, _ int64) int64 { return q / n })
+	r := Row{Shares: make(map[cell.ShardID]cell.Resources, len(shards))}
+	for _, s := range shards {
+		r.Shares[s] = each
+	}
+	return r
+}
+
+func (r Row) allocated() cell.Resources {
+	var sum cell.Resources
+	for _, s := range r.Shares {
+		sum = sum.Add(s)
+	}
+	return sum
+}
+
+func (r Row) with(shard cell.ShardID, share cell.Resources) Row {
+	out := Row{Shares: maps.Clone(r.Shares)}
+	if out.Shares == nil {
+		out.Shares = make(map[cell.ShardID]cell.Resources)
+	}
+	out.Shares[shard] = share
+	return out
+}
+
+// raise returns the share that shard may take for d: up to what it holds and waits for, out of what is unallocated.
+func (r Row) raise(shard cell.ShardID, quota cell.Resources, d Demand) cell.Resources {
+	share := r.Shares[shard]
+	lack := clampLow(d.Held.Add(d.Waiting).Sub(share))
+	free := clampLow(quota.Sub(r.allocated()))
+	return share.Add(lower(lack, free))
+}
+
+// yield returns the share that shard keeps so that others get what they want and the quota is not over-allocated.
+// It never falls below what is held; for the wants of others it does not fall below what the shard itself waits for.
+func (r Row) yield(shard cell.ShardID, quota cell.Resources, d Demand, wanted cell.Resources) cell.Resources {
+	share := r.Shares[shard]
+	over := clampLow(r.allocated().Sub(quota))
+	forced := lower(over, clampLow(share.Sub(d.Held)))
+	share = share.Sub(forced)
+	spare := clampLow(share.Sub(d.Held).Sub(d.Waiting))
+	unallocated := clampLow(quota.Sub(r.allocated()))
+	short := clampLow(wanted.Sub(unallocated))
+	return share.Sub(lower(spare, short))
+}
+
+// lacking returns what shard wants beyond its share. Dimensions that the quota does not bound are zero.
+func lacking(share, quota cell.Resources, d Demand) cell.Resources {
+	lack := clampLow(d.Held.Add(d.Waiting).Sub(share))
+	return lower(lack, quota)
+}
+
+// others sums up what the shards but those in own want.
+func (w Wants) others(team string, own []cell.ShardID) cell.Resources {
+	var sum cell.Resources
+	for shard, want := range w[team] {
+		if !slices.Contains(own, shard) {
+			sum = sum.Add(want)
+		}
+	}
+	return sum
+}
+
+// with returns a copy of w in which shard wants exactly lack of team's quota.
+func (w Wants) with(team string, shard cell.ShardID, lack cell.Resources) Wants {
+	out := make(Wants, len(w)+1)
+	for t, shards := range w {
+		out[t] = maps.Clone(shards)
+	}
+	if lack.IsZero() {
+		delete(out[team], shard)
+		if len(out[team]) == 0 {
+			delete(out, team)
+		}
+		return out
+	}
+	if out[team] == nil {
+		out[team] = make(map[cell.ShardID]cell.Resources)
+	}
+	out[team][shard] = lack
+	return out
+}
+
+// Limit turns a share into the bound that a scheduler takes: zero where the quota bounds nothing, negative where it
+// bounds and the share is nothing.
+func Limit(quota, share cell.Resources) cell.Resources {
+	return perDimension(quota, share, func(q, s int64) int64 {
+		switch {
+		case q == 0:
+			return 0
+		case s <= 0:
+			return -1
+		default:
+			return s
+		}
+	})
+}
+
+func clampLow(r cell.Resources) cell.Resources {
+	return perDimension(r, r, func(v, _ int64) int64 { return max(v, 0) })
+}
+
+func lower(a, b cell.Resources) cell.Resources {
+	return perDimension(a, b, func(x, y int64) int64 { return min(x, y) })
+}
+
+func perDimension(a, b cell.Resources, f func(a, b int64) int64) cell.Resources {
+	return cell.Resources{
+		MilliCPU:     f(a.MilliCPU, b.MilliCPU),
+		MemoryMiB:    f(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: f(a.Accelerators, b.Accelerators),
+		Slots:        f(a.Slots, b.Slots),
+	}
+}
