Stand-in: in-process worker fleet with lease contract, VM list and history

Cause: the shard, dispatch and edge tests need runners that keep docs/LEASES.md and record every lease's start and end, without a network. Ruled out: events of the stand-in's own type (history entries serve the checkers without conversion); a capacity check in the runner (contract, item 8: that is the scheduler's part). Before: table only.

--- /dev/null
+++ b/internal/history/entry.go
@@ -0,0 +1,166 @@
+// Package history records what callers, operators and workers saw of a run and checks the record against what must
+// always hold: capacity, one place at a time, own whole answers, truthful outcomes and configuration order.
+//
+// A history is a sequence of entries, one JSON object a line. Entries of several processes on one machine may be
+// merged: every entry carries its wall-clock time.
+package history
+
+import (
+	"time"
+
+	"laburnumpoint/internal/cell"
+)
+
+// Kind tells which part of an Entry is set.
+type Kind string
+
+// The kinds of entries.
+const (
+	// KindCall is a caller's request, recorded before it is sent. Call is set.
+	KindCall Kind = "call"
+	// KindReturn is the answer to a call, or its failure. Return is set.
+	KindReturn Kind = "return"
+	// KindLeaseStart is a worker starting an attempt. Lease is set.
+	KindLeaseStart Kind = "lease_start"
+	// KindLeaseEnd is a worker ending an attempt. Lease is set.
+	KindLeaseEnd Kind = "lease_end"
+	// KindWorker is a change of a worker VM. Worker is set.
+	KindWorker Kind = "worker"
+	// KindPatchCall is an operator's patch, recorded before it is sent. Patch is set.
+	KindPatchCall Kind = "patch_call"
+	// KindPatchReturn is the verdict on a patch. Patch is set.
+	KindPatchReturn Kind = "patch_return"
+	// KindReadCall is a query for the configuration version in force, recorded before it is sent. Read is set.
+	KindReadCall Kind = "read_call"
+	// KindReadReturn is the version that a query was given. Read is set.
+	KindReadReturn Kind = "read_return"
+)
+
+// Entry is one line of a history.
+type Entry struct {
+	// At is the wall-clock time of the event.
+	At   time.Time `json:"at"`
+	Kind Kind      `json:"kind"`
+	// Op pairs a call with its return; it is unique in a history.
+	Op     string       `json:"op,omitempty"`
+	Call   *Call        `json:"call,omitempty"`
+	Return *Return      `json:"return,omitempty"`
+	Lease  *Lease       `json:"lease,omitempty"`
+	Worker *Worker      `json:"worker,omitempty"`
+	Patch  *Patch       `json:"patch,omitempty"`
+	Read   *VersionRead `json:"read,omitempty"`
+}
+
+// Call is a caller's request.
+type Call struct {
+	// Key is the caller's request key: retries of one request carry the same key.
+	Key string `json:"key"`
+	// Task is the task's id where the caller chooses it; empty otherwise.
+	Task       cell.TaskID `json:"task,omitempty"`
+	Idempotent bool        `json:"idempotent"`
+	// Echo is the text that the answer must repeat.
+	Echo string `json:"echo,omitempty"`
+	// AnswerBytes is the length that the whole answer must have; 0 if the caller did not choose it.
+	AnswerBytes int `json:"answer_bytes,omitempty"`
+}
+
+// Return is what a caller was told.
+type Return struct {
+	// Lost means that no whole answer came back. Result is empty then.
+	Lost   bool        `json:"lost,omitempty"`
+	Result cell.Result `json:"result,omitempty"`
+	// Task is the id that the scheduler gave the request's task.
+	Task   cell.TaskID `json:"task,omitempty"`
+	Answer []byte      `json:"answer,omitempty"`
+}
+
+// EndCause tells why a lease ended.
+type EndCause string
+
+// The causes of a lease's end.
+const (
+	// EndFinished means that the task ran to its end.
+	EndFinished EndCause = "finished"
+	// EndFailed means that the task ran and failed.
+	EndFailed EndCause = "failed"
+	// EndStopped means that the owner stopped the task.
+	EndStopped EndCause = "stopped"
+	// EndLapsed means that the lease was not renewed in time.
+	EndLapsed EndCause = "lapsed"
+	// EndLost means that the worker VM or its runner ended.
+	EndLost EndCause = "lost"
+)
+
+// Lease is one attempt on one worker.
+type Lease struct {
+	Worker  cell.WorkerID `json:"worker"`
+	Boot    string        `json:"boot"`
+	Attempt cell.Attempt  `json:"attempt"`
+	// Claim, Kind, Team, Idempotent and Echo are set at the start.
+	Claim      cell.Resources `json:"claim"`
+	Kind       cell.Kind      `json:"kind,omitempty"`
+	Team       string         `json:"team,omitempty"`
+	Idempotent bool           `json:"idempotent"`
+	Echo       string         `json:"echo,omitempty"`
+	// Cause is set at the end.
+	Cause EndCause `json:"cause,omitempty"`
+}
+
+// WorkerChange tells what happened to a worker VM.
+type WorkerChange string
+
+// The changes of a worker VM.
+const (
+	// WorkerAdded gives the worker's capacity.
+	WorkerAdded WorkerChange = "added"
+	// WorkerLeaving means that the VM was told to shut down.
+	WorkerLeaving WorkerChange = "leaving"
+	// WorkerLost means that the VM has ended.
+	WorkerLost WorkerChange = "lost"
+	// WorkerRestarted means that the runner lost its leases and has a new boot id.
+	WorkerRestarted WorkerChange = "restarted"
+	// WorkerFrozen means that the VM is paused.
+	WorkerFrozen WorkerChange = "frozen"
+	// WorkerThawed means that the VM goes on after a pause.
+	WorkerThawed WorkerChange = "thawed"
+)
+
+// Worker is a change of one worker VM.
+type Worker struct {
+	ID       cell.WorkerID  `json:"id"`
+	Change   WorkerChange   `json:"change"`
+	Capacity cell.Resources `json:"capacity"`
+}
+
+// Patch is an operator's attempt to move the configuration from version Base to a new one.
+type Patch struct {
+	ID   string `json:"id"`
+	Base uint64 `json:"base"`
+	// Verdict and Version are set on return.
+	Verdict PatchVerdict `json:"verdict,omitempty"`
+	// Version is the new version if accepted, and the version in force if refused as stale.
+	Version uint64 `json:"version,omitempty"`
+}
+
+// PatchVerdict is what an operator was told of a patch.
+type PatchVerdict string
+
+// The verdicts on a patch.
+const (
+	// PatchAccepted means that the patch is the version in force.
+	PatchAccepted PatchVerdict = "accepted"
+	// PatchStale means that the patch was refused because Base was not the version in force.
+	PatchStale PatchVerdict = "stale"
+	// PatchRefused means that the patch was refused for another reason and changed nothing.
+	PatchRefused PatchVerdict = "refused"
+	// PatchUnknown means that the patch may or may not have been accepted, now or later.
+	PatchUnknown PatchVerdict = "unknown"
+)
+
+// VersionRead is a query for the configuration version in force at one entry VM.
+type VersionRead struct {
+	// Member is the entry VM's process that answered.
+	Member cell.MemberID `json:"member,omitempty"`
+	// Version is set on return; 0 means that no version was given.
+	Version uint64 `json:"version,omitempty"`
+}
--- /dev/null
+++ b/internal/standin/runner.go
@@ -0,0 +1,382 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/history"
+	"laburnumpoint/internal/platform"
+)
+
+// errLost means that the worker VM has ended.
+var errLost = errors.New("standin: worker lost")
+
+// runner is the runner on one worker VM: the lease contract of docs/LEASES.md without a network.
+// It checks neither capacity nor whether a task runs elsewhere.
+type runner struct {
+	worker    cell.Worker
+	retention time.Duration
+	recorder  *history.Recorder
+
+	mu        sync.Mutex
+	boots     int
+	epoch     cell.Epoch
+	leases    map[cell.Attempt]*lease
+	failTasks bool
+	leaving   bool
+	lost      bool
+	frozen    bool
+	thawed    chan struct{} // closed when a pause ends
+	used      cell.Resources
+}
+
+// lease is the runner's record of one attempt. Its fields are guarded by the runner's mutex until done is closed.
+type lease struct {
+	attempt cell.Attempt
+	task    cell.Task // without payload
+	payload Payload
+	phase   cell.LeasePhase
+	started time.Time
+	expires time.Time
+	ended   time.Time
+	lapse   *time.Timer
+	done    chan struct{} // closed once reply is set
+	reply   platform.StartReply
+}
+
+func newRunner(w cell.Worker, retention time.Duration, recorder *history.Recorder) *runner {
+	r := &runner{worker: w, retention: retention, recorder: recorder}
+	r.reset()
+	r.recordWorker(history.WorkerAdded)
+	return r
+}
+
+// reset forgets everything, as a runner that boots does.
+func (r *runner) reset() {
+	r.boots++
+	r.epoch = 0
+	r.leases = make(map[cell.Attempt]*lease)
+	r.used = cell.Resources{}
+}
+
+func (r *runner) boot() string {
+	return string(r.worker.ID) + "/" + strconv.Itoa(r.boots)
+}
+
+// lockAwake locks r once the VM is not paused, and ends the leases that lapsed meanwhile before anything else happens.
+// On error r is not locked.
+func (r *runner) lockAwake(ctx context.Context) error {
+	for {
+		r.mu.Lock()
+		if !r.frozen {
+			break
+		}
+		thawed := r.thawed
+		r.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-thawed:
+		}
+	}
+	if r.lost {
+		r.mu.Unlock()
+		return errLost
+	}
+	r.expire(time.Now())
+	return nil
+}
+
+// expire ends the leases that have lapsed and forgets those that ended before the retention time.
+func (r *runner) expire(now time.Time) {
+	for a, l := range r.leases {
+		if l.phase == cell.LeaseRunning && !now.Before(l.expires) {
+			r.end(l, l.expires, history.EndLapsed, stoppedReply("lease lapsed"))
+		}
+		if l.phase != cell.LeaseRunning && now.Sub(l.ended) > r.retention {
+			delete(r.leases, a)
+		}
+	}
+}
+
+// claim is the contract's claim.
+func (r *runner) claim(ctx context.Context, c platform.Claim) (platform.WorkerReport, error) {
+	if err := r.lockAwake(ctx); err != nil {
+		return platform.WorkerReport{}, err
+	}
+	defer r.mu.Unlock()
+	report := platform.WorkerReport{Worker: r.worker.ID, Boot: r.boot(), Epoch: r.epoch, Leaving: r.leaving}
+	if c.Boot != report.Boot {
+		return report, nil
+	}
+	if c.Epoch < r.epoch {
+		return platform.WorkerReport{}, platform.ErrFenced
+	}
+	r.epoch = c.Epoch
+	now := time.Now()
+	report.Claimed = true
+	report.Epoch = c.Epoch
+	report.Usage = platform.Usage{Worker: r.worker.ID, Used: r.used}
+	r.used = cell.Resources{}
+	for _, l := range r.leases {
+		if l.phase == cell.LeaseRunning {
+			l.renew(now, c.TTL)
+			r.used = r.used.Add(l.task.Claim)
+		}
+		report.Leases = append(report.Leases, r.describe(l, now))
+	}
+	return report, nil
+}
+
+// start starts the attempt, or finds the one it knows. A nil lease comes with the refusal.
+func (r *runner) start(ctx context.Context, boot string, a cell.Attempt, t cell.Task, ttl time.Duration) (*lease, platform.StartReply) {
+	if err := r.lockAwake(ctx); err != nil {
+		return nil, platform.StartReply{Result: platform.StartInDoubt, Detail: err.Error()}
+	}
+	defer r.mu.Unlock()
+	if l, ok := r.leases[a]; ok {
+		return l, platform.StartReply{}
+	}
+	if a.Epoch < r.epoch {
+		return nil, platform.StartReply{Result: platform.StartFenced, Detail: "epoch superseded"}
+	}
+	if boot != r.boot() {
+		return nil, platform.StartReply{Result: platform.StartRefused, Detail: "other boot"}
+	}
+	if a.Epoch != r.epoch {
+		return nil, platform.StartReply{Result: platform.StartRefused, Detail: "epoch not claimed"}
+	}
+	return r.startNew(a, t, ttl), platform.StartReply{}
+}
+
+func (r *runner) startNew(a cell.Attempt, t cell.Task, ttl time.Duration) *lease {
+	now := time.Now()
+	l := &lease{attempt: a, task: t, payload: parsePayload(t.Payload), phase: cell.LeaseRunning, started: now, done: make(chan struct{})}
+	l.task.Payload = nil
+	l.expires = now.Add(ttl)
+	l.lapse = time.AfterFunc(ttl, r.wake)
+	r.leases[a] = l
+	r.recordLease(history.KindLeaseStart, l, now, "")
+	runTime, bounded := l.payload.runTime(t.Kind)
+	switch {
+	case r.failTasks:
+		go r.finishAfter(l, 0)
+	case bounded:
+		go r.finishAfter(l, runTime)
+	}
+	return l
+}
+
+// finishAfter lets the task run to its end.
+func (r *runner) finishAfter(l *lease, runTime time.Duration) {
+	timer := time.NewTimer(runTime)
+	defer timer.Stop()
+	select {
+	case <-l.done:
+		return
+	case <-timer.C:
+	}
+	if r.lockAwake(context.Background()) != nil {
+		return
+	}
+	defer r.mu.Unlock()
+	if l.phase != cell.LeaseRunning {
+		return
+	}
+	cause := history.EndFinished
+	reply := platform.StartReply{Result: platform.StartFinished, Answer: l.payload.answer(l.attempt, r.worker.ID)}
+	if r.failTasks || l.payload.Fail {
+		cause = history.EndFailed
+		reply.Failed = true
+	}
+	r.end(l, time.Now(), cause, reply)
+}
+
+// wake lets lapsed leases end.
+func (r *runner) wake() {
+	if r.lockAwake(context.Background()) == nil {
+		r.mu.Unlock()
+	}
+}
+
+// stop is the contract's stop.
+func (r *runner) stop(ctx context.Context, a cell.Attempt, epoch cell.Epoch) (cell.Lease, error) {
+	if err := r.lockAwake(ctx); err != nil {
+		return cell.Lease{}, err
+	}
+	defer r.mu.Unlock()
+	if epoch < r.epoch {
+		return cell.Lease{}, platform.ErrFenced
+	}
+	now := time.Now()
+	l, ok := r.leases[a]
+	if !ok {
+		l = &lease{attempt: a, task: cell.Task{ID: a.Task}, phase: cell.LeaseTombstone, started: now, ended: now, done: make(chan struct{})}
+		l.reply = platform.StartReply{Result: platform.StartRefused, Detail: "stopped before its start"}
+		close(l.done)
+		r.leases[a] = l
+	}
+	if l.phase == cell.LeaseRunning {
+		r.end(l, now, history.EndStopped, stoppedReply("stopped"))
+	}
+	return r.describe(l, now), nil
+}
+
+// find returns the attempt's lease, or nil if the runner does not know it.
+func (r *runner) find(ctx context.Context, a cell.Attempt) (*lease, error) {
+	if err := r.lockAwake(ctx); err != nil {
+		return nil, err
+	}
+	defer r.mu.Unlock()
+	return r.leases[a], nil
+}
+
+// await waits for the lease's end and for a VM that is not paused.
+func (r *runner) await(ctx context.Context, l *lease) platform.StartReply {
+	select {
+	case <-ctx.Done():
+		return platform.StartReply{Result: platform.StartInDoubt, Detail: ctx.Err().Error()}
+	case <-l.done:
+	}
+	if err := r.lockAwake(ctx); err != nil {
+		return platform.StartReply{Result: platform.StartInDoubt, Detail: err.Error()}
+	}
+	r.mu.Unlock()
+	return l.reply
+}
+
+// end ends a running lease at time at.
+func (r *runner) end(l *lease, at time.Time, cause history.EndCause, reply platform.StartReply) {
+	l.phase = cell.LeaseEnded
+	l.ended = at
+	l.reply = reply
+	l.lapse.Stop()
+	close(l.done)
+	r.recordLease(history.KindLeaseEnd, l, at, cause)
+}
+
+// loseLeases ends every lease without an answer, as the end of the VM or its runner does.
+func (r *runner) loseLeases() {
+	now := time.Now()
+	for _, l := range r.leases {
+		if l.phase == cell.LeaseRunning {
+			end := now
+			if l.expires.Before(now) {
+				end = l.expires
+			}
+			r.end(l, end, history.EndLost, platform.StartReply{Result: platform.StartInDoubt, Detail: errLost.Error()})
+		}
+	}
+}
+
+// crash ends the VM.
+func (r *runner) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lost {
+		return
+	}
+	r.loseLeases()
+	r.lost = true
+	r.thawLocked()
+	r.recordWorker(history.WorkerLost)
+}
+
+// restart ends the runner and boots a new one on the same VM.
+func (r *runner) restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lost {
+		return
+	}
+	r.loseLeases()
+	r.reset()
+	r.thawLocked()
+	r.recordWorker(history.WorkerRestarted)
+}
+
+func (r *runner) freeze() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.frozen || r.lost {
+		return
+	}
+	r.frozen = true
+	r.thawed = make(chan struct{})
+	r.recordWorker(history.WorkerFrozen)
+}
+
+func (r *runner) thaw() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.frozen {
+		r.thawLocked()
+		r.recordWorker(history.WorkerThawed)
+	}
+}
+
+func (r *runner) thawLocked() {
+	if r.frozen {
+		r.frozen = false
+		close(r.thawed)
+	}
+}
+
+func (r *runner) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.leaving {
+		r.leaving = true
+		r.recordWorker(history.WorkerLeaving)
+	}
+}
+
+func (r *runner) setFailTasks(fail bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failTasks = fail
+}
+
+func (r *runner) describe(l *lease, now time.Time) cell.Lease {
+	until := now
+	if l.phase != cell.LeaseRunning {
+		until = l.ended
+	}
+	return cell.Lease{Attempt: l.attempt, Worker: r.worker.ID, Phase: l.phase, Task: l.task, Elapsed: until.Sub(l.started)}
+}
+
+func (l *lease) renew(now time.Time, ttl time.Duration) {
+	l.expires = now.Add(ttl)
+	l.lapse.Reset(ttl)
+}
+
+func (r *runner) recordLease(kind history.Kind, l *lease, at time.Time, cause history.EndCause) {
+	r.recorder.Add(history.Entry{At: at, Kind: kind, Lease: &history.Lease{
+		Worker:     r.worker.ID,
+		Boot:       r.boot(),
+		Attempt:    l.attempt,
+		Claim:      l.task.Claim,
+		Kind:       l.task.Kind,
+		Team:       l.task.Team,
+		Idempotent: l.task.Idempotent,
+		Echo:       l.payload.Echo,
+		Cause:      cause,
+	}})
+}
+
+func (r *runner) recordWorker(change history.WorkerChange) {
+	r.recorder.Add(history.Entry{Kind: history.KindWorker, Worker: &history.Worker{
+		ID:       r.worker.ID,
+		Change:   change,
+		Capacity: r.worker.Capacity,
+	}})
+}
+
+// stoppedReply is the reply of an attempt that ran and was ended before its own end.
+func stoppedReply(detail string) platform.StartReply {
+	return platform.StartReply{Result: platform.StartFinished, Failed: true, Detail: detail}
+}
--- /dev/null
+++ b/internal/standin/vmlist.go
@@ -0,0 +1,103 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/platform"
+)
+
+// VMList is an in-memory platform.VMList that lags behind the changes it is told of.
+type VMList struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	down    bool
+	entries map[cell.WorkerID][]listChange
+}
+
+// listChange is the state of a worker from a moment on.
+type listChange struct {
+	at     time.Time
+	worker cell.Worker
+}
+
+var _ platform.VMList = (*VMList)(nil)
+
+// NewVMList returns an empty list with the given lag.
+func NewVMList(lag time.Duration) *VMList {
+	return &VMList{lag: lag, entries: make(map[cell.WorkerID][]listChange)}
+}
+
+// Set tells the list of a worker's present state.
+func (l *VMList) Set(w cell.Worker) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changes := l.entries[w.ID]
+	if n := len(changes); n > 0 && changes[n-1].worker == w {
+		return
+	}
+	l.entries[w.ID] = append(changes, listChange{at: time.Now(), worker: w})
+}
+
+// Remove tells the list that a worker has ended.
+func (l *VMList) Remove(id cell.WorkerID) {
+	l.Set(cell.Worker{ID: id, State: cell.WorkerGone})
+}
+
+// SetDown makes the list refuse every query, or serve again.
+func (l *VMList) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// SetLag replaces the lag.
+func (l *VMList) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+}
+
+// showAll makes every change so far visible at once.
+func (l *VMList) showAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, changes := range l.entries {
+		for i := range changes {
+			changes[i].at = time.Time{}
+		}
+	}
+}
+
+// Workers implements platform.VMList.
+func (l *VMList) Workers(ctx context.Context) ([]cell.Worker, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down || ctx.Err() != nil {
+		return nil, platform.ErrUnavailable
+	}
+	visible := time.Now().Add(-l.lag)
+	var workers []cell.Worker
+	for _, changes := range l.entries {
+		w, ok := stateAt(changes, visible)
+		if ok && w.State != cell.WorkerGone {
+			workers = append(workers, w)
+		}
+	}
+	slices.SortFunc(workers, func(a, b cell.Worker) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return workers, nil
+}
+
+// stateAt returns the last change that is not after at; false if there is none.
+func stateAt(changes []listChange, at time.Time) (cell.Worker, bool) {
+	for _, c := range slices.Backward(changes) {
+		if !c.at.After(at) {
+			return c.worker, true
+		}
+	}
+	return cell.Worker{}, false
+}
