HTTP adapters and the stand-in program

Cause: the daemon needs the platform and the runners over HTTP, and the proofs need them as separate processes. One pool of connections for claims and work (silent starts would hold up claims). Mapping: a call that got no connection was not sent; every other call without a whole, matching answer is in doubt. Before: in-process only. Thin: the silent-connection and net/http retry tests, the platform adapter's mapping tests, docs.

--- /dev/null
+++ b/cmd/laburnumpoint-standin/runners.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/urfave/cli/v3"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/standin"
+	"laburnumpoint/internal/standin/httpserver"
+)
+
+// defaultShape is the office whose workers are run if none is named.
+const defaultShape = "galwad"
+
+func runnersCommand(logger *log.Logger) *cli.Command {
+	return &cli.Command{
+		Name:  "runners",
+		Usage: "serve the runners of an office's workers, each at its own port",
+		Flags: []cli.Flag{
+			listenFlag(),
+			graceFlag(),
+			&cli.StringFlag{Name: flagPlatform, Usage: "`ADDRESS` of the platform", Required: true, Sources: env(flagPlatform)},
+			&cli.StringFlag{Name: flagShape, Usage: "office: " + shapeNames(), Value: defaultShape, Sources: env(flagShape)},
+			&cli.IntFlag{Name: flagWorkers, Usage: "`NUMBER` of workers over all pools; 0 runs them all", Sources: env(flagWorkers)},
+			&cli.StringFlag{Name: flagPrefix, Usage: "`TEXT` that worker ids start with", Sources: env(flagPrefix)},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if err := checkRunners(cmd); err != nil {
+				return err
+			}
+			return runRunners(ctx, cmd, logger)
+		},
+	}
+}
+
+func checkRunners(cmd *cli.Command) error {
+	var shapeErr, workersErr error
+	if _, ok := standin.Shapes()[cmd.String(flagShape)]; !ok {
+		shapeErr = fmt.Errorf("--%s: %q is none of %s", flagShape, cmd.String(flagShape), shapeNames())
+	}
+	if n := cmd.Int(flagWorkers); n < 0 {
+		workersErr = fmt.Errorf("--%s: %d is negative", flagWorkers, n)
+	}
+	return errors.Join(
+		checkNoArguments(cmd),
+		checkAddr(flagListen, cmd.String(flagListen)),
+		checkAddr(flagPlatform, cmd.String(flagPlatform)),
+		checkNotNegative(flagGrace, cmd.Duration(flagGrace)),
+		shapeErr,
+		workersErr,
+	)
+}
+
+func runRunners(ctx context.Context, cmd *cli.Command, logger *log.Logger) error {
+	listener, err := net.Listen("tcp", cmd.String(flagListen))
+	if err != nil {
+		return err
+	}
+	host, err := httpserver.NewHost(standin.FleetOptions{}, listenIP(listener), workersOf(cmd))
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	logger.Info().Str("addr", listener.Addr().String()).Int("workers", len(host.Workers())).Msg("runners serve")
+	onError := func(err error) { logger.Warn().Err(err).Msg("registration failed") }
+	run := strconv.FormatInt(time.Now().UnixNano(), 36)
+	return httpserver.ServeHost(ctx, listener, host, cmd.String(flagPlatform), run, cmd.Duration(flagGrace), onError)
+}
+
+func workersOf(cmd *cli.Command) []cell.Worker {
+	shape := standin.Shapes()[cmd.String(flagShape)]
+	if n := cmd.Int(flagWorkers); n > 0 {
+		shape = shape.Scaled(n)
+	}
+	return shape.Workers(cmd.String(flagPrefix))
+}
+
+func listenIP(listener net.Listener) string {
+	host, _, err := net.SplitHostPort(listener.Addr().String())
+	if err != nil {
+		panic(err) // a TCP listener's address has a port
+	}
+	return host
+}
+
+func shapeNames() string {
+	return strings.Join(slices.Sorted(maps.Keys(standin.Shapes())), ", ")
+}
--- /dev/null
+++ b/cmd/laburnumpoint-standin/settings.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// envPrefix starts the environment variable of every setting.
+const envPrefix = "LABURNUMPOINT_STANDIN_"
+
+// Names of settings.
+const (
+	flagListen   = "listen"
+	flagListLag  = "list-lag"
+	flagGrace    = "grace"
+	flagPlatform = "platform"
+	flagShape    = "shape"
+	flagWorkers  = "workers"
+	flagPrefix   = "id-prefix"
+)
+
+// defaultGrace is how long calls in flight may take at the program's end.
+const defaultGrace = 10 * time.Second
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:    flagListen,
+		Usage:   "`ADDRESS` to listen at, an IP number and a port; port 0 takes a free one",
+		Value:   "127.0.0.1:0",
+		Sources: env(flagListen),
+	}
+}
+
+func graceFlag() cli.Flag {
+	return &cli.DurationFlag{
+		Name:    flagGrace,
+		Usage:   "`TIME` that calls in flight may take after SIGTERM",
+		Value:   defaultGrace,
+		Sources: env(flagGrace),
+	}
+}
+
+func env(flag string) cli.ValueSourceChain {
+	return cli.EnvVars(envPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
+}
+
+// checkAddr returns an error unless value is an IP number and a port.
+func checkAddr(name, value string) error {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil {
+		return fmt.Errorf("--%s: %w", name, err)
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("--%s: %q is no IP number", name, host)
+	}
+	return nil
+}
+
+// checkNotNegative returns an error if value is below zero.
+func checkNotNegative(name string, value time.Duration) error {
+	if value < 0 {
+		return fmt.Errorf("--%s: %v is negative", name, value)
+	}
+	return nil
+}
+
+// checkNoArguments returns an error if words follow the flags.
+func checkNoArguments(cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return errors.New("unexpected argument " + cmd.Args().First())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/httpplatform/endpoint.go
@@ -0,0 +1,149 @@
+package httpplatform
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of connections.
+const (
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = time.Second
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 30 * time.Second
+	// keepAliveIdle, keepAliveInterval and keepAliveCount let the kernel give up a dead connection after about 11 s.
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveCount    = 3
+	// maxHeaderBytes bounds the headers of an answer.
+	maxHeaderBytes = 64 << 10
+)
+
+// endpoint sends calls to one address over a bounded pool of connections.
+// After a call that timed out, later calls use new connections only, since the others may be silent too.
+type endpoint struct {
+	base     string
+	maxConns int
+	traffic  *trafficCounters
+
+	mu      sync.Mutex
+	current *http.Transport
+}
+
+func newEndpoint(addr string, maxConns int, traffic *trafficCounters) *endpoint {
+	e := &endpoint{base: "http://" + addr, maxConns: maxConns, traffic: traffic}
+	e.current = e.newTransport()
+	return e
+}
+
+func (e *endpoint) newTransport() *http.Transport {
+	dialer := &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+	}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn, traffic: e.traffic}, nil
+		},
+		MaxConnsPerHost:        e.maxConns,
+		MaxIdleConnsPerHost:    e.maxConns,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+		Protocols:              http1Only(),
+	}
+}
+
+func http1Only() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	return p
+}
+
+// call is one request's way through an endpoint.
+type call struct {
+	endpoint  *endpoint
+	transport *http.Transport
+	cancel    context.CancelFunc
+	// connected is set once the call has a connection, from when on bytes may have left.
+	connected atomic.Bool
+}
+
+// send sends the request and returns its answer, whose body the caller reads before it calls finish.
+//
+// net/http sends a request a second time only if it wrote nothing of it on the first connection, or if the method is
+// safe; a POST that may have left is never repeated.
+func (e *endpoint) send(req *http.Request, timeout time.Duration) (*http.Response, *call, error) {
+	ctx := req.Context()
+	c := &call{endpoint: e, transport: e.acquire(), cancel: func() {}}
+	if timeout > 0 {
+		ctx, c.cancel = context.WithTimeout(ctx, timeout)
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { c.connected.Store(true) }}
+	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	return resp, c, err
+}
+
+// finish ends the call. A nil err means that the whole answer was read.
+func (c *call) finish(err error) {
+	c.cancel()
+	if isTimeout(err) && c.connected.Load() {
+		c.endpoint.distrust(c.transport)
+	}
+	c.endpoint.release(c.transport)
+}
+
+func (e *endpoint) acquire() *http.Transport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current
+}
+
+// release closes the idle connections of a transport that was replaced while the call used it.
+func (e *endpoint) release(t *http.Transport) {
+	e.mu.Lock()
+	replaced := t != e.current
+	e.mu.Unlock()
+	if replaced {
+		t.CloseIdleConnections()
+	}
+}
+
+// distrust makes later calls use connections that are dialled from now on.
+// Calls in flight over the earlier ones go on until their own deadlines.
+func (e *endpoint) distrust(t *http.Transport) {
+	e.mu.Lock()
+	if t == e.current {
+		e.current = e.newTransport()
+	}
+	e.mu.Unlock()
+	t.CloseIdleConnections()
+}
+
+// distrustAll is distrust for the connections in use now.
+func (e *endpoint) distrustAll() {
+	e.distrust(e.acquire())
+}
+
+// close closes the idle connections.
+func (e *endpoint) close() {
+	e.acquire().CloseIdleConnections()
+}
+
+func isTimeout(err error) bool {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return true
+	}
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
--- /dev/null
+++ b/internal/httpplatform/messages.go
@@ -0,0 +1,140 @@
+// Package httpplatform reaches the platform's services and the runners on worker VMs over HTTP.
+//
+// It implements the interfaces of package platform. Its main work is to tell apart what certainly did not happen from
+// what may have: a call that got no connection was not sent, and any other call without a whole answer is in doubt.
+package httpplatform
+
+import (
+	"encoding/hex"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/platform"
+)
+
+// Paths of the platform's HTTP interface.
+const (
+	PathRow          = "/v1/table/row"          // GET, query key
+	PathRows         = "/v1/table/rows"         // GET, query prefix
+	PathTransactions = "/v1/table/transactions" // POST Transaction
+	PathObjects      = "/v1/objects/"           // PUT and GET, followed by the key
+	PathWorkers      = "/v1/workers"            // GET
+	PathHosts        = "/v1/hosts"              // POST Host
+)
+
+// Paths of a runner's HTTP interface. All take POST.
+const (
+	PathClaim = "/v1/claim" // platform.Claim
+	PathStart = "/v1/start" // StartRequest
+	PathAwait = "/v1/await" // AwaitRequest
+	PathStop  = "/v1/stop"  // StopRequest
+)
+
+// Headers of requests and answers.
+const (
+	// HeaderMember names the process that calls.
+	HeaderMember = "Laburnumpoint-Member"
+	// HeaderDigest is the xxhash64 of the whole body, in hexadecimal.
+	HeaderDigest = "Laburnumpoint-Digest"
+	// HeaderResult is the result of a start or await: one of the Result constants.
+	HeaderResult = "Laburnumpoint-Result"
+	// HeaderFailed is "true" if the task reported failure.
+	HeaderFailed = "Laburnumpoint-Failed"
+	// HeaderDetail explains a result.
+	HeaderDetail = "Laburnumpoint-Detail"
+	// HeaderAttempt is the attempt that the answer belongs to, in the form of AttemptHeader.
+	HeaderAttempt = "Laburnumpoint-Attempt"
+)
+
+// Values of HeaderResult.
+const (
+	ResultFinished = "finished"
+	ResultRefused  = "refused"
+	ResultFenced   = "fenced"
+	ResultAccepted = "accepted"
+)
+
+// ErrorCode is the stable name of an error in an ErrorBody.
+type ErrorCode string
+
+// The error codes.
+const (
+	// CodeConflict means that a transaction's conditions did not hold.
+	CodeConflict ErrorCode = "conflict"
+	// CodeUnavailable means that the operation was certainly not applied.
+	CodeUnavailable ErrorCode = "unavailable"
+	// CodeNotFound means that there is no such object.
+	CodeNotFound ErrorCode = "not_found"
+	// CodeFenced means that the worker has seen a higher epoch.
+	CodeFenced ErrorCode = "fenced"
+	// CodeInvalid means that the request is malformed.
+	CodeInvalid ErrorCode = "invalid"
+	// CodeBusy means that the runner serves as many connections as it can.
+	CodeBusy ErrorCode = "busy"
+	// CodeGone means that the worker VM has ended and can't be listed again.
+	CodeGone ErrorCode = "gone"
+)
+
+// ErrorBody is the body of every answer with an error status.
+type ErrorBody struct {
+	Code   ErrorCode `json:"code"`
+	Detail string    `json:"detail,omitempty"`
+}
+
+// Transaction is a conditional transaction of the table.
+type Transaction struct {
+	Ops []platform.Op `json:"ops"`
+}
+
+// TransactionResult holds the rows' new versions in the order of the operations.
+type TransactionResult struct {
+	Versions []uint64 `json:"versions"`
+}
+
+// RowList holds the rows under a prefix, in key order.
+type RowList struct {
+	Rows []platform.Row `json:"rows"`
+}
+
+// WorkerList is the platform's list of worker VMs.
+type WorkerList struct {
+	Workers []cell.Worker `json:"workers"`
+}
+
+// Host tells the platform which worker VMs one process runs, and is repeated while it runs.
+type Host struct {
+	// Run is unique to the process.
+	Run string `json:"run"`
+	// Addr accepts connections for as long as the process exists.
+	Addr    string        `json:"addr"`
+	Workers []cell.Worker `json:"workers"`
+}
+
+// StartRequest asks a runner to start an attempt.
+type StartRequest struct {
+	Boot    string        `json:"boot"`
+	Attempt cell.Attempt  `json:"attempt"`
+	Task    cell.Task     `json:"task"`
+	TTL     time.Duration `json:"ttl_ns"`
+}
+
+// AwaitRequest asks a runner for the answer of an attempt that it knows.
+type AwaitRequest struct {
+	Attempt cell.Attempt `json:"attempt"`
+}
+
+// StopRequest asks a runner to stop an attempt.
+type StopRequest struct {
+	Attempt cell.Attempt      `json:"attempt"`
+	Epoch   cell.Epoch        `json:"epoch"`
+	Mode    platform.StopMode `json:"mode"`
+}
+
+// Digest returns the value of HeaderDigest for body.
+func Digest(body []byte) string {
+	h := xxhash.New()
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil))
+}
--- /dev/null
+++ b/internal/httpplatform/platform.go
@@ -0,0 +1,263 @@
+package httpplatform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/platform"
+)
+
+// Defaults of PlatformOptions.
+const (
+	// DefaultPlatformTimeout bounds one call to the platform.
+	DefaultPlatformTimeout = 2 * time.Second
+	// DefaultPlatformConns bounds the connections of one process to the platform.
+	DefaultPlatformConns = 16
+	// DefaultMaxPlatformBytes bounds one answer of the platform.
+	DefaultMaxPlatformBytes = 64 << 20
+)
+
+// PlatformOptions sets up a Platform. Zero fields take the defaults.
+type PlatformOptions struct {
+	// Addr is the platform's address, an IP number and a port.
+	Addr string
+	// Member names this process in its calls.
+	Member cell.MemberID
+	// Timeout bounds one call.
+	Timeout time.Duration
+	// MaxConns bounds the connections.
+	MaxConns int
+	// MaxBytes bounds one answer.
+	MaxBytes int64
+}
+
+// Platform reaches the table service, the object store and the VM list at one address.
+// It implements platform.Table and platform.VMList; Objects gives the object store.
+type Platform struct {
+	options  PlatformOptions
+	endpoint *endpoint
+}
+
+var (
+	_ platform.Table   = (*Platform)(nil)
+	_ platform.VMList  = (*Platform)(nil)
+	_ platform.Objects = Objects{}
+)
+
+// NewPlatform returns a client of the platform. It connects when it is used.
+func NewPlatform(options PlatformOptions) *Platform {
+	if options.Timeout <= 0 {
+		options.Timeout = DefaultPlatformTimeout
+	}
+	if options.MaxConns <= 0 {
+		options.MaxConns = DefaultPlatformConns
+	}
+	if options.MaxBytes <= 0 {
+		options.MaxBytes = DefaultMaxPlatformBytes
+	}
+	return &Platform{
+		options:  options,
+		endpoint: newEndpoint(options.Addr, options.MaxConns, newTrafficCounters(servicePlatform)),
+	}
+}
+
+// Close closes the idle connections.
+func (p *Platform) Close() {
+	p.endpoint.close()
+}
+
+// Objects returns the object store.
+func (p *Platform) Objects() Objects {
+	return Objects{platform: p}
+}
+
+// Get implements platform.Table.
+func (p *Platform) Get(ctx context.Context, key string) (platform.Row, error) {
+	var row platform.Row
+	if err := p.query(ctx, "table_get", PathRow+"?key="+url.QueryEscape(key), &row); err != nil {
+		return platform.Row{}, err
+	}
+	return row, nil
+}
+
+// List implements platform.Table.
+func (p *Platform) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	var list RowList
+	if err := p.query(ctx, "table_list", PathRows+"?prefix="+url.QueryEscape(prefix), &list); err != nil {
+		return nil, err
+	}
+	return list.Rows, nil
+}
+
+// Workers implements platform.VMList.
+func (p *Platform) Workers(ctx context.Context) ([]cell.Worker, error) {
+	var list WorkerList
+	if err := p.query(ctx, "vm_list", PathWorkers, &list); err != nil {
+		return nil, err
+	}
+	return list.Workers, nil
+}
+
+// Apply implements platform.Table.
+func (p *Platform) Apply(ctx context.Context, ops []platform.Op) ([]uint64, error) {
+	versions, err := p.apply(ctx, ops)
+	countCall("table_apply", resultLabel(err))
+	return versions, err
+}
+
+func (p *Platform) apply(ctx context.Context, ops []platform.Op) ([]uint64, error) {
+	req, err := newRequest(ctx, http.MethodPost, p.endpoint.base+PathTransactions, Transaction{Ops: ops})
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	status, body, err := p.write(req)
+	if err != nil {
+		return nil, err
+	}
+	var result TransactionResult
+	if status != http.StatusOK || decode(body, &result) != nil || len(result.Versions) != len(ops) {
+		return nil, writeError(status, body)
+	}
+	return result.Versions, nil
+}
+
+// Objects is the platform's object store.
+type Objects struct {
+	platform *Platform
+}
+
+// Put implements platform.Objects.
+func (o Objects) Put(ctx context.Context, key string, data []byte) error {
+	err := o.put(ctx, key, data)
+	countCall("object_put", resultLabel(err))
+	return err
+}
+
+func (o Objects) put(ctx context.Context, key string, data []byte) error {
+	p := o.platform
+	address := p.endpoint.base + PathObjects + url.PathEscape(key)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, address, bytes.NewReader(data))
+	if err != nil {
+		return unavailable(err)
+	}
+	req.Header.Set(HeaderDigest, Digest(data))
+	status, body, err := p.write(req)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return writeError(status, body)
+	}
+	return nil
+}
+
+// Get implements platform.Objects.
+func (o Objects) Get(ctx context.Context, key string) ([]byte, error) {
+	p := o.platform
+	data, err := p.read(ctx, PathObjects+url.PathEscape(key))
+	countCall("object_get", resultLabel(err))
+	return data, err
+}
+
+// query reads a JSON answer into v.
+func (p *Platform) query(ctx context.Context, op, path string, v any) error {
+	body, err := p.read(ctx, path)
+	if err == nil {
+		if decodeErr := decode(body, v); decodeErr != nil {
+			err = unavailable(decodeErr)
+		}
+	}
+	countCall(op, resultLabel(err))
+	return err
+}
+
+// read returns the whole body of a query. Its errors are platform.ErrNotFound and platform.ErrUnavailable.
+func (p *Platform) read(ctx context.Context, path string) ([]byte, error) {
+	req, err := newRequest(ctx, http.MethodGet, p.endpoint.base+path, nil)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	status, body, _, err := p.roundTrip(req)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	if status == http.StatusNotFound && errorCode(body) == CodeNotFound {
+		return nil, platform.ErrNotFound
+	}
+	if status != http.StatusOK {
+		return nil, unavailable(fmt.Errorf("status %d", status))
+	}
+	return body, nil
+}
+
+// write returns the whole answer to a write. Without one the write was not sent or is uncertain.
+func (p *Platform) write(req *http.Request) (status int, body []byte, err error) {
+	status, body, sent, err := p.roundTrip(req)
+	switch {
+	case err == nil:
+		return status, body, nil
+	case sent:
+		return 0, nil, uncertain(err)
+	default:
+		return 0, nil, unavailable(err)
+	}
+}
+
+// roundTrip returns a whole answer. On error, sent tells whether the request may have left this process.
+func (p *Platform) roundTrip(req *http.Request) (status int, body []byte, sent bool, err error) {
+	req.Header.Set(HeaderMember, string(p.options.Member))
+	resp, c, err := p.endpoint.send(req, p.options.Timeout)
+	if err == nil {
+		status = resp.StatusCode
+		body, err = readWhole(resp, p.options.MaxBytes)
+	}
+	c.finish(err)
+	return status, body, c.connected.Load(), err
+}
+
+// writeError returns the error of a write that was answered by other than success.
+// Only the platform's own code tells that the write was not applied; a status alone may come from something between.
+func writeError(status int, body []byte) error {
+	code := errorCode(body)
+	switch {
+	case status == http.StatusConflict && code == CodeConflict:
+		return platform.ErrConflict
+	case status == http.StatusServiceUnavailable && code == CodeUnavailable:
+		return platform.ErrUnavailable
+	case status == http.StatusBadRequest && code == CodeInvalid:
+		return unavailable(errors.New("request refused as malformed"))
+	default:
+		return uncertain(fmt.Errorf("status %d", status))
+	}
+}
+
+func unavailable(err error) error {
+	return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+}
+
+func uncertain(err error) error {
+	return fmt.Errorf("%w: %w", platform.ErrUncertain, err)
+}
+
+func resultLabel(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, platform.ErrConflict):
+		return "conflict"
+	case errors.Is(err, platform.ErrUncertain):
+		return "uncertain"
+	case errors.Is(err, platform.ErrNotFound):
+		return "not_found"
+	case errors.Is(err, platform.ErrFenced):
+		return "fenced"
+	default:
+		return "unavailable"
+	}
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -129,6 +129,20 @@
 	vm.link.setFaults(faults)
 }
 
+// RunningLeases returns the number of leases that run now, over all workers.
+func (f *Fleet) RunningLeases() int {
+	running := 0
+	for _, id := range f.IDs() {
+		running += f.mustFind(id).runner.runningLeases()
+	}
+	return running
+}
+
+// Faults returns the faults of one worker.
+func (f *Fleet) Faults(id cell.WorkerID) WorkerFaults {
+	return f.mustFind(id).link.current()
+}
+
 // SetAllFaults replaces the faults of every worker.
 func (f *Fleet) SetAllFaults(faults WorkerFaults) {
 	for _, id := range f.IDs() {
--- /dev/null
+++ b/internal/standin/httpserver/conns.go
@@ -0,0 +1,63 @@
+package httpserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"laburnumpoint/internal/httpplatform"
+)
+
+// connLimit refuses the requests of connections beyond a bound.
+type connLimit struct {
+	limit int
+
+	mu   sync.Mutex
+	open map[net.Conn]bool // whether the connection is within the bound
+}
+
+type excessKey struct{}
+
+func newConnLimit(limit int) *connLimit {
+	return &connLimit{limit: limit, open: make(map[net.Conn]bool)}
+}
+
+// connContext marks the contexts of connections beyond the bound. It is an http.Server.ConnContext.
+func (l *connLimit) connContext(ctx context.Context, conn net.Conn) context.Context {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	within := 0
+	for _, ok := range l.open {
+		if ok {
+			within++
+		}
+	}
+	l.open[conn] = within < l.limit
+	if within < l.limit {
+		return ctx
+	}
+	return context.WithValue(ctx, excessKey{}, true)
+}
+
+// connState forgets closed connections. It is an http.Server.ConnState.
+func (l *connLimit) connState(conn net.Conn, state http.ConnState) {
+	if state != http.StateClosed && state != http.StateHijacked {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, conn)
+}
+
+// refuseExcess answers requests on connections beyond the bound with 503 and closes them.
+func refuseExcess(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Context().Value(excessKey{}) == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Connection", "close")
+		writeError(w, http.StatusServiceUnavailable, httpplatform.CodeBusy, "no free connection")
+	})
+}
--- /dev/null
+++ b/internal/standin/httpserver/listen.go
@@ -0,0 +1,101 @@
+package httpserver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"laburnumpoint/internal/cell"
+)
+
+// ServePlatform serves the platform on the listener until ctx ends, then lets calls in flight finish within grace.
+func ServePlatform(ctx context.Context, listener net.Listener, p *Platform, grace time.Duration) error {
+	go p.hosts.watch(ctx)
+	return serve(ctx, listener, p.Handler(), grace)
+}
+
+// serve serves handler until ctx ends, then lets calls in flight finish within grace.
+func serve(ctx context.Context, listener net.Listener, handler http.Handler, grace time.Duration) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("httpserver: serve: %w", err)
+	case <-ctx.Done():
+	}
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+	defer cancel()
+	if err := server.Shutdown(stopping); err != nil {
+		return errors.Join(errors.New("httpserver: calls were still in flight"), server.Close())
+	}
+	return nil
+}
+
+// runnerListener is the address of one worker's runner. It can be closed and opened again.
+type runnerListener struct {
+	worker      cell.Worker
+	handler     http.Handler
+	connections int
+
+	mu     sync.Mutex
+	server *http.Server // nil while closed
+}
+
+// open listens at the worker's address.
+func (l *runnerListener) open() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.server != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", l.worker.Addr)
+	if err != nil {
+		return fmt.Errorf("httpserver: worker %s: %w", l.worker.ID, err)
+	}
+	if addr := listener.Addr().String(); l.worker.Addr != addr {
+		l.worker.Addr = addr // only at the first opening, when the port is chosen
+	}
+	l.serve(listener)
+	return nil
+}
+
+func (l *runnerListener) serve(listener net.Listener) {
+	limit := newConnLimit(l.connections)
+	l.server = &http.Server{
+		Handler:           l.handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ConnContext:       limit.connContext,
+		ConnState:         limit.connState,
+	}
+	go func(server *http.Server) { _ = server.Serve(listener) }(l.server) // ends by close or shutdown
+}
+
+// close refuses connections from now on and cuts those in use.
+func (l *runnerListener) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.server != nil {
+		_ = l.server.Close()
+		l.server = nil
+	}
+}
+
+// shutdown lets calls in flight finish.
+func (l *runnerListener) shutdown(ctx context.Context) error {
+	l.mu.Lock()
+	server := l.server
+	l.server = nil
+	l.mu.Unlock()
+	if server == nil {
+		return nil
+	}
+	if err := server.Shutdown(ctx); err != nil {
+		return errors.Join(fmt.Errorf("httpserver: worker %s: calls were still in flight", l.worker.ID), server.Close())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/httpserver/runner.go
@@ -0,0 +1,114 @@
+package httpserver
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/go-chi/chi/v5"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/httpplatform"
+	"laburnumpoint/internal/platform"
+	"laburnumpoint/internal/standin"
+)
+
+// runnerAPI is the HTTP interface of one worker's runner.
+type runnerAPI struct {
+	fleet  *standin.Fleet
+	worker cell.Worker
+}
+
+func (a *runnerAPI) handler() http.Handler {
+	r := chi.NewRouter()
+	r.Use(refuseExcess)
+	r.Post(httpplatform.PathClaim, a.claim)
+	r.Post(httpplatform.PathStart, a.start)
+	r.Post(httpplatform.PathAwait, a.await)
+	r.Post(httpplatform.PathStop, a.stop)
+	return r
+}
+
+func (a *runnerAPI) runner(r *http.Request) platform.Runner {
+	return a.fleet.As(cell.MemberID(r.Header.Get(httpplatform.HeaderMember)))
+}
+
+func (a *runnerAPI) claim(w http.ResponseWriter, r *http.Request) {
+	var c platform.Claim
+	if !readJSON(w, r, &c) {
+		return
+	}
+	report, err := a.runner(r).Claim(r.Context(), a.worker, c)
+	answerControl(w, report, err)
+}
+
+func (a *runnerAPI) stop(w http.ResponseWriter, r *http.Request) {
+	var s httpplatform.StopRequest
+	if !readJSON(w, r, &s) {
+		return
+	}
+	lease, err := a.runner(r).Stop(r.Context(), a.worker, s.Attempt, s.Epoch, s.Mode)
+	answerControl(w, lease, err)
+}
+
+func (a *runnerAPI) start(w http.ResponseWriter, r *http.Request) {
+	var s httpplatform.StartRequest
+	if !readJSON(w, r, &s) {
+		return
+	}
+	reply := a.runner(r).Start(r.Context(), a.worker, s.Boot, s.Attempt, s.Task, s.TTL)
+	a.answerStart(w, s.Attempt, reply)
+}
+
+func (a *runnerAPI) await(w http.ResponseWriter, r *http.Request) {
+	var q httpplatform.AwaitRequest
+	if !readJSON(w, r, &q) {
+		return
+	}
+	reply := a.runner(r).Await(r.Context(), a.worker, q.Attempt)
+	a.answerStart(w, q.Attempt, reply)
+}
+
+func answerControl(w http.ResponseWriter, v any, err error) {
+	switch {
+	case err == nil:
+		writeJSON(w, http.StatusOK, v)
+	case errors.Is(err, platform.ErrFenced):
+		writeError(w, http.StatusConflict, httpplatform.CodeFenced, "epoch superseded")
+	default:
+		loseAnswer()
+	}
+}
+
+func (a *runnerAPI) answerStart(w http.ResponseWriter, attempt cell.Attempt, reply platform.StartReply) {
+	result, ok := startResults[reply.Result]
+	if !ok {
+		if a.fleet.Faults(a.worker.ID).CutAnswers {
+			writeCutAnswer(w)
+		}
+		loseAnswer()
+	}
+	w.Header().Set(httpplatform.HeaderResult, result)
+	w.Header().Set(httpplatform.HeaderAttempt, httpplatform.AttemptHeader(attempt))
+	w.Header().Set(httpplatform.HeaderFailed, strconv.FormatBool(reply.Failed))
+	w.Header().Set(httpplatform.HeaderDetail, reply.Detail)
+	writeBody(w, http.StatusOK, "application/octet-stream", reply.Answer)
+}
+
+// startResults are the results that a runner answers with; after any other the connection is closed.
+var startResults = map[platform.StartResult]string{
+	platform.StartFinished: httpplatform.ResultFinished,
+	platform.StartAccepted: httpplatform.ResultAccepted,
+	platform.StartRefused:  httpplatform.ResultRefused,
+	platform.StartFenced:   httpplatform.ResultFenced,
+}
+
+// writeCutAnswer writes the first bytes of a longer answer.
+func writeCutAnswer(w http.ResponseWriter) {
+	const declared = 100
+	w.Header().Set("Content-Length", strconv.Itoa(declared))
+	w.Header().Set(httpplatform.HeaderResult, httpplatform.ResultFinished)
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write([]byte(`{"attempt":{`))
+	_ = http.NewResponseController(w).Flush()
+}
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -19,7 +19,7 @@
 	// Silent accepts every call, does nothing and never answers.
 	Silent bool `json:"silent,omitempty"`
 	// Delay is added before each call takes effect.
-	Delay time.Duration `json:"delay,omitempty"`
+	Delay time.Duration `json:"delay_ns,omitempty"`
 	// DropAnswers loses the answer of every call after it took effect.
 	DropAnswers bool `json:"drop_answers,omitempty"`
 	// CutAnswers ends every answer of a start or await before its whole length.
@@ -96,17 +96,10 @@
 		<-ctx.Done()
 		return context.Cause(ctx)
 	}
-	if f.Delay <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(f.Delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !sleep(ctx, f.Delay) {
 		return context.Cause(ctx)
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
 
 func (l *link) current() WorkerFaults {
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -341,6 +341,18 @@
 	r.failTasks = fail
 }
 
+func (r *runner) runningLeases() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	running := 0
+	for _, l := range r.leases {
+		if l.phase == cell.LeaseRunning {
+			running++
+		}
+	}
+	return running
+}
+
 func (r *runner) describe(l *lease, now time.Time) cell.Lease {
 	until := now
 	if l.phase != cell.LeaseRunning {
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -13,20 +14,32 @@
 	"laburnumpoint/internal/platform"
 )
 
-// TableFaults says how the table misbehaves.
+// TableFaults says how the table misbehaves. The zero value is no fault.
 type TableFaults struct {
 	// Down refuses every operation with ErrUnavailable.
-	Down bool `json:"down"`
-	// Delay is added to every operation.
-	Delay time.Duration `json:"delay"`
+	Down bool `json:"down,omitempty"`
+	// Delay is added to every operation before it takes effect.
+	Delay time.Duration `json:"delay_ns,omitempty"`
+	// AnswerDelay is added to every transaction after it took effect.
+	AnswerDelay time.Duration `json:"answer_delay_ns,omitempty"`
+	// Prefix restricts LoseAnswers and ApplyLater to transactions with an operation on such a key.
+	Prefix string `json:"prefix,omitempty"`
 	// LoseAnswers makes that many following transactions take effect and report ErrUncertain.
-	LoseAnswers int `json:"lose_answers"`
+	LoseAnswers int `json:"lose_answers,omitempty"`
+	// ApplyLater makes that many following transactions report ErrUncertain at once and be tried after LateBy.
+	ApplyLater int `json:"apply_later,omitempty"`
+	// LateBy is the delay of ApplyLater.
+	LateBy time.Duration `json:"late_by_ns,omitempty"`
 }
 
 // TableCounts counts the operations that the table served.
 type TableCounts struct {
-	Reads  uint64 `json:"reads"`
+	// Reads counts gets, lists, checks and transactions whose conditions did not hold.
+	Reads uint64 `json:"reads"`
+	// Writes counts rows written.
 	Writes uint64 `json:"writes"`
+	// Transactions counts transactions that took effect. Only in the total.
+	Transactions uint64 `json:"transactions,omitempty"`
 }
 
 // Table is an in-memory platform.Table.
@@ -35,14 +48,15 @@
 	rows   map[string]platform.Row
 	next   uint64
 	faults TableFaults
-	counts TableCounts
+	total  TableCounts
+	counts map[string]TableCounts // by the key up to its first slash
 }
 
 var _ platform.Table = (*Table)(nil)
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: make(map[string]platform.Row)}
+	return &Table{rows: make(map[string]platform.Row), counts: make(map[string]TableCounts)}
 }
 
 // SetFaults replaces the faults in force.
@@ -52,11 +66,18 @@
 	t.faults = f
 }
 
-// Counts returns how many reads and writes were served. A transaction counts one write for each row it writes.
+// Counts returns how many operations were served.
 func (t *Table) Counts() TableCounts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.counts
+	return t.total
+}
+
+// CountsByPrefix returns the operations served by the key's part before its first slash.
+func (t *Table) CountsByPrefix() map[string]TableCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.counts)
 }
 
 // Get implements platform.Table.
@@ -66,7 +87,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.counts.Reads++
+	t.countRead(key)
 	row, ok := t.rows[key]
 	if !ok {
 		return platform.Row{Key: key}, nil
@@ -81,7 +102,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.counts.Reads++
+	t.countRead(prefix)
 	var out []platform.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) {
@@ -97,31 +118,44 @@
 	if err := t.enter(ctx); err != nil {
 		return nil, err
 	}
+	if lateBy, late := t.takeApplyLater(ops); late {
+		time.AfterFunc(lateBy, func() { _, _ = t.commit(ops) })
+		return nil, platform.ErrUncertain
+	}
+	versions, err := t.commit(ops)
+	if err != nil {
+		return nil, err
+	}
+	if t.loseAnswer(ctx, ops) {
+		return nil, platform.ErrUncertain
+	}
+	return versions, nil
+}
+
+// commit executes all ops or none.
+func (t *Table) commit(ops []platform.Op) ([]uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, op := range ops {
 		if !op.AnyVersion && t.rows[op.Key].Version != op.IfVersion {
-			t.counts.Reads++
+			t.countRead(op.Key)
 			return nil, platform.ErrConflict
 		}
 	}
+	t.total.Transactions++
 	versions := make([]uint64, len(ops))
 	for i, op := range ops {
 		versions[i] = t.applyOp(op)
 	}
-	if t.faults.LoseAnswers > 0 {
-		t.faults.LoseAnswers--
-		return nil, platform.ErrUncertain
-	}
 	return versions, nil
 }
 
 func (t *Table) applyOp(op platform.Op) uint64 {
 	if op.CheckOnly {
-		t.counts.Reads++
+		t.countRead(op.Key)
 		return t.rows[op.Key].Version
 	}
-	t.counts.Writes++
+	t.countWrite(op.Key)
 	t.next++
 	if op.Delete {
 		delete(t.rows, op.Key)
@@ -131,16 +165,56 @@
 	return t.next
 }
 
+// takeApplyLater reports whether the transaction is one to be tried later, and by how much.
+func (t *Table) takeApplyLater(ops []platform.Op) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.faults.ApplyLater <= 0 || !t.faults.concern(ops) {
+		return 0, false
+	}
+	t.faults.ApplyLater--
+	return t.faults.LateBy, true
+}
+
+// loseAnswer reports whether the answer to a transaction that took effect is lost.
+func (t *Table) loseAnswer(ctx context.Context, ops []platform.Op) bool {
+	t.mu.Lock()
+	delay := t.faults.AnswerDelay
+	lose := t.faults.LoseAnswers > 0 && t.faults.concern(ops)
+	if lose {
+		t.faults.LoseAnswers--
+	}
+	t.mu.Unlock()
+	return !sleep(ctx, delay) || lose
+}
+
+// concern reports whether an operation's key starts with the faults' prefix.
+func (f TableFaults) concern(ops []platform.Op) bool {
+	return slices.ContainsFunc(ops, func(op platform.Op) bool { return strings.HasPrefix(op.Key, f.Prefix) })
+}
+
+func (t *Table) countRead(key string) {
+	t.total.Reads++
+	group, _, _ := strings.Cut(key, "/")
+	c := t.counts[group]
+	c.Reads++
+	t.counts[group] = c
+}
+
+func (t *Table) countWrite(key string) {
+	t.total.Writes++
+	group, _, _ := strings.Cut(key, "/")
+	c := t.counts[group]
+	c.Writes++
+	t.counts[group] = c
+}
+
 func (t *Table) enter(ctx context.Context) error {
 	t.mu.Lock()
 	f := t.faults
 	t.mu.Unlock()
-	if f.Delay > 0 {
-		select {
-		case <-ctx.Done():
-			return platform.ErrUnavailable
-		case <-time.After(f.Delay):
-		}
+	if !sleep(ctx, f.Delay) {
+		return platform.ErrUnavailable
 	}
 	if f.Down || ctx.Err() != nil {
 		return platform.ErrUnavailable
@@ -152,3 +226,18 @@
 	r.Value = slices.Clone(r.Value)
 	return r
 }
+
+// sleep waits for d; false if the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
