Shard: Refresh, and what each team waits for

Cause: a quota share must be in use no longer before the table says that it is free, so the keeper needs a call that returns once the owner's decisions follow it; and it must know what a team waits for.

Ruled out: waiting for the owner's next tick (a tenth of a second in which the old share may be spent after it was given away).

--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -238,7 +238,9 @@
 		v.Held = v.Held.Add(p.task.Claim)
 	}
 	for _, it := range s.queue {
-		view(it.Task.Team).Queued++
+		v := view(it.Task.Team)
+		v.Queued++
+		v.Waiting = v.Waiting.Add(it.Task.Claim)
 	}
 	out := make([]TeamView, 0, len(byName))
 	for _, v := range byName {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -109,13 +109,16 @@
 	Held   cell.Resources
 	Quota  cell.Resources
 	Queued int
+	// Waiting is the sum of the queued tasks' claims.
+	Waiting cell.Resources
 }
 
 // TeamPolicy is what operators allow one team.
 type TeamPolicy struct {
 	// Weight is the team's share against other teams when all have work waiting; 1 is ordinary.
 	Weight float64
-	// Quota bounds what the team may hold in this shard. A zero dimension is unbounded.
+	// Quota bounds what the team may hold in this shard. A zero dimension is unbounded; in a negative one the team may
+	// hold nothing.
 	Quota cell.Resources
 }
 
--- /dev/null
+++ b/internal/shard/refresh.go
@@ -0,0 +1,20 @@
+package shard
+
+// Refresh makes decisions follow the configuration and the quota shares of now, and returns once they do.
+func (o *Owner) Refresh() {
+	ask(o, false, func(reply func(bool)) event { return refreshPolicy{reply: reply} })
+}
+
+// refreshPolicy asks for the policy to be read again.
+type refreshPolicy struct {
+	reply func(bool)
+}
+
+func (ev refreshPolicy) apply(c *control) {
+	c.readConfig()
+	if c.version > 0 {
+		c.sched.SetPolicy(c.policy(c.doc))
+	}
+	c.dirty = true
+	ev.reply(true)
+}
