--- /dev/null
+++ b/internal/scheduler/explain.go
@@ -0,0 +1,135 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"laburnumpoint/internal/cell"
+)
+
+// maxExplained bounds the units of its own lane that an explanation counts before a unit.
+const maxExplained = 10_000
+
+// Explain returns why a task is where it is. The reasons are worked out when asked, from the ledger as it is now.
+func (s *Scheduler) Explain(id cell.TaskID) Explanation {
+	e := s.entries[id]
+	if e == nil {
+		return Explanation{}
+	}
+	if e.worker != nil {
+		return Explanation{Found: true, State: e.state, Worker: e.worker.desc.ID, Chain: s.explainPlaced(e)}
+	}
+	return Explanation{Found: true, State: StateQueued, Chain: s.explainQueued(e)}
+}
+
+func (s *Scheduler) explainPlaced(e *entry) []cell.Reason {
+	chain := []cell.Reason{{Code: cell.ReasonPlaced, Detail: string(e.worker.desc.ID)}}
+	if e.state == StateStopping {
+		chain = append(chain, cell.Reason{Code: cell.ReasonPreempted, Detail: fmt.Sprintf("stopping, stopped %d times before", e.stops)})
+	}
+	return chain
+}
+
+func (s *Scheduler) explainQueued(e *entry) []cell.Reason {
+	u := e.unit
+	switch {
+	case e.delayedAt >= 0:
+		return []cell.Reason{{Code: cell.ReasonBehindOthers, Detail: "backs off until " + e.item.NotBefore.UTC().Format(time.RFC3339Nano)}}
+	case u == nil:
+		g := e.gang
+		return []cell.Reason{{Code: cell.ReasonNoCapacity, Detail: fmt.Sprintf("gang incomplete: %d of %d tasks queued or started", len(g.forming)+g.started, g.size)}}
+	case u.earmark != nil:
+		return []cell.Reason{{Code: cell.ReasonNoCapacity, Detail: fmt.Sprintf("room kept on %s while stoppable work leaves it", u.earmark.desc.ID)}}
+	case u.lane == nil:
+		return []cell.Reason{s.explainReservation(s.reservation)}
+	}
+	chain := []cell.Reason{s.explainOrder(u)}
+	if !e.team.allows(u.total) {
+		chain = append(chain, explainQuota(e.team, u.total))
+	}
+	return append(chain, s.explainFit(e))
+}
+
+func (s *Scheduler) explainReservation(res *reservation) cell.Reason {
+	ready := 0
+	for _, sl := range res.slots {
+		if sl.ready {
+			ready++
+		}
+	}
+	detail := fmt.Sprintf("holds the reservation: %d of %d tasks have room, expected start %s", ready, len(res.slots), res.start.UTC().Format(time.RFC3339Nano))
+	return cell.Reason{Code: cell.ReasonGangReserved, Detail: detail}
+}
+
+func explainQuota(t *team, claim cell.Resources) cell.Reason {
+	detail := fmt.Sprintf("team %s holds %s, promised %s, asks %s, quota %s", t.name, t.held, t.promised, claim, t.quota)
+	return cell.Reason{Code: cell.ReasonQuota, Detail: detail}
+}
+
+// explainOrder counts the units that are before u in order. Ageing is judged at the last round.
+func (s *Scheduler) explainOrder(u *unit) cell.Reason {
+	now := s.lastRound
+	own := s.orderKeyOf(u.lane, now)
+	ahead := 0
+	for _, l := range s.lanes {
+		if l != u.lane && s.orderKeyOf(l, now).before(own) {
+			ahead += l.size
+		}
+	}
+	ahead += u.lane.unitsBefore(u)
+	detail := fmt.Sprintf("class %s, rank %d after ageing, team share %.4f, %d units ahead", u.lane.key.class, own.rank, own.share, ahead)
+	return cell.Reason{Code: cell.ReasonBehindOthers, Detail: detail}
+}
+
+func (l *lane) unitsBefore(u *unit) int {
+	n := 0
+	for o := l.head; o != nil && n < maxExplained; o = o.next {
+		if o.before(u) {
+			n++
+		}
+	}
+	for _, o := range l.returned.elems {
+		if n < maxExplained && o.before(u) {
+			n++
+		}
+	}
+	return n
+}
+
+// filterCounts is how many workers each filter removed for one claim.
+type filterCounts struct {
+	total, otherPool, unusable, tooSmall, full, kept, fits int
+}
+
+func (s *Scheduler) explainFit(e *entry) cell.Reason {
+	var n filterCounts
+	for _, w := range s.order {
+		n.total++
+		n.count(w, e)
+	}
+	detail := fmt.Sprintf("%d workers: %d of another pool, %d not usable, %d too small, %d full, %d kept for others, %d with room",
+		n.total, n.otherPool, n.unusable, n.tooSmall, n.full, n.kept, n.fits)
+	code := cell.ReasonNoCapacity
+	if n.full == 0 && n.kept > 0 && n.fits == 0 {
+		code = cell.ReasonGangReserved
+	}
+	return cell.Reason{Code: code, Detail: detail}
+}
+
+func (n *filterCounts) count(w *worker, e *entry) {
+	claim := e.claim()
+	switch {
+	case !w.group.matches(e.task().Pool):
+		n.otherPool++
+	case !w.placeable():
+		n.unusable++
+	case !claim.Fits(w.desc.Capacity):
+		n.tooSmall++
+	case !claim.Fits(w.free()):
+		n.full++
+	case !claim.Fits(w.room()):
+		n.kept++
+	default:
+		n.fits++
+	}
+}
--- /dev/null
+++ b/internal/scheduler/gang.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"slices"
+
+	"laburnumpoint/internal/cell"
+)
+
+// gang gathers the tasks of one job that must start together.
+type gang struct {
+	job  cell.JobID
+	size int
+	// forming is the members that wait for the rest of the gang.
+	forming []*entry
+	// unit is the whole gang while it waits for room.
+	unit *unit
+	// started counts the members that were placed and not requeued since; running those that still are placed.
+	started int
+	running int
+}
+
+func (s *Scheduler) gangOf(t cell.Task) *gang {
+	g, ok := s.gangs[t.Job]
+	if !ok {
+		g = &gang{job: t.Job, size: t.GangSize}
+		s.gangs[t.Job] = g
+	}
+	return g
+}
+
+// dropGang forgets a gang that has no member left.
+func (s *Scheduler) dropGang(g *gang) {
+	if g != nil && len(g.forming) == 0 && g.unit == nil && g.running == 0 {
+		delete(s.gangs, g.job)
+	}
+}
+
+// joinGang adds a queued entry to its gang, which waits for room as one unit once it is whole.
+func (s *Scheduler) joinGang(e *entry) {
+	g := s.gangOf(e.item.Task)
+	e.gang = g
+	s.dissolve(g)
+	g.forming = append(g.forming, e)
+	if len(g.forming)+g.started < g.size {
+		return
+	}
+	u := &unit{members: g.forming, arrived: e.item.Arrived, seq: e.seq}
+	for _, m := range u.members {
+		m.unit = u
+		u.total = u.total.Add(m.claim())
+		if m.item.Arrived.Before(u.arrived) {
+			u.arrived = m.item.Arrived
+		}
+	}
+	g.unit = u
+	g.forming = nil
+	s.enlist(u)
+}
+
+// dissolve takes the gang's unit out of wherever it waits; its members then wait for the gang to be whole again.
+func (s *Scheduler) dissolve(g *gang) {
+	u := g.unit
+	if u == nil {
+		return
+	}
+	s.withdrawUnit(u)
+	for _, m := range u.members {
+		m.unit = nil
+	}
+	g.forming = append(u.members, g.forming...)
+	g.unit = nil
+}
+
+// leaveGang removes a queued entry from its gang, whose other members then wait for it to be whole again.
+func (s *Scheduler) leaveGang(e *entry) {
+	g := e.gang
+	if e.unit != nil {
+		s.dissolve(g)
+	}
+	g.forming = slices.DeleteFunc(g.forming, func(m *entry) bool { return m == e })
+	e.gang = nil
+	s.dropGang(g)
+}
+
+// placeGang places every member of u or none.
+func (s *Scheduler) placeGang(r *round, u *unit) bool {
+	for n, m := range u.members {
+		w := s.findWorker(m)
+		if w == nil {
+			s.rollBack(u.members[:n])
+			s.block(u.lane.shape, max(1, len(u.members)-n))
+			return false
+		}
+		s.charge(m, w)
+	}
+	s.unlist(u)
+	s.startGang(r, u)
+	return true
+}
+
+// rollBack uncharges members that were charged in this round only, so that no room grows.
+func (s *Scheduler) rollBack(members []*entry) {
+	for _, m := range slices.Backward(members) {
+		s.uncharge(m)
+	}
+}
+
+func (s *Scheduler) startGang(r *round, u *unit) {
+	if g := u.first().gang; g != nil {
+		g.unit = nil
+	}
+	for _, m := range u.members {
+		s.start(r, m)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/index.go
@@ -0,0 +1,145 @@
+package scheduler
+
+import (
+	"math/bits"
+
+	"laburnumpoint/internal/cell"
+)
+
+const (
+	// dimensions is the number of dimensions of cell.Resources.
+	dimensions = 4
+	// indexLevels is the number of steps into which an index divides each dimension.
+	indexLevels = 32
+	// wordBits is the number of workers that one word of a bit set covers.
+	wordBits = 64
+)
+
+// amounts is a cell.Resources by dimension number.
+type amounts [dimensions]int64
+
+func amountsOf(r cell.Resources) amounts {
+	return amounts{r.MilliCPU, r.MemoryMiB, r.Accelerators, r.Slots}
+}
+
+// index finds workers by the room they have. For each dimension and level it keeps the set of the workers
+// whose room reaches the level, so that the workers that may fit a claim are an intersection of four bit sets.
+// Levels round down: an index may name workers that do not fit, and never misses one that does.
+type index struct {
+	limit amounts
+	level [][dimensions]int8
+	reach [dimensions][indexLevels][]uint64
+	count [dimensions][indexLevels]int
+}
+
+// absent is the level of a worker that is in no set.
+const absent int8 = -1
+
+func newIndex(limit amounts, workers int) *index {
+	x := &index{limit: limit}
+	x.grow(workers)
+	return x
+}
+
+func (x *index) grow(workers int) {
+	for len(x.level) < workers {
+		x.level = append(x.level, [dimensions]int8{absent, absent, absent, absent})
+	}
+	words := (workers + wordBits - 1) / wordBits
+	for d := range dimensions {
+		for l := range indexLevels {
+			for len(x.reach[d][l]) < words {
+				x.reach[d][l] = append(x.reach[d][l], 0)
+			}
+		}
+	}
+}
+
+// set records the room of the worker at slot; a worker that is not present is found by no search.
+func (x *index) set(slot int, room cell.Resources, present bool) {
+	present = present && !room.Negative()
+	for d, v := range amountsOf(room) {
+		to := absent
+		if present {
+			to = x.levelOf(d, v)
+		}
+		x.move(slot, d, to)
+	}
+}
+
+func (x *index) move(slot, d int, to int8) {
+	from := x.level[slot][d]
+	word, bit := slot/wordBits, uint64(1)<<(slot%wordBits)
+	for l := from + 1; l <= to; l++ {
+		x.reach[d][l][word] |= bit
+		x.count[d][l]++
+	}
+	for l := to + 1; l <= from; l++ {
+		x.reach[d][l][word] &^= bit
+		x.count[d][l]--
+	}
+	x.level[slot][d] = to
+}
+
+func (x *index) levelOf(d int, v int64) int8 {
+	if x.limit[d] <= 0 {
+		return int8(min(max(v, 0), indexLevels-1))
+	}
+	return int8(min(v*(indexLevels-1)/x.limit[d], indexLevels-1))
+}
+
+// search visits the workers that may fit claim in steps of the claim's largest dimension: those with the least room
+// first if tightest is set, else those with the most. It stops when visit returns false, or after a step for which done returns true.
+func (x *index) search(claim cell.Resources, tightest bool, visit func(slot int) bool, done func() bool) {
+	var need [dimensions]int8
+	for d, v := range amountsOf(claim) {
+		need[d] = x.levelOf(d, v)
+	}
+	main := x.largest(claim)
+	for i := need[main]; i < indexLevels; i++ {
+		l := i
+		if !tightest {
+			l = indexLevels - 1 - (i - need[main])
+		}
+		if !x.searchLevel(need, main, l, visit) || done() {
+			return
+		}
+	}
+}
+
+func (x *index) searchLevel(need [dimensions]int8, main int, l int8, visit func(slot int) bool) bool {
+	top := l == indexLevels-1
+	if x.count[main][l] == 0 || !top && x.count[main][l] == x.count[main][l+1] {
+		return true
+	}
+	for word, set := range x.reach[main][l] {
+		if !top {
+			set &^= x.reach[main][l+1][word]
+		}
+		for d := 0; d < dimensions && set != 0; d++ {
+			if d != main {
+				set &= x.reach[d][need[d]][word]
+			}
+		}
+		for ; set != 0; set &= set - 1 {
+			if !visit(word*wordBits + bits.TrailingZeros64(set)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// largest returns the dimension of which claim takes the largest share.
+func (x *index) largest(claim cell.Resources) int {
+	best, share := 0, -1.0
+	for d, v := range amountsOf(claim) {
+		if x.limit[d] <= 0 {
+			continue
+		}
+		if f := float64(v) / float64(x.limit[d]); f > share {
+			best, share = d, f
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/scheduler/invariant_test.go
@@ -0,0 +1,345 @@
+package scheduler
+
+import (
+	"flag"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/cell"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.checks", "300")
+}
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func testPolicy() Policy {
+	return Policy{
+		PackingWeight: 0.7,
+		UrgentWait:    2200 * time.Millisecond,
+		AgeingStep:    time.Minute,
+		MaxQueued:     60,
+		Teams:         map[string]TeamPolicy{"a": {Weight: 2}, "b": {Weight: 1, Quota: cell.Resources{MilliCPU: 20_000}}},
+	}
+}
+
+// model is what the caller of a Scheduler knows: the claims that decisions placed, and who is queued.
+type model struct {
+	s       *Scheduler
+	now     time.Time
+	next    int
+	workers map[cell.WorkerID]cell.Worker
+	where   map[cell.TaskID]cell.WorkerID
+	tasks   map[cell.TaskID]cell.Task
+	queued  map[cell.TaskID]Item
+	trace   []string
+}
+
+func newModel() *model {
+	return &model{
+		s: New(testPolicy()), now: epoch,
+		workers: map[cell.WorkerID]cell.Worker{}, where: map[cell.TaskID]cell.WorkerID{},
+		tasks: map[cell.TaskID]cell.Task{}, queued: map[cell.TaskID]Item{},
+	}
+}
+
+func (m *model) used(id cell.WorkerID) cell.Resources {
+	var sum cell.Resources
+	for t, w := range m.where {
+		if w == id {
+			sum = sum.Add(m.tasks[t].Claim)
+		}
+	}
+	return sum
+}
+
+func (m *model) held(team string) cell.Resources {
+	var sum cell.Resources
+	for t := range m.where {
+		if m.tasks[t].Team == team {
+			sum = sum.Add(m.tasks[t].Claim)
+		}
+	}
+	return sum
+}
+
+func (m *model) upsert(t *rapid.T) {
+	n := rapid.IntRange(0, 5).Draw(t, "worker")
+	w := cell.Worker{ID: cell.WorkerID(fmt.Sprintf("w%d", n)), Zone: fmt.Sprintf("z%d", n%2), Rack: fmt.Sprintf("r%d", n%3), Pool: []string{"x", "y"}[n%2], State: cell.WorkerLive}
+	w.Capacity = cell.Resources{MilliCPU: 8000, MemoryMiB: 8000, Slots: 4}
+	if n%3 == 0 {
+		w.Capacity.Accelerators = 2
+	}
+	usable := rapid.IntRange(0, 4).Draw(t, "usable") > 0
+	m.workers[w.ID] = w
+	m.s.UpsertWorker(w, usable)
+}
+
+func (m *model) task(t *rapid.T) cell.Task {
+	m.next++
+	task := cell.Task{
+		ID:           cell.TaskID(fmt.Sprintf("t%d", m.next)),
+		Kind:         cell.KindBatch,
+		Team:         rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"),
+		Class:        rapid.SampledFrom([]cell.Class{cell.ClassUrgent, cell.ClassService, cell.ClassNormal, cell.ClassBatch}).Draw(t, "class"),
+		Pool:         rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "pool"),
+		Stoppable:    rapid.Bool().Draw(t, "stoppable"),
+		EstimatedRun: time.Duration(rapid.IntRange(0, 100).Draw(t, "run")) * time.Second,
+	}
+	task.Claim = cell.Resources{MilliCPU: rapid.Int64Range(1, 8000).Draw(t, "cpu"), MemoryMiB: rapid.Int64Range(1, 4000).Draw(t, "mem"), Slots: 1}
+	if rapid.IntRange(0, 4).Draw(t, "acc") == 0 {
+		task.Claim.Accelerators = 1
+	}
+	if task.Class == cell.ClassService {
+		task.Kind = cell.KindService
+		task.Job = "svc"
+	}
+	return task
+}
+
+func (m *model) enqueue(task cell.Task) bool {
+	it := Item{Task: task, Arrived: m.now}
+	if m.next%7 == 0 {
+		it.Deadline = m.now.Add(5 * time.Second)
+	}
+	if m.next%11 == 0 {
+		it.NotBefore = m.now.Add(time.Second)
+	}
+	ok, _ := m.s.Enqueue(m.now, it)
+	if ok {
+		m.queued[task.ID] = it
+		m.tasks[task.ID] = task
+	}
+	return ok
+}
+
+func (m *model) enqueueGang(t *rapid.T) {
+	task := m.task(t)
+	task.Kind = cell.KindGang
+	task.GangSize = rapid.IntRange(2, 4).Draw(t, "gang")
+	task.Job = cell.JobID("gang-" + task.ID)
+	for i := range task.GangSize {
+		task.ID = cell.TaskID(fmt.Sprintf("%s-%d", task.Job, i))
+		m.enqueue(task)
+	}
+}
+
+func (m *model) schedule(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+	gangs := map[cell.JobID]int{}
+	for _, d := range m.s.Schedule(m.now, rapid.IntRange(0, 8).Draw(t, "budget")) {
+		m.trace = append(m.trace, fmt.Sprint(d.Kind, d.Task.ID, d.Worker, d.For))
+		m.apply(t, d)
+		if d.Kind == Place && d.Task.GangSize > 1 {
+			gangs[d.Task.Job]++
+		}
+	}
+	for job, n := range gangs {
+		if running := m.runningOf(job); running != m.sizeOf(job) {
+			t.Fatalf("gang %s runs %d of %d after %d placements", job, running, m.sizeOf(job), n)
+		}
+	}
+}
+
+func (m *model) apply(t *rapid.T, d Decision) {
+	id := d.Task.ID
+	switch d.Kind {
+	case Place:
+		if _, ok := m.queued[id]; !ok || m.where[id] != "" {
+			t.Fatalf("%s placed while not queued or while on %q", id, m.where[id])
+		}
+		delete(m.queued, id)
+		m.where[id] = d.Worker
+		if used := m.used(d.Worker); !used.Fits(m.workers[d.Worker].Capacity) {
+			t.Fatalf("%s holds %s over its capacity", d.Worker, used)
+		}
+		if pool := d.Task.Pool; pool != "" && pool != m.workers[d.Worker].Pool {
+			t.Fatalf("%s placed outside pool %s", id, pool)
+		}
+		if held := m.held("b"); held.MilliCPU > 20_000 {
+			t.Fatalf("team b holds %s over its quota", held)
+		}
+	case Stop:
+		if m.where[id] != d.Worker || !m.tasks[id].Stoppable {
+			t.Fatalf("stop of %s on %s, which may not be stopped there", id, d.Worker)
+		}
+	case Expire:
+		if it := m.queued[id]; it.Deadline.IsZero() || m.now.Before(it.Deadline) {
+			t.Fatalf("%s expired early", id)
+		}
+		delete(m.queued, id)
+	}
+}
+
+func (m *model) sizeOf(job cell.JobID) int {
+	for _, task := range m.tasks {
+		if task.Job == job {
+			return task.GangSize
+		}
+	}
+	return 0
+}
+
+// runningOf counts the members of a gang that are placed or have been released.
+func (m *model) runningOf(job cell.JobID) int {
+	n := 0
+	for id, task := range m.tasks {
+		if _, queued := m.queued[id]; task.Job == job && !queued {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) pick(t *rapid.T, name string) cell.TaskID {
+	if len(m.where) == 0 {
+		t.Skip("nothing placed")
+	}
+	ids := make([]cell.TaskID, 0, len(m.where))
+	for i := range m.next + 1 {
+		for _, id := range []cell.TaskID{cell.TaskID(fmt.Sprintf("t%d", i)), cell.TaskID(fmt.Sprintf("gang-t%d-0", i)), cell.TaskID(fmt.Sprintf("gang-t%d-1", i))} {
+			if m.where[id] != "" {
+				ids = append(ids, id)
+			}
+		}
+	}
+	if len(ids) == 0 {
+		t.Skip("nothing placed")
+	}
+	return rapid.SampledFrom(ids).Draw(t, name)
+}
+
+func (m *model) release(t *rapid.T) {
+	id := m.pick(t, "release")
+	m.s.Release(id)
+	delete(m.where, id)
+}
+
+func (m *model) requeue(t *rapid.T) {
+	id := m.pick(t, "requeue")
+	it := Item{Task: m.tasks[id], Arrived: m.now.Add(-time.Minute)}
+	m.s.Requeue(m.now, it)
+	delete(m.where, id)
+	m.queued[id] = it
+}
+
+func (m *model) cancel(t *rapid.T) {
+	id := cell.TaskID(fmt.Sprintf("t%d", rapid.IntRange(0, m.next).Draw(t, "cancel")))
+	want := 0
+	if _, ok := m.queued[id]; ok {
+		want = 1
+	}
+	if got := m.s.Cancel(id); got != want {
+		t.Fatalf("Cancel(%s) = %d, want %d", id, got, want)
+	}
+	delete(m.queued, id)
+}
+
+func (m *model) removeWorker(t *rapid.T) {
+	id := cell.WorkerID(fmt.Sprintf("w%d", rapid.IntRange(0, 5).Draw(t, "remove")))
+	for _, task := range m.s.RemoveWorker(id) {
+		if m.where[task.ID] != id {
+			t.Fatalf("%s lost with %s but it was on %q", task.ID, id, m.where[task.ID])
+		}
+		delete(m.where, task.ID)
+	}
+	delete(m.workers, id)
+}
+
+func (m *model) check(t *rapid.T) {
+	totals := m.s.Totals()
+	if totals.Queued != len(m.queued) || totals.Placed != len(m.where) {
+		t.Fatalf("ledger has %d queued, %d placed; model has %d, %d", totals.Queued, totals.Placed, len(m.queued), len(m.where))
+	}
+	for _, w := range m.s.Workers() {
+		if used := m.used(w.Worker.ID); w.Used != used {
+			t.Fatalf("%s: ledger counts %s, model %s", w.Worker.ID, w.Used, used)
+		}
+	}
+	for _, team := range m.s.Teams() {
+		if held := m.held(team.Team); team.Held != held {
+			t.Fatalf("team %s: ledger counts %s, model %s", team.Team, team.Held, held)
+		}
+	}
+	for id := range m.queued {
+		if ex := m.s.Explain(id); ex.State != StateQueued || len(ex.Chain) == 0 {
+			t.Fatalf("%s: explanation %+v of a queued task", id, ex)
+		}
+	}
+	m.checkLedger(t)
+}
+
+// checkLedger compares the sums that decisions rely on with what they sum up.
+func (m *model) checkLedger(t *rapid.T) {
+	for _, w := range m.s.order {
+		var earmarked, victims cell.Resources
+		for _, u := range w.waiting {
+			earmarked = earmarked.Add(u.total)
+		}
+		for _, e := range w.tasks {
+			if m.s.mayStop(e) {
+				victims = victims.Add(e.claim())
+			}
+		}
+		if earmarked != w.earmarked || victims != w.victims {
+			t.Fatalf("%s: earmarked %s, victims %s; want %s, %s", w.desc.ID, w.earmarked, w.victims, earmarked, victims)
+		}
+	}
+}
+
+func (m *model) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"upsert":   m.upsert,
+		"enqueue":  func(t *rapid.T) { m.enqueue(m.task(t)) },
+		"enqueue2": func(t *rapid.T) { m.enqueue(m.task(t)) },
+		"gang":     m.enqueueGang,
+		"schedule": m.schedule,
+		"release":  m.release,
+		"requeue":  m.requeue,
+		"cancel":   m.cancel,
+		"remove":   m.removeWorker,
+		"":         m.check,
+	}
+}
+
+func TestLedgerInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		for range 5 {
+			m.upsert(t)
+		}
+		t.Repeat(m.actions())
+	})
+}
+
+// TestDecisionsAreDeterministic runs one drawn sequence twice.
+func TestDecisionsAreDeterministic(t *testing.T) {
+	run := func(seed int) []string {
+		var trace []string
+		gen := rapid.Custom(func(t *rapid.T) []string {
+			m := newModel()
+			steps := []func(*rapid.T){m.upsert, func(t *rapid.T) { m.enqueue(m.task(t)) }, m.enqueueGang, m.schedule}
+			for range 120 {
+				rapid.SampledFrom(steps).Draw(t, "step")(t)
+				if len(m.where) > 0 && rapid.Bool().Draw(t, "end") {
+					m.release(t)
+				}
+			}
+			return m.trace
+		})
+		trace = append(trace, gen.Example(seed)...)
+		return trace
+	}
+	for seed := range 20 {
+		first, second := run(seed), run(seed)
+		if len(first) == 0 || !reflect.DeepEqual(first, second) {
+			t.Fatalf("seed %d: decisions differ:\n%v\n%v", seed, first, second)
+		}
+	}
+}
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -10,278 +9,271 @@
 
 // Scheduler holds one shard's ledger and queue.
 type Scheduler struct {
-	policy  Policy
-	workers map[cell.WorkerID]*workerEntry
-	order   []cell.WorkerID
-	placed  map[cell.TaskID]*placement
-	queue   []Item
-	queued  map[cell.TaskID]bool
-}
+	policy   Policy
+	capacity cell.Resources
+	workers  map[cell.WorkerID]*worker
+	order    []*worker
+	groups   []*group
+	entries  map[cell.TaskID]*entry
+	teams    map[string]*team
+	lanes    map[laneKey]*lane
+	shapes   map[shapeKey]*shape
+	gangs    map[cell.JobID]*gang
+	services map[cell.JobID]*spread
+	holdings map[fitKey]int
+	stops    map[cell.TaskID]int
 
-type workerEntry struct {
-	worker cell.Worker
-	usable bool
-	used   cell.Resources
-	tasks  int
-}
+	queued    int
+	placed    int
+	seq       uint64
+	deadlines indexedHeap[*entry]
+	delayed   indexedHeap[*entry]
+	lineup    indexedHeap[*lane]
+	active    []*lane
+	blocked   []*shape
+	starved   []*lane
+	freed     []*worker
+	earmarks  []earmarkEnd
 
-type placement struct {
-	task   cell.Task
-	worker cell.WorkerID
-	since  time.Time
+	reservation *reservation
+	// reserveAfter is when a waiting unit may next be given the reservation.
+	reserveAfter time.Time
+	waste        wasteBudget
+	more         bool
+	lastRound    time.Time
+	scratch      scratch
 }
 
 // New returns an empty Scheduler.
 func New(p Policy) *Scheduler {
-	return &Scheduler{
-		policy:  p,
-		workers: make(map[cell.WorkerID]*workerEntry),
-		placed:  make(map[cell.TaskID]*placement),
-		queued:  make(map[cell.TaskID]bool),
+	s := &Scheduler{
+		policy:   p,
+		workers:  make(map[cell.WorkerID]*worker),
+		entries:  make(map[cell.TaskID]*entry),
+		teams:    make(map[string]*team),
+		lanes:    make(map[laneKey]*lane),
+		shapes:   make(map[shapeKey]*shape),
+		gangs:    make(map[cell.JobID]*gang),
+		services: make(map[cell.JobID]*spread),
+		holdings: make(map[fitKey]int),
+		stops:    make(map[cell.TaskID]int),
+		lineup:   newOrder(),
+	}
+	s.deadlines = indexedHeap[*entry]{
+		less:     func(a, b *entry) bool { return sooner(a.item.Deadline, b.item.Deadline, a, b) },
+		position: func(e *entry) *int { return &e.deadlineAt },
 	}
+	s.delayed = indexedHeap[*entry]{
+		less:     func(a, b *entry) bool { return sooner(a.item.NotBefore, b.item.NotBefore, a, b) },
+		position: func(e *entry) *int { return &e.delayedAt },
+	}
+	return s
+}
+
+func sooner(at, bt time.Time, a, b *entry) bool {
+	if !at.Equal(bt) {
+		return at.Before(bt)
+	}
+	return a.seq < b.seq
 }
 
 // SetPolicy replaces the policy for every later decision.
 func (s *Scheduler) SetPolicy(p Policy) {
 	s.policy = p
+	for _, name := range s.teamNames() {
+		s.applyTeamPolicy(s.teams[name])
+	}
+	for _, w := range s.order {
+		s.recountVictims(w)
+	}
+	s.victimsGrew()
 }
 
 // UpsertWorker adds a worker or replaces its description. Only a usable worker that is live gets new work;
 // what is placed on any other stays counted.
-func (s *Scheduler) UpsertWorker(w cell.Worker, usable bool) {
-	e, ok := s.workers[w.ID]
+func (s *Scheduler) UpsertWorker(desc cell.Worker, usable bool) {
+	w, ok := s.workers[desc.ID]
 	if !ok {
-		e = &workerEntry{}
-		s.workers[w.ID] = e
-		i, _ := slices.BinarySearch(s.order, w.ID)
-		s.order = slices.Insert(s.order, i, w.ID)
+		w = &worker{}
+		s.workers[desc.ID] = w
+		i, _ := s.position(desc.ID)
+		s.order = slices.Insert(s.order, i, w)
 	}
-	e.worker = w
-	e.usable = usable
-}
-
-// RemoveWorker forgets a worker whose leases are known to be over and returns the tasks that were placed on it, by id.
-func (s *Scheduler) RemoveWorker(id cell.WorkerID) []cell.Task {
-	if _, ok := s.workers[id]; !ok {
-		return nil
-	}
-	var lost []cell.Task
-	for _, p := range s.placed {
-		if p.worker == id {
-			lost = append(lost, p.task)
-		}
+	if !ok || w.desc.Capacity != desc.Capacity || w.desc.Pool != desc.Pool {
+		s.resize(w, desc)
 	}
-	slices.SortFunc(lost, func(a, b cell.Task) int { return compareIDs(a.ID, b.ID) })
-	for _, t := range lost {
-		s.Release(t.ID)
+	s.countServices(w, -1)
+	w.desc = desc
+	s.countServices(w, 1)
+	w.usable = usable
+	w.group.refresh(w)
+	if w.placeable() {
+		s.roomGrew(w)
+		return
 	}
-	delete(s.workers, id)
-	s.order = slices.DeleteFunc(s.order, func(o cell.WorkerID) bool { return o == id })
-	return lost
+	s.abandon(w)
 }
 
-// Adopt counts a task that a worker was found to run. It may exceed the worker's capacity, which then stays full.
-func (s *Scheduler) Adopt(t cell.Task, w cell.WorkerID, since time.Time) {
-	if _, ok := s.placed[t.ID]; ok {
-		return
-	}
-	e, ok := s.workers[w]
-	if !ok {
-		return
-	}
-	e.used = e.used.Add(t.Claim)
-	e.tasks++
-	s.placed[t.ID] = &placement{task: t, worker: w, since: since}
+func (s *Scheduler) position(id cell.WorkerID) (int, bool) {
+	return slices.BinarySearchFunc(s.order, id, func(w *worker, id cell.WorkerID) int { return compareIDs(w.desc.ID, id) })
 }
 
-// Enqueue admits an item to the queue or refuses it with a reason. A task that is queued or placed already is accepted without effect.
-func (s *Scheduler) Enqueue(now time.Time, it Item) (bool, cell.Reason) {
-	if s.queued[it.Task.ID] || s.placed[it.Task.ID] != nil {
-		return true, cell.Reason{}
-	}
-	if !s.fitsSomewhere(it.Task) {
-		return false, cell.Reason{Code: cell.ReasonFitsNowhere, Detail: it.Task.Claim.String()}
-	}
-	if s.policy.MaxQueued > 0 && len(s.queue) >= s.policy.MaxQueued {
-		return false, cell.Reason{Code: cell.ReasonQueueFull, Detail: fmt.Sprintf("%d queued", len(s.queue))}
+// resize moves w to the group of its new description and counts its new capacity.
+func (s *Scheduler) resize(w *worker, desc cell.Worker) {
+	if w.group != nil {
+		w.group.remove(w)
 	}
-	s.push(it)
-	return true, cell.Reason{}
+	s.resizeCapacity(desc.Capacity.Sub(w.desc.Capacity))
+	w.desc.Capacity, w.desc.Pool = desc.Capacity, desc.Pool
+	s.groupOf(desc).add(w)
 }
 
-// Requeue returns a placed task to the queue after its attempt is known not to have started. Bounds do not apply.
-func (s *Scheduler) Requeue(now time.Time, it Item) {
-	s.Release(it.Task.ID)
-	if !s.queued[it.Task.ID] {
-		s.push(it)
+func (s *Scheduler) resizeCapacity(change cell.Resources) {
+	s.capacity = s.capacity.Add(change)
+	clear(s.holdings)
+	for _, t := range s.teams {
+		s.reshare(t)
 	}
 }
 
-// Cancel drops queued tasks and returns how many it dropped. Placed tasks are left alone.
-func (s *Scheduler) Cancel(ids ...cell.TaskID) int {
-	drop := make(map[cell.TaskID]bool, len(ids))
-	for _, id := range ids {
-		if s.queued[id] {
-			drop[id] = true
-			delete(s.queued, id)
-		}
+// abandon gives up what waits for room on a worker that takes no new work.
+func (s *Scheduler) abandon(w *worker) {
+	for len(w.waiting) > 0 {
+		u := w.waiting[0]
+		s.dropEarmark(u)
+		s.enlist(u)
+	}
+	if !w.reserved.IsZero() {
+		s.returnReservation()
 	}
-	s.queue = slices.DeleteFunc(s.queue, func(it Item) bool { return drop[it.Task.ID] })
-	return len(drop)
 }
 
-// Release uncounts a placed task once it is known to be over.
-func (s *Scheduler) Release(id cell.TaskID) {
-	p, ok := s.placed[id]
+// RemoveWorker forgets a worker whose leases are known to be over and returns the tasks that were placed on it, by id.
+func (s *Scheduler) RemoveWorker(id cell.WorkerID) []cell.Task {
+	w, ok := s.workers[id]
 	if !ok {
-		return
+		return nil
 	}
-	delete(s.placed, id)
-	if e, ok := s.workers[p.worker]; ok {
-		e.used = e.used.Sub(p.task.Claim)
-		e.tasks--
+	w.usable = false
+	s.abandon(w)
+	var lost []cell.Task
+	for len(w.tasks) > 0 {
+		e := w.tasks[len(w.tasks)-1]
+		lost = append(lost, e.item.Task)
+		s.Release(e.item.Task.ID)
 	}
+	slices.SortFunc(lost, func(a, b cell.Task) int { return compareIDs(a.ID, b.ID) })
+	w.group.remove(w)
+	i, _ := s.position(id)
+	s.order = slices.Delete(s.order, i, i+1)
+	delete(s.workers, id)
+	s.resizeCapacity(cell.Resources{}.Sub(w.desc.Capacity))
+	return lost
 }
 
-// Schedule makes at most budget placements and returns them with the stops and expiries that are due.
-func (s *Scheduler) Schedule(now time.Time, budget int) []Decision {
-	var out []Decision
-	var rest []Item
-	for i, it := range s.queue {
-		if budget == 0 {
-			rest = append(rest, s.queue[i:]...)
-			break
-		}
-		if !it.Deadline.IsZero() && !now.Before(it.Deadline) {
-			delete(s.queued, it.Task.ID)
-			out = append(out, Decision{Kind: Expire, Task: it.Task, Reason: cell.Reason{Code: cell.ReasonDeadline}, Waited: now.Sub(it.Arrived)})
-			continue
-		}
-		w, ok := s.firstFit(now, it)
-		if !ok {
-			rest = append(rest, it)
-			continue
+// Adopt counts a task that a worker was found to run. It may exceed the worker's capacity, which then stays full.
+// A task that is queued here leaves the queue; a task that is placed already stays where it is.
+func (s *Scheduler) Adopt(t cell.Task, id cell.WorkerID, since time.Time) {
+	w, ok := s.workers[id]
+	if !ok {
+		return
+	}
+	if e := s.entries[t.ID]; e != nil {
+		if !e.queued() {
+			return
 		}
-		delete(s.queued, it.Task.ID)
-		s.Adopt(it.Task, w, now)
-		budget--
-		out = append(out, Decision{Kind: Place, Task: it.Task, Worker: w, Reason: cell.Reason{Code: cell.ReasonPlaced}, Waited: now.Sub(it.Arrived)})
+		s.dequeue(e)
 	}
-	s.queue = rest
-	return out
+	e := &entry{item: Item{Task: t, Arrived: since}, deadlineAt: -1, delayedAt: -1, team: s.teamOf(t.Team), stops: s.stops[t.ID]}
+	s.seq++
+	e.seq = s.seq
+	s.entries[t.ID] = e
+	if t.GangSize > 1 {
+		e.gang = s.gangOf(t)
+	}
+	s.charge(e, w)
+	s.settle(e, since)
 }
 
-// NextWake returns the earliest time at which Schedule could do more without any other event; zero if none.
-func (s *Scheduler) NextWake(now time.Time) time.Time {
-	var wake time.Time
-	for _, it := range s.queue {
-		for _, t := range []time.Time{it.Deadline, it.NotBefore} {
-			if t.After(now) && (wake.IsZero() || t.Before(wake)) {
-				wake = t
-			}
-		}
+// Release uncounts a placed task once it is known to be over.
+func (s *Scheduler) Release(id cell.TaskID) {
+	e := s.entries[id]
+	if e == nil || e.worker == nil {
+		return
 	}
-	return wake
+	g := e.gang
+	s.release(id)
+	s.dropGang(g)
 }
 
-// Explain returns why a task is where it is.
-func (s *Scheduler) Explain(id cell.TaskID) Explanation {
-	if p, ok := s.placed[id]; ok {
-		return Explanation{Found: true, State: StatePlaced, Worker: p.worker, Chain: []cell.Reason{{Code: cell.ReasonPlaced, Detail: string(p.worker)}}}
+func (s *Scheduler) release(id cell.TaskID) {
+	e := s.entries[id]
+	if e == nil || e.worker == nil {
+		return
 	}
-	if s.queued[id] {
-		return Explanation{Found: true, State: StateQueued, Chain: []cell.Reason{{Code: cell.ReasonNoCapacity}}}
+	if e.state == StateStopping {
+		s.countStop(id, e.stops+1)
+	} else {
+		delete(s.stops, id)
 	}
-	return Explanation{}
+	s.unsettle(e)
+	w := e.worker
+	s.uncharge(e)
+	delete(s.entries, id)
+	s.dropTeam(e.team)
+	s.roomGrew(w)
 }
 
-// Totals sums up the shard.
-func (s *Scheduler) Totals() Totals {
-	t := Totals{Queued: len(s.queue), Placed: len(s.placed), Workers: len(s.workers)}
-	for _, id := range s.order {
-		e := s.workers[id]
-		t.Capacity = t.Capacity.Add(e.worker.Capacity)
-		if !e.placeable() {
-			continue
-		}
-		t.Usable++
-		free := e.worker.Capacity.Sub(e.used)
-		t.Free = t.Free.Add(free)
-		if free.MilliCPU > t.LargestFree.MilliCPU {
-			t.LargestFree = free
-		}
-	}
-	return t
+// charge counts e's claim on w and for its team.
+func (s *Scheduler) charge(e *entry, w *worker) {
+	e.worker = w
+	w.used = w.used.Add(e.claim())
+	w.tasks = append(w.tasks, e)
+	s.hold(e.team, e.claim())
+	w.group.refresh(w)
 }
 
-// Workers lists the workers in id order.
-func (s *Scheduler) Workers() []WorkerView {
-	out := make([]WorkerView, 0, len(s.order))
-	for _, id := range s.order {
-		e := s.workers[id]
-		out = append(out, WorkerView{Worker: e.worker, Usable: e.usable, Used: e.used, Tasks: e.tasks})
-	}
-	return out
+func (s *Scheduler) uncharge(e *entry) {
+	w := e.worker
+	e.worker = nil
+	w.used = w.used.Sub(e.claim())
+	w.removeTask(e)
+	s.letGo(e.team, e.claim())
+	w.group.refresh(w)
 }
 
-// Teams lists the teams that hold or wait for something, in name order.
-func (s *Scheduler) Teams() []TeamView {
-	byName := make(map[string]*TeamView)
-	view := func(team string) *TeamView {
-		if byName[team] == nil {
-			byName[team] = &TeamView{Team: team, Quota: s.policy.Teams[team].Quota}
-		}
-		return byName[team]
-	}
-	for _, p := range s.placed {
-		v := view(p.task.Team)
-		v.Held = v.Held.Add(p.task.Claim)
+// settle completes the placement of a charged entry.
+func (s *Scheduler) settle(e *entry, since time.Time) {
+	e.since = since
+	e.state = StatePlaced
+	e.team.placed++
+	s.placed++
+	if e.gang != nil {
+		e.gang.started++
+		e.gang.running++
 	}
-	for _, it := range s.queue {
-		view(it.Task.Team).Queued++
+	if e.task().Kind == cell.KindService {
+		s.spreadOf(e.task().Job).count(e.worker, 1)
 	}
-	out := make([]TeamView, 0, len(byName))
-	for _, v := range byName {
-		out = append(out, *v)
+	s.recountVictims(e.worker)
+	if e.victim {
+		s.victimsGrew()
 	}
-	slices.SortFunc(out, func(a, b TeamView) int { return compareIDs(a.Team, b.Team) })
-	return out
-}
-
-func (s *Scheduler) push(it Item) {
-	s.queue = append(s.queue, it)
-	s.queued[it.Task.ID] = true
 }
 
-func (s *Scheduler) fitsSomewhere(t cell.Task) bool {
-	for _, id := range s.order {
-		e := s.workers[id]
-		if e.inPool(t) && t.Claim.Fits(e.worker.Capacity) {
-			return true
-		}
+func (s *Scheduler) unsettle(e *entry) {
+	e.team.placed--
+	s.placed--
+	if e.gang != nil {
+		e.gang.running--
 	}
-	return false
-}
-
-func (s *Scheduler) firstFit(now time.Time, it Item) (cell.WorkerID, bool) {
-	if it.NotBefore.After(now) {
-		return "", false
+	if e.task().Kind == cell.KindService {
+		s.uncountService(e)
 	}
-	for _, id := range s.order {
-		e := s.workers[id]
-		if e.placeable() && e.inPool(it.Task) && e.used.Add(it.Task.Claim).Fits(e.worker.Capacity) && !slices.Contains(it.Avoid, id) {
-			return id, true
-		}
+	if e.victim {
+		e.victim = false
+		e.worker.victims = e.worker.victims.Sub(e.claim())
 	}
-	return "", false
-}
-
-func (e *workerEntry) placeable() bool {
-	return e.usable && e.worker.State == cell.WorkerLive
-}
-
-func (e *workerEntry) inPool(t cell.Task) bool {
-	return t.Pool == "" || t.Pool == e.worker.Pool
 }
 
 func compareIDs[T ~string](a, b T) int {
--- /dev/null
+++ b/internal/scheduler/queue.go
@@ -0,0 +1,311 @@
+package scheduler
+
+import (
+	"math/bits"
+	"time"
+
+	"laburnumpoint/internal/cell"
+)
+
+// entry is one task that the scheduler knows. Its place is one of:
+//
+//	delayed   in Scheduler.delayed until Item.NotBefore
+//	forming   in Scheduler.forming until its gang is whole
+//	in line   its unit is in a lane
+//	earmarked its unit waits for victims to leave a worker
+//	reserved  its unit holds the reservation
+//	placed    on a worker, perhaps stopping
+type entry struct {
+	item   Item
+	seq    uint64
+	team   *team
+	unit   *unit
+	gang   *gang
+	worker *worker
+	since  time.Time
+	state  State
+	// stops is how many times the task was stopped for others.
+	stops int
+	// victim means that the claim is counted in worker.victims.
+	victim bool
+	// spare means that the task uses room that a reservation holds and leaves it when the reserved gang is ready.
+	spare bool
+
+	deadlineAt int
+	delayedAt  int
+	self       unit
+	one        [1]*entry
+}
+
+func (e *entry) task() *cell.Task { return &e.item.Task }
+
+func (e *entry) claim() cell.Resources { return e.item.Task.Claim }
+
+func (e *entry) queued() bool { return e.state == StateQueued }
+
+// unit is what is placed at once: one task or a whole gang.
+type unit struct {
+	members []*entry
+	arrived time.Time
+	seq     uint64
+	total   cell.Resources
+	lane    *lane
+	prev    *unit
+	next    *unit
+	// returnedAt is the position among the lane's returned units; -1 for a unit of the lane's list.
+	returnedAt int
+	earmark    *worker
+	earmarkEnd time.Time
+}
+
+func (u *unit) first() *entry { return u.members[0] }
+
+func (u *unit) isGang() bool { return u.first().item.Task.GangSize > 1 }
+
+func (u *unit) before(o *unit) bool {
+	if !u.arrived.Equal(o.arrived) {
+		return u.arrived.Before(o.arrived)
+	}
+	return u.seq < o.seq
+}
+
+// shapeKey is all that decides where a unit fits now. Units of one shape fit or do not fit together,
+// so that a shape that was refused is not tried again until capacity is freed.
+type shapeKey struct {
+	pool      string
+	claim     cell.Resources
+	total     cell.Resources
+	gangSize  int
+	stoppable bool
+	// runScale is the logarithm of the estimated run time, which decides on backfill.
+	runScale int
+}
+
+// shape is the placement state that the lanes of one shapeKey share.
+type shape struct {
+	key   shapeKey
+	lanes []*lane
+	// blocked means that no worker had room when a unit of the shape was last tried.
+	blocked   bool
+	blockedAt int
+	// missing is a lower bound on the gang members that still need room. Only while blocked.
+	missing int
+}
+
+// laneKey names a lane.
+type laneKey struct {
+	team  string
+	class cell.Class
+	shape shapeKey
+}
+
+// lane is a first-in-first-out line of the units of one team, class and shape. Units that return to the queue
+// keep their arrival time and stand in a heap beside the list, so that every removal is cheap.
+type lane struct {
+	key      laneKey
+	team     *team
+	shape    *shape
+	shapeAt  int
+	head     *unit
+	tail     *unit
+	returned indexedHeap[*unit]
+	size     int
+	// active means that the lane is in Scheduler.active.
+	active bool
+	// overQuota means that the first unit exceeds what the team may hold.
+	overQuota bool
+	// noVictims means that no stoppable work could make room for the first unit. Only for urgent lanes.
+	noVictims bool
+	at        int
+	rank      orderKey
+}
+
+func shapeOf(u *unit) shapeKey {
+	t := u.first().task()
+	key := shapeKey{pool: t.Pool, claim: t.Claim, total: u.total, stoppable: t.Stoppable, runScale: bits.Len64(uint64(max(t.EstimatedRun, 0) / time.Second))}
+	if !u.isGang() {
+		return key
+	}
+	key.gangSize = len(u.members)
+	for _, m := range u.members[1:] {
+		c := m.claim()
+		key.claim.MilliCPU = min(key.claim.MilliCPU, c.MilliCPU)
+		key.claim.MemoryMiB = min(key.claim.MemoryMiB, c.MemoryMiB)
+		key.claim.Accelerators = min(key.claim.Accelerators, c.Accelerators)
+		key.claim.Slots = min(key.claim.Slots, c.Slots)
+		key.stoppable = key.stoppable && m.task().Stoppable
+	}
+	return key
+}
+
+// enlist puts u into its lane.
+func (s *Scheduler) enlist(u *unit) {
+	l := s.laneOf(u)
+	u.lane = l
+	u.returnedAt = -1
+	l.size++
+	switch {
+	case l.tail == nil:
+		l.head, l.tail = u, u
+	case l.tail.before(u):
+		u.prev, l.tail.next = l.tail, u
+		l.tail = u
+	default:
+		l.returned.push(u)
+	}
+	s.activate(l)
+}
+
+// unlist takes u out of its lane.
+func (s *Scheduler) unlist(u *unit) {
+	l := u.lane
+	if u.returnedAt >= 0 {
+		l.returned.remove(u)
+	} else {
+		l.unlink(u)
+	}
+	u.lane = nil
+	l.size--
+	if l.size == 0 {
+		s.dropLane(l)
+	}
+}
+
+func (l *lane) unlink(u *unit) {
+	if u.prev != nil {
+		u.prev.next = u.next
+	} else {
+		l.head = u.next
+	}
+	if u.next != nil {
+		u.next.prev = u.prev
+	} else {
+		l.tail = u.prev
+	}
+	u.prev, u.next = nil, nil
+}
+
+// first returns the unit that arrived first.
+func (l *lane) first() *unit {
+	if l.returned.len() == 0 {
+		return l.head
+	}
+	if r := l.returned.top(); l.head == nil || r.before(l.head) {
+		return r
+	}
+	return l.head
+}
+
+func (l *lane) urgent() bool { return l.key.class == cell.ClassUrgent }
+
+func (s *Scheduler) laneOf(u *unit) *lane {
+	t := u.first().task()
+	key := laneKey{team: t.Team, class: t.Class, shape: shapeOf(u)}
+	if l, ok := s.lanes[key]; ok {
+		return l
+	}
+	l := &lane{key: key, team: u.first().team, shape: s.shapeOf(key.shape)}
+	l.returned = indexedHeap[*unit]{less: (*unit).before, position: func(u *unit) *int { return &u.returnedAt }}
+	l.shapeAt = len(l.shape.lanes)
+	l.shape.lanes = append(l.shape.lanes, l)
+	s.lanes[key] = l
+	return l
+}
+
+func (s *Scheduler) shapeOf(key shapeKey) *shape {
+	sh, ok := s.shapes[key]
+	if !ok {
+		sh = &shape{key: key}
+		s.shapes[key] = sh
+	}
+	return sh
+}
+
+// dropLane forgets an empty lane, and its shape if that was its last.
+func (s *Scheduler) dropLane(l *lane) {
+	delete(s.lanes, l.key)
+	sh := l.shape
+	last := len(sh.lanes) - 1
+	sh.lanes[l.shapeAt] = sh.lanes[last]
+	sh.lanes[l.shapeAt].shapeAt = l.shapeAt
+	sh.lanes = sh.lanes[:last]
+	if last == 0 {
+		s.unblock(sh)
+		delete(s.shapes, sh.key)
+	}
+}
+
+// activate lists l among the lanes that the next round looks at, unless nothing in it could be placed.
+func (s *Scheduler) activate(l *lane) {
+	if l.active || l.size == 0 || l.overQuota {
+		return
+	}
+	if l.shape.blocked && (!l.urgent() || l.noVictims) {
+		return
+	}
+	l.active = true
+	s.active = append(s.active, l)
+}
+
+// block records that no worker has room for a unit of sh; missing is how many of its members lack room.
+func (s *Scheduler) block(sh *shape, missing int) {
+	sh.missing = missing
+	if sh.blocked {
+		return
+	}
+	sh.blocked = true
+	sh.blockedAt = len(s.blocked)
+	s.blocked = append(s.blocked, sh)
+}
+
+func (s *Scheduler) unblock(sh *shape) {
+	if !sh.blocked {
+		return
+	}
+	sh.blocked = false
+	last := len(s.blocked) - 1
+	s.blocked[sh.blockedAt] = s.blocked[last]
+	s.blocked[sh.blockedAt].blockedAt = sh.blockedAt
+	s.blocked = s.blocked[:last]
+	for _, l := range sh.lanes {
+		l.noVictims = false
+		s.activate(l)
+	}
+}
+
+// roomGrew unblocks the shapes that may fit on w now.
+func (s *Scheduler) roomGrew(w *worker) {
+	if !w.placeable() {
+		return
+	}
+	if !w.freed {
+		w.freed = true
+		s.freed = append(s.freed, w)
+	}
+	room := w.room()
+	if !w.reserved.IsZero() {
+		room = w.free().Sub(w.earmarked)
+	}
+	for i := len(s.blocked) - 1; i >= 0; i-- {
+		sh := s.blocked[i]
+		if !w.group.matches(sh.key.pool) || !sh.key.claim.Fits(room) {
+			continue
+		}
+		sh.missing -= timesIn(sh.key.claim, room)
+		if sh.missing <= 0 {
+			s.unblock(sh)
+		}
+	}
+}
+
+// timesIn returns how many times claim fits into room.
+func timesIn(claim, room cell.Resources) int {
+	n := int64(1 << 30)
+	limits := amountsOf(room)
+	for d, v := range amountsOf(claim) {
+		if v > 0 {
+			n = min(n, limits[d]/v)
+		}
+	}
+	return int(max(n, 0))
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -128,7 +128,13 @@
 	// MaxQueued bounds the queue; a task beyond it is refused at once.
 	MaxQueued int
 	// UrgentWait is the waiting time within which urgent work starts, if need be by stopping stoppable work.
+	// Zero means that nothing is stopped.
 	UrgentWait time.Duration
-	// AgeingStep is the waiting time that raises a task by one class.
+	// AgeingStep is the waiting time that raises a task by one class. Zero turns ageing off.
 	AgeingStep time.Duration
+	// MaxStops is how often one task may be stopped for others; 3 if zero.
+	MaxStops int
+	// MaxWasteShare is the share of the shard's worker time that preemption may throw away at most, counting
+	// every stop as if its checkpoint were lost; 0.1 if zero. What is not used adds up for half an hour.
+	MaxWasteShare float64
 }
--- /dev/null
+++ b/internal/scheduler/steps_test.go
@@ -0,0 +1,415 @@
+package scheduler
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/platform"
+)
+
+// fixture is a Scheduler with named workers of 8 cores, 8 GiB and 8 slots.
+type fixture struct {
+	*Scheduler
+	t   *testing.T
+	now time.Time
+}
+
+func newFixture(t *testing.T, workers int) *fixture {
+	p := testPolicy()
+	p.MaxQueued = 1000
+	f := &fixture{Scheduler: New(p), t: t, now: epoch}
+	for i := range workers {
+		f.worker(fmt.Sprintf("w%d", i), "x", 0)
+	}
+	return f
+}
+
+func (f *fixture) worker(id, pool string, accelerators int64) {
+	w := cell.Worker{ID: cell.WorkerID(id), Zone: "z", Rack: "rack-" + id, Pool: pool, State: cell.WorkerLive}
+	w.Capacity = cell.Resources{MilliCPU: 8000, MemoryMiB: 8192, Slots: 8, Accelerators: accelerators}
+	f.UpsertWorker(w, true)
+}
+
+func task(id string, class cell.Class, cores int64) cell.Task {
+	return cell.Task{ID: cell.TaskID(id), Kind: cell.KindBatch, Team: "a", Class: class, Claim: cell.Resources{MilliCPU: cores * 1000, Slots: 1}}
+}
+
+func (f *fixture) enqueue(tasks ...cell.Task) {
+	f.t.Helper()
+	for _, task := range tasks {
+		if ok, reason := f.Enqueue(f.now, Item{Task: task, Arrived: f.now}); !ok {
+			f.t.Fatalf("%s refused: %s", task.ID, reason)
+		}
+	}
+}
+
+// run schedules after d and returns the decisions as "place t w", "stop t w" and "expire t".
+func (f *fixture) run(d time.Duration) string {
+	f.now = f.now.Add(d)
+	var out []string
+	for _, d := range f.Schedule(f.now, 100) {
+		switch d.Kind {
+		case Place:
+			out = append(out, fmt.Sprintf("place %s %s", d.Task.ID, d.Worker))
+		case Stop:
+			out = append(out, fmt.Sprintf("stop %s %s", d.Task.ID, d.Worker))
+		case Expire:
+			out = append(out, fmt.Sprintf("expire %s", d.Task.ID))
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
+func (f *fixture) want(got, want string) {
+	f.t.Helper()
+	if got != want {
+		f.t.Fatalf("decisions %q, want %q", got, want)
+	}
+}
+
+func gangOf(job string, size int, class cell.Class, cores int64) []cell.Task {
+	var out []cell.Task
+	for i := range size {
+		m := task(fmt.Sprintf("%s-%d", job, i), class, cores)
+		m.Kind, m.Job, m.GangSize = cell.KindGang, cell.JobID(job), size
+		out = append(out, m)
+	}
+	return out
+}
+
+func TestAdmissionRefusals(t *testing.T) {
+	f := newFixture(t, 2)
+	big := task("big", cell.ClassBatch, 9)
+	pool := task("pool", cell.ClassBatch, 1)
+	pool.Pool = "media"
+	gang := gangOf("gang", 5, cell.ClassNormal, 4)[0]
+	negative := task("negative", cell.ClassBatch, -1)
+	late := Item{Task: task("late", cell.ClassBatch, 1), Arrived: f.now, Deadline: f.now}
+	cases := []struct {
+		item Item
+		want cell.ReasonCode
+	}{
+		{Item{Task: big}, cell.ReasonFitsNowhere},
+		{Item{Task: pool}, cell.ReasonFitsNowhere},
+		{Item{Task: gang}, cell.ReasonFitsNowhere},
+		{Item{Task: negative}, cell.ReasonInvalid},
+		{late, cell.ReasonDeadline},
+		{Item{Task: task("fits", cell.ClassBatch, 8)}, cell.ReasonNone},
+	}
+	for _, c := range cases {
+		ok, reason := f.Enqueue(f.now, c.item)
+		if reason.Code != c.want || ok != (c.want == cell.ReasonNone) {
+			t.Errorf("%s: accepted %v with %q, want %q", c.item.Task.ID, ok, reason, c.want)
+		}
+	}
+}
+
+func TestQueueBoundSparesReturns(t *testing.T) {
+	f := newFixture(t, 1)
+	f.policy.MaxQueued = 1
+	f.enqueue(task("t1", cell.ClassBatch, 8))
+	f.run(time.Second)
+	f.enqueue(task("t2", cell.ClassBatch, 8))
+	if _, reason := f.Enqueue(f.now, Item{Task: task("t3", cell.ClassBatch, 8)}); reason.Code != cell.ReasonQueueFull {
+		t.Fatalf("reason %q", reason)
+	}
+	f.Requeue(f.now, Item{Task: task("t1", cell.ClassBatch, 8), Arrived: epoch})
+	f.want(f.run(0), "place t1 w0")
+}
+
+func TestDeadlineExpires(t *testing.T) {
+	f := newFixture(t, 1)
+	f.enqueue(task("t1", cell.ClassBatch, 8))
+	f.run(0)
+	f.Enqueue(f.now, Item{Task: task("t2", cell.ClassBatch, 8), Arrived: f.now, Deadline: f.now.Add(time.Second)})
+	f.want(f.run(999*time.Millisecond), "")
+	if wake := f.NextWake(f.now); !wake.Equal(epoch.Add(time.Second)) {
+		t.Fatalf("wake %v", wake)
+	}
+	f.Release("t1")
+	f.want(f.run(time.Millisecond), "expire t2")
+}
+
+func TestOrderByClassThenShareThenAge(t *testing.T) {
+	f := newFixture(t, 1)
+	f.enqueue(task("blocker", cell.ClassBatch, 8))
+	f.run(0)
+	other := task("normal-c", cell.ClassNormal, 8)
+	other.Team = "c"
+	f.enqueue(task("batch", cell.ClassBatch, 8), task("normal-a", cell.ClassNormal, 8), task("normal-a2", cell.ClassNormal, 8), other)
+	f.Release("blocker")
+	f.want(f.run(0), "place normal-a w0")
+	f.Release("normal-a")
+	f.Adopt(cell.Task{ID: "held", Team: "a", Claim: cell.Resources{MemoryMiB: 4096}}, "w0", f.now)
+	f.want(f.run(0), "place normal-c w0")
+	f.Release("normal-c")
+	f.now = f.now.Add(2 * time.Minute)
+	f.enqueue(task("normal-a3", cell.ClassNormal, 8))
+	f.want(f.run(0), "place batch w0")
+}
+
+func TestAvoidedWorkersAreUsedLast(t *testing.T) {
+	f := newFixture(t, 2)
+	avoid := Item{Task: task("t1", cell.ClassNormal, 4), Arrived: f.now, Avoid: []cell.WorkerID{"rack-w0"}}
+	f.Enqueue(f.now, avoid)
+	f.want(f.run(0), "place t1 w1")
+	avoid.Task = task("t2", cell.ClassNormal, 8)
+	f.Enqueue(f.now, avoid)
+	f.want(f.run(0), "place t2 w0")
+}
+
+func TestAcceleratorsAreKeptForWorkThatNeedsThem(t *testing.T) {
+	f := newFixture(t, 0)
+	f.worker("a0", "x", 8)
+	f.worker("b0", "x", 0)
+	render := task("render", cell.ClassBatch, 1)
+	render.Claim.Accelerators = 1
+	f.enqueue(task("plain", cell.ClassBatch, 8), render, task("spill", cell.ClassBatch, 1))
+	f.want(f.run(0), "place plain b0, place render a0, place spill a0")
+}
+
+func TestServicesSpreadOverRacks(t *testing.T) {
+	f := newFixture(t, 4)
+	for i := range 4 {
+		service := task(fmt.Sprintf("s%d", i), cell.ClassService, 1)
+		service.Kind, service.Job = cell.KindService, "feed"
+		service.Claim.MemoryMiB = 1024
+		f.enqueue(service)
+	}
+	f.run(0)
+	for _, w := range f.Workers() {
+		if w.Tasks != 1 {
+			t.Errorf("%s runs %d tasks of the service", w.Worker.ID, w.Tasks)
+		}
+	}
+}
+
+func TestPreemptionStopsTheCheapestSetAndKeepsTheRoom(t *testing.T) {
+	f := newFixture(t, 2)
+	old, young, fixed := task("old", cell.ClassBatch, 8), task("young", cell.ClassBatch, 6), task("fixed", cell.ClassBatch, 2)
+	old.Stoppable, young.Stoppable = true, true
+	f.enqueue(old)
+	f.run(0)
+	f.enqueue(young, fixed)
+	f.run(time.Minute)
+	f.enqueue(task("urgent", cell.ClassUrgent, 4))
+	f.now = f.now.Add(time.Second)
+	stops := f.Schedule(f.now, 10)
+	if len(stops) != 1 || stops[0].Kind != Stop || stops[0].Task.ID != "young" || stops[0].Mode != platform.StopCheckpoint || stops[0].For != "urgent" {
+		t.Fatalf("decisions %+v", stops)
+	}
+	f.enqueue(task("thief", cell.ClassNormal, 6), task("small", cell.ClassNormal, 2))
+	f.want(f.run(0), "")
+	f.Requeue(f.now, Item{Task: young, Arrived: epoch})
+	f.want(f.run(time.Second), "place urgent w1, place small w1")
+}
+
+// TestEarmarkedRoomIsNotTaken frees the room for an urgent task in two steps, with work at hand that fits the first.
+func TestEarmarkedRoomIsNotTaken(t *testing.T) {
+	f := newFixture(t, 1)
+	for _, id := range []string{"v1", "v2"} {
+		victim := task(id, cell.ClassBatch, 4)
+		victim.Stoppable = true
+		f.enqueue(victim)
+	}
+	f.run(0)
+	f.enqueue(task("urgent", cell.ClassUrgent, 8))
+	f.want(f.run(0), "stop v1 w0, stop v2 w0")
+	f.enqueue(task("thief", cell.ClassNormal, 4))
+	f.Release("v2")
+	f.want(f.run(time.Second), "")
+	f.Release("v1")
+	f.want(f.run(time.Second), "place urgent w0")
+}
+
+func TestPreemptionSparesTasksStoppedOftenEnough(t *testing.T) {
+	f := newFixture(t, 1)
+	victim := task("victim", cell.ClassBatch, 8)
+	victim.Stoppable = true
+	f.enqueue(victim)
+	f.run(0)
+	for i := range defaultMaxStops {
+		id := fmt.Sprintf("urgent%d", i)
+		f.enqueue(task(id, cell.ClassUrgent, 8))
+		f.want(f.run(0), "stop victim w0")
+		f.Requeue(f.now, Item{Task: victim, Arrived: epoch})
+		f.want(f.run(0), "place "+id+" w0")
+		f.Release(cell.TaskID(id))
+		f.want(f.run(0), "place victim w0")
+	}
+	f.enqueue(task("last", cell.ClassUrgent, 8))
+	f.want(f.run(0), "")
+}
+
+func TestPreemptionIsBoundedByWaste(t *testing.T) {
+	f := newFixture(t, 1)
+	victim := task("victim", cell.ClassBatch, 8)
+	victim.Stoppable = true
+	f.enqueue(victim)
+	f.run(0)
+	f.now = f.now.Add(time.Hour)
+	f.enqueue(task("urgent", cell.ClassUrgent, 8))
+	f.want(f.run(0), "")
+}
+
+func TestEarmarkEndsWithoutRelease(t *testing.T) {
+	f := newFixture(t, 2)
+	victim := task("victim", cell.ClassBatch, 8)
+	victim.Stoppable = true
+	f.enqueue(victim, task("fixed", cell.ClassBatch, 8))
+	f.run(0)
+	f.enqueue(task("urgent", cell.ClassUrgent, 8))
+	f.want(f.run(0), "stop victim w0")
+	f.Release("fixed")
+	f.want(f.run(time.Second), "")
+	f.want(f.run(2*time.Second), "place urgent w1")
+}
+
+func TestGangStartsWholeAndWaitsForItsMembers(t *testing.T) {
+	f := newFixture(t, 2)
+	gang := gangOf("g", 3, cell.ClassNormal, 4)
+	f.enqueue(gang[:2]...)
+	f.want(f.run(0), "")
+	f.enqueue(gang[2])
+	f.want(f.run(0), "place g-0 w0, place g-1 w0, place g-2 w1")
+	var items []Item
+	for _, m := range gang {
+		items = append(items, Item{Task: m, Arrived: epoch})
+	}
+	f.Release("g-0")
+	f.Requeue(f.now, items[2])
+	f.RequeueGang(f.now, items[:2])
+	f.enqueue(task("t", cell.ClassUrgent, 8))
+	f.want(f.run(0), "place t w0")
+	f.Release("t")
+	if got := f.run(0); strings.Count(got, "place g-") != len(gang) {
+		t.Fatalf("decisions %q", got)
+	}
+}
+
+// TestReservationOutlastsSmallWork keeps a full cell supplied with small work while a gang waits for whole workers.
+func TestReservationOutlastsSmallWork(t *testing.T) {
+	f := newFixture(t, 2)
+	n := 0
+	small := func() cell.Task {
+		n++
+		s := task(fmt.Sprintf("s%d", n), cell.ClassNormal, 1)
+		s.EstimatedRun = time.Second
+		return s
+	}
+	for range 32 {
+		f.enqueue(small())
+	}
+	f.run(0)
+	f.enqueue(gangOf("g", 2, cell.ClassBatch, 8)...)
+	for i := 1; i <= 16; i++ {
+		f.run(time.Second)
+		f.Release(cell.TaskID(fmt.Sprintf("s%d", i)))
+		f.enqueue(small())
+	}
+	f.want(f.run(time.Second), "place g-0 w0, place g-1 w1")
+}
+
+func TestBackfillCannotDelayTheReservedStart(t *testing.T) {
+	cases := []struct {
+		name      string
+		estimate  time.Duration
+		stoppable bool
+		want      string
+	}{
+		{"ends in time at ten times its estimate", 6 * time.Second, false, "place fill w0"},
+		{"might end late", 7 * time.Second, false, ""},
+		{"no estimate", 0, false, ""},
+		{"stoppable", 0, true, "place fill w0"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			running := task("running", cell.ClassBatch, 4)
+			running.EstimatedRun = time.Minute
+			f.enqueue(running)
+			f.run(0)
+			f.enqueue(gangOf("g", 2, cell.ClassNormal, 4)...)
+			f.want(f.run(0), "")
+			fill := task("fill", cell.ClassNormal, 4)
+			fill.EstimatedRun, fill.Stoppable = c.estimate, c.stoppable
+			f.enqueue(fill)
+			f.want(f.run(0), c.want)
+			if !c.stoppable {
+				return
+			}
+			f.Release("running")
+			f.want(f.run(time.Second), "stop fill w0")
+			f.Release("fill")
+			f.want(f.run(time.Second), "place g-0 w0, place g-1 w0")
+		})
+	}
+}
+
+func TestCancelledReservationFreesItsRoom(t *testing.T) {
+	f := newFixture(t, 1)
+	f.enqueue(task("running", cell.ClassBatch, 4))
+	f.run(0)
+	f.enqueue(gangOf("g", 2, cell.ClassNormal, 4)...)
+	f.enqueue(task("t", cell.ClassBatch, 4))
+	f.want(f.run(0), "")
+	f.Cancel("g-1")
+	f.want(f.run(0), "place t w0")
+}
+
+func TestExplainNamesTheFilters(t *testing.T) {
+	f := newFixture(t, 2)
+	f.worker("m0", "media", 8)
+	f.enqueue(task("t1", cell.ClassNormal, 8), task("t2", cell.ClassNormal, 8))
+	f.run(0)
+	waiting := task("t3", cell.ClassBatch, 8)
+	waiting.Pool = "x"
+	limited := task("t4", cell.ClassBatch, 8)
+	limited.Team = "b"
+	f.enqueue(waiting, limited)
+	f.Adopt(cell.Task{ID: "held", Team: "b", Claim: cell.Resources{MilliCPU: 16_000}}, "w0", f.now)
+	f.run(0)
+	cases := []struct {
+		id   cell.TaskID
+		want string
+	}{
+		{"t3", "behind_others: class batch, rank 3 after ageing, team share 0.3333, 0 units ahead; no_capacity: 3 workers: 1 of another pool, 0 not usable, 0 too small, 2 full, 0 kept for others, 0 with room"},
+		{"t4", "quota: team b holds cpu=16000m mem=0MiB acc=0 slots=0"},
+		{"t1", "placed: w0"},
+	}
+	for _, c := range cases {
+		var chain []string
+		for _, reason := range f.Explain(c.id).Chain {
+			chain = append(chain, reason.String())
+		}
+		if got := strings.Join(chain, "; "); !strings.Contains(got, c.want) {
+			t.Errorf("%s: %q, want %q", c.id, got, c.want)
+		}
+	}
+}
+
+// TestCancellationWaveLeavesNothingToScan cancels a wave and counts what the next round still meets.
+func TestCancellationWaveLeavesNothingToScan(t *testing.T) {
+	const wave = 100_000
+	f := newFixture(t, 1)
+	f.policy.MaxQueued = 2 * wave
+	f.enqueue(task("running", cell.ClassNormal, 8))
+	f.run(0)
+	ids := make([]cell.TaskID, wave)
+	for i := range ids {
+		ids[i] = cell.TaskID(fmt.Sprintf("t%d", i))
+		f.enqueue(task(string(ids[i]), cell.ClassNormal, int64(1+i%4)))
+	}
+	f.enqueue(task("last", cell.ClassBatch, 8))
+	if dropped := f.Cancel(ids...); dropped != wave {
+		t.Fatalf("dropped %d", dropped)
+	}
+	if len(f.entries) != 2 || len(f.lanes) != 1 || len(f.active) > 6 {
+		t.Fatalf("%d entries, %d lanes and %d active lanes are left", len(f.entries), len(f.lanes), len(f.active))
+	}
+	f.Release("running")
+	f.want(f.run(0), "place last w0")
+}
--- /dev/null
+++ b/internal/scheduler/views.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import (
+	"slices"
+
+	"laburnumpoint/internal/cell"
+)
+
+// Totals sums up the shard.
+func (s *Scheduler) Totals() Totals {
+	t := Totals{Capacity: s.capacity, Queued: s.queued, Placed: s.placed, Workers: len(s.order)}
+	for _, w := range s.order {
+		if !w.placeable() {
+			continue
+		}
+		t.Usable++
+		room := w.room()
+		if room.Negative() {
+			continue
+		}
+		t.Free = t.Free.Add(room)
+		if room.MilliCPU > t.LargestFree.MilliCPU {
+			t.LargestFree = room
+		}
+	}
+	return t
+}
+
+// Workers lists the workers in id order.
+func (s *Scheduler) Workers() []WorkerView {
+	out := make([]WorkerView, 0, len(s.order))
+	for _, w := range s.order {
+		out = append(out, WorkerView{Worker: w.desc, Usable: w.usable, Used: w.used, Tasks: len(w.tasks)})
+	}
+	return out
+}
+
+// Teams lists the teams that hold or wait for something, in name order.
+func (s *Scheduler) Teams() []TeamView {
+	names := s.teamNames()
+	out := make([]TeamView, 0, len(names))
+	for _, name := range names {
+		t := s.teams[name]
+		out = append(out, TeamView{Team: name, Held: t.held, Quota: t.quota, Queued: t.queued})
+	}
+	return out
+}
+
+func (s *Scheduler) teamNames() []string {
+	names := make([]string, 0, len(s.teams))
+	for name := range s.teams {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Reserved returns the job of the reserved gang, or of the reserved single task, and whether there is a reservation.
+func (s *Scheduler) Reserved() (cell.JobID, bool) {
+	if s.reservation == nil {
+		return "", false
+	}
+	return s.reservation.unit.first().task().Job, true
+}
