History checkers: capacity, one place, at most once, own answers, not run, leaving, patches, reads, keys

Cause: the proofs judge recorded runs of separate processes; the judge itself must be seen to convict. Conclusion: not-run is judged by echo, so proofs give each request an echo of its own.

--- /dev/null
+++ b/internal/history/check_test.go
@@ -0,0 +1,179 @@
+package history
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/cell"
+)
+
+// bounds of the test histories, in their steps of one second.
+var bounds = Bounds{Leaving: 3 * time.Second, Propagation: 3 * time.Second}
+
+var epochStart = time.Unix(1_000_000, 0)
+
+// at returns the time of step n.
+func at(n int) time.Time {
+	return epochStart.Add(time.Duration(n) * time.Second)
+}
+
+func added(worker cell.WorkerID, slots int64) Entry {
+	return Entry{At: at(0), Kind: KindWorker, Worker: &Worker{ID: worker, Change: WorkerAdded, Capacity: cell.Resources{MilliCPU: 1000, Slots: slots}}}
+}
+
+func changed(n int, worker cell.WorkerID, change WorkerChange) Entry {
+	return Entry{At: at(n), Kind: KindWorker, Worker: &Worker{ID: worker, Change: change}}
+}
+
+func lease(worker cell.WorkerID, task cell.TaskID, number cell.AttemptID) *Lease {
+	return &Lease{
+		Worker: worker, Boot: "b", Kind: cell.KindRequest, Echo: string(task), Claim: cell.Resources{Slots: 1},
+		Attempt: cell.Attempt{Task: task, Epoch: 1, N: number},
+	}
+}
+
+func started(n int, l *Lease) Entry {
+	return Entry{At: at(n), Kind: KindLeaseStart, Lease: l}
+}
+
+func ended(n int, l *Lease) Entry {
+	end := *l
+	end.Cause = EndFinished
+	return Entry{At: at(n), Kind: KindLeaseEnd, Lease: &end}
+}
+
+func idempotent(l *Lease) *Lease {
+	l.Idempotent = true
+	return l
+}
+
+// called returns a non-idempotent call whose key and echo are the task's id.
+func called(n int, op, task string) Entry {
+	return Entry{At: at(n), Kind: KindCall, Op: op, Call: &Call{Key: task, Echo: task, AnswerBytes: 2}}
+}
+
+func returned(n int, op string, result cell.Result, answer string) Entry {
+	return Entry{At: at(n), Kind: KindReturn, Op: op, Return: &Return{Result: result, Answer: []byte(answer)}}
+}
+
+func answerOf(worker cell.WorkerID, task string, number int, pad string) string {
+	return fmt.Sprintf(`{"attempt":{"task":%q,"epoch":1,"n":%d},"worker":%q,"echo":%q,"pad":%q}`, task, number, worker, task, pad)
+}
+
+func patchCalled(n int, op string, base uint64) Entry {
+	return Entry{At: at(n), Kind: KindPatchCall, Op: op, Patch: &Patch{ID: op, Base: base}}
+}
+
+func patchReturned(n int, op string, verdict PatchVerdict, version uint64) Entry {
+	return Entry{At: at(n), Kind: KindPatchReturn, Op: op, Patch: &Patch{ID: op, Verdict: verdict, Version: version}}
+}
+
+// read returns a query within one step.
+func read(n int, member cell.MemberID, version uint64) []Entry {
+	op := fmt.Sprintf("read-%d-%s", n, member)
+	return []Entry{
+		{At: at(n), Kind: KindReadCall, Op: op, Read: &VersionRead{Member: member}},
+		{At: at(n).Add(time.Millisecond), Kind: KindReadReturn, Op: op, Read: &VersionRead{Member: member, Version: version}},
+	}
+}
+
+func TestCheckFindsViolations(t *testing.T) {
+	a1, a2 := lease("w1", "a", 1), lease("w2", "a", 2)
+	b1 := lease("w1", "b", 1)
+	workers := []Entry{added("w1", 1), added("w2", 8)}
+	whole := answerOf("w1", "a", 1, "xx")
+	cases := []struct {
+		name    string
+		entries []Entry
+		want    []Rule
+	}{
+		{"one after another", []Entry{started(1, a1), ended(2, a1), started(2, b1), ended(3, b1)}, nil},
+		{"over capacity", []Entry{started(1, a1), started(2, b1), ended(3, a1), ended(3, b1)}, []Rule{RuleCapacity}},
+		{"over capacity of an open lease", []Entry{started(1, a1), started(9, b1)}, []Rule{RuleCapacity}},
+		{"capacity free after the worker's restart", []Entry{started(1, a1), changed(2, "w1", WorkerRestarted), started(3, b1)}, nil},
+		{"unknown worker", []Entry{started(1, lease("w3", "a", 1))}, []Rule{RuleRecord}},
+
+		{"second attempt after the first", []Entry{started(1, idempotent(lease("w1", "a", 1))), ended(2, idempotent(lease("w1", "a", 1))), started(2, idempotent(lease("w2", "a", 2)))}, nil},
+		{"two places", []Entry{started(1, idempotent(lease("w1", "a", 1))), started(2, idempotent(lease("w2", "a", 2))), ended(3, idempotent(lease("w1", "a", 1)))}, []Rule{RuleOnePlace}},
+		{"second place while an earlier run is open", []Entry{started(1, idempotent(lease("w2", "a", 1))), started(2, idempotent(lease("w2", "a", 2))), ended(3, idempotent(lease("w2", "a", 2))), started(4, idempotent(lease("w1", "a", 3)))}, []Rule{RuleOnePlace, RuleOnePlace}},
+		{"second place after the worker was lost", []Entry{started(1, idempotent(lease("w1", "a", 1))), changed(2, "w1", WorkerLost), started(3, idempotent(lease("w2", "a", 2)))}, nil},
+
+		{"non-idempotent twice", []Entry{started(1, a1), ended(2, a1), started(3, a2), ended(4, a2)}, []Rule{RuleAtMostOnce}},
+		{"non-idempotent twice under two task ids", []Entry{started(1, a1), ended(2, a1), started(3, &Lease{Worker: "w2", Echo: "a", Attempt: cell.Attempt{Task: "other"}})}, []Rule{RuleAtMostOnce}},
+
+		{"own whole answer", []Entry{called(0, "1", "a"), started(1, a1), ended(2, a1), returned(3, "1", cell.ResultCompleted, whole)}, nil},
+		{"another's answer", []Entry{called(0, "1", "b"), started(1, a1), ended(2, a1), returned(3, "1", cell.ResultCompleted, whole)}, []Rule{RuleOwnAnswer}},
+		{"answer cut short", []Entry{called(0, "1", "a"), started(1, a1), ended(2, a1), returned(3, "1", cell.ResultCompleted, whole[:20])}, []Rule{RuleOwnAnswer}},
+		{"padding cut short", []Entry{called(0, "1", "a"), started(1, a1), ended(2, a1), returned(3, "1", cell.ResultCompleted, answerOf("w1", "a", 1, "x"))}, []Rule{RuleOwnAnswer}},
+		{"answer of an attempt that never ran", []Entry{called(0, "1", "a"), returned(3, "1", cell.ResultCompleted, whole)}, []Rule{RuleOwnAnswer}},
+		{"answer before the end", []Entry{called(0, "1", "a"), started(1, a1), returned(2, "1", cell.ResultCompleted, whole), ended(3, a1)}, []Rule{RuleOwnAnswer}},
+		{"answer from another worker", []Entry{called(0, "1", "a"), started(1, a1), ended(2, a1), returned(3, "1", cell.ResultCompleted, answerOf("w2", "a", 1, "xx"))}, []Rule{RuleOwnAnswer}},
+
+		{"not run", []Entry{called(0, "1", "a"), returned(1, "1", cell.ResultNotRun, "")}, nil},
+		{"not run, then run for a retry", []Entry{called(0, "1", "a"), returned(1, "1", cell.ResultNotRun, ""), called(2, "2", "a"), started(3, a1)}, nil},
+		{"not run but had run", []Entry{called(0, "1", "a"), started(1, a1), ended(2, a1), returned(3, "1", cell.ResultNotRun, "")}, []Rule{RuleNotRun}},
+		{"not run but ran later", []Entry{called(0, "1", "a"), returned(1, "1", cell.ResultNotRun, ""), started(2, a1)}, []Rule{RuleNotRun}},
+		{"retry told not run after the first call's run", []Entry{called(0, "1", "a"), started(1, a1), ended(2, a1), called(3, "2", "a"), returned(4, "2", cell.ResultNotRun, "")}, []Rule{RuleNotRun}},
+		{"lost answer says nothing", []Entry{called(0, "1", "a"), started(1, a1), {At: at(2), Kind: KindReturn, Op: "1", Return: &Return{Lost: true}}}, nil},
+
+		{"start within the bound of leaving", []Entry{changed(1, "w1", WorkerLeaving), started(4, a1)}, nil},
+		{"start long after leaving", []Entry{changed(1, "w1", WorkerLeaving), started(5, a1)}, []Rule{RuleLeaving}},
+
+		{"two answers of one key", []Entry{called(0, "1", "a"), called(0, "2", "a"), started(1, a1), ended(2, a1),
+			returned(3, "1", cell.ResultFailed, "x"), returned(3, "2", cell.ResultFailed, "y")}, []Rule{RuleKeys}},
+		{"same answer twice", []Entry{called(0, "1", "a"), called(0, "2", "a"), started(1, a1), ended(2, a1),
+			returned(3, "1", cell.ResultCompleted, whole), returned(4, "2", cell.ResultCompleted, whole)}, nil},
+		{"not run after an answer", []Entry{called(0, "1", "a"), returned(1, "1", cell.ResultFailed, "x"), called(2, "2", "a"), returned(3, "2", cell.ResultNotRun, "")}, []Rule{RuleKeys}},
+
+		{"racing patches, one wins", []Entry{patchCalled(1, "p", 1), patchCalled(1, "q", 1), patchReturned(2, "q", PatchAccepted, 2), patchReturned(2, "p", PatchStale, 2)}, nil},
+		{"racing patches, both win", []Entry{patchCalled(1, "p", 1), patchCalled(1, "q", 1), patchReturned(2, "q", PatchAccepted, 2), patchReturned(2, "p", PatchAccepted, 2)}, []Rule{RulePatches}},
+		{"racing patches, none wins", []Entry{patchCalled(1, "p", 1), patchCalled(1, "q", 1), patchReturned(2, "q", PatchStale, 1), patchReturned(2, "p", PatchStale, 1)}, []Rule{RulePatches}},
+		{"lost answer took effect", []Entry{patchCalled(1, "p", 1), patchReturned(2, "p", PatchUnknown, 0), patchCalled(3, "q", 2), patchReturned(4, "q", PatchAccepted, 3)}, nil},
+		{"lost answer took no effect", []Entry{patchCalled(1, "p", 1), patchReturned(2, "p", PatchUnknown, 0), patchCalled(3, "q", 1), patchReturned(4, "q", PatchAccepted, 2)}, nil},
+		{"version skipped", []Entry{patchCalled(1, "p", 1), patchReturned(2, "p", PatchAccepted, 2), patchCalled(3, "q", 3), patchReturned(4, "q", PatchAccepted, 4)}, []Rule{RulePatches}},
+
+		{"reads follow", slices.Concat([]Entry{patchCalled(1, "p", 1), patchReturned(2, "p", PatchAccepted, 2)}, read(3, "m1", 1), read(4, "m1", 2), read(9, "m2", 2)), nil},
+		{"read goes back", slices.Concat([]Entry{patchCalled(1, "p", 1), patchReturned(2, "p", PatchAccepted, 2)}, read(3, "m1", 2), read(4, "m1", 1)), []Rule{RuleReads}},
+		{"read is late", slices.Concat([]Entry{patchCalled(1, "p", 1), patchReturned(2, "p", PatchAccepted, 2)}, read(6, "m1", 1)), []Rule{RuleReads}},
+		{"read of the future", slices.Concat(read(0, "m1", 2), []Entry{patchCalled(1, "p", 1), patchReturned(2, "p", PatchAccepted, 2)}), []Rule{RuleReads}},
+		{"head read goes back", slices.Concat([]Entry{patchCalled(1, "p", 1), patchReturned(2, "p", PatchAccepted, 2)}, read(3, "", 1)), []Rule{RulePatches}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var got []Rule
+			violations := Check(slices.Concat(workers, c.entries), bounds)
+			for _, v := range violations {
+				got = append(got, v.Rule)
+			}
+			if slices.Sort(got); !slices.Equal(slices.Compact(got), slices.Compact(c.want)) {
+				t.Errorf("violations %v, want rules %v", violations, c.want)
+			}
+		})
+	}
+}
+
+func TestRecordSurvivesEncoding(t *testing.T) {
+	var file bytes.Buffer
+	recorder := NewRecorderTo(&file)
+	recorder.Add(added("w1", 1))
+	recorder.Add(started(1, lease("w1", "a", 1)))
+	recorder.Add(called(2, "1", "a"))
+	decoded, err := Decode(&file)
+	if err != nil || recorder.Err() != nil {
+		t.Fatal(err, recorder.Err())
+	}
+	var want, got bytes.Buffer
+	if err := Encode(&want, recorder.Entries()); err != nil {
+		t.Fatal(err)
+	}
+	if err := Encode(&got, decoded); err != nil || got.String() != want.String() {
+		t.Errorf("decoded %s, want %s (%v)", got.String(), want.String(), err)
+	}
+	if _, err := Decode(strings.NewReader(want.String()[:want.Len()-5])); err == nil {
+		t.Error("a record cut short was taken as whole")
+	}
+}
--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -14,10 +14,12 @@
 // maxLineBytes bounds one line of a recorded history.
 const maxLineBytes = 16 << 20
 
-// Recorder collects entries in memory. It is safe for concurrent use.
+// Recorder collects entries in memory, and in a file where it has one. It is safe for concurrent use.
 type Recorder struct {
 	mu      sync.Mutex
 	entries []Entry
+	sink    io.Writer // nil without a file
+	sinkErr error
 }
 
 // NewRecorder returns an empty recorder.
@@ -25,6 +27,19 @@
 	return &Recorder{}
 }
 
+// NewRecorderTo returns a recorder that also writes each entry to sink at once, one JSON object a line, so that the
+// record outlives a process that is killed.
+func NewRecorderTo(sink io.Writer) *Recorder {
+	return &Recorder{sink: sink}
+}
+
+// Err returns the first failure to write to the sink.
+func (r *Recorder) Err() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sinkErr
+}
+
 // Add appends e. A zero At is replaced by the present time.
 func (r *Recorder) Add(e Entry) {
 	r.mu.Lock()
@@ -32,7 +47,14 @@
 	if e.At.IsZero() {
 		e.At = time.Now()
 	}
+	e.At = e.At.Round(0) // wall-clock time only, as after decoding
 	r.entries = append(r.entries, e)
+	if r.sink == nil {
+		return
+	}
+	if err := Encode(r.sink, []Entry{e}); err != nil && r.sinkErr == nil {
+		r.sinkErr = err
+	}
 }
 
 // Entries returns a copy of what was recorded, in the order of recording.
--- a/internal/standin/simulation.go
+++ b/internal/standin/simulation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/history"
 )
 
 // defaultRunTime is how long a task runs whose payload says nothing else.
@@ -23,14 +24,8 @@
 	Echo string `json:"echo,omitempty"`
 }
 
-// Answer is a simulated task's answer, as JSON. It tells whose answer it is.
-type Answer struct {
-	Attempt cell.Attempt  `json:"attempt"`
-	Worker  cell.WorkerID `json:"worker"`
-	Echo    string        `json:"echo,omitempty"`
-	// Pad is AnswerBytes long.
-	Pad string `json:"pad,omitempty"`
-}
+// Answer is a simulated task's answer, as JSON.
+type Answer = history.Answer
 
 // Encode returns p as a task's payload.
 func (p Payload) Encode() []byte {
