--- /dev/null
+++ b/cmd/laburnumpoint-standin/main_test.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/history"
+	"laburnumpoint/internal/httpplatform"
+	"laburnumpoint/internal/platform"
+	"laburnumpoint/internal/standin"
+)
+
+// runMainVar makes the test binary run the program instead of the tests.
+const runMainVar = "LABURNUMPOINT_STANDIN_TEST_RUN_MAIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runMainVar) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// program is a running stand-in.
+type program struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	addr string
+	done chan error
+}
+
+// launch starts the program and waits for the line that gives its address.
+func launch(t *testing.T, env []string, args ...string) *program {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(append(os.Environ(), runMainVar+"=1"), env...)
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p := &program{t: t, cmd: cmd, done: make(chan error, 1)}
+	lines := bufio.NewScanner(stderr)
+	for p.addr == "" && lines.Scan() {
+		var line struct{ Addr string }
+		_ = json.Unmarshal(lines.Bytes(), &line)
+		p.addr = line.Addr
+	}
+	go func() {
+		for lines.Scan() {
+		}
+		p.done <- cmd.Wait()
+	}()
+	t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+	})
+	return p
+}
+
+func (p *program) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// waitForWorkers polls the VM list until ok; the test's own timeout ends it.
+func waitForWorkers(t *testing.T, client *httpplatform.Platform, ok func([]cell.Worker) bool) []cell.Worker {
+	t.Helper()
+	for {
+		workers, err := client.Workers(t.Context())
+		if err == nil && ok(workers) {
+			return workers
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func count(n int) func([]cell.Worker) bool {
+	return func(workers []cell.Worker) bool { return len(workers) == n }
+}
+
+func TestRunnersAsSeparateProcess(t *testing.T) {
+	record := filepath.Join(t.TempDir(), "history")
+	platformProgram := launch(t, nil, "platform")
+	client := httpplatform.NewPlatform(httpplatform.PlatformOptions{Addr: platformProgram.addr})
+	defer client.Close()
+	launch(t, nil, "runners", "--platform", platformProgram.addr, "--shape", "galwad", "--workers", "2", "--id-prefix", "galwad-")
+	rimac := launch(t, []string{"LABURNUMPOINT_STANDIN_SHAPE=rimac", "LABURNUMPOINT_STANDIN_HISTORY=" + record},
+		"runners", "--platform", platformProgram.addr, "--workers", "2", "--id-prefix", "rimac-")
+	workers := waitForWorkers(t, client, count(4))
+	w := workers[2]
+	if w.ID != "rimac-exchange-1" || w.Zone != "barranco" || w.Capacity.MilliCPU != 32_000 || w.Capacity.Slots != 8 {
+		t.Fatalf("worker = %+v", w)
+	}
+	runners := httpplatform.NewRunners(httpplatform.RunnerOptions{})
+	defer runners.Close()
+	startForever(t, runners, w)
+
+	rimac.signal(syscall.SIGSTOP)
+	for range 2 * 4 { // longer than the platform takes to find that a process has ended
+		time.Sleep(250 * time.Millisecond)
+		if workers, err := client.Workers(t.Context()); err != nil || len(workers) != 4 {
+			t.Fatalf("paused workers are listed as ended: %v, %v", workers, err)
+		}
+	}
+	rimac.signal(syscall.SIGKILL)
+	waitForWorkers(t, client, count(2))
+	if entries := readHistory(t, record); len(entries) != 3 || entries[2].Kind != history.KindLeaseStart {
+		t.Errorf("record of a killed process: %+v", entries)
+	}
+}
+
+func startForever(t *testing.T, runners *httpplatform.Runners, w cell.Worker) {
+	t.Helper()
+	asked, err := runners.Claim(t.Context(), w, platform.Claim{Epoch: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report, err := runners.Claim(t.Context(), w, platform.Claim{Epoch: 1, Boot: asked.Boot, TTL: time.Hour}); err != nil || !report.Claimed {
+		t.Fatalf("claim: %+v, %v", report, err)
+	}
+	a := cell.Attempt{Task: "t", Epoch: 1, N: 1}
+	reply := runners.Start(t.Context(), w, asked.Boot, a, cell.Task{ID: "t", Kind: cell.KindService}, time.Hour)
+	if reply.Result != platform.StartAccepted {
+		t.Fatalf("start: %+v", reply)
+	}
+}
+
+func readHistory(t *testing.T, path string) []history.Entry {
+	t.Helper()
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	entries, err := history.Decode(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return entries
+}
+
+func TestSIGTERMLetsTasksEnd(t *testing.T) {
+	platformProgram := launch(t, nil, "platform")
+	client := httpplatform.NewPlatform(httpplatform.PlatformOptions{Addr: platformProgram.addr})
+	defer client.Close()
+	program := launch(t, nil, "runners", "--platform", platformProgram.addr, "--workers", "2", "--grace", "1m")
+	w := waitForWorkers(t, client, count(2))[0]
+	runners := httpplatform.NewRunners(httpplatform.RunnerOptions{})
+	defer runners.Close()
+	asked, err := runners.Claim(t.Context(), w, platform.Claim{Epoch: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := runners.Claim(t.Context(), w, platform.Claim{Epoch: 1, Boot: asked.Boot, TTL: time.Hour}); err != nil {
+		t.Fatal(err)
+	}
+	reply := make(chan platform.StartReply)
+	go func() {
+		task := cell.Task{ID: "t", Kind: cell.KindRequest, Payload: standin.Payload{RunMS: 1000}.Encode()}
+		reply <- runners.Start(context.Background(), w, asked.Boot, cell.Attempt{Task: "t", Epoch: 1, N: 1}, task, time.Hour)
+	}()
+	for running := 0; running == 0; {
+		report, err := runners.Claim(t.Context(), w, platform.Claim{Epoch: 1, Boot: asked.Boot, TTL: time.Hour})
+		if err != nil {
+			t.Fatal(err)
+		}
+		running = len(report.Leases)
+	}
+	program.signal(syscall.SIGTERM)
+	waitForWorkers(t, client, func(workers []cell.Worker) bool { return workers[0].State == cell.WorkerLeaving })
+	if r := <-reply; r.Result != platform.StartFinished || r.Failed {
+		t.Errorf("task in flight: %+v", r)
+	}
+	if err := <-program.done; err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	waitForWorkers(t, client, count(0))
+}
+
+func TestMistakenSettingsAreNamed(t *testing.T) {
+	cmd := exec.Command(os.Args[0], "runners", "--platform", "localhost:1", "--shape", "none", "--workers", "-1", "--grace", "-1s")
+	cmd.Env = append(os.Environ(), runMainVar+"=1")
+	out, err := cmd.CombinedOutput()
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.ExitCode() != 1 {
+		t.Fatalf("exit = %v", err)
+	}
+	lines := strings.Split(strings.TrimSpace(string(out)), "\n")
+	if len(lines) != 4 {
+		t.Fatalf("%d lines for 4 mistakes:\n%s", len(lines), out)
+	}
+	for _, name := range []string{"--platform", "--shape", "--workers", "--grace"} {
+		if !strings.Contains(string(out), name) {
+			t.Errorf("%s is not named in:\n%s", name, out)
+		}
+	}
+}
--- a/cmd/laburnumpoint-standin/settings.go
+++ b/cmd/laburnumpoint-standin/settings.go
@@ -22,6 +22,7 @@
 	flagShape    = "shape"
 	flagWorkers  = "workers"
 	flagPrefix   = "id-prefix"
+	flagHistory  = "history"
 )
 
 // defaultGrace is how long calls in flight may take at the program's end.
--- /dev/null
+++ b/internal/standin/table_test.go
@@ -0,0 +1,129 @@
+package standin
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/platform"
+)
+
+func put(key string, ifVersion uint64) []platform.Op {
+	return []platform.Op{{Key: key, IfVersion: ifVersion, Value: []byte("v")}}
+}
+
+func TestTableAppliesAllOrNothing(t *testing.T) {
+	table := NewTable()
+	if _, err := table.Apply(t.Context(), put("a/1", 0)); err != nil {
+		t.Fatal(err)
+	}
+	both := append(put("a/2", 0), put("a/1", 0)...) // the second condition does not hold
+	if _, err := table.Apply(t.Context(), both); !errors.Is(err, platform.ErrConflict) {
+		t.Errorf("err = %v", err)
+	}
+	if rows, err := table.List(t.Context(), "a/"); err != nil || len(rows) != 1 {
+		t.Errorf("rows = %+v, %v", rows, err)
+	}
+}
+
+func TestTableVersionsAreNotReused(t *testing.T) {
+	table := NewTable()
+	first, err := table.Apply(t.Context(), put("k", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := table.Apply(t.Context(), []platform.Op{{Key: "k", IfVersion: first[0], Delete: true}}); err != nil {
+		t.Fatal(err)
+	}
+	second, err := table.Apply(t.Context(), put("k", 0))
+	if err != nil || second[0] <= first[0] {
+		t.Errorf("versions %v, then %v, %v", first, second, err)
+	}
+}
+
+func TestTableFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		faults  TableFaults
+		err     error
+		applied bool
+	}{
+		{"none", TableFaults{}, nil, true},
+		{"down", TableFaults{Down: true}, platform.ErrUnavailable, false},
+		{"answer lost", TableFaults{LoseAnswers: 1}, platform.ErrUncertain, true},
+		{"answer lost for another prefix", TableFaults{LoseAnswers: 1, Prefix: "other/"}, nil, true},
+		{"applied much later", TableFaults{ApplyLater: 1, LateBy: time.Hour}, platform.ErrUncertain, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := NewTable()
+			table.SetFaults(c.faults)
+			if _, err := table.Apply(t.Context(), put("k/1", 0)); !errors.Is(err, c.err) {
+				t.Errorf("err = %v, want %v", err, c.err)
+			}
+			table.SetFaults(TableFaults{})
+			row, err := table.Get(t.Context(), "k/1")
+			if err != nil || (row.Version != 0) != c.applied {
+				t.Errorf("row = %+v, %v", row, err)
+			}
+		})
+	}
+}
+
+func TestTableAppliesLateUnderItsConditions(t *testing.T) {
+	table := NewTable()
+	table.SetFaults(TableFaults{ApplyLater: 2, LateBy: time.Millisecond})
+	for range 2 { // only one of both can find that the row does not exist
+		if _, err := table.Apply(t.Context(), put("k/1", 0)); !errors.Is(err, platform.ErrUncertain) {
+			t.Fatalf("err = %v", err)
+		}
+	}
+	for table.Counts().Reads == 0 { // the refused one counts as a read
+		time.Sleep(time.Millisecond)
+	}
+	for table.Counts().Transactions == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if got := table.CountsByPrefix()["k"]; got != (TableCounts{Reads: 1, Writes: 1}) {
+		t.Errorf("counts = %+v", got)
+	}
+}
+
+func TestObjectFaults(t *testing.T) {
+	objects := NewObjects()
+	objects.SetFaults(ObjectFaults{Down: true})
+	if err := objects.Put(t.Context(), "k", []byte("v")); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("down: %v", err)
+	}
+	objects.SetFaults(ObjectFaults{LoseAnswers: 1})
+	if err := objects.Put(t.Context(), "k", []byte("v")); !errors.Is(err, platform.ErrUncertain) {
+		t.Errorf("answer lost: %v", err)
+	}
+	if data, err := objects.Get(t.Context(), "k"); err != nil || string(data) != "v" {
+		t.Errorf("after the lost answer: %q, %v", data, err)
+	}
+	if _, err := objects.Get(t.Context(), "none"); !errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("missing: %v", err)
+	}
+}
+
+func TestShapesAreTheOfficesSizes(t *testing.T) {
+	for name, shape := range Shapes() {
+		workers := shape.Workers("")
+		racks := make(map[string]int)
+		pools := make(map[string]int)
+		for _, w := range workers {
+			racks[w.Rack]++
+			pools[w.Pool]++
+			if w.Rack[:len(w.Zone)] != w.Zone {
+				t.Errorf("%s: rack %s in %s", name, w.Rack, w.Zone)
+			}
+		}
+		if len(workers) != 48 || len(racks) != 9+5 || len(pools) != 2 {
+			t.Errorf("%s: %d workers, %d racks, %d pools", name, len(workers), len(racks), len(pools))
+		}
+		if scaled := shape.Scaled(8).Workers(""); len(scaled) != 8 {
+			t.Errorf("%s: %d workers of 8", name, len(scaled))
+		}
+	}
+}
--- a/internal/standin/view.go
+++ b/internal/standin/view.go
@@ -116,14 +116,15 @@
 	return r.await(ctx, l)
 }
 
-// findAndAwait waits for the answer of an attempt that the runner knows. One that it does not know may have run.
+// findAndAwait waits for the answer of an attempt that the runner knows. One that it does not know is refused, which
+// tells nothing of whether it ran.
 func (r *runner) findAndAwait(ctx context.Context, a cell.Attempt) platform.StartReply {
 	l, err := r.find(ctx, a)
 	if err != nil {
 		return platform.StartReply{Result: platform.StartInDoubt, Detail: err.Error()}
 	}
 	if l == nil {
-		return platform.StartReply{Result: platform.StartInDoubt, Detail: "attempt not known"}
+		return platform.StartReply{Result: platform.StartRefused, Detail: "attempt not known"}
 	}
 	return r.await(ctx, l)
 }
