--- /dev/null
+++ b/bench/baseline.go
@@ -0,0 +1,138 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/scheduler"
+)
+
+// Policy is the part of a scheduler that a Run drives.
+type Policy interface {
+	UpsertWorker(w cell.Worker, usable bool)
+	Enqueue(now time.Time, it scheduler.Item) (bool, cell.Reason)
+	Requeue(now time.Time, it scheduler.Item)
+	Release(id cell.TaskID)
+	Schedule(now time.Time, budget int) []scheduler.Decision
+	NextWake(now time.Time) time.Time
+}
+
+// FirstFit is the baseline: first in, first out, on the first worker with room. Work that does not fit is passed over.
+// A gang starts when its members fit together; it knows no class, team, reservation or stop.
+type FirstFit struct {
+	workers []*firstFitWorker
+	queue   []scheduler.Item
+	placed  map[cell.TaskID]firstFitPlace
+}
+
+type firstFitWorker struct {
+	desc cell.Worker
+	free cell.Resources
+}
+
+type firstFitPlace struct {
+	worker *firstFitWorker
+	claim  cell.Resources
+}
+
+type firstFitShape struct {
+	pool  string
+	claim cell.Resources
+	gang  int
+}
+
+// NewFirstFit returns an empty baseline.
+func NewFirstFit() *FirstFit {
+	return &FirstFit{placed: make(map[cell.TaskID]firstFitPlace)}
+}
+
+// UpsertWorker adds a worker.
+func (f *FirstFit) UpsertWorker(w cell.Worker, _ bool) {
+	f.workers = append(f.workers, &firstFitWorker{desc: w, free: w.Capacity})
+}
+
+// Enqueue appends an item to the queue.
+func (f *FirstFit) Enqueue(_ time.Time, it scheduler.Item) (bool, cell.Reason) {
+	f.queue = append(f.queue, it)
+	return true, cell.Reason{}
+}
+
+// Requeue releases a placed task and appends it to the queue.
+func (f *FirstFit) Requeue(_ time.Time, it scheduler.Item) {
+	f.Release(it.Task.ID)
+	f.queue = append(f.queue, it)
+}
+
+// Release frees a placed task's claim.
+func (f *FirstFit) Release(id cell.TaskID) {
+	p, ok := f.placed[id]
+	if !ok {
+		return
+	}
+	p.worker.free = p.worker.free.Add(p.claim)
+	delete(f.placed, id)
+}
+
+// NextWake returns zero: nothing depends on time alone.
+func (f *FirstFit) NextWake(time.Time) time.Time { return time.Time{} }
+
+// Schedule passes once over the queue.
+func (f *FirstFit) Schedule(now time.Time, budget int) []scheduler.Decision {
+	var out []scheduler.Decision
+	refused := make(map[firstFitShape]bool)
+	rest := f.queue[:0]
+	for i := 0; i < len(f.queue); {
+		n := f.together(i)
+		items := f.queue[i : i+n]
+		i += n
+		t := items[0].Task
+		shape := firstFitShape{t.Pool, t.Claim, t.GangSize}
+		if len(out) >= budget || refused[shape] || n < t.GangSize || !f.placeAll(items) {
+			refused[shape] = true
+			rest = append(rest, items...)
+			continue
+		}
+		for _, it := range items {
+			d := scheduler.Decision{Kind: scheduler.Place, Task: it.Task, Worker: f.placed[it.Task.ID].worker.desc.ID, Waited: now.Sub(it.Arrived)}
+			out = append(out, d)
+		}
+	}
+	f.queue = rest
+	return out
+}
+
+// together returns how many items from i on belong to one gang; 1 for other items.
+func (f *FirstFit) together(i int) int {
+	first := f.queue[i].Task
+	n := 1
+	for n < first.GangSize && i+n < len(f.queue) && f.queue[i+n].Task.Job == first.Job {
+		n++
+	}
+	return n
+}
+
+func (f *FirstFit) placeAll(items []scheduler.Item) bool {
+	for n, it := range items {
+		w := f.firstFit(it.Task)
+		if w == nil {
+			for _, undo := range items[:n] {
+				f.Release(undo.Task.ID)
+			}
+			return false
+		}
+		w.free = w.free.Sub(it.Task.Claim)
+		f.placed[it.Task.ID] = firstFitPlace{w, it.Task.Claim}
+	}
+	return true
+}
+
+func (f *FirstFit) firstFit(t cell.Task) *firstFitWorker {
+	i := slices.IndexFunc(f.workers, func(w *firstFitWorker) bool {
+		return (t.Pool == "" || t.Pool == w.desc.Pool) && t.Claim.Fits(w.free)
+	})
+	if i < 0 {
+		return nil
+	}
+	return f.workers[i]
+}
--- /dev/null
+++ b/bench/meter.go
@@ -0,0 +1,212 @@
+package bench
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"laburnumpoint/internal/cell"
+)
+
+// Packing is how full one pool was while work waited for it, as averages over time.
+type Packing struct {
+	// Used is the share in use of each dimension: processors, memory, accelerators, slots.
+	Used [4]float64
+	// Scarce is the share in use of the dimension that was most asked for at each time.
+	Scarce float64
+	// Bound is the most that Scarce could be if every task could be divided over workers at will.
+	Bound float64
+	// Waiting is how long work waited.
+	Waiting time.Duration
+}
+
+// Result is what a Run measured.
+type Result struct {
+	// Waits is the waiting times from arrival to first start, by class, in order. What did not start counts until the horizon.
+	Waits map[string][]time.Duration
+	// Unstarted counts by class what did not start.
+	Unstarted map[string]int
+	// OldUnstartedGangs counts the tasks of gangs that arrived in the first half and did not start.
+	OldUnstartedGangs int
+	Pools             map[string]*Packing
+	Placements        int
+	Stops             int
+	// Redone is the worker time that checkpoints and restores cost; AtRisk what stops would have cost had every checkpoint been lost.
+	Redone  time.Duration
+	AtRisk  time.Duration
+	Refused int
+	// TeamWork is the dominant share of the cell that each team held, in seconds.
+	TeamWork map[string]float64
+}
+
+// poolMeter follows one pool.
+type poolMeter struct {
+	capacity [4]int64
+	used     [4]int64
+	queued   [4]int64
+	waiting  int
+	packing  *Packing
+}
+
+type meter struct {
+	result  *Result
+	pools   map[string]*poolMeter
+	names   []string
+	total   cell.Resources
+	horizon time.Duration
+	at      time.Time
+	teams   map[string]cell.Resources
+}
+
+func newMeter(load *Load) *meter {
+	m := &meter{
+		pools: make(map[string]*poolMeter), horizon: load.Horizon, at: Start, teams: make(map[string]cell.Resources),
+		result: &Result{
+			Waits: make(map[string][]time.Duration), Unstarted: make(map[string]int),
+			Pools: make(map[string]*Packing), TeamWork: make(map[string]float64),
+		},
+	}
+	for _, w := range load.Workers {
+		m.total = m.total.Add(w.Capacity)
+		if m.pools[w.Pool] == nil {
+			m.result.Pools[w.Pool] = &Packing{}
+			m.pools[w.Pool] = &poolMeter{packing: m.result.Pools[w.Pool]}
+			m.names = append(m.names, w.Pool)
+		}
+		addTo(&m.pools[w.Pool].capacity, w.Capacity, 1)
+	}
+	return m
+}
+
+func addTo(sum *[4]int64, r cell.Resources, n int64) {
+	sum[0] += n * r.MilliCPU
+	sum[1] += n * r.MemoryMiB
+	sum[2] += n * r.Accelerators
+	sum[3] += n * r.Slots
+}
+
+// advance counts the time since the last event.
+func (m *meter) advance(to time.Time) {
+	dt := to.Sub(m.at).Seconds()
+	m.at = to
+	for _, p := range m.pools {
+		p.advance(dt)
+	}
+	for team, held := range m.teams {
+		m.result.TeamWork[team] += dt * held.DominantShare(m.total)
+	}
+}
+
+func (p *poolMeter) advance(dt float64) {
+	if p.waiting == 0 {
+		return
+	}
+	p.packing.Waiting += time.Duration(dt * float64(time.Second))
+	scarce, asked := 0, 0.0
+	for d, c := range p.capacity {
+		if c == 0 {
+			continue
+		}
+		p.packing.Used[d] += dt * float64(p.used[d]) / float64(c)
+		if share := float64(p.used[d]+p.queued[d]) / float64(c); share > asked {
+			scarce, asked = d, share
+		}
+	}
+	p.packing.Scarce += dt * float64(p.used[scarce]) / float64(p.capacity[scarce])
+	p.packing.Bound += dt * min(1, asked)
+}
+
+func (m *meter) queue(t cell.Task, n int64) {
+	p := m.pools[t.Pool]
+	addTo(&p.queued, t.Claim, n)
+	p.waiting += int(n)
+}
+
+func (m *meter) place(t cell.Task, n int64) {
+	addTo(&m.pools[t.Pool].used, t.Claim, n)
+	if n > 0 {
+		m.result.Placements++
+		m.teams[t.Team] = m.teams[t.Team].Add(t.Claim)
+		return
+	}
+	m.teams[t.Team] = m.teams[t.Team].Sub(t.Claim)
+}
+
+// label is the class of a task, with gangs apart.
+func label(t cell.Task) string {
+	if t.GangSize > 1 {
+		return string(t.Class) + " gang"
+	}
+	return string(t.Class)
+}
+
+func (m *meter) waited(t cell.Task, d time.Duration) {
+	m.result.Waits[label(t)] = append(m.result.Waits[label(t)], d)
+}
+
+func (m *meter) unstarted(t cell.Task, d time.Duration) {
+	m.waited(t, d)
+	m.result.Unstarted[label(t)]++
+	if t.GangSize > 1 && d >= m.horizon/2 {
+		m.result.OldUnstartedGangs++
+	}
+}
+
+func (m *meter) stopped(t cell.Task, ran time.Duration) {
+	m.result.Stops++
+	share := t.Claim.DominantShare(m.total)
+	m.result.Redone += time.Duration(share * float64(restoreTime))
+	m.result.AtRisk += time.Duration(share * float64(ran))
+}
+
+// Wait returns the given quantile of the waits of one class, between 0 and 1.
+func (r *Result) Wait(class string, quantile float64) time.Duration {
+	waits := r.Waits[class]
+	if len(waits) == 0 {
+		return 0
+	}
+	slices.Sort(waits)
+	return waits[min(int(quantile*float64(len(waits))), len(waits)-1)]
+}
+
+// PackingRatio returns Scarce over Bound of all pools, weighed by how long work waited for each.
+func (r *Result) PackingRatio() float64 {
+	scarce, bound := 0.0, 0.0
+	for _, p := range r.Pools {
+		scarce += p.Scarce
+		bound += p.Bound
+	}
+	if bound == 0 {
+		return 1
+	}
+	return scarce / bound
+}
+
+// String formats the result as a table.
+func (r *Result) String() string {
+	var b strings.Builder
+	classes := make([]string, 0, len(r.Waits))
+	for c := range r.Waits {
+		classes = append(classes, c)
+	}
+	slices.Sort(classes)
+	for _, c := range classes {
+		fmt.Fprintf(&b, "  %-12s n=%-6d p50=%-10s p99=%-10s max=%-10s unstarted=%d\n", c, len(r.Waits[c]),
+			r.Wait(c, 0.5).Round(time.Millisecond), r.Wait(c, 0.99).Round(time.Millisecond), r.Wait(c, 1).Round(time.Millisecond), r.Unstarted[c])
+	}
+	pools := make([]string, 0, len(r.Pools))
+	for p := range r.Pools {
+		pools = append(pools, p)
+	}
+	slices.Sort(pools)
+	for _, name := range pools {
+		p := r.Pools[name]
+		s := max(p.Waiting.Seconds(), 1)
+		fmt.Fprintf(&b, "  %-12s waiting %s: cpu %.3f mem %.3f acc %.3f slots %.3f, scarcest %.3f of bound %.3f\n", name,
+			p.Waiting.Round(time.Second), p.Used[0]/s, p.Used[1]/s, p.Used[2]/s, p.Used[3]/s, p.Scarce/s, p.Bound/s)
+	}
+	fmt.Fprintf(&b, "  packing/bound %.4f, placements %d, stops %d, cell time redone %s, at risk %s, refused %d, old unstarted gang tasks %d\n",
+		r.PackingRatio(), r.Placements, r.Stops, r.Redone.Round(time.Millisecond), r.AtRisk.Round(time.Second), r.Refused, r.OldUnstartedGangs)
+	return b.String()
+}
