--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -96,6 +96,17 @@
 	return out
 }
 
+// ShardZones returns the availability zone of each shard.
+func (d Document) ShardZones() map[cell.ShardID]string {
+	out := make(map[cell.ShardID]string, len(d.Zones)*d.ShardsPerZone)
+	for _, zone := range d.Zones {
+		for n := range d.ShardsPerZone {
+			out[shardID(zone, n)] = zone
+		}
+	}
+	return out
+}
+
 // ShardOf returns the shard that a worker belongs to, by its availability zone, pool and rack.
 func (d Document) ShardOf(w cell.Worker) cell.ShardID {
 	n := xxhash.Sum64String(w.Pool+"/"+w.Rack) % uint64(d.ShardsPerZone)
--- /dev/null
+++ b/internal/config/fetch.go
@@ -0,0 +1,55 @@
+package config
+
+import (
+	"context"
+	"errors"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/wire"
+)
+
+// errNoVersion means that a member did not give the version asked for.
+var errNoVersion = errors.New("config: member gave no such version")
+
+// Caller sends a request to another member's daemon.
+type Caller interface {
+	Call(ctx context.Context, addr string, req *wire.Request) (*wire.Reply, error)
+}
+
+// PeerFetcher fetches versions from other members.
+type PeerFetcher struct {
+	Caller Caller
+}
+
+var _ Fetcher = PeerFetcher{}
+
+// FetchConfig implements Fetcher.
+func (f PeerFetcher) FetchConfig(ctx context.Context, addr string, atLeast uint64) (Versioned, error) {
+	body := &wire.Request_Config{Config: &wire.ConfigRequest{Version: atLeast}}
+	reply, err := f.Caller.Call(ctx, addr, &wire.Request{Body: body})
+	if err != nil {
+		return Versioned{}, err
+	}
+	got := reply.GetConfig()
+	if got.GetVersion() < atLeast {
+		return Versioned{}, errNoVersion
+	}
+	doc, err := Parse(got.GetDocument())
+	if err != nil {
+		return Versioned{}, err
+	}
+	return Versioned{Version: got.GetVersion(), Document: doc}, nil
+}
+
+// Answer gives another member the version at hand if it is at least the one asked for.
+func (s *Store) Answer(req *wire.ConfigRequest) *wire.Reply {
+	current, _ := s.Current()
+	if current.Version == 0 || current.Version < req.GetVersion() {
+		reason := wire.FromReason(cell.Reason{Code: cell.ReasonConfigStale})
+		return &wire.Reply{Body: &wire.Reply_Refused{Refused: reason}}
+	}
+	return &wire.Reply{Body: &wire.Reply_Config{Config: &wire.ConfigReply{
+		Version:  current.Version,
+		Document: current.Document.Encode(),
+	}}}
+}
--- /dev/null
+++ b/internal/config/freshness.go
@@ -0,0 +1,96 @@
+package config
+
+import (
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/monotime"
+)
+
+// FreshnessBound is the age of the evidence beyond which the version at hand may no longer be the one in force.
+const FreshnessBound = 10 * time.Second
+
+// Heard is what another member said of its configuration in one heartbeat exchange.
+type Heard struct {
+	Member cell.MemberID
+	Addr   string
+	// Version is the highest that the member knows.
+	Version uint64
+	// Pending means that the member has submitted a patch whose outcome it does not know yet.
+	Pending bool
+	// Started is when this process began the exchange, on its own clock. Evidence is never younger.
+	Started monotime.Instant
+}
+
+// evidence is what speaks for there being no version newer than the one at hand.
+type evidence struct {
+	// headVersion is what the latest read of the head said; the read began at headStarted.
+	headVersion uint64
+	headStarted monotime.Instant
+	headRead    bool
+	// members holds the other members whose rows are not known to be deleted; nil until the rows were read.
+	members map[cell.MemberID]bool
+	heard   map[cell.MemberID]Heard
+}
+
+func newEvidence() evidence {
+	return evidence{heard: make(map[cell.MemberID]Heard)}
+}
+
+// noteHead records a read of the head.
+func (e *evidence) noteHead(version uint64, started monotime.Instant) {
+	if e.headRead && started < e.headStarted {
+		return
+	}
+	e.headRead = true
+	e.headVersion = version
+	e.headStarted = started
+}
+
+// noteHeard records an exchange with another member.
+func (e *evidence) noteHeard(h Heard) {
+	if last, ok := e.heard[h.Member]; ok && last.Started > h.Started {
+		return
+	}
+	e.heard[h.Member] = h
+}
+
+// setMembers replaces the set of the other members and forgets what the deleted ones said.
+func (e *evidence) setMembers(ids []cell.MemberID) {
+	e.members = make(map[cell.MemberID]bool, len(ids))
+	for _, id := range ids {
+		e.members[id] = true
+	}
+	for id := range e.heard {
+		if !e.members[id] {
+			delete(e.heard, id)
+		}
+	}
+}
+
+// confirms reports whether version was surely the newest at some instant within the bound before now.
+func (e *evidence) confirms(version uint64, now monotime.Instant) bool {
+	return e.headConfirms(version, now) || e.membersConfirm(version, now)
+}
+
+func (e *evidence) headConfirms(version uint64, now monotime.Instant) bool {
+	return e.headRead && e.headVersion <= version && recent(e.headStarted, now)
+}
+
+// membersConfirm needs every other member's word, and at least one other member.
+func (e *evidence) membersConfirm(version uint64, now monotime.Instant) bool {
+	if len(e.members) == 0 {
+		return false
+	}
+	for id := range e.members {
+		h, ok := e.heard[id]
+		if !ok || h.Pending || h.Version > version || !recent(h.Started, now) {
+			return false
+		}
+	}
+	return true
+}
+
+func recent(started, now monotime.Instant) bool {
+	return now.Sub(started) <= FreshnessBound
+}
--- /dev/null
+++ b/internal/config/pending.go
@@ -0,0 +1,97 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/platform"
+)
+
+// track keeps the submission in view until its outcome is known.
+func (s *Store) track(sub *submission) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending[sub] = struct{}{}
+}
+
+// untrack drops the submission, unless its outcome is unknown: it then stays until the head settles it.
+func (s *Store) untrack(sub *submission, result SubmitResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if result.Status == StatusUnknown {
+		sub.abandoned = s.opts.Clock.Now()
+		return
+	}
+	delete(s.pending, sub)
+}
+
+// settlePendingLocked drops abandoned submissions that a reading of the head, begun at started, has settled: the head
+// has moved past their base, or still has not long after they were abandoned.
+func (s *Store) settlePendingLocked(headVersion uint64, started monotime.Instant) {
+	for sub := range s.pending {
+		if sub.abandoned == 0 {
+			continue
+		}
+		moved := headVersion > sub.patch.Base
+		expired := started.Sub(sub.abandoned) > pendingLimit
+		if moved || expired {
+			delete(s.pending, sub)
+		}
+	}
+}
+
+// doubtLocked reports whether a patch submitted here may have made a version newer than the one at hand.
+func (s *Store) doubtLocked() bool {
+	for sub := range s.pending {
+		if sub.inDoubt() && sub.patch.Base >= s.current.Version {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Store) setWriting(sub *submission) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sub.writing = true
+}
+
+// clearWriting ends the transaction in flight; uncertain means that it may have been applied.
+func (s *Store) clearWriting(sub *submission, uncertain bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sub.writing = false
+	sub.uncertain = sub.uncertain || uncertain
+}
+
+func (s *Store) isUncertain(sub *submission) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return sub.uncertain
+}
+
+// confirmHead records that version was the head at some instant after started.
+func (s *Store) confirmHead(version uint64, started monotime.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evidence.noteHead(version, started)
+}
+
+// pause waits for d and reports false if ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func isConflict(err error) bool    { return errors.Is(err, platform.ErrConflict) }
+func isUncertain(err error) bool   { return errors.Is(err, platform.ErrUncertain) }
+func isUnavailable(err error) bool { return errors.Is(err, platform.ErrUnavailable) }
+func isNotFound(err error) bool    { return errors.Is(err, platform.ErrNotFound) }
--- /dev/null
+++ b/internal/config/rows.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"laburnumpoint/internal/platform"
+)
+
+// Keys of the configuration's rows.
+const (
+	headKey       = "config/head"
+	versionPrefix = "config/v/"
+	patchPrefix   = "config/patch/"
+)
+
+// headRow names the version in force.
+type headRow struct {
+	Version uint64 `json:"version"`
+	Patch   string `json:"patch,omitempty"`
+}
+
+// versionRow is one immutable version.
+type versionRow struct {
+	Version  uint64   `json:"version"`
+	Patch    string   `json:"patch,omitempty"`
+	Document Document `json:"document"`
+}
+
+// patchRow records which version an accepted patch became.
+type patchRow struct {
+	Version uint64 `json:"version"`
+	Digest  uint64 `json:"digest"`
+}
+
+func versionKey(version uint64) string {
+	return versionPrefix + strconv.FormatUint(version, 10)
+}
+
+func patchKey(id string) string {
+	return patchPrefix + id
+}
+
+func encodeRow(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("config: a row always encodes: %v", err))
+	}
+	return data
+}
+
+// readRow decodes the row of key into v. It returns the row's version in the table, 0 if there is no such row.
+func readRow(ctx context.Context, table platform.Table, key string, v any) (uint64, error) {
+	row, err := table.Get(ctx, key)
+	if err != nil || row.Version == 0 {
+		return 0, err
+	}
+	if err := json.Unmarshal(row.Value, v); err != nil {
+		return 0, fmt.Errorf("row %s: %w", key, err)
+	}
+	return row.Version, nil
+}
+
+// readVersion returns the immutable version n. Errors: platform.ErrNotFound, platform.ErrUnavailable.
+func readVersion(ctx context.Context, table platform.Table, n uint64) (versionRow, error) {
+	var v versionRow
+	rowVersion, err := readRow(ctx, table, versionKey(n), &v)
+	if err != nil {
+		return v, err
+	}
+	if rowVersion == 0 {
+		return v, fmt.Errorf("version %d: %w", n, platform.ErrNotFound)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/config/store.go
@@ -0,0 +1,267 @@
+package config
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/platform"
+)
+
+// Bounds of the store's traffic with the table and with other members.
+const (
+	pollInterval = 3 * time.Second
+	readTimeout  = 2 * time.Second
+	fetchTimeout = 2 * time.Second
+)
+
+// Fetcher asks another member for its version.
+type Fetcher interface {
+	// FetchConfig returns the version in force at the member at addr, which is at least atLeast.
+	FetchConfig(ctx context.Context, addr string, atLeast uint64) (Versioned, error)
+}
+
+// Options are what a store works with.
+type Options struct {
+	Table platform.Table
+	Clock monotime.Clock
+	// Fetch may be nil; versions are then learned from the table only.
+	Fetch Fetcher
+	// Changed, if not nil, is called after each change of the version at hand, in the order of versions.
+	Changed func(Versioned)
+	// Accepted, if not nil, is called when a patch submitted here was accepted, to tell the other members at once.
+	Accepted func()
+}
+
+// Store holds the version in force at this process, which only ever rises. It is safe for concurrent use.
+type Store struct {
+	opts Options
+
+	mu       sync.Mutex
+	current  Versioned
+	evidence evidence
+	pending  map[*submission]struct{}
+	fetching map[string]bool
+	// notify orders the calls of Changed.
+	notify sync.Mutex
+	told   uint64
+}
+
+// NewStore returns a store that has no version yet.
+func NewStore(opts Options) *Store {
+	return &Store{
+		opts:     opts,
+		evidence: newEvidence(),
+		pending:  make(map[*submission]struct{}),
+		fetching: make(map[string]bool),
+	}
+}
+
+// Current returns the version at hand, with version 0 if there is none, and whether it was surely the newest at some
+// instant within FreshnessBound. Decisions that a newer version could forbid need fresh to be true, asked for at the
+// decision.
+func (s *Store) Current() (current Versioned, fresh bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current.Version == 0 {
+		return s.current, false
+	}
+	return s.current, s.evidence.confirms(s.current.Version, s.opts.Clock.Now()) && !s.doubtLocked()
+}
+
+// Announce returns what heartbeats tell other members: the version at hand, and whether a patch submitted here may
+// have made a newer one.
+func (s *Store) Announce() (version uint64, pending bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current.Version, s.doubtLocked()
+}
+
+// SetMembers tells which other members have a row in the table.
+func (s *Store) SetMembers(ids []cell.MemberID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evidence.setMembers(ids)
+}
+
+// HeardFrom records what a member answered to a heartbeat, and fetches its version if that is newer.
+func (s *Store) HeardFrom(h Heard) {
+	s.mu.Lock()
+	s.evidence.noteHeard(h)
+	s.mu.Unlock()
+	s.Learn(h.Addr, h.Version)
+}
+
+// Learn fetches the version of the member at addr in the background if it is newer than the one at hand.
+func (s *Store) Learn(addr string, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.opts.Fetch == nil || version <= s.current.Version || s.fetching[addr] {
+		return
+	}
+	s.fetching[addr] = true
+	go s.fetch(addr, version)
+}
+
+func (s *Store) fetch(addr string, version uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	v, err := s.opts.Fetch.FetchConfig(ctx, addr, version)
+	s.mu.Lock()
+	delete(s.fetching, addr)
+	s.mu.Unlock()
+	if err == nil {
+		s.adopt(v)
+	}
+}
+
+// adopt makes v the version at hand if it is newer.
+func (s *Store) adopt(v Versioned) {
+	s.mu.Lock()
+	newer := v.Version > s.current.Version
+	if newer {
+		s.current = v
+	}
+	s.mu.Unlock()
+	if newer {
+		s.tell()
+	}
+}
+
+// tell calls Changed with the version at hand, unless a newer one was told already.
+func (s *Store) tell() {
+	if s.opts.Changed == nil {
+		return
+	}
+	s.notify.Lock()
+	defer s.notify.Unlock()
+	s.mu.Lock()
+	v := s.current
+	s.mu.Unlock()
+	if v.Version <= s.told {
+		return
+	}
+	s.told = v.Version
+	s.opts.Changed(v)
+}
+
+// Bootstrap creates version 1 with the document if the table has no version, and takes over the one in force.
+// Errors: those of platform.Table; the store may be used after an error and learns its version later.
+func (s *Store) Bootstrap(ctx context.Context, first Document) error {
+	if err := first.Validate(); err != nil {
+		return err
+	}
+	var head headRow
+	rowVersion, err := readRow(ctx, s.opts.Table, headKey, &head)
+	if err != nil {
+		return err
+	}
+	if rowVersion == 0 {
+		if err := s.create(ctx, first); err != nil {
+			return err
+		}
+	}
+	return s.Sync(ctx)
+}
+
+// create writes version 1. A conflict means that another process has; an uncertain write is read back by Sync.
+func (s *Store) create(ctx context.Context, first Document) error {
+	ops := []platform.Op{
+		{Key: headKey, Value: encodeRow(headRow{Version: 1})},
+		{Key: versionKey(1), Value: encodeRow(versionRow{Version: 1, Document: first})},
+	}
+	_, err := s.opts.Table.Apply(ctx, ops)
+	if isConflict(err) || isUncertain(err) {
+		return nil
+	}
+	return err
+}
+
+// Sync reads the head and takes over its version.
+// Errors: those of platform.Table; platform.ErrNotFound if there is no version yet.
+func (s *Store) Sync(ctx context.Context) error {
+	head, _, err := s.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	return s.load(ctx, head.Version)
+}
+
+// readHead reads the head, with its version in the table, and records the reading as evidence.
+func (s *Store) readHead(ctx context.Context) (headRow, uint64, error) {
+	started := s.opts.Clock.Now()
+	var head headRow
+	rowVersion, err := readRow(ctx, s.opts.Table, headKey, &head)
+	if err != nil {
+		return head, 0, err
+	}
+	if rowVersion == 0 {
+		return head, 0, platform.ErrNotFound
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evidence.noteHead(head.Version, started)
+	s.settlePendingLocked(head.Version, started)
+	return head, rowVersion, nil
+}
+
+// load takes over version n if it is newer than the one at hand.
+func (s *Store) load(ctx context.Context, n uint64) error {
+	if n <= s.version() {
+		return nil
+	}
+	v, err := readVersion(ctx, s.opts.Table, n)
+	if err != nil {
+		return err
+	}
+	s.adopt(Versioned{Version: v.Version, Document: v.Document})
+	return nil
+}
+
+func (s *Store) version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current.Version
+}
+
+// Run polls the head until ctx ends.
+func (s *Store) Run(ctx context.Context) {
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for {
+		s.poll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (s *Store) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	_ = s.Sync(ctx) // a failed poll leaves the evidence to age
+}
+
+// History returns the version in force and those before it, newest first, at most limit.
+// Errors: those of platform.Table.
+func (s *Store) History(ctx context.Context, limit int) ([]Versioned, error) {
+	if err := s.Sync(ctx); err != nil {
+		return nil, err
+	}
+	var out []Versioned
+	for n := s.version(); n > 0 && len(out) < min(limit, maxHistory); n-- {
+		v, err := readVersion(ctx, s.opts.Table, n)
+		if isNotFound(err) {
+			return out, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, Versioned{Version: v.Version, Document: v.Document})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/config/store_test.go
@@ -0,0 +1,417 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/platform"
+	"laburnumpoint/internal/standin"
+)
+
+// fakeClock moves only when a test advances it, as if every process were paused in between.
+type fakeClock struct {
+	mu  sync.Mutex
+	now monotime.Instant
+}
+
+func (c *fakeClock) Now() monotime.Instant {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *fakeClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// faultyTable runs before in place of the next transactions, one function for each.
+type faultyTable struct {
+	*standin.Table
+	mu     sync.Mutex
+	before []func(apply func() error) error
+}
+
+func (t *faultyTable) Apply(ctx context.Context, ops []platform.Op) (versions []uint64, err error) {
+	t.mu.Lock()
+	var fault func(func() error) error
+	if len(t.before) > 0 {
+		fault = t.before[0]
+		t.before = t.before[1:]
+	}
+	t.mu.Unlock()
+	if fault == nil {
+		return t.Table.Apply(ctx, ops)
+	}
+	err = fault(func() error {
+		versions, err = t.Table.Apply(context.WithoutCancel(ctx), ops)
+		return err
+	})
+	return versions, err
+}
+
+func newTestStore(t *testing.T, table platform.Table, clock monotime.Clock) *Store {
+	t.Helper()
+	s := NewStore(Options{Table: table, Clock: clock})
+	if err := s.Bootstrap(t.Context(), Default()); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func queuePatch(id string, base uint64, limit int) Patch {
+	return Patch{ID: id, Base: base, Merge: fmt.Appendf(nil, `{"max_queued_per_shard":%d}`, limit)}
+}
+
+func wantStatus(t *testing.T, got SubmitResult, status Status, code cell.ReasonCode) {
+	t.Helper()
+	if got.Status != status || got.Reason.Code != code {
+		t.Fatalf("result is %s (%s), want %s (%s)", got.Status, got.Reason, status, code)
+	}
+}
+
+func wantCurrent(t *testing.T, s *Store, version uint64, fresh bool) {
+	t.Helper()
+	current, gotFresh := s.Current()
+	if current.Version != version || gotFresh != fresh {
+		t.Fatalf("Current is version %d, fresh %v; want %d, %v", current.Version, gotFresh, version, fresh)
+	}
+}
+
+func TestPatchIsAcceptedOrRefusedWhole(t *testing.T) {
+	s := newTestStore(t, standin.NewTable(), &fakeClock{})
+	wantStatus(t, s.Submit(t.Context(), queuePatch("a", 1, 7)), StatusAccepted, "")
+	wantStatus(t, s.Submit(t.Context(), queuePatch("b", 1, 8)), StatusRefused, ReasonStaleBase)
+	half := Patch{ID: "c", Base: 2, Merge: []byte(`{"max_queued_per_shard":9,"packing_weight":3}`)}
+	wantStatus(t, s.Submit(t.Context(), half), StatusRefused, cell.ReasonInvalid)
+	for name, merge := range map[string]string{
+		"zones":   `{"zones":["a","b"]}`,
+		"shards":  `{"shards_per_zone":2}`,
+		"unknown": `{"nonsense":1}`,
+		"array":   `[]`,
+		"broken":  `{"max_queued_per_shard":`,
+	} {
+		wantStatus(t, s.Submit(t.Context(), Patch{ID: name, Base: 2, Merge: []byte(merge)}), StatusRefused, cell.ReasonInvalid)
+	}
+	wantCurrent(t, s, 2, true)
+	current, _ := s.Current()
+	if current.Document.MaxQueuedPerShard != 7 {
+		t.Errorf("max_queued_per_shard is %d, want 7", current.Document.MaxQueuedPerShard)
+	}
+}
+
+func TestPatchSentAgainTakesEffectOnce(t *testing.T) {
+	s := newTestStore(t, standin.NewTable(), &fakeClock{})
+	p := queuePatch("a", 1, 7)
+	first := s.Submit(t.Context(), p)
+	s.Submit(t.Context(), queuePatch("b", 2, 8))
+	again := s.Submit(t.Context(), p)
+	wantStatus(t, again, StatusAccepted, "")
+	if first.Version != 2 || again.Version != 2 {
+		t.Errorf("versions are %d and %d, want 2 twice", first.Version, again.Version)
+	}
+	wantStatus(t, s.Submit(t.Context(), queuePatch("a", 3, 9)), StatusRefused, cell.ReasonDuplicateKey)
+	wantCurrent(t, s, 3, true)
+}
+
+func TestTryHasNoEffect(t *testing.T) {
+	s := newTestStore(t, standin.NewTable(), &fakeClock{})
+	result := s.Try(t.Context(), queuePatch("a", 1, 7))
+	wantStatus(t, result, StatusAccepted, "")
+	if result.Document.MaxQueuedPerShard != 7 {
+		t.Errorf("tried document has max_queued_per_shard %d, want 7", result.Document.MaxQueuedPerShard)
+	}
+	wantStatus(t, s.Try(t.Context(), queuePatch("a", 9, 7)), StatusRefused, ReasonStaleBase)
+	wantCurrent(t, s, 1, true)
+}
+
+// TestRacingPatchesFormOneChain has several processes submit against the version that each sees, over lost answers.
+func TestRacingPatchesFormOneChain(t *testing.T) {
+	const stores, patches = 5, 20
+	table := standin.NewTable()
+	table.SetFaults(standin.TableFaults{LoseAnswers: 10})
+	var mu sync.Mutex
+	accepted := make(map[uint64]string)
+	var wg sync.WaitGroup
+	for n := range stores {
+		s := newTestStore(t, table, monotime.Boot{})
+		wg.Go(func() {
+			for i := range patches {
+				current, _ := s.Current()
+				id := fmt.Sprintf("%d-%d", n, i)
+				result := s.Submit(context.Background(), queuePatch(id, current.Version, 1+n*patches+i))
+				if result.Status != StatusAccepted {
+					continue
+				}
+				mu.Lock()
+				if other, taken := accepted[result.Version]; taken || result.Version != current.Version+1 {
+					t.Errorf("version %d accepted for %s and %q, base %d", result.Version, id, other, current.Version)
+				}
+				accepted[result.Version] = id
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	s := newTestStore(t, table, monotime.Boot{})
+	current, _ := s.Current()
+	if int(current.Version) != len(accepted)+1 {
+		t.Fatalf("version in force is %d after %d accepted patches", current.Version, len(accepted))
+	}
+	for n := uint64(2); n <= current.Version; n++ {
+		row, err := readVersion(t.Context(), table, n)
+		if err != nil || row.Patch != accepted[n] {
+			t.Errorf("version %d is patch %q (%v), its submitter was told %q", n, row.Patch, err, accepted[n])
+		}
+	}
+}
+
+func TestUncertainCommitIsSettled(t *testing.T) {
+	lost := func(apply func() error) error { return errors.Join(platform.ErrUncertain, apply()) }
+	dropped := func(func() error) error { return platform.ErrUncertain }
+	cases := map[string][]func(func() error) error{
+		"applied":               {lost},
+		"not applied":           {dropped},
+		"not applied, thrice":   {dropped, dropped, dropped},
+		"not applied, then was": {dropped, lost},
+	}
+	for name, faults := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := &faultyTable{Table: standin.NewTable()}
+			s := newTestStore(t, table, &fakeClock{})
+			table.before = faults
+			wantStatus(t, s.Submit(t.Context(), queuePatch("a", 1, 7)), StatusAccepted, "")
+			wantCurrent(t, s, 2, true)
+		})
+	}
+}
+
+// TestUncertainCommitOvertaken applies another process's patch while the outcome of this one's write is unknown.
+func TestUncertainCommitOvertaken(t *testing.T) {
+	for name, applied := range map[string]bool{"was applied": true, "was not": false} {
+		t.Run(name, func(t *testing.T) {
+			table := &faultyTable{Table: standin.NewTable()}
+			s := newTestStore(t, table, &fakeClock{})
+			other := newTestStore(t, table.Table, &fakeClock{})
+			base := uint64(1)
+			table.before = []func(func() error) error{func(apply func() error) error {
+				if applied {
+					_ = apply()
+					base = 2
+				}
+				wantStatus(t, other.Submit(t.Context(), queuePatch("other", base, 8)), StatusAccepted, "")
+				return platform.ErrUncertain
+			}}
+			result := s.Submit(t.Context(), queuePatch("a", 1, 7))
+			if applied {
+				wantStatus(t, result, StatusAccepted, "")
+			} else {
+				wantStatus(t, result, StatusRefused, ReasonStaleBase)
+			}
+			wantCurrent(t, s, base+1, true)
+		})
+	}
+}
+
+func TestTableDownDuringSubmit(t *testing.T) {
+	table := &faultyTable{Table: standin.NewTable()}
+	s := newTestStore(t, table, &fakeClock{})
+	table.SetFaults(standin.TableFaults{Down: true})
+	result := s.Submit(t.Context(), queuePatch("a", 1, 7))
+	wantStatus(t, result, StatusNotRun, cell.ReasonStoreUnavailable)
+	if result.RetryAfter <= 0 {
+		t.Error("not run without a time to come back")
+	}
+
+	table.SetFaults(standin.TableFaults{})
+	table.before = []func(func() error) error{func(apply func() error) error {
+		_ = apply()
+		table.SetFaults(standin.TableFaults{Down: true})
+		return platform.ErrUncertain
+	}}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*settlePause)
+	defer cancel()
+	wantStatus(t, s.Submit(ctx, queuePatch("a", 1, 7)), StatusUnknown, cell.ReasonInDoubt)
+	wantCurrent(t, s, 1, false)
+	if _, pending := s.Announce(); !pending {
+		t.Error("heartbeats do not tell of the patch whose outcome is unknown")
+	}
+
+	table.SetFaults(standin.TableFaults{})
+	wantStatus(t, s.Submit(t.Context(), queuePatch("a", 1, 7)), StatusAccepted, "")
+	wantCurrent(t, s, 2, true)
+	if _, pending := s.Announce(); pending {
+		t.Error("heartbeats tell of a patch whose outcome is known")
+	}
+}
+
+// TestFrozenStoreIsStaleUntilConfirmed pauses a process while a patch is accepted elsewhere.
+func TestFrozenStoreIsStaleUntilConfirmed(t *testing.T) {
+	table := standin.NewTable()
+	clock := &fakeClock{}
+	frozen := newTestStore(t, table, clock)
+	wantCurrent(t, frozen, 1, true)
+	other := newTestStore(t, table, &fakeClock{})
+	wantStatus(t, other.Submit(t.Context(), queuePatch("a", 1, 7)), StatusAccepted, "")
+	clock.advance(FreshnessBound)
+	wantCurrent(t, frozen, 1, true)
+	clock.advance(1)
+	wantCurrent(t, frozen, 1, false)
+	if err := frozen.Sync(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	wantCurrent(t, frozen, 2, true)
+}
+
+// TestConfirmationCountsFromItsStart pauses a process between its read of the head and the answer.
+func TestConfirmationCountsFromItsStart(t *testing.T) {
+	clock := &fakeClock{}
+	table := &slowTable{Table: standin.NewTable()}
+	s := newTestStore(t, table, clock)
+	table.afterGet = func() { clock.advance(FreshnessBound + 1) }
+	if err := s.Sync(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	wantCurrent(t, s, 1, false)
+}
+
+type slowTable struct {
+	*standin.Table
+	afterGet func()
+}
+
+func (t *slowTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	row, err := t.Table.Get(ctx, key)
+	if t.afterGet != nil {
+		t.afterGet()
+	}
+	return row, err
+}
+
+func TestStartWhileTableIsDownServesNothing(t *testing.T) {
+	table := standin.NewTable()
+	table.SetFaults(standin.TableFaults{Down: true})
+	s := NewStore(Options{Table: table, Clock: &fakeClock{}})
+	if err := s.Bootstrap(t.Context(), Default()); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("Bootstrap: error is %v, want ErrUnavailable", err)
+	}
+	wantCurrent(t, s, 0, false)
+	wantStatus(t, s.Try(t.Context(), queuePatch("a", 1, 7)), StatusNotRun, cell.ReasonStoreUnavailable)
+	table.SetFaults(standin.TableFaults{})
+	if err := s.Bootstrap(t.Context(), Default()); err != nil {
+		t.Fatal(err)
+	}
+	wantCurrent(t, s, 1, true)
+}
+
+// storeFetcher fetches from other stores of the test by address.
+type storeFetcher map[string]*Store
+
+func (f storeFetcher) FetchConfig(_ context.Context, addr string, atLeast uint64) (Versioned, error) {
+	v, _ := f[addr].Current()
+	if v.Version < atLeast {
+		return v, errNoVersion
+	}
+	return v, nil
+}
+
+// TestCutOffFromTableLearnsThroughMembers cuts one process off from the table alone.
+func TestCutOffFromTableLearnsThroughMembers(t *testing.T) {
+	table := standin.NewTable()
+	clock := &fakeClock{}
+	other := newTestStore(t, table, clock)
+	changed := make(chan Versioned, 10)
+	cut := &faultyTable{Table: standin.NewTable()}
+	s := NewStore(Options{
+		Table:   cut,
+		Clock:   clock,
+		Fetch:   storeFetcher{"b": other},
+		Changed: func(v Versioned) { changed <- v },
+	})
+	cut.SetFaults(standin.TableFaults{Down: true})
+	s.SetMembers([]cell.MemberID{"b", "c"})
+	hear := func(id cell.MemberID, addr string, version uint64, pending bool) {
+		s.HeardFrom(Heard{Member: id, Addr: addr, Version: version, Pending: pending, Started: clock.Now()})
+	}
+	hear("b", "b", 1, false)
+	if got := <-changed; got.Version != 1 {
+		t.Fatalf("learned version %d, want 1", got.Version)
+	}
+	wantCurrent(t, s, 1, false) // c is not heard
+	hear("c", "c", 1, true)
+	wantCurrent(t, s, 1, false) // c may have made a newer version
+	hear("c", "c", 1, false)
+	wantCurrent(t, s, 1, true)
+
+	wantStatus(t, other.Submit(t.Context(), queuePatch("a", 1, 7)), StatusAccepted, "")
+	hear("b", "b", 2, false)
+	if got := <-changed; got.Version != 2 {
+		t.Fatalf("learned version %d, want 2", got.Version)
+	}
+	hear("c", "c", 1, false) // a member that is behind does not take this one back
+	wantCurrent(t, s, 2, true)
+
+	clock.advance(FreshnessBound + 1)
+	hear("b", "b", 2, false)
+	wantCurrent(t, s, 2, false) // c's word is too old
+	s.SetMembers([]cell.MemberID{"b"})
+	wantCurrent(t, s, 2, true)
+	s.SetMembers(nil)
+	wantCurrent(t, s, 2, false) // nobody's word is no evidence
+}
+
+func TestVersionNeverReverts(t *testing.T) {
+	var told []uint64
+	s := NewStore(Options{Table: standin.NewTable(), Clock: &fakeClock{}, Changed: func(v Versioned) { told = append(told, v.Version) }})
+	for _, n := range []uint64{1, 3, 2, 3, 1, 4} {
+		s.adopt(Versioned{Version: n, Document: Default()})
+	}
+	if want := []uint64{1, 3, 4}; !slices.Equal(told, want) {
+		t.Errorf("versions told are %v, want %v", told, want)
+	}
+	wantCurrent(t, s, 4, false)
+}
+
+func TestHistoryListsNewestFirst(t *testing.T) {
+	s := newTestStore(t, standin.NewTable(), &fakeClock{})
+	for n := uint64(1); n < 5; n++ {
+		wantStatus(t, s.Submit(t.Context(), queuePatch(fmt.Sprint(n), n, int(n))), StatusAccepted, "")
+	}
+	history, err := s.History(t.Context(), 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []uint64
+	for _, v := range history {
+		got = append(got, v.Version)
+	}
+	if want := []uint64{5, 4, 3}; !slices.Equal(got, want) {
+		t.Errorf("history is %v, want %v", got, want)
+	}
+}
+
+func TestOldVersionsAreRemoved(t *testing.T) {
+	table := standin.NewTable()
+	s := newTestStore(t, table, &fakeClock{})
+	first := queuePatch("p1", 1, 1)
+	for n := 1; n <= keptVersions+5; n++ {
+		wantStatus(t, s.Submit(t.Context(), queuePatch(fmt.Sprintf("p%d", n), uint64(n), n)), StatusAccepted, "")
+	}
+	rows, err := table.List(t.Context(), versionPrefix)
+	if err != nil || len(rows) != keptVersions {
+		t.Errorf("%d versions are in the table (%v), want %d", len(rows), err, keptVersions)
+	}
+	patches, err := table.List(t.Context(), patchPrefix)
+	if err != nil || len(patches) != keptVersions {
+		t.Errorf("%d patch ids are in the table (%v), want %d", len(patches), err, keptVersions)
+	}
+	wantStatus(t, s.Submit(t.Context(), first), StatusRefused, ReasonStaleBase)
+}
--- /dev/null
+++ b/internal/membership/assign.go
@@ -0,0 +1,205 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"laburnumpoint/internal/cell"
+)
+
+// Candidate is a member that may own shards.
+type Candidate struct {
+	ID   cell.MemberID
+	Zone string
+}
+
+// Assign gives every shard to a candidate; the result is empty if there are none. Equal inputs, in any order of
+// candidates, give equal results. The loads of any two candidates differ by at most one shard. Shards stay with
+// their current owner unless balance, or the shard's availability zone, asks for a move; the result as the current
+// owners gives itself again.
+func Assign(shards []Shard, candidates []Candidate, current map[cell.ShardID]cell.MemberID) map[cell.ShardID]cell.MemberID {
+	a := newAssignment(shards, candidates)
+	if len(a.members) == 0 {
+		return a.owner
+	}
+	a.keep(current)
+	a.placeRest()
+	a.balance()
+	a.improveZones()
+	return a.owner
+}
+
+// assignment is an Assign in progress.
+type assignment struct {
+	shards  []Shard
+	members []Candidate
+	load    map[cell.MemberID]int
+	owner   map[cell.ShardID]cell.MemberID
+}
+
+func newAssignment(shards []Shard, candidates []Candidate) *assignment {
+	a := &assignment{
+		shards:  slices.Clone(shards),
+		members: slices.Clone(candidates),
+		load:    make(map[cell.MemberID]int, len(candidates)),
+		owner:   make(map[cell.ShardID]cell.MemberID, len(shards)),
+	}
+	slices.SortFunc(a.shards, func(x, y Shard) int { return cmp.Compare(x.ID, y.ID) })
+	slices.SortFunc(a.members, func(x, y Candidate) int { return cmp.Compare(x.ID, y.ID) })
+	for _, m := range a.members {
+		a.load[m.ID] = 0
+	}
+	return a
+}
+
+// keep leaves shards with current owners that are candidates.
+func (a *assignment) keep(current map[cell.ShardID]cell.MemberID) {
+	for _, s := range a.shards {
+		owner, ok := current[s.ID]
+		if !ok {
+			continue
+		}
+		if _, live := a.load[owner]; live {
+			a.give(s.ID, owner)
+		}
+	}
+}
+
+// placeRest gives shards without an owner to the least loaded candidate, of the shard's zone if one is below the
+// even share.
+func (a *assignment) placeRest() {
+	share := a.evenShare()
+	for _, s := range a.shards {
+		if a.owner[s.ID] != "" {
+			continue
+		}
+		m := a.leastLoaded(s, func(c Candidate) bool { return c.Zone == s.Zone && a.load[c.ID] < share })
+		if m == "" {
+			m = a.leastLoaded(s, func(Candidate) bool { return true })
+		}
+		a.give(s.ID, m)
+	}
+}
+
+// balance moves shards from the most to the least loaded candidate until their loads differ by at most one.
+func (a *assignment) balance() {
+	for {
+		from, to := a.extremes()
+		if a.load[from.ID]-a.load[to.ID] <= 1 {
+			return
+		}
+		a.move(a.cheapest(from, to), to.ID)
+	}
+}
+
+// improveZones moves shards owned outside their zone to a less loaded candidate inside it, until none can be.
+func (a *assignment) improveZones() {
+	zone := a.zones()
+	for a.improveOneZone(zone) {
+	}
+}
+
+// improveOneZone makes one such move and reports false if there is none.
+func (a *assignment) improveOneZone(zone map[cell.MemberID]string) bool {
+	for _, s := range a.shards {
+		owner := a.owner[s.ID]
+		if zone[owner] == s.Zone {
+			continue
+		}
+		to := a.leastLoaded(s, func(c Candidate) bool { return c.Zone == s.Zone && a.load[c.ID] < a.load[owner] })
+		if to != "" {
+			a.move(s.ID, to)
+			return true
+		}
+	}
+	return false
+}
+
+// evenShare is the largest load of a balanced assignment.
+func (a *assignment) evenShare() int {
+	return (len(a.shards) + len(a.members) - 1) / len(a.members)
+}
+
+// leastLoaded returns the least loaded candidate that passes, by rendezvous hashing among equals, or "".
+func (a *assignment) leastLoaded(s Shard, pass func(Candidate) bool) cell.MemberID {
+	var best cell.MemberID
+	for _, m := range a.members {
+		if pass(m) && (best == "" || a.before(s, m.ID, best)) {
+			best = m.ID
+		}
+	}
+	return best
+}
+
+func (a *assignment) before(s Shard, x, y cell.MemberID) bool {
+	if a.load[x] != a.load[y] {
+		return a.load[x] < a.load[y]
+	}
+	return affinity(s.ID, x) > affinity(s.ID, y)
+}
+
+// extremes returns the first most loaded and the first least loaded candidate.
+func (a *assignment) extremes() (most, least Candidate) {
+	most, least = a.members[0], a.members[0]
+	for _, m := range a.members[1:] {
+		if a.load[m.ID] > a.load[most.ID] {
+			most = m
+		}
+		if a.load[m.ID] < a.load[least.ID] {
+			least = m
+		}
+	}
+	return most, least
+}
+
+// cheapest returns the shard of from whose move to to serves zones best.
+func (a *assignment) cheapest(from, to Candidate) cell.ShardID {
+	var best cell.ShardID
+	bestGain := 0
+	for _, s := range a.shards {
+		if a.owner[s.ID] != from.ID {
+			continue
+		}
+		gain := zoneGain(s, from, to)
+		if best == "" || gain > bestGain {
+			best, bestGain = s.ID, gain
+		}
+	}
+	return best
+}
+
+// zoneGain is 1 if the move brings the shard into its zone, -1 if it takes it out, else 0.
+func zoneGain(s Shard, from, to Candidate) int {
+	gain := 0
+	if to.Zone == s.Zone {
+		gain++
+	}
+	if from.Zone == s.Zone {
+		gain--
+	}
+	return gain
+}
+
+func (a *assignment) zones() map[cell.MemberID]string {
+	out := make(map[cell.MemberID]string, len(a.members))
+	for _, m := range a.members {
+		out[m.ID] = m.Zone
+	}
+	return out
+}
+
+func (a *assignment) give(shard cell.ShardID, to cell.MemberID) {
+	a.owner[shard] = to
+	a.load[to]++
+}
+
+func (a *assignment) move(shard cell.ShardID, to cell.MemberID) {
+	a.load[a.owner[shard]]--
+	a.give(shard, to)
+}
+
+func affinity(shard cell.ShardID, member cell.MemberID) uint64 {
+	return xxhash.Sum64String(string(shard) + "/" + string(member))
+}
--- /dev/null
+++ b/internal/membership/heartbeat.go
@@ -0,0 +1,125 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"syscall"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/config"
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/wire"
+)
+
+// sendHeartbeats begins an exchange with every other member that has none in flight.
+func (l *loop) sendHeartbeats() {
+	l.beatAt = l.present.Add(heartbeatInterval)
+	for _, o := range l.members {
+		if o.inFlight {
+			continue
+		}
+		o.inFlight = true
+		go l.svc.beat(l.ctx, o.id, o.addr)
+	}
+}
+
+// beat exchanges one heartbeat with the member that should be at addr.
+func (s *Service) beat(ctx context.Context, id cell.MemberID, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	started := s.opts.Clock.Now()
+	body := &wire.Request_Heartbeat{Heartbeat: s.heartbeat()}
+	reply, err := s.opts.Caller.Call(ctx, addr, &wire.Request{Body: body})
+	s.post(heartbeatAnswered{id: id, started: started, hb: reply.GetHeartbeat(), err: err})
+}
+
+// heartbeatAnswered reports the end of an exchange. A nil hb without an error is a refusal by a member that stops.
+type heartbeatAnswered struct {
+	id      cell.MemberID
+	started monotime.Instant
+	hb      *wire.Heartbeat
+	err     error
+}
+
+func (e heartbeatAnswered) apply(l *loop) {
+	o, ok := l.members[e.id]
+	if !ok {
+		return
+	}
+	o.inFlight = false
+	if e.err != nil {
+		l.noteUnanswered(o, e.err)
+		return
+	}
+	o.refused = 0
+	if e.hb == nil {
+		return
+	}
+	if cell.MemberID(e.hb.GetMember()) != o.id {
+		o.replaced = true
+		l.readRowsSoon()
+		return
+	}
+	o.answered = max(o.answered, e.started)
+	l.noteHeartbeat(o, e.hb)
+	l.svc.opts.Config.HeardFrom(config.Heard{
+		Member:  o.id,
+		Addr:    o.addr,
+		Version: e.hb.GetConfigVersion(),
+		Pending: e.hb.GetConfigPending(),
+		Started: e.started,
+	})
+}
+
+func (l *loop) noteUnanswered(o *observed, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		o.refused = 0
+		return
+	}
+	o.refused++
+	if o.refused == refusedLimit {
+		l.readRowsSoon()
+	}
+}
+
+// heartbeatReceived reports a heartbeat that another member sent.
+type heartbeatReceived struct {
+	hb *wire.Heartbeat
+}
+
+func (e heartbeatReceived) apply(l *loop) {
+	o, ok := l.members[cell.MemberID(e.hb.GetMember())]
+	if !ok {
+		l.readRowsSoon()
+		return
+	}
+	l.noteHeartbeat(o, e.hb)
+}
+
+// noteHeartbeat takes over what a member says of itself.
+func (l *loop) noteHeartbeat(o *observed, hb *wire.Heartbeat) {
+	o.leaving = o.leaving || hb.GetLeaving()
+	o.config = max(o.config, hb.GetConfigVersion())
+	o.digests = hb.GetShards()
+	if hb.GetRowChanges() > o.rowChanges {
+		o.rowChanges = hb.GetRowChanges()
+		l.readRowsSoon()
+	}
+	if l.announcesUnknownEpoch(hb) {
+		l.readRowsSoon()
+	}
+	if len(hb.GetLeavingWorkers()) > 0 {
+		l.svc.opts.Host.NoteLeaving(workerIDs(hb.GetLeavingWorkers()))
+	}
+}
+
+// announcesUnknownEpoch reports whether the heartbeat tells of an ownership that the rows read so far don't.
+func (l *loop) announcesUnknownEpoch(hb *wire.Heartbeat) bool {
+	for _, d := range hb.GetShards() {
+		s, ok := l.shards[cell.ShardID(d.GetShard())]
+		if !ok || uint64(s.row.Epoch) < d.GetEpoch() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/membership/liveness.go
@@ -0,0 +1,78 @@
+package membership
+
+import (
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/wire"
+)
+
+// observed is another member and what this process saw of it, timed by this process's clock alone.
+type observed struct {
+	id   cell.MemberID
+	addr string
+	zone string
+
+	rowVersion uint64
+	refresh    time.Duration
+	// rowSince and rowUntil begin the first and the last of the successive readings that saw rowVersion.
+	rowSince monotime.Instant
+	rowUntil monotime.Instant
+
+	// answered begins the latest heartbeat exchange that the member answered, or is when it was first seen.
+	answered monotime.Instant
+	// refused counts the latest heartbeats refused by the member's host.
+	refused int
+	// replaced means that another member answers at its address.
+	replaced bool
+
+	inFlight   bool
+	leaving    bool
+	config     uint64
+	rowChanges uint64
+	digests    []*wire.ShardDigest
+}
+
+// live reports whether the member is to be taken as running. Silence alone does not make it dead: it must also have
+// stopped refreshing its row, or its host must refuse connections.
+func (o *observed) live(now monotime.Instant) bool {
+	if o.replaced {
+		return false
+	}
+	if o.refused >= refusedLimit {
+		return false
+	}
+	if now.Sub(o.answered) <= silenceLimit {
+		return true
+	}
+	return o.rowUntil.Sub(o.rowSince) <= o.refresh+refreshSlack
+}
+
+// removable reports whether the member's row has stayed the same for so long that it is to be removed.
+func (o *observed) removable(now monotime.Instant) bool {
+	return !o.live(now) && o.rowUntil.Sub(o.rowSince) > removeAfter
+}
+
+// noteRow records that a reading begun at started saw the row.
+func (o *observed) noteRow(rowVersion uint64, row memberRow, started monotime.Instant) {
+	o.refresh = row.refresh()
+	if o.rowVersion != rowVersion {
+		o.rowVersion = rowVersion
+		o.rowSince = started
+	}
+	o.rowUntil = max(o.rowUntil, started)
+}
+
+// restart forgets how long the member has been silent: this process was paused, or could not read the rows.
+func (o *observed) restart(now monotime.Instant) {
+	o.answered = max(o.answered, now)
+	o.refused = 0
+	o.restartRow(now)
+}
+
+// restartRow forgets how long the member's row has stayed the same.
+func (o *observed) restartRow(now monotime.Instant) {
+	o.rowSince = now
+	o.rowUntil = now
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,154 @@
+// Package membership knows the daemons of the cell and which of them owns each shard.
+//
+// A member is a row in the table and a heartbeat each second; a shard's ownership is a row with an epoch, moved by
+// conditional transactions only. Judging a member dead is never more than a reason to try such a transaction: what a
+// wrongly judged owner still sends is refused by the workers, which fence by epoch (docs/LEASES.md).
+package membership
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/config"
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/platform"
+	"laburnumpoint/internal/wire"
+)
+
+// ErrSuperseded means that the shard's row names another owner or epoch.
+var ErrSuperseded = errors.New("membership: shard ownership superseded")
+
+// Member is one daemon as this one sees it.
+type Member struct {
+	ID cell.MemberID
+	// Addr is where its peer server listens, an IP number and a port.
+	Addr string
+	// Zone is its availability zone.
+	Zone string
+	// Live is false for a member that is judged dead. A judgement may be wrong.
+	Live bool
+	// Leaving means that the member shuts down and takes no shards.
+	Leaving       bool
+	ConfigVersion uint64
+	Self          bool
+}
+
+// Ownership is who owns a shard, as the table said when this process last read it.
+type Ownership struct {
+	Shard cell.ShardID
+	Owner cell.MemberID
+	Addr  string
+	Epoch cell.Epoch
+	// Live is false if the owner is judged dead.
+	Live bool
+}
+
+// Host runs the shards that this member owns. The service calls Acquired, Lost and NoteLeaving from its event loop;
+// they must return at once. Digests and LeavingWorkers are called concurrently.
+type Host interface {
+	// Acquired tells that this member owns the shard under the epoch.
+	Acquired(shard cell.ShardID, epoch cell.Epoch)
+	// Lost tells that another owner has superseded the epoch.
+	Lost(shard cell.ShardID, epoch cell.Epoch)
+	// Release returns when the host has stopped deciding for the shard under the epoch, or when ctx ends.
+	Release(ctx context.Context, shard cell.ShardID, epoch cell.Epoch)
+	// Digests describes the shards that the host decides for.
+	Digests() []*wire.ShardDigest
+	// LeavingWorkers lists workers lately seen leaving or gone.
+	LeavingWorkers() []cell.WorkerID
+	// NoteLeaving tells which workers another member has seen leaving or gone.
+	NoteLeaving(workers []cell.WorkerID)
+}
+
+// Config is what heartbeats carry of the configuration; *config.Store implements it.
+type Config interface {
+	// Announce returns the version at hand and whether this process may have made a newer one.
+	Announce() (version uint64, pending bool)
+	// HeardFrom takes what another member answered.
+	HeardFrom(h config.Heard)
+	// Learn takes the version that another member announced.
+	Learn(addr string, version uint64)
+	// SetMembers takes the other members that have a row.
+	SetMembers(ids []cell.MemberID)
+}
+
+// Caller sends a request to another member's daemon; *peer.Client implements it.
+type Caller interface {
+	Call(ctx context.Context, addr string, req *wire.Request) (*wire.Reply, error)
+}
+
+// Shard is a shard of the cell and its availability zone.
+type Shard struct {
+	ID   cell.ShardID
+	Zone string
+}
+
+// Options are what a service works with. All but Log are needed.
+type Options struct {
+	// Self names this daemon; ID is new at each start, Addr is where its peer server already listens.
+	ID     cell.MemberID
+	Addr   string
+	Zone   string
+	Table  platform.Table
+	Caller Caller
+	Clock  monotime.Clock
+	Host   Host
+	Config Config
+	// Shards lists the cell's shards; empty while there is no configuration.
+	Shards func() []Shard
+	// Log may be nil.
+	Log *log.Logger
+}
+
+// ShardsOf lists the shards of a configuration.
+func ShardsOf(d config.Document) []Shard {
+	zones := d.ShardZones()
+	ids := d.Shards()
+	out := make([]Shard, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, Shard{ID: id, Zone: zones[id]})
+	}
+	return out
+}
+
+// Times of the service.
+const (
+	tickInterval      = 250 * time.Millisecond
+	heartbeatInterval = 1 * time.Second
+	heartbeatTimeout  = 1 * time.Second
+	tableTimeout      = 2 * time.Second
+	// rowsInterval is the time between two readings of the rows; rowsMinInterval that between two forced ones.
+	rowsInterval    = 1 * time.Second
+	rowsMinInterval = 200 * time.Millisecond
+	// refreshMin and refreshPerMember set how often a member writes its row, so that all members together write at
+	// most ten rows a second.
+	refreshMin       = 2 * time.Second
+	refreshPerMember = 100 * time.Millisecond
+	// silenceLimit is the time without an answered heartbeat after which a member may be judged dead.
+	silenceLimit = 3 * time.Second
+	// refreshSlack is how much later than promised a row may be refreshed.
+	refreshSlack = 1500 * time.Millisecond
+	// refusedLimit is the number of heartbeats in a row refused by the peer's host after which nothing listens there.
+	refusedLimit = 2
+	// pauseLimit is the time between two ticks beyond which this process takes itself to have been paused.
+	pauseLimit = 1500 * time.Millisecond
+	// joinDelay is how long a new member takes no shards, so that daemons started together share them.
+	joinDelay = 2 * time.Second
+	// nextDelay is how long a released shard is left to the member it was released to.
+	nextDelay = 2 * time.Second
+	// stableBefore is how long the live members must have been the same before shards are moved for balance.
+	stableBefore = 15 * time.Second
+	// moveInterval is the time between two moves for balance by one owner.
+	moveInterval = 5 * time.Second
+	// removeAfter is how long a dead member's row stays.
+	removeAfter = 2 * time.Minute
+	// releaseTimeout bounds a host's release of a shard moved for balance.
+	releaseTimeout = 10 * time.Second
+	// leaveTimeout bounds a host's release of a shard in a planned stop, whose own bound is usually shorter.
+	leaveTimeout = 1 * time.Hour
+	eventBacklog = 1024
+)
--- /dev/null
+++ b/internal/membership/rows.go
@@ -0,0 +1,80 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/platform"
+)
+
+// Prefixes of the table's keys.
+const (
+	memberPrefix = "member/"
+	shardPrefix  = "shard/"
+)
+
+// memberRow is a member's row. Each refresh gives it a new version in the table.
+type memberRow struct {
+	Addr string `json:"addr"`
+	Zone string `json:"zone"`
+	// RefreshMS is the time, in milliseconds, within which the member will write the row again.
+	RefreshMS int64 `json:"refresh_ms"`
+}
+
+func (r memberRow) refresh() time.Duration {
+	return time.Duration(r.RefreshMS) * time.Millisecond
+}
+
+// shardRow is a shard's ownership. An empty owner means that the last one has released the shard.
+type shardRow struct {
+	Owner cell.MemberID `json:"owner,omitempty"`
+	Addr  string        `json:"addr,omitempty"`
+	Epoch cell.Epoch    `json:"epoch"`
+	// Next is the member that the shard was released to.
+	Next cell.MemberID `json:"next,omitempty"`
+}
+
+// olderThan reports whether r was written before o. Within an epoch, the release comes last.
+func (r shardRow) olderThan(o shardRow) bool {
+	if r.Epoch != o.Epoch {
+		return r.Epoch < o.Epoch
+	}
+	return r.Owner != "" && o.Owner == ""
+}
+
+func memberKey(id cell.MemberID) string  { return memberPrefix + string(id) }
+func shardKey(shard cell.ShardID) string { return shardPrefix + string(shard) }
+
+func memberOf(key string) cell.MemberID {
+	return cell.MemberID(strings.TrimPrefix(key, memberPrefix))
+}
+
+func shardOf(key string) cell.ShardID {
+	return cell.ShardID(strings.TrimPrefix(key, shardPrefix))
+}
+
+func encodeRow(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("membership: a row always encodes: %v", err))
+	}
+	return data
+}
+
+func decodeShard(row platform.Row) (shardRow, error) {
+	var r shardRow
+	if row.Version == 0 {
+		return r, nil
+	}
+	err := json.Unmarshal(row.Value, &r)
+	return r, err
+}
+
+func decodeMember(row platform.Row) (memberRow, error) {
+	var r memberRow
+	err := json.Unmarshal(row.Value, &r)
+	return r, err
+}
--- /dev/null
+++ b/internal/membership/service_test.go
@@ -0,0 +1,303 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/platform"
+	"laburnumpoint/internal/standin"
+)
+
+// Bounds on virtual time.
+const (
+	// settleTime is enough for members started together to share the shards.
+	settleTime = joinDelay + 3*time.Second
+	// takeoverLimit is the stated bound from an owner's end to its shards' takeover.
+	takeoverLimit = 5 * time.Second
+	// leaveLimit is a bound far below any expiry.
+	leaveLimit = 1 * time.Second
+)
+
+func TestMembersShareShards(t *testing.T) {
+	runSim(t, 4, 4, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2, 3, 0, 1, 2, 3, 0)
+		time.Sleep(settleTime)
+		s.wantSpread(nodes...)
+		for _, n := range nodes {
+			for _, shard := range s.shards {
+				o, ok := n.svc.Owner(shard.ID)
+				if !ok || !o.Live || o.Addr == "" {
+					t.Errorf("%s: owner of %s is %+v, %v", n.id, shard.ID, o, ok)
+				}
+				if d, ok := n.svc.Digest(shard.ID); !ok || d.GetQueued() != 5 {
+					t.Errorf("%s: no digest of %s", n.id, shard.ID)
+				}
+			}
+			if got := len(n.svc.Members()); got != len(nodes) {
+				t.Errorf("%s: sees %d members, want %d", n.id, got, len(nodes))
+			}
+		}
+	})
+}
+
+func TestKilledOwnersShardsAreTakenOver(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		before := nodes[0].holds()
+		nodes[0].kill()
+		time.Sleep(takeoverLimit)
+		s.wantSpread(nodes[1:]...)
+		for _, n := range nodes[1:] {
+			for shard, epoch := range n.holds() {
+				if old, was := before[shard]; was && epoch != old+1 {
+					t.Errorf("%s taken over with epoch %d after %d", shard, epoch, old)
+				}
+			}
+		}
+	})
+}
+
+func TestFrozenOwnerIsSuperseded(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		old := nodes[0]
+		before := old.holds()
+		old.freeze()
+		time.Sleep(takeoverLimit + silenceLimit)
+		s.wantSpread(nodes[1:]...)
+		time.Sleep(time.Minute)
+		old.thaw()
+		for shard, epoch := range before {
+			if err := old.svc.Confirm(t.Context(), shard, epoch); !errors.Is(err, ErrSuperseded) {
+				t.Errorf("Confirm of %s under epoch %d: %v, want ErrSuperseded", shard, epoch, err)
+			}
+		}
+		time.Sleep(time.Second)
+		if got := old.holds(); len(got) != 0 {
+			t.Errorf("the old owner still holds %v", got)
+		}
+		s.wantHeldBy(nodes...)
+	})
+}
+
+func TestGracefulLeaveHandsOverAtOnce(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		count := len(nodes[0].holds())
+		begin := time.Now()
+		if err := nodes[0].svc.Leave(t.Context()); err != nil {
+			t.Fatalf("Leave: %v", err)
+		}
+		nodes[0].kill()
+		time.Sleep(leaveLimit - time.Since(begin))
+		s.wantSpread(nodes[1:]...)
+		if got := nodes[0].releaseCount(); got != count {
+			t.Errorf("%d releases of %d shards", got, count)
+		}
+		row, err := s.table.Get(t.Context(), memberKey(nodes[0].id))
+		if err != nil || row.Version != 0 {
+			t.Errorf("the member's row is still there (%v)", err)
+		}
+	})
+}
+
+func TestTableDownKeepsOwnersAndTakesNothing(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		s.table.SetFaults(standin.TableFaults{Down: true})
+		want := held(nodes[1:]...)
+		nodes[0].kill()
+		time.Sleep(10 * time.Minute)
+		got := held(nodes[1:]...)
+		if len(got) != len(want) {
+			t.Errorf("shards held are %v during the outage, want %v", got, want)
+		}
+		if err := nodes[1].svc.Confirm(t.Context(), s.shards[0].ID, 1); !errors.Is(err, platform.ErrUnavailable) {
+			t.Errorf("Confirm during the outage: %v, want ErrUnavailable", err)
+		}
+		s.table.SetFaults(standin.TableFaults{})
+		time.Sleep(takeoverLimit)
+		s.wantSpread(nodes[1:]...)
+	})
+}
+
+func TestMemberCutOffFromTableAloneKeepsItsShards(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		before := nodes[0].holds()
+		nodes[0].tableCut.Store(true)
+		time.Sleep(10 * time.Minute)
+		after := nodes[0].holds()
+		for shard, epoch := range before {
+			if after[shard] != epoch {
+				t.Errorf("%s under epoch %d became epoch %d", shard, epoch, after[shard])
+			}
+		}
+	})
+}
+
+func TestMemberCutOffFromMembersAloneKeepsItsShards(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		before := held(nodes...)
+		nodes[0].peersCut.Store(true)
+		time.Sleep(10 * time.Minute)
+		if got := held(nodes...); len(got) != len(before) {
+			t.Errorf("holders are %v, want %v", got, before)
+		}
+		for _, n := range nodes {
+			for shard, epoch := range n.holds() {
+				if epoch != 1 {
+					t.Errorf("%s moved to epoch %d", shard, epoch)
+				}
+			}
+		}
+	})
+}
+
+func TestPausedObserverJudgesNobody(t *testing.T) {
+	runSim(t, 2, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1)
+		time.Sleep(settleTime)
+		nodes[0].freeze()
+		time.Sleep(pauseLimit + 500*time.Millisecond) // too short for the others to judge it
+		nodes[0].thaw()
+		time.Sleep(30 * time.Second)
+		for _, n := range nodes {
+			for shard, epoch := range n.holds() {
+				if epoch != 1 {
+					t.Errorf("%s moved to epoch %d", shard, epoch)
+				}
+			}
+		}
+		s.wantSpread(nodes...)
+	})
+}
+
+func TestLostAnswersAreSettled(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		s.table.SetFaults(standin.TableFaults{LoseAnswers: 12})
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		s.wantSpread(nodes...)
+		s.table.SetFaults(standin.TableFaults{LoseAnswers: 100})
+		ctx, cancel := context.WithTimeout(t.Context(), takeoverLimit)
+		defer cancel()
+		if err := nodes[0].svc.Leave(ctx); err != nil {
+			t.Fatalf("Leave: %v", err)
+		}
+		nodes[0].kill()
+		time.Sleep(takeoverLimit)
+		s.wantSpread(nodes[1:]...)
+	})
+}
+
+// TestJoinMovesFewShards adds a member to a stable cell and counts the moves.
+func TestJoinMovesFewShards(t *testing.T) {
+	runSim(t, 4, 4, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(time.Minute)
+		var settled int
+		for _, n := range nodes {
+			settled += n.releaseCount()
+		}
+		nodes = append(nodes, s.start(3))
+		time.Sleep(2 * time.Minute)
+		s.wantSpread(nodes...)
+		moves := -settled
+		for _, n := range nodes {
+			moves += n.releaseCount()
+		}
+		if moves != 4 {
+			t.Errorf("%d shards moved to the fourth member, want its share of 4", moves)
+		}
+	})
+}
+
+// TestFlappingMemberMovesNothingForBalance lets one member come and go faster than the others take it as stable.
+func TestFlappingMemberMovesNothingForBalance(t *testing.T) {
+	runSim(t, 4, 4, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(time.Minute)
+		before := nodes[0].releaseCount() + nodes[1].releaseCount() + nodes[2].releaseCount()
+		for range 10 {
+			flapping := s.start(3)
+			time.Sleep(stableBefore / 2)
+			flapping.kill()
+			time.Sleep(stableBefore / 2)
+		}
+		after := nodes[0].releaseCount() + nodes[1].releaseCount() + nodes[2].releaseCount()
+		if after != before {
+			t.Errorf("%d shards moved", after-before)
+		}
+		s.wantSpread(nodes...)
+	})
+}
+
+func TestLeavingWorkersReachAllMembersWithinASecond(t *testing.T) {
+	runSim(t, 3, 1, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		nodes[0].mu.Lock()
+		nodes[0].leaving = []cell.WorkerID{"w1"}
+		nodes[0].mu.Unlock()
+		nodes[0].svc.Refresh()
+		time.Sleep(time.Second)
+		for _, n := range nodes[1:] {
+			n.mu.Lock()
+			if !slices.Contains(n.noted, "w1") {
+				t.Errorf("%s has not heard of the leaving worker", n.id)
+			}
+			n.mu.Unlock()
+		}
+	})
+}
+
+func TestDeadMembersRowIsRemoved(t *testing.T) {
+	runSim(t, 2, 1, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1)
+		time.Sleep(settleTime)
+		nodes[0].kill()
+		time.Sleep(removeAfter / 2)
+		if row, _ := s.table.Get(t.Context(), memberKey(nodes[0].id)); row.Version == 0 {
+			t.Error("the row was removed early")
+		}
+		time.Sleep(removeAfter)
+		if row, _ := s.table.Get(t.Context(), memberKey(nodes[0].id)); row.Version != 0 {
+			t.Error("the row is still there")
+		}
+		nodes[1].mu.Lock()
+		defer nodes[1].mu.Unlock()
+		if len(nodes[1].members) != 0 {
+			t.Errorf("the configuration still waits for %v", nodes[1].members)
+		}
+	})
+}
+
+// TestIdleTableTraffic bounds what a cell of nine members costs the table each second.
+func TestIdleTableTraffic(t *testing.T) {
+	runSim(t, 4, 4, func(t *testing.T, s *sim) {
+		s.startMany(0, 1, 2, 3, 0, 1, 2, 3, 0)
+		time.Sleep(time.Minute)
+		before := s.table.Counts()
+		time.Sleep(100 * time.Second)
+		after := s.table.Counts()
+		if writes := after.Writes - before.Writes; writes > 10*100 {
+			t.Errorf("%d writes in 100 s, want at most ten a second", writes)
+		}
+		if reads := after.Reads - before.Reads; reads > 2*9*100*5/4 {
+			t.Errorf("%d reads in 100 s, want two a second for each member and a quarter more", reads)
+		}
+		t.Logf("in 100 s: %d writes, %d reads", after.Writes-before.Writes, after.Reads-before.Reads)
+	})
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,178 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/yamux"
+
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/wire"
+)
+
+// Client calls the daemons of other entry VMs. It is safe for concurrent use.
+type Client struct {
+	clock   monotime.Clock
+	traffic traffic
+
+	mu     sync.Mutex
+	closed bool
+	peers  map[string]*remote
+}
+
+// NewClient returns a client without open sessions. Its counters are registered in set.
+func NewClient(clock monotime.Clock, set *metrics.Set) *Client {
+	return &Client{
+		clock:   clock,
+		traffic: newTraffic(set, "client"),
+		peers:   make(map[string]*remote),
+	}
+}
+
+// Call sends req to the daemon at addr, an IP number and a port, and returns its whole reply.
+// It ends with ctx at the latest; the receiver's handler is then cancelled.
+// Errors: one of ErrNotSent and ErrInDoubt, with the cause.
+func (c *Client) Call(ctx context.Context, addr string, req *wire.Request) (*wire.Reply, error) {
+	kind := TrafficOf(req)
+	count := c.traffic.of(kind)
+	count.calls.Inc()
+	reply, err := c.call(ctx, addr, kind, req)
+	if err != nil {
+		count.failures.Inc()
+	}
+	return reply, err
+}
+
+func (c *Client) call(ctx context.Context, addr string, kind Traffic, req *wire.Request) (*wire.Reply, error) {
+	data, err := encode(req)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	r, err := c.remote(addr)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	if !r.enter(kind) {
+		return nil, notSent(ErrBusy)
+	}
+	defer r.leave(kind)
+	s, stream, err := openStream(ctx, r)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	defer s.end()
+	defer stream.Close()
+	return c.exchange(ctx, r, s, stream, kind, data)
+}
+
+// openStream opens a stream on the peer's session, and on a new session if the one at hand takes none.
+func openStream(ctx context.Context, r *remote) (*session, *yamux.Stream, error) {
+	var failure error
+	for range maxOpenAttempts {
+		s, err := r.session(ctx)
+		if err != nil {
+			return nil, nil, errors.Join(err, failure)
+		}
+		stream, err := s.mux.OpenStream()
+		if err == nil {
+			return s, stream, nil
+		}
+		failure = err
+		r.retire(s)
+		s.end()
+	}
+	return nil, nil, failure
+}
+
+// exchange sends one encoded request on the stream and reads the reply.
+func (c *Client) exchange(ctx context.Context, r *remote, s *session, stream *yamux.Stream, kind Traffic, data []byte) (*wire.Reply, error) {
+	stop := context.AfterFunc(ctx, func() { expire(stream) })
+	defer stop()
+	if ctx.Err() != nil {
+		return nil, notSent(ctx.Err())
+	}
+	sent := c.clock.Now()
+	count := c.traffic.of(kind)
+	count.sent.Add(len(data))
+	reply, size, err := roundTrip(stream, data)
+	if err == nil {
+		count.received.Add(size)
+		return reply, nil
+	}
+	if s.mux.IsClosed() || s.silentSince(sent) {
+		r.retire(s)
+	}
+	if errors.Is(err, yamux.ErrConnectionReset) {
+		r.retire(s)
+		return nil, notSent(err)
+	}
+	return nil, inDoubt(errors.Join(err, ctx.Err()))
+}
+
+// Close closes every session. Calls in flight end in doubt.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	peers := c.peers
+	c.peers = nil
+	c.mu.Unlock()
+	for _, r := range peers {
+		r.close()
+	}
+}
+
+func (c *Client) remote(addr string) (*remote, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, ErrClosed
+	}
+	r, ok := c.peers[addr]
+	if !ok {
+		r = newRemote(addr, c.clock)
+		c.peers[addr] = r
+	}
+	return r, nil
+}
+
+// Forget drains the session to a peer that has left.
+func (c *Client) Forget(addr string) {
+	c.mu.Lock()
+	r := c.peers[addr]
+	delete(c.peers, addr)
+	c.mu.Unlock()
+	if r != nil {
+		r.drainCurrent()
+	}
+}
+
+// roundTrip writes a whole request and reads a whole reply; it also returns the reply's size in bytes.
+func roundTrip(stream net.Conn, data []byte) (*wire.Reply, int, error) {
+	if _, err := stream.Write(data); err != nil {
+		return nil, 0, err
+	}
+	in := &countingReader{r: stream}
+	reply := new(wire.Reply)
+	if err := decode(newReader(in), reply); err != nil {
+		return nil, 0, err
+	}
+	return reply, in.n, nil
+}
+
+// expire ends every pending read and write of the stream.
+func expire(stream net.Conn) {
+	_ = stream.SetDeadline(time.Unix(1, 0)) // fails only on a closed stream
+}
+
+func notSent(cause error) error {
+	return fmt.Errorf("%w: %w", ErrNotSent, cause)
+}
+
+func inDoubt(cause error) error {
+	return fmt.Errorf("%w: %w", ErrInDoubt, cause)
+}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,43 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+const readBufferBytes = 4 << 10
+
+// encode returns msg with its length prefix. Errors: ErrTooLarge.
+func encode(msg proto.Message) ([]byte, error) {
+	if proto.Size(msg) > MaxMessageBytes {
+		return nil, ErrTooLarge
+	}
+	var buf bytes.Buffer
+	if _, err := protodelim.MarshalTo(&buf, msg); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+// decode reads one whole length-prefixed message from r. A message cut short is an error.
+func decode(r *bufio.Reader, msg proto.Message) error {
+	opts := protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}
+	err := opts.UnmarshalFrom(r, msg)
+	var tooLarge *protodelim.SizeTooLargeError
+	if errors.As(err, &tooLarge) {
+		return ErrTooLarge
+	}
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func newReader(r io.Reader) *bufio.Reader {
+	return bufio.NewReaderSize(r, readBufferBytes)
+}
--- /dev/null
+++ b/internal/peer/metrics.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"laburnumpoint/internal/wire"
+)
+
+// Traffic splits what daemons send each other into what the scheduler spends on itself and what callers asked for.
+type Traffic string
+
+// The kinds of traffic.
+const (
+	// TrafficControl is heartbeats, configuration and notices.
+	TrafficControl Traffic = "control"
+	// TrafficRequest is everything forwarded on behalf of a caller or operator.
+	TrafficRequest Traffic = "request"
+)
+
+// TrafficOf returns the kind of traffic that req and its reply count as.
+func TrafficOf(req *wire.Request) Traffic {
+	switch req.GetBody().(type) {
+	case *wire.Request_Heartbeat, *wire.Request_Config, *wire.Request_JobNotice:
+		return TrafficControl
+	default:
+		return TrafficRequest
+	}
+}
+
+// counters counts messages and their bytes, without the framing of yamux and TCP.
+type counters struct {
+	calls, failures, sent, received *metrics.Counter
+}
+
+type traffic struct {
+	control, request counters
+}
+
+// newTraffic returns the counters of one side, "client" or "server", registered in set.
+func newTraffic(set *metrics.Set, side string) traffic {
+	return traffic{
+		control: newCounters(set, side, TrafficControl),
+		request: newCounters(set, side, TrafficRequest),
+	}
+}
+
+func newCounters(set *metrics.Set, side string, kind Traffic) counters {
+	name := func(metric string) string {
+		return fmt.Sprintf("laburnumpoint_peer_%s{side=%q,traffic=%q}", metric, side, kind)
+	}
+	return counters{
+		calls:    set.GetOrCreateCounter(name("calls_total")),
+		failures: set.GetOrCreateCounter(name("failures_total")),
+		sent:     set.GetOrCreateCounter(name("sent_bytes_total")),
+		received: set.GetOrCreateCounter(name("received_bytes_total")),
+	}
+}
+
+func (t *traffic) of(kind Traffic) *counters {
+	if kind == TrafficControl {
+		return &t.control
+	}
+	return &t.request
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,264 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/yamux"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/wire"
+)
+
+// Server answers the calls of other daemons.
+type Server struct {
+	listener net.Listener
+	handler  Handler
+	traffic  traffic
+	base     context.Context
+	cancel   context.CancelFunc
+	// places bounds the caller requests handled at once; control traffic passes.
+	places chan struct{}
+
+	mu       sync.Mutex
+	stopping bool
+	handling int
+	idle     chan struct{}
+	sessions map[*yamux.Session]struct{}
+}
+
+// Listen starts a server on addr, an IP number and a port. Its counters are registered in set.
+func Listen(addr string, h Handler, set *metrics.Set) (*Server, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	base, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		listener: listener,
+		handler:  h,
+		traffic:  newTraffic(set, "server"),
+		base:     base,
+		cancel:   cancel,
+		places:   make(chan struct{}, maxHandledRequests),
+		idle:     make(chan struct{}),
+		sessions: make(map[*yamux.Session]struct{}),
+	}
+	go s.acceptConns()
+	return s, nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string {
+	return s.listener.Addr().String()
+}
+
+// Shutdown refuses new requests, waits until those in flight are answered and read, and closes the sessions.
+// If ctx ends first, the handlers still running are cancelled and ctx's error is returned.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopAccepting()
+	defer s.closeSessions()
+	select {
+	case <-s.idle:
+		s.linger(ctx)
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close ends everything at once. Calls in flight end in doubt at their callers.
+func (s *Server) Close() {
+	s.stopAccepting()
+	s.closeSessions()
+}
+
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return
+	}
+	s.stopping = true
+	s.listener.Close()
+	for mux := range s.sessions {
+		_ = mux.GoAway() // fails only on a closed session
+	}
+	if s.handling == 0 {
+		close(s.idle)
+	}
+}
+
+// linger waits, within bounds, until the peers have closed the streams of answers they have read.
+func (s *Server) linger(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, shutdownLinger)
+	defer cancel()
+	tick := time.NewTicker(lingerPoll)
+	defer tick.Stop()
+	for s.openStreams() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+const lingerPoll = 5 * time.Millisecond
+
+func (s *Server) openStreams() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for mux := range s.sessions {
+		n += mux.NumStreams()
+	}
+	return n
+}
+
+func (s *Server) closeSessions() {
+	s.cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for mux := range s.sessions {
+		go mux.Close()
+	}
+}
+
+func (s *Server) acceptConns() {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(lingerPoll)
+			continue
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	mux, err := yamux.Server(conn, serverMuxConfig())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	defer mux.Close()
+	if !s.addSession(mux) {
+		return
+	}
+	defer s.removeSession(mux)
+	ctx, cancel := context.WithCancel(s.base)
+	defer cancel()
+	for {
+		stream, err := mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		go s.serveStream(ctx, stream)
+	}
+}
+
+func (s *Server) addSession(mux *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
+	s.sessions[mux] = struct{}{}
+	return true
+}
+
+func (s *Server) removeSession(mux *yamux.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, mux)
+}
+
+func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream) {
+	defer stream.Close()
+	_ = stream.SetReadDeadline(time.Now().Add(requestReadTimeout)) // fails only on a closed stream
+	in := &countingReader{r: stream}
+	reader := newReader(in)
+	req := new(wire.Request)
+	if err := decode(reader, req); err != nil {
+		return
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	count := s.traffic.of(TrafficOf(req))
+	count.calls.Inc()
+	count.received.Add(in.n)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go cancelAtEOF(reader, cancel)
+	s.answer(ctx, stream, count, req)
+}
+
+// cancelAtEOF cancels when the caller closes its stream or the session is lost.
+func cancelAtEOF(reader *bufio.Reader, cancel context.CancelFunc) {
+	defer cancel()
+	_, _ = reader.ReadByte() // a caller sends nothing after its request
+}
+
+func (s *Server) answer(ctx context.Context, stream *yamux.Stream, count *counters, req *wire.Request) {
+	if !s.begin() {
+		s.reply(stream, count, refused(cell.ReasonDraining))
+		return
+	}
+	defer s.end()
+	if TrafficOf(req) == TrafficRequest {
+		select {
+		case s.places <- struct{}{}:
+			defer func() { <-s.places }()
+		default:
+			s.reply(stream, count, refused(cell.ReasonQueueFull))
+			return
+		}
+	}
+	s.reply(stream, count, s.handler.Handle(ctx, req))
+}
+
+func (s *Server) reply(stream *yamux.Stream, count *counters, reply *wire.Reply) {
+	data, err := encode(reply)
+	if err != nil {
+		count.failures.Inc()
+		return
+	}
+	_ = stream.SetWriteDeadline(time.Now().Add(replyWriteTimeout)) // fails only on a closed stream
+	if _, err := stream.Write(data); err != nil {
+		count.failures.Inc()
+		return
+	}
+	count.sent.Add(len(data))
+}
+
+// begin counts a request in and reports false once the server stops.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
+	s.handling++
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handling--
+	if s.stopping && s.handling == 0 {
+		close(s.idle)
+	}
+}
+
+func refused(code cell.ReasonCode) *wire.Reply {
+	return &wire.Reply{Body: &wire.Reply_Refused{Refused: &wire.Reason{Code: string(code)}}}
+}
