Node: the parts of a daemon put together; routing between entry VMs

Cause: any entry VM must serve any request, by taking it to the owner of its shard, whatever happens to that owner on the way.

A request that only this entry VM knows moves to another shard at once when its owner can't be reached; one in doubt stays and is sent as keyed, so that the next owner joins it to the attempt that it finds.

--- /dev/null
+++ b/internal/node/ask.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/wire"
+)
+
+const (
+	askTimeout  = 2 * time.Second
+	askTries    = 4
+	askParallel = 16
+)
+
+// ask sends a request that may be repeated without harm to the owner of shard and returns its reply.
+func (n *Node) ask(ctx context.Context, shard cell.ShardID, req *wire.Request) (*wire.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	err := fmt.Errorf("shard %s has no known owner", shard)
+	for range askTries {
+		var reply *wire.Reply
+		reply, err = n.askOnce(ctx, shard, req)
+		if err == nil {
+			return reply, nil
+		}
+		n.directory.suspect(shard)
+		if !pause(ctx, minBackoff, time.Now().Add(askTimeout)) {
+			break
+		}
+	}
+	return nil, err
+}
+
+func (n *Node) askOnce(ctx context.Context, shard cell.ShardID, req *wire.Request) (*wire.Reply, error) {
+	at, ok := n.directory.locate(shard)
+	if !ok {
+		return nil, fmt.Errorf("shard %s has no known owner", shard)
+	}
+	if at.local != nil {
+		return n.Handle(ctx, req), nil
+	}
+	reply, err := n.peers.Call(ctx, at.addr, req)
+	if err != nil {
+		return nil, err
+	}
+	if _, moved := reply.GetBody().(*wire.Reply_NotOwner); moved {
+		return nil, fmt.Errorf("shard %s has moved", shard)
+	}
+	return reply, nil
+}
+
+// askAll asks the owner of every shard and returns the replies in the order of shards; a shard that did not answer has nil.
+// It returns an error if none answered.
+func (n *Node) askAll(ctx context.Context, shards []cell.ShardID, req func(cell.ShardID) *wire.Request) ([]*wire.Reply, error) {
+	replies := make([]*wire.Reply, len(shards))
+	errs := make([]error, len(shards))
+	var g errgroup.Group
+	g.SetLimit(askParallel)
+	for i, s := range shards {
+		g.Go(func() error {
+			replies[i], errs[i] = n.ask(ctx, s, req(s))
+			return nil
+		})
+	}
+	_ = g.Wait()
+	for _, err := range errs {
+		if err == nil {
+			return replies, nil
+		}
+	}
+	if len(errs) == 0 {
+		return replies, nil
+	}
+	return nil, errs[0]
+}
--- /dev/null
+++ b/internal/node/commands.go
@@ -0,0 +1,229 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/config"
+	"laburnumpoint/internal/edge"
+	"laburnumpoint/internal/job"
+	"laburnumpoint/internal/platform"
+	"laburnumpoint/internal/wire"
+)
+
+// Run implements edge.Commands.
+func (n *Node) Run(ctx context.Context, r edge.Run) cell.Outcome {
+	arrived := time.Now()
+	doc, reason := n.usableConfig()
+	if reason.Code != cell.ReasonNone {
+		return cell.NotRun(reason, comeBack)
+	}
+	if reason := admit(doc, r.Task); reason.Code != cell.ReasonNone {
+		return cell.NotRun(reason, 0)
+	}
+	q := routed{
+		task:     r.Task,
+		keyed:    r.Keyed,
+		caller:   r.Caller,
+		arrived:  arrived,
+		deadline: arrived.Add(r.Timeout),
+	}
+	out := n.router.route(ctx, n.shardOrder(doc, q), q)
+	if out.Attempt.Task == "" {
+		out.Attempt.Task = r.Task.ID
+	}
+	return out
+}
+
+func (n *Node) shardOrder(doc config.Document, q routed) []cell.ShardID {
+	shards := doc.Shards()
+	if q.keyed {
+		return rendezvous(string(q.task.ID), shards)
+	}
+	return spread(n.rand(), q.task.Claim, n.able(doc, shards, q.task), n.directory.digest)
+}
+
+// able returns the shards that have a worker able to hold the task; all shards if none is known to.
+func (n *Node) able(doc config.Document, shards []cell.ShardID, t cell.Task) []cell.ShardID {
+	has := make(map[cell.ShardID]bool)
+	for _, w := range n.host.allWorkers() {
+		if holds(w, t) {
+			has[doc.ShardOf(w)] = true
+		}
+	}
+	var out []cell.ShardID
+	for _, s := range shards {
+		if has[s] {
+			out = append(out, s)
+		}
+	}
+	if len(out) == 0 {
+		return shards
+	}
+	return out
+}
+
+func holds(w cell.Worker, t cell.Task) bool {
+	return w.State == cell.WorkerLive && (t.Pool == "" || t.Pool == w.Pool) && t.Claim.Fits(w.Capacity)
+}
+
+// admit checks what the configuration alone can refuse.
+func admit(doc config.Document, t cell.Task) cell.Reason {
+	team, ok := doc.Teams[t.Team]
+	if !ok {
+		return cell.Reason{Code: cell.ReasonInvalid, Detail: fmt.Sprintf("team %q is not configured", t.Team)}
+	}
+	if t.Class == cell.ClassUrgent && !team.MayUrgent {
+		return cell.Reason{Code: cell.ReasonInvalid, Detail: fmt.Sprintf("team %q may not submit urgent work", t.Team)}
+	}
+	if overQuota(t.Claim, team.Quota) {
+		return cell.Reason{Code: cell.ReasonQuota, Detail: "one task claims more than the quota of team " + t.Team}
+	}
+	return cell.Reason{}
+}
+
+// overQuota reports whether claim alone exceeds quota in a dimension that quota bounds.
+func overQuota(claim, quota cell.Resources) bool {
+	over := func(c, q int64) bool { return q > 0 && c > q }
+	return over(claim.MilliCPU, quota.MilliCPU) || over(claim.MemoryMiB, quota.MemoryMiB) ||
+		over(claim.Accelerators, quota.Accelerators) || over(claim.Slots, quota.Slots)
+}
+
+// SubmitJob implements edge.Commands.
+func (n *Node) SubmitJob(ctx context.Context, j edge.Job) cell.Outcome {
+	doc, reason := n.usableConfig()
+	if reason.Code != cell.ReasonNone {
+		return cell.NotRun(reason, comeBack)
+	}
+	if reason := admit(doc, j.Template); reason.Code != cell.ReasonNone {
+		return cell.NotRun(reason, 0)
+	}
+	spec := job.Spec{ID: j.ID, Kind: j.Kind, Count: j.Count, Template: j.Template}
+	parts := job.Split(spec, n.rooms(doc, j.Template))
+	if parts == nil {
+		return cell.NotRun(cell.Reason{Code: cell.ReasonFitsNowhere, Detail: n.misfit(spec)}, 0)
+	}
+	record, err := n.jobs.Create(ctx, job.Record{Spec: spec, Parts: parts})
+	if err != nil {
+		return createFailed(err)
+	}
+	n.noticeJob(ctx, record)
+	return cell.Outcome{Result: cell.ResultCompleted, Reason: cell.Reason{Detail: "job " + string(j.ID) + " is durable"}}
+}
+
+func createFailed(err error) cell.Outcome {
+	switch {
+	case errors.Is(err, job.ErrExists):
+		return cell.NotRun(cell.Reason{Code: cell.ReasonDuplicateKey, Detail: err.Error()}, 0)
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrConflict):
+		return cell.NotRun(cell.Reason{Code: cell.ReasonStoreUnavailable, Detail: err.Error()}, comeBack)
+	default:
+		return cell.Unknown(cell.Reason{Code: cell.ReasonStoreUnavailable, Detail: err.Error()}, comeBack)
+	}
+}
+
+// rooms says what each shard can hold of tasks like t, by the platform's list and the shards' digests.
+func (n *Node) rooms(doc config.Document, t cell.Task) []job.Room {
+	totals := make(map[cell.ShardID]int)
+	for _, w := range n.host.allWorkers() {
+		if holds(w, t) {
+			totals[doc.ShardOf(w)] += times(t.Claim, w.Capacity)
+		}
+	}
+	zones := doc.ShardZones()
+	var out []job.Room
+	for _, s := range doc.Shards() {
+		room := job.Room{Shard: s, Zone: zones[s], Total: totals[s]}
+		if d := n.directory.digest(s); d != nil {
+			room.Free = min(room.Total, times(t.Claim, wire.ToResources(d.GetFree())))
+		}
+		out = append(out, room)
+	}
+	return out
+}
+
+// times returns how many claims fit into capacity.
+func times(claim, capacity cell.Resources) int {
+	n := int64(-1)
+	for _, d := range [][2]int64{
+		{claim.MilliCPU, capacity.MilliCPU},
+		{claim.MemoryMiB, capacity.MemoryMiB},
+		{claim.Accelerators, capacity.Accelerators},
+		{claim.Slots, capacity.Slots},
+	} {
+		if d[0] > 0 && (n < 0 || d[1]/d[0] < n) {
+			n = d[1] / d[0]
+		}
+	}
+	return int(max(n, 0))
+}
+
+func (n *Node) misfit(s job.Spec) string {
+	if s.Kind == cell.KindGang {
+		return fmt.Sprintf("no shard holds %d tasks of %s in pool %q at once", s.Count, s.Template.Claim, s.Template.Pool)
+	}
+	return fmt.Sprintf("no worker holds %s in pool %q", s.Template.Claim, s.Template.Pool)
+}
+
+func (n *Node) noticeJob(ctx context.Context, r job.Record) {
+	shards := make([]cell.ShardID, len(r.Parts))
+	for i, p := range r.Parts {
+		shards[i] = p.Shard
+	}
+	_, err := n.askAll(ctx, shards, func(s cell.ShardID) *wire.Request {
+		notice := &wire.JobNotice{Shard: string(s), Job: string(r.Spec.ID)}
+		return &wire.Request{Body: &wire.Request_JobNotice{JobNotice: notice}}
+	})
+	if err != nil {
+		n.log.Warn().Str("job", string(r.Spec.ID)).Err(err).Msg("owners not told of job; they find it at their next poll")
+	}
+}
+
+// CancelJob implements edge.Commands.
+func (n *Node) CancelJob(ctx context.Context, id cell.JobID) cell.Outcome {
+	record, err := n.jobs.Cancel(ctx, id)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return cell.NotRun(cell.Reason{Code: cell.ReasonInvalid, Detail: "no such job"}, 0)
+	case errors.Is(err, platform.ErrUnavailable):
+		return cell.NotRun(cell.Reason{Code: cell.ReasonStoreUnavailable}, comeBack)
+	case err != nil:
+		return cell.Unknown(cell.Reason{Code: cell.ReasonStoreUnavailable, Detail: err.Error()}, comeBack)
+	}
+	n.noticeJob(ctx, record)
+	return cell.Outcome{Result: cell.ResultCompleted}
+}
+
+// CancelTasks implements edge.Commands.
+func (n *Node) CancelTasks(ctx context.Context, ids []cell.TaskID) (int, error) {
+	doc, reason := n.usableConfig()
+	if reason.Code != cell.ReasonNone {
+		return 0, errors.New(reason.String())
+	}
+	tasks := make([]string, len(ids))
+	for i, id := range ids {
+		tasks[i] = string(id)
+	}
+	replies, err := n.askAll(ctx, doc.Shards(), func(s cell.ShardID) *wire.Request {
+		return &wire.Request{Body: &wire.Request_Cancel{Cancel: &wire.CancelRequest{Shard: string(s), Tasks: tasks}}}
+	})
+	total := 0
+	for _, r := range replies {
+		total += int(r.GetCancel().GetCancelled())
+	}
+	return total, err
+}
+
+// Patch implements edge.Commands.
+func (n *Node) Patch(ctx context.Context, p edge.Patch) edge.PatchResult {
+	id := p.ID
+	if id == "" {
+		id = uuid.NewString()
+	}
+	return patchResult(n.configs.Submit(ctx, config.Patch{ID: id, Base: p.Base, Merge: p.Merge}))
+}
--- /dev/null
+++ b/internal/node/handler.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/job"
+	"laburnumpoint/internal/shard"
+	"laburnumpoint/internal/wire"
+)
+
+// Handle implements peer.Handler: requests of other daemons.
+func (n *Node) Handle(ctx context.Context, req *wire.Request) *wire.Reply {
+	switch body := req.GetBody().(type) {
+	case *wire.Request_Heartbeat:
+		return n.handleHeartbeat(body.Heartbeat)
+	case *wire.Request_Config:
+		return n.handleConfig(body.Config)
+	case *wire.Request_Run:
+		return n.handleRun(ctx, body.Run)
+	case *wire.Request_Cancel:
+		return n.handleCancel(body.Cancel)
+	case *wire.Request_Explain:
+		return n.handleExplain(body.Explain)
+	case *wire.Request_Status:
+		return n.handleStatus(body.Status)
+	case *wire.Request_JobNotice:
+		return n.handleJobNotice(body.JobNotice)
+	case *wire.Request_JobStatus:
+		return n.handleJobStatus(ctx, body.JobStatus)
+	default:
+		return refused(cell.Reason{Code: cell.ReasonInvalid, Detail: "unknown request"})
+	}
+}
+
+func (n *Node) handleRun(ctx context.Context, req *wire.RunRequest) *wire.Reply {
+	s := n.host.get(cell.ShardID(req.GetShard()))
+	if s == nil {
+		return notOwner()
+	}
+	now := time.Now()
+	q := routed{
+		task:     wire.ToTask(req.GetTask()),
+		keyed:    !req.GetFresh(),
+		caller:   req.GetCaller(),
+		arrived:  now.Add(-time.Duration(req.GetAgeMs()) * time.Millisecond),
+		deadline: now.Add(time.Duration(req.GetTimeoutMs()) * time.Millisecond),
+	}
+	out := s.owner.Run(ctx, q.request(q.keyed))
+	out.Attempt.Task = q.task.ID
+	return &wire.Reply{Body: &wire.Reply_Run{Run: &wire.RunReply{Outcome: wire.FromOutcome(out)}}}
+}
+
+func (n *Node) handleCancel(req *wire.CancelRequest) *wire.Reply {
+	s := n.host.get(cell.ShardID(req.GetShard()))
+	if s == nil {
+		return notOwner()
+	}
+	count := s.cancel(cell.JobID(req.GetJob()), req.GetTasks())
+	return &wire.Reply{Body: &wire.Reply_Cancel{Cancel: &wire.CancelReply{Cancelled: int64(count)}}}
+}
+
+func (n *Node) handleExplain(req *wire.ExplainRequest) *wire.Reply {
+	s := n.host.get(cell.ShardID(req.GetShard()))
+	if s == nil {
+		return notOwner()
+	}
+	e := s.owner.Explain(cell.TaskID(req.GetTask()))
+	out := &wire.ExplainReply{Found: e.Found, State: string(e.State)}
+	for _, r := range e.Chain {
+		out.Chain = append(out.Chain, wire.FromReason(r))
+	}
+	return &wire.Reply{Body: &wire.Reply_Explain{Explain: out}}
+}
+
+func (n *Node) handleStatus(req *wire.StatusRequest) *wire.Reply {
+	s := n.host.get(cell.ShardID(req.GetShard()))
+	if s == nil {
+		return notOwner()
+	}
+	return &wire.Reply{Body: &wire.Reply_Status{Status: s.status()}}
+}
+
+func (n *Node) handleJobNotice(req *wire.JobNotice) *wire.Reply {
+	s := n.host.get(cell.ShardID(req.GetShard()))
+	if s == nil {
+		return notOwner()
+	}
+	s.jobs.Notice(cell.JobID(req.GetJob()))
+	return done()
+}
+
+func (n *Node) handleJobStatus(ctx context.Context, req *wire.JobStatusRequest) *wire.Reply {
+	s := n.host.get(cell.ShardID(req.GetShard()))
+	if s == nil {
+		return notOwner()
+	}
+	status, found := s.jobs.Status(ctx, cell.JobID(req.GetJob()))
+	return &wire.Reply{Body: &wire.Reply_JobStatus{JobStatus: partStatusReply(status, found)}}
+}
+
+func partStatusReply(s job.PartStatus, found bool) *wire.JobStatusReply {
+	return &wire.JobStatusReply{
+		Found:     found,
+		Queued:    uint32(s.Queued),
+		Running:   uint32(s.Running),
+		Succeeded: uint32(s.Counts.Succeeded),
+		Failed:    uint32(s.Counts.Failed),
+		InDoubt:   uint32(s.Counts.InDoubt),
+		Cancelled: uint32(s.Cancelled),
+		Reason:    wire.FromReason(s.Reason),
+	}
+}
+
+// request returns q as its shard's owner takes it.
+func (q routed) request(keyed bool) shard.Request {
+	return shard.Request{
+		Task:     q.task,
+		Keyed:    keyed,
+		Caller:   q.caller,
+		Arrived:  q.arrived,
+		Deadline: q.deadline,
+	}
+}
+
+func (s *hosted) cancel(id cell.JobID, tasks []string) int {
+	if id != "" {
+		return s.owner.CancelJob(id)
+	}
+	ids := make([]cell.TaskID, len(tasks))
+	for i, t := range tasks {
+		ids[i] = cell.TaskID(t)
+	}
+	return s.owner.Cancel(ids)
+}
+
+func (s *hosted) status() *wire.StatusReply {
+	_, _, workers, teams := s.owner.Status()
+	out := &wire.StatusReply{Digest: s.digest()}
+	for _, w := range workers {
+		out.Workers = append(out.Workers, &wire.WorkerStatus{
+			Id:       string(w.Worker.ID),
+			Zone:     w.Worker.Zone,
+			Rack:     w.Worker.Rack,
+			Pool:     w.Worker.Pool,
+			State:    string(w.Worker.State),
+			Claimed:  w.Usable,
+			Capacity: wire.FromResources(w.Worker.Capacity),
+			Used:     wire.FromResources(w.Used),
+			Tasks:    uint32(w.Tasks),
+		})
+	}
+	for _, t := range teams {
+		out.Teams = append(out.Teams, &wire.TeamStatus{
+			Team:   t.Team,
+			Held:   wire.FromResources(t.Held),
+			Quota:  wire.FromResources(t.Quota),
+			Queued: uint32(t.Queued),
+		})
+	}
+	return out
+}
+
+func done() *wire.Reply {
+	return &wire.Reply{Body: &wire.Reply_Done{Done: &wire.Empty{}}}
+}
+
+func notOwner() *wire.Reply {
+	return &wire.Reply{Body: &wire.Reply_NotOwner{NotOwner: &wire.Empty{}}}
+}
+
+func refused(r cell.Reason) *wire.Reply {
+	return &wire.Reply{Body: &wire.Reply_Refused{Refused: wire.FromReason(r)}}
+}
--- /dev/null
+++ b/internal/node/journey.go
@@ -0,0 +1,46 @@
+package node
+
+import "laburnumpoint/internal/cell"
+
+// journey is where a request has been and may go.
+type journey struct {
+	// candidates are the shards that may take the request, the one to try now first. There is at least one.
+	candidates []cell.ShardID
+	// tried counts the candidates tried since the last pause.
+	tried int
+	// keyed means that an owner may have the request already.
+	keyed bool
+	// inDoubt means that a send of this request may have been acted on.
+	inDoubt bool
+}
+
+func (j *journey) shard() cell.ShardID {
+	return j.candidates[0]
+}
+
+// drop strikes the current shard off and reports whether another is left.
+func (j *journey) drop() bool {
+	if len(j.candidates) == 1 {
+		return false
+	}
+	j.candidates = j.candidates[1:]
+	return true
+}
+
+// rotate goes on to the next shard and reports whether it should be tried without a pause.
+func (j *journey) rotate() bool {
+	j.tried++
+	if j.keyed || j.tried >= len(j.candidates) {
+		j.tried = 0
+		return false
+	}
+	j.candidates = append(j.candidates[1:], j.candidates[0])
+	return true
+}
+
+// stay binds the request to the current shard.
+func (j *journey) stay() {
+	j.candidates = j.candidates[:1]
+	j.keyed = true
+	j.inDoubt = true
+}
--- /dev/null
+++ b/internal/node/loops.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/config"
+	"laburnumpoint/internal/wire"
+)
+
+// Intervals of the node's loops.
+const (
+	workersInterval   = time.Second
+	workersTimeout    = 2 * time.Second
+	bootstrapInterval = time.Second
+)
+
+// pollWorkers reads the platform's VM list. While it can't be read, the last one stays.
+func (n *Node) pollWorkers(ctx context.Context) {
+	every(ctx, workersInterval, func() bool {
+		callCtx, cancel := context.WithTimeout(ctx, workersTimeout)
+		defer cancel()
+		workers, err := n.opts.VMs.Workers(callCtx)
+		if err != nil {
+			n.log.Warn().Err(err).Msg("VM list not read")
+			return false
+		}
+		v, _ := n.configs.Current()
+		if v.Version == 0 {
+			return false
+		}
+		n.host.setWorkers(v.Document, workers)
+		n.listed.Store(true)
+		return false
+	})
+}
+
+// bootstrap makes the first version of the configuration, if the cell has none and this node was given one.
+func (n *Node) bootstrap(ctx context.Context) {
+	if n.opts.Bootstrap == nil {
+		return
+	}
+	every(ctx, bootstrapInterval, func() bool {
+		if err := n.configs.Bootstrap(ctx, *n.opts.Bootstrap); err != nil {
+			n.log.Warn().Err(err).Msg("first configuration not stored")
+			return false
+		}
+		return true
+	})
+}
+
+// every calls f at once and then at intervals, until it returns true or ctx ends.
+func every(ctx context.Context, interval time.Duration, f func() bool) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for !f() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// configChanged makes decisions follow a new version at once.
+func (n *Node) configChanged(v config.Versioned) {
+	n.log.Info().Uint64("version", v.Version).Msg("configuration in force")
+	for _, s := range n.host.all() {
+		s.owner.Refresh()
+	}
+}
+
+// FetchConfig implements config.Fetcher.
+func (n *Node) FetchConfig(ctx context.Context, addr string, atLeast uint64) (config.Versioned, error) {
+	req := &wire.Request{Body: &wire.Request_Config{Config: &wire.ConfigRequest{Version: atLeast}}}
+	reply, err := n.peers.Call(ctx, addr, req)
+	if err != nil {
+		return config.Versioned{}, err
+	}
+	got := reply.GetConfig()
+	if got == nil {
+		return config.Versioned{}, fmt.Errorf("member at %s does not have version %d", addr, atLeast)
+	}
+	doc, err := config.Parse(got.GetDocument())
+	return config.Versioned{Version: got.GetVersion(), Document: doc}, err
+}
+
+func (n *Node) handleConfig(req *wire.ConfigRequest) *wire.Reply {
+	v, _ := n.configs.Current()
+	if v.Version == 0 || v.Version < req.GetVersion() {
+		return refused(cell.Reason{Code: cell.ReasonConfigStale})
+	}
+	out := &wire.ConfigReply{Version: v.Version, Document: v.Document.Encode()}
+	return &wire.Reply{Body: &wire.Reply_Config{Config: out}}
+}
+
+func (n *Node) handleHeartbeat(req *wire.Heartbeat) *wire.Reply {
+	return n.members.HandleHeartbeat(req)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,272 @@
+// Package node puts the parts of an entry VM's daemon together: it owns shards, answers other daemons, and serves
+// callers and operators as the backend of package edge.
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/config"
+	"laburnumpoint/internal/edge"
+	"laburnumpoint/internal/intent"
+	"laburnumpoint/internal/job"
+	"laburnumpoint/internal/membership"
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/peer"
+	"laburnumpoint/internal/platform"
+	"laburnumpoint/internal/quota"
+	"laburnumpoint/internal/shard"
+	"laburnumpoint/internal/wire"
+)
+
+// Options says what a node works with. All fields but Bootstrap and the durations are needed.
+type Options struct {
+	// ID is new at each start of the process.
+	ID cell.MemberID
+	// PeerListen is the IP number and port on which other daemons reach this one.
+	PeerListen string
+	Zone       string
+	Table      platform.Table
+	VMs        platform.VMList
+	Runner     platform.Runner
+	// Bootstrap becomes version 1 of the configuration if the cell has none; nil leaves that to others.
+	Bootstrap *config.Document
+	// LeaseTTL and ClaimInterval are those of package shard; zero means its defaults.
+	LeaseTTL      time.Duration
+	ClaimInterval time.Duration
+	Log           *log.Logger
+	Metrics       *metrics.Set
+}
+
+// Node is a running daemon without its HTTP server.
+type Node struct {
+	opts      Options
+	log       *log.Logger
+	peers     *peer.Client
+	server    *peer.Server
+	configs   *config.Store
+	members   *membership.Service
+	intents   *intent.Log
+	jobs      *job.Store
+	quotas    *quota.Keeper
+	host      *host
+	directory *nodeDirectory
+	router    *router
+
+	listed  atomic.Bool
+	leaving atomic.Bool
+	cancel  context.CancelFunc
+	loops   sync.WaitGroup
+}
+
+var (
+	_ edge.Commands = (*Node)(nil)
+	_ edge.Queries  = (*Node)(nil)
+)
+
+// Start opens the peer listener and begins to take part in the cell.
+func Start(opts Options) (*Node, error) {
+	clock := monotime.Boot{}
+	n := &Node{
+		opts:    opts,
+		log:     opts.Log,
+		peers:   peer.NewClient(clock, opts.Metrics),
+		intents: intent.New(opts.Table, opts.ID, intent.Options{}),
+		jobs:    job.NewStore(opts.Table),
+	}
+	n.host = newHost(opts.Log, n.startShard, n.stoppedShard)
+	n.configs = config.NewStore(config.Options{
+		Table:    opts.Table,
+		Clock:    clock,
+		Fetch:    n,
+		Changed:  n.configChanged,
+		Accepted: func() { n.members.Refresh() },
+	})
+	n.quotas = quota.NewKeeper(opts.Table, n.configs.Current, opts.Log)
+	server, err := peer.Listen(opts.PeerListen, n, opts.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	n.server = server
+	n.members = membership.New(membership.Options{
+		ID:     opts.ID,
+		Addr:   server.Addr(),
+		Zone:   opts.Zone,
+		Table:  opts.Table,
+		Caller: n.peers,
+		Clock:  clock,
+		Host:   n.host,
+		Config: n.configs,
+		Shards: n.shards,
+		Log:    opts.Log,
+	})
+	n.directory = &nodeDirectory{members: n.members, host: n.host}
+	n.router = &router{directory: n.directory, peers: n.peers}
+	n.run()
+	return n, nil
+}
+
+func (n *Node) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	for _, loop := range []func(context.Context){
+		n.configs.Run,
+		n.members.Run,
+		n.quotas.Run,
+		n.bootstrap,
+		n.pollWorkers,
+	} {
+		n.loops.Go(func() { loop(ctx) })
+	}
+}
+
+// Leave gives up the shards, so that other members take them over at once. New requests are refused as draining by the
+// owners and routed to the next ones.
+func (n *Node) Leave(ctx context.Context) {
+	n.leaving.Store(true)
+	if err := n.members.Leave(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("member row not removed")
+	}
+}
+
+// Shutdown answers what is in flight and ends the node. Leave comes before it in a planned stop.
+func (n *Node) Shutdown(ctx context.Context) {
+	n.host.Drain(ctx)
+	if err := n.server.Shutdown(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("requests of other daemons cut off")
+	}
+	n.cancel()
+	n.loops.Wait()
+}
+
+// SetUnready makes Ready report false from now on.
+func (n *Node) SetUnready() {
+	n.leaving.Store(true)
+}
+
+// Ready implements edge.Queries.
+func (n *Node) Ready() (bool, cell.Reason) {
+	if n.leaving.Load() {
+		return false, cell.Reason{Code: cell.ReasonDraining}
+	}
+	if v, _ := n.configs.Current(); v.Version == 0 {
+		return false, cell.Reason{Code: cell.ReasonConfigStale, Detail: "no configuration is known yet"}
+	}
+	if !n.listed.Load() {
+		return false, cell.Reason{Code: cell.ReasonRecovering, Detail: "the VM list has not been read yet"}
+	}
+	return true, cell.Reason{}
+}
+
+// usableConfig returns the configuration in force, or why nothing may be decided on it.
+func (n *Node) usableConfig() (config.Document, cell.Reason) {
+	v, fresh := n.configs.Current()
+	switch {
+	case v.Version == 0:
+		return v.Document, cell.Reason{Code: cell.ReasonConfigStale, Detail: "no configuration is known yet"}
+	case !fresh:
+		return v.Document, cell.Reason{Code: cell.ReasonConfigStale, Detail: "the version in force can't be confirmed"}
+	default:
+		return v.Document, cell.Reason{}
+	}
+}
+
+func (n *Node) shards() []membership.Shard {
+	v, _ := n.configs.Current()
+	if v.Version == 0 {
+		return nil
+	}
+	return membership.ShardsOf(v.Document)
+}
+
+func (n *Node) rand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// startShard begins to decide for a shard. It runs on the membership's event loop.
+func (n *Node) startShard(id cell.ShardID, epoch cell.Epoch) *hosted {
+	s := &hosted{shard: id, epoch: epoch}
+	s.owner = shard.Start(shard.Params{
+		Shard:   id,
+		Epoch:   epoch,
+		Member:  n.opts.ID,
+		Runner:  n.opts.Runner,
+		Intents: n.intents,
+		Confirm: func(ctx context.Context) error { return n.confirm(ctx, id, epoch) },
+		Config:  n.configs.Current,
+		Share: func(team string, d config.Document) cell.Resources {
+			return n.quotas.Limit(id, team, d.Teams[team].Quota)
+		},
+		OnSuperseded:  func() { n.members.MarkSuspect(id) },
+		Logger:        n.log,
+		TTL:           n.opts.LeaseTTL,
+		ClaimInterval: n.opts.ClaimInterval,
+	})
+	s.jobs = job.Start(id, n.jobs, placer{s.owner}, n.log, func() { n.members.MarkSuspect(id) })
+	n.quotas.Add(id, s)
+	return s
+}
+
+func (n *Node) stoppedShard(id cell.ShardID) {
+	n.quotas.Remove(id)
+}
+
+func (n *Node) confirm(ctx context.Context, id cell.ShardID, epoch cell.Epoch) error {
+	err := n.members.Confirm(ctx, id, epoch)
+	if errors.Is(err, membership.ErrSuperseded) {
+		return shard.ErrNotOwner
+	}
+	return err
+}
+
+// placer lets a job controller submit to a shard's owner.
+type placer struct {
+	owner *shard.Owner
+}
+
+// SubmitTask implements job.Placer. A job's task may have been submitted by an earlier owner, so it is always keyed.
+func (p placer) SubmitTask(t cell.Task, done func(cell.Outcome)) {
+	p.owner.Submit(shard.Request{Task: t, Keyed: true, Caller: "job", Arrived: time.Now()}, done)
+}
+
+// CancelJob implements job.Placer.
+func (p placer) CancelJob(id cell.JobID) int {
+	return p.owner.CancelJob(id)
+}
+
+// nodeDirectory finds owners by the membership.
+type nodeDirectory struct {
+	members *membership.Service
+	host    *host
+}
+
+func (d *nodeDirectory) locate(id cell.ShardID) (location, bool) {
+	if s := d.host.get(id); s != nil {
+		return location{local: s}, true
+	}
+	own, ok := d.members.Owner(id)
+	if !ok || own.Addr == "" {
+		return location{}, false
+	}
+	return location{addr: own.Addr}, true
+}
+
+func (d *nodeDirectory) suspect(id cell.ShardID) {
+	d.members.MarkSuspect(id)
+}
+
+func (d *nodeDirectory) digest(id cell.ShardID) *wire.ShardDigest {
+	if own := d.host.lastDigest(id); own != nil {
+		return own
+	}
+	digest, _ := d.members.Digest(id)
+	return digest
+}
