shard: proof by tombstone bounded by retention, gangs start again together, ejection; intent tests

Cause: the lease contract now says that a tombstone proves nothing once the worker may have forgotten the attempt; a gang member whose start was refused went back alone; quota shares move without a new configuration version.

--- /dev/null
+++ b/internal/intent/log_test.go
@@ -0,0 +1,205 @@
+package intent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/platform"
+	"laburnumpoint/internal/standin"
+)
+
+// meteredTable counts transactions and can make one take effect late, after it was answered as uncertain.
+type meteredTable struct {
+	*standin.Table
+	mu           sync.Mutex
+	transactions int
+	late         time.Duration
+}
+
+func (m *meteredTable) Apply(ctx context.Context, ops []platform.Op) ([]uint64, error) {
+	m.mu.Lock()
+	m.transactions++
+	late := m.late
+	m.late = 0
+	m.mu.Unlock()
+	if late > 0 {
+		time.AfterFunc(late, func() { _, _ = m.Table.Apply(context.Background(), ops) })
+		return nil, platform.ErrUncertain
+	}
+	return m.Table.Apply(ctx, ops)
+}
+
+func bubble(t *testing.T, f func(t *testing.T, table *meteredTable, a, b *Log)) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &meteredTable{Table: standin.NewTable()}
+		a, b := New(table, "a", Options{}), New(table, "b", Options{})
+		t.Cleanup(a.Close)
+		t.Cleanup(b.Close)
+		f(t, table, a, b)
+	})
+}
+
+func acquire(t *testing.T, l *Log, id, digest string) Grant {
+	t.Helper()
+	g, err := l.Acquire(t.Context(), cell.TaskID(id), digest, 1)
+	if err != nil {
+		t.Fatalf("Acquire: %v", err)
+	}
+	return g
+}
+
+func TestOneOfTwoConcurrentRequestsIsGranted(t *testing.T) {
+	bubble(t, func(t *testing.T, table *meteredTable, a, b *Log) {
+		table.SetFaults(standin.TableFaults{LoseAnswers: 3})
+		const keys = 200
+		granted := make(chan string, 4*keys)
+		var wg sync.WaitGroup
+		for i := range keys {
+			for _, l := range []*Log{a, b, a, b} {
+				wg.Go(func() {
+					if g := acquire(t, l, fmt.Sprint(i), "d"); g.Verdict == Granted {
+						granted <- fmt.Sprint(i)
+					}
+				})
+			}
+		}
+		wg.Wait()
+		close(granted)
+		seen := make(map[string]int)
+		for id := range granted {
+			seen[id]++
+		}
+		for i := range keys {
+			if seen[fmt.Sprint(i)] != 1 {
+				t.Errorf("key %d granted %d times", i, seen[fmt.Sprint(i)])
+			}
+		}
+	})
+}
+
+func TestRecordedOutcomeAndReturn(t *testing.T) {
+	bubble(t, func(t *testing.T, table *meteredTable, a, b *Log) {
+		g := acquire(t, a, "x", "d")
+		if other := acquire(t, b, "x", "d"); other.Verdict != Exists || other.Record.Outcome != nil {
+			t.Errorf("verdict = %v while the first is pending", other.Verdict)
+		}
+		if other := acquire(t, b, "x", "another"); other.Verdict != Mismatch {
+			t.Errorf("verdict = %v for another digest", other.Verdict)
+		}
+		if err := a.Return(t.Context(), g.Handle); err != nil {
+			t.Fatal(err)
+		}
+		taken := acquire(t, b, "x", "d")
+		if taken.Verdict != Granted {
+			t.Fatalf("verdict = %v after the return", taken.Verdict)
+		}
+		// The first holder was paused and repeats itself: its handle is void.
+		if err := a.Return(t.Context(), g.Handle); !errors.Is(err, ErrLost) {
+			t.Errorf("Return of a void handle: %v", err)
+		}
+		a.Finish(g.Handle, cell.Outcome{Result: cell.ResultFailed})
+		b.Finish(taken.Handle, cell.Outcome{Result: cell.ResultCompleted, Answer: []byte("yes")})
+		time.Sleep(time.Second)
+		last := acquire(t, a, "x", "d")
+		if last.Verdict != Exists || last.Record.Outcome == nil || string(last.Record.Outcome.Answer) != "yes" {
+			t.Errorf("last = %+v", last)
+		}
+	})
+}
+
+// A write that was answered as uncertain and takes effect later neither grants twice nor blocks the key.
+func TestUncertainWriteThatArrivesLate(t *testing.T) {
+	bubble(t, func(t *testing.T, table *meteredTable, a, b *Log) {
+		table.late = time.Second
+		first := acquire(t, a, "x", "d")
+		if first.Verdict != Granted {
+			t.Fatalf("verdict = %v", first.Verdict)
+		}
+		time.Sleep(2 * time.Second)
+		if err := a.Return(t.Context(), first.Handle); err != nil {
+			t.Errorf("Return after the late write: %v", err)
+		}
+		if g := acquire(t, b, "x", "d"); g.Verdict != Granted {
+			t.Errorf("verdict = %v", g.Verdict)
+		}
+	})
+}
+
+// An insertion whose caller gave up is returned, so that the key is not blocked for ever.
+func TestAbandonedGrantIsGivenBack(t *testing.T) {
+	bubble(t, func(t *testing.T, table *meteredTable, a, b *Log) {
+		table.SetFaults(standin.TableFaults{Delay: 500 * time.Millisecond})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if _, err := a.Acquire(ctx, "x", "d", 1); !errors.Is(err, ErrUnavailable) {
+			t.Fatalf("Acquire: %v", err)
+		}
+		time.Sleep(3 * time.Second)
+		table.SetFaults(standin.TableFaults{})
+		if g := acquire(t, b, "x", "d"); g.Verdict != Granted {
+			t.Errorf("verdict = %v, want the abandoned intent back", g.Verdict)
+		}
+	})
+}
+
+func TestDownTableRefusesAtOnceAndOutcomesAreKept(t *testing.T) {
+	bubble(t, func(t *testing.T, table *meteredTable, a, b *Log) {
+		g := acquire(t, a, "x", "d")
+		table.SetFaults(standin.TableFaults{Down: true})
+		a.Finish(g.Handle, cell.Outcome{Result: cell.ResultCompleted})
+		start := time.Now()
+		for i := range 10 {
+			if _, err := a.Acquire(t.Context(), cell.TaskID(fmt.Sprint(i)), "d", 1); !errors.Is(err, ErrUnavailable) {
+				t.Errorf("Acquire: %v", err)
+			}
+		}
+		if waited := time.Since(start); waited > time.Second {
+			t.Errorf("ten refusals took %v", waited)
+		}
+		time.Sleep(time.Minute)
+		table.SetFaults(standin.TableFaults{})
+		time.Sleep(time.Second)
+		if g := acquire(t, b, "x", "d"); g.Record.State != StateDone {
+			t.Errorf("state = %s, want done", g.Record.State)
+		}
+	})
+}
+
+// The store traffic of 240 non-idempotent starts a second through nine processes.
+func TestTableOperationsAtThePeak(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const processes, rate, seconds = 9, 240, 5
+		table := &meteredTable{Table: standin.NewTable()}
+		table.SetFaults(standin.TableFaults{Delay: 3 * time.Millisecond})
+		var logs []*Log
+		for i := range processes {
+			l := New(table, cell.MemberID(fmt.Sprint(i)), Options{})
+			t.Cleanup(l.Close)
+			logs = append(logs, l)
+		}
+		var wg sync.WaitGroup
+		for i := range rate * seconds {
+			wg.Go(func() {
+				l := logs[i%processes]
+				g := acquire(t, l, fmt.Sprint(i), "d")
+				time.Sleep(time.Second)
+				l.Finish(g.Handle, cell.Outcome{Result: cell.ResultCompleted})
+			})
+			time.Sleep(time.Second / rate)
+		}
+		wg.Wait()
+		time.Sleep(time.Second)
+		rows := float64(table.Counts().Writes) / seconds
+		transactions := float64(table.transactions) / seconds
+		t.Logf("%.0f transactions and %.0f rows a second for %d starts a second", transactions, rows, rate)
+		if transactions > 300 || rows > 2*rate {
+			t.Errorf("%.0f transactions and %.0f rows a second", transactions, rows)
+		}
+	})
+}
--- a/internal/shard/attempt.go
+++ b/internal/shard/attempt.go
@@ -26,7 +26,7 @@
 	}
 	c.attempts++
 	e.attempt = cell.Attempt{Task: e.task.ID, Epoch: c.p.Epoch, N: c.attempts}
-	e.sentAt, e.startedAt = now, now
+	e.sentAt, e.startedAt, e.sentBoot = now, now, c.p.Clock.Now()
 	e.waited = now.Sub(e.arrived)
 	c.occupy(e, w)
 	if !c.health.usable(w.ID) {
@@ -190,7 +190,7 @@
 
 // notStarted handles an attempt that did not start and never will.
 func (c *control) notStarted(e *entry, detail string) {
-	if e.task.Kind == cell.KindGang && c.state == stateServing && !e.stopping {
+	if c.state == stateServing && !e.stopping && c.wholeGang(e) {
 		c.abortGang(e)
 	}
 	c.p.Logger.Debug().Str("task", string(e.task.ID)).Str("worker", string(e.worker)).Str("detail", detail).Msg("attempt did not start")
@@ -241,40 +241,31 @@
 func (c *control) requeue(now time.Time, e *entry) {
 	if w := c.workers[e.worker]; w != nil {
 		c.vacate(e, w)
-		c.avoid(e, w)
+		e.avoidWorker(w)
 	}
 	e.tries++
 	e.adopted, e.accepted, e.over, e.settling, e.open = false, false, false, false, false
+	e.regroup = e.requeue
 	e.stopping, e.stopEnded, e.requeue = false, false, false
 	e.endedReports = 0
 	e.call++
 	e.phase = phaseQueued
+	if e.regroup {
+		c.regroup(now, e.task.Job)
+		return
+	}
 	c.sched.Requeue(now, e.item(now))
 	c.dirty = true
 }
 
-// avoid keeps the next attempt away from w and its rack if there is another.
-func (c *control) avoid(e *entry, w *worker) {
-	for _, id := range sortedKeys(c.workers) {
-		other := c.workers[id]
-		if other.Zone == w.Zone && other.Rack == w.Rack && !slices.Contains(e.avoid, id) {
-			e.avoid = append(e.avoid, id)
-		}
-	}
-	if len(e.avoid) >= len(c.workers) {
-		e.avoid = nil
+// avoidWorker keeps the next attempt away from w and its rack if there is another.
+func (e *entry) avoidWorker(w *worker) {
+	if slices.Contains(e.avoid, w.ID) {
+		return
 	}
-}
-
-// abortGang stops the other members of a gang of which one did not start, so that all can start together later.
-func (c *control) abortGang(e *entry) {
-	for _, id := range sortedKeys(c.jobs[e.task.Job]) {
-		member := c.entries[id]
-		if member == e || member.phase != phaseRunning || member.adopted || member.stopping {
-			continue
-		}
-		member.requeue = true
-		c.stop(member, cell.ReasonGangReserved, stopNow)
+	e.avoid = append(e.avoid, w.ID)
+	if w.Rack != "" {
+		e.avoid = append(e.avoid, cell.WorkerID(w.Rack))
 	}
 }
 
--- /dev/null
+++ b/internal/shard/bounds_test.go
@@ -0,0 +1,186 @@
+package shard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/cell"
+)
+
+// A worker that was out of reach for longer than it remembers attempts proves nothing by a tombstone.
+func TestTombstoneAfterRetentionIsNoProof(t *testing.T) {
+	bubble(t, 1, time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		time.Sleep(6 * time.Second)
+		outs := make(chan cell.Outcome, 1)
+		req := request("a")
+		req.Deadline = time.Time{}
+		o.Submit(req, func(out cell.Outcome) { outs <- out })
+		time.Sleep(500 * time.Millisecond)
+		r.runner.set("w0", func(h *host) { h.down = true })
+		time.Sleep(90 * time.Second)
+		o.Cancel([]cell.TaskID{"a"})
+		r.runner.set("w0", func(h *host) { h.down, h.leases = false, make(map[cell.Attempt]*lease) })
+		if out := <-outs; out.Result == cell.ResultNotRun {
+			t.Errorf("outcome = %s (%s) of a task that ran", out.Result, out.Reason)
+		}
+		r.expectStarts("a", 1)
+	})
+}
+
+func gangTask(i int) Request {
+	req := request(fmt.Sprint("g", i))
+	req.Deadline = time.Time{}
+	req.Task.Kind, req.Task.Job, req.Task.GangSize = cell.KindGang, "gang", 3
+	return req
+}
+
+func TestGangStartsAgainTogether(t *testing.T) {
+	bubble(t, 4, 3*time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		r.runner.set("w0", func(h *host) { h.refusing = true })
+		r.runner.set("w1", func(h *host) { h.loseStart = 1 })
+		outs := make(chan cell.Outcome, 3)
+		for i := range 3 {
+			o.Submit(gangTask(i), func(out cell.Outcome) { outs <- out })
+		}
+		starts := make(map[time.Time]int)
+		for range 3 {
+			out := <-outs
+			expect(t, out, cell.ResultCompleted, cell.ReasonNone)
+			starts[time.Now()]++
+		}
+		if len(starts) != 1 {
+			t.Errorf("the members ended at %d different times", len(starts))
+		}
+	})
+}
+
+func TestBadWorkerIsEjectedAndProbed(t *testing.T) {
+	bubble(t, 4, 100*time.Millisecond, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		bad := cell.WorkerID("w0")
+		r.runner.set(bad, func(h *host) { h.failing = true })
+		run := func(from, n int) (onBad int) {
+			for i := range n {
+				if out := o.Run(t.Context(), once(request(fmt.Sprint(from+i)))); out.Worker == bad {
+					onBad++
+				}
+			}
+			return onBad
+		}
+		if got := run(0, 40); got != ejectAfter {
+			t.Errorf("%d tasks ran on the failing worker before it was ejected, want %d", got, ejectAfter)
+		}
+		time.Sleep(ejectFirst)
+		if got := run(100, 40); got != 1 {
+			t.Errorf("%d tasks probed the failing worker, want 1", got)
+		}
+		r.runner.set(bad, func(h *host) { h.failing = false })
+		time.Sleep(2 * ejectFirst)
+		if got := run(200, 40); got < 2 {
+			t.Errorf("%d tasks ran on the mended worker", got)
+		}
+	})
+}
+
+func TestEjectionIsCappedAndSparesPoison(t *testing.T) {
+	h := newHealth()
+	now := time.Unix(0, 0)
+	worker := func(i int) cell.Worker { return cell.Worker{ID: cell.WorkerID(fmt.Sprint("w", i))} }
+	for i := range 8 {
+		for j := range ejectAfter {
+			h.note(now, worker(i), "poison", false, 8)
+			h.note(now, worker(i), fmt.Sprint(i, "/", j), false, 8)
+		}
+	}
+	if got := h.ejectedOf(""); got != 2 {
+		t.Errorf("%d of 8 workers ejected, want 2", got)
+	}
+	h = newHealth()
+	for j := range ejectAfter {
+		for i := range 8 {
+			h.note(now, worker(i), fmt.Sprint("poison", j), false, 8)
+		}
+	}
+	if got := h.ejectedOf(""); got != 0 {
+		t.Errorf("%d workers ejected for tasks that fail everywhere", got)
+	}
+}
+
+func TestPoisonTaskIsGivenUp(t *testing.T) {
+	bubble(t, 5, 100*time.Millisecond, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		for _, w := range r.workers {
+			r.runner.set(w.ID, func(h *host) { h.failing = true })
+		}
+		expect(t, o.Run(t.Context(), request("a")), cell.ResultFailed, cell.ReasonTaskFailed)
+		r.expectStarts("a", poisonWorkers)
+	})
+}
+
+func TestRetriesKeepToTheirBudget(t *testing.T) {
+	b := newRetryBudget(time.Unix(0, 0))
+	spent := 0
+	for range 10_000 {
+		b.earn()
+		if b.spend(time.Unix(0, 0)) {
+			spent++
+		}
+	}
+	if limit := 10_000*retryShare + retryMaximum; float64(spent) > limit {
+		t.Errorf("%d retries of 10000 placements, want at most %v", spent, limit)
+	}
+}
+
+// A wave of cancellations is handled in chunks between which other requests are placed.
+func TestCancellationWaveDoesNotStallPlacement(t *testing.T) {
+	bubble(t, 1, time.Hour, func(t *testing.T, r *rig) {
+		doc := *r.doc.Load()
+		doc.Version, doc.Document.MaxQueuedPerShard = 2, 1_000_000
+		r.doc.Store(&doc)
+		o := r.owner(1)
+		const wave = 100_000
+		ids := make([]cell.TaskID, wave)
+		done := make(chan cell.Outcome, wave)
+		for i := range wave {
+			req := request(fmt.Sprint(i))
+			req.Task.Claim.Accelerators = 0
+			req.Task.Class = cell.ClassBatch
+			req.Deadline = time.Time{}
+			ids[i] = req.Task.ID
+			o.Submit(req, func(out cell.Outcome) { done <- out })
+		}
+		time.Sleep(time.Second)
+		c := o.c
+		rounds := make(chan int, 1)
+		c.box.post(&countRounds{limit: cancelChunk, out: rounds})
+		if n := o.Cancel(ids); n != wave {
+			t.Errorf("cancelled %d, want %d", n, wave)
+		}
+		for range wave {
+			if out := <-done; out.Result != cell.ResultNotRun && out.Result != cell.ResultFailed {
+				t.Errorf("outcome = %s (%s)", out.Result, out.Reason)
+			}
+		}
+		if got := <-rounds; got < wave/cancelChunk-1 {
+			t.Errorf("other events had %d turns during the wave, want about %d", got, wave/cancelChunk)
+		}
+	})
+}
+
+// countRounds posts itself until nothing is queued and counts its turns while the wave lasted.
+type countRounds struct {
+	limit, turns int
+	out          chan int
+}
+
+func (ev *countRounds) apply(c *control) {
+	if len(c.entries) > ev.limit {
+		ev.turns++
+		c.box.post(ev)
+		return
+	}
+	ev.out <- ev.turns
+}
--- a/internal/shard/control.go
+++ b/internal/shard/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"time"
 
 	"laburnumpoint/internal/cell"
@@ -46,6 +47,7 @@
 	// attempts numbers the attempts of this epoch.
 	attempts cell.AttemptID
 	version  uint64
+	policy   scheduler.Policy
 	doc      config.Document
 	stale    bool
 	dirty    bool
@@ -132,9 +134,8 @@
 // tick does what is due by time alone.
 func (c *control) tick(now time.Time) {
 	c.readConfig()
-	if c.state != stateSuperseded {
-		c.claimDue(now)
-	}
+	c.readPolicy()
+	c.claimDue(now)
 	if c.health.returnDue(now) {
 		c.refreshWorkers()
 	}
@@ -153,13 +154,24 @@
 	if v.Version > c.version {
 		c.version = v.Version
 		c.doc = v.Document
-		c.sched.SetPolicy(c.policy(v.Document))
+		c.readPolicy()
 		c.refreshWorkers()
 	}
 	return fresh
 }
 
-func (c *control) policy(d config.Document) scheduler.Policy {
+// readPolicy takes over the operators' policy and this shard's part of the quotas, which moves without a new version.
+func (c *control) readPolicy() {
+	p := c.policyOf(c.doc)
+	if c.version == 0 || reflect.DeepEqual(p, c.policy) {
+		return
+	}
+	c.policy = p
+	c.sched.SetPolicy(p)
+	c.dirty = true
+}
+
+func (c *control) policyOf(d config.Document) scheduler.Policy {
 	teams := make(map[string]scheduler.TeamPolicy, len(d.Teams))
 	for name, t := range d.Teams {
 		quota := t.Quota
@@ -242,6 +254,9 @@
 // remove forgets e and what is counted for it. The caller has taken it off the queue.
 func (c *control) remove(e *entry) {
 	c.uncount(e)
+	if e.regroup {
+		c.sched.Release(e.task.ID)
+	}
 	delete(c.entries, e.task.ID)
 	if tasks := c.jobs[e.task.Job]; tasks != nil {
 		delete(tasks, e.task.ID)
@@ -249,6 +264,9 @@
 			delete(c.jobs, e.task.Job)
 		}
 	}
+	if e.task.Kind == cell.KindGang {
+		c.regroupRest(e.task.Job)
+	}
 	if e.cancel != nil {
 		e.cancel()
 	}
@@ -295,7 +313,9 @@
 		c.sched.Cancel(queued...)
 	}
 	for _, e := range es {
-		c.drop(e, e.dropped(code, retryAfter))
+		if c.entries[e.task.ID] == e {
+			c.drop(e, e.dropped(code, retryAfter))
+		}
 	}
 }
 
--- a/internal/shard/entry.go
+++ b/internal/shard/entry.go
@@ -8,6 +8,7 @@
 
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/intent"
+	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/scheduler"
 )
 
@@ -29,6 +30,7 @@
 
 // waiter is one caller that waits for an entry's outcome.
 type waiter struct {
+	task     cell.TaskID
 	done     func(cell.Outcome)
 	deadline time.Time
 	timer    *time.Timer
@@ -38,6 +40,7 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	out.Attempt.Task = w.task
 	go w.done(out)
 }
 
@@ -67,7 +70,9 @@
 	boot      string
 	sentAt    time.Time
 	startedAt time.Time
-	waited    time.Duration
+	// sentBoot is the boot clock's reading before the start was sent.
+	sentBoot monotime.Instant
+	waited   time.Duration
 	// cancel ends the call that waits for the attempt's answer.
 	cancel context.CancelFunc
 	// call numbers the calls that may bring the answer; the replies of earlier ones are void.
@@ -88,6 +93,8 @@
 	stopEnded bool
 	// requeue means that the attempt is stopped in order to start again with its gang.
 	requeue bool
+	// regroup means that the entry waits for the other members of its gang to be over.
+	regroup bool
 
 	tries    int
 	failedOn []cell.WorkerID
--- a/internal/shard/lifecycle.go
+++ b/internal/shard/lifecycle.go
@@ -1,10 +1,6 @@
 package shard
 
-import (
-	"slices"
-
-	"laburnumpoint/internal/cell"
-)
+import "laburnumpoint/internal/cell"
 
 // cancelChunk is the number of cancellations handled before other events get their turn.
 const cancelChunk = 1000
@@ -91,9 +87,7 @@
 			c.stop(e, cell.ReasonCancelled, stopNow)
 			continue
 		}
-		if !slices.Contains(waiting, e) {
-			waiting = append(waiting, e)
-		}
+		waiting = append(waiting, e)
 	}
 	c.dropAll(waiting, cell.ReasonCancelled, 0)
 	ev.ids = ev.ids[n:]
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -118,7 +118,7 @@
 }
 
 func (o *Owner) submit(r Request, done func(cell.Outcome)) *waiter {
-	w := &waiter{done: done, deadline: r.Deadline}
+	w := &waiter{task: r.Task.ID, done: done, deadline: r.Deadline}
 	if !o.c.box.post(submit{request: r, waiter: w}) {
 		w.answer(refusal(r, cell.ReasonSuperseded))
 	}
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -11,6 +11,7 @@
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/config"
 	"laburnumpoint/internal/intent"
+	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/standin"
 )
 
@@ -44,6 +45,11 @@
 	return r
 }
 
+// fakeClock is the bubble's clock.
+type fakeClock struct{}
+
+func (fakeClock) Now() monotime.Instant { return monotime.Instant(time.Now().UnixNano()) }
+
 // owner starts the ownership of an epoch and raises the table to it.
 func (r *rig) owner(epoch cell.Epoch) *Owner {
 	r.epoch.Store(uint64(epoch))
@@ -55,6 +61,7 @@
 			}
 			return nil
 		},
+		Clock:  fakeClock{},
 		Config: func() (config.Versioned, bool) { return *r.doc.Load(), !r.stale.Load() },
 	})
 	o.SetWorkers(r.workers)
--- a/internal/shard/params.go
+++ b/internal/shard/params.go
@@ -11,6 +11,7 @@
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/config"
 	"laburnumpoint/internal/intent"
+	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/platform"
 )
 
@@ -27,6 +28,7 @@
 	defaultReportGrace   = 2 * time.Second
 	defaultStopGrace     = time.Second
 	defaultStaleBound    = 5 * time.Second
+	defaultRetention     = 55 * time.Second
 	defaultReturnWait    = 300 * time.Millisecond
 )
 
@@ -64,6 +66,11 @@
 	StopGrace time.Duration
 	// StaleBound is how long a request waits while the configuration can't be confirmed. Zero means 5 s.
 	StaleBound time.Duration
+	// Retention is how long after its start an attempt's absence from its worker proves that it never started; shorter than
+	// the workers' retention time. Zero means 55 s.
+	Retention time.Duration
+	// Clock measures Retention, pauses included. Nil means the machine's boot clock.
+	Clock monotime.Clock
 	// ReturnWait is how long a "not run" of a non-idempotent request waits for its intent to be returned. Zero means 300 ms.
 	ReturnWait time.Duration
 }
@@ -93,7 +100,11 @@
 	set(&p.ReportGrace, defaultReportGrace)
 	set(&p.StopGrace, defaultStopGrace)
 	set(&p.StaleBound, defaultStaleBound)
+	set(&p.Retention, defaultRetention)
 	set(&p.ReturnWait, defaultReturnWait)
+	if p.Clock == nil {
+		p.Clock = monotime.Boot{}
+	}
 	if p.Logger == nil {
 		p.Logger = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
 	}
--- a/internal/shard/refresh.go
+++ b/internal/shard/refresh.go
@@ -12,9 +12,7 @@
 
 func (ev refreshPolicy) apply(c *control) {
 	c.readConfig()
-	if c.version > 0 {
-		c.sched.SetPolicy(c.policy(c.doc))
-	}
+	c.readPolicy()
 	c.dirty = true
 	ev.reply(true)
 }
--- a/internal/shard/settle.go
+++ b/internal/shard/settle.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/platform"
 )
 
@@ -37,6 +38,8 @@
 	worker  cell.Worker
 	boot    string
 	attempt cell.Attempt
+	// sentBoot is the boot clock's reading before the start was sent.
+	sentBoot monotime.Instant
 }
 
 // settle asks the worker of an attempt in doubt what became of it.
@@ -48,7 +51,7 @@
 	}
 	ctx, ev := c.open(e)
 	e.open, e.settling = false, true
-	ask := inquiry{p: c.p, worker: w.Worker, boot: e.boot, attempt: e.attempt}
+	ask := inquiry{p: c.p, worker: w.Worker, boot: e.boot, attempt: e.attempt, sentBoot: e.sentBoot}
 	go func() {
 		v, reply := ask.settle(ctx)
 		c.box.post(settled{entry: e, call: ev.call, verdict: v, reply: reply})
@@ -142,7 +145,7 @@
 			continue
 		}
 		if l.Phase == cell.LeaseTombstone {
-			return verdictNotStarted, platform.StartReply{}
+			return q.absent(), platform.StartReply{}
 		}
 		return q.fetch(ctx, l.Phase)
 	}
@@ -189,6 +192,15 @@
 	case report.Boot != q.boot:
 		return verdictOver
 	}
+	return q.absent()
+}
+
+// absent is the verdict on an attempt that the worker does not know and will not start. It proves that the attempt never
+// ran only while the worker would still remember that it had.
+func (q inquiry) absent() verdict {
+	if q.p.Clock.Now().Sub(q.sentBoot) >= q.p.Retention {
+		return verdictOver
+	}
 	return verdictNotStarted
 }
 
@@ -210,7 +222,7 @@
 	if w == nil {
 		return
 	}
-	ask := inquiry{p: c.p, worker: w.Worker, boot: e.boot, attempt: e.attempt}
+	ask := inquiry{p: c.p, worker: w.Worker, boot: e.boot, attempt: e.attempt, sentBoot: e.sentBoot}
 	ev := stopDone{entry: e, attempt: e.attempt, mode: mode}
 	go func() {
 		ev.verdict = ask.stop(c.ctx, mode)
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -26,6 +26,10 @@
 	leaving     bool
 	calling     bool
 	nextClaim   time.Time
+	// shownAs and shownUsable are what the scheduler was told last, if shown is set.
+	shown       bool
+	shownAs     cell.Worker
+	shownUsable bool
 	// entries are the running entries on this worker.
 	entries map[cell.TaskID]*entry
 	// ended names the tasks that this worker contributed to control.ended.
@@ -102,7 +106,12 @@
 	if w.leaving {
 		described.State = cell.WorkerLeaving
 	}
-	c.sched.UpsertWorker(described, w.claimed && w.reachable && !c.doc.Drained[w.ID] && c.health.usable(w.ID))
+	usable := w.claimed && w.reachable && !c.doc.Drained[w.ID] && c.health.usable(w.ID)
+	if w.shown && w.shownAs == described && w.shownUsable == usable {
+		return
+	}
+	w.shown, w.shownAs, w.shownUsable = true, described, usable
+	c.sched.UpsertWorker(described, usable)
 	c.dirty = true
 }
 
