Claims over HTTP carry only the leases that changed

Cause: a claim listed every lease that ended within the retention time, with its task's description. Ruled out: compression (CPU on both sides, still grows with the rate of starts); a shorter retention (a new owner needs the answers after a takeover); a change of platform.Claim (the shard would have to add up the changes). Now: the sender names the last revision that it has; the adapter adds changes up to the whole report. Seen failing with the protection taken out: a worker that never answers with all leases after forgetting one (TestReportsAreWholeOverManyChanges); an older reply that overwrites a newer one (TestLeaseCacheTakesRepliesInAnyOrder). Also: boot ids are random, since a runner process started again with the same worker ids had the same boot ids.

--- a/internal/httpplatform/body.go
+++ b/internal/httpplatform/body.go
@@ -59,17 +59,20 @@
 
 // newRequest returns a request with v as its JSON body, or without a body if v is nil.
 func newRequest(ctx context.Context, method, url string, v any) (*http.Request, error) {
-	if v == nil {
-		return http.NewRequestWithContext(ctx, method, url, nil)
+	var body []byte
+	if v != nil {
+		var err error
+		if body, err = json.Marshal(v); err != nil {
+			return nil, fmt.Errorf("httpplatform: request: %w", err)
+		}
 	}
-	data, err := json.Marshal(v)
-	if err != nil {
-		return nil, fmt.Errorf("httpplatform: request: %w", err)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set("Content-Type", "application/json")
+	if v != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	req.Header.Set("User-Agent", "") // no header at all, to save its bytes
 	return req, nil
 }
--- a/internal/httpplatform/contract_test.go
+++ b/internal/httpplatform/contract_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -207,6 +210,57 @@
 	})
 }
 
+func TestReportsAreWholeOverManyChanges(t *testing.T) {
+	const steps, seed = 300, 7
+	retentions := map[string]time.Duration{"nothing forgotten": time.Hour, "all forgotten at once": time.Nanosecond}
+	for name, retention := range retentions {
+		t.Run(name, func(t *testing.T) {
+			forEachSubject(t, standin.FleetOptions{Retention: retention}, func(s *subject) {
+				s.claim(1, longTTL)
+				random := rand.New(rand.NewPCG(seed, seed))
+				for range steps {
+					a := attempt(cell.TaskID("t"+strconv.Itoa(random.IntN(steps/4))), 1, 1)
+					switch random.IntN(3) {
+					case 0:
+						s.startService(a, longTTL)
+					case 1:
+						if _, err := s.stop(a, 1); err != nil {
+							s.t.Fatal(err)
+						}
+					default:
+						s.wantWholeReport()
+					}
+				}
+			})
+		})
+	}
+}
+
+// wantWholeReport compares a claim with the whole list of leases.
+func (s *subject) wantWholeReport() {
+	s.t.Helper()
+	c := platform.Claim{Epoch: 1, Boot: s.boot, TTL: longTTL}
+	report, err := s.runner.Claim(s.t.Context(), s.worker, c)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	whole, err := s.fleet.Claim(s.t.Context(), s.worker, c)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if got, want := phasesOf(report), phasesOf(whole); !maps.Equal(got, want) {
+		s.t.Fatalf("report %v, want %v", got, want)
+	}
+}
+
+func phasesOf(report platform.WorkerReport) map[cell.Attempt]cell.LeasePhase {
+	phases := make(map[cell.Attempt]cell.LeasePhase)
+	for _, l := range report.Leases {
+		phases[l.Attempt] = l.Phase
+	}
+	return phases
+}
+
 func TestCrashEndsEverything(t *testing.T) {
 	forEachSubject(t, standin.FleetOptions{}, func(s *subject) {
 		s.claim(1, longTTL)
--- /dev/null
+++ b/internal/httpplatform/leasecache_test.go
@@ -0,0 +1,76 @@
+package httpplatform
+
+import (
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/cell"
+)
+
+const keep = 10 * time.Second
+
+var now = time.Unix(1_000_000, 0)
+
+func reply(revision uint64, full bool, leases ...ChangedLease) ClaimReply {
+	return ClaimReply{Worker: "w1", Boot: "b1", Claimed: true, Revision: revision, Full: full, Retention: keep, Changed: leases}
+}
+
+func running(task cell.TaskID) ChangedLease {
+	return ChangedLease{Attempt: cell.Attempt{Task: task}, Phase: cell.LeaseRunning, Task: &cell.Task{ID: task, Team: "team"}, Elapsed: time.Second}
+}
+
+func ended(task cell.TaskID) ChangedLease {
+	return ChangedLease{Attempt: cell.Attempt{Task: task}, Phase: cell.LeaseEnded}
+}
+
+func wantLeases(t *testing.T, got []cell.Lease, want map[cell.TaskID]cell.LeasePhase) {
+	t.Helper()
+	if len(got) != len(want) {
+		t.Errorf("leases = %+v, want %v", got, want)
+	}
+	for _, l := range got {
+		if l.Phase != want[l.Attempt.Task] || l.Worker != "w1" || l.Task.ID != l.Attempt.Task {
+			t.Errorf("lease = %+v, want %v", l, want)
+		}
+	}
+}
+
+func TestLeaseCacheAddsUpChanges(t *testing.T) {
+	var c leaseCache
+	c.merge(reply(2, true, running("a"), running("b")), now)
+	if c.since("b1") != 2 || c.since("b2") != 0 {
+		t.Errorf("since = %d for its boot, %d for another", c.since("b1"), c.since("b2"))
+	}
+	report := c.merge(reply(3, false, ended("b")), now.Add(time.Second))
+	wantLeases(t, report.Leases, map[cell.TaskID]cell.LeasePhase{"a": cell.LeaseRunning, "b": cell.LeaseEnded})
+	for _, l := range report.Leases {
+		if l.Phase == cell.LeaseRunning && (l.Elapsed != 2*time.Second || l.Task.Team != "team") {
+			t.Errorf("running lease = %+v", l)
+		}
+	}
+	report = c.merge(reply(3, false), now.Add(time.Second+keep))
+	wantLeases(t, report.Leases, map[cell.TaskID]cell.LeasePhase{"a": cell.LeaseRunning})
+}
+
+func TestLeaseCacheTakesRepliesInAnyOrder(t *testing.T) {
+	var c leaseCache
+	c.merge(reply(1, true, running("a")), now)
+	c.merge(reply(3, false, ended("a"), running("b")), now)
+	report := c.merge(reply(2, false, running("a")), now) // sent before the end, received after it
+	wantLeases(t, report.Leases, map[cell.TaskID]cell.LeasePhase{"a": cell.LeaseEnded, "b": cell.LeaseRunning})
+	report = c.merge(reply(1, true, running("a")), now)
+	wantLeases(t, report.Leases, map[cell.TaskID]cell.LeasePhase{"a": cell.LeaseEnded, "b": cell.LeaseRunning})
+	if c.since("b1") != 3 {
+		t.Errorf("since = %d", c.since("b1"))
+	}
+}
+
+func TestLeaseCacheFullReplyReplaces(t *testing.T) {
+	var c leaseCache
+	c.merge(reply(1, true, running("a")), now)
+	report := c.merge(reply(9, true, running("b")), now) // the end of a was forgotten
+	wantLeases(t, report.Leases, map[cell.TaskID]cell.LeasePhase{"b": cell.LeaseRunning})
+	rebooted := reply(1, true, running("c"))
+	rebooted.Boot = "b2"
+	wantLeases(t, c.merge(rebooted, now).Leases, map[cell.TaskID]cell.LeasePhase{"c": cell.LeaseRunning})
+}
--- a/internal/httpplatform/messages.go
+++ b/internal/httpplatform/messages.go
@@ -26,7 +26,7 @@
 
 // Paths of a runner's HTTP interface. All take POST.
 const (
-	PathClaim = "/v1/claim" // platform.Claim
+	PathClaim = "/v1/claim" // ClaimRequest
 	PathStart = "/v1/start" // StartRequest
 	PathAwait = "/v1/await" // AwaitRequest
 	PathStop  = "/v1/stop"  // StopRequest
@@ -112,6 +112,59 @@
 	Workers []cell.Worker `json:"workers"`
 }
 
+// ClaimRequest is a claim that asks for the leases that changed after a revision.
+type ClaimRequest struct {
+	platform.Claim
+	// Since is the highest revision that the sender has of this boot; 0 asks for every lease.
+	Since uint64 `json:"since,omitempty"`
+}
+
+// ClaimReply answers a claim. Only Boot and Epoch are set unless Claimed is.
+type ClaimReply struct {
+	Worker   cell.WorkerID  `json:"worker"`
+	Epoch    cell.Epoch     `json:"epoch"`
+	Boot     string         `json:"boot"`
+	Claimed  bool           `json:"claimed,omitempty"`
+	Leaving  bool           `json:"leaving,omitempty"`
+	Used     cell.Resources `json:"used"`
+	Revision uint64         `json:"revision,omitempty"`
+	// Full means that Changed holds every lease, since the worker can't tell what was forgotten after Since.
+	Full bool `json:"full,omitempty"`
+	// Retention is how long the worker keeps ended leases.
+	Retention time.Duration  `json:"retention_ns,omitempty"`
+	Changed   []ChangedLease `json:"changed,omitempty"`
+}
+
+// ChangedLease is a lease in a ClaimReply.
+type ChangedLease struct {
+	Attempt cell.Attempt    `json:"attempt"`
+	Phase   cell.LeasePhase `json:"phase"`
+	// Task describes what runs, without its payload. Only with a running lease.
+	Task    *cell.Task    `json:"task,omitempty"`
+	Elapsed time.Duration `json:"elapsed_ns"`
+	// EndedAgo is the time since the lease's end; 0 while it runs.
+	EndedAgo time.Duration `json:"ended_ago_ns,omitempty"`
+}
+
+func (r ClaimReply) report() platform.WorkerReport {
+	return platform.WorkerReport{
+		Worker:  r.Worker,
+		Epoch:   r.Epoch,
+		Boot:    r.Boot,
+		Claimed: r.Claimed,
+		Usage:   platform.Usage{Worker: r.Worker, Used: r.Used},
+		Leaving: r.Leaving,
+	}
+}
+
+func (l ChangedLease) lease(worker cell.WorkerID) cell.Lease {
+	lease := cell.Lease{Attempt: l.Attempt, Worker: worker, Phase: l.Phase, Task: cell.Task{ID: l.Attempt.Task}, Elapsed: l.Elapsed}
+	if l.Task != nil {
+		lease.Task = *l.Task
+	}
+	return lease
+}
+
 // StartRequest asks a runner to start an attempt.
 type StartRequest struct {
 	Boot    string        `json:"boot"`
--- a/internal/httpplatform/platform_test.go
+++ b/internal/httpplatform/platform_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/history"
 	"laburnumpoint/internal/httpplatform"
 	"laburnumpoint/internal/platform"
 	"laburnumpoint/internal/standin"
@@ -98,3 +100,68 @@
 		t.Errorf("claim: %v", err)
 	}
 }
+
+func TestNetworkFaultsOverHTTP(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults standin.WorkerFaults
+		want   platform.StartResult
+		starts int
+	}{
+		{"unreachable", standin.WorkerFaults{Unreachable: true}, platform.StartNotSent, 0},
+		{"unreachable from this member", standin.WorkerFaults{UnreachableFrom: []cell.MemberID{"m1"}}, platform.StartInDoubt, 0},
+		{"silent", standin.WorkerFaults{Silent: true}, platform.StartInDoubt, 0},
+		{"answer dropped", standin.WorkerFaults{DropAnswers: true}, platform.StartInDoubt, 1},
+		{"answer cut", standin.WorkerFaults{CutAnswers: true}, platform.StartInDoubt, 1},
+		{"every task fails", standin.WorkerFaults{FailTasks: true}, platform.StartFinished, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			host, err := httpserver.NewHost(standin.FleetOptions{}, "127.0.0.1", []cell.Worker{{ID: "w1"}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(host.Close)
+			client := httpplatform.NewRunners(httpplatform.RunnerOptions{Member: "m1"})
+			t.Cleanup(client.Close)
+			s := &subject{t: t, fleet: host.Fleet(), worker: host.Workers()[0], runner: client}
+			s.claim(1, longTTL)
+			setFaults(t, host, c.faults)
+			ctx, cancel := context.WithTimeout(t.Context(), hangGuard)
+			if c.faults.Silent {
+				ctx, cancel = context.WithTimeout(t.Context(), shortWait)
+			}
+			defer cancel()
+			reply := client.Start(ctx, s.worker, s.boot, attempt("t", 1, 1), cell.Task{ID: "t", Kind: cell.KindRequest}, longTTL)
+			s.wantResult(reply, c.want)
+			if reply.Failed != c.faults.FailTasks {
+				t.Errorf("reply = %+v", reply)
+			}
+			if got := countStarts(host.Fleet()); got != c.starts {
+				t.Errorf("%d starts recorded, want %d", got, c.starts)
+			}
+			setFaults(t, host, standin.WorkerFaults{})
+			again := httpplatform.NewRunners(httpplatform.RunnerOptions{}) // the first client's connections may be dead
+			t.Cleanup(again.Close)
+			s.runner = again
+			s.claim(1, longTTL)
+		})
+	}
+}
+
+func setFaults(t *testing.T, host *httpserver.Host, f standin.WorkerFaults) {
+	t.Helper()
+	if err := host.SetFaults("w1", f); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func countStarts(f *standin.Fleet) int {
+	n := 0
+	for _, e := range f.History() {
+		if e.Kind == history.KindLeaseStart {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/httpplatform/runner.go
+++ b/internal/httpplatform/runner.go
@@ -53,8 +53,9 @@
 
 var _ platform.Runner = (*Runners)(nil)
 
-// runnerHost holds the connections to one runner.
+// runnerHost holds the connections to one runner, and what it reported.
 type runnerHost struct {
+	leases  leaseCache
 	control *endpoint
 	work    *endpoint
 }
@@ -101,18 +102,23 @@
 	}
 }
 
-// Claim implements platform.Runner.
+// Claim implements platform.Runner. Ended leases are reported without their task's description.
 func (r *Runners) Claim(ctx context.Context, w cell.Worker, c platform.Claim) (platform.WorkerReport, error) {
-	var report platform.WorkerReport
-	err := r.control(ctx, w, PathClaim, c, &report)
-	if err == nil && report.Worker != w.ID {
-		err = fmt.Errorf("%w: worker %s answers at the address of %s", platform.ErrUnreachable, report.Worker, w.ID)
+	leases := &r.host(w).leases
+	var reply ClaimReply
+	err := r.control(ctx, w, PathClaim, ClaimRequest{Claim: c, Since: leases.since(c.Boot)}, &reply)
+	if err == nil && reply.Worker != w.ID {
+		err = fmt.Errorf("%w: worker %s answers at the address of %s", platform.ErrUnreachable, reply.Worker, w.ID)
 	}
 	countCall("runner_claim", resultLabel(err))
-	if err != nil {
+	switch {
+	case err != nil:
 		return platform.WorkerReport{}, err
+	case !reply.Claimed:
+		return reply.report(), nil
+	default:
+		return leases.merge(reply, time.Now()), nil
 	}
-	return report, nil
 }
 
 // Stop implements platform.Runner.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -192,6 +192,12 @@
 	return f.As("").Claim(ctx, w, c)
 }
 
+// ClaimSince is Claim as the named member makes it, with a report of only those leases that changed after a revision.
+// Revision 0 asks for every lease.
+func (f *Fleet) ClaimSince(ctx context.Context, member cell.MemberID, id cell.WorkerID, c platform.Claim, since uint64) (ClaimReport, error) {
+	return fleetView{fleet: f, member: member}.claimSince(ctx, id, c, since)
+}
+
 // Start implements platform.Runner.
 func (f *Fleet) Start(ctx context.Context, w cell.Worker, boot string, a cell.Attempt, t cell.Task, ttl time.Duration) platform.StartReply {
 	return f.As("").Start(ctx, w, boot, a, t, ttl)
--- a/internal/standin/httpserver/runner.go
+++ b/internal/standin/httpserver/runner.go
@@ -30,16 +30,43 @@
 }
 
 func (a *runnerAPI) runner(r *http.Request) platform.Runner {
-	return a.fleet.As(cell.MemberID(r.Header.Get(httpplatform.HeaderMember)))
+	return a.fleet.As(member(r))
+}
+
+// member returns the name of the process that calls.
+func member(r *http.Request) cell.MemberID {
+	return cell.MemberID(r.Header.Get(httpplatform.HeaderMember))
 }
 
 func (a *runnerAPI) claim(w http.ResponseWriter, r *http.Request) {
-	var c platform.Claim
+	var c httpplatform.ClaimRequest
 	if !readJSON(w, r, &c) {
 		return
 	}
-	report, err := a.runner(r).Claim(r.Context(), a.worker, c)
-	answerControl(w, report, err)
+	report, err := a.fleet.ClaimSince(r.Context(), member(r), a.worker.ID, c.Claim, c.Since)
+	answerControl(w, claimReply(report), err)
+}
+
+func claimReply(r standin.ClaimReport) httpplatform.ClaimReply {
+	reply := httpplatform.ClaimReply{
+		Worker:    r.Report.Worker,
+		Epoch:     r.Report.Epoch,
+		Boot:      r.Report.Boot,
+		Claimed:   r.Report.Claimed,
+		Leaving:   r.Report.Leaving,
+		Used:      r.Report.Usage.Used,
+		Revision:  r.Revision,
+		Full:      r.Full,
+		Retention: r.Retention,
+	}
+	for _, l := range r.Changed {
+		changed := httpplatform.ChangedLease{Attempt: l.Attempt, Phase: l.Phase, Elapsed: l.Elapsed, EndedAgo: l.EndedAgo}
+		if l.Phase == cell.LeaseRunning {
+			changed.Task = &l.Task
+		}
+		reply.Changed = append(reply.Changed, changed)
+	}
+	return reply
 }
 
 func (a *runnerAPI) stop(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
-	"strconv"
 	"sync"
 	"time"
 
@@ -23,7 +23,7 @@
 	recorder  *history.Recorder
 
 	mu        sync.Mutex
-	boots     int
+	bootID    string
 	epoch     cell.Epoch
 	leases    map[cell.Attempt]*lease
 	failTasks bool
@@ -32,20 +32,23 @@
 	frozen    bool
 	thawed    chan struct{} // closed when a pause ends
 	used      cell.Resources
+	revision  uint64 // counts changes of leases
+	forgotten uint64 // highest revision of a lease that was forgotten
 }
 
 // lease is the runner's record of one attempt. Its fields are guarded by the runner's mutex until done is closed.
 type lease struct {
-	attempt cell.Attempt
-	task    cell.Task // without payload
-	payload Payload
-	phase   cell.LeasePhase
-	started time.Time
-	expires time.Time
-	ended   time.Time
-	lapse   *time.Timer
-	done    chan struct{} // closed once reply is set
-	reply   platform.StartReply
+	attempt  cell.Attempt
+	task     cell.Task // without payload
+	payload  Payload
+	phase    cell.LeasePhase
+	revision uint64
+	started  time.Time
+	expires  time.Time
+	ended    time.Time
+	lapse    *time.Timer
+	done     chan struct{} // closed once reply is set
+	reply    platform.StartReply
 }
 
 func newRunner(w cell.Worker, retention time.Duration, recorder *history.Recorder) *runner {
@@ -57,14 +60,17 @@
 
 // reset forgets everything, as a runner that boots does.
 func (r *runner) reset() {
-	r.boots++
+	r.bootID = newBootID()
 	r.epoch = 0
 	r.leases = make(map[cell.Attempt]*lease)
 	r.used = cell.Resources{}
+	r.revision = 0
+	r.forgotten = 0
 }
 
-func (r *runner) boot() string {
-	return string(r.worker.ID) + "/" + strconv.Itoa(r.boots)
+// newBootID returns an id that no other boot has, in this process or in another.
+func newBootID() string {
+	return rand.Text()
 }
 
 // lockAwake locks r once the VM is not paused, and ends the leases that lapsed meanwhile before anything else happens.
@@ -99,37 +105,96 @@
 		}
 		if l.phase != cell.LeaseRunning && now.Sub(l.ended) > r.retention {
 			delete(r.leases, a)
+			r.forgotten = max(r.forgotten, l.revision)
 		}
 	}
 }
 
-// claim is the contract's claim.
-func (r *runner) claim(ctx context.Context, c platform.Claim) (platform.WorkerReport, error) {
+// ClaimReport is a worker's report with only the leases that changed after a revision.
+type ClaimReport struct {
+	// Report is the report without leases.
+	Report  platform.WorkerReport
+	Changed []ReportedLease
+	// Revision is the number of changes of leases since the runner's boot.
+	Revision uint64
+	// Full means that Changed holds every lease, since one that changed after the revision asked for was forgotten.
+	Full bool
+	// Retention is how long ended leases are kept.
+	Retention time.Duration
+}
+
+// ReportedLease is a lease in a ClaimReport.
+type ReportedLease struct {
+	cell.Lease
+	// EndedAgo is the time since the lease's end; 0 while it runs.
+	EndedAgo time.Duration
+}
+
+// claim is the contract's claim. It lists the leases that changed after the revision since.
+func (r *runner) claim(ctx context.Context, c platform.Claim, since uint64) (ClaimReport, error) {
 	if err := r.lockAwake(ctx); err != nil {
-		return platform.WorkerReport{}, err
+		return ClaimReport{}, err
 	}
 	defer r.mu.Unlock()
-	report := platform.WorkerReport{Worker: r.worker.ID, Boot: r.boot(), Epoch: r.epoch, Leaving: r.leaving}
-	if c.Boot != report.Boot {
-		return report, nil
+	if c.Boot != r.bootID {
+		return ClaimReport{Report: platform.WorkerReport{Worker: r.worker.ID, Boot: r.bootID, Epoch: r.epoch}}, nil
 	}
 	if c.Epoch < r.epoch {
-		return platform.WorkerReport{}, platform.ErrFenced
+		return ClaimReport{}, platform.ErrFenced
 	}
 	r.epoch = c.Epoch
 	now := time.Now()
-	report.Claimed = true
-	report.Epoch = c.Epoch
-	report.Usage = platform.Usage{Worker: r.worker.ID, Used: r.used}
+	r.renewAll(now, c.TTL)
+	return r.report(now, since), nil
+}
+
+func (r *runner) renewAll(now time.Time, ttl time.Duration) {
+	for _, l := range r.leases {
+		if l.phase == cell.LeaseRunning {
+			l.renew(now, ttl)
+		}
+	}
+}
+
+// report describes the runner. What its tasks use is reported as of the report before.
+func (r *runner) report(now time.Time, since uint64) ClaimReport {
+	report := ClaimReport{
+		Report: platform.WorkerReport{
+			Worker:  r.worker.ID,
+			Boot:    r.bootID,
+			Epoch:   r.epoch,
+			Claimed: true,
+			Leaving: r.leaving,
+			Usage:   platform.Usage{Worker: r.worker.ID, Used: r.used},
+		},
+		Revision:  r.revision,
+		Full:      since == 0 || since < r.forgotten,
+		Retention: r.retention,
+	}
 	r.used = cell.Resources{}
 	for _, l := range r.leases {
 		if l.phase == cell.LeaseRunning {
-			l.renew(now, c.TTL)
 			r.used = r.used.Add(l.task.Claim)
 		}
-		report.Leases = append(report.Leases, r.describe(l, now))
+		if report.Full || l.revision > since {
+			report.Changed = append(report.Changed, r.describeChange(l, now))
+		}
+	}
+	return report
+}
+
+func (r *runner) describeChange(l *lease, now time.Time) ReportedLease {
+	reported := ReportedLease{Lease: r.describe(l, now)}
+	if l.phase != cell.LeaseRunning {
+		reported.EndedAgo = now.Sub(l.ended)
 	}
-	return report, nil
+	return reported
+}
+
+// change gives the lease a new revision.
+func (r *runner) change(l *lease) {
+	r.revision++
+	l.revision = r.revision
 }
 
 // start starts the attempt, or finds the one it knows. A nil lease comes with the refusal.
@@ -144,7 +209,7 @@
 	if a.Epoch < r.epoch {
 		return nil, platform.StartReply{Result: platform.StartFenced, Detail: "epoch superseded"}
 	}
-	if boot != r.boot() {
+	if boot != r.bootID {
 		return nil, platform.StartReply{Result: platform.StartRefused, Detail: "other boot"}
 	}
 	if a.Epoch != r.epoch {
@@ -160,6 +225,7 @@
 	l.expires = now.Add(ttl)
 	l.lapse = time.AfterFunc(ttl, r.wake)
 	r.leases[a] = l
+	r.change(l)
 	r.recordLease(history.KindLeaseStart, l, now, "")
 	runTime, bounded := l.payload.runTime(t.Kind)
 	switch {
@@ -219,6 +285,7 @@
 		l.reply = platform.StartReply{Result: platform.StartRefused, Detail: "stopped before its start"}
 		close(l.done)
 		r.leases[a] = l
+		r.change(l)
 	}
 	if l.phase == cell.LeaseRunning {
 		r.end(l, now, history.EndStopped, stoppedReply("stopped"))
@@ -256,6 +323,7 @@
 	l.reply = reply
 	l.lapse.Stop()
 	close(l.done)
+	r.change(l)
 	r.recordLease(history.KindLeaseEnd, l, at, cause)
 }
 
@@ -369,7 +437,7 @@
 func (r *runner) recordLease(kind history.Kind, l *lease, at time.Time, cause history.EndCause) {
 	r.recorder.Add(history.Entry{At: at, Kind: kind, Lease: &history.Lease{
 		Worker:     r.worker.ID,
-		Boot:       r.boot(),
+		Boot:       r.bootID,
 		Attempt:    l.attempt,
 		Claim:      l.task.Claim,
 		Kind:       l.task.Kind,
--- a/internal/standin/view.go
+++ b/internal/standin/view.go
@@ -19,14 +19,23 @@
 
 // Claim implements platform.Runner.
 func (v fleetView) Claim(ctx context.Context, w cell.Worker, c platform.Claim) (platform.WorkerReport, error) {
-	var report platform.WorkerReport
-	err := v.call(ctx, w.ID, func(ctx context.Context, r *runner) error {
+	full, err := v.claimSince(ctx, w.ID, c, 0)
+	report := full.Report
+	for _, l := range full.Changed {
+		report.Leases = append(report.Leases, l.Lease)
+	}
+	return report, err
+}
+
+func (v fleetView) claimSince(ctx context.Context, id cell.WorkerID, c platform.Claim, since uint64) (ClaimReport, error) {
+	var report ClaimReport
+	err := v.call(ctx, id, func(ctx context.Context, r *runner) error {
 		var err error
-		report, err = r.claim(ctx, c)
+		report, err = r.claim(ctx, c, since)
 		return err
 	})
 	if err != nil {
-		return platform.WorkerReport{}, err
+		return ClaimReport{}, err
 	}
 	return report, nil
 }
