Node waits a moment for a configuration to be confirmed; jobs say how many of their tasks run

A job's status could not tell running tasks from queued ones.

Ruled out: deciding on the version at hand (a newer one may forbid it).

--- a/internal/job/part.go
+++ b/internal/job/part.go
@@ -134,16 +134,14 @@
 	return p.record.Cancelled || p.row.Progress.Counts.Done() == p.bounds.To-p.bounds.From
 }
 
+// status counts every task that is not done as queued: which of them run is known to the placer.
 func (p *part) status() PartStatus {
-	size := p.bounds.To - p.bounds.From
-	left := size - p.row.Progress.Counts.Done()
-	s := PartStatus{Counts: p.row.Progress.Counts, Reason: p.lastWhy}
+	left := p.bounds.To - p.bounds.From - p.row.Progress.Counts.Done()
+	s := PartStatus{Counts: p.row.Progress.Counts, Reason: p.lastWhy, Queued: left}
 	if p.record.Cancelled {
+		s.Queued = p.outst
 		s.Cancelled = left - p.outst
-		s.Running = p.outst
-		return s
 	}
-	s.Queued = left
 	return s
 }
 
--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -19,7 +19,7 @@
 // Run implements edge.Commands.
 func (n *Node) Run(ctx context.Context, r edge.Run) cell.Outcome {
 	arrived := time.Now()
-	doc, reason := n.usableConfig()
+	doc, reason := n.usableConfig(ctx)
 	if reason.Code != cell.ReasonNone {
 		return cell.NotRun(reason, comeBack)
 	}
@@ -96,7 +96,7 @@
 
 // SubmitJob implements edge.Commands.
 func (n *Node) SubmitJob(ctx context.Context, j edge.Job) cell.Outcome {
-	doc, reason := n.usableConfig()
+	doc, reason := n.usableConfig(ctx)
 	if reason.Code != cell.ReasonNone {
 		return cell.NotRun(reason, comeBack)
 	}
@@ -201,7 +201,7 @@
 
 // CancelTasks implements edge.Commands.
 func (n *Node) CancelTasks(ctx context.Context, ids []cell.TaskID) (int, error) {
-	doc, reason := n.usableConfig()
+	doc, reason := n.usableConfig(ctx)
 	if reason.Code != cell.ReasonNone {
 		return 0, errors.New(reason.String())
 	}
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -96,7 +96,11 @@
 	if s == nil {
 		return notOwner()
 	}
-	status, found := s.jobs.Status(ctx, cell.JobID(req.GetJob()))
+	id := cell.JobID(req.GetJob())
+	status, found := s.jobs.Status(ctx, id)
+	running := s.owner.JobRunning(id)
+	status.Queued = max(0, status.Queued-running)
+	status.Running = running
 	return &wire.Reply{Body: &wire.Reply_JobStatus{JobStatus: partStatusReply(status, found)}}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,19 +166,6 @@
 	return true, cell.Reason{}
 }
 
-// usableConfig returns the configuration in force, or why nothing may be decided on it.
-func (n *Node) usableConfig() (config.Document, cell.Reason) {
-	v, fresh := n.configs.Current()
-	switch {
-	case v.Version == 0:
-		return v.Document, cell.Reason{Code: cell.ReasonConfigStale, Detail: "no configuration is known yet"}
-	case !fresh:
-		return v.Document, cell.Reason{Code: cell.ReasonConfigStale, Detail: "the version in force can't be confirmed"}
-	default:
-		return v.Document, cell.Reason{}
-	}
-}
-
 func (n *Node) shards() []membership.Shard {
 	v, _ := n.configs.Current()
 	if v.Version == 0 {
