shard, intent: tests for every protection, each seen to fail without it

Cause: no protection counts before its test has failed without it. Each was taken out by a patch, go test ./internal/shard ./internal/intent was run, and the patch reverted. Tests that failed:

table confirmation before claiming a restarted runner TestSupersededOwnerCannotClaimRestartedRunner placement only after the claim TestBadWorkerIsEjectedAndProbed (first run; also the takeover tests) adoption of running leases TestTakeoverCountsWhatAlreadyRuns, TestKeyedRequestJoins... hold of keyed requests until every worker is claimed TestKeyedRequestWaitsForEveryWorker joining of ended leases TestAnswerOfADeadOwnersAttemptIsFetched settling before a retry TestLostAnswerIsFetched..., TestPromisesHoldUnderRandomFaults, 4 more boot check of a tombstone TestTombstoneOfAnotherBootIsNoProof retention bound of a tombstone TestTombstoneAfterRetentionIsNoProof intent of non-idempotent requests TestPromisesHoldUnderRandomFaults, 2 more a found intent is never run TestOwnerDeathBetweenIntentAndDispatch no second run of non-idempotent work TestRestartedRunnerEndsItsLeases, TestPromisesHoldUnderRandomFaults claims of unreachable workers stay counted TestUnreachableWorkerStaysCounted not_run only if nothing may have run TestKeyedRequestWaitsForEveryWorker late answers matched on the call TestGangStartsAgainTogether leaving workers get nothing TestLeavingWorkerGetsNothingNew release waits for what is in flight TestReleaseLosesNothingInFlight (no end) intent returned at release TestReleaseLosesNothingInFlight configuration freshness (both checks out) TestStaleConfigurationStopsPlacement silent connections found by reports TestSilentConnectionIsFoundByReports ejection, its cap, poison, the single probe TestBadWorkerIsEjected..., TestEjectionIsCapped... gang starts again together TestGangStartsAgainTogether cancellations in chunks TestCancellationWaveDoesNotStallPlacement claims counted until a stop is confirmed TestPromisesHoldUnderRandomFaults duplicate id of another request TestSecondSubmitJoinsTheFirst intent: insert if absent, token, digest, give-back, the tests of package intent outcomes kept while down, group commit, read-back

One still survives alone: the freshness check in the loop, since the check before the send does the same; with both out the test fails.

--- a/internal/intent/log_test.go
+++ b/internal/intent/log_test.go
@@ -71,6 +71,9 @@
 		}
 		wg.Wait()
 		close(granted)
+		if limit := 4*keys/defaultMaxBatch + 16; table.transactions > limit {
+			t.Errorf("%d transactions for %d requests at one moment, want at most %d", table.transactions, 4*keys, limit)
+		}
 		seen := make(map[string]int)
 		for id := range granted {
 			seen[id]++
--- a/internal/shard/bounds_test.go
+++ b/internal/shard/bounds_test.go
@@ -98,6 +98,10 @@
 	if got := h.ejectedOf(""); got != 2 {
 		t.Errorf("%d of 8 workers ejected, want 2", got)
 	}
+	h.returnDue(now.Add(ejectFirst))
+	if !h.take("w0") || h.take("w0") {
+		t.Error("a probed worker gets one task")
+	}
 	h = newHealth()
 	for j := range ejectAfter {
 		for i := range 8 {
--- a/internal/shard/faults_test.go
+++ b/internal/shard/faults_test.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -119,13 +118,12 @@
 func TestTombstoneOfAnotherBootIsNoProof(t *testing.T) {
 	bubble(t, 1, 4*time.Second, func(t *testing.T, r *rig) {
 		o := r.owner(1)
-		ctx, cancel := context.WithCancel(t.Context())
+		r.runner.set("w0", func(h *host) { h.silent = true })
 		time.AfterFunc(time.Second, func() {
 			r.runner.reboot("w0", "b2")
 			o.Cancel([]cell.TaskID{"a"})
 		})
-		defer cancel()
-		out := o.Run(ctx, request("a"))
+		out := o.Run(t.Context(), request("a"))
 		if out.Result == cell.ResultNotRun {
 			t.Errorf("outcome = %s (%s) of a task that ran", out.Result, out.Reason)
 		}
@@ -133,6 +131,28 @@
 	})
 }
 
+// A worker that comes back holds what it held: its claims were counted all the time.
+func TestUnreachableWorkerStaysCounted(t *testing.T) {
+	bubble(t, 1, 30*time.Second, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		outs := make(chan cell.Outcome, 4)
+		for i := range 4 {
+			if i == 2 {
+				time.Sleep(time.Second)
+				r.runner.set("w0", func(h *host) { h.down = true })
+				time.Sleep(9 * time.Second)
+				r.runner.set("w0", func(h *host) { h.down = false })
+			}
+			req := request(fmt.Sprint(i))
+			req.Deadline = time.Time{}
+			o.Submit(req, func(out cell.Outcome) { outs <- out })
+		}
+		for range 4 {
+			expect(t, <-outs, cell.ResultCompleted, cell.ReasonNone)
+		}
+	})
+}
+
 func TestDeadlineTellsQueuedFromRunning(t *testing.T) {
 	bubble(t, 1, time.Minute, func(t *testing.T, r *rig) {
 		o := r.owner(1)
--- a/internal/shard/random_test.go
+++ b/internal/shard/random_test.go
@@ -31,13 +31,13 @@
 }
 
 var stepKinds = []string{
-	"fresh", "fresh", "fresh", "keyed", "keyed", "once", "once", "cancel", "go away",
+	"fresh", "burst", "burst", "keyed", "keyed", "once", "once", "cancel", "go away",
 	"down", "up", "lose start", "lose answer", "failing", "refusing", "silent", "healthy", "reboot", "drop VM",
 	"take over", "release", "table down", "table up", "lose commit", "stale", "confirmed",
 }
 
 const (
-	historyWorkers = 4
+	historyWorkers = 3
 	historyKeys    = 4
 	historySteps   = 40
 )
@@ -95,6 +95,11 @@
 	case "fresh", "go away":
 		h.fresh++
 		h.submit(owner, request(fmt.Sprint("fresh", h.fresh)), s.kind == "go away")
+	case "burst":
+		for range 8 {
+			h.fresh++
+			h.submit(owner, request(fmt.Sprint("fresh", h.fresh)), false)
+		}
 	case "keyed":
 		h.submit(owner, keyed(request(fmt.Sprint("keyed", s.task))), false)
 	case "once":
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/intent"
 )
 
 func TestTakeoverCountsWhatAlreadyRuns(t *testing.T) {
@@ -62,7 +63,10 @@
 		time.Sleep(time.Second)
 		r.epoch.Store(2)
 		r.runner.reboot("w0", "b2")
-		out := old.Run(t.Context(), request("a"))
+		outs := make(chan cell.Outcome, 1)
+		old.Submit(request("a"), func(out cell.Outcome) { outs <- out })
+		time.Sleep(9 * time.Second)
+		out := <-outs
 		if out.Result != cell.ResultNotRun {
 			t.Errorf("outcome = %s, want not_run", out.Result)
 		}
@@ -71,6 +75,41 @@
 				t.Errorf("the superseded owner claimed the restarted runner with epoch %d", h.epoch)
 			}
 		})
-		<-old.Stopped()
+		select {
+		case <-old.Stopped():
+		default:
+			t.Error("the superseded owner goes on")
+		}
+	})
+}
+
+// The intent is there and nobody knows whether its owner dispatched: the request is not run.
+func TestOwnerDeathBetweenIntentAndDispatch(t *testing.T) {
+	bubble(t, 1, time.Second, func(t *testing.T, r *rig) {
+		req := once(request("a"))
+		if _, err := r.log.Acquire(t.Context(), "a", intent.Digest(req.Task), 1); err != nil {
+			t.Fatal(err)
+		}
+		next := r.owner(2)
+		expect(t, next.Run(t.Context(), req), cell.ResultUnknown, cell.ReasonInDoubt)
+		r.expectStarts("a", 0)
+	})
+}
+
+// The owner died after dispatch; the worker still has the answer, which nobody recorded.
+func TestAnswerOfADeadOwnersAttemptIsFetched(t *testing.T) {
+	bubble(t, 1, time.Second, func(t *testing.T, r *rig) {
+		r.runner.set("w0", func(h *host) { h.silent = true })
+		old := r.owner(1)
+		old.Submit(once(request("a")), func(cell.Outcome) {})
+		time.Sleep(2 * time.Second)
+		next := r.owner(2)
+		expect(t, next.Run(t.Context(), once(request("a"))), cell.ResultCompleted, cell.ReasonNone)
+		// By now the worker may have forgotten it, and the outcome is in the table.
+		time.Sleep(time.Second)
+		r.runner.set("w0", func(h *host) { h.leases = make(map[cell.Attempt]*lease) })
+		last := r.owner(3)
+		expect(t, last.Run(t.Context(), once(request("a"))), cell.ResultCompleted, cell.ReasonNone)
+		r.expectStarts("a", 1)
 	})
 }
