shard: a VM list from before the ownership lifts no hold; refused starts ask the worker at once

Cause: a new owner was given the list that its process had read before the takeover. If the owner before had a newer one and had placed a keyed task on a worker that the old list lacks, the hold on keyed requests was lifted with that worker unheard, and the task ran twice. SetWorkersAsOf takes the time at which the reading began; SetWorkers means now.

Seen failing: TestOldListLiftsNoHold without the check (the task started twice).

Also: batch work is no longer dropped while the configuration is stale (its controller would only send it again); a worker that can't be dialled is unusable until it is heard; a restart clears a worker's failures.

--- a/internal/shard/attempt.go
+++ b/internal/shard/attempt.go
@@ -181,9 +181,14 @@
 
 // refused handles a start that did not happen.
 func (c *control) refused(e *entry, r platform.StartReply) {
-	c.noteHealth(e, false)
-	if w := c.workers[e.worker]; w != nil && r.Result == platform.StartNotSent {
+	if w := c.workers[e.worker]; w != nil {
+		// The next claim tells whether the runner restarted or can't be reached.
 		w.nextClaim = time.Time{}
+		w.reachable = w.reachable && r.Result == platform.StartRefused
+		c.refresh(w)
+	}
+	if r.Result == platform.StartRefused {
+		c.noteHealth(e, false)
 	}
 	c.notStarted(e, r.Detail)
 }
--- a/internal/shard/bounds_test.go
+++ b/internal/shard/bounds_test.go
@@ -188,3 +188,27 @@
 	}
 	ev.out <- ev.turns
 }
+
+// Urgent work starts within its wait on a cell full of stoppable work, and the work that it stops says so.
+func TestUrgentWorkStopsStoppableWork(t *testing.T) {
+	bubble(t, 1, time.Minute, func(t *testing.T, r *rig) {
+		o := r.owner(1)
+		outs := make(chan cell.Outcome, 2)
+		for i := range 2 {
+			req := request(fmt.Sprint("batch", i))
+			req.Task.Kind, req.Task.Class, req.Task.Stoppable, req.Task.Job = cell.KindBatch, cell.ClassBatch, true, "night"
+			req.Deadline = time.Time{}
+			o.Submit(req, func(out cell.Outcome) { outs <- out })
+		}
+		time.Sleep(5 * time.Second)
+		urgent := request("urgent")
+		urgent.Task.Class = cell.ClassUrgent
+		urgent.Deadline = time.Time{}
+		out := o.Run(t.Context(), urgent)
+		expect(t, out, cell.ResultCompleted, cell.ReasonNone)
+		if limit := r.doc.Load().Document.UrgentWait(); out.Waited > limit {
+			t.Errorf("waited %v, want at most %v", out.Waited, limit)
+		}
+		expect(t, <-outs, cell.ResultFailed, cell.ReasonPreempted)
+	})
+}
--- a/internal/shard/control.go
+++ b/internal/shard/control.go
@@ -42,8 +42,9 @@
 	ended   map[cell.TaskID]endedLease
 	health  *health
 	budget  *retryBudget
-	// listed means that the VM list has been seen.
-	listed bool
+	began   time.Time
+	// listed means that a VM list has been seen; listedNow, that it was read since the ownership began.
+	listed, listedNow bool
 	// attempts numbers the attempts of this epoch.
 	attempts cell.AttemptID
 	version  uint64
@@ -61,6 +62,7 @@
 	return &control{
 		p:       p,
 		box:     newMailbox(),
+		began:   time.Now(),
 		stopped: make(chan struct{}),
 		ctx:     ctx,
 		cancel:  cancel,
@@ -193,7 +195,7 @@
 func (c *control) dropStale(now time.Time) {
 	var late []*entry
 	for _, e := range c.entries {
-		if e.phase == phaseQueued && now.Sub(e.arrived) > c.p.StaleBound {
+		if e.phase == phaseQueued && e.task.Kind == cell.KindRequest && now.Sub(e.arrived) > c.p.StaleBound {
 			late = append(late, e)
 		}
 	}
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -63,6 +63,18 @@
 	})
 }
 
+func (r *runner) running(id cell.WorkerID) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, l := range r.hosts[id].leases {
+		if l.Phase == cell.LeaseRunning {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *lease) end(fail bool) {
 	if l.Phase == cell.LeaseRunning {
 		l.Phase, l.fail = cell.LeaseEnded, fail
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -24,6 +24,7 @@
 
 import (
 	"context"
+	"time"
 
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/scheduler"
@@ -61,9 +62,15 @@
 	}
 }
 
-// SetWorkers gives the shard's workers as the platform lists them. A worker that was listed and is no longer has ended.
+// SetWorkers gives the shard's workers as the platform lists them now. A worker that was listed and is no longer has ended.
 func (o *Owner) SetWorkers(ws []cell.Worker) {
-	o.c.box.post(workersListed{workers: ws})
+	o.SetWorkersAsOf(ws, time.Now())
+}
+
+// SetWorkersAsOf is SetWorkers for a list whose reading began at the given time. A list from before the ownership may lack
+// a worker that the owner before has placed work on: its workers are claimed, but it rules no earlier attempt out.
+func (o *Owner) SetWorkersAsOf(ws []cell.Worker, read time.Time) {
+	o.c.box.post(workersListed{workers: ws, early: read.Before(o.c.began)})
 }
 
 // NoteLeaving gives no new work to the named workers from now on.
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -64,7 +64,9 @@
 		Clock:  fakeClock{},
 		Config: func() (config.Versioned, bool) { return *r.doc.Load(), !r.stale.Load() },
 	})
-	o.SetWorkers(r.workers)
+	if r.workers != nil {
+		o.SetWorkers(r.workers)
+	}
 	synctest.Wait()
 	r.t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/shard/submit.go
+++ b/internal/shard/submit.go
@@ -85,7 +85,7 @@
 
 // recovered reports whether every worker of the shard has been claimed under this epoch, or is known to be over.
 func (c *control) recovered() bool {
-	if !c.listed {
+	if !c.listedNow {
 		return false
 	}
 	for _, w := range c.workers {
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -83,6 +83,26 @@
 	})
 }
 
+// A list that was read before the ownership began may lack a worker that runs the task.
+func TestOldListLiftsNoHold(t *testing.T) {
+	bubble(t, 2, 5*time.Second, func(t *testing.T, r *rig) {
+		old := r.owner(1)
+		old.Submit(keyed(request("a")), func(cell.Outcome) {})
+		time.Sleep(time.Second)
+		all := r.workers
+		r.workers = nil
+		next := r.owner(2)
+		for _, w := range all {
+			if r.runner.running(w.ID) == 0 {
+				next.SetWorkersAsOf([]cell.Worker{w}, time.Now().Add(-time.Minute))
+			}
+		}
+		time.AfterFunc(time.Second, func() { next.SetWorkers(all) })
+		expect(t, next.Run(t.Context(), keyed(request("a"))), cell.ResultCompleted, cell.ReasonNone)
+		r.expectStarts("a", 1)
+	})
+}
+
 // The intent is there and nobody knows whether its owner dispatched: the request is not run.
 func TestOwnerDeathBetweenIntentAndDispatch(t *testing.T) {
 	bubble(t, 1, time.Second, func(t *testing.T, r *rig) {
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -46,10 +46,16 @@
 // workersListed is the platform's VM list, for this shard.
 type workersListed struct {
 	workers []cell.Worker
+	// early means that the list was read before the ownership began.
+	early bool
 }
 
 func (ev workersListed) apply(c *control) {
+	if ev.early && c.listedNow {
+		return
+	}
 	c.listed = true
+	c.listedNow = !ev.early
 	now := time.Now()
 	named := make(map[cell.WorkerID]bool, len(ev.workers))
 	for _, described := range ev.workers {
@@ -66,7 +72,7 @@
 		c.refresh(w)
 	}
 	for _, id := range sortedKeys(c.workers) {
-		if !named[id] {
+		if !named[id] && c.listedNow {
 			c.workerGone(c.workers[id])
 		}
 	}
@@ -232,6 +238,7 @@
 // workerRebooted ends what ran on the worker's earlier boot and asks for the new one.
 func (c *control) workerRebooted(w *worker) {
 	w.boot, w.claimed = "", false
+	c.health.forget(w.ID)
 	w.nextClaim = time.Now()
 	c.forgetEnded(w)
 	for _, id := range sortedKeys(w.entries) {
