--- a/internal/standin/httpserver/platform.go
+++ b/internal/standin/httpserver/platform.go
@@ -59,6 +59,7 @@
 	r.Get(httpplatform.PathWorkers, p.listWorkers)
 	r.Post(httpplatform.PathHosts, p.registerHost)
 	r.Get("/control/counts", p.counts)
+	r.Get("/control/table/log", p.tableLog)
 	r.Put("/control/table/faults", p.setTableFaults)
 	r.Put("/control/objects/faults", p.setObjectFaults)
 	r.Put("/control/vmlist/faults", p.setVMListFaults)
@@ -132,6 +133,10 @@
 	})
 }
 
+func (p *Platform) tableLog(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, p.Table.Log())
+}
+
 func (p *Platform) setTableFaults(w http.ResponseWriter, r *http.Request) {
 	var f standin.TableFaults
 	if readJSON(w, r, &f) {
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -110,26 +110,6 @@
 	}
 }
 
-// ClaimReport is a worker's report with only the leases that changed after a revision.
-type ClaimReport struct {
-	// Report is the report without leases.
-	Report  platform.WorkerReport
-	Changed []ReportedLease
-	// Revision is the number of changes of leases since the runner's boot.
-	Revision uint64
-	// Full means that Changed holds every lease, since one that changed after the revision asked for was forgotten.
-	Full bool
-	// Retention is how long ended leases are kept.
-	Retention time.Duration
-}
-
-// ReportedLease is a lease in a ClaimReport.
-type ReportedLease struct {
-	cell.Lease
-	// EndedAgo is the time since the lease's end; 0 while it runs.
-	EndedAgo time.Duration
-}
-
 // claim is the contract's claim. It lists the leases that changed after the revision since.
 func (r *runner) claim(ctx context.Context, c platform.Claim, since uint64) (ClaimReport, error) {
 	if err := r.lockAwake(ctx); err != nil {
@@ -156,41 +136,6 @@
 	}
 }
 
-// report describes the runner. What its tasks use is reported as of the report before.
-func (r *runner) report(now time.Time, since uint64) ClaimReport {
-	report := ClaimReport{
-		Report: platform.WorkerReport{
-			Worker:  r.worker.ID,
-			Boot:    r.bootID,
-			Epoch:   r.epoch,
-			Claimed: true,
-			Leaving: r.leaving,
-			Usage:   platform.Usage{Worker: r.worker.ID, Used: r.used},
-		},
-		Revision:  r.revision,
-		Full:      since == 0 || since < r.forgotten,
-		Retention: r.retention,
-	}
-	r.used = cell.Resources{}
-	for _, l := range r.leases {
-		if l.phase == cell.LeaseRunning {
-			r.used = r.used.Add(l.task.Claim)
-		}
-		if report.Full || l.revision > since {
-			report.Changed = append(report.Changed, r.describeChange(l, now))
-		}
-	}
-	return report
-}
-
-func (r *runner) describeChange(l *lease, now time.Time) ReportedLease {
-	reported := ReportedLease{Lease: r.describe(l, now)}
-	if l.phase != cell.LeaseRunning {
-		reported.EndedAgo = now.Sub(l.ended)
-	}
-	return reported
-}
-
 // change gives the lease a new revision.
 func (r *runner) change(l *lease) {
 	r.revision++
@@ -327,136 +272,46 @@
 	r.recordLease(history.KindLeaseEnd, l, at, cause)
 }
 
-// loseLeases ends every lease without an answer, as the end of the VM or its runner does.
-func (r *runner) loseLeases() {
-	now := time.Now()
-	for _, l := range r.leases {
-		if l.phase == cell.LeaseRunning {
-			end := now
-			if l.expires.Before(now) {
-				end = l.expires
-			}
-			r.end(l, end, history.EndLost, platform.StartReply{Result: platform.StartInDoubt, Detail: errLost.Error()})
-		}
-	}
-}
-
-// crash ends the VM.
-func (r *runner) crash() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lost {
-		return
-	}
-	r.loseLeases()
-	r.lost = true
-	r.thawLocked()
-	r.recordWorker(history.WorkerLost)
-}
-
-// restart ends the runner and boots a new one on the same VM.
-func (r *runner) restart() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lost {
-		return
-	}
-	r.loseLeases()
-	r.reset()
-	r.thawLocked()
-	r.recordWorker(history.WorkerRestarted)
+func (l *lease) renew(now time.Time, ttl time.Duration) {
+	l.expires = now.Add(ttl)
+	l.lapse.Reset(ttl)
 }
 
-func (r *runner) freeze() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.frozen || r.lost {
-		return
-	}
-	r.frozen = true
-	r.thawed = make(chan struct{})
-	r.recordWorker(history.WorkerFrozen)
+// stoppedReply is the reply of an attempt that ran and was ended before its own end.
+func stoppedReply(detail string) platform.StartReply {
+	return platform.StartReply{Result: platform.StartFinished, Failed: true, Detail: detail}
 }
 
-func (r *runner) thaw() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.frozen {
-		r.thawLocked()
-		r.recordWorker(history.WorkerThawed)
+// startAndAwait starts the attempt and waits for its answer; for a service it waits for the start only.
+func (r *runner) startAndAwait(ctx context.Context, boot string, a cell.Attempt, t cell.Task, ttl time.Duration) platform.StartReply {
+	l, refusal := r.start(ctx, boot, a, t, ttl)
+	if l == nil {
+		return refusal
 	}
-}
-
-func (r *runner) thawLocked() {
-	if r.frozen {
-		r.frozen = false
-		close(r.thawed)
+	if l.task.Kind == cell.KindService && !l.hasEnded() {
+		return platform.StartReply{Result: platform.StartAccepted}
 	}
+	return r.await(ctx, l)
 }
 
-func (r *runner) leave() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.leaving {
-		r.leaving = true
-		r.recordWorker(history.WorkerLeaving)
+// findAndAwait waits for the answer of an attempt that the runner knows. One that it does not know is refused, which
+// tells nothing of whether it ran.
+func (r *runner) findAndAwait(ctx context.Context, a cell.Attempt) platform.StartReply {
+	l, err := r.find(ctx, a)
+	if err != nil {
+		return platform.StartReply{Result: platform.StartInDoubt, Detail: err.Error()}
 	}
-}
-
-func (r *runner) setFailTasks(fail bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.failTasks = fail
-}
-
-func (r *runner) runningLeases() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	running := 0
-	for _, l := range r.leases {
-		if l.phase == cell.LeaseRunning {
-			running++
-		}
+	if l == nil {
+		return platform.StartReply{Result: platform.StartRefused, Detail: "attempt not known"}
 	}
-	return running
+	return r.await(ctx, l)
 }
 
-func (r *runner) describe(l *lease, now time.Time) cell.Lease {
-	until := now
-	if l.phase != cell.LeaseRunning {
-		until = l.ended
+func (l *lease) hasEnded() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
 	}
-	return cell.Lease{Attempt: l.attempt, Worker: r.worker.ID, Phase: l.phase, Task: l.task, Elapsed: until.Sub(l.started)}
-}
-
-func (l *lease) renew(now time.Time, ttl time.Duration) {
-	l.expires = now.Add(ttl)
-	l.lapse.Reset(ttl)
-}
-
-func (r *runner) recordLease(kind history.Kind, l *lease, at time.Time, cause history.EndCause) {
-	r.recorder.Add(history.Entry{At: at, Kind: kind, Lease: &history.Lease{
-		Worker:     r.worker.ID,
-		Boot:       r.bootID,
-		Attempt:    l.attempt,
-		Claim:      l.task.Claim,
-		Kind:       l.task.Kind,
-		Team:       l.task.Team,
-		Idempotent: l.task.Idempotent,
-		Echo:       l.payload.Echo,
-		Cause:      cause,
-	}})
-}
-
-func (r *runner) recordWorker(change history.WorkerChange) {
-	r.recorder.Add(history.Entry{Kind: history.KindWorker, Worker: &history.Worker{
-		ID:       r.worker.ID,
-		Change:   change,
-		Capacity: r.worker.Capacity,
-	}})
-}
-
-// stoppedReply is the reply of an attempt that ran and was ended before its own end.
-func stoppedReply(detail string) platform.StartReply {
-	return platform.StartReply{Result: platform.StartFinished, Failed: true, Detail: detail}
 }
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -50,6 +50,18 @@
 	faults TableFaults
 	total  TableCounts
 	counts map[string]TableCounts // by the key up to its first slash
+	log    []TableWrite
+}
+
+// maxTableLog bounds the log of writes; the earliest are dropped first.
+const maxTableLog = 100_000
+
+// TableWrite is a row's change in the table's log.
+type TableWrite struct {
+	At  time.Time `json:"at"`
+	Key string    `json:"key"`
+	// Version is 0 if the row was deleted.
+	Version uint64 `json:"version"`
 }
 
 var _ platform.Table = (*Table)(nil)
@@ -80,6 +92,13 @@
 	return maps.Clone(t.counts)
 }
 
+// Log returns the latest changes of rows, in the order in which they took effect.
+func (t *Table) Log() []TableWrite {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.log)
+}
+
 // Get implements platform.Table.
 func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
 	if err := t.enter(ctx); err != nil {
@@ -156,13 +175,23 @@
 		return t.rows[op.Key].Version
 	}
 	t.countWrite(op.Key)
-	t.next++
+	version := uint64(0)
 	if op.Delete {
 		delete(t.rows, op.Key)
-		return 0
+	} else {
+		t.next++
+		version = t.next
+		t.rows[op.Key] = platform.Row{Key: op.Key, Value: slices.Clone(op.Value), Version: version}
+	}
+	t.record(TableWrite{At: time.Now(), Key: op.Key, Version: version})
+	return version
+}
+
+func (t *Table) record(w TableWrite) {
+	if len(t.log) >= maxTableLog {
+		t.log = slices.Delete(t.log, 0, maxTableLog/2)
 	}
-	t.rows[op.Key] = platform.Row{Key: op.Key, Value: slices.Clone(op.Value), Version: t.next}
-	return t.next
+	t.log = append(t.log, w)
 }
 
 // takeApplyLater reports whether the transaction is one to be tried later, and by how much.
--- a/internal/standin/table_test.go
+++ b/internal/standin/table_test.go
@@ -21,6 +21,9 @@
 	if _, err := table.Apply(t.Context(), both); !errors.Is(err, platform.ErrConflict) {
 		t.Errorf("err = %v", err)
 	}
+	if log := table.Log(); len(log) != 1 || log[0].Key != "a/1" || log[0].Version == 0 {
+		t.Errorf("log = %+v", log)
+	}
 	if rows, err := table.List(t.Context(), "a/"); err != nil || len(rows) != 1 {
 		t.Errorf("rows = %+v, %v", rows, err)
 	}
--- a/internal/standin/view.go
+++ b/internal/standin/view.go
@@ -112,37 +112,3 @@
 	}
 	return reply
 }
-
-// startAndAwait starts the attempt and waits for its answer; for a service it waits for the start only.
-func (r *runner) startAndAwait(ctx context.Context, boot string, a cell.Attempt, t cell.Task, ttl time.Duration) platform.StartReply {
-	l, refusal := r.start(ctx, boot, a, t, ttl)
-	if l == nil {
-		return refusal
-	}
-	if l.task.Kind == cell.KindService && !l.hasEnded() {
-		return platform.StartReply{Result: platform.StartAccepted}
-	}
-	return r.await(ctx, l)
-}
-
-// findAndAwait waits for the answer of an attempt that the runner knows. One that it does not know is refused, which
-// tells nothing of whether it ran.
-func (r *runner) findAndAwait(ctx context.Context, a cell.Attempt) platform.StartReply {
-	l, err := r.find(ctx, a)
-	if err != nil {
-		return platform.StartReply{Result: platform.StartInDoubt, Detail: err.Error()}
-	}
-	if l == nil {
-		return platform.StartReply{Result: platform.StartRefused, Detail: "attempt not known"}
-	}
-	return r.await(ctx, l)
-}
-
-func (l *lease) hasEnded() bool {
-	select {
-	case <-l.done:
-		return true
-	default:
-		return false
-	}
-}
