Runner adapter forgets runners that are not called

Ruled out: a call that tells of ended workers (nobody outside the adapter needs to know of its connections). After: an address that was not called for 10 min is dropped when a new one appears; test with a stale entry.

--- a/internal/httpplatform/leasecache_test.go
+++ b/internal/httpplatform/leasecache_test.go
@@ -74,3 +74,13 @@
 	rebooted.Boot = "b2"
 	wantLeases(t, c.merge(rebooted, now).Leases, map[cell.TaskID]cell.LeasePhase{"c": cell.LeaseRunning})
 }
+
+func TestRunnersForgetThoseNotCalled(t *testing.T) {
+	r := NewRunners(RunnerOptions{})
+	r.host(cell.Worker{Addr: "127.0.0.1:1"}).used = time.Now().Add(-hostIdleTime - time.Minute)
+	r.host(cell.Worker{Addr: "127.0.0.1:2"})
+	r.host(cell.Worker{Addr: "127.0.0.1:3"})
+	if _, ok := r.hosts["127.0.0.1:1"]; ok || len(r.hosts) != 2 {
+		t.Errorf("%d runners remembered", len(r.hosts))
+	}
+}
--- a/internal/httpplatform/runner.go
+++ b/internal/httpplatform/runner.go
@@ -25,6 +25,8 @@
 	DefaultMaxAnswerBytes = 16 << 20
 	// maxReportBytes bounds a worker's report.
 	maxReportBytes = 8 << 20
+	// hostIdleTime is how long a runner that is not called is remembered.
+	hostIdleTime = 10 * time.Minute
 )
 
 // RunnerOptions sets up Runners. Zero fields take the defaults.
@@ -55,6 +57,7 @@
 
 // runnerHost holds the connections to one runner, and what it reported.
 type runnerHost struct {
+	used    time.Time // guarded by the mutex of Runners
 	leases  leaseCache
 	control *endpoint
 	work    *endpoint
@@ -82,17 +85,6 @@
 	}
 }
 
-// Forget closes the idle connections to a worker that has ended.
-func (r *Runners) Forget(w cell.Worker) {
-	r.mu.Lock()
-	host := r.hosts[w.Addr]
-	delete(r.hosts, w.Addr)
-	r.mu.Unlock()
-	if host != nil {
-		host.close()
-	}
-}
-
 // Close closes every idle connection.
 func (r *Runners) Close() {
 	r.mu.Lock()
@@ -248,17 +240,30 @@
 func (r *Runners) host(w cell.Worker) *runnerHost {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
 	host, ok := r.hosts[w.Addr]
 	if !ok {
+		r.evict(now.Add(-hostIdleTime))
 		host = &runnerHost{
 			control: newEndpoint(w.Addr, r.options.ControlConns, r.controlTraffic),
 			work:    newEndpoint(w.Addr, r.options.WorkConns, r.workTraffic),
 		}
 		r.hosts[w.Addr] = host
 	}
+	host.used = now
 	return host
 }
 
+// evict drops the runners that were last called before the given time, such as those of workers that have ended.
+func (r *Runners) evict(before time.Time) {
+	for addr, host := range r.hosts {
+		if host.used.Before(before) {
+			host.close()
+			delete(r.hosts, addr)
+		}
+	}
+}
+
 func (h *runnerHost) close() {
 	h.control.close()
 	h.work.close()
