Membership: takeover under partial failures; configuration freshness after members go

Changed: heartbeats say takes_shards; a higher epoch in a heartbeat ends an ownership; row ages run from the end of the first reading to the begin of the last and start anew after a failed reading; a member that is gone counts until the head is read after that; moves for balance take shards that move anyway first, over all pairs of most and least loaded members; a planned stop during an outage releases nothing; answers to heartbeats leave the shards out, since the member's own heartbeats carry them; an accepted patch is pushed even while a heartbeat is in flight.

Seen failing with the protection removed: Shutdown not waiting; head and version row unconditional (three versions given twice); version reverting; members that are gone dropped at once; unconditional acquisition (epoch 1 given to two members); no pause guard; heartbeat ignored for liveness; refused connections ignored; row deleted without release; release not announced; unreadable rows counted as unchanged; supersession not learned from members; old rows taken; ended epochs adopted again; shards moved all at once; shards that move anyway not preferred; takes_shards ignored; no take delay; patch not pushed, or not behind a heartbeat in flight; evidence of members ignored; no bound; no fetch; replaced member ignored or its row kept; slow readings ageing a row.

TestMembersShareShards and others gained the check that no epoch of a shard is given to two members.

--- a/internal/config/freshness.go
+++ b/internal/config/freshness.go
@@ -28,13 +28,23 @@
 	headVersion uint64
 	headStarted monotime.Instant
 	headRead    bool
-	// members holds the other members whose rows are not known to be deleted; nil until the rows were read.
-	members map[cell.MemberID]bool
+	// members holds the other members whose word is needed. One whose row is deleted may have made a version before,
+	// so its word is needed until a read of the head begins after the deletion was seen.
+	members map[cell.MemberID]membership
 	heard   map[cell.MemberID]Heard
 }
 
+// membership is whether a member has a row, and if not, when that was seen.
+type membership struct {
+	gone   bool
+	goneAt monotime.Instant
+}
+
 func newEvidence() evidence {
-	return evidence{heard: make(map[cell.MemberID]Heard)}
+	return evidence{
+		members: make(map[cell.MemberID]membership),
+		heard:   make(map[cell.MemberID]Heard),
+	}
 }
 
 // noteHead records a read of the head.
@@ -45,6 +55,7 @@
 	e.headRead = true
 	e.headVersion = version
 	e.headStarted = started
+	e.forgetGone()
 }
 
 // noteHeard records an exchange with another member.
@@ -55,14 +66,23 @@
 	e.heard[h.Member] = h
 }
 
-// setMembers replaces the set of the other members and forgets what the deleted ones said.
-func (e *evidence) setMembers(ids []cell.MemberID) {
-	e.members = make(map[cell.MemberID]bool, len(ids))
+// setMembers takes the other members that have a row, as seen at now.
+func (e *evidence) setMembers(ids []cell.MemberID, now monotime.Instant) {
+	for id, m := range e.members {
+		if !m.gone {
+			e.members[id] = membership{gone: true, goneAt: now}
+		}
+	}
 	for _, id := range ids {
-		e.members[id] = true
+		e.members[id] = membership{}
 	}
-	for id := range e.heard {
-		if !e.members[id] {
+}
+
+// forgetGone drops the members that were seen gone before the latest read of the head began.
+func (e *evidence) forgetGone() {
+	for id, m := range e.members {
+		if m.gone && m.goneAt <= e.headStarted {
+			delete(e.members, id)
 			delete(e.heard, id)
 		}
 	}
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -13,7 +13,7 @@
 // Bounds of the store's traffic with the table and with other members.
 const (
 	pollInterval = 3 * time.Second
-	readTimeout  = 2 * time.Second
+	pollTimeout  = 5 * time.Second
 	fetchTimeout = 2 * time.Second
 )
 
@@ -83,7 +83,7 @@
 func (s *Store) SetMembers(ids []cell.MemberID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.evidence.setMembers(ids)
+	s.evidence.setMembers(ids, s.opts.Clock.Now())
 }
 
 // HeardFrom records what a member answered to a heartbeat, and fetches its version if that is newer.
@@ -241,7 +241,7 @@
 }
 
 func (s *Store) poll(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	_ = s.Sync(ctx) // a failed poll leaves the evidence to age
 }
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -363,21 +363,49 @@
 	hear("b", "b", 2, false)
 	wantCurrent(t, s, 2, false) // c's word is too old
 	s.SetMembers([]cell.MemberID{"b"})
-	wantCurrent(t, s, 2, true)
+	wantCurrent(t, s, 2, false) // c is gone, but may have made a version before it went
+}
+
+// TestMemberThatIsGoneCountsUntilTheHeadIsRead has one member's row deleted, and then all of them.
+func TestMemberThatIsGoneCountsUntilTheHeadIsRead(t *testing.T) {
+	table := standin.NewTable()
+	clock := &fakeClock{}
+	s := newTestStore(t, table, clock)
+	s.SetMembers([]cell.MemberID{"b", "c"})
+	clock.advance(FreshnessBound + 1)
+	s.SetMembers([]cell.MemberID{"b"})
+	hear := func() { s.HeardFrom(Heard{Member: "b", Addr: "b", Version: 1, Started: clock.Now()}) }
+	hear()
+	wantCurrent(t, s, 1, false)
+	if err := s.Sync(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	clock.advance(FreshnessBound + 1)
+	wantCurrent(t, s, 1, false)
+	hear()
+	wantCurrent(t, s, 1, true)
+	clock.advance(FreshnessBound + 1)
 	s.SetMembers(nil)
-	wantCurrent(t, s, 2, false) // nobody's word is no evidence
+	wantCurrent(t, s, 1, false)
+	if err := s.Sync(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	clock.advance(FreshnessBound + 1)
+	wantCurrent(t, s, 1, false) // nobody's word is no evidence
 }
 
 func TestVersionNeverReverts(t *testing.T) {
 	var told []uint64
 	s := NewStore(Options{Table: standin.NewTable(), Clock: &fakeClock{}, Changed: func(v Versioned) { told = append(told, v.Version) }})
+	var highest uint64
 	for _, n := range []uint64{1, 3, 2, 3, 1, 4} {
 		s.adopt(Versioned{Version: n, Document: Default()})
+		highest = max(highest, n)
+		wantCurrent(t, s, highest, false)
 	}
 	if want := []uint64{1, 3, 4}; !slices.Equal(told, want) {
 		t.Errorf("versions told are %v, want %v", told, want)
 	}
-	wantCurrent(t, s, 4, false)
 }
 
 func TestHistoryListsNewestFirst(t *testing.T) {
--- a/internal/membership/assign.go
+++ b/internal/membership/assign.go
@@ -37,6 +37,8 @@
 	members []Candidate
 	load    map[cell.MemberID]int
 	owner   map[cell.ShardID]cell.MemberID
+	// kept holds the shards whose current owner is a candidate.
+	kept map[cell.ShardID]bool
 }
 
 func newAssignment(shards []Shard, candidates []Candidate) *assignment {
@@ -45,6 +47,7 @@
 		members: slices.Clone(candidates),
 		load:    make(map[cell.MemberID]int, len(candidates)),
 		owner:   make(map[cell.ShardID]cell.MemberID, len(shards)),
+		kept:    make(map[cell.ShardID]bool, len(shards)),
 	}
 	slices.SortFunc(a.shards, func(x, y Shard) int { return cmp.Compare(x.ID, y.ID) })
 	slices.SortFunc(a.members, func(x, y Candidate) int { return cmp.Compare(x.ID, y.ID) })
@@ -63,6 +66,7 @@
 		}
 		if _, live := a.load[owner]; live {
 			a.give(s.ID, owner)
+			a.kept[s.ID] = true
 		}
 	}
 }
@@ -83,14 +87,15 @@
 	}
 }
 
-// balance moves shards from the most to the least loaded candidate until their loads differ by at most one.
+// balance moves shards from the most to the least loaded candidates until their loads differ by at most one.
 func (a *assignment) balance() {
 	for {
-		from, to := a.extremes()
-		if a.load[from.ID]-a.load[to.ID] <= 1 {
+		least, most := a.loadRange()
+		if most-least <= 1 {
 			return
 		}
-		a.move(a.cheapest(from, to), to.ID)
+		shard, to := a.cheapest(least, most)
+		a.move(shard, to)
 	}
 }
 
@@ -140,45 +145,57 @@
 	return affinity(s.ID, x) > affinity(s.ID, y)
 }
 
-// extremes returns the first most loaded and the first least loaded candidate.
-func (a *assignment) extremes() (most, least Candidate) {
-	most, least = a.members[0], a.members[0]
-	for _, m := range a.members[1:] {
-		if a.load[m.ID] > a.load[most.ID] {
-			most = m
-		}
-		if a.load[m.ID] < a.load[least.ID] {
-			least = m
-		}
+// loadRange returns the smallest and the largest load.
+func (a *assignment) loadRange() (least, most int) {
+	least, most = len(a.shards), 0
+	for _, n := range a.load {
+		least = min(least, n)
+		most = max(most, n)
 	}
-	return most, least
+	return least, most
 }
 
-// cheapest returns the shard of from whose move to to serves zones best.
-func (a *assignment) cheapest(from, to Candidate) cell.ShardID {
-	var best cell.ShardID
+// cheapest returns the best move from a candidate with load most to one with load least: of a shard that has to move
+// anyway if there is one, and among those the one that serves zones best.
+func (a *assignment) cheapest(least, most int) (cell.ShardID, cell.MemberID) {
+	zone := a.zones()
+	var shard cell.ShardID
+	var to cell.MemberID
 	bestGain := 0
 	for _, s := range a.shards {
-		if a.owner[s.ID] != from.ID {
+		from := a.owner[s.ID]
+		if a.load[from] != most {
 			continue
 		}
-		gain := zoneGain(s, from, to)
-		if best == "" || gain > bestGain {
-			best, bestGain = s.ID, gain
+		for _, m := range a.members {
+			if a.load[m.ID] != least {
+				continue
+			}
+			gain := a.gain(s, zone[from], m.Zone)
+			if shard == "" || gain > bestGain {
+				shard, to, bestGain = s.ID, m.ID, gain
+			}
 		}
 	}
-	return best
+	return shard, to
 }
 
-// zoneGain is 1 if the move brings the shard into its zone, -1 if it takes it out, else 0.
-func zoneGain(s Shard, from, to Candidate) int {
+// gainOfUnkept is more than zones can ever gain by a move.
+const gainOfUnkept = 4
+
+// gain values a move between zones: 1 if it brings the shard into its zone, -1 if it takes it out, else 0, and more
+// than any of these if the shard has to move anyway.
+func (a *assignment) gain(s Shard, from, to string) int {
 	gain := 0
-	if to.Zone == s.Zone {
+	if to == s.Zone {
 		gain++
 	}
-	if from.Zone == s.Zone {
+	if from == s.Zone {
 		gain--
 	}
+	if !a.kept[s.ID] {
+		gain += gainOfUnkept
+	}
 	return gain
 }
 
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -15,12 +15,26 @@
 func (l *loop) sendHeartbeats() {
 	l.beatAt = l.present.Add(heartbeatInterval)
 	for _, o := range l.members {
-		if o.inFlight {
-			continue
-		}
-		o.inFlight = true
-		go l.svc.beat(l.ctx, o.id, o.addr)
+		l.sendHeartbeat(o)
+	}
+}
+
+// sendHeartbeat begins an exchange with the member unless one is in flight.
+func (l *loop) sendHeartbeat(o *observed) {
+	if o.inFlight {
+		return
+	}
+	o.inFlight = true
+	go l.svc.beat(l.ctx, o.id, o.addr)
+}
+
+// spreadNow tells every other member at once what this member now says of itself, also those with an exchange in
+// flight that may have begun before.
+func (l *loop) spreadNow() {
+	for _, o := range l.members {
+		o.again = o.inFlight
 	}
+	l.sendHeartbeats()
 }
 
 // beat exchanges one heartbeat with the member that should be at addr.
@@ -47,6 +61,10 @@
 		return
 	}
 	o.inFlight = false
+	if o.again {
+		o.again = false
+		l.sendHeartbeat(o)
+	}
 	if e.err != nil {
 		l.noteUnanswered(o, e.err)
 		return
@@ -61,7 +79,7 @@
 		return
 	}
 	o.answered = max(o.answered, e.started)
-	l.noteHeartbeat(o, e.hb)
+	l.noteState(o, e.hb)
 	l.svc.opts.Config.HeardFrom(config.Heard{
 		Member:  o.id,
 		Addr:    o.addr,
@@ -96,23 +114,41 @@
 	l.noteHeartbeat(o, e.hb)
 }
 
-// noteHeartbeat takes over what a member says of itself.
+// noteHeartbeat takes over what a member says of itself and its shards.
 func (l *loop) noteHeartbeat(o *observed, hb *wire.Heartbeat) {
-	o.leaving = o.leaving || hb.GetLeaving()
-	o.config = max(o.config, hb.GetConfigVersion())
+	l.noteState(o, hb)
 	o.digests = hb.GetShards()
-	if hb.GetRowChanges() > o.rowChanges {
-		o.rowChanges = hb.GetRowChanges()
-		l.readRowsSoon()
-	}
 	if l.announcesUnknownEpoch(hb) {
 		l.readRowsSoon()
 	}
+	l.noteSuperseded(hb)
 	if len(hb.GetLeavingWorkers()) > 0 {
 		l.svc.opts.Host.NoteLeaving(workerIDs(hb.GetLeavingWorkers()))
 	}
 }
 
+// noteState takes over what heartbeats and their answers both say.
+func (l *loop) noteState(o *observed, hb *wire.Heartbeat) {
+	o.leaving = o.leaving || hb.GetLeaving()
+	o.takes = hb.GetTakesShards()
+	o.config = max(o.config, hb.GetConfigVersion())
+	if hb.GetRowChanges() > o.rowChanges {
+		o.rowChanges = hb.GetRowChanges()
+		l.readRowsSoon()
+	}
+}
+
+// noteSuperseded gives up the shards that another member owns under a higher epoch: a member cut off from the table
+// learns so too.
+func (l *loop) noteSuperseded(hb *wire.Heartbeat) {
+	for _, d := range hb.GetShards() {
+		s, ok := l.shards[cell.ShardID(d.GetShard())]
+		if ok && s.held && d.GetEpoch() > uint64(s.epoch) {
+			l.lose(s, cell.MemberID(hb.GetMember()))
+		}
+	}
+}
+
 // announcesUnknownEpoch reports whether the heartbeat tells of an ownership that the rows read so far don't.
 func (l *loop) announcesUnknownEpoch(hb *wire.Heartbeat) bool {
 	for _, d := range hb.GetShards() {
--- a/internal/membership/liveness.go
+++ b/internal/membership/liveness.go
@@ -16,7 +16,8 @@
 
 	rowVersion uint64
 	refresh    time.Duration
-	// rowSince and rowUntil begin the first and the last of the successive readings that saw rowVersion.
+	// rowSince is the end of the first and rowUntil the begin of the last of the successive readings that saw
+	// rowVersion, so that a slow reading never makes a row seem older than it is.
 	rowSince monotime.Instant
 	rowUntil monotime.Instant
 
@@ -27,8 +28,12 @@
 	// replaced means that another member answers at its address.
 	replaced bool
 
-	inFlight   bool
-	leaving    bool
+	inFlight bool
+	// again asks for another exchange right after the one in flight.
+	again   bool
+	leaving bool
+	// takes means that the member can acquire shards.
+	takes      bool
 	config     uint64
 	rowChanges uint64
 	digests    []*wire.ShardDigest
@@ -49,17 +54,21 @@
 	return o.rowUntil.Sub(o.rowSince) <= o.refresh+refreshSlack
 }
 
-// removable reports whether the member's row has stayed the same for so long that it is to be removed.
+// removable reports whether the member's row is to be removed: its process has surely ended, or the row has stayed the
+// same for long.
 func (o *observed) removable(now monotime.Instant) bool {
+	if o.replaced {
+		return true
+	}
 	return !o.live(now) && o.rowUntil.Sub(o.rowSince) > removeAfter
 }
 
-// noteRow records that a reading begun at started saw the row.
-func (o *observed) noteRow(rowVersion uint64, row memberRow, started monotime.Instant) {
+// noteRow records that a reading from started to ended saw the row.
+func (o *observed) noteRow(rowVersion uint64, row memberRow, started, ended monotime.Instant) {
 	o.refresh = row.refresh()
 	if o.rowVersion != rowVersion {
 		o.rowVersion = rowVersion
-		o.rowSince = started
+		o.rowSince = ended
 	}
 	o.rowUntil = max(o.rowUntil, started)
 }
--- a/internal/membership/loop.go
+++ b/internal/membership/loop.go
@@ -16,7 +16,6 @@
 	svc *Service
 	ctx context.Context
 
-	started  monotime.Instant
 	lastTick monotime.Instant
 	// present caches the instant of the event being handled.
 	present monotime.Instant
@@ -29,6 +28,8 @@
 	liveIDs  []cell.MemberID
 	liveFrom monotime.Instant
 	movedAt  monotime.Instant
+	// takesFrom is since when this member can acquire shards.
+	takesFrom monotime.Instant
 	// leaveCtx is set once a graceful leave has begun.
 	leaveCtx context.Context
 	removing map[cell.MemberID]bool
@@ -39,9 +40,10 @@
 type rowReader struct {
 	inFlight bool
 	wanted   bool
-	// done means that the rows were read at least once.
-	done    bool
-	startAt monotime.Instant
+	startAt  monotime.Instant
+	// done means that the rows were read at least once; readAt is when the latest successful reading ended.
+	done   bool
+	readAt monotime.Instant
 }
 
 // rowRefresher is the state of writing this member's own row.
@@ -57,7 +59,6 @@
 	return &loop{
 		svc:      svc,
 		ctx:      ctx,
-		started:  now,
 		lastTick: now,
 		present:  now,
 		liveFrom: now,
@@ -95,6 +96,7 @@
 
 func (tick) apply(l *loop) {
 	l.lastTick = l.present
+	l.noteTakes()
 	l.refreshRow()
 	l.readRows()
 	if l.present >= l.beatAt {
@@ -121,14 +123,23 @@
 	return ok && o.live(l.present)
 }
 
-// candidates lists the members that may own shards: live and not leaving.
+// noteTakes keeps whether this member can acquire shards, and tells the others at once of a change.
+func (l *loop) noteTakes() {
+	takes := l.leaveCtx == nil && l.refresh.written && l.tableAnswers()
+	if l.svc.takes.Swap(takes) != takes {
+		l.takesFrom = l.present
+		l.spreadNow()
+	}
+}
+
+// candidates lists the members that can be given shards: live, not leaving, and in reach of the table.
 func (l *loop) candidates() []Candidate {
 	var out []Candidate
-	if l.leaveCtx == nil {
+	if l.svc.takes.Load() {
 		out = append(out, Candidate{ID: l.self(), Zone: l.svc.opts.Zone})
 	}
 	for _, o := range l.members {
-		if o.live(l.present) && !o.leaving {
+		if o.live(l.present) && !o.leaving && o.takes {
 			out = append(out, Candidate{ID: o.id, Zone: o.zone})
 		}
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -124,6 +124,8 @@
 	// rowsInterval is the time between two readings of the rows; rowsMinInterval that between two forced ones.
 	rowsInterval    = 1 * time.Second
 	rowsMinInterval = 200 * time.Millisecond
+	// tableSilenceLimit is the time without a reading of the rows after which no shard is given up.
+	tableSilenceLimit = 5 * time.Second
 	// refreshMin and refreshPerMember set how often a member writes its row, so that all members together write at
 	// most ten rows a second.
 	refreshMin       = 2 * time.Second
@@ -136,10 +138,9 @@
 	refusedLimit = 2
 	// pauseLimit is the time between two ticks beyond which this process takes itself to have been paused.
 	pauseLimit = 1500 * time.Millisecond
-	// joinDelay is how long a new member takes no shards, so that daemons started together share them.
-	joinDelay = 2 * time.Second
-	// nextDelay is how long a released shard is left to the member it was released to.
-	nextDelay = 2 * time.Second
+	// takeDelay is how long a member takes no shards after it has come to be able to, so that daemons started together
+	// share them.
+	takeDelay = 2 * time.Second
 	// stableBefore is how long the live members must have been the same before shards are moved for balance.
 	stableBefore = 15 * time.Second
 	// moveInterval is the time between two moves for balance by one owner.
--- a/internal/membership/ownership.go
+++ b/internal/membership/ownership.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"laburnumpoint/internal/cell"
-	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/platform"
 )
 
@@ -15,9 +14,6 @@
 	id         cell.ShardID
 	row        shardRow
 	rowVersion uint64
-	// releasedAt is when the row was first seen without an owner.
-	releasedAt monotime.Instant
-
 	// acquiring means that a transaction to acquire the shard is in flight.
 	acquiring bool
 	// held means that the host was told of the ownership under epoch.
@@ -58,7 +54,7 @@
 func (l *loop) shard(id cell.ShardID) *shard {
 	s, ok := l.shards[id]
 	if !ok {
-		s = &shard{id: id, releasedAt: l.present}
+		s = &shard{id: id}
 		l.shards[id] = s
 	}
 	return s
@@ -70,9 +66,6 @@
 	if row.olderThan(s.row) {
 		return
 	}
-	if row.Owner == "" && (s.row.Owner != "" || s.row.Epoch != row.Epoch) {
-		s.releasedAt = l.present
-	}
 	s.row = row
 	s.rowVersion = rowVersion
 	l.noteLoss(s)
@@ -91,9 +84,14 @@
 		l.finishRelease(s)
 		return
 	}
+	l.lose(s, s.row.Owner)
+}
+
+// lose ends an ownership that another member has superseded.
+func (l *loop) lose(s *shard, owner cell.MemberID) {
 	l.end(s)
 	l.svc.opts.Log.Warn().Str("shard", string(s.id)).Uint64("epoch", uint64(s.epoch)).
-		Str("owner", string(s.row.Owner)).Msg("shard lost")
+		Str("owner", string(owner)).Msg("shard lost")
 	l.svc.opts.Host.Lost(s.id, s.epoch)
 }
 
@@ -112,9 +110,10 @@
 	}
 	s.held = true
 	s.epoch = s.row.Epoch
-	l.svc.rowChanges.Add(1)
 	l.svc.opts.Log.Info().Str("shard", string(s.id)).Uint64("epoch", uint64(s.epoch)).Msg("shard acquired")
 	l.svc.opts.Host.Acquired(s.id, s.epoch)
+	l.svc.rowChanges.Add(1)
+	l.spreadNow()
 }
 
 // takeShards acquires the shards that have no live owner and are assigned to this member.
@@ -128,34 +127,22 @@
 		if s.acquiring || s.held || l.ownerLive(s) {
 			continue
 		}
-		if l.waitsForNext(s) {
-			continue
-		}
-		if owner == l.self() || s.row.Next == l.self() {
+		if owner == l.self() {
 			l.acquire(s)
 		}
 	}
 }
 
-// mayTake reports whether this member may acquire shards at all.
+// mayTake reports whether this member may acquire shards now. One that has just come to be able to first waits for
+// others that do at the same time, as after a start of the whole cell or an outage of the table.
 func (l *loop) mayTake() bool {
-	joined := l.present.Sub(l.started) >= joinDelay
-	return joined && l.leaveCtx == nil && l.rows.done && l.refresh.written
+	return l.svc.takes.Load() && l.leaveCtx == nil && l.present.Sub(l.takesFrom) >= takeDelay
 }
 
 func (l *loop) ownerLive(s *shard) bool {
 	return s.row.Owner != "" && s.row.Owner != l.self() && l.memberLive(s.row.Owner)
 }
 
-// waitsForNext reports whether the shard was lately released to another live member.
-func (l *loop) waitsForNext(s *shard) bool {
-	next := s.row.Next
-	if s.row.Owner != "" || next == "" || next == l.self() || !l.memberLive(next) {
-		return false
-	}
-	return l.present.Sub(s.releasedAt) < nextDelay
-}
-
 // assign computes which member should own each shard, with the owners as known now.
 func (l *loop) assign() map[cell.ShardID]cell.MemberID {
 	current := make(map[cell.ShardID]cell.MemberID)
@@ -226,9 +213,9 @@
 	}
 }
 
-// busy reports whether the table did not answer lately or an ownership is on the move.
+// busy reports whether the table does not answer or an ownership is on the move.
 func (l *loop) busy() bool {
-	if l.present.Sub(l.rows.startAt) > 2*rowsInterval {
+	if !l.tableAnswers() {
 		return true
 	}
 	for _, s := range l.shards {
@@ -307,7 +294,7 @@
 func (l *loop) finishRelease(s *shard) {
 	l.end(s)
 	l.svc.rowChanges.Add(1)
-	l.sendHeartbeats()
+	l.spreadNow()
 	l.continueLeave()
 }
 
@@ -327,7 +314,8 @@
 	}
 }
 
-// continueLeave takes the next steps of a graceful leave: every shard released, then the member's row deleted.
+// continueLeave takes the next steps of a graceful leave: every shard released, then the member's row deleted. While
+// the table does not answer, nobody could take a shard over, so that the host goes on deciding.
 func (l *loop) continueLeave() {
 	if l.leaveCtx == nil || l.deleting {
 		return
@@ -339,7 +327,7 @@
 			continue
 		}
 		busy = true
-		if s.held && s.release == nil {
+		if s.held && s.release == nil && l.tableAnswers() {
 			l.beginRelease(s, assigned[id], leaveTimeout)
 		}
 	}
--- a/internal/membership/rows.go
+++ b/internal/membership/rows.go
@@ -33,7 +33,7 @@
 	Owner cell.MemberID `json:"owner,omitempty"`
 	Addr  string        `json:"addr,omitempty"`
 	Epoch cell.Epoch    `json:"epoch"`
-	// Next is the member that the shard was released to.
+	// Next is the member that the shard was released to; Assign takes it for the current owner.
 	Next cell.MemberID `json:"next,omitempty"`
 }
 
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -21,6 +21,8 @@
 	events  chan event
 	view    atomic.Pointer[view]
 	leaving atomic.Bool
+	// takes is whether this member can acquire shards.
+	takes atomic.Bool
 	// rowChanges counts the shard rows this member has written.
 	rowChanges atomic.Uint64
 	sequence   atomic.Uint64
@@ -97,13 +99,17 @@
 
 // Digest returns what the shard's owner last told of it, and false if nothing is known.
 func (s *Service) Digest(shard cell.ShardID) (*wire.ShardDigest, bool) {
+	v := s.view.Load()
+	if v.owners[shard].Owner != s.opts.ID {
+		d, ok := v.digests[shard]
+		return d, ok
+	}
 	for _, d := range s.opts.Host.Digests() {
 		if d.GetShard() == string(shard) {
 			return d, true
 		}
 	}
-	d, ok := s.view.Load().digests[shard]
-	return d, ok
+	return nil, false
 }
 
 // MarkSuspect makes the service read the rows again soon: a call to the shard's owner failed or was refused.
@@ -156,26 +162,33 @@
 func (s *Service) HandleHeartbeat(hb *wire.Heartbeat) *wire.Reply {
 	s.post(heartbeatReceived{hb: hb})
 	s.opts.Config.Learn(hb.GetAddr(), hb.GetConfigVersion())
-	return &wire.Reply{Body: &wire.Reply_Heartbeat{Heartbeat: s.heartbeat()}}
+	return &wire.Reply{Body: &wire.Reply_Heartbeat{Heartbeat: s.state()}}
 }
 
-// heartbeat describes this member as it is now.
-func (s *Service) heartbeat() *wire.Heartbeat {
+// state describes this member as it is now, for an answer. Its shards are in the heartbeats that it sends itself.
+func (s *Service) state() *wire.Heartbeat {
 	version, pending := s.opts.Config.Announce()
 	return &wire.Heartbeat{
-		Member:         string(s.opts.ID),
-		Addr:           s.opts.Addr,
-		Zone:           s.opts.Zone,
-		ConfigVersion:  version,
-		ConfigPending:  pending,
-		Leaving:        s.leaving.Load(),
-		Shards:         s.opts.Host.Digests(),
-		LeavingWorkers: workerNames(s.opts.Host.LeavingWorkers()),
-		Sequence:       s.sequence.Add(1),
-		RowChanges:     s.rowChanges.Load(),
+		Member:        string(s.opts.ID),
+		ConfigVersion: version,
+		ConfigPending: pending,
+		Leaving:       s.leaving.Load(),
+		RowChanges:    s.rowChanges.Load(),
+		TakesShards:   s.takes.Load(),
 	}
 }
 
+// heartbeat describes this member and its shards as they are now.
+func (s *Service) heartbeat() *wire.Heartbeat {
+	hb := s.state()
+	hb.Addr = s.opts.Addr
+	hb.Zone = s.opts.Zone
+	hb.Shards = s.opts.Host.Digests()
+	hb.LeavingWorkers = workerNames(s.opts.Host.LeavingWorkers())
+	hb.Sequence = s.sequence.Add(1)
+	return hb
+}
+
 // view is what the loop last published for readers. It is never changed afterwards.
 type view struct {
 	members []Member
@@ -224,7 +237,7 @@
 type refreshAsked struct{}
 
 func (refreshAsked) apply(l *loop) {
-	l.sendHeartbeats()
+	l.spreadNow()
 }
 
 // leaveAsked begins a graceful leave that ends with ctx at the latest.
@@ -234,6 +247,6 @@
 
 func (e leaveAsked) apply(l *loop) {
 	l.leaveCtx = e.ctx
-	l.sendHeartbeats()
+	l.spreadNow()
 	l.continueLeave()
 }
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -15,11 +15,11 @@
 // Bounds on virtual time.
 const (
 	// settleTime is enough for members started together to share the shards.
-	settleTime = joinDelay + 3*time.Second
+	settleTime = takeDelay + 3*time.Second
 	// takeoverLimit is the stated bound from an owner's end to its shards' takeover.
 	takeoverLimit = 5 * time.Second
-	// leaveLimit is a bound far below any expiry.
-	leaveLimit = 1 * time.Second
+	// leaveLimit is below every expiry and below the interval of reading the rows.
+	leaveLimit = rowsInterval / 4
 )
 
 func TestMembersShareShards(t *testing.T) {
@@ -62,6 +62,21 @@
 	})
 }
 
+// TestRestartedDaemonReplacesItsFormerSelf restarts a daemon at its address at once.
+func TestRestartedDaemonReplacesItsFormerSelf(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		nodes[0].kill()
+		restarted := s.startAt(0, nodes[0].addr)
+		time.Sleep(takeoverLimit)
+		s.wantHeldBy(nodes[1], nodes[2], restarted)
+		if row, _ := s.table.Get(t.Context(), memberKey(nodes[0].id)); row.Version != 0 {
+			t.Error("the row of the former self is still there")
+		}
+	})
+}
+
 func TestFrozenOwnerIsSuperseded(t *testing.T) {
 	runSim(t, 3, 2, func(t *testing.T, s *sim) {
 		nodes := s.startMany(0, 1, 2)
@@ -95,6 +110,12 @@
 		if err := nodes[0].svc.Leave(t.Context()); err != nil {
 			t.Fatalf("Leave: %v", err)
 		}
+		for _, shard := range s.shards {
+			row, err := s.table.Get(t.Context(), shardKey(shard.ID))
+			if r, _ := decodeShard(row); err != nil || r.Owner == nodes[0].id {
+				t.Errorf("%s is still owned by the member that left (%v)", shard.ID, err)
+			}
+		}
 		nodes[0].kill()
 		time.Sleep(leaveLimit - time.Since(begin))
 		s.wantSpread(nodes[1:]...)
@@ -108,6 +129,41 @@
 	})
 }
 
+func TestLeaveWithTheTableDownReleasesNothing(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		before := len(nodes[0].holds())
+		s.table.SetFaults(standin.TableFaults{Down: true})
+		time.Sleep(tableSilenceLimit + tickInterval)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if err := nodes[0].svc.Leave(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("Leave: %v, want DeadlineExceeded", err)
+		}
+		if got := len(nodes[0].holds()); got != before {
+			t.Errorf("the host decides for %d shards, want %d", got, before)
+		}
+	})
+}
+
+// TestSlowTableMovesNothing makes every operation nearly as slow as its timeout.
+func TestSlowTableMovesNothing(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		before := held(nodes...)
+		s.table.SetFaults(standin.TableFaults{Delay: tableTimeout * 9 / 10})
+		nodes[0].peersCut.Store(true)
+		time.Sleep(10 * time.Minute)
+		for shard, holders := range held(nodes...) {
+			if !slices.Equal(holders, before[shard]) {
+				t.Errorf("%s is held by %v, want %v", shard, holders, before[shard])
+			}
+		}
+	})
+}
+
 func TestTableDownKeepsOwnersAndTakesNothing(t *testing.T) {
 	runSim(t, 3, 2, func(t *testing.T, s *sim) {
 		nodes := s.startMany(0, 1, 2)
@@ -142,6 +198,23 @@
 				t.Errorf("%s under epoch %d became epoch %d", shard, epoch, after[shard])
 			}
 		}
+		s.wantSpread(nodes...)
+	})
+}
+
+// TestDeathBesideAMemberCutOffFromTable needs the shards of the dead to go to the one member that can take them.
+func TestDeathBesideAMemberCutOffFromTable(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		nodes[0].tableCut.Store(true)
+		time.Sleep(time.Minute)
+		nodes[1].kill()
+		time.Sleep(takeoverLimit)
+		s.wantHeldBy(nodes[0], nodes[2])
+		nodes[0].tableCut.Store(false)
+		time.Sleep(time.Minute)
+		s.wantSpread(nodes[0], nodes[2])
 	})
 }
 
@@ -165,22 +238,120 @@
 	})
 }
 
-func TestPausedObserverJudgesNobody(t *testing.T) {
-	runSim(t, 2, 2, func(t *testing.T, s *sim) {
-		nodes := s.startMany(0, 1)
+// TestOwnershipOnlyRises feeds the loop rows late, out of order and twice.
+func TestOwnershipOnlyRises(t *testing.T) {
+	s := newSim(t, 1, 1)
+	n := &node{sim: s, id: "me", held: make(map[cell.ShardID]cell.Epoch)}
+	l := newLoop(t.Context(), New(Options{ID: n.id, Clock: n, Host: n, Config: n}))
+	rows := []struct {
+		row  shardRow
+		want cell.Epoch
+	}{
+		{shardRow{Owner: "me", Epoch: 1}, 1},
+		{shardRow{Owner: "other", Epoch: 2}, 0},
+		{shardRow{Owner: "me", Epoch: 1}, 0},
+		{shardRow{Epoch: 2, Next: "me"}, 0},
+		{shardRow{Owner: "other", Epoch: 2}, 0},
+		{shardRow{Owner: "me", Epoch: 3}, 3},
+		{shardRow{Owner: "me", Epoch: 3}, 3},
+		{shardRow{Epoch: 2, Next: "me"}, 3},
+	}
+	id := s.shards[0].ID
+	for i, r := range rows {
+		known := l.shard(id).row
+		l.observeShard(id, uint64(i+1), r.row)
+		if l.shard(id).row.olderThan(known) {
+			t.Errorf("row %d, %+v, replaced the later %+v", i, r.row, known)
+		}
+		if got := n.holds()[id]; got != r.want {
+			t.Errorf("after row %d the host holds epoch %d, want %d", i, got, r.want)
+		}
+	}
+	l.lose(l.shard(id), "other")
+	l.observeShard(id, 9, shardRow{Owner: "me", Epoch: 3})
+	if got := n.holds()[id]; got != 0 {
+		t.Errorf("the host holds epoch %d again after it was superseded", got)
+	}
+}
+
+func TestReleaseComesLastInItsEpoch(t *testing.T) {
+	ordered := []shardRow{{}, {Owner: "a", Epoch: 1}, {Epoch: 1}, {Owner: "b", Epoch: 2}, {Epoch: 2}}
+	for i, x := range ordered {
+		for j, y := range ordered {
+			if got := x.olderThan(y); got != (i < j) {
+				t.Errorf("%+v olderThan %+v = %v", x, y, got)
+			}
+		}
+	}
+}
+
+// TestRacingTakeoversHaveOneWinner lets members that do not see each other acquire the same shards.
+func TestRacingTakeoversHaveOneWinner(t *testing.T) {
+	runSim(t, 2, 4, func(t *testing.T, s *sim) {
+		s.hideMembers.Store(true)
+		nodes := s.startMany(0, 1, 0)
+		time.Sleep(settleTime) // wrong judgements go on, and the sim checks that no epoch is given twice
+		s.hideMembers.Store(false)
 		time.Sleep(settleTime)
+		s.wantHeldBy(nodes...)
+	})
+}
+
+// TestPausedObserverTakesNothing pauses a member beyond the time in which another, cut off from the table and so
+// heard by heartbeats alone, would seem dead.
+func TestPausedObserverTakesNothing(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		before := nodes[1].holds()
+		nodes[1].tableCut.Store(true)
+		time.Sleep(30 * time.Second)
 		nodes[0].freeze()
-		time.Sleep(pauseLimit + 500*time.Millisecond) // too short for the others to judge it
+		time.Sleep(silenceLimit + heartbeatInterval)
 		nodes[0].thaw()
 		time.Sleep(30 * time.Second)
-		for _, n := range nodes {
-			for shard, epoch := range n.holds() {
-				if epoch != 1 {
-					t.Errorf("%s moved to epoch %d", shard, epoch)
-				}
+		after := nodes[1].holds()
+		for shard, epoch := range before {
+			if after[shard] != epoch {
+				t.Errorf("%s under epoch %d became epoch %d", shard, epoch, after[shard])
+			}
+		}
+		s.wantHeldBy(nodes...)
+	})
+}
+
+// TestTableOutageIsNoProofOfDeath ends an outage while a member is silent towards the others.
+func TestTableOutageIsNoProofOfDeath(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		before := held(nodes...)
+		s.table.SetFaults(standin.TableFaults{Down: true})
+		nodes[0].peersCut.Store(true)
+		time.Sleep(time.Minute)
+		s.table.SetFaults(standin.TableFaults{})
+		time.Sleep(time.Minute)
+		for shard, holders := range held(nodes...) {
+			if !slices.Equal(holders, before[shard]) {
+				t.Errorf("%s is held by %v, want %v", shard, holders, before[shard])
 			}
 		}
-		s.wantSpread(nodes...)
+	})
+}
+
+// TestSupersededOwnerCutOffFromTableLearns cuts the old owner off from the table while it is paused.
+func TestSupersededOwnerCutOffFromTableLearns(t *testing.T) {
+	runSim(t, 3, 2, func(t *testing.T, s *sim) {
+		nodes := s.startMany(0, 1, 2)
+		time.Sleep(settleTime)
+		nodes[0].freeze()
+		time.Sleep(takeoverLimit + silenceLimit)
+		nodes[0].tableCut.Store(true)
+		nodes[0].thaw()
+		time.Sleep(2 * heartbeatInterval)
+		if got := nodes[0].holds(); len(got) != 0 {
+			t.Errorf("the old owner still holds %v", got)
+		}
 	})
 }
 
@@ -221,6 +392,13 @@
 		if moves != 4 {
 			t.Errorf("%d shards moved to the fourth member, want its share of 4", moves)
 		}
+		for _, n := range nodes {
+			for i := 1; i < len(n.released); i++ {
+				if gap := n.released[i].Sub(n.released[i-1]); gap < moveInterval {
+					t.Errorf("%s released two shards within %v", n.id, gap)
+				}
+			}
+		}
 	})
 }
 
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -37,6 +37,12 @@
 	mu     sync.Mutex
 	nodes  map[string]*node
 	starts int
+	// realConfig gives the members that start a configuration store each.
+	realConfig bool
+	// hideMembers makes the table list no members.
+	hideMembers atomic.Bool
+	// owners holds who was told of each epoch of each shard.
+	owners map[string]cell.MemberID
 }
 
 func newSim(t *testing.T, zones, shardsPerZone int) *sim {
@@ -46,7 +52,7 @@
 		doc.Zones = append(doc.Zones, zoneName(z))
 	}
 	doc.ShardsPerZone = shardsPerZone
-	return &sim{t: t, table: standin.NewTable(), shards: ShardsOf(doc), nodes: make(map[string]*node)}
+	return &sim{t: t, table: standin.NewTable(), shards: ShardsOf(doc), nodes: make(map[string]*node), owners: make(map[string]cell.MemberID)}
 }
 
 // runSim runs body on a new cell in virtual time and ends every member after it.
@@ -72,7 +78,9 @@
 	id   cell.MemberID
 	addr string
 	svc  *Service
-	stop context.CancelFunc
+	// store is nil if the test plays the configuration itself.
+	store *config.Store
+	stop  context.CancelFunc
 
 	tableCut atomic.Bool
 	peersCut atomic.Bool
@@ -82,7 +90,7 @@
 	// held is what the host was told to own; log is what it was told, in order.
 	held     map[cell.ShardID]cell.Epoch
 	log      []string
-	releases int
+	released []time.Time
 	leaving  []cell.WorkerID
 	noted    []cell.WorkerID
 	version  uint64
@@ -92,17 +100,30 @@
 
 // start adds a member in the zone and runs it.
 func (s *sim) start(zone int) *node {
+	return s.startAt(zone, "")
+}
+
+// startAt is start at an address, or at a new one if that is empty.
+func (s *sim) startAt(zone int, addr string) *node {
 	s.mu.Lock()
 	s.starts++
+	if addr == "" {
+		addr = fmt.Sprintf("10.0.0.%d:1", s.starts)
+	}
 	n := &node{
 		sim:   s,
 		id:    cell.MemberID(fmt.Sprintf("m%d", s.starts)),
-		addr:  fmt.Sprintf("10.0.0.%d:1", s.starts),
+		addr:  addr,
 		held:  make(map[cell.ShardID]cell.Epoch),
 		heard: make(map[cell.MemberID]uint64),
 	}
 	s.nodes[n.addr] = n
 	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(s.t.Context())
+	n.stop = cancel
+	if s.realConfig {
+		n.startStore(ctx)
+	}
 	n.svc = New(Options{
 		ID:     n.id,
 		Addr:   n.addr,
@@ -111,11 +132,9 @@
 		Caller: n,
 		Clock:  n,
 		Host:   n,
-		Config: n,
-		Shards: func() []Shard { return s.shards },
+		Config: n.configOf(),
+		Shards: n.shardList,
 	})
-	ctx, cancel := context.WithCancel(s.t.Context())
-	n.stop = cancel
 	go n.svc.Run(ctx)
 	return n
 }
@@ -177,12 +196,19 @@
 		<-ctx.Done()
 		return nil, errSilent
 	}
-	reply := to.svc.HandleHeartbeat(req.GetHeartbeat())
+	reply := to.handle(req)
 	time.Sleep(networkDelay)
 	n.waitRunning()
 	return reply, nil
 }
 
+func (n *node) handle(req *wire.Request) *wire.Reply {
+	if req.GetConfig() != nil {
+		return n.store.Answer(req.GetConfig())
+	}
+	return n.svc.HandleHeartbeat(req.GetHeartbeat())
+}
+
 // nodeTable is the table as one process reaches it.
 type nodeTable struct{ n *node }
 
@@ -206,6 +232,9 @@
 	if err := t.reach(ctx); err != nil {
 		return nil, err
 	}
+	if t.n.sim.hideMembers.Load() && prefix == memberPrefix {
+		return nil, nil
+	}
 	return t.n.sim.table.List(ctx, prefix)
 }
 
@@ -224,9 +253,21 @@
 		n.sim.t.Errorf("%s: told of epoch %d of %s after %d", n.id, epoch, shard, n.held[shard])
 	}
 	n.held[shard] = epoch
+	n.sim.noteOwner(n.id, shard, epoch)
 	n.log = append(n.log, fmt.Sprintf("acquired %s %d", shard, epoch))
 }
 
+// noteOwner fails the test if two members were told of one epoch.
+func (s *sim) noteOwner(id cell.MemberID, shard cell.ShardID, epoch cell.Epoch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := fmt.Sprintf("%s epoch %d", shard, epoch)
+	if other, taken := s.owners[key]; taken {
+		s.t.Errorf("%s was given to %s and to %s", key, other, id)
+	}
+	s.owners[key] = id
+}
+
 // Lost implements Host.
 func (n *node) Lost(shard cell.ShardID, epoch cell.Epoch) {
 	n.mu.Lock()
@@ -244,7 +285,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.held, shard)
-	n.releases++
+	n.released = append(n.released, time.Now())
 	n.log = append(n.log, fmt.Sprintf("released %s %d", shard, epoch))
 }
 
@@ -310,7 +351,7 @@
 func (n *node) releaseCount() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.releases
+	return len(n.released)
 }
 
 // held sums up which of the nodes hold each shard.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -79,17 +79,21 @@
 }
 
 func (s *Service) readRows(ctx context.Context, started monotime.Instant) {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
-	members, err := s.opts.Table.List(ctx, memberPrefix)
+	members, err := s.list(ctx, memberPrefix)
 	if err != nil {
 		s.post(rowsRead{started: started, err: err})
 		return
 	}
-	shards, err := s.opts.Table.List(ctx, shardPrefix)
+	shards, err := s.list(ctx, shardPrefix)
 	s.post(rowsRead{started: started, members: members, shards: shards, err: err})
 }
 
+func (s *Service) list(ctx context.Context, prefix string) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	return s.opts.Table.List(ctx, prefix)
+}
+
 // rowsRead reports the rows as they were at some instant after started, or why they could not be read.
 type rowsRead struct {
 	started monotime.Instant
@@ -107,6 +111,7 @@
 		return
 	}
 	l.rows.done = true
+	l.rows.readAt = l.present
 	l.observeMembers(e.members, e.started)
 	for _, row := range e.shards {
 		decoded, err := decodeShard(row)
@@ -137,7 +142,7 @@
 			continue
 		}
 		seen[id] = true
-		l.member(id, decoded.Addr, decoded.Zone).noteRow(row.Version, decoded, started)
+		l.member(id, decoded.Addr, decoded.Zone).noteRow(row.Version, decoded, started, l.present)
 	}
 	ids := make([]cell.MemberID, 0, len(seen))
 	for id := range l.members {
@@ -185,6 +190,11 @@
 	l.readRowsSoon()
 }
 
+// tableAnswers reports whether the table has answered lately.
+func (l *loop) tableAnswers() bool {
+	return l.rows.done && l.present.Sub(l.rows.readAt) <= tableSilenceLimit
+}
+
 // isUnwritten reports whether the error means that nothing was written.
 func isUnwritten(err error) bool {
 	return errors.Is(err, platform.ErrUnavailable)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -183,9 +183,11 @@
 
 func TestShutdownAnswersWhatIsInFlight(t *testing.T) {
 	const calls = 20
+	s := startServer(t, nil)
+	s.lingerFor = 0 // so that only the wait for the handlers protects the answers
 	started := make(chan struct{}, calls)
 	finish := make(chan struct{})
-	s := startServer(t, func(_ context.Context, req *wire.Request) *wire.Reply {
+	s.handler = handlerFunc(func(_ context.Context, req *wire.Request) *wire.Reply {
 		started <- struct{}{}
 		<-finish
 		return explainAnswer(req)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -24,6 +24,8 @@
 	cancel   context.CancelFunc
 	// places bounds the caller requests handled at once; control traffic passes.
 	places chan struct{}
+	// lingerFor bounds the wait, at shutdown, for peers to read their answers.
+	lingerFor time.Duration
 
 	mu       sync.Mutex
 	stopping bool
@@ -48,6 +50,8 @@
 		places:   make(chan struct{}, maxHandledRequests),
 		idle:     make(chan struct{}),
 		sessions: make(map[*yamux.Session]struct{}),
+
+		lingerFor: shutdownLinger,
 	}
 	go s.acceptConns()
 	return s, nil
@@ -96,7 +100,7 @@
 
 // linger waits, within bounds, until the peers have closed the streams of answers they have read.
 func (s *Server) linger(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, shutdownLinger)
+	ctx, cancel := context.WithTimeout(ctx, s.lingerFor)
 	defer cancel()
 	tick := time.NewTicker(lingerPoll)
 	defer tick.Stop()
