Scheduler: candidates from every step of room, larger units first within a band of shares

A spread direction (most room first below a packing weight of 0.5) gave nothing that the score does not; removed.

Left: urgent maximum, gangs that wait behind one reservation for both pools.

--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -25,7 +25,7 @@
 func (s *Scheduler) explainPlaced(e *entry) []cell.Reason {
 	chain := []cell.Reason{{Code: cell.ReasonPlaced, Detail: string(e.worker.desc.ID)}}
 	if e.state == StateStopping {
-		chain = append(chain, cell.Reason{Code: cell.ReasonPreempted, Detail: fmt.Sprintf("stopping, stopped %d times before", e.stops)})
+		chain = append(chain, cell.Reason{Code: cell.ReasonPreempted, Detail: fmt.Sprintf("stopping, stopped %d times for urgent work", e.stops.urgent)})
 	}
 	return chain
 }
--- a/internal/scheduler/feasible.go
+++ b/internal/scheduler/feasible.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	// maxCandidates is the number of fitting workers that one search scores.
+	// maxCandidates is the number of fitting workers that one search scores, and maxPerStep how many of them from one step of the index.
 	maxCandidates = 64
-	// evenWeight is the packing weight from which the tightest workers are scored first.
-	evenWeight = 0.5
+	maxPerStep    = 4
 	// backfillSafety is the factor by which a run time may exceed its estimate without delaying a reserved gang.
 	backfillSafety = 10
 )
@@ -25,6 +24,7 @@
 	best       *worker
 	score      float64
 	considered int
+	inStep     int
 }
 
 // findWorker returns the best worker with room for e, nil if there is none. Workers that e avoids are used only if no other
@@ -61,8 +61,11 @@
 func (c *choice) search(g *group) {
 	c.considered = 0
 	visit := func(slot int) bool { return c.consider(g.members[slot]) }
-	done := func() bool { return c.considered > 0 && c.spread == nil }
-	g.rooms.search(c.entry.claim(), c.packing >= evenWeight, visit, done)
+	step := func() bool {
+		c.inStep = 0
+		return c.considered >= maxCandidates && c.spread == nil
+	}
+	g.rooms.search(c.entry.claim(), visit, step)
 }
 
 // consider scores w and reports whether the search goes on.
@@ -72,11 +75,12 @@
 		return true
 	}
 	c.considered++
+	c.inStep++
 	score := score(w, claim, c.packing) - c.spread.penalty(w)
 	if c.best == nil || score > c.score {
 		c.best, c.score = w, score
 	}
-	return c.considered < maxCandidates || c.spread != nil
+	return c.inStep < maxPerStep || c.spread != nil
 }
 
 // avoids reports whether the item's earlier attempts failed on w or its rack.
@@ -106,7 +110,7 @@
 	if t.Kind == cell.KindService {
 		return false
 	}
-	if t.Stoppable && t.Class != cell.ClassUrgent && e.stops < s.maxStops() {
+	if t.Stoppable && t.Class != cell.ClassUrgent && e.stops.spare < maxSpareStops {
 		return true
 	}
 	return t.EstimatedRun > 0 && !now.Add(backfillSafety*t.EstimatedRun).After(s.reservation.start)
--- a/internal/scheduler/index.go
+++ b/internal/scheduler/index.go
@@ -88,29 +88,26 @@
 	return int8(min(v*(indexLevels-1)/x.limit[d], indexLevels-1))
 }
 
-// search visits the workers that may fit claim in steps of the claim's largest dimension: those with the least room
-// first if tightest is set, else those with the most. It stops when visit returns false, or after a step for which done returns true.
-func (x *index) search(claim cell.Resources, tightest bool, visit func(slot int) bool, done func() bool) {
+// search visits the workers that may fit claim in steps of the claim's largest dimension, those with the least room first.
+// A step ends when visit returns false; the search ends after a step for which done returns true.
+func (x *index) search(claim cell.Resources, visit func(slot int) bool, done func() bool) {
 	var need [dimensions]int8
 	for d, v := range amountsOf(claim) {
 		need[d] = x.levelOf(d, v)
 	}
 	main := x.largest(claim)
-	for i := need[main]; i < indexLevels; i++ {
-		l := i
-		if !tightest {
-			l = indexLevels - 1 - (i - need[main])
-		}
-		if !x.searchLevel(need, main, l, visit) || done() {
+	for l := need[main]; l < indexLevels; l++ {
+		x.searchLevel(need, main, l, visit)
+		if done() {
 			return
 		}
 	}
 }
 
-func (x *index) searchLevel(need [dimensions]int8, main int, l int8, visit func(slot int) bool) bool {
+func (x *index) searchLevel(need [dimensions]int8, main int, l int8, visit func(slot int) bool) {
 	top := l == indexLevels-1
 	if x.count[main][l] == 0 || !top && x.count[main][l] == x.count[main][l+1] {
-		return true
+		return
 	}
 	for word, set := range x.reach[main][l] {
 		if !top {
@@ -123,11 +120,10 @@
 		}
 		for ; set != 0; set &= set - 1 {
 			if !visit(word*wordBits + bits.TrailingZeros64(set)) {
-				return false
+				return
 			}
 		}
 	}
-	return true
 }
 
 // largest returns the dimension of which claim takes the largest share.
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -11,6 +11,8 @@
 type Scheduler struct {
 	policy   Policy
 	capacity cell.Resources
+	// largest is the largest capacity of any worker in each dimension.
+	largest  cell.Resources
 	workers  map[cell.WorkerID]*worker
 	order    []*worker
 	groups   []*group
@@ -21,7 +23,7 @@
 	gangs    map[cell.JobID]*gang
 	services map[cell.JobID]*spread
 	holdings map[fitKey]int
-	stops    map[cell.TaskID]int
+	stops    map[cell.TaskID]stopCounts
 
 	queued    int
 	placed    int
@@ -56,7 +58,7 @@
 		gangs:    make(map[cell.JobID]*gang),
 		services: make(map[cell.JobID]*spread),
 		holdings: make(map[fitKey]int),
-		stops:    make(map[cell.TaskID]int),
+		stops:    make(map[cell.TaskID]stopCounts),
 		lineup:   newOrder(),
 	}
 	s.deadlines = indexedHeap[*entry]{
@@ -123,14 +125,21 @@
 	if w.group != nil {
 		w.group.remove(w)
 	}
-	s.resizeCapacity(desc.Capacity.Sub(w.desc.Capacity))
+	change := desc.Capacity.Sub(w.desc.Capacity)
 	w.desc.Capacity, w.desc.Pool = desc.Capacity, desc.Pool
+	s.resizeCapacity(change)
 	s.groupOf(desc).add(w)
 }
 
 func (s *Scheduler) resizeCapacity(change cell.Resources) {
 	s.capacity = s.capacity.Add(change)
 	clear(s.holdings)
+	if change.Negative() {
+		s.largest = cell.Resources{}
+	}
+	for _, w := range s.order {
+		s.largest = largestOf(s.largest, w.desc.Capacity)
+	}
 	for _, t := range s.teams {
 		s.reshare(t)
 	}
@@ -212,7 +221,7 @@
 		return
 	}
 	if e.state == StateStopping {
-		s.countStop(id, e.stops+1)
+		s.countStops(id, e.stops)
 	} else {
 		delete(s.stops, id)
 	}
@@ -276,6 +285,15 @@
 	}
 }
 
+func largestOf(a, b cell.Resources) cell.Resources {
+	return cell.Resources{
+		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
+		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+		Slots:        max(a.Slots, b.Slots),
+	}
+}
+
 func compareIDs[T ~string](a, b T) int {
 	switch {
 	case a < b:
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -13,9 +13,15 @@
 	starvedSteps = 6
 )
 
-// orderKey is a lane's place in the order of a round: first by rank, then by the team's share, then by arrival.
+// shareBand is the width of the bands of team shares within which larger units go first, at a packing weight of 1.
+const shareBand = 0.01
+
+// orderKey is a lane's place in the order of a round: first by rank, then by the band of the team's share, then by size,
+// since small units fill the gaps that large ones leave and not the reverse, then by the team's share and by arrival.
 type orderKey struct {
 	rank  int
+	band  int
+	size  float64
 	share float64
 	first *unit
 }
@@ -24,6 +30,12 @@
 	if k.rank != o.rank {
 		return k.rank < o.rank
 	}
+	if k.band != o.band {
+		return k.band < o.band
+	}
+	if k.size != o.size {
+		return k.size > o.size
+	}
 	if k.share != o.share {
 		return k.share < o.share
 	}
@@ -32,7 +44,12 @@
 
 func (s *Scheduler) orderKeyOf(l *lane, now time.Time) orderKey {
 	u := l.first()
-	return orderKey{rank: agedRank(l.key.class, now.Sub(u.arrived), s.policy.AgeingStep), share: l.team.share, first: u}
+	key := orderKey{rank: agedRank(l.key.class, now.Sub(u.arrived), s.policy.AgeingStep), share: l.team.share, first: u}
+	if width := shareBand * s.policy.PackingWeight; width > 0 {
+		key.band = int(key.share / width)
+		key.size = u.total.DominantShare(s.largest)
+	}
+	return key
 }
 
 // agedRank returns the rank of a unit that has waited so long: one higher for each step, but below urgent work
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -15,7 +15,9 @@
 	// stopCost is the run time that a stop is counted to throw away beside the victim's progress.
 	stopCost = time.Second
 	// defaultMaxStops is Policy.MaxStops where it is not set.
-	defaultMaxStops = 3
+	defaultMaxStops = 10
+	// maxSpareStops is how often a task may use reserved room that it then has to leave.
+	maxSpareStops = 1
 	// defaultWasteShare is Policy.MaxWasteShare where it is not set.
 	defaultWasteShare = 0.1
 	// wasteWindow is the time over which an unused waste budget adds up.
@@ -46,6 +48,11 @@
 	return true
 }
 
+// stopCounts is how often a task was stopped: for urgent work, and to leave room that was reserved.
+type stopCounts struct {
+	urgent, spare int
+}
+
 // victimSet is the tasks to stop on one worker, and the work lost with them in worker-seconds.
 type victimSet struct {
 	worker *worker
@@ -78,7 +85,7 @@
 // mayStop reports whether e may be stopped for urgent work.
 func (s *Scheduler) mayStop(e *entry) bool {
 	t := e.task()
-	return e.state == StatePlaced && t.Stoppable && t.Class != cell.ClassUrgent && e.stops < s.maxStops()
+	return e.state == StatePlaced && t.Stoppable && t.Class != cell.ClassUrgent && e.stops.urgent < s.maxStops()
 }
 
 // recountVictims brings w's sum of stoppable claims up to date.
@@ -135,7 +142,7 @@
 			s.considerVictims(&best, g.members[slot], e, now)
 			return seen < maxVictimSets
 		}
-		g.preemptible.search(e.claim(), true, visit, func() bool { return false })
+		g.preemptible.search(e.claim(), visit, func() bool { return seen >= maxVictimSets })
 	}
 	return best
 }
@@ -200,6 +207,11 @@
 // stop asks the owner to stop a placed task for another.
 func (s *Scheduler) stop(r *round, v, forEntry *entry) {
 	v.state = StateStopping
+	if forEntry.task().Class == cell.ClassUrgent {
+		v.stops.urgent++
+	} else {
+		v.stops.spare++
+	}
 	s.recountVictims(v.worker)
 	forID := forEntry.item.Task.ID
 	r.out = append(r.out, Decision{
@@ -213,8 +225,8 @@
 	})
 }
 
-// countStop remembers that a task was stopped, for when it returns to the queue.
-func (s *Scheduler) countStop(id cell.TaskID, n int) {
+// countStops remembers how often a task was stopped, for when it returns to the queue.
+func (s *Scheduler) countStops(id cell.TaskID, n stopCounts) {
 	if len(s.stops) >= maxStopRecords {
 		clear(s.stops)
 	}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -24,8 +24,8 @@
 	worker *worker
 	since  time.Time
 	state  State
-	// stops is how many times the task was stopped for others.
-	stops int
+	// stops is how often the task was stopped for others.
+	stops stopCounts
 	// victim means that the claim is counted in worker.victims.
 	victim bool
 	// spare means that the task uses room that a reservation holds and leaves it when the reserved gang is ready.
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -7,7 +7,7 @@
 	zoneSpread = 4.0
 	rackSpread = 2.0
 	// unevenWeight weighs how unevenly the room that is left is spread over the dimensions.
-	unevenWeight = 0.5
+	unevenWeight = 2.0
 )
 
 // score rates w for a claim, higher for better. It weighs a tight and even fit against the most room left.
