Scheduler: one reservation per pool instead of one for the shard

Conclusion: one a pool; a worker keeps room for one reservation only, so that reservations can't wait for each other.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -201,7 +201,7 @@
 		s.unlist(u)
 	case u.earmark != nil:
 		s.dropEarmark(u)
-	case s.reservation != nil && s.reservation.unit == u:
-		s.dropReservation()
+	case u.reservation != nil:
+		s.dropReservation(u.reservation)
 	}
 }
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -87,7 +87,7 @@
 		position: func(c *candidate) *int { return &c.at },
 	}
 	for i, w := range s.order {
-		if !w.placeable() || !w.group.matches(e.task().Pool) {
+		if !w.placeable() || w.reservation != nil || !w.group.matches(e.task().Pool) {
 			continue
 		}
 		need := planned[w].Add(e.claim())
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -41,7 +41,7 @@
 	case u.earmark != nil:
 		return []cell.Reason{{Code: cell.ReasonNoCapacity, Detail: fmt.Sprintf("room kept on %s while stoppable work leaves it", u.earmark.desc.ID)}}
 	case u.lane == nil:
-		return []cell.Reason{s.explainReservation(s.reservation)}
+		return []cell.Reason{s.explainReservation(u.reservation)}
 	}
 	chain := []cell.Reason{s.explainOrder(u)}
 	if !e.team.allows(u.total) {
@@ -57,7 +57,7 @@
 			ready++
 		}
 	}
-	detail := fmt.Sprintf("holds the reservation: %d of %d tasks have room, expected start %s", ready, len(res.slots), res.start.UTC().Format(time.RFC3339Nano))
+	detail := fmt.Sprintf("holds a reservation: %d of %d tasks have room, expected start %s", ready, len(res.slots), res.start.UTC().Format(time.RFC3339Nano))
 	return cell.Reason{Code: cell.ReasonGangReserved, Detail: detail}
 }
 
--- a/internal/scheduler/feasible.go
+++ b/internal/scheduler/feasible.go
@@ -91,21 +91,22 @@
 // findSpare returns a worker on which e can use room that is reserved for a gang without delaying the gang:
 // because e can be stopped, or because it ends before the reserved start though it runs backfillSafety times its estimate.
 func (s *Scheduler) findSpare(e *entry, now time.Time) *worker {
-	res := s.reservation
-	if res == nil || !s.mayBackfill(e, now) {
-		return nil
-	}
 	claim := e.claim()
-	for _, slot := range res.slots {
-		w := slot.worker
-		if w.group.matches(e.task().Pool) && claim.Fits(w.free().Sub(w.earmarked)) && !avoids(&e.item, w) {
-			return w
+	for _, res := range s.reservations {
+		if !res.mayBackfill(e, now) {
+			continue
+		}
+		for _, slot := range res.slots {
+			w := slot.worker
+			if w.group.matches(e.task().Pool) && claim.Fits(w.free().Sub(w.earmarked)) && !avoids(&e.item, w) {
+				return w
+			}
 		}
 	}
 	return nil
 }
 
-func (s *Scheduler) mayBackfill(e *entry, now time.Time) bool {
+func (res *reservation) mayBackfill(e *entry, now time.Time) bool {
 	t := e.task()
 	if t.Kind == cell.KindService {
 		return false
@@ -113,5 +114,5 @@
 	if t.Stoppable && t.Class != cell.ClassUrgent && e.stops.spare < maxSpareStops {
 		return true
 	}
-	return t.EstimatedRun > 0 && !now.Add(backfillSafety*t.EstimatedRun).After(s.reservation.start)
+	return t.EstimatedRun > 0 && !now.Add(backfillSafety*t.EstimatedRun).After(res.start)
 }
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -37,8 +37,8 @@
 	freed     []*worker
 	earmarks  []earmarkEnd
 
-	reservation *reservation
-	// reserveAfter is when a waiting unit may next be given the reservation.
+	reservations []*reservation
+	// reserveAfter is when the queue is next searched for a unit to reserve for.
 	reserveAfter time.Time
 	waste        wasteBudget
 	more         bool
@@ -152,8 +152,8 @@
 		s.dropEarmark(u)
 		s.enlist(u)
 	}
-	if !w.reserved.IsZero() {
-		s.returnReservation()
+	if w.reservation != nil {
+		s.returnReservation(w.reservation)
 	}
 }
 
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -13,7 +13,7 @@
 //	forming   in Scheduler.forming until its gang is whole
 //	in line   its unit is in a lane
 //	earmarked its unit waits for victims to leave a worker
-//	reserved  its unit holds the reservation
+//	reserved  its unit holds a reservation
 //	placed    on a worker, perhaps stopping
 type entry struct {
 	item   Item
@@ -53,9 +53,10 @@
 	prev    *unit
 	next    *unit
 	// returnedAt is the position among the lane's returned units; -1 for a unit of the lane's list.
-	returnedAt int
-	earmark    *worker
-	earmarkEnd time.Time
+	returnedAt  int
+	earmark     *worker
+	earmarkEnd  time.Time
+	reservation *reservation
 }
 
 func (u *unit) first() *entry { return u.members[0] }
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// maxReservations bounds the reservations of one pool at a time.
+	maxReservations = 1
 	// reserveTries is the number of waiting units for which one round plans a reservation.
 	reserveTries = 4
 	// reserveChecks is how often within an ageing step the queue is searched for work to reserve for.
@@ -17,8 +19,9 @@
 	minReserveInterval = time.Second
 )
 
-// reservation keeps room for the first unit that can't start otherwise: a gang, or a single task that has aged.
-// There is one at a time, and it lasts until its unit starts or is withdrawn, so that units can't wait for each other.
+// reservation keeps room for a unit that can't start otherwise: a gang, or a single task that has aged.
+// There are few at a time, given in order, and each lasts until its unit starts or is withdrawn. A worker keeps room for
+// one reservation only, so that units can't wait for each other.
 //
 // Room is gathered in two ways: each member has a worker that is expected to drain first, and moves to any other worker
 // that has room before that. Nothing else may use the reserved room but backfill that can't delay the start (findSpare),
@@ -42,9 +45,9 @@
 	ready bool
 }
 
-// reserveNext gives the reservation, if it is free, to the first unit in order that needs it.
+// reserveNext gives a reservation, if one is free, to the first unit in order that needs it.
 func (s *Scheduler) reserveNext(r *round) {
-	if s.reservation != nil || len(s.blocked) == 0 || r.now.Before(s.reserveAfter) {
+	if len(s.blocked) == 0 || r.now.Before(s.reserveAfter) {
 		return
 	}
 	s.reserveAfter = r.now.Add(max(s.policy.AgeingStep/reserveChecks, minReserveInterval))
@@ -56,9 +59,9 @@
 	}
 }
 
-// reserveFor gives u the reservation and reports whether it did.
+// reserveFor gives u a reservation and reports whether it did.
 func (s *Scheduler) reserveFor(r *round, u *unit) bool {
-	if s.reservation != nil {
+	if s.reservationsOf(u.first().task().Pool) >= maxReservations {
 		return false
 	}
 	res := s.plan(u, r.now)
@@ -66,16 +69,27 @@
 		return false
 	}
 	s.reserve(res)
-	s.startReserved(r)
+	s.startReserved(r, res)
 	return true
 }
 
+// reservationsOf counts the reservations of one pool.
+func (s *Scheduler) reservationsOf(pool string) int {
+	n := 0
+	for _, res := range s.reservations {
+		if res.unit.first().task().Pool == pool {
+			n++
+		}
+	}
+	return n
+}
+
 // reservable returns the first lanes in order whose first unit may be given the reservation.
 func (s *Scheduler) reservable(now time.Time) []*lane {
 	var lanes []*lane
 	for _, sh := range s.blocked {
 		for _, l := range sh.lanes {
-			if l.size > 0 && s.mayReserve(l, now) {
+			if l.size > 0 && s.mayReserve(l, now) && s.reservationsOf(sh.key.pool) < maxReservations {
 				l.rank = s.orderKeyOf(l, now)
 				lanes = append(lanes, l)
 			}
@@ -100,57 +114,70 @@
 
 func (s *Scheduler) reserve(res *reservation) {
 	s.unlist(res.unit)
-	s.reservation = res
+	s.reservations = append(s.reservations, res)
+	res.unit.reservation = res
 	s.promise(res.unit.first().team, res.unit.total)
 	for _, sl := range res.slots {
-		s.keepRoom(sl.worker, sl.member.claim())
+		s.keepRoom(res, sl.worker, sl.member.claim())
 	}
 }
 
 // dropReservation gives up the reserved room; its unit then waits nowhere.
-func (s *Scheduler) dropReservation() {
-	res := s.reservation
-	s.clearReservation()
+func (s *Scheduler) dropReservation(res *reservation) {
+	s.clearReservation(res)
 	for _, sl := range res.slots {
 		s.roomGrew(sl.worker)
 	}
 }
 
-func (s *Scheduler) clearReservation() {
-	res := s.reservation
-	s.reservation = nil
+func (s *Scheduler) clearReservation(res *reservation) {
+	s.reservations = slices.DeleteFunc(s.reservations, func(o *reservation) bool { return o == res })
+	res.unit.reservation = nil
 	s.reserveAfter = time.Time{}
 	s.unpromise(res.unit.first().team, res.unit.total)
 	for _, sl := range res.slots {
-		s.keepRoom(sl.worker, cell.Resources{}.Sub(sl.member.claim()))
+		s.keepRoom(res, sl.worker, cell.Resources{}.Sub(sl.member.claim()))
 	}
 }
 
 // returnReservation gives up the reserved room and returns its unit to the queue.
-func (s *Scheduler) returnReservation() {
-	u := s.reservation.unit
-	s.dropReservation()
-	s.enlist(u)
+func (s *Scheduler) returnReservation(res *reservation) {
+	s.dropReservation(res)
+	s.enlist(res.unit)
 }
 
-func (s *Scheduler) keepRoom(w *worker, claim cell.Resources) {
+func (s *Scheduler) keepRoom(res *reservation, w *worker, claim cell.Resources) {
 	w.reserved = w.reserved.Add(claim)
+	w.reservation = res
+	if w.reserved.IsZero() {
+		w.reservation = nil
+	}
 	w.group.refresh(w)
 }
 
-// reserveFreed lets the reservation use the room that grew on w.
+// reserveFreed lets the first reservation that can use it have the room that grew on w.
 func (s *Scheduler) reserveFreed(w *worker) {
-	res := s.reservation
-	if res == nil || !w.placeable() {
+	if !w.placeable() {
 		return
 	}
-	res.dirty = res.dirty || !w.reserved.IsZero()
+	if w.reservation != nil {
+		w.reservation.dirty = true
+	}
+	for _, res := range s.reservations {
+		if w.reservation == nil || w.reservation == res {
+			s.moveSlots(res, w)
+		}
+	}
+}
+
+// moveSlots moves the last slots of res that are not ready to w while there is room.
+func (s *Scheduler) moveSlots(res *reservation, w *worker) {
 	for {
 		sl := res.latest(w)
 		if sl == nil || !sl.member.claim().Fits(w.room()) {
 			return
 		}
-		s.moveSlot(sl, w)
+		s.moveSlot(res, sl, w)
 	}
 }
 
@@ -165,20 +192,27 @@
 	return last
 }
 
-func (s *Scheduler) moveSlot(sl *slot, w *worker) {
+func (s *Scheduler) moveSlot(res *reservation, sl *slot, w *worker) {
 	claim := sl.member.claim()
 	old := sl.worker
-	s.keepRoom(old, cell.Resources{}.Sub(claim))
+	s.keepRoom(res, old, cell.Resources{}.Sub(claim))
 	sl.worker, sl.drain, sl.ready = w, 0, true
-	s.keepRoom(w, claim)
-	s.reservation.dirty = true
+	s.keepRoom(res, w, claim)
+	res.dirty = true
 	s.roomGrew(old)
 }
 
+func (s *Scheduler) startReservations(r *round) {
+	for _, res := range slices.Clone(s.reservations) {
+		if res.unit.reservation == res {
+			s.startReserved(r, res)
+		}
+	}
+}
+
 // startReserved starts the reserved unit if all its room is there, or asks what backfills the room to leave if that is all it waits for.
-func (s *Scheduler) startReserved(r *round) {
-	res := s.reservation
-	if res == nil || !res.dirty {
+func (s *Scheduler) startReserved(r *round, res *reservation) {
+	if !res.dirty {
 		return
 	}
 	res.dirty = false
@@ -193,7 +227,7 @@
 
 func (s *Scheduler) startUnit(r *round, res *reservation) {
 	u := res.unit
-	s.clearReservation()
+	s.clearReservation(res)
 	if !u.first().team.allows(u.total) {
 		s.enlist(u)
 		for _, sl := range res.slots {
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -73,7 +73,7 @@
 		s.reserveFreed(w)
 	}
 	s.freed = s.freed[:0]
-	s.startReserved(r)
+	s.startReservations(r)
 }
 
 // placeLanes places units in order until the budget is spent or no lane's first unit can be placed.
--- a/internal/scheduler/views.go
+++ b/internal/scheduler/views.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"slices"
-
-	"laburnumpoint/internal/cell"
-)
+import "slices"
 
 // Totals sums up the shard.
 func (s *Scheduler) Totals() Totals {
@@ -54,11 +50,3 @@
 	slices.Sort(names)
 	return names
 }
-
-// Reserved returns the job of the reserved gang, or of the reserved single task, and whether there is a reservation.
-func (s *Scheduler) Reserved() (cell.JobID, bool) {
-	if s.reservation == nil {
-		return "", false
-	}
-	return s.reservation.unit.first().task().Job, true
-}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -14,8 +14,10 @@
 	used cell.Resources
 	// earmarked is the claims of urgent tasks that start here once their victims are gone.
 	earmarked cell.Resources
-	// reserved is the claims of the members of the reservation that are to start here.
+	// reserved is the claims of the members of a reservation that are to start here.
 	reserved cell.Resources
+	// reservation is the one reservation that may keep room here.
+	reservation *reservation
 	// victims is the claims of the tasks here that may be stopped for urgent work.
 	victims cell.Resources
 	tasks   []*entry
