--- a/bench/load.go
+++ b/bench/load.go
@@ -36,6 +36,8 @@
 	Work    []Work
 	// Horizon is the time after Start at which arrivals and measurement end.
 	Horizon time.Duration
+	// Warmup is the time after Start from which the teams' work is counted.
+	Warmup time.Duration
 }
 
 // stream describes one kind of arriving work.
@@ -64,6 +66,8 @@
 	rng  *rand.Rand
 	load *Load
 	jobs int
+	// fixedTeam is the team of all work; empty to draw teams.
+	fixedTeam string
 }
 
 func claim(cores, gibs, accelerators int64) cell.Resources {
@@ -146,7 +150,14 @@
 
 // team draws a team, the first ones far more often.
 func (g *generator) team() string {
-	return fmt.Sprintf("team-%02d", int(math.Pow(g.rng.Float64(), 2)*teams))
+	if g.fixedTeam != "" {
+		return g.fixedTeam
+	}
+	return teamName(int(math.Pow(g.rng.Float64(), 2) * teams))
+}
+
+func teamName(n int) string {
+	return fmt.Sprintf("team-%02d", n)
 }
 
 func (g *generator) done() *Load {
--- a/bench/meter.go
+++ b/bench/meter.go
@@ -19,6 +19,8 @@
 	Bound float64
 	// Waiting is how long work waited.
 	Waiting time.Duration
+	// Whole is the share in use of each dimension over the whole run, whether work waited or not, less what stops made to be redone.
+	Whole [4]float64
 }
 
 // Result is what a Run measured.
@@ -38,6 +40,7 @@
 	Refused int
 	// TeamWork is the dominant share of the cell that each team held, in seconds.
 	TeamWork map[string]float64
+	horizon  time.Duration
 }
 
 // poolMeter follows one pool.
@@ -56,15 +59,16 @@
 	total   cell.Resources
 	horizon time.Duration
 	at      time.Time
+	warm    time.Time
 	teams   map[string]cell.Resources
 }
 
 func newMeter(load *Load) *meter {
 	m := &meter{
-		pools: make(map[string]*poolMeter), horizon: load.Horizon, at: Start, teams: make(map[string]cell.Resources),
+		pools: make(map[string]*poolMeter), horizon: load.Horizon, at: Start, warm: Start.Add(load.Warmup), teams: make(map[string]cell.Resources),
 		result: &Result{
 			Waits: make(map[string][]time.Duration), Unstarted: make(map[string]int),
-			Pools: make(map[string]*Packing), TeamWork: make(map[string]float64),
+			Pools: make(map[string]*Packing), TeamWork: make(map[string]float64), horizon: load.Horizon,
 		},
 	}
 	for _, w := range load.Workers {
@@ -93,12 +97,18 @@
 	for _, p := range m.pools {
 		p.advance(dt)
 	}
+	if m.at.Before(m.warm) {
+		return
+	}
 	for team, held := range m.teams {
 		m.result.TeamWork[team] += dt * held.DominantShare(m.total)
 	}
 }
 
 func (p *poolMeter) advance(dt float64) {
+	for d, c := range p.capacity {
+		p.packing.Whole[d] += dt * ratio(p.used[d], c)
+	}
 	if p.waiting == 0 {
 		return
 	}
@@ -117,6 +127,13 @@
 	p.packing.Bound += dt * min(1, asked)
 }
 
+func ratio(part, whole int64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
 func (m *meter) queue(t cell.Task, n int64) {
 	p := m.pools[t.Pool]
 	addTo(&p.queued, t.Claim, n)
@@ -155,6 +172,12 @@
 
 func (m *meter) stopped(t cell.Task, ran time.Duration) {
 	m.result.Stops++
+	var redone [4]int64
+	addTo(&redone, t.Claim, 1)
+	p := m.pools[t.Pool]
+	for d, c := range p.capacity {
+		p.packing.Whole[d] -= restoreTime.Seconds() * ratio(redone[d], c)
+	}
 	share := t.Claim.DominantShare(m.total)
 	m.result.Redone += time.Duration(share * float64(restoreTime))
 	m.result.AtRisk += time.Duration(share * float64(ran))
@@ -183,6 +206,11 @@
 	return scarce / bound
 }
 
+// WholePacking returns the share in use of the pool's fullest dimension over the whole run.
+func (r *Result) WholePacking(pool string) float64 {
+	return slices.Max(r.Pools[pool].Whole[:]) / r.horizon.Seconds()
+}
+
 // String formats the result as a table.
 func (r *Result) String() string {
 	var b strings.Builder
@@ -203,8 +231,8 @@
 	for _, name := range pools {
 		p := r.Pools[name]
 		s := max(p.Waiting.Seconds(), 1)
-		fmt.Fprintf(&b, "  %-12s waiting %s: cpu %.3f mem %.3f acc %.3f slots %.3f, scarcest %.3f of bound %.3f\n", name,
-			p.Waiting.Round(time.Second), p.Used[0]/s, p.Used[1]/s, p.Used[2]/s, p.Used[3]/s, p.Scarce/s, p.Bound/s)
+		fmt.Fprintf(&b, "  %-12s waiting %s: cpu %.3f mem %.3f acc %.3f slots %.3f, scarcest %.3f of bound %.3f; whole run %.4f\n", name,
+			p.Waiting.Round(time.Second), p.Used[0]/s, p.Used[1]/s, p.Used[2]/s, p.Used[3]/s, p.Scarce/s, p.Bound/s, r.WholePacking(name))
 	}
 	fmt.Fprintf(&b, "  packing/bound %.4f, placements %d, stops %d, cell time redone %s, at risk %s, refused %d, old unstarted gang tasks %d\n",
 		r.PackingRatio(), r.Placements, r.Stops, r.Redone.Round(time.Millisecond), r.AtRisk.Round(time.Second), r.Refused, r.OldUnstartedGangs)
--- a/bench/offices.go
+++ b/bench/offices.go
@@ -12,6 +12,8 @@
 	media     = "media"
 	exchange  = "exchange"
 	imaging   = "imaging"
+	// backlogTasks is the number of tasks that the team with the least work has waiting.
+	backlogTasks = 200
 )
 
 // Galwad returns a load in which waiting time counts: late urgent revisions among nightly batches, standing feeds,
@@ -75,3 +77,21 @@
 func RimacPolicy() scheduler.Policy {
 	return scheduler.Policy{PackingWeight: 0.9, UrgentWait: 2200 * time.Millisecond, AgeingStep: 30 * time.Minute, MaxQueued: 200_000}
 }
+
+// Backlog returns a load in which every team has more work waiting than the cell can run, the first teams by far the most,
+// and all of a team's work arrives before the next team's.
+func Backlog(seed uint64, horizon time.Duration) *Load {
+	g := newGenerator(seed, horizon)
+	g.workers(exchange, 35, 4, claim(32, 64, 0))
+	claims := []cell.Resources{claim(2, 4, 0), claim(4, 8, 0), claim(6, 12, 0)}
+	g.load.Warmup = horizon / 2
+	st := stream{name: "backlog", pool: exchange, kind: cell.KindBatch, class: cell.ClassBatch}
+	for team := range teams {
+		g.fixedTeam = teamName(team)
+		for range backlogTasks + 2*(teams-team) {
+			at := time.Duration(team) * time.Second
+			g.job(st, at, g.duration(time.Minute, 4*time.Minute), claims[g.rng.IntN(len(claims))], 1)
+		}
+	}
+	return g.done()
+}
--- a/bench/policy_test.go
+++ b/bench/policy_test.go
@@ -9,20 +9,93 @@
 )
 
 const (
-	seed    = 1
-	horizon = 6 * time.Hour
+	seed          = 1
+	reportHorizon = 6 * time.Hour
+	boundHorizon  = 2 * time.Hour
+	// maxUrgentRatio is how much of the baseline's p99 wait urgent work may wait.
+	maxUrgentRatio = 0.2
+	// minPackingRatio is how much of the relaxed bound is in use while work waits on the Rimac load.
+	minPackingRatio = 0.95
+	// minFairness is the least that Jain's index of the teams' shares may be while all have work waiting.
+	minFairness = 0.9
 )
 
+type office struct {
+	name   string
+	load   func(uint64, time.Duration) *Load
+	policy scheduler.Policy
+}
+
+func offices() []office {
+	return []office{{"galwad", Galwad, GalwadPolicy()}, {"rimac", Rimac, RimacPolicy()}}
+}
+
+// TestReport prints every figure of both offices over three seeds. It bounds nothing and is skipped in short runs.
 func TestReport(t *testing.T) {
-	for _, l := range []struct {
-		name   string
-		load   *Load
-		policy scheduler.Policy
-	}{
-		{"galwad", Galwad(seed, horizon), GalwadPolicy()},
-		{"rimac", Rimac(seed, horizon), RimacPolicy()},
-	} {
-		fmt.Printf("%s first-fit\n%s", l.name, Run(NewFirstFit(), l.load))
-		fmt.Printf("%s scheduler\n%s", l.name, Run(scheduler.New(l.policy), l.load))
+	if !testing.Verbose() {
+		t.Skip("prints a report; run with -v")
+	}
+	for _, o := range offices() {
+		for s := uint64(1); s <= 3; s++ {
+			load := o.load(s, reportHorizon)
+			fmt.Printf("%s seed %d first-fit\n%s", o.name, s, Run(NewFirstFit(), load))
+			fmt.Printf("%s seed %d scheduler\n%s", o.name, s, Run(scheduler.New(o.policy), load))
+		}
+	}
+}
+
+func TestGalwadUrgentWorkWaitsLittle(t *testing.T) {
+	load := Galwad(seed, boundHorizon)
+	base, got := Run(NewFirstFit(), load), Run(scheduler.New(GalwadPolicy()), load)
+	if b, g := base.Wait("urgent", 0.99), got.Wait("urgent", 0.99); float64(g) > maxUrgentRatio*float64(b) {
+		t.Errorf("urgent p99 wait %s, baseline %s", g, b)
+	}
+	if g := got.Wait("urgent", 0.99); g > GalwadPolicy().UrgentWait {
+		t.Errorf("urgent p99 wait %s, promised %s", g, GalwadPolicy().UrgentWait)
+	}
+}
+
+// TestGalwadPackingIsNoWorse compares the share of each pool in use over the whole run, less what stops made to be redone.
+func TestGalwadPackingIsNoWorse(t *testing.T) {
+	load := Galwad(seed, boundHorizon)
+	base, got := Run(NewFirstFit(), load), Run(scheduler.New(GalwadPolicy()), load)
+	for _, pool := range []string{callsheet, media} {
+		if b, g := base.WholePacking(pool), got.WholePacking(pool); g < b {
+			t.Errorf("%s: %.4f in use, baseline %.4f", pool, g, b)
+		}
+	}
+}
+
+func TestRimacPackingNearsTheRelaxedBound(t *testing.T) {
+	got := Run(scheduler.New(RimacPolicy()), Rimac(seed, boundHorizon))
+	if r := got.PackingRatio(); r < minPackingRatio {
+		t.Errorf("packing is %.4f of the relaxed bound, want %.2f", r, minPackingRatio)
+	}
+}
+
+func TestNoGangStarves(t *testing.T) {
+	for _, o := range offices() {
+		if n := Run(scheduler.New(o.policy), o.load(seed, boundHorizon)).OldUnstartedGangs; n > 0 {
+			t.Errorf("%s: %d gang tasks that arrived in the first half did not start", o.name, n)
+		}
+	}
+}
+
+func TestTeamsWithBacklogShareEvenly(t *testing.T) {
+	load := Backlog(seed, time.Hour/2)
+	base, got := fairness(Run(NewFirstFit(), load)), fairness(Run(scheduler.New(RimacPolicy()), load))
+	t.Logf("Jain's index: first-fit %.4f, scheduler %.4f", base, got)
+	if got < minFairness {
+		t.Errorf("Jain's index of the teams' shares is %.4f (baseline %.4f), want %.2f", got, base, minFairness)
+	}
+}
+
+// fairness is Jain's index of the teams' work: 1 if all are equal, 1/teams if one has everything.
+func fairness(r *Result) float64 {
+	sum, squares := 0.0, 0.0
+	for _, work := range r.TeamWork {
+		sum += work
+		squares += work * work
 	}
+	return sum * sum / (teams * squares)
 }
--- /dev/null
+++ b/bench/speed_test.go
@@ -0,0 +1,185 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/scheduler"
+)
+
+const (
+	// fullCellPlaced and fullCellQueued are the tasks that a full-size cell runs and keeps waiting.
+	fullCellPlaced = 10_000
+	fullCellQueued = 30_000
+	// maxAllocsPerDecision bounds the allocations of one arrival, placement and release.
+	maxAllocsPerDecision = 12
+)
+
+// steady is a scheduler with a full cell and a long queue, in which each step ends one task and places another.
+type steady struct {
+	s       *scheduler.Scheduler
+	rng     *rand.Rand
+	now     time.Time
+	placed  []cell.TaskID
+	next    int
+	stopped int
+}
+
+func newSteady(workers, placed, queued int) *steady {
+	st := &steady{rng: rand.New(rand.NewPCG(3, 3)), now: Start}
+	st.s = scheduler.New(scheduler.Policy{PackingWeight: 0.5, UrgentWait: 2200 * time.Millisecond, AgeingStep: time.Hour})
+	g := newGenerator(1, time.Hour)
+	g.workers(callsheet, workers, 4, claim(64, 128, 0))
+	for _, w := range g.load.Workers {
+		st.s.UpsertWorker(w, true)
+	}
+	for len(st.placed) < placed {
+		st.enqueue(st.task(cell.ClassBatch))
+		st.schedule()
+	}
+	for range queued {
+		st.enqueue(st.large())
+	}
+	st.schedule()
+	return st
+}
+
+func (st *steady) task(class cell.Class) cell.Task {
+	st.next++
+	return cell.Task{
+		ID: cell.TaskID(fmt.Sprintf("t%d", st.next)), Kind: cell.KindBatch, Team: fmt.Sprintf("team-%d", st.rng.IntN(teams)), Class: class, Pool: callsheet,
+		Claim:     cell.Resources{MilliCPU: int64(1+st.rng.IntN(8)) * core, MemoryMiB: int64(1+st.rng.IntN(8)) * gib, Slots: 1},
+		Stoppable: st.rng.IntN(2) == 0, EstimatedRun: time.Minute,
+	}
+}
+
+// large returns work that waits for a whole worker, as the tail of the queue does.
+func (st *steady) large() cell.Task {
+	t := st.task(cell.ClassBatch)
+	t.Claim = cell.Resources{MilliCPU: int64(57+st.rng.IntN(8)) * core, MemoryMiB: 64 * gib, Slots: 8}
+	return t
+}
+
+func (st *steady) enqueue(t cell.Task) {
+	if ok, reason := st.s.Enqueue(st.now, scheduler.Item{Task: t, Arrived: st.now}); !ok {
+		panic(reason.String())
+	}
+}
+
+func (st *steady) schedule() {
+	for _, d := range st.s.Schedule(st.now, scheduleBudget) {
+		if d.Kind == scheduler.Place {
+			st.placed = append(st.placed, d.Task.ID)
+		}
+	}
+}
+
+// step ends one task, lets another arrive and decides.
+func (st *steady) step() {
+	st.now = st.now.Add(time.Millisecond)
+	i := st.rng.IntN(len(st.placed))
+	id := st.placed[i]
+	st.placed[i] = st.placed[len(st.placed)-1]
+	st.placed = st.placed[:len(st.placed)-1]
+	st.s.Release(id)
+	st.enqueue(st.task(cell.ClassNormal))
+	st.schedule()
+}
+
+// size returns how many tasks run and wait in a cell of the given number of workers.
+func size(workers int) (placed, queued int) {
+	return min(fullCellPlaced, workers*4), min(fullCellQueued, workers*100)
+}
+
+// BenchmarkDecision reports the time of one release, arrival and placement.
+func BenchmarkDecision(b *testing.B) {
+	for _, workers := range []int{35, 300, 3000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			placed, queued := size(workers)
+			st := newSteady(workers, placed, queued)
+			b.ReportAllocs()
+			for b.Loop() {
+				st.step()
+			}
+		})
+	}
+}
+
+// BenchmarkPreemption reports the time of one urgent arrival in a full cell of stoppable work.
+func BenchmarkPreemption(b *testing.B) {
+	for _, workers := range []int{35, 300, 3000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			st := fullOfStoppable(workers)
+			b.ReportAllocs()
+			for b.Loop() {
+				st.preempt(b)
+			}
+		})
+	}
+}
+
+func fullOfStoppable(workers int) *steady {
+	st := newSteady(workers, 0, 0)
+	for range 8 * workers {
+		t := st.task(cell.ClassBatch)
+		t.Claim = claim(8, 16, 0)
+		t.Stoppable = true
+		st.enqueue(t)
+	}
+	for range workers {
+		st.schedule()
+	}
+	return st
+}
+
+// preempt lets an urgent task arrive, stops its victims, starts it, ends it and starts a successor of the victims.
+func (st *steady) preempt(tb testing.TB) {
+	st.now = st.now.Add(time.Second)
+	urgent := st.task(cell.ClassUrgent)
+	urgent.Claim = claim(8, 16, 0)
+	st.enqueue(urgent)
+	decisions := st.s.Schedule(st.now, scheduleBudget)
+	if len(decisions) != 1 || decisions[0].Kind != scheduler.Stop {
+		tb.Fatalf("decisions %+v", decisions)
+	}
+	victim := decisions[0].Task
+	st.s.Release(victim.ID)
+	st.s.Schedule(st.now, scheduleBudget)
+	st.s.Release(urgent.ID)
+	st.next++
+	victim.ID = cell.TaskID(fmt.Sprintf("t%d", st.next))
+	st.enqueue(victim)
+	st.s.Schedule(st.now, scheduleBudget)
+}
+
+// BenchmarkCancellationWave reports the time to cancel 100,000 queued tasks.
+func BenchmarkCancellationWave(b *testing.B) {
+	const wave = 100_000
+	for b.Loop() {
+		b.StopTimer()
+		st := newSteady(35, 140, 0)
+		ids := make([]cell.TaskID, wave)
+		for i := range ids {
+			t := st.large()
+			ids[i] = t.ID
+			st.enqueue(t)
+		}
+		st.schedule()
+		b.StartTimer()
+		st.s.Cancel(ids...)
+		st.schedule()
+	}
+}
+
+func TestAllocationsPerDecision(t *testing.T) {
+	for _, workers := range []int{35, 3000} {
+		placed, queued := size(workers)
+		st := newSteady(workers, placed, queued)
+		if got := testing.AllocsPerRun(2000, st.step); got > maxAllocsPerDecision {
+			t.Errorf("%d workers: %.1f allocations for each release, arrival and placement, want at most %d", workers, got, maxAllocsPerDecision)
+		}
+	}
+}
--- a/internal/scheduler/feasible.go
+++ b/internal/scheduler/feasible.go
@@ -18,7 +18,6 @@
 // choice is the best worker of one search.
 type choice struct {
 	entry      *entry
-	packing    float64
 	skipAvoid  bool
 	spread     *spread
 	best       *worker
@@ -37,7 +36,7 @@
 }
 
 func (s *Scheduler) findAmong(e *entry, skipAvoid bool) *worker {
-	c := choice{entry: e, packing: s.policy.PackingWeight, skipAvoid: skipAvoid}
+	c := choice{entry: e, skipAvoid: skipAvoid}
 	if e.task().Kind == cell.KindService {
 		c.spread = s.services[e.task().Job]
 	}
@@ -76,7 +75,7 @@
 	}
 	c.considered++
 	c.inStep++
-	score := score(w, claim, c.packing) - c.spread.penalty(w)
+	score := score(w, claim) - c.spread.penalty(w)
 	if c.best == nil || score > c.score {
 		c.best, c.score = w, score
 	}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -15,7 +15,7 @@
 	// stopCost is the run time that a stop is counted to throw away beside the victim's progress.
 	stopCost = time.Second
 	// defaultMaxStops is Policy.MaxStops where it is not set.
-	defaultMaxStops = 10
+	defaultMaxStops = 30
 	// maxSpareStops is how often a task may use reserved room that it then has to leave.
 	maxSpareStops = 1
 	// defaultWasteShare is Policy.MaxWasteShare where it is not set.
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -7,11 +7,11 @@
 	zoneSpread = 4.0
 	rackSpread = 2.0
 	// unevenWeight weighs how unevenly the room that is left is spread over the dimensions.
-	unevenWeight = 2.0
+	unevenWeight = 5.0
 )
 
-// score rates w for a claim, higher for better. It weighs a tight and even fit against the most room left.
-func score(w *worker, claim cell.Resources, packing float64) float64 {
+// score rates w for a claim, higher for better: little room left, and evenly over the dimensions, so that no dimension runs out first.
+func score(w *worker, claim cell.Resources) float64 {
 	left := amountsOf(w.room().Sub(claim))
 	least, most, sum, n := 1.0, 0.0, 0.0, 0.0
 	for d, limit := range amountsOf(w.desc.Capacity) {
@@ -24,8 +24,7 @@
 		sum += f
 		n++
 	}
-	tight := 1 - sum/max(n, 1) - unevenWeight*(most-least)
-	return packing*tight + (1-packing)*least
+	return -sum/max(n, 1) - unevenWeight*(most-least)
 }
 
 // spread counts where the tasks of one service run.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -132,7 +132,7 @@
 	UrgentWait time.Duration
 	// AgeingStep is the waiting time that raises a task by one class. Zero turns ageing off.
 	AgeingStep time.Duration
-	// MaxStops is how often one task may be stopped for others; 3 if zero.
+	// MaxStops is how often one task may be stopped for urgent work; 30 if zero.
 	MaxStops int
 	// MaxWasteShare is the share of the shard's worker time that preemption may throw away at most, counting
 	// every stop as if its checkpoint were lost; 0.1 if zero. What is not used adds up for half an hour.
