--- a/internal/scheduler/feasible.go
+++ b/internal/scheduler/feasible.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	// maxCandidates is the number of fitting workers that one search scores.
+	// maxCandidates is the number of fitting workers that one search scores, and maxPerStep how many of them from one step of the index.
 	maxCandidates = 64
-	// evenWeight is the packing weight from which the tightest workers are scored first.
-	evenWeight = 0.5
+	maxPerStep    = 4
 	// backfillSafety is the factor by which a run time may exceed its estimate without delaying a reserved gang.
 	backfillSafety = 10
 )
@@ -19,12 +18,12 @@
 // choice is the best worker of one search.
 type choice struct {
 	entry      *entry
-	packing    float64
 	skipAvoid  bool
 	spread     *spread
 	best       *worker
 	score      float64
 	considered int
+	inStep     int
 }
 
 // findWorker returns the best worker with room for e, nil if there is none. Workers that e avoids are used only if no other
@@ -37,7 +36,7 @@
 }
 
 func (s *Scheduler) findAmong(e *entry, skipAvoid bool) *worker {
-	c := choice{entry: e, packing: s.policy.PackingWeight, skipAvoid: skipAvoid}
+	c := choice{entry: e, skipAvoid: skipAvoid}
 	if e.task().Kind == cell.KindService {
 		c.spread = s.services[e.task().Job]
 	}
@@ -61,8 +60,11 @@
 func (c *choice) search(g *group) {
 	c.considered = 0
 	visit := func(slot int) bool { return c.consider(g.members[slot]) }
-	done := func() bool { return c.considered > 0 && c.spread == nil }
-	g.rooms.search(c.entry.claim(), c.packing >= evenWeight, visit, done)
+	step := func() bool {
+		c.inStep = 0
+		return c.considered >= maxCandidates && c.spread == nil
+	}
+	g.rooms.search(c.entry.claim(), visit, step)
 }
 
 // consider scores w and reports whether the search goes on.
@@ -72,11 +74,12 @@
 		return true
 	}
 	c.considered++
-	score := score(w, claim, c.packing) - c.spread.penalty(w)
+	c.inStep++
+	score := score(w, claim) - c.spread.penalty(w)
 	if c.best == nil || score > c.score {
 		c.best, c.score = w, score
 	}
-	return c.considered < maxCandidates || c.spread != nil
+	return c.inStep < maxPerStep || c.spread != nil
 }
 
 // avoids reports whether the item's earlier attempts failed on w or its rack.
@@ -87,27 +90,28 @@
 // findSpare returns a worker on which e can use room that is reserved for a gang without delaying the gang:
 // because e can be stopped, or because it ends before the reserved start though it runs backfillSafety times its estimate.
 func (s *Scheduler) findSpare(e *entry, now time.Time) *worker {
-	res := s.reservation
-	if res == nil || !s.mayBackfill(e, now) {
-		return nil
-	}
 	claim := e.claim()
-	for _, slot := range res.slots {
-		w := slot.worker
-		if w.group.matches(e.task().Pool) && claim.Fits(w.free().Sub(w.earmarked)) && !avoids(&e.item, w) {
-			return w
+	for _, res := range s.reservations {
+		if !res.mayBackfill(e, now) {
+			continue
+		}
+		for _, slot := range res.slots {
+			w := slot.worker
+			if w.group.matches(e.task().Pool) && claim.Fits(w.free().Sub(w.earmarked)) && !avoids(&e.item, w) {
+				return w
+			}
 		}
 	}
 	return nil
 }
 
-func (s *Scheduler) mayBackfill(e *entry, now time.Time) bool {
+func (res *reservation) mayBackfill(e *entry, now time.Time) bool {
 	t := e.task()
 	if t.Kind == cell.KindService {
 		return false
 	}
-	if t.Stoppable && t.Class != cell.ClassUrgent && e.stops < s.maxStops() {
+	if t.Stoppable && t.Class != cell.ClassUrgent && e.stops.spare < maxSpareStops {
 		return true
 	}
-	return t.EstimatedRun > 0 && !now.Add(backfillSafety*t.EstimatedRun).After(s.reservation.start)
+	return t.EstimatedRun > 0 && !now.Add(backfillSafety*t.EstimatedRun).After(res.start)
 }
