Add the HTTP interface over commands and queries

Ruled out: the caller's own id as the task's id, since two callers may choose the same one and would meet each other's answers; it is joined with the caller's name. One bound for all requests, since a flood of requests would then refuse the cancellation that relieves it. Clearing the read deadline after a body by hand: net/http does so itself (the test passed without the line, so the line went).

Without the read deadline on bodies TestSlowBodyIsRefused does not end.

Conclusion: the interface is whole over a fake cell; it has not met the node yet.

--- a/internal/edge/backend.go
+++ b/internal/edge/backend.go
@@ -1,11 +1,12 @@
-// Package edge serves callers and operators over HTTP: it checks what comes in, hands it to a Backend and writes the
-// whole answer. Commands and queries have handlers of their own.
+// Package edge serves callers and operators over HTTP: it checks what comes in, hands it to the cell's Commands or
+// Queries and writes the whole answer. Commands and queries have handlers of their own.
 package edge
 
 import (
 	"context"
 	"time"
 
+	"laburnumpoint/internal/api"
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/config"
 )
@@ -30,67 +31,15 @@
 	Floor int `json:"floor,omitempty"`
 }
 
-// JobStatus counts a job's tasks by state.
-type JobStatus struct {
-	ID        cell.JobID    `json:"id"`
-	Kind      cell.Kind     `json:"kind"`
-	Count     int           `json:"count"`
-	Queued    int           `json:"queued"`
-	Running   int           `json:"running"`
-	Succeeded int           `json:"succeeded"`
-	Failed    int           `json:"failed"`
-	Cancelled int           `json:"cancelled"`
-	Reasons   []cell.Reason `json:"reasons,omitempty"`
-}
-
-// Explanation answers why a task is where it is.
-type Explanation struct {
-	Task  cell.TaskID   `json:"task"`
-	State string        `json:"state"`
-	Shard cell.ShardID  `json:"shard"`
-	Chain []cell.Reason `json:"chain"`
-}
-
-// ShardStatus sums up one shard for operators.
-type ShardStatus struct {
-	Shard          cell.ShardID   `json:"shard"`
-	Owner          cell.MemberID  `json:"owner"`
-	OwnerAddr      string         `json:"owner_addr"`
-	Epoch          cell.Epoch     `json:"epoch"`
-	Capacity       cell.Resources `json:"capacity"`
-	Free           cell.Resources `json:"free"`
-	Queued         int            `json:"queued"`
-	Running        int            `json:"running"`
-	Workers        int            `json:"workers"`
-	WorkersClaimed int            `json:"workers_claimed"`
-}
-
-// WorkerStatus is one worker for operators.
-type WorkerStatus struct {
-	Worker  cell.Worker    `json:"worker"`
-	Shard   cell.ShardID   `json:"shard"`
-	Claimed bool           `json:"claimed"`
-	Used    cell.Resources `json:"used"`
-	Tasks   int            `json:"tasks"`
-}
-
-// TeamStatus is one team's holding over the cell.
-type TeamStatus struct {
-	Team   string         `json:"team"`
-	Held   cell.Resources `json:"held"`
-	Quota  cell.Resources `json:"quota"`
-	Queued int            `json:"queued"`
-}
-
-// MemberStatus is one entry VM's daemon as this one sees it.
-type MemberStatus struct {
-	Member        cell.MemberID `json:"member"`
-	Addr          string        `json:"addr"`
-	Zone          string        `json:"zone"`
-	ConfigVersion uint64        `json:"config_version"`
-	Live          bool          `json:"live"`
-	Leaving       bool          `json:"leaving"`
-}
+// The views that queries return are the bodies of their answers.
+type (
+	JobStatus    = api.JobStatus
+	Explanation  = api.Explanation
+	ShardStatus  = api.ShardStatus
+	WorkerStatus = api.WorkerStatus
+	TeamStatus   = api.TeamStatus
+	MemberStatus = api.MemberStatus
+)
 
 // Patch is an operator's change against a version of the configuration.
 type Patch struct {
--- /dev/null
+++ b/internal/edge/commands.go
@@ -0,0 +1,186 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"laburnumpoint/internal/api"
+	"laburnumpoint/internal/cell"
+)
+
+// outcomeGrace is how long past a request's timeout its outcome is waited for.
+const outcomeGrace = 5 * time.Second
+
+// commandTimeout bounds the commands that don't take a timeout from the caller.
+const commandTimeout = 30 * time.Second
+
+// run runs a task and answers with its outcome.
+func (h *handler) run(w http.ResponseWriter, r *http.Request) {
+	req, id, f := h.readRun(w, r)
+	if f != nil {
+		h.refuse(w, r, *f)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), req.Timeout+outcomeGrace)
+	defer cancel()
+	outcome := h.commands.Run(ctx, req)
+	h.metrics.outcome(req.Task.Class, outcome)
+	h.logOutcome("request", req.Caller, req.Task, outcome)
+	h.writeAnswer(w, r, outcomeStatus(outcome), answerOf(id, req.Task.ID, outcome))
+}
+
+// submitJob makes a job durable.
+func (h *handler) submitJob(w http.ResponseWriter, r *http.Request) {
+	job, f := h.readJob(w, r)
+	if f != nil {
+		h.refuse(w, r, *f)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), commandTimeout)
+	defer cancel()
+	outcome := h.commands.SubmitJob(ctx, job)
+	task := job.Template
+	task.Job = job.ID
+	h.logOutcome("job", r.Header.Get(api.HeaderCaller), task, outcome)
+	h.writeAnswer(w, r, outcomeStatus(outcome), answerOf(string(job.ID), "", outcome))
+}
+
+// cancelJob ends a job.
+func (h *handler) cancelJob(w http.ResponseWriter, r *http.Request) {
+	id, f := pathID(r, validID, idSyntax)
+	if f != nil {
+		h.refuse(w, r, *f)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), commandTimeout)
+	defer cancel()
+	outcome := h.commands.CancelJob(ctx, cell.JobID(id))
+	h.logOutcome("cancel job", r.Header.Get(api.HeaderCaller), cell.Task{Job: cell.JobID(id)}, outcome)
+	h.writeAnswer(w, r, outcomeStatus(outcome), answerOf(id, "", outcome))
+}
+
+// cancelTasks cancels tasks by id.
+func (h *handler) cancelTasks(w http.ResponseWriter, r *http.Request) {
+	ids, f := h.readCancel(w, r)
+	if f != nil {
+		h.refuse(w, r, *f)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), commandTimeout)
+	defer cancel()
+	n, err := h.commands.CancelTasks(ctx, ids)
+	outcome := cancelOutcome(err)
+	answer := answerOf(h.requestID(r), "", outcome)
+	answer.Cancelled = n
+	h.logOutcome("cancel tasks", r.Header.Get(api.HeaderCaller), cell.Task{}, outcome)
+	h.writeAnswer(w, r, outcomeStatus(outcome), answer)
+}
+
+// cancelRetry is when a caller whose cancellation is in doubt is told to send it again, which is safe.
+const cancelRetry = time.Second
+
+func cancelOutcome(err error) cell.Outcome {
+	if err != nil {
+		reason := cell.Reason{Code: cell.ReasonInDoubt, Detail: "some tasks may not be cancelled: " + err.Error()}
+		return cell.Unknown(reason, cancelRetry)
+	}
+	return cell.Outcome{Result: cell.ResultCompleted}
+}
+
+// patch submits a change of the configuration.
+func (h *handler) patch(w http.ResponseWriter, r *http.Request) {
+	patch, f := h.readPatch(w, r)
+	if f != nil {
+		h.refuse(w, r, *f)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), commandTimeout)
+	defer cancel()
+	result := h.commands.Patch(ctx, patch)
+	h.logPatch(r, patch, result)
+	h.writePatch(w, patch, result)
+}
+
+func (h *handler) writePatch(w http.ResponseWriter, patch Patch, result PatchResult) {
+	setRetryAfter(w, result.RetryAfter)
+	h.writeJSON(w, patchStatus(patch, result), api.PatchAnswer{
+		ID:           patch.ID,
+		Accepted:     result.Accepted,
+		Version:      result.Version,
+		Reason:       result.Reason,
+		RetryAfterMS: result.RetryAfter.Milliseconds(),
+		Document:     result.Document,
+	})
+}
+
+func patchStatus(patch Patch, result PatchResult) int {
+	switch {
+	case result.Accepted:
+		return http.StatusOK
+	case result.Reason.Code == cell.ReasonInDoubt:
+		return http.StatusGatewayTimeout
+	case result.Reason.Code == cell.ReasonStoreUnavailable:
+		return http.StatusServiceUnavailable
+	case stale(patch, result):
+		return http.StatusConflict
+	default:
+		return notRunStatus(result.Reason.Code)
+	}
+}
+
+// stale reports whether result refuses patch because a newer version is in force.
+func stale(patch Patch, result PatchResult) bool {
+	code := result.Reason.Code
+	if result.Accepted || code == cell.ReasonInDoubt || code == cell.ReasonStoreUnavailable {
+		return false
+	}
+	return result.Version > patch.Base
+}
+
+// pathID returns the id in the path.
+func pathID(r *http.Request, valid func(string) bool, syntax string) (string, *fault) {
+	id := chi.URLParam(r, "id")
+	if valid(id) {
+		return id, nil
+	}
+	f := badRequest([]api.Problem{{Field: "id", Message: syntax}})
+	return "", &f
+}
+
+// logOutcome writes the log line of a command's final outcome.
+func (h *handler) logOutcome(command, caller string, task cell.Task, o cell.Outcome) {
+	if h.opts.Log == nil {
+		return
+	}
+	h.opts.Log.Info().
+		Str("command", command).
+		Str("caller", caller).
+		Str("team", task.Team).
+		Str("task", string(task.ID)).
+		Str("job", string(task.Job)).
+		Str("class", string(task.Class)).
+		Str("result", string(o.Result)).
+		Str("reason", o.Reason.String()).
+		Str("worker", string(o.Worker)).
+		Int64("waited_us", o.Waited.Microseconds()).
+		Msg("outcome")
+}
+
+func (h *handler) logPatch(r *http.Request, patch Patch, result PatchResult) {
+	if h.opts.Log == nil {
+		return
+	}
+	h.opts.Log.Info().
+		Str("command", "patch").
+		Str("caller", r.Header.Get(api.HeaderCaller)).
+		Str("patch", patch.ID).
+		Str("base", fmt.Sprint(patch.Base)).
+		Bool("accepted", result.Accepted).
+		Str("version", fmt.Sprint(result.Version)).
+		Str("reason", result.Reason.String()).
+		Msg("outcome")
+}
--- /dev/null
+++ b/internal/edge/drain.go
@@ -0,0 +1,99 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"laburnumpoint/internal/api"
+	"laburnumpoint/internal/cell"
+)
+
+// maxDrainTries bounds how often a drain is submitted against a newer version after losing to another patch.
+const maxDrainTries = 8
+
+// drainRetry is when an operator whose drain lost every race is told to come back.
+const drainRetry = time.Second
+
+// drain stops new work on a worker.
+func (h *handler) drain(w http.ResponseWriter, r *http.Request) {
+	h.setDrained(w, r, true)
+}
+
+// undrain lets a worker take new work again.
+func (h *handler) undrain(w http.ResponseWriter, r *http.Request) {
+	h.setDrained(w, r, false)
+}
+
+func (h *handler) setDrained(w http.ResponseWriter, r *http.Request, drained bool) {
+	id, f := pathID(r, validID, idSyntax)
+	if f != nil {
+		h.refuse(w, r, *f)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), commandTimeout)
+	defer cancel()
+	worker := cell.WorkerID(id)
+	if drained && h.isUnknownWorker(ctx, worker) {
+		h.refuse(w, r, fault{status: http.StatusNotFound, reason: invalid(fmt.Sprintf("no worker %q", worker))})
+		return
+	}
+	patch, result := h.patchDrained(ctx, worker, drained)
+	h.logPatch(r, patch, result)
+	h.writePatch(w, patch, result)
+}
+
+// isUnknownWorker reports whether the workers' list can be had and does not name worker.
+func (h *handler) isUnknownWorker(ctx context.Context, worker cell.WorkerID) bool {
+	workers, err := h.queries.Workers(ctx)
+	if err != nil {
+		return false
+	}
+	for _, w := range workers {
+		if w.Worker.ID == worker {
+			return false
+		}
+	}
+	return true
+}
+
+// patchDrained submits the patch against the version in force until it no longer loses to another one.
+func (h *handler) patchDrained(ctx context.Context, worker cell.WorkerID, drained bool) (Patch, PatchResult) {
+	id := h.opts.NewID()
+	var patch Patch
+	var result PatchResult
+	for try := range maxDrainTries {
+		current, err := h.queries.Config(ctx)
+		if err != nil {
+			return patch, PatchResult{Reason: queryReason(err), RetryAfter: queryRetry}
+		}
+		if current.Document.Drained[worker] == drained {
+			return patch, PatchResult{Accepted: true, Version: current.Version}
+		}
+		patch = Patch{
+			ID:    fmt.Sprintf("%s-%d", id, try),
+			Base:  max(current.Version, result.Version),
+			Merge: drainMerge(worker, drained),
+		}
+		result = h.commands.Patch(ctx, patch)
+		if !stale(patch, result) {
+			return patch, result
+		}
+	}
+	result.RetryAfter = drainRetry
+	return patch, result
+}
+
+func drainMerge(worker cell.WorkerID, drained bool) []byte {
+	var value any
+	if drained {
+		value = true
+	}
+	data, err := json.Marshal(map[string]any{"drained": map[cell.WorkerID]any{worker: value}})
+	if err != nil {
+		panic(fmt.Sprintf("edge: a drain always encodes: %v", err))
+	}
+	return api.RawObject(data)
+}
--- /dev/null
+++ b/internal/edge/input.go
@@ -0,0 +1,155 @@
+package edge
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"laburnumpoint/internal/api"
+)
+
+// problems collects the mistakes of one request.
+type problems []api.Problem
+
+func (p *problems) add(field, format string, args ...any) {
+	*p = append(*p, api.Problem{Field: field, Message: fmt.Sprintf(format, args...)})
+}
+
+// check adds a problem unless ok.
+func (p *problems) check(ok bool, field, format string, args ...any) {
+	if !ok {
+		p.add(field, format, args...)
+	}
+}
+
+// readJSON reads the whole body, of at most limit bytes, into v. It returns nil if that succeeded.
+func (h *handler) readJSON(w http.ResponseWriter, r *http.Request, limit int64, v any) *fault {
+	body, f := h.readBody(w, r, limit)
+	if f != nil {
+		return f
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return bodyFault(err.Error())
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return bodyFault("data follows the JSON value")
+	}
+	return nil
+}
+
+// readBody reads the whole body within the body timeout, which net/http lifts at the body's end. The write deadline of
+// the connection's previous answer is lifted first.
+func (h *handler) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *fault) {
+	conn := http.NewResponseController(w)
+	_ = conn.SetWriteDeadline(time.Time{}) // a writer without deadlines is a test's
+	_ = conn.SetReadDeadline(time.Now().Add(h.opts.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return nil, readFault(err, limit)
+	}
+	return body, nil
+}
+
+func readFault(err error, limit int64) *fault {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		reason := invalid(fmt.Sprintf("the body is larger than %d bytes", limit))
+		return &fault{status: http.StatusRequestEntityTooLarge, reason: reason}
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &fault{status: http.StatusRequestTimeout, reason: invalid("the body did not arrive in time")}
+	}
+	return bodyFault("the body is cut short: " + err.Error())
+}
+
+func bodyFault(message string) *fault {
+	f := badRequest([]api.Problem{{Field: "body", Message: message}})
+	return &f
+}
+
+// readTimeout returns the timeout that the caller asks for.
+func (h *handler) readTimeout(r *http.Request, p *problems) time.Duration {
+	text := r.Header.Get(api.HeaderTimeout)
+	if text == "" {
+		return h.opts.DefaultTimeout
+	}
+	timeout, err := time.ParseDuration(text)
+	if err != nil {
+		p.add(api.HeaderTimeout, "%q is not a duration such as 1.5s", text)
+		return 0
+	}
+	p.check(timeout > 0 && timeout <= h.opts.MaxTimeout, api.HeaderTimeout, "%s is not between 0 and %s", timeout, h.opts.MaxTimeout)
+	return timeout
+}
+
+// readCount returns the query parameter name, a count between 1 and limit, or byDefault if it is not given.
+func readCount(r *http.Request, name string, byDefault, limit int, p *problems) int {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return byDefault
+	}
+	n, err := strconv.Atoi(text)
+	p.check(err == nil && n >= 1 && n <= limit, name, "%q is not a number between 1 and %d", text, limit)
+	return n
+}
+
+// Bounds of ids, in bytes. A task's id may hold a caller and the caller's own id.
+const (
+	maxIDBytes     = 128
+	maxNameBytes   = 64
+	maxTaskIDBytes = maxNameBytes + len(api.TaskIDSeparator) + maxIDBytes
+)
+
+const (
+	idSyntax   = "must be 1 to 128 characters out of A-Z a-z 0-9 . _ : -"
+	nameSyntax = "must be 1 to 64 characters out of A-Z a-z 0-9 . _ : -"
+	taskSyntax = "must be a request's id, or a caller and its request's id joined by " + api.TaskIDSeparator
+)
+
+// validID reports whether s is the id of a request, job, patch or worker.
+func validID(s string) bool {
+	return len(s) <= maxIDBytes && validChars(s)
+}
+
+// validName reports whether s is the name of a caller, team or pool.
+func validName(s string) bool {
+	return len(s) <= maxNameBytes && validChars(s)
+}
+
+// validTaskID reports whether s is the id of a task.
+func validTaskID(s string) bool {
+	if len(s) > maxTaskIDBytes {
+		return false
+	}
+	caller, id, keyed := bytes.Cut([]byte(s), []byte(api.TaskIDSeparator))
+	if !keyed {
+		return validChars(s)
+	}
+	return validName(string(caller)) && validID(string(id))
+}
+
+func validChars(s string) bool {
+	for i := range len(s) {
+		if !validChar(s[i]) {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func validChar(c byte) bool {
+	switch {
+	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		return true
+	default:
+		return c == '.' || c == '_' || c == ':' || c == '-'
+	}
+}
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,46 @@
+package edge
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"laburnumpoint/internal/cell"
+)
+
+// typeMetrics is the content type of the metrics page.
+const typeMetrics = "text/plain; version=0.0.4"
+
+// edgeMetrics counts what callers were told. Labels come from fixed lists, so the number of series is bounded.
+type edgeMetrics struct {
+	set *metrics.Set
+}
+
+func newEdgeMetrics(set *metrics.Set) *edgeMetrics {
+	return &edgeMetrics{set: set}
+}
+
+// outcome counts the final answer to a request of class.
+func (m *edgeMetrics) outcome(class cell.Class, o cell.Outcome) {
+	name := fmt.Sprintf(`laburnumpoint_requests_total{result=%q,class=%q}`, o.Result, class)
+	m.set.GetOrCreateCounter(name).Inc()
+	if o.Result == cell.ResultCompleted || o.Result == cell.ResultFailed {
+		name = fmt.Sprintf(`laburnumpoint_request_waiting_seconds{class=%q}`, class)
+		m.set.GetOrCreateHistogram(name).Update(o.Waited.Seconds())
+	}
+}
+
+// refused counts a request that the interface itself refused.
+func (m *edgeMetrics) refused(code cell.ReasonCode) {
+	name := fmt.Sprintf(`laburnumpoint_refused_total{reason=%q}`, code)
+	m.set.GetOrCreateCounter(name).Inc()
+}
+
+func (h *handler) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	var page bytes.Buffer
+	h.metrics.set.WritePrometheus(&page)
+	metrics.WritePrometheus(&page, true)
+	h.writeBody(w, http.StatusOK, typeMetrics, page.Bytes())
+}
--- /dev/null
+++ b/internal/edge/options.go
@@ -0,0 +1,97 @@
+package edge
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+)
+
+// Options sets the limits of the HTTP interface. A zero field takes its default.
+type Options struct {
+	// Log gets a line for each final outcome; nil means none.
+	Log *log.Logger
+	// Metrics holds the interface's metrics; nil means a set of its own.
+	Metrics *metrics.Set
+
+	// MaxRequests bounds the requests that run at once, MaxCommands the job submissions and patches, MaxQueries the
+	// queries, MaxWatches the looks at jobs, which may wait, and MaxCancels the cancellations, so that a flood of one
+	// kind never refuses another.
+	MaxRequests int
+	MaxCommands int
+	MaxQueries  int
+	MaxWatches  int
+	MaxCancels  int
+
+	// MaxBodyBytes bounds a body; MaxCancelBodyBytes bounds the body of a cancellation.
+	MaxBodyBytes       int64
+	MaxCancelBodyBytes int64
+
+	// BodyTimeout bounds the time to read one body, and WriteTimeout the time to write one answer.
+	BodyTimeout  time.Duration
+	WriteTimeout time.Duration
+
+	// DefaultTimeout is a request's timeout if the caller gives none; MaxTimeout is the longest one accepted.
+	DefaultTimeout time.Duration
+	MaxTimeout     time.Duration
+	// WatchInterval is the time between two looks at a watched job.
+	WatchInterval time.Duration
+
+	// NewID returns an id that was never used before.
+	NewID func() string
+}
+
+// The defaults of Options.
+const (
+	DefaultMaxRequests        = 2_048
+	DefaultMaxCommands        = 256
+	DefaultMaxQueries         = 256
+	DefaultMaxWatches         = 1_024
+	DefaultMaxCancels         = 32
+	DefaultMaxBodyBytes       = 1 << 20
+	DefaultMaxCancelBodyBytes = 16 << 20
+	DefaultBodyTimeout        = 30 * time.Second
+	DefaultWriteTimeout       = 30 * time.Second
+	DefaultRequestTimeout     = 30 * time.Second
+	DefaultMaxTimeout         = 10 * time.Minute
+	DefaultWatchInterval      = 200 * time.Millisecond
+)
+
+// idBytes is the length of a made-up id before it is written in hexadecimal.
+const idBytes = 12
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.MaxRequests, DefaultMaxRequests)
+	setDefault(&o.MaxCommands, DefaultMaxCommands)
+	setDefault(&o.MaxQueries, DefaultMaxQueries)
+	setDefault(&o.MaxWatches, DefaultMaxWatches)
+	setDefault(&o.MaxCancels, DefaultMaxCancels)
+	setDefault(&o.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&o.MaxCancelBodyBytes, DefaultMaxCancelBodyBytes)
+	setDefault(&o.BodyTimeout, DefaultBodyTimeout)
+	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&o.DefaultTimeout, DefaultRequestTimeout)
+	setDefault(&o.MaxTimeout, DefaultMaxTimeout)
+	setDefault(&o.WatchInterval, DefaultWatchInterval)
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	if o.NewID == nil {
+		o.NewID = randomID
+	}
+	return o
+}
+
+func setDefault[T int | int64 | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+func randomID() string {
+	var b [idBytes]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/edge/server.go
@@ -0,0 +1,100 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"laburnumpoint/internal/cell"
+)
+
+// ServerOptions sets the limits of the listening side. A zero field takes its default.
+type ServerOptions struct {
+	// MaxHeaderBytes bounds a request's headers.
+	MaxHeaderBytes int
+	// ReadHeaderTimeout bounds the time to read a request's headers; IdleTimeout ends unused connections.
+	ReadHeaderTimeout time.Duration
+	IdleTimeout       time.Duration
+	// DrainDelay is how long the server goes on serving after it turned unready, so that the balancer can notice.
+	DrainDelay time.Duration
+}
+
+// The defaults of ServerOptions.
+const (
+	DefaultMaxHeaderBytes    = 16 << 10
+	DefaultReadHeaderTimeout = 10 * time.Second
+	DefaultIdleTimeout       = 2 * time.Minute
+)
+
+// Server serves the HTTP interface and stops without cutting off a request.
+type Server struct {
+	http     *http.Server
+	delay    time.Duration
+	draining atomic.Bool
+}
+
+// NewServer returns a server of the interface over commands and queries.
+func NewServer(commands Commands, queries Queries, opts Options, limits ServerOptions) *Server {
+	setDefault(&limits.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	setDefault(&limits.ReadHeaderTimeout, DefaultReadHeaderTimeout)
+	setDefault(&limits.IdleTimeout, DefaultIdleTimeout)
+	s := &Server{delay: limits.DrainDelay}
+	handler := New(commands, drainingQueries{Queries: queries, draining: &s.draining}, opts)
+	s.http = &http.Server{
+		Handler:           s.closeWhileDraining(handler),
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ReadHeaderTimeout: limits.ReadHeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+	}
+	return s
+}
+
+// Serve serves the connections of listener until Shutdown. It returns nil after a Shutdown.
+func (s *Server) Serve(listener net.Listener) error {
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown turns the server unready, goes on serving for the drain delay, closes the listener and waits until every
+// request in flight is answered. It returns ctx's error if ctx ends first; the requests then go on.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.draining.Store(true)
+	sleep(ctx, s.delay)
+	return s.http.Shutdown(ctx)
+}
+
+// Close ends every connection at once. Callers in flight see their answer cut off.
+func (s *Server) Close() error {
+	return s.http.Close()
+}
+
+// closeWhileDraining asks callers to drop their connections while the server drains, so that none is idle when the
+// listener closes.
+func (s *Server) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// drainingQueries is not ready while the server drains.
+type drainingQueries struct {
+	Queries
+	draining *atomic.Bool
+}
+
+// Ready implements Queries.
+func (q drainingQueries) Ready() (bool, cell.Reason) {
+	if q.draining.Load() {
+		return false, cell.Reason{Code: cell.ReasonDraining, Detail: "this entry VM is shutting down"}
+	}
+	return q.Queries.Ready()
+}
--- /dev/null
+++ b/internal/edge/server_test.go
@@ -0,0 +1,154 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/cell"
+)
+
+func startServer(t *testing.T, f *fakeCell, opts Options, limits ServerOptions) (*Server, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(f, f, opts, limits)
+	go s.Serve(listener)
+	t.Cleanup(func() { s.Close() })
+	return s, listener.Addr().String()
+}
+
+func sendTask(addr string) (*http.Response, error) {
+	return http.Post("http://"+addr+"/v1/requests", "application/json", strings.NewReader(goodTask))
+}
+
+// The body's read deadline must not end the wait for the outcome, which is longer.
+func TestBodyTimeoutDoesNotCutOffTheWait(t *testing.T) {
+	const bodyTimeout = 50 * time.Millisecond
+	f := &fakeCell{run: func(ctx context.Context, _ Run) cell.Outcome {
+		if !sleep(ctx, 4*bodyTimeout) {
+			return cell.Unknown(cell.Reason{Code: cell.ReasonCancelled}, 0)
+		}
+		return cell.Outcome{Result: cell.ResultCompleted}
+	}}
+	_, addr := startServer(t, f, Options{BodyTimeout: bodyTimeout}, ServerOptions{})
+	resp, err := sendTask(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
+func TestSlowBodyIsRefused(t *testing.T) {
+	f := &fakeCell{}
+	_, addr := startServer(t, f, Options{BodyTimeout: 20 * time.Millisecond}, ServerOptions{})
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "POST /v1/requests HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n{")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestTimeout || f.calls() != 0 {
+		t.Errorf("status %d after %d calls", resp.StatusCode, f.calls())
+	}
+}
+
+func TestCallerGoingAwayCancelsTheRequest(t *testing.T) {
+	entered, cancelled := make(chan struct{}), make(chan struct{})
+	f := &fakeCell{run: func(ctx context.Context, _ Run) cell.Outcome {
+		close(entered)
+		<-ctx.Done()
+		close(cancelled)
+		return cell.NotRun(cell.Reason{Code: cell.ReasonCancelled}, 0)
+	}}
+	_, addr := startServer(t, f, Options{}, ServerOptions{})
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(conn, "POST /v1/requests HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(goodTask), goodTask)
+	<-entered
+	conn.Close()
+	<-cancelled
+}
+
+// A planned stop turns unready first and still answers the request in flight, whole.
+func TestShutdownAnswersWhatIsInFlight(t *testing.T) {
+	entered, leave := make(chan struct{}), make(chan struct{})
+	f := &fakeCell{ready: true, run: func(context.Context, Run) cell.Outcome {
+		close(entered)
+		<-leave
+		return cell.Outcome{Result: cell.ResultCompleted, Answer: []byte("whole")}
+	}}
+	s, addr := startServer(t, f, Options{}, ServerOptions{DrainDelay: time.Hour})
+	type reply struct {
+		body []byte
+		err  error
+	}
+	replies := make(chan reply, 1)
+	go func() {
+		resp, err := sendTask(addr)
+		if err != nil {
+			replies <- reply{err: err}
+			return
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		replies <- reply{body: body, err: err}
+	}()
+	<-entered
+	expired, expire := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(expired) }()
+	waitUnready(t, addr)
+	expire() // ends the drain delay and the wait of Shutdown, not the request
+	if err := <-stopped; err == nil {
+		t.Error("Shutdown claims that nothing was in flight")
+	}
+	if _, err := net.Dial("tcp", addr); err == nil {
+		t.Error("the listener is open after Shutdown")
+	}
+	close(leave)
+	got := <-replies
+	if got.err != nil || !strings.Contains(string(got.body), `"answer":"d2hvbGU="`) {
+		t.Errorf("body %q, %v", got.body, got.err)
+	}
+}
+
+// waitUnready looks at the readiness a bounded number of times.
+func waitUnready(t *testing.T, addr string) {
+	t.Helper()
+	for range 5000 {
+		if readyStatus(t, addr) == http.StatusServiceUnavailable {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("still ready after Shutdown began")
+}
+
+func readyStatus(t *testing.T, addr string) int {
+	t.Helper()
+	resp, err := http.Get("http://" + addr + "/readyz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
