Add the daemon's settings and their page

Ruled out: typed flags of urfave/cli, since parsing then stops at the first mistake and the others go unseen; every flag is read as text and converted here. A page written by a generator, since a test that compares is enough. Settings of the heartbeat between daemons: package membership has constants, and a flag that does nothing would mislead.

Conclusion: whole for what the node takes today.

--- /dev/null
+++ b/internal/settings/options.go
@@ -0,0 +1,189 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/config"
+)
+
+// Names of the flags.
+const (
+	flagListen            = "listen"
+	flagPeerListen        = "peer-listen"
+	flagZone              = "zone"
+	flagPlatform          = "platform"
+	flagLogLevel          = "log-level"
+	flagBootstrapConfig   = "bootstrap-config"
+	flagDrainDelay        = "drain-delay"
+	flagStopTimeout       = "stop-timeout"
+	flagLeaseTTL          = "lease-ttl"
+	flagClaimInterval     = "claim-interval"
+	flagMaxRequests       = "max-requests"
+	flagMaxBodyBytes      = "max-body-bytes"
+	flagRequestTimeout    = "request-timeout"
+	flagMaxRequestTimeout = "max-request-timeout"
+)
+
+// envPrefix starts the name of every environment variable.
+const envPrefix = "LABURNUMPOINT_"
+
+// Option describes one setting. The settings page and the daemon's help are made from it.
+type Option struct {
+	// Flag is the flag's name without dashes.
+	Flag string
+	// Unit is how the value is written.
+	Unit string
+	// Default is the value if none is given; empty if Required or if there is none.
+	Default  string
+	Required bool
+	Usage    string
+	set      func(s *Settings, value string) error
+}
+
+// Env returns the name of the option's environment variable.
+func (o Option) Env() string {
+	return envPrefix + strings.ToUpper(strings.ReplaceAll(o.Flag, "-", "_"))
+}
+
+const (
+	unitAddr     = "IP number and port"
+	unitDuration = "Go duration"
+)
+
+// Options lists every setting in the order of the settings page.
+func Options() []Option {
+	return []Option{
+		{flagListen, unitAddr, "", true, "where callers, operators and the balancer reach the daemon over HTTP",
+			addr(func(s *Settings) *netip.AddrPort { return &s.Listen }, listenAddr)},
+		{flagPeerListen, unitAddr, "", true, "where the other daemons reach this one; must not be 0.0.0.0 or ::",
+			addr(func(s *Settings) *netip.AddrPort { return &s.PeerListen }, remoteAddr)},
+		{flagZone, "name", "", true, "availability zone of the daemon's VM",
+			name(func(s *Settings) *string { return &s.Zone })},
+		{flagPlatform, unitAddr, "", true, "where the table service, the object store and the VM list are",
+			addr(func(s *Settings) *netip.AddrPort { return &s.Platform }, remoteAddr)},
+		{flagLogLevel, "debug, info, warn or error", "info", false, "least severe log lines that are written",
+			logLevel},
+		{flagBootstrapConfig, "path of a JSON file", "", false, "becomes version 1 of the configuration if the cell has none yet",
+			bootstrap},
+		{flagDrainDelay, unitDuration, "5s", false, "how long the daemon serves after it turned unready, so that the balancer can notice",
+			duration(func(s *Settings) *time.Duration { return &s.DrainDelay }, 0, 10*time.Minute)},
+		{flagStopTimeout, unitDuration, "2m", false, "bound of a planned stop as a whole, drain delay included",
+			duration(func(s *Settings) *time.Duration { return &s.StopTimeout }, time.Second, time.Hour)},
+		{flagLeaseTTL, unitDuration, "30s", false, "how long a worker keeps its leases without another claim",
+			duration(func(s *Settings) *time.Duration { return &s.LeaseTTL }, time.Second, 10*time.Minute)},
+		{flagClaimInterval, unitDuration, "5s", false, "time between two claims (heartbeats) of one worker",
+			duration(func(s *Settings) *time.Duration { return &s.ClaimInterval }, 100*time.Millisecond, 2*time.Minute)},
+		{flagMaxRequests, "count", "2048", false, "requests that run at once; one more is refused at once",
+			count(func(s *Settings, n int64) { s.MaxRequests = int(n) }, 1, 100_000)},
+		{flagMaxBodyBytes, "bytes", "1048576", false, "largest body of a request; cancellations may be 16 MiB",
+			count(func(s *Settings, n int64) { s.MaxBodyBytes = n }, 1<<10, 64<<20)},
+		{flagRequestTimeout, unitDuration, "30s", false, "timeout of a request whose caller gives none",
+			duration(func(s *Settings) *time.Duration { return &s.RequestTimeout }, time.Millisecond, time.Hour)},
+		{flagMaxRequestTimeout, unitDuration, "10m", false, "longest timeout that a caller may ask for",
+			duration(func(s *Settings) *time.Duration { return &s.MaxRequestTimeout }, time.Millisecond, time.Hour)},
+	}
+}
+
+// addr sets an address that check accepts.
+func addr(field func(*Settings) *netip.AddrPort, check func(netip.AddrPort) error) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		parsed, err := netip.ParseAddrPort(value)
+		if err != nil {
+			return fmt.Errorf("%q is not an IP number and a port such as 10.0.0.1:7000", value)
+		}
+		if err := check(parsed); err != nil {
+			return err
+		}
+		*field(s) = parsed
+		return nil
+	}
+}
+
+func listenAddr(a netip.AddrPort) error {
+	if a.Port() == 0 {
+		return fmt.Errorf("%q has no port", a)
+	}
+	return nil
+}
+
+func remoteAddr(a netip.AddrPort) error {
+	if a.Addr().IsUnspecified() {
+		return fmt.Errorf("%q can't be reached from other VMs", a)
+	}
+	return listenAddr(a)
+}
+
+// maxNameBytes bounds the name of an availability zone.
+const maxNameBytes = 64
+
+func name(field func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		if len(value) > maxNameBytes || strings.ContainsAny(value, " \t\r\n/\"") {
+			return fmt.Errorf("%q is longer than %d bytes or has spaces, slashes or quotes", value, maxNameBytes)
+		}
+		*field(s) = value
+		return nil
+	}
+}
+
+func logLevel(s *Settings, value string) error {
+	level, ok := map[string]log.Level{
+		"debug": log.DebugLevel,
+		"info":  log.InfoLevel,
+		"warn":  log.WarnLevel,
+		"error": log.ErrorLevel,
+	}[value]
+	if !ok {
+		return fmt.Errorf("%q is not debug, info, warn or error", value)
+	}
+	s.LogLevel = level
+	return nil
+}
+
+func bootstrap(s *Settings, path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	document, err := config.Parse(data)
+	if err != nil {
+		return fmt.Errorf("%s: %s", path, strings.ReplaceAll(err.Error(), "\n", "; "))
+	}
+	s.Bootstrap = &document
+	return nil
+}
+
+func duration(field func(*Settings) *time.Duration, least, most time.Duration) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		parsed, err := time.ParseDuration(value)
+		if err != nil {
+			return fmt.Errorf("%q is not a duration such as 1.5s", value)
+		}
+		if parsed < least || parsed > most {
+			return fmt.Errorf("%s is not between %s and %s", parsed, least, most)
+		}
+		*field(s) = parsed
+		return nil
+	}
+}
+
+func count(set func(*Settings, int64), least, most int64) func(*Settings, string) error {
+	return func(s *Settings, value string) error {
+		parsed, err := strconv.ParseInt(value, 10, 64)
+		if err != nil {
+			return fmt.Errorf("%q is not a whole number", value)
+		}
+		if parsed < least || parsed > most {
+			return fmt.Errorf("%d is not between %d and %d", parsed, least, most)
+		}
+		set(s, parsed)
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/settings/page_test.go
@@ -0,0 +1,38 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+// pageFile is the operators' page of settings.
+const pageFile = "../../docs/settings.md"
+
+// pageRow is the option's row in the page's table.
+func pageRow(o Option) string {
+	byDefault := "none"
+	if o.Default != "" {
+		byDefault = "`" + o.Default + "`"
+	}
+	if o.Required {
+		byDefault = "required"
+	}
+	return fmt.Sprintf("| `--%s` | `%s` | %s | %s | %s |", o.Flag, o.Env(), o.Unit, byDefault, o.Usage)
+}
+
+func TestPageListsTheSettingsAsTheyAre(t *testing.T) {
+	page, err := os.ReadFile(pageFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows []string
+	for _, o := range Options() {
+		rows = append(rows, pageRow(o))
+	}
+	want := strings.Join(rows, "\n") + "\n"
+	if !strings.Contains(string(page), "|---|---|---|---|---|\n"+want+"\n") {
+		t.Errorf("the table in %s is not:\n%s", pageFile, want)
+	}
+}
--- /dev/null
+++ b/internal/settings/parse.go
@@ -0,0 +1,128 @@
+package settings
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+)
+
+// ExitUsage is the daemon's exit code after mistakes in its settings.
+const ExitUsage = 2
+
+// ErrHelp means that help was asked for and written.
+var ErrHelp = errors.New("settings: help was asked for")
+
+// Mistake is one wrong setting.
+type Mistake struct {
+	// Flag is the flag's name without dashes; empty if the mistake is no single flag's.
+	Flag    string
+	Message string
+}
+
+// String returns the mistake as one line.
+func (m Mistake) String() string {
+	if m.Flag == "" {
+		return m.Message
+	}
+	return "--" + m.Flag + ": " + m.Message
+}
+
+// MistakesError lists every mistake in the settings.
+type MistakesError struct {
+	Mistakes []Mistake
+}
+
+// Error returns one line for each mistake.
+func (e *MistakesError) Error() string {
+	lines := make([]string, len(e.Mistakes))
+	for i, m := range e.Mistakes {
+		lines[i] = m.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Parse reads the settings from args, the first of which is the program's name, and the environment. A flag goes before
+// its environment variable. Help is written to out.
+// Errors: ErrHelp; *MistakesError with every mistake.
+func Parse(args []string, out io.Writer) (Settings, error) {
+	var s Settings
+	var mistakes []Mistake
+	ran := false
+	cmd := command(out, func(cmd *cli.Command) {
+		ran = true
+		s, mistakes = read(cmd)
+	})
+	if err := cmd.Run(context.Background(), args); err != nil {
+		return Settings{}, &MistakesError{Mistakes: []Mistake{{Message: err.Error()}}}
+	}
+	if !ran {
+		return Settings{}, ErrHelp
+	}
+	if len(mistakes) > 0 {
+		return Settings{}, &MistakesError{Mistakes: mistakes}
+	}
+	return s, nil
+}
+
+func command(out io.Writer, action func(*cli.Command)) *cli.Command {
+	return &cli.Command{
+		Name:            "laburnumpointd",
+		Usage:           "schedule the work of a cell, as one of its entry VMs",
+		Flags:           flags(),
+		HideHelpCommand: true,
+		Writer:          out,
+		ErrWriter:       io.Discard, // every mistake is in the returned error
+		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
+		OnUsageError:    func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err },
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			action(cmd)
+			return nil
+		},
+	}
+}
+
+func flags() []cli.Flag {
+	options := Options()
+	out := make([]cli.Flag, len(options))
+	for i, o := range options {
+		out[i] = &cli.StringFlag{
+			Name:    o.Flag,
+			Usage:   fmt.Sprintf("%s (%s)", o.Usage, o.Unit),
+			Value:   o.Default,
+			Sources: cli.EnvVars(o.Env()),
+		}
+	}
+	return out
+}
+
+// read converts every flag, and checks the settings together if each is right alone.
+func read(cmd *cli.Command) (Settings, []Mistake) {
+	var s Settings
+	var mistakes []Mistake
+	for _, arg := range cmd.Args().Slice() {
+		mistakes = append(mistakes, Mistake{Message: fmt.Sprintf("argument %q is not understood", arg)})
+	}
+	for _, o := range Options() {
+		if err := o.read(&s, cmd.String(o.Flag)); err != nil {
+			mistakes = append(mistakes, Mistake{Flag: o.Flag, Message: err.Error()})
+		}
+	}
+	if len(mistakes) > 0 {
+		return s, mistakes
+	}
+	return s, s.crossCheck()
+}
+
+func (o Option) read(s *Settings, value string) error {
+	if value != "" {
+		return o.set(s, value)
+	}
+	if o.Required {
+		return fmt.Errorf("is missing (or set %s)", o.Env())
+	}
+	return nil
+}
