--- a/internal/edge/commands.go
+++ b/internal/edge/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -143,8 +144,8 @@
 
 // pathID returns the id in the path.
 func pathID(r *http.Request, valid func(string) bool, syntax string) (string, *fault) {
-	id := chi.URLParam(r, "id")
-	if valid(id) {
+	id, err := url.PathUnescape(chi.URLParam(r, "id"))
+	if err == nil && valid(id) {
 		return id, nil
 	}
 	f := badRequest([]api.Problem{{Field: "id", Message: syntax}})
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -132,7 +132,7 @@
 		{"job too large", post("/v1/jobs", `{"kind":"batch","count":100001,"task":{"team":"a"}}`), 400, 1},
 		{"job with floor", post("/v1/jobs", `{"kind":"batch","count":2,"floor":1,"task":{"team":"a"}}`), 400, 1},
 		{"cancel nothing", post("/v1/tasks/cancel", `{"tasks":[]}`), 400, 1},
-		{"cancel bad ids", post("/v1/tasks/cancel", `{"tasks":["ok","a~b","a~b~c","/"]}`), 400, 2},
+		{"cancel bad ids", post("/v1/tasks/cancel", `{"tasks":["ok","a~b","j/7","a~b~c","/","j/x"]}`), 400, 3},
 		{"patch without base", post("/v1/config/patches", `{"merge":[]}`), 400, 2},
 		{"no such path", post("/v2/requests", goodTask), 404, 0},
 		{"wrong method", post("/v1/shards", ``), 405, 0},
@@ -206,6 +206,15 @@
 	}
 }
 
+func TestJobsTaskCanBeAskedWhy(t *testing.T) {
+	f := &fakeCell{}
+	w := httptest.NewRecorder()
+	New(f, f, Options{}).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/tasks/nightly%2F7/why", nil))
+	if !strings.Contains(w.Body.String(), `"task":"nightly/7"`) {
+		t.Errorf("status %d, body %s", w.Code, w.Body)
+	}
+}
+
 func TestOutcomeIsLoggedAndCounted(t *testing.T) {
 	var lines bytes.Buffer
 	logger := &log.Logger{Writer: log.IOWriter{Writer: &lines}}
--- a/internal/edge/input.go
+++ b/internal/edge/input.go
@@ -9,9 +9,12 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"laburnumpoint/internal/api"
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/job"
 )
 
 // problems collects the mistakes of one request.
@@ -101,17 +104,16 @@
 	return n
 }
 
-// Bounds of ids, in bytes. A task's id may hold a caller and the caller's own id.
+// Bounds of ids, in bytes.
 const (
-	maxIDBytes     = 128
-	maxNameBytes   = 64
-	maxTaskIDBytes = maxNameBytes + len(api.TaskIDSeparator) + maxIDBytes
+	maxIDBytes   = 128
+	maxNameBytes = 64
 )
 
 const (
 	idSyntax   = "must be 1 to 128 characters out of A-Z a-z 0-9 . _ : -"
 	nameSyntax = "must be 1 to 64 characters out of A-Z a-z 0-9 . _ : -"
-	taskSyntax = "must be a request's id, or a caller and its request's id joined by " + api.TaskIDSeparator
+	taskSyntax = "must be a request's id, a caller and its request's id joined by ~, or a job and a number joined by /"
 )
 
 // validID reports whether s is the id of a request, job, patch or worker.
@@ -124,16 +126,15 @@
 	return len(s) <= maxNameBytes && validChars(s)
 }
 
-// validTaskID reports whether s is the id of a task.
+// validTaskID reports whether s is the id of a request's or a job's task.
 func validTaskID(s string) bool {
-	if len(s) > maxTaskIDBytes {
-		return false
+	if caller, id, ok := strings.Cut(s, api.TaskIDSeparator); ok {
+		return validName(caller) && validID(id)
 	}
-	caller, id, keyed := bytes.Cut([]byte(s), []byte(api.TaskIDSeparator))
-	if !keyed {
-		return validChars(s)
+	if job, _, ok := job.SplitTaskID(cell.TaskID(s)); ok {
+		return validID(string(job))
 	}
-	return validName(string(caller)) && validID(string(id))
+	return validID(s)
 }
 
 func validChars(s string) bool {
