Add the command-line tool and its load generator

Ruled out: a closed loop of callers in the load generator, since waiting callers would then slow the load down and hide the waiting time; calls start at their planned times, and those beyond the bound in flight are counted as held back. A record format of its own: package history has one, with checkers.

With Main returning ExitUsage for every error TestExitCodesTellTheResult fails for four of its six cases.

Conclusion: whole over a scripted server; it has not met a daemon yet.

--- /dev/null
+++ b/internal/cli/app.go
@@ -0,0 +1,181 @@
+// Package cli is the command-line tool for callers and operators: one file for each command.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/client"
+)
+
+// Exit codes of the tool.
+const (
+	ExitCompleted = 0
+	ExitFailed    = 1
+	ExitUsage     = 2
+	ExitNotRun    = 3
+	ExitUnknown   = 4
+)
+
+// Names of the flags that every command has.
+const (
+	flagServer   = "server"
+	flagCaller   = "caller"
+	flagRetryFor = "retry-for"
+	flagJSON     = "json"
+)
+
+const (
+	defaultServer   = "127.0.0.1:8080"
+	defaultCaller   = "cli"
+	defaultRetryFor = 30 * time.Second
+)
+
+// Streams are the tool's input and outputs.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+// Main runs the tool with args, the first of which is the program's name, and returns its exit code.
+func Main(ctx context.Context, args []string, streams Streams) int {
+	a := &app{streams: streams}
+	err := a.command().Run(ctx, args)
+	if err == nil {
+		return ExitCompleted
+	}
+	var exit *exitError
+	if errors.As(err, &exit) {
+		fmt.Fprintln(streams.Err, exit.message)
+		return exit.code
+	}
+	fmt.Fprintln(streams.Err, err)
+	return ExitUsage
+}
+
+// app is one run of the tool.
+type app struct {
+	streams Streams
+}
+
+// exitError ends the tool with an exit code of its own. Any other error is a mistake in the tool's use.
+type exitError struct {
+	code    int
+	message string
+}
+
+// Error implements error.
+func (e *exitError) Error() string {
+	return e.message
+}
+
+func (a *app) command() *cli.Command {
+	return &cli.Command{
+		Name:           "laburnumpoint",
+		Usage:          "run work on a cell and operate it",
+		Writer:         a.streams.Out,
+		ErrWriter:      a.streams.Err,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Flags:          globalFlags(),
+		Commands: []*cli.Command{
+			a.runCommand(),
+			a.jobCommand(),
+			a.cancelCommand(),
+			a.whyCommand(),
+			a.configCommand(),
+			a.shardsCommand(),
+			a.workersCommand(),
+			a.teamsCommand(),
+			a.membersCommand(),
+			a.drainCommand(),
+			a.undrainCommand(),
+			a.loadCommand(),
+		},
+	}
+}
+
+func globalFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{
+			Name:    flagServer,
+			Usage:   "entry VMs' addresses, `IP:PORT`; several are tried in turn",
+			Value:   []string{defaultServer},
+			Sources: cli.EnvVars("LABURNUMPOINT_SERVER"),
+		},
+		&cli.StringFlag{
+			Name:    flagCaller,
+			Usage:   "`NAME` of the caller",
+			Value:   defaultCaller,
+			Sources: cli.EnvVars("LABURNUMPOINT_CALLER"),
+		},
+		&cli.DurationFlag{
+			Name:  flagRetryFor,
+			Usage: "`TIME` over which a message is sent again where that is safe",
+			Value: defaultRetryFor,
+		},
+		&cli.BoolFlag{Name: flagJSON, Usage: "write JSON"},
+	}
+}
+
+func newClient(cmd *cli.Command) (*client.Client, error) {
+	return client.New(client.Options{
+		Servers:  cmd.StringSlice(flagServer),
+		Caller:   cmd.String(flagCaller),
+		RetryFor: cmd.Duration(flagRetryFor),
+	})
+}
+
+// oneArg returns the command's only argument.
+func oneArg(cmd *cli.Command, name string) (string, error) {
+	if cmd.NArg() != 1 {
+		return "", fmt.Errorf("%s: give one %s", cmd.Name, name)
+	}
+	return cmd.Args().First(), nil
+}
+
+func noArgs(cmd *cli.Command) error {
+	if cmd.NArg() != 0 {
+		return fmt.Errorf("%s: argument %q is not understood", cmd.Name, cmd.Args().First())
+	}
+	return nil
+}
+
+// outcomeError returns the error that ends the tool with the exit code of o, or nil for a completed command.
+func outcomeError(o client.Outcome) error {
+	if o.Result == cell.ResultCompleted {
+		return nil
+	}
+	return &exitError{code: exitCode(o), message: string(o.Result) + ": " + o.Reason.String()}
+}
+
+func exitCode(o client.Outcome) int {
+	switch {
+	case o.Result == cell.ResultFailed:
+		return ExitFailed
+	case client.BadInput(o.Status):
+		return ExitUsage
+	case o.Result == cell.ResultNotRun:
+		return ExitNotRun
+	default:
+		return ExitUnknown
+	}
+}
+
+// queryError returns the error that ends the tool after a query that failed.
+func queryError(err error) error {
+	if err == nil {
+		return nil
+	}
+	var refused *client.RefusedError
+	if errors.As(err, &refused) && refused.BadInput() {
+		return &exitError{code: ExitUsage, message: refused.Error()}
+	}
+	return &exitError{code: ExitNotRun, message: err.Error()}
+}
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,179 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"laburnumpoint/internal/api"
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/history"
+)
+
+// recordingServer keeps the last message and answers as told.
+type recordingServer struct {
+	status  int
+	body    string
+	message string
+}
+
+func (s *recordingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	s.message = r.Method + " " + r.URL.RequestURI() + " " + string(body)
+	w.WriteHeader(s.status)
+	fmt.Fprint(w, strings.ReplaceAll(s.body, "ID", r.Header.Get(api.HeaderRequestID)))
+}
+
+// tool runs the tool against s.
+func tool(t *testing.T, s http.Handler, args ...string) (code int, out, errOut string) {
+	t.Helper()
+	server := httptest.NewServer(s)
+	defer server.Close()
+	var stdout, stderr bytes.Buffer
+	all := append([]string{"laburnumpoint", "--server", server.Listener.Addr().String(), "--retry-for", "0"}, args...)
+	code = Main(context.Background(), all, Streams{In: strings.NewReader("a\nb\n"), Out: &stdout, Err: &stderr})
+	return code, stdout.String(), stderr.String()
+}
+
+func TestExitCodesTellTheResult(t *testing.T) {
+	cases := []struct {
+		status int
+		result cell.Result
+		code   int
+	}{
+		{200, cell.ResultCompleted, ExitCompleted},
+		{200, cell.ResultFailed, ExitFailed},
+		{400, cell.ResultNotRun, ExitUsage},
+		{422, cell.ResultNotRun, ExitNotRun},
+		{503, cell.ResultNotRun, ExitNotRun},
+		{504, cell.ResultUnknown, ExitUnknown},
+	}
+	for _, c := range cases {
+		s := &recordingServer{status: c.status, body: fmt.Sprintf(`{"id":"ID","result":%q,"answer":"aGk="}`, c.result)}
+		code, out, errOut := tool(t, s, "run", "--team", "sparks", "--payload", "x")
+		if code != c.code || !strings.Contains(out, "hi") || !strings.Contains(errOut, string(c.result)) {
+			t.Errorf("%d %s: code %d, out %q, err %q", c.status, c.result, code, out, errOut)
+		}
+	}
+}
+
+func TestMistakesInUseReachNoServer(t *testing.T) {
+	cases := [][]string{
+		{"run"},
+		{"run", "--team", "a", "stray"},
+		{"run", "--team", "a", "--payload", "x", "--payload-file", "y"},
+		{"run", "--team", "a", "--milli-cpu", "many"},
+		{"job", "submit", "--team", "a"},
+		{"job", "status"},
+		{"cancel"},
+		{"why", "a", "b"},
+		{"config", "patch", "--merge", "{}"},
+		{"config", "patch", "--base", "1"},
+		{"config", "patch", "--base", "1", "--merge", "{"},
+		{"drain"},
+		{"load", "--mix", "fast:a=1"},
+		{"load", "--rate", "0"},
+		{"load", "--keyed-share", "2"},
+		{"--server", "nowhere", "shards"},
+	}
+	for _, args := range cases {
+		s := &recordingServer{status: 200, body: "{}"}
+		if code, _, errOut := tool(t, s, args...); code != ExitUsage || errOut == "" || s.message != "" {
+			t.Errorf("%q: code %d, err %q, message %q", args, code, errOut, s.message)
+		}
+	}
+}
+
+func TestCommandsSendTheirMessage(t *testing.T) {
+	const empty = `{"id":"j1","result":"completed","accepted":true}`
+	cases := []struct {
+		args    []string
+		message string
+	}{
+		{[]string{"job", "submit", "--id", "j1", "--kind", "gang", "--count", "3", "--team", "a"}, `POST /v1/jobs {"id":"j1","kind":"gang","count":3,`},
+		{[]string{"job", "status", "j1"}, "GET /v1/jobs/j1 "},
+		{[]string{"job", "cancel", "j1"}, "DELETE /v1/jobs/j1 "},
+		{[]string{"cancel", "c~1", "--file", "-"}, `POST /v1/tasks/cancel {"tasks":["c~1","a","b"]}`},
+		{[]string{"why", "j1/3"}, "GET /v1/tasks/j1%2F3/why "},
+		{[]string{"config", "show"}, "GET /v1/config "},
+		{[]string{"config", "history", "--limit", "3"}, "GET /v1/config/history?limit=3 "},
+		{[]string{"config", "patch", "--id", "p", "--base", "4", "--merge", `{"packing_weight":1}`}, `POST /v1/config/patches {"id":"p","base":4,"merge":{"packing_weight":1}}`},
+		{[]string{"config", "try", "--id", "p", "--base", "4", "--merge", "{}"}, `POST /v1/config/patches/try {"id":"p","base":4,"merge":{}}`},
+		{[]string{"shards"}, "GET /v1/shards "},
+		{[]string{"workers"}, "GET /v1/workers "},
+		{[]string{"teams"}, "GET /v1/teams "},
+		{[]string{"members"}, "GET /v1/members "},
+		{[]string{"drain", "w1"}, "PUT /v1/workers/w1/drain "},
+		{[]string{"undrain", "w1"}, "DELETE /v1/workers/w1/drain "},
+	}
+	for _, c := range cases {
+		for _, extra := range [][]string{nil, {"--json"}} {
+			s := &recordingServer{status: 200, body: empty}
+			code, out, errOut := tool(t, s, append(extra, c.args...)...)
+			if code != ExitCompleted || !strings.HasPrefix(s.message, c.message) || out == "" {
+				t.Errorf("%q: code %d, message %q, out %q, err %q", c.args, code, s.message, out, errOut)
+			}
+			if extra != nil && !json.Valid([]byte(out)) {
+				t.Errorf("%q: not JSON: %q", c.args, out)
+			}
+		}
+	}
+}
+
+func TestRefusedPatchNamesTheVersionInForce(t *testing.T) {
+	s := &recordingServer{status: 409, body: `{"accepted":false,"version":9,"reason":{"code":"stale_base"}}`}
+	code, out, errOut := tool(t, s, "config", "patch", "--base", "4", "--merge", "{}")
+	if code != ExitNotRun || !strings.Contains(out, "version in force: 9") || !strings.Contains(errOut, "stale_base") {
+		t.Errorf("code %d, out %q, err %q", code, out, errOut)
+	}
+}
+
+// echoServer answers as the stand-in's tasks do, and refuses the third request.
+type echoServer struct {
+	calls atomic.Int64
+}
+
+func (s *echoServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var task api.TaskSpec
+	_ = json.NewDecoder(r.Body).Decode(&task)
+	answer := api.Answer{ID: r.Header.Get(api.HeaderRequestID), Result: cell.ResultCompleted, Answer: []byte(task.Payload)}
+	if s.calls.Add(1) == 3 {
+		answer.Result = cell.ResultNotRun
+		answer.Reason.Code = cell.ReasonQuota
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func TestLoadReportsAndRecords(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "record")
+	code, out, _ := tool(t, &echoServer{}, "load", "--rate", "200", "--duration", "100ms", "--max-in-flight", "1000",
+		"--mix", "urgent:a:p=1", "--mix", "batch:b=1", "--record", path)
+	if code != ExitNotRun || !strings.Contains(out, "of these quota") || !strings.Contains(out, "urgent") {
+		t.Errorf("code %d, out:\n%s", code, out)
+	}
+	entries := readEntries(t, path)
+	if len(entries) == 0 || len(entries)%2 != 0 || entries[0].Call == nil {
+		t.Errorf("%d entries", len(entries))
+	}
+}
+
+func readEntries(t *testing.T, path string) []history.Entry {
+	t.Helper()
+	data, err := (&app{}).readFile(path, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	entries, err := history.Decode(bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return entries
+}
--- /dev/null
+++ b/internal/cli/config_history.go
@@ -0,0 +1,41 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+)
+
+const flagLimit = "limit"
+
+const defaultHistory = 20
+
+// configHistoryCommand lists the latest versions of the configuration.
+func (a *app) configHistoryCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "history",
+		Usage:  "list the latest versions, newest first; --json shows them whole",
+		Flags:  []cli.Flag{&cli.IntFlag{Name: flagLimit, Usage: "`NUMBER` of versions", Value: defaultHistory}},
+		Action: a.configHistory,
+	}
+}
+
+func (a *app) configHistory(ctx context.Context, cmd *cli.Command) error {
+	if err := noArgs(cmd); err != nil {
+		return err
+	}
+	c, err := newClient(cmd)
+	if err != nil {
+		return err
+	}
+	versions, err := c.History(ctx, cmd.Int(flagLimit))
+	if err != nil {
+		return queryError(err)
+	}
+	var t table
+	t.add("VERSION", "TEAMS", "DRAINED", "PACKING WEIGHT")
+	for _, v := range versions {
+		t.add(v.Version, len(v.Document.Teams), len(v.Document.Drained), v.Document.PackingWeight)
+	}
+	return a.print(cmd, versions, t)
+}
--- /dev/null
+++ b/internal/cli/config_patch.go
@@ -0,0 +1,30 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+)
+
+// configPatchCommand submits a patch.
+func (a *app) configPatchCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "patch",
+		Usage:  "submit a change; it is in force as a whole or refused as a whole",
+		Flags:  patchFlags(),
+		Action: a.configPatch,
+	}
+}
+
+func (a *app) configPatch(ctx context.Context, cmd *cli.Command) error {
+	spec, err := a.checkedPatch(cmd)
+	if err != nil {
+		return err
+	}
+	c, err := newClient(cmd)
+	if err != nil {
+		return err
+	}
+	answer, err := c.Patch(ctx, spec)
+	return a.printPatch(cmd, answer, err)
+}
--- /dev/null
+++ b/internal/cli/why.go
@@ -0,0 +1,41 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"laburnumpoint/internal/cell"
+)
+
+// whyCommand explains why a task is where it is.
+func (a *app) whyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "why",
+		Usage:     "explain why a task waits, runs or was refused",
+		ArgsUsage: "TASK",
+		Action:    a.why,
+	}
+}
+
+func (a *app) why(ctx context.Context, cmd *cli.Command) error {
+	id, err := oneArg(cmd, "task")
+	if err != nil {
+		return err
+	}
+	c, err := newClient(cmd)
+	if err != nil {
+		return err
+	}
+	explanation, err := c.Why(ctx, cell.TaskID(id))
+	if err != nil {
+		return queryError(err)
+	}
+	var t table
+	t.add("TASK", "STATE", "SHARD")
+	t.add(explanation.Task, explanation.State, explanation.Shard)
+	for _, reason := range explanation.Chain {
+		t.add("", reason.Code, reason.Detail)
+	}
+	return a.print(cmd, explanation, t)
+}
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -1,11 +1,10 @@
 package edge
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
 	"github.com/phuslu/log"
 )
 
@@ -59,9 +58,6 @@
 	DefaultWatchInterval      = 200 * time.Millisecond
 )
 
-// idBytes is the length of a made-up id before it is written in hexadecimal.
-const idBytes = 12
-
 func (o Options) withDefaults() Options {
 	setDefault(&o.MaxRequests, DefaultMaxRequests)
 	setDefault(&o.MaxCommands, DefaultMaxCommands)
@@ -79,7 +75,7 @@
 		o.Metrics = metrics.NewSet()
 	}
 	if o.NewID == nil {
-		o.NewID = randomID
+		o.NewID = uuid.NewString
 	}
 	return o
 }
@@ -89,9 +85,3 @@
 		*field = value
 	}
 }
-
-func randomID() string {
-	var b [idBytes]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return hex.EncodeToString(b[:])
-}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,139 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/client"
+	"laburnumpoint/internal/history"
+)
+
+func testPlan() Plan {
+	return Plan{
+		Seed:          7,
+		Rate:          10_000,
+		Duration:      50 * time.Millisecond,
+		Mix:           []Kind{{Class: cell.ClassUrgent, Team: "a", Weight: 1}, {Class: cell.ClassNormal, Team: "b", Weight: 3}},
+		RunMin:        time.Millisecond,
+		RunMax:        5 * time.Millisecond,
+		NonIdempotent: 0.2,
+		Timeout:       time.Second,
+	}
+}
+
+// echoRunner answers as the stand-in does, or as answer says.
+type echoRunner struct {
+	mu     sync.Mutex
+	calls  int
+	answer func(n int, p payload) client.Outcome
+}
+
+func (e *echoRunner) Run(_ context.Context, r client.Request) client.Outcome {
+	var p payload
+	_ = json.Unmarshal([]byte(r.Task.Payload), &p)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.calls++
+	return e.answer(e.calls, p)
+}
+
+func completed(echo string) client.Outcome {
+	data, _ := json.Marshal(history.Answer{Echo: echo})
+	o := client.Outcome{Tries: 1}
+	o.Result = cell.ResultCompleted
+	o.Answer.Answer = data
+	return o
+}
+
+func TestPlanIsTheSameForOneSeed(t *testing.T) {
+	p := testPlan()
+	first, again := p.calls(), p.calls()
+	if len(first) < 400 || len(first) > 600 || !slices.Equal(first, again) {
+		t.Fatalf("%d and %d calls", len(first), len(again))
+	}
+	p.Seed++
+	if slices.Equal(first, p.calls()) {
+		t.Error("another seed gives the same calls")
+	}
+	urgent, nonIdempotent := 0, 0
+	for _, c := range first {
+		if c.kind.Class == cell.ClassUrgent {
+			urgent++
+		}
+		if !c.idempotent {
+			nonIdempotent++
+			if !c.keyed {
+				t.Fatalf("call %d is non-idempotent and has no key", c.n)
+			}
+		}
+	}
+	if n := len(first); urgent < n/6 || urgent > n/3 || nonIdempotent < n/8 || nonIdempotent > n/3 {
+		t.Errorf("%d urgent and %d non-idempotent of %d", urgent, nonIdempotent, n)
+	}
+}
+
+func TestReportCountsWhatCallersWereTold(t *testing.T) {
+	p := testPlan()
+	total := len(p.calls())
+	recorder := history.NewRecorder()
+	runner := &echoRunner{answer: func(n int, p payload) client.Outcome {
+		switch n {
+		case 1:
+			return completed("another's")
+		case 2:
+			o := client.Outcome{Tries: 3}
+			o.Result, o.Reason.Code = cell.ResultUnknown, cell.ReasonInDoubt
+			return o
+		default:
+			return completed(p.Echo)
+		}
+	}}
+	r := Run(context.Background(), p, Options{Runner: runner, Caller: "c", KeyPrefix: "k", MaxInFlight: total, Recorder: recorder})
+	if r.Results[cell.ResultCompleted] != total-1 || r.Results[cell.ResultUnknown] != 1 || r.Reasons[cell.ReasonInDoubt] != 1 {
+		t.Errorf("results %v, reasons %v of %d", r.Results, r.Reasons, total)
+	}
+	if r.WrongAnswers != 1 || r.Resent != 1 || r.HeldBack != 0 {
+		t.Errorf("wrong %d, resent %d, held back %d", r.WrongAnswers, r.Resent, r.HeldBack)
+	}
+	if n := len(recorder.Entries()); n != 2*total {
+		t.Errorf("%d entries recorded of %d calls", n, total)
+	}
+}
+
+func TestCallsInFlightAreBounded(t *testing.T) {
+	p := testPlan()
+	total := len(p.calls())
+	release := make(chan struct{})
+	runner := &echoRunner{}
+	runner.answer = func(_ int, p payload) client.Outcome {
+		<-release
+		return completed(p.Echo)
+	}
+	done := make(chan Report)
+	go func() {
+		done <- Run(context.Background(), p, Options{Runner: runner, Caller: "c", KeyPrefix: "k", MaxInFlight: 3})
+	}()
+	time.Sleep(2 * p.Duration) // the plan is over; nothing was answered
+	close(release)
+	if r := <-done; r.HeldBack != total-3 || r.Results[cell.ResultCompleted] != 3 {
+		t.Errorf("held back %d, results %v of %d", r.HeldBack, r.Results, total)
+	}
+}
+
+func TestSpread(t *testing.T) {
+	var times []time.Duration
+	for i := 200; i > 0; i-- {
+		times = append(times, time.Duration(i))
+	}
+	if s := SpreadOf(times); s.P50 != 100 || s.P99 != 198 || s.Max != 200 || s.Count != 200 {
+		t.Errorf("spread %+v", s)
+	}
+	if s := SpreadOf(nil); s != (Spread{}) {
+		t.Errorf("spread of nothing %+v", s)
+	}
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,162 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"laburnumpoint/internal/api"
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/client"
+	"laburnumpoint/internal/history"
+)
+
+// Runner runs one request. *client.Client is one.
+type Runner interface {
+	Run(ctx context.Context, r client.Request) client.Outcome
+}
+
+// Options says how a plan is run.
+type Options struct {
+	Runner Runner
+	// Caller is the name under which Runner calls.
+	Caller string
+	// KeyPrefix starts every request's key, so that two runs of one plan don't share keys.
+	KeyPrefix string
+	// MaxInFlight bounds the calls that wait at once. One more is counted as held back and not sent.
+	MaxInFlight int
+	// Recorder gets every call and return.
+	Recorder *history.Recorder
+}
+
+// payload is what the stand-in's simulated tasks take.
+type payload struct {
+	RunMS       int64  `json:"run_ms"`
+	AnswerBytes int    `json:"answer_bytes,omitempty"`
+	Echo        string `json:"echo"`
+}
+
+// run is one run of a plan.
+type run struct {
+	plan  Plan
+	opts  Options
+	slots chan struct{}
+	calls sync.WaitGroup
+
+	mu     sync.Mutex
+	report Report
+}
+
+// Run sends the plan's calls and returns the report once every one is answered. When ctx ends no further call is sent.
+func Run(ctx context.Context, p Plan, opts Options) Report {
+	r := &run{plan: p, opts: opts, slots: make(chan struct{}, opts.MaxInFlight), report: newReport()}
+	start := time.Now()
+	for _, c := range p.calls() {
+		if !waitUntil(ctx, start.Add(c.at)) {
+			break
+		}
+		r.start(ctx, c)
+	}
+	r.calls.Wait()
+	r.report.Elapsed = time.Since(start)
+	return r.report
+}
+
+func waitUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// start sends c unless too many calls wait already.
+func (r *run) start(ctx context.Context, c call) {
+	select {
+	case r.slots <- struct{}{}:
+	default:
+		r.mu.Lock()
+		r.report.HeldBack++
+		r.mu.Unlock()
+		return
+	}
+	r.calls.Go(func() {
+		defer func() { <-r.slots }()
+		r.send(ctx, c)
+	})
+}
+
+// send runs c to its outcome. A call that was sent is waited for even when ctx ends.
+func (r *run) send(ctx context.Context, c call) {
+	key := fmt.Sprintf("%s-%d", r.opts.KeyPrefix, c.n)
+	req := r.request(c, key)
+	r.recordCall(c, key)
+	start := time.Now()
+	outcome := r.opts.Runner.Run(context.WithoutCancel(ctx), req)
+	elapsed := time.Since(start)
+	r.recordReturn(key, outcome)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.add(c.kind.Class, outcome, elapsed, wrongAnswer(outcome, key, r.plan.AnswerBytes))
+}
+
+func (r *run) request(c call, key string) client.Request {
+	data, err := json.Marshal(payload{RunMS: c.run.Milliseconds(), AnswerBytes: r.plan.AnswerBytes, Echo: key})
+	if err != nil {
+		panic(fmt.Sprintf("load: a payload always encodes: %v", err))
+	}
+	req := client.Request{
+		Timeout: r.plan.Timeout,
+		Task: api.TaskSpec{
+			Team:           c.kind.Team,
+			Class:          c.kind.Class,
+			Pool:           c.kind.Pool,
+			Claim:          r.plan.Claim,
+			Idempotent:     &c.idempotent,
+			Stoppable:      r.plan.Stoppable && c.kind.Class != cell.ClassUrgent,
+			EstimatedRunMS: c.run.Milliseconds(),
+			Payload:        string(data),
+		},
+	}
+	if c.keyed {
+		req.ID = key
+	}
+	return req
+}
+
+// wrongAnswer reports whether a completed call was given anything but its own whole answer.
+func wrongAnswer(o client.Outcome, key string, bytes int) bool {
+	if o.Result != cell.ResultCompleted {
+		return false
+	}
+	var a history.Answer
+	err := json.Unmarshal(o.Answer.Answer, &a)
+	return err != nil || a.Echo != key || len(a.Pad) != bytes
+}
+
+func (r *run) recordCall(c call, key string) {
+	if r.opts.Recorder == nil {
+		return
+	}
+	entry := &history.Call{Key: key, Idempotent: c.idempotent, Echo: key, AnswerBytes: r.plan.AnswerBytes}
+	if c.keyed {
+		entry.Task = api.KeyedTaskID(r.opts.Caller, key)
+	}
+	r.opts.Recorder.Add(history.Entry{Kind: history.KindCall, Op: key, Call: entry})
+}
+
+func (r *run) recordReturn(key string, o client.Outcome) {
+	if r.opts.Recorder == nil {
+		return
+	}
+	r.opts.Recorder.Add(history.Entry{Kind: history.KindReturn, Op: key, Return: &history.Return{
+		Result: o.Result,
+		Task:   o.Task,
+		Answer: o.Answer.Answer,
+	}})
+}
