--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -97,6 +97,7 @@
 			a.drainCommand(),
 			a.undrainCommand(),
 			a.loadCommand(),
+			a.checkCommand(),
 		},
 	}
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"laburnumpoint/internal/api"
 	"laburnumpoint/internal/cell"
@@ -81,6 +83,8 @@
 		{"drain"},
 		{"load", "--mix", "fast:a=1"},
 		{"load", "--rate", "0"},
+		{"check"},
+		{"check", "/nonexistent"},
 		{"load", "--keyed-share", "2"},
 		{"--server", "nowhere", "shards"},
 	}
@@ -159,21 +163,45 @@
 	if code != ExitNotRun || !strings.Contains(out, "of these quota") || !strings.Contains(out, "urgent") {
 		t.Errorf("code %d, out:\n%s", code, out)
 	}
-	entries := readEntries(t, path)
+	entries, err := readHistory(path)
+	if err != nil {
+		t.Fatal(err)
+	}
 	if len(entries) == 0 || len(entries)%2 != 0 || entries[0].Call == nil {
 		t.Errorf("%d entries", len(entries))
 	}
 }
 
-func readEntries(t *testing.T, path string) []history.Entry {
+func TestCheckFindsARequestThatRanTwice(t *testing.T) {
+	lease := func(n cell.AttemptID, kind history.Kind, at int64) history.Entry {
+		attempt := cell.Attempt{Task: "t", Epoch: 1, N: n}
+		l := &history.Lease{Worker: "w", Boot: "b", Attempt: attempt, Kind: cell.KindRequest, Cause: history.EndFinished}
+		return history.Entry{At: time.Unix(at, 0), Kind: kind, Lease: l}
+	}
+	entries := []history.Entry{
+		{At: time.Unix(0, 0), Kind: history.KindWorker, Worker: &history.Worker{ID: "w", Change: history.WorkerAdded}},
+		lease(1, history.KindLeaseStart, 1),
+		lease(1, history.KindLeaseEnd, 2),
+	}
+	twice := append(slices.Clone(entries), lease(2, history.KindLeaseStart, 3), lease(2, history.KindLeaseEnd, 4))
+	if code, out, errOut := tool(t, nil, "check", writeEntries(t, entries)); code != ExitCompleted {
+		t.Errorf("once: code %d, out %q, err %q", code, out, errOut)
+	}
+	if code, out, _ := tool(t, nil, "check", writeEntries(t, twice)); code != ExitFailed || !strings.Contains(out, "at_most_once") {
+		t.Errorf("twice: code %d, out %q", code, out)
+	}
+}
+
+func writeEntries(t *testing.T, entries []history.Entry) string {
 	t.Helper()
-	data, err := (&app{}).readFile(path, 1<<20)
+	path := filepath.Join(t.TempDir(), "history")
+	recorder, closeRecord, err := openRecord(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	entries, err := history.Decode(bytes.NewReader(data))
-	if err != nil {
-		t.Fatal(err)
+	for _, e := range entries {
+		recorder.Add(e)
 	}
-	return entries
+	closeRecord()
+	return path
 }
--- a/internal/cli/job_submit.go
+++ b/internal/cli/job_submit.go
@@ -52,7 +52,7 @@
 	})
 	if cmd.Bool(flagJSON) {
 		err = a.printJSON(outcome.Answer)
-	} else {
+	} else if outcome.Result != cell.ResultNotRun {
 		_, err = fmt.Fprintln(a.streams.Out, outcome.ID)
 	}
 	if err != nil {
