Answer 409 to every patch whose base is not in force

Cause: a base above the version in force was answered 503, since the version told it from a stale one.

Ruled out: comparing versions at all, now that package config has the code stale_base.

Figures: TestStalePatchIsAConflictNamingTheVersionInForce with base 9 against version 7 answered 503 before, by the old comparison (result.Version > patch.Base); it answers 409 now.

--- a/internal/edge/commands.go
+++ b/internal/edge/commands.go
@@ -11,6 +11,7 @@
 
 	"laburnumpoint/internal/api"
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/config"
 )
 
 // outcomeGrace is how long past a request's timeout its outcome is waited for.
@@ -108,7 +109,7 @@
 
 func (h *handler) writePatch(w http.ResponseWriter, patch Patch, result PatchResult) {
 	setRetryAfter(w, result.RetryAfter)
-	h.writeJSON(w, patchStatus(patch, result), api.PatchAnswer{
+	h.writeJSON(w, patchStatus(result), api.PatchAnswer{
 		ID:           patch.ID,
 		Accepted:     result.Accepted,
 		Version:      result.Version,
@@ -118,28 +119,22 @@
 	})
 }
 
-func patchStatus(patch Patch, result PatchResult) int {
+func patchStatus(result PatchResult) int {
 	switch {
 	case result.Accepted:
 		return http.StatusOK
 	case result.Reason.Code == cell.ReasonInDoubt:
 		return http.StatusGatewayTimeout
-	case result.Reason.Code == cell.ReasonStoreUnavailable:
-		return http.StatusServiceUnavailable
-	case stale(patch, result):
+	case stale(result):
 		return http.StatusConflict
 	default:
 		return notRunStatus(result.Reason.Code)
 	}
 }
 
-// stale reports whether result refuses patch because a newer version is in force.
-func stale(patch Patch, result PatchResult) bool {
-	code := result.Reason.Code
-	if result.Accepted || code == cell.ReasonInDoubt || code == cell.ReasonStoreUnavailable {
-		return false
-	}
-	return result.Version > patch.Base
+// stale reports whether result refuses a patch because its base is not the version in force.
+func stale(result PatchResult) bool {
+	return !result.Accepted && result.Reason.Code == config.ReasonStaleBase
 }
 
 // pathID returns the id in the path.
--- a/internal/edge/config_test.go
+++ b/internal/edge/config_test.go
@@ -9,6 +9,7 @@
 
 	"laburnumpoint/internal/api"
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/config"
 )
 
 func callPatch(t *testing.T, f *fakeCell, r *http.Request) (int, api.PatchAnswer) {
@@ -30,7 +31,7 @@
 			f.version++
 		}
 		if p.Base != f.version {
-			return PatchResult{Version: f.version, Reason: cell.Reason{Code: cell.ReasonSuperseded}}
+			return PatchResult{Version: f.version, Reason: cell.Reason{Code: config.ReasonStaleBase}}
 		}
 		f.version++
 		return PatchResult{Accepted: true, Version: f.version}
@@ -40,9 +41,11 @@
 func TestStalePatchIsAConflictNamingTheVersionInForce(t *testing.T) {
 	f := &fakeCell{version: 7}
 	f.patch = moving(f, 0)
-	status, a := callPatch(t, f, post("/v1/config/patches", `{"id":"p1","base":5,"merge":{"packing_weight":1}}`))
-	if status != http.StatusConflict || a.Accepted || a.Version != 7 || a.ID != "p1" {
-		t.Errorf("status %d, answer %+v", status, a)
+	for _, base := range []string{"5", "9"} {
+		status, a := callPatch(t, f, post("/v1/config/patches", `{"id":"p1","base":`+base+`,"merge":{"packing_weight":1}}`))
+		if status != http.StatusConflict || a.Accepted || a.Version != 7 || a.ID != "p1" {
+			t.Errorf("base %s: status %d, answer %+v", base, status, a)
+		}
 	}
 }
 
--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -78,7 +78,7 @@
 			Merge: drainMerge(worker, drained),
 		}
 		result = h.commands.Patch(ctx, patch)
-		if !stale(patch, result) {
+		if !stale(result) {
 			return patch, result
 		}
 	}
