--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -14,8 +14,12 @@
 	used cell.Resources
 	// earmarked is the claims of urgent tasks that start here once their victims are gone.
 	earmarked cell.Resources
-	// reserved is the claims of the members of the reservation that are to start here.
+	// reserved is the claims of the members of a reservation that are to start here.
 	reserved cell.Resources
+	// reservation is the one reservation that may keep room here.
+	reservation *reservation
+	// kept is the room that is kept for urgent work.
+	kept cell.Resources
 	// victims is the claims of the tasks here that may be stopped for urgent work.
 	victims cell.Resources
 	tasks   []*entry
@@ -37,7 +41,7 @@
 
 // room is what any task may take.
 func (w *worker) room() cell.Resources {
-	return w.free().Sub(w.earmarked).Sub(w.reserved)
+	return w.free().Sub(w.earmarked).Sub(w.reserved).Sub(w.kept)
 }
 
 func (w *worker) removeTask(e *entry) {
