--- a/internal/shard/attempt.go
+++ b/internal/shard/attempt.go
@@ -33,6 +33,7 @@
 		c.refresh(w)
 	}
 	c.logDecision(e, "place", d.Reason)
+	countStart(e.task.Class, e.waited)
 	c.start(e, w)
 }
 
@@ -91,6 +92,7 @@
 func (ev answered) apply(c *control) {
 	e := ev.entry
 	if !c.current(e, ev.call) {
+		lateAnswers.Inc()
 		c.p.Logger.Debug().Str("task", string(e.task.ID)).Msg("late answer dropped")
 		return
 	}
@@ -248,6 +250,7 @@
 		c.vacate(e, w)
 		e.avoidWorker(w)
 	}
+	requeuesTotal.Inc()
 	e.tries++
 	e.adopted, e.accepted, e.over, e.settling, e.open = false, false, false, false, false
 	e.regroup = e.requeue
--- a/internal/shard/bounds_test.go
+++ b/internal/shard/bounds_test.go
@@ -88,11 +88,12 @@
 func TestEjectionIsCappedAndSparesPoison(t *testing.T) {
 	h := newHealth()
 	now := time.Unix(0, 0)
+	pool := func(string) int { return 8 }
 	worker := func(i int) cell.Worker { return cell.Worker{ID: cell.WorkerID(fmt.Sprint("w", i))} }
 	for i := range 8 {
 		for j := range ejectAfter {
-			h.note(now, worker(i), "poison", false, 8)
-			h.note(now, worker(i), fmt.Sprint(i, "/", j), false, 8)
+			h.note(now, worker(i), "poison", false, pool)
+			h.note(now, worker(i), fmt.Sprint(i, "/", j), false, pool)
 		}
 	}
 	if got := h.ejectedOf(""); got != 2 {
@@ -105,7 +106,7 @@
 	h = newHealth()
 	for j := range ejectAfter {
 		for i := range 8 {
-			h.note(now, worker(i), fmt.Sprint("poison", j), false, 8)
+			h.note(now, worker(i), fmt.Sprint("poison", j), false, pool)
 		}
 	}
 	if got := h.ejectedOf(""); got != 0 {
--- a/internal/shard/entry.go
+++ b/internal/shard/entry.go
@@ -41,6 +41,7 @@
 		w.timer.Stop()
 	}
 	out.Attempt.Task = w.task
+	countOutcome(out)
 	go w.done(out)
 }
 
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -63,8 +63,8 @@
 }
 
 // note counts the end of an attempt and reports whether the worker's usability changed. source names the task's job, or
-// the task itself if it has none. poolSize is the number of workers of the pool.
-func (h *health) note(now time.Time, w cell.Worker, source string, ok bool, poolSize int) bool {
+// the task itself if it has none. poolSize returns the number of workers of the pool.
+func (h *health) note(now time.Time, w cell.Worker, source string, ok bool, poolSize func(pool string) int) bool {
 	s := h.workers[w.ID]
 	if ok {
 		if s == nil {
@@ -83,7 +83,7 @@
 		return true
 	}
 	h.blame(s, w.ID, source)
-	if s.ejected || len(s.failed) < ejectAfter || h.ejectedOf(w.Pool) >= poolSize/ejectShare {
+	if s.ejected || len(s.failed) < ejectAfter || h.ejectedOf(w.Pool) >= poolSize(w.Pool)/ejectShare {
 		return false
 	}
 	h.eject(now, s)
@@ -162,7 +162,7 @@
 	if source == "" {
 		source = string(e.task.ID)
 	}
-	if !c.health.note(time.Now(), w.Worker, source, ok, c.poolSize(w.Pool)) {
+	if !c.health.note(time.Now(), w.Worker, source, ok, c.poolSize) {
 		return
 	}
 	c.p.Logger.Warn().Str("shard", string(c.p.Shard)).Str("worker", string(w.ID)).Bool("usable", c.health.usable(w.ID)).Msg("worker health changed")
--- a/internal/shard/lifecycle.go
+++ b/internal/shard/lifecycle.go
@@ -15,6 +15,7 @@
 		return
 	}
 	c.state = stateSuperseded
+	supersededTotal.Inc()
 	c.p.Logger.Warn().Str("shard", string(c.p.Shard)).Uint64("epoch", uint64(c.p.Epoch)).Str("detail", ev.detail).Msg("superseded")
 	if c.p.OnSuperseded != nil {
 		go c.p.OnSuperseded()
--- /dev/null
+++ b/internal/shard/metrics.go
@@ -0,0 +1,28 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"laburnumpoint/internal/cell"
+)
+
+// Metrics of all owners of the process.
+var (
+	inquiriesTotal  = metrics.NewCounter("laburnumpoint_inquiries_total")
+	requeuesTotal   = metrics.NewCounter("laburnumpoint_requeues_total")
+	supersededTotal = metrics.NewCounter("laburnumpoint_superseded_total")
+	lateAnswers     = metrics.NewCounter("laburnumpoint_late_answers_total")
+)
+
+// countOutcome counts one caller's final answer.
+func countOutcome(out cell.Outcome) {
+	name := `laburnumpoint_outcomes_total{result="` + string(out.Result) + `",reason="` + string(out.Reason.Code) + `"}`
+	metrics.GetOrCreateCounter(name).Inc()
+}
+
+// countStart counts one attempt sent, and the waiting time before it.
+func countStart(class cell.Class, waited time.Duration) {
+	metrics.GetOrCreateHistogram(`laburnumpoint_waiting_seconds{class="` + string(class) + `"}`).Update(waited.Seconds())
+}
--- /dev/null
+++ b/internal/shard/owner_bench_test.go
@@ -0,0 +1,71 @@
+package shard
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/config"
+	"laburnumpoint/internal/platform"
+)
+
+// instant is a runner whose tasks end at once.
+type instant struct{}
+
+func (instant) Claim(_ context.Context, w cell.Worker, c platform.Claim) (platform.WorkerReport, error) {
+	return platform.WorkerReport{Worker: w.ID, Epoch: c.Epoch, Boot: "b", Claimed: c.Boot == "b"}, nil
+}
+
+func (instant) Start(context.Context, cell.Worker, string, cell.Attempt, cell.Task, time.Duration) platform.StartReply {
+	return platform.StartReply{Result: platform.StartFinished}
+}
+
+func (instant) Await(context.Context, cell.Worker, cell.Attempt) platform.StartReply {
+	return platform.StartReply{Result: platform.StartRefused}
+}
+
+func (instant) Stop(context.Context, cell.Worker, cell.Attempt, cell.Epoch, platform.StopMode) (cell.Lease, error) {
+	return cell.Lease{}, platform.ErrUnreachable
+}
+
+// BenchmarkRequest measures one request from submission to outcome, without its network, on a shard of 180 workers.
+func BenchmarkRequest(b *testing.B) {
+	doc := config.Versioned{Version: 1, Document: config.Default()}
+	o := Start(Params{
+		Shard: "s", Epoch: 1, Runner: instant{},
+		Confirm: func(context.Context) error { return nil },
+		Config:  func() (config.Versioned, bool) { return doc, true },
+	})
+	var workers []cell.Worker
+	for i := range 180 {
+		workers = append(workers, cell.Worker{
+			ID: cell.WorkerID(fmt.Sprint("w", i)), Rack: fmt.Sprint("r", i/4), State: cell.WorkerLive,
+			Capacity: cell.Resources{MilliCPU: 64_000, MemoryMiB: 128 << 10, Slots: 8},
+		})
+	}
+	o.SetWorkers(workers)
+	for claimed := 0; claimed < len(workers); {
+		_, claimed, _, _ = o.Status()
+	}
+	const inFlight = 64
+	tokens := make(chan struct{}, inFlight)
+	var wg sync.WaitGroup
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		tokens <- struct{}{}
+		wg.Add(1)
+		o.Submit(request(fmt.Sprint(i)), func(out cell.Outcome) {
+			<-tokens
+			wg.Done()
+		})
+	}
+	wg.Wait()
+	b.StopTimer()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	o.Release(ctx)
+}
--- a/internal/shard/settle.go
+++ b/internal/shard/settle.go
@@ -49,6 +49,7 @@
 		c.finish(e, e.unknown(c.doubtCode(), "the attempt can't be settled"))
 		return
 	}
+	inquiriesTotal.Inc()
 	ctx, ev := c.open(e)
 	e.open, e.settling = false, true
 	ask := inquiry{p: c.p, worker: w.Worker, boot: e.boot, attempt: e.attempt, sentBoot: e.sentBoot}
