shard: three faults of takeover, found by reading

Cause, each seen failing in a new test with the mending taken out: - An adopted task whose attempt ended was run again although another worker was not claimed yet. The owner before may have started its own next attempt there: two places at once (TestAdoptedTaskRunsAgainOnceEveryWorkerIsClaimed). It is held now. - An adopted task that ran again was sent without its payload, which leases do not carry (same test). A joining request now brings it. - A request of other content under an adopted non-idempotent key was joined to it and would have been given another request's answer (TestAnotherRequestDoesNotJoinAnAdoptedOne). The intent's digest is read first.

Ruled out: holding a request back from an ended attempt's answer until every worker is claimed. The guard above covers the case of a failed earlier and a running later attempt (TestEarlierFailureDoesNotHideALaterAttempt), and answers come sooner.

--- a/internal/shard/attempt.go
+++ b/internal/shard/attempt.go
@@ -251,12 +251,20 @@
 		e.avoidWorker(w)
 	}
 	requeuesTotal.Inc()
+	earlier := e.adopted
 	e.tries++
 	e.adopted, e.accepted, e.over, e.settling, e.open = false, false, false, false, false
 	e.regroup = e.requeue
 	e.stopping, e.stopEnded, e.requeue = false, false, false
 	e.endedReports = 0
 	e.call++
+	if earlier && !c.recovered() {
+		// The owner that started the attempt may have started the next on a worker that is not claimed yet.
+		c.sched.Release(e.task.ID)
+		e.phase, e.keyed = phaseHeld, true
+		c.dirty = true
+		return
+	}
 	e.phase = phaseQueued
 	if e.regroup {
 		c.regroup(now, e.task.Job)
--- a/internal/shard/entry.go
+++ b/internal/shard/entry.go
@@ -131,7 +131,7 @@
 
 // dropped returns the outcome of an entry that is dropped before an attempt of it started: not_run if that is known.
 func (e *entry) dropped(code cell.ReasonCode, retryAfter time.Duration) cell.Outcome {
-	if e.last.Result == cell.ResultFailed {
+	if e.last.Result == cell.ResultFailed && !e.keyed {
 		return e.last
 	}
 	if e.keyed || e.ran || e.inDoubt {
@@ -154,10 +154,11 @@
 	return newEntry(r).dropped(code, retrySoon)
 }
 
-// sameRequest reports whether two tasks under one id ask for the same work.
-func sameRequest(a, b cell.Task) bool {
+// sameRequest reports whether two tasks under one id ask for the same work. A task that was read from a lease has no payload
+// to compare.
+func sameRequest(a, b cell.Task, payload bool) bool {
 	return a.Team == b.Team && a.Kind == b.Kind && a.Claim == b.Claim &&
-		a.Idempotent == b.Idempotent && bytes.Equal(a.Payload, b.Payload)
+		a.Idempotent == b.Idempotent && (!payload || bytes.Equal(a.Payload, b.Payload))
 }
 
 // backoff returns the pause before the next try after so many.
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -34,8 +34,9 @@
 
 type lease struct {
 	cell.Lease
-	over chan struct{}
-	fail bool
+	over   chan struct{}
+	fail   bool
+	answer string
 }
 
 func newRunner(runTime time.Duration, ws ...cell.Worker) *runner {
@@ -166,7 +167,9 @@
 		r.overclaims++
 	}
 	r.starts[a.Task]++
-	l := &lease{Lease: cell.Lease{Attempt: a, Worker: h.ID, Phase: cell.LeaseRunning, Task: t}, over: make(chan struct{})}
+	l := &lease{over: make(chan struct{}), answer: "answer of " + string(a.Task) + string(t.Payload)}
+	t.Payload = nil
+	l.Lease = cell.Lease{Attempt: a, Worker: h.ID, Phase: cell.LeaseRunning, Task: t}
 	h.leases[a] = l
 	fail := h.failing
 	time.AfterFunc(r.runTime, func() {
@@ -188,7 +191,7 @@
 	if h := r.hosts[l.Worker]; h.down || h.leases[l.Attempt] != l {
 		return platform.StartReply{Result: platform.StartInDoubt}
 	}
-	return platform.StartReply{Result: platform.StartFinished, Failed: l.fail, Answer: []byte("answer of " + l.Attempt.Task)}
+	return platform.StartReply{Result: platform.StartFinished, Failed: l.fail, Answer: []byte(l.answer)}
 }
 
 func (r *runner) Await(ctx context.Context, w cell.Worker, a cell.Attempt) platform.StartReply {
--- a/internal/shard/submit.go
+++ b/internal/shard/submit.go
@@ -11,10 +11,15 @@
 // intentWait bounds how long a request waits for its intent.
 const intentWait = 3 * time.Second
 
+// duplicateKey refuses a request whose id another request has.
+var duplicateKey = cell.Reason{Code: cell.ReasonDuplicateKey, Detail: "the id belongs to another request"}
+
 // submit takes a request in.
 type submit struct {
 	request Request
 	waiter  *waiter
+	// checked means that the intent was found to be of this request.
+	checked bool
 }
 
 func (ev submit) apply(c *control) {
@@ -24,6 +29,10 @@
 		return
 	}
 	if e := c.entries[r.Task.ID]; e != nil {
+		if e.adopted && !r.Task.Idempotent && !ev.checked {
+			c.checkDigest(ev)
+			return
+		}
 		c.join(e, r, w)
 		return
 	}
@@ -57,8 +66,8 @@
 
 // join adds a waiter to a known entry.
 func (c *control) join(e *entry, r Request, w *waiter) {
-	if !e.adopted && !sameRequest(e.task, r.Task) {
-		w.answer(cell.NotRun(cell.Reason{Code: cell.ReasonDuplicateKey, Detail: "the id belongs to another request"}, 0))
+	if !sameRequest(e.task, r.Task, !e.adopted) {
+		w.answer(cell.NotRun(duplicateKey, 0))
 		return
 	}
 	if e.stopping && !e.requeue {
@@ -66,8 +75,9 @@
 		return
 	}
 	c.wait(e, w)
-	if e.caller == "" {
-		e.caller = r.Caller
+	if e.adopted {
+		// The lease has no payload, and the task may have to run again.
+		e.task, e.caller = r.Task, r.Caller
 	}
 	if e.phase == phaseRunning && !e.open && !e.settling && !e.accepted {
 		c.await(e)
@@ -99,11 +109,13 @@
 
 // admit queues e, holds it, or joins it to the attempt that was found for it.
 func (c *control) admit(e *entry) {
-	if lease, ok := c.ended[e.task.ID]; ok && (e.keyed || e.inDoubt) {
+	earlier := e.keyed || e.inDoubt
+	// A failure fetched here does not hide a later attempt: the task runs again only once every worker is claimed.
+	if lease, ok := c.ended[e.task.ID]; ok && earlier && lease.attempt != e.attempt {
 		c.joinEnded(e, lease)
 		return
 	}
-	if !c.listed || (e.keyed || e.inDoubt) && !c.recovered() {
+	if !c.listed || earlier && !c.recovered() {
 		e.phase = phaseHeld
 		return
 	}
@@ -144,6 +156,40 @@
 	}
 }
 
+// keepHandle lets the outcome of an attempt that was found running be recorded.
+func (e *entry) keepHandle(grant intent.Grant, err error) {
+	if err == nil && grant.Verdict == intent.Exists && e.handle == nil {
+		e.handle, e.finishOnly = &grant.Handle, true
+	}
+}
+
+// checkDigest reads the intent of a request for a task that an earlier owner started. The lease does not tell what was asked,
+// so that only the intent shows whether the request is the same.
+func (c *control) checkDigest(ev submit) {
+	r := ev.request
+	wait := intentWait
+	if !r.Deadline.IsZero() {
+		wait = min(wait, time.Until(r.Deadline))
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, wait)
+		defer cancel()
+		grant, err := c.p.Intents.Acquire(ctx, r.Task.ID, intent.Digest(r.Task), c.p.Epoch)
+		c.giveBack(grant, err)
+		switch {
+		case err != nil:
+			ev.waiter.answer(refusal(r, cell.ReasonStoreUnavailable))
+		case grant.Verdict == intent.Mismatch:
+			ev.waiter.answer(cell.NotRun(duplicateKey, 0))
+		default:
+			ev.checked = true
+			if !c.box.post(ev) {
+				ev.waiter.answer(refusal(r, cell.ReasonSuperseded))
+			}
+		}
+	}()
+}
+
 // joinEnded fetches the answer of an attempt that is over.
 func (c *control) joinEnded(e *entry, l endedLease) {
 	e.adopted, e.ran, e.keyed = true, true, false
@@ -183,6 +229,7 @@
 	e := ev.entry
 	if c.entries[e.task.ID] != e || e.phase != phaseIntent {
 		c.giveBack(ev.grant, ev.err)
+		e.keepHandle(ev.grant, ev.err)
 		return
 	}
 	if ev.err != nil {
@@ -199,7 +246,7 @@
 		e.handle, e.keyed = &handle, false
 	case intent.Mismatch:
 		e.phase = phaseHeld
-		c.drop(e, cell.NotRun(cell.Reason{Code: cell.ReasonDuplicateKey, Detail: "the key belongs to another request"}, 0))
+		c.drop(e, cell.NotRun(duplicateKey, 0))
 		return
 	case intent.Exists:
 		e.handle, e.finishOnly, e.inDoubt = &handle, true, true
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -133,3 +133,60 @@
 		r.expectStarts("a", 1)
 	})
 }
+
+// A task that an earlier owner started runs again with its payload, and only once every worker is claimed: the owner before
+// may have started its next attempt on a worker that is not.
+func TestAdoptedTaskRunsAgainOnceEveryWorkerIsClaimed(t *testing.T) {
+	bubble(t, 2, 3*time.Second, func(t *testing.T, r *rig) {
+		req := keyed(request("a"))
+		req.Deadline = time.Now().Add(time.Minute)
+		req.Task.Payload = []byte(" with payload")
+		r.runner.set("w0", func(h *host) { h.failing = true })
+		old := r.owner(1)
+		old.NoteLeaving([]cell.WorkerID{"w1"})
+		old.Submit(req, func(cell.Outcome) {})
+		time.Sleep(time.Second)
+		r.runner.set("w1", func(h *host) { h.down = true })
+		next := r.owner(2)
+		time.AfterFunc(8*time.Second, func() {
+			r.expectStarts("a", 1)
+			r.runner.set("w1", func(h *host) { h.down = false })
+		})
+		out := next.Run(t.Context(), req)
+		expect(t, out, cell.ResultCompleted, cell.ReasonNone)
+		if string(out.Answer) != "answer of a with payload" {
+			t.Errorf("answer = %q", out.Answer)
+		}
+	})
+}
+
+// Of two attempts by the owner before, the failed one is heard of first and the running one can't be reached.
+func TestEarlierFailureDoesNotHideALaterAttempt(t *testing.T) {
+	bubble(t, 2, 8*time.Second, func(t *testing.T, r *rig) {
+		r.runner.set("w0", func(h *host) { h.failing = true })
+		old := r.owner(1)
+		req := keyed(request("a"))
+		req.Deadline = time.Now().Add(time.Minute)
+		old.Submit(req, func(cell.Outcome) {})
+		time.Sleep(10 * time.Second)
+		r.expectStarts("a", 2)
+		r.runner.set("w1", func(h *host) { h.down = true })
+		next := r.owner(2)
+		expect(t, next.Run(t.Context(), keyed(request("a"))), cell.ResultUnknown, cell.ReasonRecovering)
+		r.expectStarts("a", 2)
+	})
+}
+
+func TestAnotherRequestDoesNotJoinAnAdoptedOne(t *testing.T) {
+	bubble(t, 1, 3*time.Second, func(t *testing.T, r *rig) {
+		old := r.owner(1)
+		old.Submit(once(request("a")), func(cell.Outcome) {})
+		time.Sleep(time.Second)
+		next := r.owner(2)
+		other := once(request("a"))
+		other.Task.Payload = []byte("another request")
+		expect(t, next.Run(t.Context(), other), cell.ResultNotRun, cell.ReasonDuplicateKey)
+		expect(t, next.Run(t.Context(), once(request("a"))), cell.ResultCompleted, cell.ReasonNone)
+		r.expectStarts("a", 1)
+	})
+}
