Daemon, and histories of separate processes under faults

Cause: the whole path has to run as separate processes, and each promise has to be judged on what callers and workers recorded.

Ruled out: admitting a daemon to the balancer before it is ready (callers then meet a closed port, which looked like requests cut off by a planned stop); in-process tests only (a process can't be frozen in one).

--- /dev/null
+++ b/cmd/laburnumpointd/main.go
@@ -0,0 +1,127 @@
+// Command laburnumpointd is the daemon of an entry VM.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/edge"
+	"laburnumpoint/internal/httpplatform"
+	"laburnumpoint/internal/node"
+	"laburnumpoint/internal/settings"
+)
+
+// exitFailed is the exit code of a daemon that could not serve or whose planned stop cut something off.
+const exitFailed = 1
+
+func main() {
+	s, err := settings.Parse(os.Args, os.Stdout)
+	if errors.Is(err, settings.ErrHelp) {
+		return
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(settings.ExitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := serve(ctx, s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
+
+// daemon is the running parts of the process.
+type daemon struct {
+	node   *node.Node
+	server *edge.Server
+	log    *log.Logger
+}
+
+// serve runs the daemon until ctx ends and then stops it gracefully.
+func serve(ctx context.Context, s settings.Settings) error {
+	d, listener, err := start(s)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- d.server.Serve(listener) }()
+	d.log.Info().Str("listen", listener.Addr().String()).Msg("serving")
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return d.stop(s)
+	}
+}
+
+func start(s settings.Settings) (*daemon, net.Listener, error) {
+	logger := &log.Logger{Level: s.LogLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
+	set := metrics.NewSet()
+	listener, err := net.Listen("tcp", s.Listen.String())
+	if err != nil {
+		return nil, nil, err
+	}
+	n, err := node.Start(nodeOptions(s, logger, set))
+	if err != nil {
+		return nil, nil, err
+	}
+	limits := edge.ServerOptions{DrainDelay: s.DrainDelay}
+	server := edge.NewServer(n, n, edgeOptions(s, logger, set), limits)
+	return &daemon{node: n, server: server, log: logger}, listener, nil
+}
+
+func nodeOptions(s settings.Settings, logger *log.Logger, set *metrics.Set) node.Options {
+	id := cell.MemberID(uuid.NewString())
+	platform := httpplatform.NewPlatform(httpplatform.PlatformOptions{Addr: s.Platform.String(), Member: id})
+	return node.Options{
+		ID:            id,
+		PeerListen:    s.PeerListen.String(),
+		Zone:          s.Zone,
+		Table:         platform,
+		VMs:           platform,
+		Runner:        httpplatform.NewRunners(httpplatform.RunnerOptions{Member: id}),
+		Bootstrap:     s.Bootstrap,
+		LeaseTTL:      s.LeaseTTL,
+		ClaimInterval: s.ClaimInterval,
+		Log:           logger,
+		Metrics:       set,
+	}
+}
+
+func edgeOptions(s settings.Settings, logger *log.Logger, set *metrics.Set) edge.Options {
+	return edge.Options{
+		Log:            logger,
+		Metrics:        set,
+		MaxRequests:    s.MaxRequests,
+		MaxBodyBytes:   s.MaxBodyBytes,
+		DefaultTimeout: s.RequestTimeout,
+		MaxTimeout:     s.MaxRequestTimeout,
+	}
+}
+
+// stop makes the balancer send callers elsewhere, hands the shards over, and ends when everything in flight has been
+// answered.
+func (d *daemon) stop(s settings.Settings) error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.StopTimeout)
+	defer cancel()
+	d.log.Info().Msg("stopping")
+	d.node.SetUnready()
+	drained := make(chan error, 1)
+	go func() { drained <- d.server.Shutdown(ctx) }()
+	d.node.Leave(ctx)
+	err := <-drained
+	d.node.Shutdown(ctx)
+	d.log.Info().Msg("stopped")
+	return err
+}
--- /dev/null
+++ b/internal/e2e/faults_test.go
@@ -0,0 +1,123 @@
+package e2e
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/standin"
+)
+
+const (
+	// freezeTime is longer than the test cell's lease ttl and than every expiry in the table.
+	freezeTime = 9 * time.Second
+	// outageTime is how long a fault of the platform or of a worker lasts.
+	outageTime = 4 * time.Second
+)
+
+// fault is a failure that a test brings about while callers and operators are at work. It returns once it is over.
+type fault struct {
+	name string
+	run  func(c *testCell, r *rand.Rand)
+}
+
+func faults() []fault {
+	return []fault{
+		{"daemon killed", killDaemon},
+		{"daemon frozen", freezeDaemon},
+		{"daemon stopped", stopDaemon},
+		{"table down", tableFault(standin.TableFaults{Down: true})},
+		{"table slow", tableFault(standin.TableFaults{Delay: 700 * time.Millisecond})},
+		{"table answers lost", tableFault(standin.TableFaults{LoseAnswers: 40})},
+		{"table writes late", tableFault(standin.TableFaults{ApplyLater: 10, LateBy: 2 * time.Second})},
+		{"worker crashed", workerAction("crash")},
+		{"runner restarted", workerAction("restart")},
+		{"worker leaving", workerAction("leave")},
+		{"worker frozen", freezeWorker},
+		{"worker silent", workerFault(standin.WorkerFaults{Silent: true})},
+		{"worker unreachable", workerFault(standin.WorkerFaults{Unreachable: true})},
+		{"answers dropped", workerFault(standin.WorkerFaults{DropAnswers: true})},
+		{"answers cut short", workerFault(standin.WorkerFaults{CutAnswers: true})},
+		{"every task fails", workerFault(standin.WorkerFaults{FailTasks: true})},
+	}
+}
+
+// killDaemon kills a daemon, lets the balancer go on sending to it for a while, and replaces it.
+func killDaemon(c *testCell, r *rand.Rand) {
+	d := c.targets()[r.IntN(len(c.targets()))]
+	d.kill()
+	time.Sleep(time.Second)
+	c.remove(d)
+	c.addDaemon()
+}
+
+func freezeDaemon(c *testCell, r *rand.Rand) {
+	d := c.targets()[r.IntN(len(c.targets()))]
+	d.signal(syscall.SIGSTOP)
+	time.Sleep(freezeTime)
+	d.signal(syscall.SIGCONT)
+}
+
+// stopDaemon replaces a daemon by a planned stop.
+func stopDaemon(c *testCell, r *rand.Rand) {
+	c.addDaemon()
+	d := c.targets()[r.IntN(len(c.targets())-1)]
+	c.remove(d)
+	d.signal(syscall.SIGTERM)
+	<-d.done
+}
+
+func tableFault(f standin.TableFaults) func(*testCell, *rand.Rand) {
+	return func(c *testCell, _ *rand.Rand) {
+		c.setTableFaults(f)
+		time.Sleep(outageTime)
+		c.setTableFaults(standin.TableFaults{})
+	}
+}
+
+func workerFault(f standin.WorkerFaults) func(*testCell, *rand.Rand) {
+	return func(c *testCell, r *rand.Rand) {
+		id := c.someWorker(r)
+		c.setWorkerFaults(id, f)
+		time.Sleep(outageTime)
+		c.setWorkerFaults(id, standin.WorkerFaults{})
+	}
+}
+
+func workerAction(action string) func(*testCell, *rand.Rand) {
+	return func(c *testCell, r *rand.Rand) {
+		c.actOnWorker(c.someWorker(r), action)
+		time.Sleep(time.Second)
+	}
+}
+
+// freezeWorker pauses a worker for longer than its leases last.
+func freezeWorker(c *testCell, r *rand.Rand) {
+	id := c.someWorker(r)
+	c.actOnWorker(id, "freeze")
+	time.Sleep(freezeTime)
+	c.actOnWorker(id, "thaw")
+}
+
+func (c *testCell) someWorker(r *rand.Rand) cell.WorkerID {
+	ids := c.workerIDs()
+	return ids[r.IntN(len(ids))]
+}
+
+// test brings about one fault in a cell of its own and checks the history.
+func (f fault) test(t *testing.T, seed uint64) {
+	t.Parallel()
+	w := startWorld(t, seed)
+	w.callers.until(quietRequests)
+	f.run(w.cell, rand.New(rand.NewPCG(seed, 7)))
+	w.callers.more(quietRequests)
+	w.check(t)
+}
+
+func TestEachFault(t *testing.T) {
+	for i, f := range faults() {
+		t.Run(f.name, func(t *testing.T) { f.test(t, uint64(100+i)) })
+	}
+}
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -14,9 +14,9 @@
 func (n *Node) Handle(ctx context.Context, req *wire.Request) *wire.Reply {
 	switch body := req.GetBody().(type) {
 	case *wire.Request_Heartbeat:
-		return n.handleHeartbeat(body.Heartbeat)
+		return n.members.HandleHeartbeat(body.Heartbeat)
 	case *wire.Request_Config:
-		return n.handleConfig(body.Config)
+		return n.configs.Answer(body.Config)
 	case *wire.Request_Run:
 		return n.handleRun(ctx, body.Run)
 	case *wire.Request_Cancel:
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
-	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/config"
-	"laburnumpoint/internal/wire"
 )
 
 // Intervals of the node's loops.
@@ -71,31 +68,3 @@
 		s.owner.Refresh()
 	}
 }
-
-// FetchConfig implements config.Fetcher.
-func (n *Node) FetchConfig(ctx context.Context, addr string, atLeast uint64) (config.Versioned, error) {
-	req := &wire.Request{Body: &wire.Request_Config{Config: &wire.ConfigRequest{Version: atLeast}}}
-	reply, err := n.peers.Call(ctx, addr, req)
-	if err != nil {
-		return config.Versioned{}, err
-	}
-	got := reply.GetConfig()
-	if got == nil {
-		return config.Versioned{}, fmt.Errorf("member at %s does not have version %d", addr, atLeast)
-	}
-	doc, err := config.Parse(got.GetDocument())
-	return config.Versioned{Version: got.GetVersion(), Document: doc}, err
-}
-
-func (n *Node) handleConfig(req *wire.ConfigRequest) *wire.Reply {
-	v, _ := n.configs.Current()
-	if v.Version == 0 || v.Version < req.GetVersion() {
-		return refused(cell.Reason{Code: cell.ReasonConfigStale})
-	}
-	out := &wire.ConfigReply{Version: v.Version, Document: v.Document.Encode()}
-	return &wire.Reply{Body: &wire.Reply_Config{Config: out}}
-}
-
-func (n *Node) handleHeartbeat(req *wire.Heartbeat) *wire.Reply {
-	return n.members.HandleHeartbeat(req)
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,7 +86,7 @@
 	n.configs = config.NewStore(config.Options{
 		Table:    opts.Table,
 		Clock:    clock,
-		Fetch:    n,
+		Fetch:    config.PeerFetcher{Caller: n.peers},
 		Changed:  n.configChanged,
 		Accepted: func() { n.members.Refresh() },
 	})
