Peer: every missed deadline takes a session from use; silence is watched apart from slow writes

Cause: repeated runs under the race detector on a busy machine failed. - TestSilentConnectionIsReplaced: late frames of an earlier call arrived after the lost call was sent, so that the session did not count as silent and was used again until its keepalive failed. Now a missed deadline is enough; a session younger than 100 ms stays, so that hopeless deadlines can't make the client dial without end. - TestEachCallGetsItsOwnWholeAnswer: "connection write timeout". Ruled out: a deadlock (3 of 3 runs alone passed). The timeout, 3 s, counted the time that a frame waits behind others, and the same setting of yamux bounds a ping. The two are now apart: 10 s for writes, and a watch of our own closes a session after 4 s without a byte, not counting time in which this process was paused. A close with unread frames resets the connection and loses answers on their way, so the linger is needed: the test now keeps it and lets the handlers outlast it.

New: Bind and Serve, so that a daemon can make what its handler needs before the first call is answered; a test of the whole on loopback sockets (TestMembersOverTCP).

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -96,7 +96,6 @@
 	if ctx.Err() != nil {
 		return nil, notSent(ctx.Err())
 	}
-	sent := c.clock.Now()
 	count := c.traffic.of(kind)
 	count.sent.Add(len(data))
 	reply, size, err := roundTrip(stream, data)
@@ -104,7 +103,7 @@
 		count.received.Add(size)
 		return reply, nil
 	}
-	if s.mux.IsClosed() || s.silentSince(sent) {
+	if s.mux.IsClosed() || s.suspect(ctx, c.clock.Now()) {
 		r.retire(s)
 	}
 	if errors.Is(err, yamux.ErrConnectionReset) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -36,10 +36,17 @@
 	keepAliveInterval = 1 * time.Second
 	// serverKeepAliveInterval is how often the accepting side pings an open session.
 	serverKeepAliveInterval = 10 * time.Second
-	// sessionWriteTimeout bounds a frame's write and a ping's answer; the session is closed when it passes.
-	sessionWriteTimeout = 3 * time.Second
-	// silenceLimit is the time without a byte from the peer after which a session gets no new calls.
+	// sessionWriteTimeout bounds the time that a frame waits behind others and is written.
+	sessionWriteTimeout = 10 * time.Second
+	// silenceLimit is the time without a byte from the peer after which a session gets no new calls; pings are
+	// answered at least every keepAliveInterval.
 	silenceLimit = 2500 * time.Millisecond
+	// silenceClose is the time without a byte from the peer after which the dialling side closes a session.
+	silenceClose = 4 * time.Second
+	// watchInterval is how often a session is checked for silence.
+	watchInterval = 500 * time.Millisecond
+	// minSessionAge is the age before which a missed deadline takes no session from use.
+	minSessionAge = 100 * time.Millisecond
 	// streamCloseTimeout is far beyond the time that a session lives without answering a ping, so that a reset
 	// stream always means one that the receiver did not accept.
 	streamCloseTimeout = 1 * time.Hour
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -117,6 +117,7 @@
 	}
 	r.all[s] = struct{}{}
 	r.replaceLocked(s)
+	go s.watch()
 	go r.forgetWhenClosed(s)
 }
 
@@ -132,7 +133,7 @@
 		conn.Close()
 		return nil, err
 	}
-	return &session{mux: mux, conn: heard}, nil
+	return &session{mux: mux, conn: heard, opened: r.clock.Now()}, nil
 }
 
 func (r *remote) forgetWhenClosed(s *session) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -24,8 +24,6 @@
 	cancel   context.CancelFunc
 	// places bounds the caller requests handled at once; control traffic passes.
 	places chan struct{}
-	// lingerFor bounds the wait, at shutdown, for peers to read their answers.
-	lingerFor time.Duration
 
 	mu       sync.Mutex
 	stopping bool
@@ -36,6 +34,17 @@
 
 // Listen starts a server on addr, an IP number and a port. Its counters are registered in set.
 func Listen(addr string, h Handler, set *metrics.Set) (*Server, error) {
+	s, err := Bind(addr, set)
+	if err != nil {
+		return nil, err
+	}
+	s.Serve(h)
+	return s, nil
+}
+
+// Bind returns a server that holds addr, an IP number and a port, and accepts nothing before Serve. What the handler
+// needs may thus be made from the server's address first.
+func Bind(addr string, set *metrics.Set) (*Server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -43,20 +52,22 @@
 	base, cancel := context.WithCancel(context.Background())
 	s := &Server{
 		listener: listener,
-		handler:  h,
 		traffic:  newTraffic(set, "server"),
 		base:     base,
 		cancel:   cancel,
 		places:   make(chan struct{}, maxHandledRequests),
 		idle:     make(chan struct{}),
 		sessions: make(map[*yamux.Session]struct{}),
-
-		lingerFor: shutdownLinger,
 	}
-	go s.acceptConns()
 	return s, nil
 }
 
+// Serve begins to answer calls by h. It is called once and returns at once.
+func (s *Server) Serve(h Handler) {
+	s.handler = h
+	go s.acceptConns()
+}
+
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string {
 	return s.listener.Addr().String()
@@ -100,7 +111,7 @@
 
 // linger waits, within bounds, until the peers have closed the streams of answers they have read.
 func (s *Server) linger(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, s.lingerFor)
+	ctx, cancel := context.WithTimeout(ctx, shutdownLinger)
 	defer cancel()
 	tick := time.NewTicker(lingerPoll)
 	defer tick.Stop()
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -1,10 +1,13 @@
 package peer
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/yamux"
 
@@ -41,6 +44,8 @@
 type session struct {
 	mux  *yamux.Session
 	conn *heardConn
+	// opened is when the session was dialled.
+	opened monotime.Instant
 
 	mu       sync.Mutex
 	calls    int
@@ -81,9 +86,50 @@
 	}
 }
 
-// silentSince reports whether no byte has arrived after the instant.
-func (s *session) silentSince(sent monotime.Instant) bool {
-	return s.conn.lastHeard() <= sent
+// suspect reports whether a call on the session that ended with ctx casts doubt on it: its deadline passed without an
+// answer. The age bounds how often calls with hopeless deadlines make the client dial.
+func (s *session) suspect(ctx context.Context, now monotime.Instant) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded) && now.Sub(s.opened) >= minSessionAge
+}
+
+// watch closes the session once no byte has arrived for silenceClose. It returns when the session is closed.
+func (s *session) watch() {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	w := silenceWatch{checked: s.conn.clock.Now()}
+	for {
+		select {
+		case <-s.mux.CloseChan():
+			return
+		case <-ticker.C:
+		}
+		if w.check(s.conn.clock.Now(), s.conn.lastHeard()) {
+			s.mux.Close()
+			return
+		}
+	}
+}
+
+// silenceWatch judges silence from successive checks.
+type silenceWatch struct {
+	// awake is how long this process ran, checking, since a byte was last heard.
+	awake   time.Duration
+	checked monotime.Instant
+	heard   monotime.Instant
+}
+
+// check reports whether the peer has been silent for silenceClose. Time in which this process was paused counts for at
+// most one interval, since bytes may be waiting to be read.
+func (w *silenceWatch) check(now, heard monotime.Instant) bool {
+	since := min(now.Sub(w.checked), watchInterval)
+	w.checked = now
+	if heard != w.heard {
+		w.heard = heard
+		w.awake = 0
+		return false
+	}
+	w.awake += since
+	return w.awake >= silenceClose
 }
 
 func clientMuxConfig() *yamux.Config {
