Callers say whether an earlier send may have run

Cause: while the table is down a non-idempotent request under the caller's own id was answered unknown, since an earlier send of it may have run and only the table knows; for a first send the truth is not run, and the users ask for it.

Ruled out: answering not run to every send (untrue for a resend whose first send ran; the random histories of package shard show it).

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -16,6 +16,9 @@
 	HeaderCaller = "Laburnumpoint-Caller"
 	// HeaderRequestID is the caller's own id of the request. A request that carries it may be sent again.
 	HeaderRequestID = "Laburnumpoint-Request-Id"
+	// HeaderFirstSend, if "true", says that the caller has never sent the request under its id before, or was told "not
+	// run" each time. Without it an earlier send may have run, which keeps some refusals from being "not run".
+	HeaderFirstSend = "Laburnumpoint-First-Send"
 
 	// The remaining headers carry an Answer's fields beside a raw body.
 	HeaderTask         = "Laburnumpoint-Task"
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -43,10 +43,11 @@
 		return err
 	}
 	id := cmd.String(flagID)
-	if id == "" {
+	newID := id == ""
+	if newID {
 		id = client.NewID()
 	}
-	outcome := c.Run(ctx, client.Request{ID: id, Task: task, Timeout: cmd.Duration(flagTimeout)})
+	outcome := c.Run(ctx, client.Request{ID: id, NewID: newID, Task: task, Timeout: cmd.Duration(flagTimeout)})
 	if err := a.printOutcome(cmd, outcome); err != nil {
 		return err
 	}
--- a/internal/client/commands.go
+++ b/internal/client/commands.go
@@ -24,7 +24,9 @@
 type Request struct {
 	// ID is the caller's own id of the request, under which it may be sent again. Empty means that it is sent once, and
 	// again only if it was not run.
-	ID      string
+	ID string
+	// NewID means that the request was never sent under ID before.
+	NewID   bool
 	Task    api.TaskSpec
 	Timeout time.Duration
 }
@@ -35,6 +37,7 @@
 	m.header.Set(api.HeaderTimeout, r.Timeout.String())
 	m.patience = r.Timeout + answerMargin
 	m.repeatable = r.ID != ""
+	m.newID = r.NewID
 	if r.ID != "" {
 		m.header.Set(api.HeaderRequestID, r.ID)
 	}
--- a/internal/client/send.go
+++ b/internal/client/send.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,8 @@
 	header http.Header
 	// repeatable means that the cell takes the message once however often it arrives.
 	repeatable bool
+	// newID means that the message's first sending is the first under its id.
+	newID bool
 	// patience bounds the wait for one answer.
 	patience time.Duration
 }
@@ -76,6 +79,7 @@
 	var r result
 	for {
 		r.tries++
+		m.markFirst(!r.doubt)
 		r.reply, r.err = c.sendOnce(ctx, c.server(), m)
 		again, pause := c.again(m, r)
 		if !again || ctx.Err() != nil || time.Now().Add(pause).After(deadline) {
@@ -86,6 +90,13 @@
 	}
 }
 
+// markFirst tells the cell whether an earlier send of a request under an id of the caller's own may have run.
+func (m message) markFirst(first bool) {
+	if m.header.Get(api.HeaderRequestID) != "" {
+		m.header.Set(api.HeaderFirstSend, strconv.FormatBool(first && m.newID))
+	}
+}
+
 // again reports whether m may and should be sent again after r, and after which pause.
 func (c *Client) again(m message, r result) (bool, time.Duration) {
 	if r.err != nil {
--- a/internal/e2e/callers_test.go
+++ b/internal/e2e/callers_test.go
@@ -84,20 +84,22 @@
 	call := history.Call{Key: key, Idempotent: r.IntN(5) > 0, Echo: key, AnswerBytes: r.IntN(2000)}
 	class := []string{"urgent", "normal", "batch"}[r.IntN(3)]
 	runMS := r.IntN(30)
+	inDoubt := false
 	for try := range maxTries {
 		op := fmt.Sprintf("%s/%d", key, try)
-		ret := cs.try(op, call, class, runMS, cs.target(r))
+		ret := cs.try(op, call, class, runMS, cs.target(r), !inDoubt)
 		if !ret.Lost && ret.Result != cell.ResultNotRun && ret.Result != cell.ResultUnknown {
 			return
 		}
+		inDoubt = inDoubt || ret.Result != cell.ResultNotRun
 		time.Sleep(time.Duration(20+r.IntN(100)) * time.Millisecond)
 	}
 }
 
-func (cs *callers) try(op string, call history.Call, class string, runMS int, target string) history.Return {
+func (cs *callers) try(op string, call history.Call, class string, runMS int, target string, first bool) history.Return {
 	cs.sent.Add(1)
 	cs.record.Add(history.Entry{Kind: history.KindCall, Op: op, Call: &call})
-	ret := cs.post(call, class, runMS, target)
+	ret := cs.post(call, class, runMS, target, first)
 	cs.record.Add(history.Entry{Kind: history.KindReturn, Op: op, Return: &ret})
 	cs.count(ret)
 	return ret
@@ -116,7 +118,7 @@
 	}
 }
 
-func (cs *callers) post(call history.Call, class string, runMS int, target string) history.Return {
+func (cs *callers) post(call history.Call, class string, runMS int, target string, first bool) history.Return {
 	payload, _ := json.Marshal(map[string]any{"run_ms": runMS, "answer_bytes": call.AnswerBytes, "echo": call.Echo})
 	body, _ := json.Marshal(map[string]any{
 		"team": "sheets", "class": class, "pool": "callsheet", "idempotent": call.Idempotent,
@@ -130,6 +132,7 @@
 	req.Header.Set("Laburnumpoint-Caller", "e2e")
 	req.Header.Set("Laburnumpoint-Request-Id", call.Key)
 	req.Header.Set("Laburnumpoint-Timeout", "8s")
+	req.Header.Set("Laburnumpoint-First-Send", fmt.Sprint(first))
 	resp, err := cs.cell.client.Do(req)
 	if err != nil {
 		cs.note(err.Error())
--- a/internal/edge/backend.go
+++ b/internal/edge/backend.go
@@ -15,9 +15,11 @@
 type Run struct {
 	Task cell.Task
 	// Keyed means that the caller chose the task's id and may send it again.
-	Keyed   bool
-	Caller  string
-	Timeout time.Duration
+	Keyed bool
+	// FirstSend means that the caller says that no earlier send of the task may have run.
+	FirstSend bool
+	Caller    string
+	Timeout   time.Duration
 }
 
 // Job is a job as a caller submits it: Count tasks alike.
--- a/internal/edge/spec.go
+++ b/internal/edge/spec.go
@@ -48,7 +48,10 @@
 	}
 	p.check(validID(id), api.HeaderRequestID, idSyntax)
 	p.check(req.Caller != "", api.HeaderCaller, "a request with an id of the caller's own must name its caller")
+	first := r.Header.Get(api.HeaderFirstSend)
+	p.check(first == "" || first == "true" || first == "false", api.HeaderFirstSend, "%q is neither true nor false", first)
 	req.Keyed = true
+	req.FirstSend = first == "true"
 	req.Task.ID = api.KeyedTaskID(req.Caller, id)
 	return id
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -124,7 +124,7 @@
 		},
 	}
 	if c.keyed {
-		req.ID = key
+		req.ID, req.NewID = key, true
 	}
 	return req
 }
--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -28,7 +28,8 @@
 	}
 	q := routed{
 		task:     r.Task,
-		keyed:    r.Keyed,
+		keyed:    r.Keyed && !r.FirstSend,
+		pinned:   r.Keyed,
 		caller:   r.Caller,
 		arrived:  arrived,
 		deadline: arrived.Add(r.Timeout),
@@ -42,7 +43,7 @@
 
 func (n *Node) shardOrder(doc config.Document, q routed) []cell.ShardID {
 	shards := doc.Shards()
-	if q.keyed {
+	if q.pinned {
 		return rendezvous(string(q.task.ID), shards)
 	}
 	return spread(n.rand(), q.task.Claim, n.able(doc, shards, q.task), n.directory.digest)
--- a/internal/node/journey.go
+++ b/internal/node/journey.go
@@ -10,6 +10,8 @@
 	tried int
 	// keyed means that an owner may have the request already.
 	keyed bool
+	// pinned means that the request must not move to another shard because its owner can't be reached.
+	pinned bool
 	// inDoubt means that a send of this request may have been acted on.
 	inDoubt bool
 }
@@ -30,7 +32,7 @@
 // rotate goes on to the next shard and reports whether it should be tried without a pause.
 func (j *journey) rotate() bool {
 	j.tried++
-	if j.keyed || j.tried >= len(j.candidates) {
+	if j.pinned || j.tried >= len(j.candidates) {
 		j.tried = 0
 		return false
 	}
@@ -42,5 +44,6 @@
 func (j *journey) stay() {
 	j.candidates = j.candidates[:1]
 	j.keyed = true
+	j.pinned = true
 	j.inDoubt = true
 }
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -51,8 +51,11 @@
 
 // routed is a request on its way to a shard.
 type routed struct {
-	task     cell.Task
-	keyed    bool
+	task cell.Task
+	// keyed means that an earlier send of the request may have reached its shard's owner.
+	keyed bool
+	// pinned means that the request must stay with its shard, where a later send will look for it.
+	pinned   bool
 	caller   string
 	arrived  time.Time
 	deadline time.Time
@@ -87,17 +90,17 @@
 // route returns the final outcome of q, which may run in any of shards, the first preferred.
 //
 // A shard that can't take the request passes it to the next. So does one whose owner can't be reached, unless the
-// request is keyed: an earlier send of it may be in that shard. Once a send is in doubt the request stays with its shard
+// request is pinned: other sends of it go to that shard. Once a send is in doubt the request stays with its shard
 // and is sent as keyed, so that an owner that already has it attaches to it; and a "not run" then says nothing of the
 // earlier send, so it becomes unknown.
 func (r *router) route(ctx context.Context, shards []cell.ShardID, q routed) cell.Outcome {
 	ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(answerGrace))
 	defer cancel()
-	j := journey{candidates: slices.Clone(shards), keyed: q.keyed}
+	j := journey{candidates: slices.Clone(shards), keyed: q.keyed, pinned: q.pinned}
 	backoff := minBackoff
 	for {
 		out, result := r.send(ctx, j.shard(), q, j.keyed)
-		switch classify(out, result, j.keyed) {
+		switch classify(out, result, q.pinned || j.keyed) {
 		case stepAnswered:
 			return settle(out, j.inDoubt)
 		case stepRefused:
@@ -121,26 +124,26 @@
 	}
 }
 
-func classify(o cell.Outcome, result sendResult, keyed bool) step {
+func classify(o cell.Outcome, result sendResult, pinned bool) step {
 	switch {
 	case result == sendInDoubt, o.Result == cell.ResultUnknown && handsOver(o):
 		return stepInDoubt
 	case result == sendElsewhere, o.Result == cell.ResultNotRun && handsOver(o):
 		return stepUnreachable
-	case passesOn(o, keyed):
+	case passesOn(o, pinned):
 		return stepRefused
 	default:
 		return stepAnswered
 	}
 }
 
-// passesOn reports whether another shard may take the request. A keyed one moves only for a reason under which no
-// earlier send of it can be in that shard.
-func passesOn(o cell.Outcome, keyed bool) bool {
+// passesOn reports whether another shard may take the request. A pinned one moves only for a reason under which no
+// other send of it can be in that shard.
+func passesOn(o cell.Outcome, pinned bool) bool {
 	if o.Result != cell.ResultNotRun {
 		return false
 	}
-	return o.Reason.Code == cell.ReasonFitsNowhere || o.Reason.Code == cell.ReasonQueueFull && !keyed
+	return o.Reason.Code == cell.ReasonFitsNowhere || o.Reason.Code == cell.ReasonQueueFull && !pinned
 }
 
 // handsOver reports whether an outcome only says that this owner gives up the shard: the next owner may take the
--- a/internal/node/router_test.go
+++ b/internal/node/router_test.go
@@ -118,11 +118,21 @@
 	}
 }
 
+func TestPinnedRequestStaysWithItsShardThoughSentFirst(t *testing.T) {
+	completed := answers(cell.Outcome{Result: cell.ResultCompleted})
+	peers := &fakePeers{steps: steps(says(notOwner()), fails(peer.ErrNotSent), completed)}
+	r := &router{directory: &fakeDirectory{}, peers: peers}
+	r.route(t.Context(), []cell.ShardID{"a-0", "b-0"}, routed{task: cell.Task{ID: "k"}, pinned: true, arrived: time.Now(), deadline: time.Now().Add(time.Hour)})
+	if got, want := peers.trail(), []string{"a-0", "a-0", "a-0"}; !slices.Equal(got, want) {
+		t.Errorf("sent to %v, want %v", got, want)
+	}
+}
+
 func TestKeyedRequestStaysWithItsShard(t *testing.T) {
 	completed := answers(cell.Outcome{Result: cell.ResultCompleted})
 	peers := &fakePeers{steps: steps(says(notOwner()), fails(peer.ErrNotSent), completed)}
 	r := &router{directory: &fakeDirectory{}, peers: peers}
-	r.route(t.Context(), []cell.ShardID{"a-0", "b-0"}, routed{task: cell.Task{ID: "k"}, keyed: true, arrived: time.Now(), deadline: time.Now().Add(time.Hour)})
+	r.route(t.Context(), []cell.ShardID{"a-0", "b-0"}, routed{task: cell.Task{ID: "k"}, keyed: true, pinned: true, arrived: time.Now(), deadline: time.Now().Add(time.Hour)})
 	if got, want := peers.trail(), []string{"a-0*", "a-0*", "a-0*"}; !slices.Equal(got, want) {
 		t.Errorf("sent to %v, want %v", got, want)
 	}
