--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -145,6 +145,7 @@
 	s.entries[it.Task.ID] = e
 	s.queued++
 	e.team.queued++
+	e.team.waiting = e.team.waiting.Add(it.Task.Claim)
 	if !it.Deadline.IsZero() {
 		s.deadlines.push(e)
 	}
@@ -180,6 +181,7 @@
 	s.deadlines.remove(e)
 	s.queued--
 	e.team.queued--
+	e.team.waiting = e.team.waiting.Sub(e.item.Task.Claim)
 }
 
 // withdraw takes a queued entry out of its line, gang, earmark or reservation.
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -15,6 +15,8 @@
 	share  float64
 	queued int
 	placed int
+	// waiting is the claims of the team's queued tasks.
+	waiting cell.Resources
 	// overQuota lists the team's lanes that wait for the team to hold less.
 	overQuota []*lane
 }
@@ -51,7 +53,8 @@
 	t.share = t.held.Add(t.promised).DominantShare(s.capacity) / t.weight
 }
 
-// allows reports whether the team may hold claim in addition. A zero dimension of the quota is unbounded.
+// allows reports whether the team may hold claim in addition. A zero dimension of the quota is unbounded; a negative one
+// allows nothing.
 func (t *team) allows(claim cell.Resources) bool {
 	if t.quota.IsZero() {
 		return true
@@ -59,7 +62,7 @@
 	quota := amountsOf(t.quota)
 	asked := amountsOf(claim)
 	for d, v := range amountsOf(t.held.Add(t.promised)) {
-		if quota[d] > 0 && asked[d] > 0 && v+asked[d] > quota[d] {
+		if quota[d] != 0 && asked[d] > 0 && v+asked[d] > quota[d] {
 			return false
 		}
 	}
--- a/internal/scheduler/views.go
+++ b/internal/scheduler/views.go
@@ -37,7 +37,7 @@
 	out := make([]TeamView, 0, len(names))
 	for _, name := range names {
 		t := s.teams[name]
-		out = append(out, TeamView{Team: name, Held: t.held, Quota: t.quota, Queued: t.queued})
+		out = append(out, TeamView{Team: name, Held: t.held, Quota: t.quota, Queued: t.queued, Waiting: t.waiting})
 	}
 	return out
 }
--- /dev/null
+++ b/internal/shard/random_test.go
@@ -0,0 +1,222 @@
+package shard
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/history"
+	"laburnumpoint/internal/standin"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// step is one thing that happens in a random history.
+type step struct {
+	kind   string
+	worker cell.WorkerID
+	task   int
+	owner  int
+	pause  time.Duration
+}
+
+// workerFaults are the network faults that a step may bring upon a worker.
+var workerFaults = map[string]standin.WorkerFaults{
+	"healthy":      {},
+	"unreachable":  {Unreachable: true},
+	"silent":       {Silent: true},
+	"slow":         {Delay: 300 * time.Millisecond},
+	"late":         {Delay: 2500 * time.Millisecond},
+	"drop answers": {DropAnswers: true},
+	"cut answers":  {CutAnswers: true},
+	"fail tasks":   {FailTasks: true},
+}
+
+var stepKinds = []string{
+	"burst", "burst", "burst", "burst", "keyed", "keyed", "keyed", "once", "once", "once", "once", "cancel", "go away",
+	"healthy", "healthy", "healthy", "healthy", "unreachable", "silent", "slow", "late", "drop answers", "cut answers", "fail tasks",
+	"freeze", "thaw", "thaw", "restart", "crash", "leave", "list", "list",
+	"take over", "take over", "take over", "release", "table down", "table up", "table up", "lose commit",
+	"stale", "confirmed", "confirmed",
+}
+
+const (
+	historyWorkers = 3
+	historyKeys    = 2
+	historySteps   = 60
+	// historyRun is how long a task runs; historyEnd is long enough for every deadline and lease after the last step.
+	historyRun = 3 * time.Second
+	historyEnd = 100 * time.Second
+)
+
+func drawStep(t *rapid.T) step {
+	return step{
+		kind:   rapid.SampledFrom(stepKinds).Draw(t, "kind"),
+		worker: cell.WorkerID(fmt.Sprintf("w%d", rapid.IntRange(0, historyWorkers-1).Draw(t, "worker"))),
+		task:   rapid.IntRange(0, historyKeys-1).Draw(t, "task"),
+		owner:  rapid.SampledFrom([]int{0, 0, 0, 0, 1, 1, 2}).Draw(t, "owner"),
+		pause:  time.Duration(rapid.SampledFrom([]int{0, 0, 1, 50, 400, 400, 1000, 2000, 6000, 20000}).Draw(t, "pause")) * time.Millisecond,
+	}
+}
+
+// run is a random history on a fleet of stand-in workers.
+type run struct {
+	*rig
+	fleet    *standin.Fleet
+	recorder *history.Recorder
+	owners   []*Owner
+	calls    int
+}
+
+func TestPromisesHoldUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), historySteps/2, historySteps).Draw(rt, "steps")
+		var entries []history.Entry
+		synctest.Test(t, func(t *testing.T) {
+			h := &run{rig: newRig(t, historyWorkers, 0), recorder: history.NewRecorder()}
+			h.fleet = standin.NewFleet(standin.FleetOptions{Recorder: h.recorder, ListLag: time.Second}, h.workers...)
+			h.rig.calls = h.fleet
+			h.owners = append(h.owners, h.owner(1))
+			for _, s := range steps {
+				h.take(s)
+				time.Sleep(s.pause)
+			}
+			h.heal()
+			time.Sleep(historyEnd)
+			entries = h.recorder.Entries()
+		})
+		for _, v := range judge(entries) {
+			rt.Errorf("%v", v)
+		}
+	})
+}
+
+// judge returns every broken promise of a history.
+func judge(entries []history.Entry) []history.Violation {
+	var out []history.Violation
+	for _, check := range []func([]history.Entry) []history.Violation{
+		history.CheckCapacity, history.CheckOnePlace, history.CheckAtMostOnce,
+		history.CheckNotRun, history.CheckOwnAnswers, history.CheckKeys,
+	} {
+		out = append(out, check(entries)...)
+	}
+	returned := make(map[string]int)
+	for _, e := range entries {
+		if e.Kind == history.KindReturn {
+			returned[e.Op]++
+		}
+	}
+	for _, e := range entries {
+		if e.Kind == history.KindCall && returned[e.Op] != 1 {
+			out = append(out, history.Violation{Rule: "one answer", Detail: fmt.Sprintf("%s: %d answers", e.Op, returned[e.Op])})
+		}
+	}
+	return out
+}
+
+func (h *run) take(s step) {
+	owner := h.owners[max(0, len(h.owners)-1-s.owner)]
+	if faults, ok := workerFaults[s.kind]; ok {
+		h.fleet.SetFaults(s.worker, faults)
+	}
+	switch s.kind {
+	case "fresh", "go away":
+		h.submit(owner, request(fmt.Sprint("fresh", h.calls)), s.kind == "go away")
+	case "burst":
+		for range 8 {
+			h.submit(owner, request(fmt.Sprint("fresh", h.calls)), false)
+		}
+	case "keyed":
+		h.submit(owner, keyed(request(fmt.Sprint("keyed", s.task))), false)
+	case "once":
+		h.submit(owner, once(request(fmt.Sprint("once", s.task))), false)
+	case "cancel":
+		owner.Cancel([]cell.TaskID{cell.TaskID(fmt.Sprint("keyed", s.task)), cell.TaskID(fmt.Sprint("once", s.task))})
+	case "freeze":
+		h.fleet.Freeze(s.worker)
+	case "thaw":
+		h.fleet.Thaw(s.worker)
+	case "restart":
+		h.fleet.Restart(s.worker)
+	case "crash":
+		h.fleet.Crash(s.worker)
+	case "leave":
+		h.fleet.Leave(s.worker)
+	case "list":
+		h.list()
+	case "take over":
+		h.owners = append(h.owners, h.owner(cell.Epoch(len(h.owners)+1)))
+		h.list()
+	case "release":
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			owner.Release(ctx)
+		}()
+	case "table down":
+		h.table.SetFaults(standin.TableFaults{Down: true})
+	case "table up":
+		h.table.SetFaults(standin.TableFaults{})
+	case "lose commit":
+		h.table.SetFaults(standin.TableFaults{LoseAnswers: 1})
+	case "stale", "confirmed":
+		h.stale.Store(s.kind == "stale")
+	}
+}
+
+// heal ends every fault but lost VMs.
+func (h *run) heal() {
+	for _, id := range h.fleet.IDs() {
+		h.fleet.Thaw(id)
+	}
+	for _, kind := range []string{"table up", "confirmed", "list"} {
+		h.take(step{kind: kind})
+	}
+}
+
+// list gives every owner the platform's list as it is now.
+func (h *run) list() {
+	workers, err := h.fleet.Workers(context.Background())
+	if err != nil {
+		return
+	}
+	h.workers = workers
+	for _, o := range h.owners {
+		o.SetWorkers(workers)
+	}
+}
+
+// submit records a call and its return.
+func (h *run) submit(o *Owner, r Request, goAway bool) {
+	h.calls++
+	op, echo := fmt.Sprint("op", h.calls), string(r.Task.ID)
+	r.Task.Payload = standin.Payload{RunMS: historyRun.Milliseconds(), Echo: echo}.Encode()
+	call := &history.Call{Task: r.Task.ID, Idempotent: r.Task.Idempotent, Echo: echo}
+	if r.Keyed {
+		call.Key = echo
+	}
+	h.recorder.Add(history.Entry{Kind: history.KindCall, Op: op, Call: call})
+	record := func(out cell.Outcome) {
+		ret := &history.Return{Result: out.Result, Task: out.Attempt.Task, Answer: out.Answer}
+		h.recorder.Add(history.Entry{Kind: history.KindReturn, Op: op, Return: ret})
+	}
+	if !goAway {
+		o.Submit(r, record)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+		defer cancel()
+		record(o.Run(ctx, r))
+	}()
+}
