Scheduler: a gang starts again without members that left; bench: shared and crowded loads, starvation by class

Cause: the owner regroups a gang after a member has ended for good, and the rest would have waited for it for ever.

--- a/bench/load.go
+++ b/bench/load.go
@@ -165,11 +165,11 @@
 	return g.load
 }
 
-// PoolCapacity sums the capacity of the workers of one pool.
+// PoolCapacity sums the capacity of the workers of one pool, or of all if pool is empty.
 func PoolCapacity(workers []cell.Worker, pool string) cell.Resources {
 	var sum cell.Resources
 	for _, w := range workers {
-		if w.Pool == pool {
+		if pool == "" || w.Pool == pool {
 			sum = sum.Add(w.Capacity)
 		}
 	}
--- a/bench/meter.go
+++ b/bench/meter.go
@@ -29,10 +29,10 @@
 	Waits map[string][]time.Duration
 	// Unstarted counts by class what did not start.
 	Unstarted map[string]int
-	// OldUnstartedGangs counts the tasks of gangs that arrived in the first half and did not start.
-	OldUnstartedGangs int
-	Pools             map[string]*Packing
-	Placements        int
+	// Starved counts by class the tasks that arrived in the first half and did not start.
+	Starved    map[string]int
+	Pools      map[string]*Packing
+	Placements int
 	// Overfull counts the placements after which a worker held more than its capacity.
 	Overfull int
 	Stops    int
@@ -64,19 +64,21 @@
 	warm    time.Time
 	teams   map[string]cell.Resources
 	free    map[cell.WorkerID]cell.Resources
+	poolOf  map[cell.WorkerID]string
 }
 
 func newMeter(load *Load) *meter {
 	m := &meter{
-		pools: make(map[string]*poolMeter), horizon: load.Horizon, at: Start, warm: Start.Add(load.Warmup), teams: make(map[string]cell.Resources), free: make(map[cell.WorkerID]cell.Resources),
+		pools: make(map[string]*poolMeter), horizon: load.Horizon, at: Start, warm: Start.Add(load.Warmup), teams: make(map[string]cell.Resources), free: make(map[cell.WorkerID]cell.Resources), poolOf: make(map[cell.WorkerID]string),
 		result: &Result{
-			Waits: make(map[string][]time.Duration), Unstarted: make(map[string]int),
+			Waits: make(map[string][]time.Duration), Unstarted: make(map[string]int), Starved: make(map[string]int),
 			Pools: make(map[string]*Packing), TeamWork: make(map[string]float64), horizon: load.Horizon,
 		},
 	}
 	for _, w := range load.Workers {
 		m.total = m.total.Add(w.Capacity)
 		m.free[w.ID] = w.Capacity
+		m.poolOf[w.ID] = w.Pool
 		if m.pools[w.Pool] == nil {
 			m.result.Pools[w.Pool] = &Packing{}
 			m.pools[w.Pool] = &poolMeter{packing: m.result.Pools[w.Pool]}
@@ -138,14 +140,18 @@
 	return float64(part) / float64(whole)
 }
 
+// queue counts a task that starts or stops waiting. What names no pool counts for no pool's packing while it waits.
 func (m *meter) queue(t cell.Task, n int64) {
 	p := m.pools[t.Pool]
+	if p == nil {
+		return
+	}
 	addTo(&p.queued, t.Claim, n)
 	p.waiting += int(n)
 }
 
 func (m *meter) place(t cell.Task, w cell.WorkerID, n int64) {
-	addTo(&m.pools[t.Pool].used, t.Claim, n)
+	addTo(&m.pools[m.poolOf[w]].used, t.Claim, n)
 	if n > 0 {
 		m.free[w] = m.free[w].Sub(t.Claim)
 		if m.free[w].Negative() {
@@ -174,16 +180,16 @@
 func (m *meter) unstarted(t cell.Task, d time.Duration) {
 	m.waited(t, d)
 	m.result.Unstarted[label(t)]++
-	if t.GangSize > 1 && d >= m.horizon/2 {
-		m.result.OldUnstartedGangs++
+	if d >= m.horizon/2 {
+		m.result.Starved[label(t)]++
 	}
 }
 
-func (m *meter) stopped(t cell.Task, ran time.Duration) {
+func (m *meter) stopped(t cell.Task, w cell.WorkerID, ran time.Duration) {
 	m.result.Stops++
 	var redone [4]int64
 	addTo(&redone, t.Claim, 1)
-	p := m.pools[t.Pool]
+	p := m.pools[m.poolOf[w]]
 	for d, c := range p.capacity {
 		p.packing.Whole[d] -= restoreTime.Seconds() * ratio(redone[d], c)
 	}
@@ -229,8 +235,8 @@
 	}
 	slices.Sort(classes)
 	for _, c := range classes {
-		fmt.Fprintf(&b, "  %-12s n=%-6d p50=%-10s p99=%-10s max=%-10s unstarted=%d\n", c, len(r.Waits[c]),
-			r.Wait(c, 0.5).Round(time.Millisecond), r.Wait(c, 0.99).Round(time.Millisecond), r.Wait(c, 1).Round(time.Millisecond), r.Unstarted[c])
+		fmt.Fprintf(&b, "  %-12s n=%-6d p50=%-10s p99=%-10s max=%-10s unstarted=%d starved=%d\n", c, len(r.Waits[c]),
+			r.Wait(c, 0.5).Round(time.Millisecond), r.Wait(c, 0.99).Round(time.Millisecond), r.Wait(c, 1).Round(time.Millisecond), r.Unstarted[c], r.Starved[c])
 	}
 	pools := make([]string, 0, len(r.Pools))
 	for p := range r.Pools {
@@ -243,7 +249,7 @@
 		fmt.Fprintf(&b, "  %-12s waiting %s: cpu %.3f mem %.3f acc %.3f slots %.3f, scarcest %.3f of bound %.3f; whole run %.4f\n", name,
 			p.Waiting.Round(time.Second), p.Used[0]/s, p.Used[1]/s, p.Used[2]/s, p.Used[3]/s, p.Scarce/s, p.Bound/s, r.WholePacking(name))
 	}
-	fmt.Fprintf(&b, "  packing/bound %.4f, placements %d, stops %d, cell time redone %s, at risk %s, refused %d, old unstarted gang tasks %d\n",
-		r.PackingRatio(), r.Placements, r.Stops, r.Redone.Round(time.Millisecond), r.AtRisk.Round(time.Second), r.Refused, r.OldUnstartedGangs)
+	fmt.Fprintf(&b, "  packing/bound %.4f, placements %d, stops %d, cell time redone %s, at risk %s, refused %d\n",
+		r.PackingRatio(), r.Placements, r.Stops, r.Redone.Round(time.Millisecond), r.AtRisk.Round(time.Second), r.Refused)
 	return b.String()
 }
--- a/bench/offices.go
+++ b/bench/offices.go
@@ -95,3 +95,27 @@
 	}
 	return g.done()
 }
+
+// Shared returns a load in which plain batches that name no pool and imaging work that needs accelerators share all workers.
+func Shared(seed uint64, horizon time.Duration) *Load {
+	g := newGenerator(seed, horizon)
+	g.workers(exchange, 35, 4, claim(32, 64, 0))
+	g.workers(imaging, 13, 3, claim(128, 256, 8))
+	g.add(stream{name: "read", pool: imaging, kind: cell.KindBatch, class: cell.ClassNormal,
+		claims: []cell.Resources{claim(12, 20, 1), claim(16, 32, 1), claim(30, 56, 2)}, runFrom: 2 * time.Minute, runTo: 15 * time.Minute, load: 0.80})
+	g.add(stream{name: "validate", kind: cell.KindBatch, class: cell.ClassBatch,
+		claims: []cell.Resources{claim(2, 2, 0), claim(3, 8, 0), claim(5, 12, 0)}, runFrom: time.Minute, runTo: 8 * time.Minute, load: 0.60})
+	return g.done()
+}
+
+// Crowded returns a load of more normal work than the workers run, and a little batch work beside it.
+func Crowded(seed uint64, horizon time.Duration) *Load {
+	g := newGenerator(seed, horizon)
+	g.workers(exchange, 35, 4, claim(32, 64, 0))
+	claims := []cell.Resources{claim(4, 8, 0), claim(8, 16, 0)}
+	g.add(stream{name: "settle", pool: exchange, kind: cell.KindBatch, class: cell.ClassNormal,
+		claims: claims, runFrom: time.Minute, runTo: 4 * time.Minute, load: 1.20})
+	g.add(stream{name: "validate", pool: exchange, kind: cell.KindBatch, class: cell.ClassBatch,
+		claims: claims, runFrom: time.Minute, runTo: 4 * time.Minute, load: 0.05})
+	return g.done()
+}
--- a/bench/policy_test.go
+++ b/bench/policy_test.go
@@ -80,12 +80,25 @@
 
 func TestNoGangStarves(t *testing.T) {
 	for name, run := range map[string]*Result{"galwad": galwadRun(), "rimac": rimacRun()} {
-		if n := run.OldUnstartedGangs; n > 0 {
+		if n := run.Starved["normal gang"]; n > 0 {
 			t.Errorf("%s: %d gang tasks that arrived in the first half did not start", name, n)
 		}
 	}
 }
 
+// TestBatchWorkAges offers more normal work than the cell runs, which would keep batch work out for good.
+func TestBatchWorkAges(t *testing.T) {
+	policy := RimacPolicy()
+	policy.AgeingStep = 10 * time.Minute
+	if n := Run(scheduler.New(policy), Crowded(seed, boundHorizon)).Starved["batch"]; n > 0 {
+		t.Errorf("%d batch tasks that arrived in the first half did not start", n)
+	}
+	policy.AgeingStep = 0
+	if n := Run(scheduler.New(policy), Crowded(seed, boundHorizon)).Starved["batch"]; n == 0 {
+		t.Error("no batch task starves without ageing: the load does not show what ageing does")
+	}
+}
+
 func TestNoWorkerIsOverfull(t *testing.T) {
 	for name, run := range map[string]*Result{"galwad": galwadRun(), "rimac": rimacRun()} {
 		if run.Overfull > 0 || run.Placements == 0 {
--- a/bench/run.go
+++ b/bench/run.go
@@ -138,7 +138,7 @@
 		}
 		ran := r.now.Sub(t.since)
 		t.left = max(t.left-ran, 0) + restoreTime
-		r.meter.stopped(t.work.Item.Task, ran)
+		r.meter.stopped(t.work.Item.Task, t.worker, ran)
 		r.meter.queue(t.work.Item.Task, 1)
 		r.policy.Requeue(r.now, t.work.Item)
 	}
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -39,11 +39,15 @@
 }
 
 // RequeueGang returns every member of a gang to the queue after one of them failed to start and the others are known
-// to be over. The gang starts again as a whole. Bounds do not apply.
+// to be over. The gang starts again as a whole, which is the items given: members that have left for good do not hold it up.
+// Bounds do not apply.
 func (s *Scheduler) RequeueGang(now time.Time, items []Item) {
 	for _, it := range items {
 		s.Release(it.Task.ID)
 	}
+	if len(items) > 0 {
+		s.gangOf(items[0].Task).size = len(items)
+	}
 	for _, it := range items {
 		s.Requeue(now, it)
 	}
--- a/internal/scheduler/steps_test.go
+++ b/internal/scheduler/steps_test.go
@@ -311,6 +311,18 @@
 	}
 }
 
+func TestGangStartsAgainWithoutMembersThatLeft(t *testing.T) {
+	f := newFixture(t, 2)
+	gang := gangOf("g", 3, cell.ClassNormal, 4)
+	f.enqueue(gang...)
+	f.run(0)
+	f.Release("g-0")
+	f.RequeueGang(f.now, []Item{{Task: gang[1], Arrived: epoch}, {Task: gang[2], Arrived: epoch}})
+	if got := f.run(0); strings.Count(got, "place g-") != 2 {
+		t.Fatalf("decisions %q", got)
+	}
+}
+
 // TestReservationOutlastsSmallWork keeps a full cell supplied with small work while a gang waits for whole workers.
 func TestReservationOutlastsSmallWork(t *testing.T) {
 	f := newFixture(t, 2)
