--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -10,7 +10,8 @@
 	"google.golang.org/protobuf/proto"
 )
 
-const readBufferBytes = 4 << 10
+// readBufferBytes holds a small message whole; larger ones are read past the buffer.
+const readBufferBytes = 512
 
 // encode returns msg with its length prefix. Errors: ErrTooLarge.
 func encode(msg proto.Message) ([]byte, error) {
