intent: expired rows are deleted

Cause: one row for each non-idempotent request was kept for ever. Seen failing without the age check and without the longer time of pending rows: TestSweepDeletesOnlyWhatHasExpired.

--- a/internal/intent/commit.go
+++ b/internal/intent/commit.go
@@ -32,6 +32,7 @@
 
 func newWrite(key string, version uint64, rec Record) *write {
 	rec.Token = newToken()
+	rec.At = time.Now().Round(0)
 	return &write{key: key, version: version, record: rec, done: make(chan result, 1)}
 }
 
@@ -44,6 +45,8 @@
 	defer close(l.stopped)
 	lazy := time.NewTicker(l.opt.LazyWindow)
 	defer lazy.Stop()
+	sweep := time.NewTicker(l.opt.SweepInterval)
+	defer sweep.Stop()
 	for {
 		due := false
 		select {
@@ -51,6 +54,8 @@
 			return
 		case <-lazy.C:
 			due = true
+		case <-sweep.C:
+			l.startSweep()
 		case <-l.wake:
 		}
 		if l.collect(due) {
--- a/internal/intent/log.go
+++ b/internal/intent/log.go
@@ -18,6 +18,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laburnumpoint/internal/cell"
@@ -31,6 +32,8 @@
 	defaultMaxBatch    = 100
 	defaultCallTimeout = time.Second
 	defaultMaxLazy     = 10_000
+	defaultSweep       = 10 * time.Second
+	defaultRetention   = 24 * time.Hour
 )
 
 // Errors of a Log.
@@ -53,6 +56,11 @@
 	CallTimeout time.Duration
 	// MaxLazy bounds the outcomes that wait while the table is down; beyond it the newest is not recorded.
 	MaxLazy int
+	// SweepInterval separates the sweeps of one partition each.
+	SweepInterval time.Duration
+	// Retention is how long a done or returned intent is kept: a request sent again under its key within that time does not
+	// run again. A pending intent is kept seven times as long.
+	Retention time.Duration
 }
 
 // Verdict says what Acquire found.
@@ -88,6 +96,8 @@
 	wake    chan struct{}
 	stop    chan struct{}
 	stopped chan struct{}
+	// sweeping keeps sweeps from overlapping.
+	sweeping atomic.Bool
 }
 
 // New returns a Log that writes to table and starts its committer. Close stops it.
@@ -116,7 +126,7 @@
 	rec := Record{State: StatePending, Digest: digest, Epoch: epoch, Member: l.member}
 	version := uint64(0)
 	for {
-		w := newWrite(keyPrefix+string(id), version, rec)
+		w := newWrite(keyOf(id), version, rec)
 		w.returnIfAbandoned = true
 		res, ok := l.submit(ctx, w)
 		if !ok || errors.Is(res.err, ErrUnavailable) {
@@ -214,6 +224,8 @@
 	set(&o.Window, defaultWindow)
 	set(&o.LazyWindow, defaultLazyWindow)
 	set(&o.CallTimeout, defaultCallTimeout)
+	set(&o.SweepInterval, defaultSweep)
+	set(&o.Retention, defaultRetention)
 	if o.MaxBatch == 0 {
 		o.MaxBatch = defaultMaxBatch
 	}
--- a/internal/intent/log_test.go
+++ b/internal/intent/log_test.go
@@ -206,3 +206,34 @@
 		}
 	})
 }
+
+func TestSweepDeletesOnlyWhatHasExpired(t *testing.T) {
+	bubble(t, func(t *testing.T, table *meteredTable, a, b *Log) {
+		done, pending := acquire(t, a, "done", "d"), acquire(t, a, "pending", "d")
+		a.Finish(done.Handle, cell.Outcome{Result: cell.ResultCompleted})
+		time.Sleep(time.Second)
+		sweepAll := func(after time.Duration) (n int) {
+			for p := range partitions {
+				n += b.sweep(p, time.Now().Add(after))
+			}
+			return n
+		}
+		if n := sweepAll(defaultRetention - time.Minute); n != 0 {
+			t.Errorf("%d rows deleted before their time", n)
+		}
+		if n := sweepAll(defaultRetention + time.Minute); n != 1 {
+			t.Errorf("%d rows deleted, want the done one", n)
+		}
+		if n := sweepAll(pendingFactor*defaultRetention + time.Minute); n != 1 {
+			t.Errorf("%d rows deleted, want the pending one", n)
+		}
+		// Another request under the key is not harmed by the holder of the deleted row.
+		next := acquire(t, b, "pending", "d")
+		if err := a.Return(t.Context(), pending.Handle); !errors.Is(err, ErrLost) {
+			t.Errorf("Return under a deleted row: %v", err)
+		}
+		if err := b.Return(t.Context(), next.Handle); err != nil {
+			t.Errorf("Return of the later request: %v", err)
+		}
+	})
+}
--- a/internal/intent/record.go
+++ b/internal/intent/record.go
@@ -6,14 +6,21 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/platform"
 )
 
-// keyPrefix starts the table key of every intent.
+// keyPrefix starts the table key of every intent. The number of its partition follows, so that a part of all rows can be
+// listed at a time.
 const keyPrefix = "intent/"
 
+// partitions is the number of parts that intents are spread over by their task's hash.
+const partitions = 4096
+
 // maxInlineAnswer bounds the answer kept in a row, in bytes. A larger answer is not kept: the record then says only
 // that the task ended.
 const maxInlineAnswer = 16 << 10
@@ -43,6 +50,8 @@
 	Token  string        `json:"token"`
 	Epoch  cell.Epoch    `json:"epoch"`
 	Member cell.MemberID `json:"member"`
+	// At is when the row was written, by its writer's wall clock.
+	At time.Time `json:"at"`
 	// Outcome is the recorded outcome. Only with StateDone; nil if the answer was too large to keep.
 	Outcome *cell.Outcome `json:"outcome,omitempty"`
 }
@@ -80,6 +89,14 @@
 	return r, nil
 }
 
+func keyOf(id cell.TaskID) string {
+	return partitionPrefix(int(xxhash.Sum64String(string(id))%partitions)) + string(id)
+}
+
+func partitionPrefix(n int) string {
+	return fmt.Sprintf("%s%03x/", keyPrefix, n)
+}
+
 func newToken() string {
 	var b [tokenBytes]byte
 	// crypto/rand.Read never fails.
--- /dev/null
+++ b/internal/intent/sweep.go
@@ -0,0 +1,67 @@
+package intent
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"laburnumpoint/internal/platform"
+)
+
+// Bounds of a sweep.
+const (
+	// pendingFactor is how much longer a pending intent is kept than one whose outcome is known.
+	pendingFactor = 7
+	// maxSweep bounds the rows that one sweep deletes.
+	maxSweep = 100
+	// sweepTimeout bounds the reading of one partition.
+	sweepTimeout = 5 * time.Second
+)
+
+// startSweep deletes what has expired in one partition, chosen at random, so that the processes need no agreement.
+func (l *Log) startSweep() {
+	if !l.sweeping.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer l.sweeping.Store(false)
+		l.sweep(rand.IntN(partitions), time.Now())
+	}()
+}
+
+// sweep deletes at most maxSweep expired rows of a partition and returns how many. Each deletion names the version that was
+// read, and versions are never reused, so that neither a taken-over intent nor a later one under the same key is harmed.
+func (l *Log) sweep(partition int, now time.Time) int {
+	ctx, cancel := context.WithTimeout(context.Background(), sweepTimeout)
+	defer cancel()
+	rows, err := l.table.List(ctx, partitionPrefix(partition))
+	if err != nil {
+		return 0
+	}
+	var ops []platform.Op
+	for _, row := range rows {
+		if len(ops) < maxSweep && l.expired(row, now) {
+			ops = append(ops, platform.Op{Key: row.Key, IfVersion: row.Version, Delete: true})
+		}
+	}
+	if len(ops) == 0 {
+		return 0
+	}
+	// A conflict or an outage leaves the rows to a later sweep.
+	if _, err := l.table.Apply(ctx, ops); err != nil {
+		return 0
+	}
+	return len(ops)
+}
+
+func (l *Log) expired(row platform.Row, now time.Time) bool {
+	rec, err := decodeRow(row)
+	if err != nil {
+		return false
+	}
+	keep := l.opt.Retention
+	if rec.State == StatePending {
+		keep *= pendingFactor
+	}
+	return now.Sub(rec.At) > keep
+}
