Client drops unused connections before an entry VM does; load shows examples

Cause: in a trial of planned stops (three, drain delay 1 s, 100 calls a second without ids, client keeping connections for 30 s) one call of 2,313 ended unknown, and its task never ran. The likely cause is an unused connection that the server closed while the client began to use it; it was not shown to be that one.

Ruled out: closing unused connections later on the server, since each side must only be faster or slower than the other, and the drain delay (5 s by default) is already such a time.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -177,6 +177,9 @@
 	if err := a.print(cmd, nil, t); err != nil {
 		return err
 	}
+	for _, o := range r.Examples {
+		fmt.Fprintf(a.streams.Out, "for example %s after %d sendings: %s: %s\n", o.ID, o.Tries, o.Result, o.Reason)
+	}
 	return a.print(cmd, nil, classTable(r))
 }
 
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -35,8 +35,10 @@
 
 // Limits of the connections to the servers.
 const (
-	dialTimeout       = time.Second
-	idleConnTimeout   = 30 * time.Second
+	dialTimeout = time.Second
+	// idleConnTimeout is shorter than an entry VM's drain delay, so that a connection which the VM closes at its stop is
+	// not in use any more.
+	idleConnTimeout   = 2 * time.Second
 	maxIdlePerServer  = 256
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -18,7 +18,9 @@
 	// ReadHeaderTimeout bounds the time to read a request's headers; IdleTimeout ends unused connections.
 	ReadHeaderTimeout time.Duration
 	IdleTimeout       time.Duration
-	// DrainDelay is how long the server goes on serving after it turned unready, so that the balancer can notice.
+	// DrainDelay is how long the server goes on serving after it turned unready, so that the balancer can notice. It is
+	// longer than callers and balancer keep unused connections: every answer in this time closes its connection, and
+	// those still open afterwards have been unused for as long.
 	DrainDelay time.Duration
 }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -97,6 +97,9 @@
 	if r.Results[cell.ResultCompleted] != total-1 || r.Results[cell.ResultUnknown] != 1 || r.Reasons[cell.ReasonInDoubt] != 1 {
 		t.Errorf("results %v, reasons %v of %d", r.Results, r.Reasons, total)
 	}
+	if len(r.Examples) != 1 || r.Examples[0].Tries != 3 {
+		t.Errorf("examples %+v", r.Examples)
+	}
 	if r.WrongAnswers != 1 || r.Resent != 1 || r.HeldBack != 0 {
 		t.Errorf("wrong %d, resent %d, held back %d", r.WrongAnswers, r.Resent, r.HeldBack)
 	}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -22,8 +22,13 @@
 	// Reasons counts the calls that did not complete by their reason.
 	Reasons map[cell.ReasonCode]int
 	Classes map[cell.Class]*ClassReport
+	// Examples are the first outcomes other than completed, at most maxExamples.
+	Examples []client.Outcome
 }
 
+// maxExamples bounds the examples of a report.
+const maxExamples = 5
+
 // ClassReport holds the times of one class's calls that ran.
 type ClassReport struct {
 	// Waited holds the cell's own figures from arrival to start.
@@ -56,6 +61,7 @@
 	}
 	if o.Result != cell.ResultCompleted {
 		r.Reasons[o.Reason.Code]++
+		r.addExample(o)
 	}
 	if o.Result != cell.ResultCompleted && o.Result != cell.ResultFailed {
 		return
@@ -69,6 +75,12 @@
 	c.Took = append(c.Took, took)
 }
 
+func (r *Report) addExample(o client.Outcome) {
+	if len(r.Examples) < maxExamples {
+		r.Examples = append(r.Examples, o)
+	}
+}
+
 // SpreadOf returns the distribution of times.
 func SpreadOf(times []time.Duration) Spread {
 	if len(times) == 0 {
