--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -13,7 +13,7 @@
 //	forming   in Scheduler.forming until its gang is whole
 //	in line   its unit is in a lane
 //	earmarked its unit waits for victims to leave a worker
-//	reserved  its unit holds the reservation
+//	reserved  its unit holds a reservation
 //	placed    on a worker, perhaps stopping
 type entry struct {
 	item   Item
@@ -24,8 +24,8 @@
 	worker *worker
 	since  time.Time
 	state  State
-	// stops is how many times the task was stopped for others.
-	stops int
+	// stops is how often the task was stopped for others.
+	stops stopCounts
 	// victim means that the claim is counted in worker.victims.
 	victim bool
 	// spare means that the task uses room that a reservation holds and leaves it when the reserved gang is ready.
@@ -53,9 +53,10 @@
 	prev    *unit
 	next    *unit
 	// returnedAt is the position among the lane's returned units; -1 for a unit of the lane's list.
-	returnedAt int
-	earmark    *worker
-	earmarkEnd time.Time
+	returnedAt  int
+	earmark     *worker
+	earmarkEnd  time.Time
+	reservation *reservation
 }
 
 func (u *unit) first() *entry { return u.members[0] }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -124,7 +124,9 @@
 
 // Policy is the operators' part of every decision.
 type Policy struct {
-	// PackingWeight is between 0 (waiting time only) and 1 (packing only).
+	// PackingWeight is between 0 (waiting time only) and 1 (packing only). The room that urgent work leaves is kept for
+	// other urgent work for up to 5 s times 1 less the weight; larger work goes first among teams whose shares differ by
+	// less than 1% of the shard times the weight.
 	PackingWeight float64
 	// Teams is the policy of each known team. A team that is not listed has weight 1 and no quota.
 	Teams map[string]TeamPolicy
@@ -135,7 +137,7 @@
 	UrgentWait time.Duration
 	// AgeingStep is the waiting time that raises a task by one class. Zero turns ageing off.
 	AgeingStep time.Duration
-	// MaxStops is how often one task may be stopped for others; 3 if zero.
+	// MaxStops is how often one task may be stopped for urgent work; 30 if zero.
 	MaxStops int
 	// MaxWasteShare is the share of the shard's worker time that preemption may throw away at most, counting
 	// every stop as if its checkpoint were lost; 0.1 if zero. What is not used adds up for half an hour.
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -26,6 +26,10 @@
 	leaving     bool
 	calling     bool
 	nextClaim   time.Time
+	// shownAs and shownUsable are what the scheduler was told last, if shown is set.
+	shown       bool
+	shownAs     cell.Worker
+	shownUsable bool
 	// entries are the running entries on this worker.
 	entries map[cell.TaskID]*entry
 	// ended names the tasks that this worker contributed to control.ended.
@@ -42,10 +46,16 @@
 // workersListed is the platform's VM list, for this shard.
 type workersListed struct {
 	workers []cell.Worker
+	// early means that the list was read before the ownership began.
+	early bool
 }
 
 func (ev workersListed) apply(c *control) {
+	if ev.early && c.listedNow {
+		return
+	}
 	c.listed = true
+	c.listedNow = !ev.early
 	now := time.Now()
 	named := make(map[cell.WorkerID]bool, len(ev.workers))
 	for _, described := range ev.workers {
@@ -62,7 +72,7 @@
 		c.refresh(w)
 	}
 	for _, id := range sortedKeys(c.workers) {
-		if !named[id] {
+		if !named[id] && c.listedNow {
 			c.workerGone(c.workers[id])
 		}
 	}
@@ -102,7 +112,12 @@
 	if w.leaving {
 		described.State = cell.WorkerLeaving
 	}
-	c.sched.UpsertWorker(described, w.claimed && w.reachable && !c.doc.Drained[w.ID] && c.health.usable(w.ID))
+	usable := w.claimed && w.reachable && !c.doc.Drained[w.ID] && c.health.usable(w.ID)
+	if w.shown && w.shownAs == described && w.shownUsable == usable {
+		return
+	}
+	w.shown, w.shownAs, w.shownUsable = true, described, usable
+	c.sched.UpsertWorker(described, usable)
 	c.dirty = true
 }
 
@@ -223,6 +238,7 @@
 // workerRebooted ends what ran on the worker's earlier boot and asks for the new one.
 func (c *control) workerRebooted(w *worker) {
 	w.boot, w.claimed = "", false
+	c.health.forget(w.ID)
 	w.nextClaim = time.Now()
 	c.forgetEnded(w)
 	for _, id := range sortedKeys(w.entries) {
