--- a/internal/httpplatform/platform.go
+++ b/internal/httpplatform/platform.go
@@ -42,6 +42,7 @@
 type Platform struct {
 	options  PlatformOptions
 	endpoint *endpoint
+	vms      lastList
 }
 
 var (
@@ -95,15 +96,6 @@
 	return list.Rows, nil
 }
 
-// Workers implements platform.VMList.
-func (p *Platform) Workers(ctx context.Context) ([]cell.Worker, error) {
-	var list WorkerList
-	if err := p.query(ctx, "vm_list", PathWorkers, &list); err != nil {
-		return nil, err
-	}
-	return list.Workers, nil
-}
-
 // Apply implements platform.Table.
 func (p *Platform) Apply(ctx context.Context, ops []platform.Op) ([]uint64, error) {
 	versions, err := p.apply(ctx, ops)
--- a/internal/standin/httpserver/platform.go
+++ b/internal/standin/httpserver/platform.go
@@ -113,7 +113,11 @@
 
 func (p *Platform) listWorkers(w http.ResponseWriter, r *http.Request) {
 	workers, err := p.VMList.Workers(r.Context())
-	answer(w, httpplatform.WorkerList{Workers: workers}, err)
+	if err != nil {
+		answer(w, nil, err)
+		return
+	}
+	writeTagged(w, r, httpplatform.WorkerList{Workers: workers})
 }
 
 func (p *Platform) registerHost(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/httpserver/respond.go
+++ b/internal/standin/httpserver/respond.go
@@ -39,6 +39,21 @@
 	writeBody(w, status, "application/json", body)
 }
 
+// writeTagged answers a GET with v, or with "not modified" if the client has it already.
+func writeTagged(w http.ResponseWriter, r *http.Request, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Errorf("httpserver: encode answer: %w", err)) // every message can be encoded
+	}
+	tag := httpplatform.ETag(body)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		writeBody(w, http.StatusNotModified, "application/json", nil)
+		return
+	}
+	writeBody(w, http.StatusOK, "application/json", body)
+}
+
 func writeError(w http.ResponseWriter, status int, code httpplatform.ErrorCode, detail string) {
 	writeJSON(w, status, httpplatform.ErrorBody{Code: code, Detail: detail})
 }
