Scheduler: state diagram with stopping; a policy change recounts victims only if their bound moved

Cause: quota shares move every second or so, and each move recounted the victims of every worker; lanes over quota were all tried again at each release of their team.

--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -82,14 +82,21 @@
 
 // SetPolicy replaces the policy for every later decision.
 func (s *Scheduler) SetPolicy(p Policy) {
+	stops := s.maxStops()
 	s.policy = p
 	for _, name := range s.teamNames() {
 		s.applyTeamPolicy(s.teams[name])
 	}
+	if s.maxStops() != stops {
+		s.recountAllVictims()
+	}
+	s.victimsGrew()
+}
+
+func (s *Scheduler) recountAllVictims() {
 	for _, w := range s.order {
 		s.recountVictims(w)
 	}
-	s.victimsGrew()
 }
 
 // UpsertWorker adds a worker or replaces its description. Only a usable worker that is live gets new work;
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -91,13 +91,19 @@
 	s.quotaGrew(t)
 }
 
-// quotaGrew lets the lanes that were over the team's quota try again.
+// quotaGrew lets the lanes that are no longer over the team's quota try again.
 func (s *Scheduler) quotaGrew(t *team) {
+	waiting := t.overQuota[:0]
 	for _, l := range t.overQuota {
+		if l.size > 0 && !t.allows(l.key.shape.total) {
+			waiting = append(waiting, l)
+			continue
+		}
 		l.overQuota = false
 		s.activate(l)
 	}
-	t.overQuota = t.overQuota[:0]
+	clear(t.overQuota[len(waiting):])
+	t.overQuota = waiting
 }
 
 func (s *Scheduler) blockOnQuota(l *lane) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -8,14 +8,25 @@
 //
 //	         Enqueue              Schedule (Place)            Release
 //	(absent) -------> queued ----------------------> placed ----------> (absent)
-//	    |               |  ^                           |
-//	    |               |  +---------------------------+
-//	    |               |        Requeue (known not started)
-//	    |               +--> (absent)  Cancel, Schedule (Expire)
+//	    |             |    ^                         |    |                ^
+//	    |             |    |  Requeue, RequeueGang   |    | Schedule       | Release
+//	    |             |    +-------------------------+    | (Stop)         |
+//	    |             |    |                              v                |
+//	    |             |    +-------------------------- stopping -----------+
+//	    |             +--> (absent)  Cancel, Schedule (Expire)
 //	    +------------------------------------------> placed
 //	                   Adopt (a lease found on a worker)
 //
-// A placed task's claim is counted on its worker until Release or RemoveWorker, whatever else is known of it.
+// A task that is placed or stopping has its claim counted on its worker until Release, Requeue or RemoveWorker, whatever
+// else is known of it.
+//
+// A queued task is delayed until Item.NotBefore, then in the lane of its team, class and shape; a gang's task first waits
+// for the rest of its gang. An urgent task whose victims stop is earmarked for their worker instead. A gang that does not
+// fit, or a single task that has aged, may be reserved: it leaves its lane and gathers room. Both return to the lane when
+// what they wait for is gone.
+//
+// The steps of a decision are in files of their own: admission, order, feasible, rank, gang, reserve and drain
+// (reservations and backfill), preempt and earmark, keep, quota and explain.
 package scheduler
 
 import (
