--- a/internal/scheduler/steps_test.go
+++ b/internal/scheduler/steps_test.go
@@ -323,6 +323,34 @@
 	}
 }
 
+func TestUrgentGangStopsWorkAtOnce(t *testing.T) {
+	f := newFixture(t, 2)
+	for _, id := range []string{"v0", "v1"} {
+		victim := task(id, cell.ClassBatch, 8)
+		victim.Stoppable = true
+		f.enqueue(victim)
+	}
+	f.run(0)
+	f.enqueue(gangOf("g", 2, cell.ClassUrgent, 8)...)
+	f.want(f.run(0), "stop v0 w0, stop v1 w1")
+	f.enqueue(task("thief", cell.ClassNormal, 8))
+	f.Release("v0")
+	f.want(f.run(time.Second), "")
+	f.Release("v1")
+	f.want(f.run(0), "place g-0 w0, place g-1 w1")
+}
+
+func TestReservationIsGivenBackWhenItsWorkerIsLost(t *testing.T) {
+	f := newFixture(t, 2)
+	f.enqueue(task("r0", cell.ClassNormal, 8), task("r1", cell.ClassNormal, 8))
+	f.run(0)
+	f.enqueue(gangOf("g", 2, cell.ClassNormal, 4)...)
+	f.want(f.run(0), "")
+	f.RemoveWorker("w0")
+	f.Release("r1")
+	f.want(f.run(0), "place g-0 w1, place g-1 w1")
+}
+
 // TestReservationOutlastsSmallWork keeps a full cell supplied with small work while a gang waits for whole workers.
 func TestReservationOutlastsSmallWork(t *testing.T) {
 	f := newFixture(t, 2)
