Scheduler: the test of the bound on stops sets the waste bound apart

Seen to fail with the bound on stops removed; the waste bound has its own test, also seen to fail. Conclusion: the bounds are tested one at a time, as strictly as before.

--- a/internal/scheduler/steps_test.go
+++ b/internal/scheduler/steps_test.go
@@ -228,6 +228,7 @@
 func TestPreemptionSparesTasksStoppedOftenEnough(t *testing.T) {
 	f := newFixture(t, 1)
 	f.policy.PackingWeight = 1
+	f.policy.MaxWasteShare = 1
 	victim := task("victim", cell.ClassBatch, 8)
 	victim.Stoppable = true
 	f.enqueue(victim)
