Configuration tests start their members staggered

With starts 300 ms apart one of each pair begins all exchanges, and TestOutageOfTheTableKeepsTheVersionFresh fails without own ones (seen: version 2 not fresh at two of three members). The test passes with them.

--- a/internal/membership/config_test.go
+++ b/internal/membership/config_test.go
@@ -23,7 +23,11 @@
 func runConfigSim(t *testing.T, body func(t *testing.T, s *sim, nodes []*node)) {
 	runSim(t, 3, 2, func(t *testing.T, s *sim) {
 		s.realConfig = true
-		nodes := s.startMany(0, 1, 2)
+		var nodes []*node
+		for zone := range 3 {
+			nodes = append(nodes, s.start(zone))
+			time.Sleep(heartbeatMin * 3 / 10) // so that one of each pair always begins the exchanges
+		}
 		time.Sleep(settleTime)
 		body(t, s, nodes)
 	})
