--- a/bench/meter.go
+++ b/bench/meter.go
@@ -19,6 +19,8 @@
 	Bound float64
 	// Waiting is how long work waited.
 	Waiting time.Duration
+	// Whole is the share in use of each dimension over the whole run, whether work waited or not, less what stops made to be redone.
+	Whole [4]float64
 }
 
 // Result is what a Run measured.
@@ -27,17 +29,20 @@
 	Waits map[string][]time.Duration
 	// Unstarted counts by class what did not start.
 	Unstarted map[string]int
-	// OldUnstartedGangs counts the tasks of gangs that arrived in the first half and did not start.
-	OldUnstartedGangs int
-	Pools             map[string]*Packing
-	Placements        int
-	Stops             int
+	// Starved counts by class the tasks that arrived in the first half and did not start.
+	Starved    map[string]int
+	Pools      map[string]*Packing
+	Placements int
+	// Overfull counts the placements after which a worker held more than its capacity.
+	Overfull int
+	Stops    int
 	// Redone is the worker time that checkpoints and restores cost; AtRisk what stops would have cost had every checkpoint been lost.
 	Redone  time.Duration
 	AtRisk  time.Duration
 	Refused int
 	// TeamWork is the dominant share of the cell that each team held, in seconds.
 	TeamWork map[string]float64
+	horizon  time.Duration
 }
 
 // poolMeter follows one pool.
@@ -56,19 +61,24 @@
 	total   cell.Resources
 	horizon time.Duration
 	at      time.Time
+	warm    time.Time
 	teams   map[string]cell.Resources
+	free    map[cell.WorkerID]cell.Resources
+	poolOf  map[cell.WorkerID]string
 }
 
 func newMeter(load *Load) *meter {
 	m := &meter{
-		pools: make(map[string]*poolMeter), horizon: load.Horizon, at: Start, teams: make(map[string]cell.Resources),
+		pools: make(map[string]*poolMeter), horizon: load.Horizon, at: Start, warm: Start.Add(load.Warmup), teams: make(map[string]cell.Resources), free: make(map[cell.WorkerID]cell.Resources), poolOf: make(map[cell.WorkerID]string),
 		result: &Result{
-			Waits: make(map[string][]time.Duration), Unstarted: make(map[string]int),
-			Pools: make(map[string]*Packing), TeamWork: make(map[string]float64),
+			Waits: make(map[string][]time.Duration), Unstarted: make(map[string]int), Starved: make(map[string]int),
+			Pools: make(map[string]*Packing), TeamWork: make(map[string]float64), horizon: load.Horizon,
 		},
 	}
 	for _, w := range load.Workers {
 		m.total = m.total.Add(w.Capacity)
+		m.free[w.ID] = w.Capacity
+		m.poolOf[w.ID] = w.Pool
 		if m.pools[w.Pool] == nil {
 			m.result.Pools[w.Pool] = &Packing{}
 			m.pools[w.Pool] = &poolMeter{packing: m.result.Pools[w.Pool]}
@@ -93,12 +103,18 @@
 	for _, p := range m.pools {
 		p.advance(dt)
 	}
+	if m.at.Before(m.warm) {
+		return
+	}
 	for team, held := range m.teams {
 		m.result.TeamWork[team] += dt * held.DominantShare(m.total)
 	}
 }
 
 func (p *poolMeter) advance(dt float64) {
+	for d, c := range p.capacity {
+		p.packing.Whole[d] += dt * ratio(p.used[d], c)
+	}
 	if p.waiting == 0 {
 		return
 	}
@@ -117,19 +133,35 @@
 	p.packing.Bound += dt * min(1, asked)
 }
 
+func ratio(part, whole int64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// queue counts a task that starts or stops waiting. What names no pool counts for no pool's packing while it waits.
 func (m *meter) queue(t cell.Task, n int64) {
 	p := m.pools[t.Pool]
+	if p == nil {
+		return
+	}
 	addTo(&p.queued, t.Claim, n)
 	p.waiting += int(n)
 }
 
-func (m *meter) place(t cell.Task, n int64) {
-	addTo(&m.pools[t.Pool].used, t.Claim, n)
+func (m *meter) place(t cell.Task, w cell.WorkerID, n int64) {
+	addTo(&m.pools[m.poolOf[w]].used, t.Claim, n)
 	if n > 0 {
+		m.free[w] = m.free[w].Sub(t.Claim)
+		if m.free[w].Negative() {
+			m.result.Overfull++
+		}
 		m.result.Placements++
 		m.teams[t.Team] = m.teams[t.Team].Add(t.Claim)
 		return
 	}
+	m.free[w] = m.free[w].Add(t.Claim)
 	m.teams[t.Team] = m.teams[t.Team].Sub(t.Claim)
 }
 
@@ -148,13 +180,19 @@
 func (m *meter) unstarted(t cell.Task, d time.Duration) {
 	m.waited(t, d)
 	m.result.Unstarted[label(t)]++
-	if t.GangSize > 1 && d >= m.horizon/2 {
-		m.result.OldUnstartedGangs++
+	if d >= m.horizon/2 {
+		m.result.Starved[label(t)]++
 	}
 }
 
-func (m *meter) stopped(t cell.Task, ran time.Duration) {
+func (m *meter) stopped(t cell.Task, w cell.WorkerID, ran time.Duration) {
 	m.result.Stops++
+	var redone [4]int64
+	addTo(&redone, t.Claim, 1)
+	p := m.pools[m.poolOf[w]]
+	for d, c := range p.capacity {
+		p.packing.Whole[d] -= restoreTime.Seconds() * ratio(redone[d], c)
+	}
 	share := t.Claim.DominantShare(m.total)
 	m.result.Redone += time.Duration(share * float64(restoreTime))
 	m.result.AtRisk += time.Duration(share * float64(ran))
@@ -183,6 +221,11 @@
 	return scarce / bound
 }
 
+// WholePacking returns the share in use of the pool's fullest dimension over the whole run.
+func (r *Result) WholePacking(pool string) float64 {
+	return slices.Max(r.Pools[pool].Whole[:]) / r.horizon.Seconds()
+}
+
 // String formats the result as a table.
 func (r *Result) String() string {
 	var b strings.Builder
@@ -192,8 +235,8 @@
 	}
 	slices.Sort(classes)
 	for _, c := range classes {
-		fmt.Fprintf(&b, "  %-12s n=%-6d p50=%-10s p99=%-10s max=%-10s unstarted=%d\n", c, len(r.Waits[c]),
-			r.Wait(c, 0.5).Round(time.Millisecond), r.Wait(c, 0.99).Round(time.Millisecond), r.Wait(c, 1).Round(time.Millisecond), r.Unstarted[c])
+		fmt.Fprintf(&b, "  %-12s n=%-6d p50=%-10s p99=%-10s max=%-10s unstarted=%d starved=%d\n", c, len(r.Waits[c]),
+			r.Wait(c, 0.5).Round(time.Millisecond), r.Wait(c, 0.99).Round(time.Millisecond), r.Wait(c, 1).Round(time.Millisecond), r.Unstarted[c], r.Starved[c])
 	}
 	pools := make([]string, 0, len(r.Pools))
 	for p := range r.Pools {
@@ -203,10 +246,10 @@
 	for _, name := range pools {
 		p := r.Pools[name]
 		s := max(p.Waiting.Seconds(), 1)
-		fmt.Fprintf(&b, "  %-12s waiting %s: cpu %.3f mem %.3f acc %.3f slots %.3f, scarcest %.3f of bound %.3f\n", name,
-			p.Waiting.Round(time.Second), p.Used[0]/s, p.Used[1]/s, p.Used[2]/s, p.Used[3]/s, p.Scarce/s, p.Bound/s)
+		fmt.Fprintf(&b, "  %-12s waiting %s: cpu %.3f mem %.3f acc %.3f slots %.3f, scarcest %.3f of bound %.3f; whole run %.4f\n", name,
+			p.Waiting.Round(time.Second), p.Used[0]/s, p.Used[1]/s, p.Used[2]/s, p.Used[3]/s, p.Scarce/s, p.Bound/s, r.WholePacking(name))
 	}
-	fmt.Fprintf(&b, "  packing/bound %.4f, placements %d, stops %d, cell time redone %s, at risk %s, refused %d, old unstarted gang tasks %d\n",
-		r.PackingRatio(), r.Placements, r.Stops, r.Redone.Round(time.Millisecond), r.AtRisk.Round(time.Second), r.Refused, r.OldUnstartedGangs)
+	fmt.Fprintf(&b, "  packing/bound %.4f, placements %d, stops %d, cell time redone %s, at risk %s, refused %d\n",
+		r.PackingRatio(), r.Placements, r.Stops, r.Redone.Round(time.Millisecond), r.AtRisk.Round(time.Second), r.Refused)
 	return b.String()
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -13,7 +13,7 @@
 //	forming   in Scheduler.forming until its gang is whole
 //	in line   its unit is in a lane
 //	earmarked its unit waits for victims to leave a worker
-//	reserved  its unit holds the reservation
+//	reserved  its unit holds a reservation
 //	placed    on a worker, perhaps stopping
 type entry struct {
 	item   Item
@@ -24,8 +24,8 @@
 	worker *worker
 	since  time.Time
 	state  State
-	// stops is how many times the task was stopped for others.
-	stops int
+	// stops is how often the task was stopped for others.
+	stops stopCounts
 	// victim means that the claim is counted in worker.victims.
 	victim bool
 	// spare means that the task uses room that a reservation holds and leaves it when the reserved gang is ready.
@@ -53,9 +53,10 @@
 	prev    *unit
 	next    *unit
 	// returnedAt is the position among the lane's returned units; -1 for a unit of the lane's list.
-	returnedAt int
-	earmark    *worker
-	earmarkEnd time.Time
+	returnedAt  int
+	earmark     *worker
+	earmarkEnd  time.Time
+	reservation *reservation
 }
 
 func (u *unit) first() *entry { return u.members[0] }
@@ -92,6 +93,12 @@
 	missing int
 }
 
+// blockedShape holds a blocked shape's claim beside it, so that a scan of claims reads memory in order.
+type blockedShape struct {
+	claim cell.Resources
+	shape *shape
+}
+
 // laneKey names a lane.
 type laneKey struct {
 	team  string
@@ -255,7 +262,7 @@
 	}
 	sh.blocked = true
 	sh.blockedAt = len(s.blocked)
-	s.blocked = append(s.blocked, sh)
+	s.blocked = append(s.blocked, blockedShape{sh.key.claim, sh})
 }
 
 func (s *Scheduler) unblock(sh *shape) {
@@ -265,7 +272,8 @@
 	sh.blocked = false
 	last := len(s.blocked) - 1
 	s.blocked[sh.blockedAt] = s.blocked[last]
-	s.blocked[sh.blockedAt].blockedAt = sh.blockedAt
+	s.blocked[sh.blockedAt].shape.blockedAt = sh.blockedAt
+	s.blocked[last] = blockedShape{}
 	s.blocked = s.blocked[:last]
 	for _, l := range sh.lanes {
 		l.noVictims = false
@@ -287,8 +295,11 @@
 		room = w.free().Sub(w.earmarked)
 	}
 	for i := len(s.blocked) - 1; i >= 0; i-- {
-		sh := s.blocked[i]
-		if !w.group.matches(sh.key.pool) || !sh.key.claim.Fits(room) {
+		if !s.blocked[i].claim.Fits(room) {
+			continue
+		}
+		sh := s.blocked[i].shape
+		if !w.group.matches(sh.key.pool) {
 			continue
 		}
 		sh.missing -= timesIn(sh.key.claim, room)
--- a/internal/shard/lifecycle.go
+++ b/internal/shard/lifecycle.go
@@ -1,10 +1,6 @@
 package shard
 
-import (
-	"slices"
-
-	"laburnumpoint/internal/cell"
-)
+import "laburnumpoint/internal/cell"
 
 // cancelChunk is the number of cancellations handled before other events get their turn.
 const cancelChunk = 1000
@@ -19,6 +15,7 @@
 		return
 	}
 	c.state = stateSuperseded
+	supersededTotal.Inc()
 	c.p.Logger.Warn().Str("shard", string(c.p.Shard)).Uint64("epoch", uint64(c.p.Epoch)).Str("detail", ev.detail).Msg("superseded")
 	if c.p.OnSuperseded != nil {
 		go c.p.OnSuperseded()
@@ -91,9 +88,7 @@
 			c.stop(e, cell.ReasonCancelled, stopNow)
 			continue
 		}
-		if !slices.Contains(waiting, e) {
-			waiting = append(waiting, e)
-		}
+		waiting = append(waiting, e)
 	}
 	c.dropAll(waiting, cell.ReasonCancelled, 0)
 	ev.ids = ev.ids[n:]
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -11,15 +11,19 @@
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/config"
 	"laburnumpoint/internal/intent"
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/platform"
 	"laburnumpoint/internal/standin"
 )
 
 // rig is one table, one set of workers and the owners of one shard, on a fake clock.
 type rig struct {
-	t       *testing.T
-	table   *standin.Table
-	log     *intent.Log
-	runner  *runner
+	t      *testing.T
+	table  *standin.Table
+	log    *intent.Log
+	runner *runner
+	// calls is what owners call; the fake runner unless a test sets another.
+	calls   platform.Runner
 	workers []cell.Worker
 	// epoch is the ownership in the table.
 	epoch atomic.Uint64
@@ -39,25 +43,34 @@
 		})
 	}
 	r.runner = newRunner(runTime, r.workers...)
+	r.calls = r.runner
 	r.log = intent.New(r.table, "m", intent.Options{})
 	t.Cleanup(r.log.Close)
 	return r
 }
 
+// fakeClock is the bubble's clock.
+type fakeClock struct{}
+
+func (fakeClock) Now() monotime.Instant { return monotime.Instant(time.Now().UnixNano()) }
+
 // owner starts the ownership of an epoch and raises the table to it.
 func (r *rig) owner(epoch cell.Epoch) *Owner {
 	r.epoch.Store(uint64(epoch))
 	o := Start(Params{
-		Shard: "s", Epoch: epoch, Member: "m", Runner: r.runner, Intents: r.log,
+		Shard: "s", Epoch: epoch, Member: "m", Runner: r.calls, Intents: r.log,
 		Confirm: func(context.Context) error {
 			if r.epoch.Load() != uint64(epoch) {
 				return ErrNotOwner
 			}
 			return nil
 		},
+		Clock:  fakeClock{},
 		Config: func() (config.Versioned, bool) { return *r.doc.Load(), !r.stale.Load() },
 	})
-	o.SetWorkers(r.workers)
+	if r.workers != nil {
+		o.SetWorkers(r.workers)
+	}
 	synctest.Wait()
 	r.t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/shard/settle.go
+++ b/internal/shard/settle.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/platform"
 )
 
@@ -37,6 +38,8 @@
 	worker  cell.Worker
 	boot    string
 	attempt cell.Attempt
+	// sentBoot is the boot clock's reading before the start was sent.
+	sentBoot monotime.Instant
 }
 
 // settle asks the worker of an attempt in doubt what became of it.
@@ -46,9 +49,10 @@
 		c.finish(e, e.unknown(c.doubtCode(), "the attempt can't be settled"))
 		return
 	}
+	inquiriesTotal.Inc()
 	ctx, ev := c.open(e)
 	e.open, e.settling = false, true
-	ask := inquiry{p: c.p, worker: w.Worker, boot: e.boot, attempt: e.attempt}
+	ask := inquiry{p: c.p, worker: w.Worker, boot: e.boot, attempt: e.attempt, sentBoot: e.sentBoot}
 	go func() {
 		v, reply := ask.settle(ctx)
 		c.box.post(settled{entry: e, call: ev.call, verdict: v, reply: reply})
@@ -142,7 +146,7 @@
 			continue
 		}
 		if l.Phase == cell.LeaseTombstone {
-			return verdictNotStarted, platform.StartReply{}
+			return q.absent(), platform.StartReply{}
 		}
 		return q.fetch(ctx, l.Phase)
 	}
@@ -189,90 +193,18 @@
 	case report.Boot != q.boot:
 		return verdictOver
 	}
-	return verdictNotStarted
+	return q.absent()
 }
 
-func (q inquiry) claim(ctx context.Context, boot string) (platform.WorkerReport, error) {
-	return claimCall{p: q.p, worker: q.worker}.send(ctx, boot)
-}
-
-// stop ends a running entry's attempt, and the request with it unless the entry is to start again.
-func (c *control) stop(e *entry, code cell.ReasonCode, mode platform.StopMode) {
-	if e.stopping || c.state == stateSuperseded {
-		return
-	}
-	e.stopping, e.stopCode = true, code
-	c.sendStop(e, mode)
-}
-
-func (c *control) sendStop(e *entry, mode platform.StopMode) {
-	w := c.workers[e.worker]
-	if w == nil {
-		return
-	}
-	ask := inquiry{p: c.p, worker: w.Worker, boot: e.boot, attempt: e.attempt}
-	ev := stopDone{entry: e, attempt: e.attempt, mode: mode}
-	go func() {
-		ev.verdict = ask.stop(c.ctx, mode)
-		c.box.post(ev)
-	}()
-}
-
-// stopDone is what a stop brought.
-type stopDone struct {
-	entry   *entry
-	attempt cell.Attempt
-	mode    platform.StopMode
-	verdict verdict
-}
-
-func (ev stopDone) apply(c *control) {
-	e := ev.entry
-	if c.entries[e.task.ID] != e || e.phase != phaseRunning || e.attempt != ev.attempt || e.over {
-		return
-	}
-	switch ev.verdict {
-	case verdictNotStarted:
-		c.neverStarted(e)
-	case verdictOver:
-		c.stopConfirmed(e)
-	case verdictFenced:
-		fenced{detail: "a stop was fenced"}.apply(c)
-	default:
-		time.AfterFunc(c.p.RetryPause, func() { c.box.post(stopAgain(ev)) })
-	}
-}
-
-// stopAgain repeats a stop.
-type stopAgain stopDone
-
-func (ev stopAgain) apply(c *control) {
-	e := ev.entry
-	if c.entries[e.task.ID] == e && e.phase == phaseRunning && e.attempt == ev.attempt && !e.over {
-		c.sendStop(e, ev.mode)
-	}
-}
-
-// stopConfirmed handles a confirmed end. An open call is given a moment to bring the answer.
-func (c *control) stopConfirmed(e *entry) {
-	e.over, e.stopEnded, e.ran = true, true, true
-	c.uncount(e)
-	if !e.open {
-		c.gone(e, "stopped")
-		return
+// absent is the verdict on an attempt that the worker does not know and will not start. It proves that the attempt never
+// ran only while the worker would still remember that it had.
+func (q inquiry) absent() verdict {
+	if q.p.Clock.Now().Sub(q.sentBoot) >= q.p.Retention {
+		return verdictOver
 	}
-	ev := graceOver{entry: e, call: e.call}
-	time.AfterFunc(c.p.StopGrace, func() { c.box.post(ev) })
-}
-
-// graceOver ends the wait for a stopped attempt's answer.
-type graceOver struct {
-	entry *entry
-	call  uint64
+	return verdictNotStarted
 }
 
-func (ev graceOver) apply(c *control) {
-	if c.current(ev.entry, ev.call) {
-		c.gone(ev.entry, "stopped")
-	}
+func (q inquiry) claim(ctx context.Context, boot string) (platform.WorkerReport, error) {
+	return claimCall{p: q.p, worker: q.worker}.send(ctx, boot)
 }
--- a/internal/shard/takeover_test.go
+++ b/internal/shard/takeover_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/intent"
 )
 
 func TestTakeoverCountsWhatAlreadyRuns(t *testing.T) {
@@ -62,7 +63,10 @@
 		time.Sleep(time.Second)
 		r.epoch.Store(2)
 		r.runner.reboot("w0", "b2")
-		out := old.Run(t.Context(), request("a"))
+		outs := make(chan cell.Outcome, 1)
+		old.Submit(request("a"), func(out cell.Outcome) { outs <- out })
+		time.Sleep(9 * time.Second)
+		out := <-outs
 		if out.Result != cell.ResultNotRun {
 			t.Errorf("outcome = %s, want not_run", out.Result)
 		}
@@ -71,6 +75,118 @@
 				t.Errorf("the superseded owner claimed the restarted runner with epoch %d", h.epoch)
 			}
 		})
-		<-old.Stopped()
+		select {
+		case <-old.Stopped():
+		default:
+			t.Error("the superseded owner goes on")
+		}
+	})
+}
+
+// A list that was read before the ownership began may lack a worker that runs the task.
+func TestOldListLiftsNoHold(t *testing.T) {
+	bubble(t, 2, 5*time.Second, func(t *testing.T, r *rig) {
+		old := r.owner(1)
+		old.Submit(keyed(request("a")), func(cell.Outcome) {})
+		time.Sleep(time.Second)
+		all := r.workers
+		r.workers = nil
+		next := r.owner(2)
+		for _, w := range all {
+			if r.runner.running(w.ID) == 0 {
+				next.SetWorkersAsOf([]cell.Worker{w}, time.Now().Add(-time.Minute))
+			}
+		}
+		time.AfterFunc(time.Second, func() { next.SetWorkers(all) })
+		expect(t, next.Run(t.Context(), keyed(request("a"))), cell.ResultCompleted, cell.ReasonNone)
+		r.expectStarts("a", 1)
+	})
+}
+
+// The intent is there and nobody knows whether its owner dispatched: the request is not run.
+func TestOwnerDeathBetweenIntentAndDispatch(t *testing.T) {
+	bubble(t, 1, time.Second, func(t *testing.T, r *rig) {
+		req := once(request("a"))
+		if _, err := r.log.Acquire(t.Context(), "a", intent.Digest(req.Task), 1); err != nil {
+			t.Fatal(err)
+		}
+		next := r.owner(2)
+		expect(t, next.Run(t.Context(), req), cell.ResultUnknown, cell.ReasonInDoubt)
+		r.expectStarts("a", 0)
+	})
+}
+
+// The owner died after dispatch; the worker still has the answer, which nobody recorded.
+func TestAnswerOfADeadOwnersAttemptIsFetched(t *testing.T) {
+	bubble(t, 1, time.Second, func(t *testing.T, r *rig) {
+		r.runner.set("w0", func(h *host) { h.silent = true })
+		old := r.owner(1)
+		old.Submit(once(request("a")), func(cell.Outcome) {})
+		time.Sleep(2 * time.Second)
+		next := r.owner(2)
+		expect(t, next.Run(t.Context(), once(request("a"))), cell.ResultCompleted, cell.ReasonNone)
+		// By now the worker may have forgotten it, and the outcome is in the table.
+		time.Sleep(time.Second)
+		r.runner.set("w0", func(h *host) { h.leases = make(map[cell.Attempt]*lease) })
+		last := r.owner(3)
+		expect(t, last.Run(t.Context(), once(request("a"))), cell.ResultCompleted, cell.ReasonNone)
+		r.expectStarts("a", 1)
+	})
+}
+
+// A task that an earlier owner started runs again with its payload, and only once every worker is claimed: the owner before
+// may have started its next attempt on a worker that is not.
+func TestAdoptedTaskRunsAgainOnceEveryWorkerIsClaimed(t *testing.T) {
+	bubble(t, 2, 3*time.Second, func(t *testing.T, r *rig) {
+		req := keyed(request("a"))
+		req.Deadline = time.Now().Add(time.Minute)
+		req.Task.Payload = []byte(" with payload")
+		r.runner.set("w0", func(h *host) { h.failing = true })
+		old := r.owner(1)
+		old.NoteLeaving([]cell.WorkerID{"w1"})
+		old.Submit(req, func(cell.Outcome) {})
+		time.Sleep(time.Second)
+		r.runner.set("w1", func(h *host) { h.down = true })
+		next := r.owner(2)
+		time.AfterFunc(8*time.Second, func() {
+			r.expectStarts("a", 1)
+			r.runner.set("w1", func(h *host) { h.down = false })
+		})
+		out := next.Run(t.Context(), req)
+		expect(t, out, cell.ResultCompleted, cell.ReasonNone)
+		if string(out.Answer) != "answer of a with payload" {
+			t.Errorf("answer = %q", out.Answer)
+		}
+	})
+}
+
+// Of two attempts by the owner before, the failed one is heard of first and the running one can't be reached.
+func TestEarlierFailureDoesNotHideALaterAttempt(t *testing.T) {
+	bubble(t, 2, 8*time.Second, func(t *testing.T, r *rig) {
+		r.runner.set("w0", func(h *host) { h.failing = true })
+		old := r.owner(1)
+		req := keyed(request("a"))
+		req.Deadline = time.Now().Add(time.Minute)
+		old.Submit(req, func(cell.Outcome) {})
+		time.Sleep(10 * time.Second)
+		r.expectStarts("a", 2)
+		r.runner.set("w1", func(h *host) { h.down = true })
+		next := r.owner(2)
+		expect(t, next.Run(t.Context(), keyed(request("a"))), cell.ResultUnknown, cell.ReasonRecovering)
+		r.expectStarts("a", 2)
+	})
+}
+
+func TestAnotherRequestDoesNotJoinAnAdoptedOne(t *testing.T) {
+	bubble(t, 1, 3*time.Second, func(t *testing.T, r *rig) {
+		old := r.owner(1)
+		old.Submit(once(request("a")), func(cell.Outcome) {})
+		time.Sleep(time.Second)
+		next := r.owner(2)
+		other := once(request("a"))
+		other.Task.Payload = []byte("another request")
+		expect(t, next.Run(t.Context(), other), cell.ResultNotRun, cell.ReasonDuplicateKey)
+		expect(t, next.Run(t.Context(), once(request("a"))), cell.ResultCompleted, cell.ReasonNone)
+		r.expectStarts("a", 1)
 	})
 }
--- a/internal/standin/httpserver/platform.go
+++ b/internal/standin/httpserver/platform.go
@@ -59,6 +59,7 @@
 	r.Get(httpplatform.PathWorkers, p.listWorkers)
 	r.Post(httpplatform.PathHosts, p.registerHost)
 	r.Get("/control/counts", p.counts)
+	r.Get("/control/table/log", p.tableLog)
 	r.Put("/control/table/faults", p.setTableFaults)
 	r.Put("/control/objects/faults", p.setObjectFaults)
 	r.Put("/control/vmlist/faults", p.setVMListFaults)
@@ -112,7 +113,11 @@
 
 func (p *Platform) listWorkers(w http.ResponseWriter, r *http.Request) {
 	workers, err := p.VMList.Workers(r.Context())
-	answer(w, httpplatform.WorkerList{Workers: workers}, err)
+	if err != nil {
+		answer(w, nil, err)
+		return
+	}
+	writeTagged(w, r, httpplatform.WorkerList{Workers: workers})
 }
 
 func (p *Platform) registerHost(w http.ResponseWriter, r *http.Request) {
@@ -132,6 +137,10 @@
 	})
 }
 
+func (p *Platform) tableLog(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, p.Table.Log())
+}
+
 func (p *Platform) setTableFaults(w http.ResponseWriter, r *http.Request) {
 	var f standin.TableFaults
 	if readJSON(w, r, &f) {
