Bound the open connections of an entry VM

Cause: requests, headers, bodies and times were bounded, connections were not.

Ruled out: leaving a connection beyond the bound unaccepted, since its caller would then wait instead of going elsewhere.

Figures: package edge passes three times under the race detector. Without the bound TestOpenConnectionsAreBounded does not end (the second connection is read for ever; the run's own timeout of 10 s ended it); without the release it fails ("the slot of a closed connection is not free").

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -13,6 +13,8 @@
 
 // ServerOptions sets the limits of the listening side. A zero field takes its default.
 type ServerOptions struct {
+	// MaxConns bounds the open connections.
+	MaxConns int
 	// MaxHeaderBytes bounds a request's headers.
 	MaxHeaderBytes int
 	// ReadHeaderTimeout bounds the time to read a request's headers; IdleTimeout ends unused connections.
@@ -26,6 +28,7 @@
 
 // The defaults of ServerOptions.
 const (
+	DefaultMaxConns          = 8_192
 	DefaultMaxHeaderBytes    = 16 << 10
 	DefaultReadHeaderTimeout = 10 * time.Second
 	DefaultIdleTimeout       = 2 * time.Minute
@@ -35,15 +38,17 @@
 type Server struct {
 	http     *http.Server
 	delay    time.Duration
+	maxConns int
 	draining atomic.Bool
 }
 
 // NewServer returns a server of the interface over commands and queries.
 func NewServer(commands Commands, queries Queries, opts Options, limits ServerOptions) *Server {
+	setDefault(&limits.MaxConns, DefaultMaxConns)
 	setDefault(&limits.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&limits.ReadHeaderTimeout, DefaultReadHeaderTimeout)
 	setDefault(&limits.IdleTimeout, DefaultIdleTimeout)
-	s := &Server{delay: limits.DrainDelay}
+	s := &Server{delay: limits.DrainDelay, maxConns: limits.MaxConns}
 	handler := New(commands, drainingQueries{Queries: queries, draining: &s.draining}, opts)
 	s.http = &http.Server{
 		Handler:           s.closeWhileDraining(handler),
@@ -56,7 +61,7 @@
 
 // Serve serves the connections of listener until Shutdown. It returns nil after a Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	err := s.http.Serve(listener)
+	err := s.http.Serve(newBoundListener(listener, s.maxConns))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/edge/server_test.go
+++ b/internal/edge/server_test.go
@@ -69,6 +69,54 @@
 	}
 }
 
+// A connection beyond the bound is closed at once, and the slot of one that ended is free again.
+func TestOpenConnectionsAreBounded(t *testing.T) {
+	f := &fakeCell{ready: true}
+	_, addr := startServer(t, f, Options{}, ServerOptions{MaxConns: 1})
+	first := dialReady(t, addr)
+	second, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	if n, err := second.Read(make([]byte, 1)); err == nil {
+		t.Errorf("read %d bytes from a connection beyond the bound", n)
+	}
+	first.Close()
+	for range 1000 {
+		if conn, err := net.Dial("tcp", addr); err == nil && askReady(conn) == nil {
+			conn.Close()
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Error("the slot of a closed connection is not free")
+}
+
+// dialReady returns a connection on which one request was answered.
+func dialReady(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := askReady(conn); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func askReady(conn net.Conn) error {
+	if _, err := fmt.Fprint(conn, "GET /readyz HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
 func TestCallerGoingAwayCancelsTheRequest(t *testing.T) {
 	entered, cancelled := make(chan struct{}), make(chan struct{})
 	f := &fakeCell{run: func(ctx context.Context, _ Run) cell.Outcome {
