--- a/demo.sh
+++ b/demo.sh
@@ -4,11 +4,10 @@
 # everything it started. The exit code is 0 only if all went well.
 #
 # Usage: ./demo.sh [galwad|rimac]...     both offices if none is named
-# DEMO_PORT is the first of the six ports that are used (17100); DEMO_VICTIM is the entry VM that is killed, 0 to 2 (0).
+# DEMO_VICTIM is the entry VM that is killed, 0 to 2 (0).
 set -euo pipefail
 cd "$(dirname "$0")"
 
-readonly PORT=${DEMO_PORT:-17100}
 readonly VICTIM=${DEMO_VICTIM:-0}
 readonly ENTRY_VMS=3
 readonly READY_TRIES=300 # of 0.1 s each
@@ -57,8 +56,9 @@
   return 1
 }
 
+# is_ready ADDRESS asks an entry VM as the balancer does.
 is_ready() {
-  exec 3<>"/dev/tcp/127.0.0.1/$1" || return 1
+  exec 3<>"/dev/tcp/${1%:*}/${1##*:}" || return 1
   printf 'GET /readyz HTTP/1.0\r\n\r\n' >&3
   local status
   read -r status <&3
@@ -67,9 +67,11 @@
 }
 
 has_addr() { grep -q '"addr":"' "$1"; }
+has_listen() { grep -q '"listen":"' "$1"; }
 
-# addr_of LOG prints the address that a stand-in logged.
+# addr_of LOG prints the address that a stand-in logged; listen_of the one that a daemon serves callers at.
 addr_of() { sed -n 's/.*"addr":"\([^"]*\)".*/\1/p' "$1" | head -1; }
+listen_of() { sed -n 's/.*"listen":"\([^"]*\)".*/\1/p' "$1" | head -1; }
 
 tool() { bin/laburnumpoint --server "$servers" --caller demo "$@"; }
 
@@ -137,6 +139,23 @@
   tool teams
 }
 
+# start_entry_vms PLATFORM starts the daemons, waits until they are ready, and sets servers and victim.
+start_entry_vms() {
+  local i addr list=()
+  for ((i = 0; i < ENTRY_VMS; i++)); do
+    start "entry$i" bin/laburnumpointd --listen 127.0.0.1:0 --peer-listen 127.0.0.1:0 --zone "entry-$i" \
+      --platform "$1" --bootstrap-config "$dir/config.json" --drain-delay 500ms --stop-timeout 15s
+    if ((i == VICTIM)); then victim=${pids[-1]}; fi
+  done
+  for ((i = 0; i < ENTRY_VMS; i++)); do
+    wait_for "entry VM $i listens" has_listen "$dir/entry$i.log"
+    addr=$(listen_of "$dir/entry$i.log")
+    wait_for "entry VM $i is ready" is_ready "$addr"
+    list+=("$addr")
+  done
+  servers=$(IFS=,; echo "${list[*]}")
+}
+
 demo() {
   local shape=$1 team=$2 pool=$3 media=$4 zones=$5
   dir="$work/$shape"
@@ -149,17 +168,7 @@
   local platform
   platform=$(addr_of "$dir/platform.log")
   start runners bin/laburnumpoint-standin runners --platform "$platform" --shape "$shape" --grace 1s --history "$dir/leases.jsonl"
-  local i list=()
-  for ((i = 0; i < ENTRY_VMS; i++)); do
-    list+=("127.0.0.1:$((PORT + i))")
-    start "entry$i" bin/laburnumpointd --listen "127.0.0.1:$((PORT + i))" --peer-listen "127.0.0.1:$((PORT + ENTRY_VMS + i))" \
-      --zone "entry-$i" --platform "$platform" --bootstrap-config "$dir/config.json" --drain-delay 500ms --stop-timeout 15s
-    if ((i == VICTIM)); then victim=${pids[-1]}; fi
-  done
-  servers=$(IFS=,; echo "${list[*]}")
-  for ((i = 0; i < ENTRY_VMS; i++)); do
-    wait_for "entry VM $i is ready" is_ready "$((PORT + i))"
-  done
+  start_entry_vms "$platform"
   tool members
   run_jobs "$team" "$pool" "$media"
   run_urgent "$team" "$pool"
