Pairs of faults, drawn by fixed seeds; every pair by one command

Cause: any fault may come at any moment, together with another or twice.

Conclusion: kept; go test ./internal/e2e -run TestPairs -all-pairs -timeout 60m runs them all.

--- a/internal/e2e/cell_test.go
+++ b/internal/e2e/cell_test.go
@@ -42,6 +42,7 @@
 	boot     string
 	client   *http.Client
 	started  int
+	claims   time.Duration
 
 	mu      sync.Mutex
 	daemons []*daemon
@@ -50,14 +51,26 @@
 // startCell starts a cell of the given sizes and waits until every daemon is ready and every worker is claimed.
 func startCell(t *testing.T, daemons, workers int) *testCell {
 	t.Helper()
-	c := &testCell{t: t, client: &http.Client{Timeout: 10 * time.Second}}
-	c.boot = c.writeBootstrap()
+	return startCellWith(t, cellOptions{daemons: daemons, workers: workers, shardsPerZone: 1, claims: time.Second})
+}
+
+// cellOptions sizes a cell.
+type cellOptions struct {
+	daemons, workers, shardsPerZone int
+	// claims is the interval of claims; leases last six of them.
+	claims time.Duration
+}
+
+func startCellWith(t *testing.T, o cellOptions) *testCell {
+	t.Helper()
+	c := &testCell{t: t, client: &http.Client{Timeout: 10 * time.Second}, claims: o.claims}
+	c.boot = c.writeBootstrap(o.shardsPerZone)
 	c.platform = start(t, "laburnumpoint-standin", "platform", "--listen", anyPort).address(t, "addr")
-	c.startRunners(workers)
-	for range daemons {
+	c.startRunners(o.workers)
+	for range o.daemons {
 		c.admit(c.startDaemon())
 	}
-	c.awaitReady(workers)
+	c.awaitReady(o.workers)
 	return c
 }
 
@@ -75,8 +88,9 @@
 	}
 }
 
-func (c *testCell) writeBootstrap() string {
+func (c *testCell) writeBootstrap(shardsPerZone int) string {
 	doc := config.Default()
+	doc.ShardsPerZone = shardsPerZone
 	doc.Zones = zones
 	doc.Teams = map[string]config.Team{
 		"sheets": {Weight: 1, MayUrgent: true},
@@ -100,8 +114,8 @@
 		"--zone", zone,
 		"--platform", c.platform,
 		"--bootstrap-config", c.boot,
-		"--claim-interval", "1s",
-		"--lease-ttl", "6s",
+		"--claim-interval", c.claims.String(),
+		"--lease-ttl", (6 * c.claims).String(),
 		"--drain-delay", "300ms",
 	)
 	return &daemon{process: p, http: p.address(c.t, "listen")}
--- a/internal/e2e/cost_test.go
+++ b/internal/e2e/cost_test.go
@@ -23,9 +23,14 @@
 var (
 	costSizes  = flag.String("cost", "", "cells to measure: daemons x workers, comma-separated")
 	costRate   = flag.Int("cost-rate", 0, "task starts a second during the measurement")
+	costClaims = flag.Duration("cost-claims", 5*time.Second, "claim interval during the measurement")
+	costShards = flag.Int("cost-shards", 1, "shards of each of the four availability zones")
 	costWindow = flag.Duration("cost-window", 20*time.Second, "length of the measurement")
 )
 
+// entryCores is the number of cores that a daemon uses, as on a small entry VM.
+const entryCores = "2"
+
 // clockTick is the unit of processor time in the kernel's process statistics.
 const clockTick = 10 * time.Millisecond
 
@@ -44,7 +49,8 @@
 }
 
 func measureCost(t *testing.T, daemons, workers int) {
-	c := startCell(t, daemons, workers)
+	t.Setenv("GOMAXPROCS", entryCores)
+	c := startCellWith(t, cellOptions{daemons: daemons, workers: workers, shardsPerZone: *costShards, claims: *costClaims})
 	if *costRate > 0 {
 		startLoad(t, c)
 	}
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -1,7 +1,9 @@
 package e2e
 
 import (
+	"flag"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -116,6 +118,48 @@
 	w.check(t)
 }
 
+// pairSeeds fixes the pairs of faults that are brought about together in every run of the tests.
+var pairSeeds = []uint64{1, 2, 3, 4, 5, 6, 7, 8}
+
+// allPairs brings about each fault with each, itself included.
+var allPairs = flag.Bool("all-pairs", false, "bring about every pair of faults")
+
+func TestPairsOfFaults(t *testing.T) {
+	all := faults()
+	if *allPairs {
+		for i := range all {
+			for j := i; j < len(all); j++ {
+				pairTest(t, all[i], all[j], uint64(1000+100*i+j))
+			}
+		}
+		return
+	}
+	for _, seed := range pairSeeds {
+		r := rand.New(rand.NewPCG(seed, 3))
+		pairTest(t, all[r.IntN(len(all))], all[r.IntN(len(all))], seed)
+	}
+}
+
+func pairTest(t *testing.T, a, b fault, seed uint64) {
+	t.Run(a.name+" and "+b.name, func(t *testing.T) { testPair(t, a, b, seed) })
+}
+
+// testPair brings about two faults, the second at a moment drawn by the seed while the first is there.
+func testPair(t *testing.T, a, b fault, seed uint64) {
+	t.Parallel()
+	w := startWorld(t, seed)
+	w.callers.until(quietRequests)
+	r := rand.New(rand.NewPCG(seed, 7))
+	first, second := rand.New(rand.NewPCG(seed, 8)), rand.New(rand.NewPCG(seed, 9))
+	var both sync.WaitGroup
+	both.Go(func() { a.run(w.cell, first) })
+	time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
+	both.Go(func() { b.run(w.cell, second) })
+	both.Wait()
+	w.callers.more(quietRequests)
+	w.check(t)
+}
+
 func TestEachFault(t *testing.T) {
 	for i, f := range faults() {
 		t.Run(f.name, func(t *testing.T) { f.test(t, uint64(100+i)) })
