--- a/internal/scheduler/invariant_test.go
+++ b/internal/scheduler/invariant_test.go
@@ -16,6 +16,7 @@
 	flag.Set("rapid.seed", "1")
 	flag.Set("rapid.checks", "800")
 	flag.Set("rapid.steps", "60")
+	flag.Set("rapid.nofailfile", "true")
 }
 
 var epoch = time.Unix(1_800_000_000, 0)
