--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -84,7 +85,7 @@
 		old := nodes[0]
 		before := old.holds()
 		old.freeze()
-		time.Sleep(takeoverLimit + silenceLimit)
+		time.Sleep(takeoverLimit + silenceMin)
 		s.wantSpread(nodes[1:]...)
 		time.Sleep(time.Minute)
 		old.thaw()
@@ -274,6 +275,46 @@
 	}
 }
 
+// TestShareIsKeptWhileOthersAcquire shows a member that acquires its share one row of another that does the same.
+func TestShareIsKeptWhileOthersAcquire(t *testing.T) {
+	const cells = 20
+	for c := range cells {
+		ids := []cell.MemberID{}
+		for n := range 3 {
+			ids = append(ids, cell.MemberID(fmt.Sprintf("cell%d-m%d", c, n)))
+		}
+		full := loopAmong(t, ids[0], ids).assign()
+		for taken, other := range full {
+			if other == ids[0] {
+				continue
+			}
+			l := loopAmong(t, ids[0], ids)
+			for shard, owner := range full {
+				l.shard(shard).acquiring = owner == ids[0]
+			}
+			l.observeShard(taken, 1, shardRow{Owner: other, Epoch: 1})
+			for shard, owner := range l.assign() {
+				if owner == ids[0] && full[shard] != owner {
+					t.Errorf("after %s took %s, %s was assigned beyond the share", other, taken, shard)
+				}
+			}
+		}
+	}
+}
+
+// loopAmong returns the loop of one of the members, to which all are live and no shard has an owner.
+func loopAmong(t *testing.T, self cell.MemberID, ids []cell.MemberID) *loop {
+	n := &node{sim: newSim(t, 1, 6), id: self, held: make(map[cell.ShardID]cell.Epoch)}
+	l := newLoop(t.Context(), New(Options{ID: self, Zone: "a", Clock: n, Host: n, Config: n, Shards: n.shardList}))
+	l.svc.takes.Store(true)
+	for _, id := range ids {
+		if id != self {
+			l.members[id] = &observed{id: id, zone: "a", alive: l.present, takes: true}
+		}
+	}
+	return l
+}
+
 func TestReleaseComesLastInItsEpoch(t *testing.T) {
 	ordered := []shardRow{{}, {Owner: "a", Epoch: 1}, {Epoch: 1}, {Owner: "b", Epoch: 2}, {Epoch: 2}}
 	for i, x := range ordered {
@@ -307,7 +348,7 @@
 		nodes[1].tableCut.Store(true)
 		time.Sleep(30 * time.Second)
 		nodes[0].freeze()
-		time.Sleep(silenceLimit + heartbeatInterval)
+		time.Sleep(silenceMin + heartbeatMin)
 		nodes[0].thaw()
 		time.Sleep(30 * time.Second)
 		after := nodes[1].holds()
@@ -345,10 +386,10 @@
 		nodes := s.startMany(0, 1, 2)
 		time.Sleep(settleTime)
 		nodes[0].freeze()
-		time.Sleep(takeoverLimit + silenceLimit)
+		time.Sleep(takeoverLimit + silenceMin)
 		nodes[0].tableCut.Store(true)
 		nodes[0].thaw()
-		time.Sleep(2 * heartbeatInterval)
+		time.Sleep(2 * heartbeatMin)
 		if got := nodes[0].holds(); len(got) != 0 {
 			t.Errorf("the old owner still holds %v", got)
 		}
@@ -462,6 +503,30 @@
 	})
 }
 
+// TestHeartbeatsAreExchangedOncePerPair bounds the exchanges of nine members: one for each pair and interval, and one
+// more where a member's own exchange is due.
+func TestHeartbeatsAreExchangedOncePerPair(t *testing.T) {
+	runSim(t, 4, 4, func(t *testing.T, s *sim) {
+		for n := range 9 {
+			s.start(n % 4)
+			time.Sleep(heartbeatMin * 3 / 10)
+		}
+		time.Sleep(time.Minute)
+		const seconds, pairs = 100, 9 * 8 / 2
+		before := s.calls.Load()
+		time.Sleep(seconds * time.Second)
+		got := s.calls.Load() - before
+		own := int64(heartbeatMin*seconds*pairs) / int64(ownExchangeInterval)
+		if got > seconds*pairs+own {
+			t.Errorf("%d exchanges of %d pairs in %d s, want at most %d", got, pairs, seconds, seconds*pairs+own)
+		}
+		if got < seconds*pairs*9/10 {
+			t.Errorf("%d exchanges of %d pairs in %d s are too few", got, pairs, seconds)
+		}
+		t.Logf("%d exchanges of %d pairs in %d s", got, pairs, seconds)
+	})
+}
+
 // TestIdleTableTraffic bounds what a cell of nine members costs the table each second.
 func TestIdleTableTraffic(t *testing.T) {
 	runSim(t, 4, 4, func(t *testing.T, s *sim) {
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -13,6 +13,8 @@
 	maxReservations = 1
 	// reserveTries is the number of waiting units for which one round plans a reservation.
 	reserveTries = 4
+	// planRetry is how long a unit that no plan was found for is passed over.
+	planRetry = time.Minute
 	// reserveChecks is how often within an ageing step the queue is searched for work to reserve for.
 	reserveChecks = 16
 	// minReserveInterval is the least time between two such searches.
@@ -66,6 +68,7 @@
 	}
 	res := s.plan(u, r.now)
 	if res == nil {
+		u.planAfter = r.now.Add(planRetry)
 		return false
 	}
 	s.reserve(res)
@@ -87,9 +90,9 @@
 // reservable returns the first lanes in order whose first unit may be given the reservation.
 func (s *Scheduler) reservable(now time.Time) []*lane {
 	var lanes []*lane
-	for _, sh := range s.blocked {
-		for _, l := range sh.lanes {
-			if l.size > 0 && s.mayReserve(l, now) && s.reservationsOf(sh.key.pool) < maxReservations {
+	for _, b := range s.blocked {
+		for _, l := range b.shape.lanes {
+			if l.size > 0 && s.mayReserve(l, now) && s.reservationsOf(b.shape.key.pool) < maxReservations {
 				l.rank = s.orderKeyOf(l, now)
 				lanes = append(lanes, l)
 			}
@@ -106,6 +109,9 @@
 
 func (s *Scheduler) mayReserve(l *lane, now time.Time) bool {
 	u := l.first()
+	if now.Before(u.planAfter) {
+		return false
+	}
 	if u.isGang() || l.urgent() {
 		return true
 	}
