shard: services move off leaving workers, one task at a time

Cause: a service task has no end, so that a leaving VM that ran one waited for ever, or was killed with it. Ruled out: moving all at once (a service on one worker would be down whole); replacement first (the controller submits a task only when the one before has ended). Seen failing without the move, without the one-at-a-time rule and without the wait for the replacement: TestServiceLeavesItsWorkerTaskByTask.

--- a/internal/shard/bounds_test.go
+++ b/internal/shard/bounds_test.go
@@ -213,3 +213,39 @@
 		expect(t, <-outs, cell.ResultFailed, cell.ReasonPreempted)
 	})
 }
+
+// The tasks of a service leave a leaving worker one at a time, each after the replacement of the one before runs.
+func TestServiceLeavesItsWorkerTaskByTask(t *testing.T) {
+	bubble(t, 3, time.Hour, func(t *testing.T, r *rig) {
+		all := r.workers
+		r.workers = all[:1]
+		o := r.owner(1)
+		lowest := 2
+		var submit func(id string)
+		submit = func(id string) {
+			req := keyed(request(id))
+			req.Deadline = time.Time{}
+			req.Task.Kind, req.Task.Class, req.Task.Job = cell.KindService, cell.ClassService, "feed"
+			o.Submit(req, func(out cell.Outcome) {
+				running := r.runner.running("w0") + r.runner.running("w1") + r.runner.running("w2")
+				lowest = min(lowest, running)
+				if out.Reason.Code == cell.ReasonDraining {
+					time.AfterFunc(time.Second, func() { submit(id) })
+				}
+			})
+		}
+		submit("feed0")
+		submit("feed1")
+		time.Sleep(time.Second)
+		o.SetWorkers(all)
+		time.Sleep(time.Second)
+		o.NoteLeaving([]cell.WorkerID{"w0"})
+		time.Sleep(30 * time.Second)
+		if got := r.runner.running("w0"); got != 0 {
+			t.Errorf("%d tasks are still on the leaving worker", got)
+		}
+		if lowest != 1 {
+			t.Errorf("%d tasks ran at the lowest, want 1", lowest)
+		}
+	})
+}
--- a/internal/shard/control.go
+++ b/internal/shard/control.go
@@ -39,9 +39,11 @@
 	jobs    map[cell.JobID]map[cell.TaskID]bool
 	workers map[cell.WorkerID]*worker
 	ended   map[cell.TaskID]endedLease
-	health  *health
-	budget  *retryBudget
-	began   time.Time
+	// evacuations is the last move of each service's tasks.
+	evacuations map[cell.JobID]evacuation
+	health      *health
+	budget      *retryBudget
+	began       time.Time
 	// listed means that a VM list has been seen; listedNow, that it was read since the ownership began.
 	listed, listedNow bool
 	// attempts numbers the attempts of this epoch.
@@ -59,19 +61,20 @@
 func newControl(p Params) *control {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &control{
-		p:       p,
-		box:     newMailbox(),
-		began:   time.Now(),
-		stopped: make(chan struct{}),
-		ctx:     ctx,
-		cancel:  cancel,
-		sched:   scheduler.New(scheduler.Policy{}),
-		entries: make(map[cell.TaskID]*entry),
-		jobs:    make(map[cell.JobID]map[cell.TaskID]bool),
-		workers: make(map[cell.WorkerID]*worker),
-		ended:   make(map[cell.TaskID]endedLease),
-		health:  newHealth(),
-		budget:  newRetryBudget(time.Now()),
+		p:           p,
+		box:         newMailbox(),
+		began:       time.Now(),
+		stopped:     make(chan struct{}),
+		ctx:         ctx,
+		cancel:      cancel,
+		sched:       scheduler.New(scheduler.Policy{}),
+		entries:     make(map[cell.TaskID]*entry),
+		jobs:        make(map[cell.JobID]map[cell.TaskID]bool),
+		workers:     make(map[cell.WorkerID]*worker),
+		ended:       make(map[cell.TaskID]endedLease),
+		evacuations: make(map[cell.JobID]evacuation),
+		health:      newHealth(),
+		budget:      newRetryBudget(time.Now()),
 	}
 }
 
@@ -137,6 +140,7 @@
 	c.readConfig()
 	c.readPolicy()
 	c.claimDue(now)
+	c.evacuate(now)
 	if c.health.returnDue(now) {
 		c.refreshWorkers()
 	}
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -141,6 +141,9 @@
 	}
 	silent := h.silent
 	r.mu.Unlock()
+	if t.Kind == cell.KindService {
+		return platform.StartReply{Result: platform.StartAccepted}
+	}
 	if silent {
 		<-ctx.Done()
 	}
