A planned stop answers requests whose headers are still on their way

The load's examples say "server closed idle connection" and "EOF". net/http's Shutdown drops a connection whose request it has not read to the end of the headers.

Ruled out: a longer drain delay alone, since callers without a balancer connect until the listener closes. Reading the accept queue to its end: a connection that the kernel accepted and the daemon did not is reset when the listener closes; what helps there is a caller that has gone elsewhere by then.

Figures: TestShutdownAnswersARequestThatIsHalfSent fails with "unexpected EOF" without the wait for connections in use and passes with it. The client leaves a server alone for 3 s that answers "Connection: close" or can't be reached (TestAvoidsServersThatAreLeaving).

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -31,6 +32,11 @@
 	opts Options
 	http *http.Client
 	next atomic.Uint64
+	now  func() time.Time
+
+	mu sync.Mutex
+	// avoided holds, by server, the time until which others go first.
+	avoided map[string]time.Time
 }
 
 // Limits of the connections to the servers.
@@ -43,6 +49,8 @@
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveProbes   = 3
+	// avoidTime is how long other servers go before one that can't be reached or is about to stop.
+	avoidTime = 3 * time.Second
 	// maxAnswerBytes bounds the body of an answer.
 	maxAnswerBytes = 128 << 20
 )
@@ -57,7 +65,7 @@
 			return nil, fmt.Errorf("server %q: %w", s, err)
 		}
 	}
-	c := &Client{opts: opts, http: &http.Client{Transport: transport()}}
+	c := &Client{opts: opts, http: &http.Client{Transport: transport()}, now: time.Now, avoided: make(map[string]time.Time)}
 	c.next.Store(rand.Uint64N(uint64(len(opts.Servers))))
 	return c, nil
 }
@@ -85,10 +93,29 @@
 	c.http.CloseIdleConnections()
 }
 
-// server returns the next server in turn.
+// server returns the next server in turn that is not avoided, or the next one if all are.
 func (c *Client) server() string {
-	n := c.next.Add(1)
-	return c.opts.Servers[n%uint64(len(c.opts.Servers))]
+	n := uint64(len(c.opts.Servers))
+	first := c.next.Add(1)
+	for i := range n {
+		server := c.opts.Servers[(first+i)%n]
+		if !c.isAvoided(server) {
+			return server
+		}
+	}
+	return c.opts.Servers[first%n]
+}
+
+func (c *Client) isAvoided(server string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now().Before(c.avoided[server])
+}
+
+func (c *Client) avoid(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoided[server] = c.now().Add(avoidTime)
 }
 
 // sleep waits for d or until ctx ends.
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,6 +134,32 @@
 	}
 }
 
+// A server that can't be reached, or closes the connection after its answer, is about to stop and is left alone for a time.
+func TestAvoidsServersThatAreLeaving(t *testing.T) {
+	answers := make([]atomic.Int64, 2)
+	answer := says(http.StatusOK, cell.ResultCompleted)
+	count := func(i int, header string) *httptest.Server {
+		return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			answers[i].Add(1)
+			w.Header().Set("Connection", header)
+			answer(w, r)
+		}))
+	}
+	leaving, staying := count(0, "close"), count(1, "keep-alive")
+	defer leaving.Close()
+	defer staying.Close()
+	client := newClient(t, time.Minute, leaving.Listener.Addr().String(), unusedAddr(t), staying.Listener.Addr().String())
+	start := time.Now()
+	client.now = func() time.Time { return start }
+	tries := 0
+	for range 20 {
+		tries += client.Run(context.Background(), Request{Timeout: time.Second}).Tries
+	}
+	if answers[0].Load() != 1 || answers[1].Load() != 19 || tries != 21 {
+		t.Errorf("answers %d and %d, sendings %d", answers[0].Load(), answers[1].Load(), tries)
+	}
+}
+
 func TestNoServerMeansNotRun(t *testing.T) {
 	client := newClient(t, 0, unusedAddr(t))
 	got := client.Run(context.Background(), Request{ID: "k", Timeout: time.Second})
--- a/internal/client/send.go
+++ b/internal/client/send.go
@@ -146,10 +146,17 @@
 	}
 	req.Header = m.header.Clone()
 	resp, err := c.http.Do(req)
+	if err != nil && !connected.Load() {
+		c.avoid(server)
+		return reply{}, &sendError{cause: err}
+	}
 	if err != nil {
-		return reply{}, &sendError{sent: connected.Load(), cause: err}
+		return reply{}, &sendError{sent: true, cause: err}
 	}
 	defer resp.Body.Close()
+	if resp.Close {
+		c.avoid(server)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return reply{}, &sendError{sent: true, cause: err}
--- a/internal/edge/listener.go
+++ b/internal/edge/listener.go
@@ -9,10 +9,16 @@
 type boundListener struct {
 	net.Listener
 	slots chan struct{}
+	close func() error
 }
 
 func newBoundListener(l net.Listener, bound int) net.Listener {
-	return &boundListener{Listener: l, slots: make(chan struct{}, bound)}
+	return &boundListener{Listener: l, slots: make(chan struct{}, bound), close: sync.OnceValue(l.Close)}
+}
+
+// Close implements net.Listener. A second call returns what the first did.
+func (l *boundListener) Close() error {
+	return l.close()
 }
 
 // Accept implements net.Listener.
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -34,12 +34,18 @@
 	DefaultIdleTimeout       = 2 * time.Minute
 )
 
+// stopPoll is the time between two looks at the open connections during a stop.
+const stopPoll = 10 * time.Millisecond
+
 // Server serves the HTTP interface and stops without cutting off a request.
 type Server struct {
 	http     *http.Server
 	delay    time.Duration
 	maxConns int
 	draining atomic.Bool
+	conns    connStates
+	// stopAccepting closes the listener once Serve has it.
+	stopAccepting atomic.Pointer[func() error]
 }
 
 // NewServer returns a server of the interface over commands and queries.
@@ -55,14 +61,18 @@
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
+		ConnState:         s.conns.set,
 	}
 	return s
 }
 
 // Serve serves the connections of listener until Shutdown. It returns nil after a Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	err := s.http.Serve(newBoundListener(listener, s.maxConns))
-	if errors.Is(err, http.ErrServerClosed) {
+	bounded := newBoundListener(listener, s.maxConns)
+	stopAccepting := bounded.Close
+	s.stopAccepting.Store(&stopAccepting)
+	err := s.http.Serve(bounded)
+	if s.draining.Load() || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
@@ -70,9 +80,20 @@
 
 // Shutdown turns the server unready, goes on serving for the drain delay, closes the listener and waits until every
 // request in flight is answered. It returns ctx's error if ctx ends first; the requests then go on.
+//
+// The shutdown of net/http comes last, when only unused connections are left: it drops a request that it has not read
+// to the end of its headers.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.draining.Store(true)
 	sleep(ctx, s.delay)
+	if stopAccepting := s.stopAccepting.Load(); stopAccepting != nil {
+		_ = (*stopAccepting)() // http.Server.Shutdown closes it again and returns the error
+	}
+	for s.conns.inUse() > 0 {
+		if !sleep(ctx, stopPoll) {
+			break
+		}
+	}
 	return s.http.Shutdown(ctx)
 }
 
--- a/internal/edge/server_test.go
+++ b/internal/edge/server_test.go
@@ -93,6 +93,17 @@
 	t.Error("the slot of a closed connection is not free")
 }
 
+func TestListenerMayBeClosedTwice(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	bounded := newBoundListener(listener, 1)
+	if first, second := bounded.Close(), bounded.Close(); first != nil || second != nil {
+		t.Errorf("Close returned %v, then %v", first, second)
+	}
+}
+
 // dialReady returns a connection on which one request was answered.
 func dialReady(t *testing.T, addr string) net.Conn {
 	t.Helper()
@@ -179,6 +190,60 @@
 	}
 }
 
+// A request whose headers are still on their way when the stop begins is in flight too.
+func TestShutdownAnswersARequestThatIsHalfSent(t *testing.T) {
+	f := &fakeCell{ready: true, outcome: cell.Outcome{Result: cell.ResultCompleted}}
+	s, addr := startServer(t, f, Options{}, ServerOptions{})
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /v1/requests HTTP/1.1\r\nHost: a\r\n")
+	waitInUse(t, s, 1)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(context.Background()) }()
+	waitClosed(t, addr)
+	fmt.Fprintf(conn, "Content-Length: %d\r\n\r\n%s", len(goodTask), goodTask)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("status %d, close %v", resp.StatusCode, resp.Close)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+}
+
+// waitInUse looks a bounded number of times until n connections are in use.
+func waitInUse(t *testing.T, s *Server, n int) {
+	t.Helper()
+	for range 5000 {
+		if s.conns.inUse() == n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%d connections in use, want %d", s.conns.inUse(), n)
+}
+
+// waitClosed dials a bounded number of times until the listener is closed.
+func waitClosed(t *testing.T, addr string) {
+	t.Helper()
+	for range 5000 {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			return
+		}
+		conn.Close()
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the listener is open after Shutdown began")
+}
+
 // waitUnready looks at the readiness a bounded number of times.
 func waitUnready(t *testing.T, addr string) {
 	t.Helper()
