Shards of the whole cell, where packing and gangs go before the loss of an owner

Ruled out: gangs over several shards by reserve and commit (more messages and expiring reservations for what one shard gives at once).

Conclusion: cell_shards is a setting of version 1; shards for each availability zone stay the default until the users choose.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -36,6 +36,9 @@
 	Zones []string `json:"zones"`
 	// ShardsPerZone is the number of shards that the racks of each availability zone are spread over. Fixed by version 1.
 	ShardsPerZone int `json:"shards_per_zone"`
+	// CellShards, if not 0, is the number of shards that the racks of the whole cell are spread over, in place of shards
+	// for each availability zone. Fixed by version 1.
+	CellShards int `json:"cell_shards,omitempty"`
 	// Teams holds the known teams by name. Work of other teams is refused.
 	Teams map[string]Team `json:"teams"`
 	// Drained lists workers that get no new work.
@@ -87,21 +90,25 @@
 
 // Shards lists the cell's shards in a fixed order: the zones' order, then the number within the zone.
 func (d Document) Shards() []cell.ShardID {
-	out := make([]cell.ShardID, 0, len(d.Zones)*d.ShardsPerZone)
-	for _, zone := range d.Zones {
-		for n := range d.ShardsPerZone {
+	var out []cell.ShardID
+	for _, zone := range d.shardGroups() {
+		for n := range d.shardsPerGroup() {
 			out = append(out, shardID(zone, n))
 		}
 	}
 	return out
 }
 
-// ShardZones returns the availability zone of each shard.
+// ShardZones returns the availability zone of each shard; it is empty for a shard of the whole cell.
 func (d Document) ShardZones() map[cell.ShardID]string {
-	out := make(map[cell.ShardID]string, len(d.Zones)*d.ShardsPerZone)
-	for _, zone := range d.Zones {
-		for n := range d.ShardsPerZone {
-			out[shardID(zone, n)] = zone
+	out := make(map[cell.ShardID]string)
+	for _, group := range d.shardGroups() {
+		for n := range d.shardsPerGroup() {
+			zone := group
+			if d.CellShards > 0 {
+				zone = ""
+			}
+			out[shardID(group, n)] = zone
 		}
 	}
 	return out
@@ -109,8 +116,30 @@
 
 // ShardOf returns the shard that a worker belongs to, by its availability zone, pool and rack.
 func (d Document) ShardOf(w cell.Worker) cell.ShardID {
-	n := xxhash.Sum64String(w.Pool+"/"+w.Rack) % uint64(d.ShardsPerZone)
-	return shardID(w.Zone, int(n))
+	if d.CellShards > 0 {
+		rack := xxhash.Sum64String(w.Pool + "/" + w.Zone + "/" + w.Rack)
+		return shardID(cellGroup, int(rack%uint64(d.CellShards)))
+	}
+	rack := xxhash.Sum64String(w.Pool + "/" + w.Rack)
+	return shardID(w.Zone, int(rack%uint64(d.ShardsPerZone)))
+}
+
+// cellGroup names the shards of the whole cell. No availability zone may have the name.
+const cellGroup = "cell"
+
+// shardGroups lists what the shards are numbered within.
+func (d Document) shardGroups() []string {
+	if d.CellShards > 0 {
+		return []string{cellGroup}
+	}
+	return d.Zones
+}
+
+func (d Document) shardsPerGroup() int {
+	if d.CellShards > 0 {
+		return d.CellShards
+	}
+	return d.ShardsPerZone
 }
 
 func shardID(zone string, n int) cell.ShardID {
--- a/internal/config/patch.go
+++ b/internal/config/patch.go
@@ -72,6 +72,9 @@
 	if !slices.Equal(base.Zones, next.Zones) {
 		return errors.New("zones are fixed by version 1")
 	}
+	if base.CellShards != next.CellShards {
+		return errors.New("cell_shards is fixed by version 1")
+	}
 	if base.ShardsPerZone != next.ShardsPerZone {
 		return errors.New("shards_per_zone is fixed by version 1")
 	}
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -14,6 +14,7 @@
 	maxTeams         = 1_000
 	maxShardsPerZone = 16
 	maxZones         = 64
+	maxCellShards    = 64
 	maxQueuedLimit   = 1_000_000
 	maxDocumentBytes = 1 << 20
 )
@@ -47,6 +48,8 @@
 	check(d.UrgentWaitMS > 0, "urgent_wait_ms %d is not positive", d.UrgentWaitMS)
 	check(d.AgeingStepMS > 0, "ageing_step_ms %d is not positive", d.AgeingStepMS)
 	check(d.ShardsPerZone >= 1 && d.ShardsPerZone <= maxShardsPerZone, "shards_per_zone %d is not between 1 and %d", d.ShardsPerZone, maxShardsPerZone)
+	check(d.CellShards >= 0 && d.CellShards <= maxCellShards, "cell_shards %d is not between 0 and %d", d.CellShards, maxCellShards)
+	check(!slices.Contains(d.Zones, cellGroup), "no availability zone may be named %q", cellGroup)
 	check(len(d.Zones) >= 1 && len(d.Zones) <= maxZones, "%d zones are not between 1 and %d", len(d.Zones), maxZones)
 	check(distinctNames(d.Zones), "zones are empty or repeat")
 	check(len(d.Teams) >= 1 && len(d.Teams) <= maxTeams, "%d teams are not between 1 and %d", len(d.Teams), maxTeams)
