--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -80,12 +80,21 @@
 	if expired(it, now) {
 		return cell.Reason{Code: cell.ReasonDeadline, Detail: "passed before admission"}
 	}
-	if s.policy.MaxQueued > 0 && s.queued >= s.policy.MaxQueued {
+	if s.queueFull(&it.Task) {
 		return cell.Reason{Code: cell.ReasonQueueFull, Detail: fmt.Sprintf("%d queued, at most %d", s.queued, s.policy.MaxQueued)}
 	}
 	return cell.Reason{}
 }
 
+// queueFull reports whether the queue takes t no more. A gang is admitted by its first task for all of it, so that
+// the bound never leaves a gang incomplete.
+func (s *Scheduler) queueFull(t *cell.Task) bool {
+	if s.policy.MaxQueued <= 0 || t.GangSize > 1 && s.gangs[t.Job] != nil {
+		return false
+	}
+	return s.queued+max(t.GangSize, 1) > s.policy.MaxQueued
+}
+
 // fitKey is what decides how many tasks of a kind the shard's whole capacity holds.
 type fitKey struct {
 	pool  string
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -26,7 +26,7 @@
 // what they wait for is gone.
 //
 // The steps of a decision are in files of their own: admission, order, feasible, rank, gang, reserve and drain
-// (reservations and backfill), preempt and earmark, keep, quota and explain.
+// (reservations and backfill, with slot), preempt and earmark, keep, quota and explain.
 package scheduler
 
 import (
--- a/internal/scheduler/steps_test.go
+++ b/internal/scheduler/steps_test.go
@@ -120,6 +120,17 @@
 	f.want(f.run(0), "place t1 w0")
 }
 
+func TestQueueBoundTakesGangsWhole(t *testing.T) {
+	f := newFixture(t, 2)
+	f.policy.MaxQueued = 4
+	f.enqueue(task("t1", cell.ClassBatch, 8), task("t2", cell.ClassBatch, 8))
+	f.enqueue(gangOf("whole", 2, cell.ClassNormal, 4)...)
+	f.Cancel("t2")
+	if _, reason := f.Enqueue(f.now, Item{Task: gangOf("half", 2, cell.ClassNormal, 4)[0]}); reason.Code != cell.ReasonQueueFull {
+		t.Fatalf("the first of a gang that does not fit into the queue: %q", reason)
+	}
+}
+
 func TestDeadlineExpires(t *testing.T) {
 	f := newFixture(t, 1)
 	f.enqueue(task("t1", cell.ClassBatch, 8))
