--- a/bench/offices.go
+++ b/bench/offices.go
@@ -12,6 +12,8 @@
 	media     = "media"
 	exchange  = "exchange"
 	imaging   = "imaging"
+	// backlogTasks is the number of tasks that the team with the least work has waiting.
+	backlogTasks = 200
 )
 
 // Galwad returns a load in which waiting time counts: late urgent revisions among nightly batches, standing feeds,
@@ -75,3 +77,45 @@
 func RimacPolicy() scheduler.Policy {
 	return scheduler.Policy{PackingWeight: 0.9, UrgentWait: 2200 * time.Millisecond, AgeingStep: 30 * time.Minute, MaxQueued: 200_000}
 }
+
+// Backlog returns a load in which every team has more work waiting than the cell can run, the first teams by far the most,
+// and all of a team's work arrives before the next team's.
+func Backlog(seed uint64, horizon time.Duration) *Load {
+	g := newGenerator(seed, horizon)
+	g.workers(exchange, 35, 4, claim(32, 64, 0))
+	claims := []cell.Resources{claim(2, 4, 0), claim(4, 8, 0), claim(6, 12, 0)}
+	g.load.Warmup = horizon / 2
+	st := stream{name: "backlog", pool: exchange, kind: cell.KindBatch, class: cell.ClassBatch}
+	for team := range teams {
+		g.fixedTeam = teamName(team)
+		for range backlogTasks + 2*(teams-team) {
+			at := time.Duration(team) * time.Second
+			g.job(st, at, g.duration(time.Minute, 4*time.Minute), claims[g.rng.IntN(len(claims))], 1)
+		}
+	}
+	return g.done()
+}
+
+// Shared returns a load in which plain batches that name no pool and imaging work that needs accelerators share all workers.
+func Shared(seed uint64, horizon time.Duration) *Load {
+	g := newGenerator(seed, horizon)
+	g.workers(exchange, 35, 4, claim(32, 64, 0))
+	g.workers(imaging, 13, 3, claim(128, 256, 8))
+	g.add(stream{name: "read", pool: imaging, kind: cell.KindBatch, class: cell.ClassNormal,
+		claims: []cell.Resources{claim(12, 20, 1), claim(16, 32, 1), claim(30, 56, 2)}, runFrom: 2 * time.Minute, runTo: 15 * time.Minute, load: 0.80})
+	g.add(stream{name: "validate", kind: cell.KindBatch, class: cell.ClassBatch,
+		claims: []cell.Resources{claim(2, 2, 0), claim(3, 8, 0), claim(5, 12, 0)}, runFrom: time.Minute, runTo: 8 * time.Minute, load: 0.60})
+	return g.done()
+}
+
+// Crowded returns a load of more normal work than the workers run, and a little batch work beside it.
+func Crowded(seed uint64, horizon time.Duration) *Load {
+	g := newGenerator(seed, horizon)
+	g.workers(exchange, 35, 4, claim(32, 64, 0))
+	claims := []cell.Resources{claim(4, 8, 0), claim(8, 16, 0)}
+	g.add(stream{name: "settle", pool: exchange, kind: cell.KindBatch, class: cell.ClassNormal,
+		claims: claims, runFrom: time.Minute, runTo: 4 * time.Minute, load: 1.20})
+	g.add(stream{name: "validate", pool: exchange, kind: cell.KindBatch, class: cell.ClassBatch,
+		claims: claims, runFrom: time.Minute, runTo: 4 * time.Minute, load: 0.05})
+	return g.done()
+}
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"syscall"
+	"time"
 
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/config"
@@ -11,15 +12,52 @@
 	"laburnumpoint/internal/wire"
 )
 
-// sendHeartbeats begins an exchange with every other member that has none in flight.
-func (l *loop) sendHeartbeats() {
-	l.beatAt = l.present.Add(heartbeatInterval)
+// heartbeatInterval is how often each pair of members exchanges a heartbeat.
+func (l *loop) heartbeatInterval() time.Duration {
+	return max(heartbeatMin, time.Duration(len(l.members)+1)*heartbeatPerMember)
+}
+
+// silenceLimit is the time without a heartbeat after which a member may be judged dead: two that are missing, and the
+// time for a third.
+func (l *loop) silenceLimit() time.Duration {
+	return silenceMin + 2*(l.heartbeatInterval()-heartbeatMin)
+}
+
+// live reports whether another member is to be taken as running.
+func (l *loop) live(o *observed) bool {
+	return o.live(l.present, l.silenceLimit())
+}
+
+// sendDueHeartbeats begins an exchange with every other member that has begun none lately itself. Both ends learn the
+// same from an exchange, so that each pair needs one for each interval; only the configuration needs our own now and
+// then.
+func (l *loop) sendDueHeartbeats() {
+	interval := l.heartbeatInterval()
+	l.beatAt = l.present.Add(interval)
 	for _, o := range l.members {
-		if o.inFlight {
-			continue
+		heard := l.present.Sub(o.heard) < interval
+		ownDue := l.present.Sub(o.answered) >= ownExchangeInterval
+		if !heard || ownDue {
+			l.sendHeartbeat(o)
 		}
-		o.inFlight = true
-		go l.svc.beat(l.ctx, o.id, o.addr)
+	}
+}
+
+// sendHeartbeat begins an exchange with the member unless one is in flight.
+func (l *loop) sendHeartbeat(o *observed) {
+	if o.inFlight {
+		return
+	}
+	o.inFlight = true
+	go l.svc.beat(l.ctx, o.id, o.addr)
+}
+
+// spreadNow tells every other member at once what this member now says of itself, also those with an exchange in
+// flight that may have begun before.
+func (l *loop) spreadNow() {
+	for _, o := range l.members {
+		o.again = o.inFlight
+		l.sendHeartbeat(o)
 	}
 }
 
@@ -47,6 +85,10 @@
 		return
 	}
 	o.inFlight = false
+	if o.again {
+		o.again = false
+		l.sendHeartbeat(o)
+	}
 	if e.err != nil {
 		l.noteUnanswered(o, e.err)
 		return
@@ -60,6 +102,7 @@
 		l.readRowsSoon()
 		return
 	}
+	o.alive = max(o.alive, e.started)
 	o.answered = max(o.answered, e.started)
 	l.noteHeartbeat(o, e.hb)
 	l.svc.opts.Config.HeardFrom(config.Heard{
@@ -93,12 +136,16 @@
 		l.readRowsSoon()
 		return
 	}
+	o.heard = l.present
+	o.alive = l.present
+	o.refused = 0
 	l.noteHeartbeat(o, e.hb)
 }
 
 // noteHeartbeat takes over what a member says of itself.
 func (l *loop) noteHeartbeat(o *observed, hb *wire.Heartbeat) {
 	o.leaving = o.leaving || hb.GetLeaving()
+	o.takes = hb.GetTakesShards()
 	o.config = max(o.config, hb.GetConfigVersion())
 	o.digests = hb.GetShards()
 	if hb.GetRowChanges() > o.rowChanges {
@@ -108,11 +155,23 @@
 	if l.announcesUnknownEpoch(hb) {
 		l.readRowsSoon()
 	}
+	l.noteSuperseded(hb)
 	if len(hb.GetLeavingWorkers()) > 0 {
 		l.svc.opts.Host.NoteLeaving(workerIDs(hb.GetLeavingWorkers()))
 	}
 }
 
+// noteSuperseded gives up the shards that another member owns under a higher epoch: a member cut off from the table
+// learns so too.
+func (l *loop) noteSuperseded(hb *wire.Heartbeat) {
+	for _, d := range hb.GetShards() {
+		s, ok := l.shards[cell.ShardID(d.GetShard())]
+		if ok && s.held && d.GetEpoch() > uint64(s.epoch) {
+			l.lose(s, cell.MemberID(hb.GetMember()))
+		}
+	}
+}
+
 // announcesUnknownEpoch reports whether the heartbeat tells of an ownership that the rows read so far don't.
 func (l *loop) announcesUnknownEpoch(hb *wire.Heartbeat) bool {
 	for _, d := range hb.GetShards() {
--- a/internal/membership/loop.go
+++ b/internal/membership/loop.go
@@ -16,7 +16,6 @@
 	svc *Service
 	ctx context.Context
 
-	started  monotime.Instant
 	lastTick monotime.Instant
 	// present caches the instant of the event being handled.
 	present monotime.Instant
@@ -29,6 +28,8 @@
 	liveIDs  []cell.MemberID
 	liveFrom monotime.Instant
 	movedAt  monotime.Instant
+	// takesFrom is since when this member can acquire shards.
+	takesFrom monotime.Instant
 	// leaveCtx is set once a graceful leave has begun.
 	leaveCtx context.Context
 	removing map[cell.MemberID]bool
@@ -39,9 +40,10 @@
 type rowReader struct {
 	inFlight bool
 	wanted   bool
-	// done means that the rows were read at least once.
-	done    bool
-	startAt monotime.Instant
+	startAt  monotime.Instant
+	// done means that the rows were read at least once; readAt is when the latest successful reading ended.
+	done   bool
+	readAt monotime.Instant
 }
 
 // rowRefresher is the state of writing this member's own row.
@@ -57,7 +59,6 @@
 	return &loop{
 		svc:      svc,
 		ctx:      ctx,
-		started:  now,
 		lastTick: now,
 		present:  now,
 		liveFrom: now,
@@ -95,10 +96,11 @@
 
 func (tick) apply(l *loop) {
 	l.lastTick = l.present
+	l.noteTakes()
 	l.refreshRow()
 	l.readRows()
 	if l.present >= l.beatAt {
-		l.sendHeartbeats()
+		l.sendDueHeartbeats()
 	}
 	l.noteLive()
 	l.takeShards()
@@ -118,17 +120,26 @@
 		return true
 	}
 	o, ok := l.members[id]
-	return ok && o.live(l.present)
+	return ok && l.live(o)
+}
+
+// noteTakes keeps whether this member can acquire shards, and tells the others at once of a change.
+func (l *loop) noteTakes() {
+	takes := l.leaveCtx == nil && l.refresh.written && l.tableAnswers()
+	if l.svc.takes.Swap(takes) != takes {
+		l.takesFrom = l.present
+		l.spreadNow()
+	}
 }
 
-// candidates lists the members that may own shards: live and not leaving.
+// candidates lists the members that can be given shards: live, not leaving, and in reach of the table.
 func (l *loop) candidates() []Candidate {
 	var out []Candidate
-	if l.leaveCtx == nil {
+	if l.svc.takes.Load() {
 		out = append(out, Candidate{ID: l.self(), Zone: l.svc.opts.Zone})
 	}
 	for _, o := range l.members {
-		if o.live(l.present) && !o.leaving {
+		if l.live(o) && !o.leaving && o.takes {
 			out = append(out, Candidate{ID: o.id, Zone: o.zone})
 		}
 	}
@@ -183,7 +194,7 @@
 			ID:            o.id,
 			Addr:          o.addr,
 			Zone:          o.zone,
-			Live:          o.live(l.present),
+			Live:          l.live(o),
 			Leaving:       o.leaving,
 			ConfigVersion: o.config,
 		})
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -79,17 +79,21 @@
 }
 
 func (s *Service) readRows(ctx context.Context, started monotime.Instant) {
-	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
-	defer cancel()
-	members, err := s.opts.Table.List(ctx, memberPrefix)
+	members, err := s.list(ctx, memberPrefix)
 	if err != nil {
 		s.post(rowsRead{started: started, err: err})
 		return
 	}
-	shards, err := s.opts.Table.List(ctx, shardPrefix)
+	shards, err := s.list(ctx, shardPrefix)
 	s.post(rowsRead{started: started, members: members, shards: shards, err: err})
 }
 
+func (s *Service) list(ctx context.Context, prefix string) ([]platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	return s.opts.Table.List(ctx, prefix)
+}
+
 // rowsRead reports the rows as they were at some instant after started, or why they could not be read.
 type rowsRead struct {
 	started monotime.Instant
@@ -107,6 +111,7 @@
 		return
 	}
 	l.rows.done = true
+	l.rows.readAt = l.present
 	l.observeMembers(e.members, e.started)
 	for _, row := range e.shards {
 		decoded, err := decodeShard(row)
@@ -137,7 +142,7 @@
 			continue
 		}
 		seen[id] = true
-		l.member(id, decoded.Addr, decoded.Zone).noteRow(row.Version, decoded, started)
+		l.member(id, decoded.Addr, decoded.Zone).noteRow(row.Version, decoded, started, l.present)
 	}
 	ids := make([]cell.MemberID, 0, len(seen))
 	for id := range l.members {
@@ -156,7 +161,7 @@
 	if ok {
 		return o
 	}
-	o = &observed{id: id, addr: addr, zone: zone, answered: l.present, rowSince: l.present, rowUntil: l.present}
+	o = &observed{id: id, addr: addr, zone: zone, alive: l.present, rowSince: l.present, rowUntil: l.present}
 	l.members[id] = o
 	go l.svc.beat(l.ctx, id, addr)
 	o.inFlight = true
@@ -166,7 +171,7 @@
 // removeDead deletes the rows of members that have been dead for long.
 func (l *loop) removeDead() {
 	for id, o := range l.members {
-		if l.removing[id] || !o.removable(l.present) {
+		if l.removing[id] || !o.removable(l.present, l.silenceLimit()) {
 			continue
 		}
 		l.removing[id] = true
@@ -185,6 +190,11 @@
 	l.readRowsSoon()
 }
 
+// tableAnswers reports whether the table has answered lately.
+func (l *loop) tableAnswers() bool {
+	return l.rows.done && l.present.Sub(l.rows.readAt) <= tableSilenceLimit
+}
+
 // isUnwritten reports whether the error means that nothing was written.
 func isUnwritten(err error) bool {
 	return errors.Is(err, platform.ErrUnavailable)
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -117,6 +117,7 @@
 	}
 	r.all[s] = struct{}{}
 	r.replaceLocked(s)
+	go s.watch()
 	go r.forgetWhenClosed(s)
 }
 
@@ -126,13 +127,13 @@
 	if err != nil {
 		return nil, err
 	}
-	heard := newHeardConn(conn, r.clock)
+	heard := newHeardConn(&frameConn{Conn: conn}, r.clock)
 	mux, err := yamux.Client(heard, clientMuxConfig())
 	if err != nil {
 		conn.Close()
 		return nil, err
 	}
-	return &session{mux: mux, conn: heard}, nil
+	return &session{mux: mux, conn: heard, opened: r.clock.Now()}, nil
 }
 
 func (r *remote) forgetWhenClosed(s *session) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -34,6 +34,17 @@
 
 // Listen starts a server on addr, an IP number and a port. Its counters are registered in set.
 func Listen(addr string, h Handler, set *metrics.Set) (*Server, error) {
+	s, err := Bind(addr, set)
+	if err != nil {
+		return nil, err
+	}
+	s.Serve(h)
+	return s, nil
+}
+
+// Bind returns a server that holds addr, an IP number and a port, and accepts nothing before Serve. What the handler
+// needs may thus be made from the server's address first.
+func Bind(addr string, set *metrics.Set) (*Server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -41,7 +52,6 @@
 	base, cancel := context.WithCancel(context.Background())
 	s := &Server{
 		listener: listener,
-		handler:  h,
 		traffic:  newTraffic(set, "server"),
 		base:     base,
 		cancel:   cancel,
@@ -49,10 +59,15 @@
 		idle:     make(chan struct{}),
 		sessions: make(map[*yamux.Session]struct{}),
 	}
-	go s.acceptConns()
 	return s, nil
 }
 
+// Serve begins to answer calls by h. It is called once and returns at once.
+func (s *Server) Serve(h Handler) {
+	s.handler = h
+	go s.acceptConns()
+}
+
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string {
 	return s.listener.Addr().String()
@@ -145,7 +160,7 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	mux, err := yamux.Server(conn, serverMuxConfig())
+	mux, err := yamux.Server(&frameConn{Conn: conn}, serverMuxConfig())
 	if err != nil {
 		conn.Close()
 		return
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -11,6 +11,8 @@
 type Scheduler struct {
 	policy   Policy
 	capacity cell.Resources
+	// largest is the largest capacity of any worker in each dimension.
+	largest  cell.Resources
 	workers  map[cell.WorkerID]*worker
 	order    []*worker
 	groups   []*group
@@ -21,7 +23,7 @@
 	gangs    map[cell.JobID]*gang
 	services map[cell.JobID]*spread
 	holdings map[fitKey]int
-	stops    map[cell.TaskID]int
+	stops    map[cell.TaskID]stopCounts
 
 	queued    int
 	placed    int
@@ -30,13 +32,14 @@
 	delayed   indexedHeap[*entry]
 	lineup    indexedHeap[*lane]
 	active    []*lane
-	blocked   []*shape
+	blocked   []blockedShape
 	starved   []*lane
 	freed     []*worker
 	earmarks  []earmarkEnd
+	keeps     []*keep
 
-	reservation *reservation
-	// reserveAfter is when a waiting unit may next be given the reservation.
+	reservations []*reservation
+	// reserveAfter is when the queue is next searched for a unit to reserve for.
 	reserveAfter time.Time
 	waste        wasteBudget
 	more         bool
@@ -56,7 +59,7 @@
 		gangs:    make(map[cell.JobID]*gang),
 		services: make(map[cell.JobID]*spread),
 		holdings: make(map[fitKey]int),
-		stops:    make(map[cell.TaskID]int),
+		stops:    make(map[cell.TaskID]stopCounts),
 		lineup:   newOrder(),
 	}
 	s.deadlines = indexedHeap[*entry]{
@@ -79,14 +82,21 @@
 
 // SetPolicy replaces the policy for every later decision.
 func (s *Scheduler) SetPolicy(p Policy) {
+	stops := s.maxStops()
 	s.policy = p
 	for _, name := range s.teamNames() {
 		s.applyTeamPolicy(s.teams[name])
 	}
+	if s.maxStops() != stops {
+		s.recountAllVictims()
+	}
+	s.victimsGrew()
+}
+
+func (s *Scheduler) recountAllVictims() {
 	for _, w := range s.order {
 		s.recountVictims(w)
 	}
-	s.victimsGrew()
 }
 
 // UpsertWorker adds a worker or replaces its description. Only a usable worker that is live gets new work;
@@ -123,14 +133,21 @@
 	if w.group != nil {
 		w.group.remove(w)
 	}
-	s.resizeCapacity(desc.Capacity.Sub(w.desc.Capacity))
+	change := desc.Capacity.Sub(w.desc.Capacity)
 	w.desc.Capacity, w.desc.Pool = desc.Capacity, desc.Pool
+	s.resizeCapacity(change)
 	s.groupOf(desc).add(w)
 }
 
 func (s *Scheduler) resizeCapacity(change cell.Resources) {
 	s.capacity = s.capacity.Add(change)
 	clear(s.holdings)
+	if change.Negative() {
+		s.largest = cell.Resources{}
+	}
+	for _, w := range s.order {
+		s.largest = largestOf(s.largest, w.desc.Capacity)
+	}
 	for _, t := range s.teams {
 		s.reshare(t)
 	}
@@ -143,8 +160,8 @@
 		s.dropEarmark(u)
 		s.enlist(u)
 	}
-	if !w.reserved.IsZero() {
-		s.returnReservation()
+	if w.reservation != nil {
+		s.returnReservation(w.reservation)
 	}
 }
 
@@ -155,6 +172,11 @@
 		return nil
 	}
 	w.usable = false
+	for _, k := range s.keeps {
+		if k.worker == w {
+			s.endKeep(k)
+		}
+	}
 	s.abandon(w)
 	var lost []cell.Task
 	for len(w.tasks) > 0 {
@@ -212,13 +234,16 @@
 		return
 	}
 	if e.state == StateStopping {
-		s.countStop(id, e.stops+1)
+		s.countStops(id, e.stops)
 	} else {
 		delete(s.stops, id)
 	}
 	s.unsettle(e)
 	w := e.worker
 	s.uncharge(e)
+	if finished := e.state == StatePlaced; finished {
+		s.keepFor(e, w)
+	}
 	delete(s.entries, id)
 	s.dropTeam(e.team)
 	s.roomGrew(w)
@@ -276,6 +301,15 @@
 	}
 }
 
+func largestOf(a, b cell.Resources) cell.Resources {
+	return cell.Resources{
+		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
+		MemoryMiB:    max(a.MemoryMiB, b.MemoryMiB),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+		Slots:        max(a.Slots, b.Slots),
+	}
+}
+
 func compareIDs[T ~string](a, b T) int {
 	switch {
 	case a < b:
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -8,14 +8,25 @@
 //
 //	         Enqueue              Schedule (Place)            Release
 //	(absent) -------> queued ----------------------> placed ----------> (absent)
-//	    |               |  ^                           |
-//	    |               |  +---------------------------+
-//	    |               |        Requeue (known not started)
-//	    |               +--> (absent)  Cancel, Schedule (Expire)
+//	    |             |    ^                         |    |                ^
+//	    |             |    |  Requeue, RequeueGang   |    | Schedule       | Release
+//	    |             |    +-------------------------+    | (Stop)         |
+//	    |             |    |                              v                |
+//	    |             |    +-------------------------- stopping -----------+
+//	    |             +--> (absent)  Cancel, Schedule (Expire)
 //	    +------------------------------------------> placed
 //	                   Adopt (a lease found on a worker)
 //
-// A placed task's claim is counted on its worker until Release or RemoveWorker, whatever else is known of it.
+// A task that is placed or stopping has its claim counted on its worker until Release, Requeue or RemoveWorker, whatever
+// else is known of it.
+//
+// A queued task is delayed until Item.NotBefore, then in the lane of its team, class and shape; a gang's task first waits
+// for the rest of its gang. An urgent task whose victims stop is earmarked for their worker instead. A gang that does not
+// fit, or a single task that has aged, may be reserved: it leaves its lane and gathers room. Both return to the lane when
+// what they wait for is gone.
+//
+// The steps of a decision are in files of their own: admission, order, feasible, rank, gang, reserve and drain
+// (reservations and backfill), preempt and earmark, keep, quota and explain.
 package scheduler
 
 import (
@@ -124,7 +135,9 @@
 
 // Policy is the operators' part of every decision.
 type Policy struct {
-	// PackingWeight is between 0 (waiting time only) and 1 (packing only).
+	// PackingWeight is between 0 (waiting time only) and 1 (packing only). The room that urgent work leaves is kept for
+	// other urgent work for up to 5 s times 1 less the weight; larger work goes first among teams whose shares differ by
+	// less than 1% of the shard times the weight.
 	PackingWeight float64
 	// Teams is the policy of each known team. A team that is not listed has weight 1 and no quota.
 	Teams map[string]TeamPolicy
@@ -135,7 +148,7 @@
 	UrgentWait time.Duration
 	// AgeingStep is the waiting time that raises a task by one class. Zero turns ageing off.
 	AgeingStep time.Duration
-	// MaxStops is how often one task may be stopped for others; 3 if zero.
+	// MaxStops is how often one task may be stopped for urgent work; 30 if zero.
 	MaxStops int
 	// MaxWasteShare is the share of the shard's worker time that preemption may throw away at most, counting
 	// every stop as if its checkpoint were lost; 0.1 if zero. What is not used adds up for half an hour.
--- a/internal/shard/entry.go
+++ b/internal/shard/entry.go
@@ -8,6 +8,7 @@
 
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/intent"
+	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/scheduler"
 )
 
@@ -29,6 +30,7 @@
 
 // waiter is one caller that waits for an entry's outcome.
 type waiter struct {
+	task     cell.TaskID
 	done     func(cell.Outcome)
 	deadline time.Time
 	timer    *time.Timer
@@ -38,6 +40,8 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	out.Attempt.Task = w.task
+	countOutcome(out)
 	go w.done(out)
 }
 
@@ -67,7 +71,9 @@
 	boot      string
 	sentAt    time.Time
 	startedAt time.Time
-	waited    time.Duration
+	// sentBoot is the boot clock's reading before the start was sent.
+	sentBoot monotime.Instant
+	waited   time.Duration
 	// cancel ends the call that waits for the attempt's answer.
 	cancel context.CancelFunc
 	// call numbers the calls that may bring the answer; the replies of earlier ones are void.
@@ -88,6 +94,8 @@
 	stopEnded bool
 	// requeue means that the attempt is stopped in order to start again with its gang.
 	requeue bool
+	// regroup means that the entry waits for the other members of its gang to be over.
+	regroup bool
 
 	tries    int
 	failedOn []cell.WorkerID
@@ -123,7 +131,7 @@
 
 // dropped returns the outcome of an entry that is dropped before an attempt of it started: not_run if that is known.
 func (e *entry) dropped(code cell.ReasonCode, retryAfter time.Duration) cell.Outcome {
-	if e.last.Result == cell.ResultFailed {
+	if e.last.Result == cell.ResultFailed && !e.keyed {
 		return e.last
 	}
 	if e.keyed || e.ran || e.inDoubt {
@@ -146,10 +154,11 @@
 	return newEntry(r).dropped(code, retrySoon)
 }
 
-// sameRequest reports whether two tasks under one id ask for the same work.
-func sameRequest(a, b cell.Task) bool {
+// sameRequest reports whether two tasks under one id ask for the same work. A task that was read from a lease has no payload
+// to compare.
+func sameRequest(a, b cell.Task, payload bool) bool {
 	return a.Team == b.Team && a.Kind == b.Kind && a.Claim == b.Claim &&
-		a.Idempotent == b.Idempotent && bytes.Equal(a.Payload, b.Payload)
+		a.Idempotent == b.Idempotent && (!payload || bytes.Equal(a.Payload, b.Payload))
 }
 
 // backoff returns the pause before the next try after so many.
