--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -538,8 +538,9 @@
 		if writes := after.Writes - before.Writes; writes > 10*100 {
 			t.Errorf("%d writes in 100 s, want at most ten a second", writes)
 		}
-		if reads := after.Reads - before.Reads; reads > 2*9*100*5/4 {
-			t.Errorf("%d reads in 100 s, want two a second for each member and a quarter more", reads)
+		const readings = 9 * 100 * time.Second / rowsInterval
+		if reads := after.Reads - before.Reads; reads > uint64(2*readings*5/4) {
+			t.Errorf("%d reads in 100 s, want two lists for each of %d readings and a quarter more", reads, readings)
 		}
 		t.Logf("in 100 s: %d writes, %d reads", after.Writes-before.Writes, after.Reads-before.Reads)
 	})
