intent: no busy loop while the table answers nothing but uncertain

Cause: a transaction answered as uncertain whose rows were unchanged was sent again at once, without bound; a table that loses its answers before it applies would be asked as fast as it answers. Seen failing without it: TestUncertainTableIsAskedAtIntervals did not end within 8 s; it passes with it, at most 10 transactions in two seconds.

--- a/internal/intent/commit.go
+++ b/internal/intent/commit.go
@@ -143,6 +143,7 @@
 			for _, w := range batch {
 				w.maybeApplied = true
 			}
+			return l.settleLater(batch)
 		}
 		rest, ok := l.readBack(batch)
 		if !ok {
@@ -153,6 +154,16 @@
 	return nil
 }
 
+// settleLater reads back a batch whose transaction may have been applied, now or shortly, and returns what is still open:
+// tried again at once, it would meet its own late write and more of the same.
+func (l *Log) settleLater(batch []*write) []*write {
+	rest, ok := l.readBack(batch)
+	if !ok {
+		return l.refuse(rest)
+	}
+	return rest
+}
+
 // readBack settles each write of a failed batch by its row and returns those that are to be tried again.
 // It returns false if the table does not answer.
 func (l *Log) readBack(batch []*write) ([]*write, bool) {
--- a/internal/intent/log_test.go
+++ b/internal/intent/log_test.go
@@ -20,6 +20,8 @@
 	mu           sync.Mutex
 	transactions int
 	late         time.Duration
+	// mute loses every transaction and answers that it is uncertain.
+	mute bool
 }
 
 func (m *meteredTable) Apply(ctx context.Context, ops []platform.Op) ([]uint64, error) {
@@ -27,7 +29,11 @@
 	m.transactions++
 	late := m.late
 	m.late = 0
+	mute := m.mute
 	m.mu.Unlock()
+	if mute {
+		return nil, platform.ErrUncertain
+	}
 	if late > 0 {
 		time.AfterFunc(late, func() { _, _ = m.Table.Apply(context.Background(), ops) })
 		return nil, platform.ErrUncertain
@@ -251,3 +257,27 @@
 		}
 	})
 }
+
+// A table that answers nothing but "uncertain" is not asked in a busy loop.
+func TestUncertainTableIsAskedAtIntervals(t *testing.T) {
+	bubble(t, func(t *testing.T, table *meteredTable, a, b *Log) {
+		table.mute = true
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		time.AfterFunc(2*time.Second, func() {
+			table.mu.Lock()
+			defer table.mu.Unlock()
+			if table.transactions > 10 {
+				t.Errorf("%d transactions in two seconds", table.transactions)
+			}
+			table.mute = false
+		})
+		if _, err := a.Acquire(ctx, "x", "d", 1); !errors.Is(err, ErrUnavailable) {
+			t.Errorf("Acquire: %v", err)
+		}
+		time.Sleep(3 * time.Second)
+		if g := acquire(t, b, "x", "d"); g.Verdict != Granted {
+			t.Errorf("verdict = %v", g.Verdict)
+		}
+	})
+}
