A daemon answers its peers only once its parts are there

Cause: the peer listener accepted calls before the membership was set; a daemon restarted at its old address gets heartbeats at once. Found by reading; not brought about.

Ruled out: a lock around every part (all but the listener are there before the first call then).

Conclusion: the address is bound first and served last.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,7 +91,7 @@
 		Accepted: func() { n.members.Refresh() },
 	})
 	n.quotas = quota.NewKeeper(opts.Table, n.configs.Current, opts.Log)
-	server, err := peer.Listen(opts.PeerListen, n, opts.Metrics)
+	server, err := peer.Bind(opts.PeerListen, opts.Metrics)
 	if err != nil {
 		return nil, err
 	}
@@ -110,6 +110,7 @@
 	})
 	n.directory = &nodeDirectory{members: n.members, host: n.host}
 	n.router = &router{directory: n.directory, peers: n.peers}
+	server.Serve(n)
 	n.run()
 	return n, nil
 }
