Owners learn how old the VM list is that they start with

Cause: a new owner was given the list as last read, as if read now. One from before its ownership may lack a worker that the owner before it used, and the hold on requests that may run there was lifted too early.

Ruled out: reading the list anew at each takeover (a call in the way of every takeover; the next poll comes within a second).

Conclusion: the time at which the reading began goes with the list.

--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -37,6 +38,8 @@
 	digests map[cell.ShardID]*wire.ShardDigest
 	shards  map[cell.ShardID]*hosted
 	workers []cell.Worker
+	// asOf is when the reading of workers began.
+	asOf    time.Time
 	leaving []cell.WorkerID
 	doc     config.Document
 }
@@ -79,11 +82,12 @@
 	old := h.shards[id]
 	h.shards[id] = s
 	mine := workersOf(h.doc, h.workers, id)
+	asOf := h.asOf
 	h.mu.Unlock()
 	if old != nil {
 		h.end(old)
 	}
-	s.owner.SetWorkers(mine)
+	s.owner.SetWorkersAsOf(mine, asOf)
 	h.log.Info().Str("shard", string(id)).Uint64("epoch", uint64(epoch)).Msg("shard acquired")
 }
 
@@ -176,8 +180,8 @@
 	}
 }
 
-// setWorkers takes in the platform's list and tells each owned shard of its part.
-func (h *host) setWorkers(doc config.Document, workers []cell.Worker) {
+// setWorkers takes in the platform's list, whose reading began at asOf, and tells each owned shard of its part.
+func (h *host) setWorkers(doc config.Document, workers []cell.Worker, asOf time.Time) {
 	var leaving []cell.WorkerID
 	for _, w := range workers {
 		if w.State != cell.WorkerLive {
@@ -187,10 +191,11 @@
 	h.mu.Lock()
 	h.doc = doc
 	h.workers = workers
+	h.asOf = asOf
 	h.leaving = leaving
 	h.mu.Unlock()
 	for _, s := range h.all() {
-		s.owner.SetWorkers(workersOf(doc, workers, s.shard))
+		s.owner.SetWorkersAsOf(workersOf(doc, workers, s.shard), asOf)
 	}
 }
 
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -19,6 +19,7 @@
 	every(ctx, workersInterval, func() bool {
 		callCtx, cancel := context.WithTimeout(ctx, workersTimeout)
 		defer cancel()
+		began := time.Now()
 		workers, err := n.opts.VMs.Workers(callCtx)
 		if err != nil {
 			n.log.Warn().Err(err).Msg("VM list not read")
@@ -28,7 +29,7 @@
 		if v.Version == 0 {
 			return false
 		}
-		n.host.setWorkers(v.Document, workers)
+		n.host.setWorkers(v.Document, workers, began)
 		n.listed.Store(true)
 		return false
 	})
