Stand-in cuts answers that look like the attempt's own

Cause: with the check of length and digest taken out, TestEachFault/answers_cut_short still passed: the stand-in's cut answer did not name its attempt, so that another check refused it. A stand-in must not protect us.

Ruled out: result caching of go test (the run was repeated with -count=1).

--- a/internal/standin/httpserver/runner.go
+++ b/internal/standin/httpserver/runner.go
@@ -111,7 +111,7 @@
 	result, ok := startResults[reply.Result]
 	if !ok {
 		if a.fleet.Faults(a.worker.ID).CutAnswers {
-			writeCutAnswer(w)
+			writeCutAnswer(w, attempt)
 		}
 		loseAnswer()
 	}
@@ -130,11 +130,12 @@
 	platform.StartFenced:   httpplatform.ResultFenced,
 }
 
-// writeCutAnswer writes the first bytes of a longer answer.
-func writeCutAnswer(w http.ResponseWriter) {
+// writeCutAnswer writes the first bytes of a longer answer of the attempt.
+func writeCutAnswer(w http.ResponseWriter, attempt cell.Attempt) {
 	const declared = 100
 	w.Header().Set("Content-Length", strconv.Itoa(declared))
 	w.Header().Set(httpplatform.HeaderResult, httpplatform.ResultFinished)
+	w.Header().Set(httpplatform.HeaderAttempt, httpplatform.AttemptHeader(attempt))
 	w.WriteHeader(http.StatusOK)
 	_, _ = w.Write([]byte(`{"attempt":{`))
 	_ = http.NewResponseController(w).Flush()
