Requests leave a shard without live workers, and stay away from it

Moving them had a hole besides: a worker that joins the shard later would let a further send run there while the first runs elsewhere.

Ruled out: never moving them (the loss of a zone then refuses its share of requests); asking every shard for each resend (messages by the number of shards).

--- a/internal/e2e/jobs_test.go
+++ b/internal/e2e/jobs_test.go
@@ -29,7 +29,8 @@
 		if c.get(c.targets()[0].http, api.PathJobs+"/"+string(id), &s) && done(s) {
 			return
 		}
-		time.Sleep(50 * time.Millisecond)
+		c.mustHoldOnePlace()
+		time.Sleep(100 * time.Millisecond)
 	}
 }
 
@@ -50,7 +51,16 @@
 		if whole && running == n && queued == 0 {
 			return
 		}
-		time.Sleep(50 * time.Millisecond)
+		c.mustHoldOnePlace()
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// mustHoldOnePlace ends the test if a task has run in two places, since what it waits for may then never come.
+func (c *testCell) mustHoldOnePlace() {
+	c.t.Helper()
+	if found := history.CheckOnePlace(c.workerHistory()); len(found) > 0 {
+		c.t.Fatal(found)
 	}
 }
 
--- a/internal/job/part.go
+++ b/internal/job/part.go
@@ -94,7 +94,8 @@
 func runsAgain(o cell.Outcome, idempotent bool) bool {
 	switch o.Result {
 	case cell.ResultNotRun:
-		return o.Reason.Code != cell.ReasonInvalid && o.Reason.Code != cell.ReasonFitsNowhere && o.Reason.Code != cell.ReasonDuplicateKey
+		// A job that fits nowhere is refused when it is submitted; workers that leave later may be replaced.
+		return o.Reason.Code != cell.ReasonInvalid && o.Reason.Code != cell.ReasonDuplicateKey
 	case cell.ResultUnknown:
 		return idempotent
 	default:
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -101,7 +101,7 @@
 	claim cell.Resources
 }
 
-// fitReason refuses what the shard's workers could not hold if they were empty.
+// fitReason refuses what the shard's workers could not hold if they were empty. Workers that are leaving don't count.
 func (s *Scheduler) fitReason(t *cell.Task) cell.Reason {
 	holds := s.holds(fitKey{t.Pool, t.Claim})
 	if holds == 0 {
@@ -121,7 +121,7 @@
 			inPool += len(g.members) - len(g.vacant)
 		}
 	}
-	return fmt.Sprintf("claim %s, %d workers, %d of pool %q, none large enough", t.Claim, len(s.workers), inPool, t.Pool)
+	return fmt.Sprintf("claim %s, %d workers, %d of pool %q, none live and large enough", t.Claim, len(s.workers), inPool, t.Pool)
 }
 
 // maxHoldings bounds the cache of holds, which is emptied when it is full.
@@ -134,7 +134,7 @@
 	}
 	n := 0
 	for _, w := range s.order {
-		if w.group.matches(key.pool) {
+		if w.group.matches(key.pool) && w.desc.State == cell.WorkerLive {
 			n += timesIn(key.claim, w.desc.Capacity)
 		}
 	}
--- a/internal/scheduler/ledger.go
+++ b/internal/scheduler/ledger.go
@@ -112,6 +112,9 @@
 	if !ok || w.desc.Capacity != desc.Capacity || w.desc.Pool != desc.Pool {
 		s.resize(w, desc)
 	}
+	if w.desc.State != desc.State {
+		clear(s.holdings)
+	}
 	s.countServices(w, -1)
 	w.desc = desc
 	s.countServices(w, 1)
--- a/internal/shard/submit.go
+++ b/internal/shard/submit.go
@@ -36,6 +36,10 @@
 		c.join(e, r, w)
 		return
 	}
+	if c.turned.has(r.Task.ID, time.Now()) {
+		w.answer(cell.NotRun(cell.Reason{Code: cell.ReasonFitsNowhere, Detail: "turned away before"}, 0))
+		return
+	}
 	e := newEntry(r)
 	// Only the intent tells whether an earlier send of a non-idempotent request ran.
 	e.keyed = r.Keyed && (!r.Task.Idempotent || !c.recovered())
@@ -132,18 +136,31 @@
 	ok, reason := c.sched.Enqueue(now, e.item(now))
 	if !ok {
 		e.phase = phaseHeld
-		out := e.dropped(reason.Code, 0)
-		if reason.Code == cell.ReasonQueueFull {
-			out.RetryAfter = retryLater
-		}
-		out.Reason = reason
-		c.drop(e, out)
+		c.drop(e, c.refusedBy(e, reason, now))
 		return
 	}
 	e.phase = phaseQueued
 	c.dirty = true
 }
 
+// refusedBy returns the outcome of an entry that the scheduler refused. A request that fits nowhere here is remembered,
+// since it may now be run in another shard; if it can't be, it must not go there.
+func (c *control) refusedBy(e *entry, reason cell.Reason, now time.Time) cell.Outcome {
+	if reason.Code == cell.ReasonFitsNowhere && e.task.Kind == cell.KindRequest {
+		if c.turned.full(now) {
+			reason = cell.Reason{Code: cell.ReasonQueueFull, Detail: "too many requests were turned away lately"}
+		} else {
+			c.turned.add(e.task.ID, now)
+		}
+	}
+	out := e.dropped(reason.Code, 0)
+	if reason.Code == cell.ReasonQueueFull {
+		out.RetryAfter = retryLater
+	}
+	out.Reason = reason
+	return out
+}
+
 // releaseHeld admits what was held, once every worker has been heard or is known to be over.
 func (c *control) releaseHeld() {
 	if !c.recovered() {
