A log line for each routing decision

Cause: the users ask for one; only placements and outcomes had one.

Ruled out: a line for a final answer only (a request that moved between shards would not say so).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,7 +109,7 @@
 		Log:    opts.Log,
 	})
 	n.directory = &nodeDirectory{members: n.members, host: n.host}
-	n.router = &router{directory: n.directory, peers: n.peers}
+	n.router = &router{directory: n.directory, peers: n.peers, log: n.log}
 	server.Serve(n)
 	n.run()
 	return n, nil
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/peer"
 	"laburnumpoint/internal/wire"
@@ -47,6 +49,7 @@
 type router struct {
 	directory directory
 	peers     caller
+	log       *log.Logger
 }
 
 // routed is a request on its way to a shard.
@@ -87,6 +90,20 @@
 	stepInDoubt
 )
 
+// String names the step for logs.
+func (s step) String() string {
+	switch s {
+	case stepAnswered:
+		return "answered"
+	case stepRefused:
+		return "refused"
+	case stepUnreachable:
+		return "unreachable"
+	default:
+		return "in_doubt"
+	}
+}
+
 // route returns the final outcome of q, which may run in any of shards, the first preferred.
 //
 // A shard that can't take the request passes it to the next. So does one whose owner can't be reached, unless the
@@ -100,7 +117,9 @@
 	backoff := minBackoff
 	for {
 		out, result := r.send(ctx, j.shard(), q, j.keyed)
-		switch classify(out, result, q.pinned || j.keyed) {
+		next := classify(out, result, q.pinned || j.keyed)
+		r.logSend(j.shard(), q, j.keyed, out, next)
+		switch next {
 		case stepAnswered:
 			return settle(out, j.inDoubt)
 		case stepRefused:
@@ -124,6 +143,13 @@
 	}
 }
 
+// logSend writes the line of one routing decision: where the request was sent and what follows.
+func (r *router) logSend(shard cell.ShardID, q routed, keyed bool, out cell.Outcome, next step) {
+	r.log.Info().Str("decision", "route").Str("caller", q.caller).Str("team", q.task.Team).Str("task", string(q.task.ID)).
+		Str("shard", string(shard)).Bool("keyed", keyed).Str("next", next.String()).Str("reason", out.Reason.String()).
+		Dur("waiting", time.Since(q.arrived)).Msg("decision")
+}
+
 func classify(o cell.Outcome, result sendResult, pinned bool) step {
 	switch {
 	case result == sendInDoubt, o.Result == cell.ResultUnknown && handsOver(o):
--- a/internal/node/router_test.go
+++ b/internal/node/router_test.go
@@ -4,15 +4,20 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/peer"
 	"laburnumpoint/internal/wire"
 )
 
+var quiet = &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+
 // fakePeers answers each call by the next step of a script and records what was sent.
 type fakePeers struct {
 	steps []func(*wire.RunRequest) (*wire.Reply, error)
@@ -106,7 +111,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			peers := &fakePeers{steps: c.steps}
-			r := &router{directory: &fakeDirectory{}, peers: peers}
+			r := &router{directory: &fakeDirectory{}, peers: peers, log: quiet}
 			out := r.route(t.Context(), []cell.ShardID{"a-0", "b-0"}, routed{task: cell.Task{ID: "k"}, arrived: time.Now(), deadline: time.Now().Add(time.Hour)})
 			if out.Result != c.want {
 				t.Errorf("result = %s (%s), want %s", out.Result, out.Reason, c.want)
@@ -121,7 +126,7 @@
 func TestPinnedRequestStaysWithItsShardThoughSentFirst(t *testing.T) {
 	completed := answers(cell.Outcome{Result: cell.ResultCompleted})
 	peers := &fakePeers{steps: steps(says(notOwner()), fails(peer.ErrNotSent), completed)}
-	r := &router{directory: &fakeDirectory{}, peers: peers}
+	r := &router{directory: &fakeDirectory{}, peers: peers, log: quiet}
 	r.route(t.Context(), []cell.ShardID{"a-0", "b-0"}, routed{task: cell.Task{ID: "k"}, pinned: true, arrived: time.Now(), deadline: time.Now().Add(time.Hour)})
 	if got, want := peers.trail(), []string{"a-0", "a-0", "a-0"}; !slices.Equal(got, want) {
 		t.Errorf("sent to %v, want %v", got, want)
@@ -131,7 +136,7 @@
 func TestKeyedRequestStaysWithItsShard(t *testing.T) {
 	completed := answers(cell.Outcome{Result: cell.ResultCompleted})
 	peers := &fakePeers{steps: steps(says(notOwner()), fails(peer.ErrNotSent), completed)}
-	r := &router{directory: &fakeDirectory{}, peers: peers}
+	r := &router{directory: &fakeDirectory{}, peers: peers, log: quiet}
 	r.route(t.Context(), []cell.ShardID{"a-0", "b-0"}, routed{task: cell.Task{ID: "k"}, keyed: true, pinned: true, arrived: time.Now(), deadline: time.Now().Add(time.Hour)})
 	if got, want := peers.trail(), []string{"a-0*", "a-0*", "a-0*"}; !slices.Equal(got, want) {
 		t.Errorf("sent to %v, want %v", got, want)
@@ -151,7 +156,7 @@
 		{peer.ErrInDoubt, cell.ResultUnknown},
 		{errors.New("some other failure"), cell.ResultUnknown},
 	} {
-		r := &router{directory: &fakeDirectory{}, peers: &fakePeers{steps: steps(fails(c.err))}}
+		r := &router{directory: &fakeDirectory{}, peers: &fakePeers{steps: steps(fails(c.err))}, log: quiet}
 		out := r.route(t.Context(), []cell.ShardID{"a-0", "b-0"}, routed{task: cell.Task{ID: "k"}, arrived: time.Now(), deadline: time.Now().Add(50 * time.Millisecond)})
 		if out.Result != c.want {
 			t.Errorf("%v: result = %s, want %s", c.err, out.Result, c.want)
