--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -93,10 +94,22 @@
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
 		<-p.done
+		p.mustBeSound(t)
 	})
 	return p
 }
 
+// mustBeSound fails the test if the process broke an invariant, or raced in a build with the race detector.
+func (p *process) mustBeSound(t *testing.T) {
+	t.Helper()
+	out := p.out.String()
+	for _, sign := range []string{"panic: ", "fatal error: ", "DATA RACE"} {
+		if i := strings.Index(out, sign); i >= 0 {
+			t.Errorf("%s:\n%s", p.name, out[i:min(len(out), i+3000)])
+		}
+	}
+}
+
 // mustRun ends the test if the process has ended.
 func (p *process) mustRun(t *testing.T) {
 	t.Helper()
--- a/internal/shard/bounds_test.go
+++ b/internal/shard/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -220,6 +221,7 @@
 		all := r.workers
 		r.workers = all[:1]
 		o := r.owner(1)
+		var mu sync.Mutex
 		lowest := 2
 		var submit func(id string)
 		submit = func(id string) {
@@ -228,7 +230,9 @@
 			req.Task.Kind, req.Task.Class, req.Task.Job = cell.KindService, cell.ClassService, "feed"
 			o.Submit(req, func(out cell.Outcome) {
 				running := r.runner.running("w0") + r.runner.running("w1") + r.runner.running("w2")
+				mu.Lock()
 				lowest = min(lowest, running)
+				mu.Unlock()
 				if out.Reason.Code == cell.ReasonDraining {
 					time.AfterFunc(time.Second, func() { submit(id) })
 				}
@@ -244,6 +248,8 @@
 		if got := r.runner.running("w0"); got != 0 {
 			t.Errorf("%d tasks are still on the leaving worker", got)
 		}
+		mu.Lock()
+		defer mu.Unlock()
 		if lowest != 1 {
 			t.Errorf("%d tasks ran at the lowest, want 1", lowest)
 		}
