--- a/internal/e2e/jobs_test.go
+++ b/internal/e2e/jobs_test.go
@@ -60,6 +60,9 @@
 func (c *testCell) mustHoldOnePlace() {
 	c.t.Helper()
 	if found := history.CheckOnePlace(c.workerHistory()); len(found) > 0 {
+		for _, d := range c.targets() {
+			c.t.Logf("%s:\n%s", d.http, d.out.tail(200_000))
+		}
 		c.t.Fatal(found)
 	}
 }
