--- a/cmd/laburnumpointd/main.go
+++ b/cmd/laburnumpointd/main.go
@@ -19,12 +19,17 @@
 	"laburnumpoint/internal/httpplatform"
 	"laburnumpoint/internal/node"
 	"laburnumpoint/internal/settings"
+	"laburnumpoint/platform"
 )
 
 // exitFailed is the exit code of a daemon that could not serve or whose planned stop cut something off.
 const exitFailed = 1
 
 func main() {
+	if path := os.Getenv(platform.SettingsVariable); path != "" {
+		runOnPlatform(path)
+		return
+	}
 	s, err := settings.Parse(os.Args, os.Stdout)
 	if errors.Is(err, settings.ErrHelp) {
 		return
@@ -41,6 +46,16 @@
 	}
 }
 
+// runOnPlatform runs the daemon with the settings file of the users' platform.
+func runOnPlatform(path string) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := platform.Run(ctx, path); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
+
 // daemon is the running parts of the process.
 type daemon struct {
 	node   *node.Node
@@ -83,13 +98,13 @@
 
 func nodeOptions(s settings.Settings, logger *log.Logger, set *metrics.Set) node.Options {
 	id := cell.MemberID(uuid.NewString())
-	platform := httpplatform.NewPlatform(httpplatform.PlatformOptions{Addr: s.Platform.String(), Member: id})
+	backend := httpplatform.NewPlatform(httpplatform.PlatformOptions{Addr: s.Platform.String(), Member: id})
 	return node.Options{
 		ID:            id,
 		PeerListen:    s.PeerListen.String(),
 		Zone:          s.Zone,
-		Table:         platform,
-		VMs:           platform,
+		Table:         backend,
+		VMs:           backend,
 		Runner:        httpplatform.NewRunners(httpplatform.RunnerOptions{Member: id}),
 		Bootstrap:     s.Bootstrap,
 		LeaseTTL:      s.LeaseTTL,
--- /dev/null
+++ b/internal/dispatch/engine.go
@@ -0,0 +1,308 @@
+package dispatch
+
+import (
+	"time"
+
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime"
+)
+
+// runsPerEpoch is the space of run numbers that each owner has for a task, so that a new owner's numbers are above
+// those of every earlier one without a record of each start.
+const runsPerEpoch = 1000
+
+// Engine holds the jobs, the workers and the runs of one cell. It is not safe for concurrent use.
+type Engine struct {
+	now     monotime.Instant
+	runBase uint64
+	jobs    map[graph.JobID]*job
+	workers map[WorkerID]*worker
+	// active holds the steps whose dependencies are met and which have open tasks.
+	active map[*step]struct{}
+	// scheduled holds the steps that wait only for their time of day.
+	scheduled map[*step]struct{}
+	dirty     map[*job]struct{}
+	orders    []Order
+	// awaited holds the workers that may run tasks of earlier owners and have not reported yet.
+	awaited map[WorkerID]struct{}
+	// stopping holds the runs whose stop may have to be sent again.
+	stopping map[*run]struct{}
+	stats    Stats
+}
+
+// Stats counts decisions since the engine was made.
+type Stats struct {
+	Starts, Refused, InDoubt, Done, Failed, Interrupted, Asks, Orphans uint64
+}
+
+// New returns an engine without jobs for the owner with the given epoch.
+func New(epoch uint64) *Engine {
+	return &Engine{
+		runBase:   (epoch - 1) * runsPerEpoch,
+		jobs:      make(map[graph.JobID]*job),
+		workers:   make(map[WorkerID]*worker),
+		active:    make(map[*step]struct{}),
+		scheduled: make(map[*step]struct{}),
+		dirty:     make(map[*job]struct{}),
+		awaited:   make(map[WorkerID]struct{}),
+		stopping:  make(map[*run]struct{}),
+	}
+}
+
+// SetNow advances the engine's time; every other call takes place at that time.
+func (e *Engine) SetNow(now monotime.Instant) { e.now = max(e.now, now) }
+
+// Stats returns the counts so far.
+func (e *Engine) Stats() Stats { return e.stats }
+
+// Await keeps the tasks of uncertain jobs from starting until the worker has reported or is dead.
+func (e *Engine) Await(id WorkerID) { e.awaited[id] = struct{}{} }
+
+// Settled reports whether every awaited worker has reported or is dead.
+func (e *Engine) Settled() bool { return len(e.awaited) == 0 }
+
+// AddJob takes a job in. arrived orders jobs; uncertain says that an earlier owner may have started its tasks.
+func (e *Engine) AddJob(id graph.JobID, queue graph.Queue, spec *graph.Spec, arrived monotime.Instant, p *Progress, uncertain bool) {
+	if e.jobs[id] != nil {
+		return
+	}
+	j := &job{id: id, queue: queue, spec: spec, arrived: arrived, state: graph.Queued, uncertain: uncertain}
+	for k := range spec.Runs() {
+		steps := make([]*step, len(spec.Steps))
+		for i := range spec.Steps {
+			steps[i] = newStep(j, k, i)
+		}
+		j.steps = append(j.steps, steps)
+	}
+	j.openSteps = len(j.steps) * len(spec.Steps)
+	e.jobs[id] = j
+	if p != nil {
+		j.restore(*p)
+	}
+	if j.state.Ended() {
+		return
+	}
+	for _, occurrence := range j.steps {
+		for _, s := range occurrence {
+			e.countWaiting(s)
+		}
+	}
+	for _, occurrence := range j.steps {
+		for _, s := range occurrence {
+			e.activate(s)
+		}
+	}
+}
+
+func newStep(j *job, occurrence, index int) *step {
+	def := &j.spec.Steps[index]
+	s := &step{job: j, occurrence: occurrence, index: index, def: def, open: def.Count}
+	for i := range def.Count {
+		s.tasks = append(s.tasks, &task{step: s, index: i})
+	}
+	return s
+}
+
+// countWaiting counts the earlier steps that s still waits for.
+func (e *Engine) countWaiting(s *step) {
+	s.waiting = 0
+	for _, before := range s.def.After {
+		if s.job.steps[s.occurrence][before].open > 0 {
+			s.waiting++
+		}
+	}
+}
+
+// activate makes a step eligible if its dependencies are met and its time of day has come.
+func (e *Engine) activate(s *step) {
+	if s.waiting > 0 || s.open == 0 || s.active || s.job.state.Ended() {
+		return
+	}
+	if s.job.spec.Occurrences > 0 && len(s.def.After) == 0 {
+		e.scheduled[s] = struct{}{}
+		return
+	}
+	e.makeActive(s)
+}
+
+func (e *Engine) makeActive(s *step) {
+	s.active = true
+	if s.due == 0 {
+		s.due = s.job.arrived.Add(s.job.queue.Objective(s.job.spec))
+	}
+	e.active[s] = struct{}{}
+}
+
+// wake activates the scheduled steps that are due at the time of day, given since the Unix epoch.
+func (e *Engine) wake(wall time.Duration) {
+	for s := range e.scheduled {
+		if late := wall - s.job.spec.DueAt(s.occurrence); late >= 0 {
+			delete(e.scheduled, s)
+			objective := s.job.queue.Objective(s.job.spec)
+			for _, other := range s.job.steps[s.occurrence] {
+				other.due = e.now.Add(objective - late)
+			}
+			e.makeActive(s)
+		}
+	}
+}
+
+// Cancel ends a job and stops its runs.
+func (e *Engine) Cancel(id graph.JobID) {
+	if j := e.jobs[id]; j != nil && !j.state.Ended() {
+		e.endJob(j, graph.Cancelled, "job cancelled")
+	}
+}
+
+// Forget drops a job that has ended and has no runs. It reports whether the job is gone.
+func (e *Engine) Forget(id graph.JobID) bool {
+	j := e.jobs[id]
+	if j == nil {
+		return true
+	}
+	if !j.state.Ended() || j.dirty {
+		return false
+	}
+	delete(e.jobs, id)
+	return true
+}
+
+func (e *Engine) endJob(j *job, state graph.State, reason string) {
+	j.state = state
+	e.markDirty(j)
+	for _, occurrence := range j.steps {
+		for _, s := range occurrence {
+			delete(e.active, s)
+			delete(e.scheduled, s)
+			s.active = false
+		}
+	}
+	j.eachTask(func(t *task) {
+		if t.run != nil {
+			e.abandon(t.run, reason)
+		}
+	})
+}
+
+// abandon stops a run and takes it from its task.
+func (e *Engine) abandon(r *run, reason string) {
+	if r.task != nil {
+		r.task.run = nil
+		r.task = nil
+	}
+	e.stop(r, reason)
+}
+
+// stop orders a run's end; the task keeps the run until it is gone.
+func (e *Engine) stop(r *run, reason string) {
+	if r.state == runStopping {
+		return
+	}
+	r.state = runStopping
+	r.stopReason = reason
+	e.stopping[r] = struct{}{}
+	e.sendStop(r)
+}
+
+func (e *Engine) sendStop(r *run) {
+	r.stopRetryAt = e.now.Add(stopRetry)
+	e.orders = append(e.orders, Stop{RunKey: r.RunKey, Worker: r.worker.ID, Reason: r.stopReason})
+}
+
+// stopRetry is how long an unanswered stop waits before it is sent again; a little over the calls' timeout.
+const stopRetry = 1200 * time.Millisecond
+
+func (e *Engine) markDirty(j *job) {
+	j.dirty = true
+	e.dirty[j] = struct{}{}
+}
+
+// TakeDirty returns the jobs whose progress changed since the last call.
+func (e *Engine) TakeDirty(limit int) map[graph.JobID]Progress {
+	out := make(map[graph.JobID]Progress, min(limit, len(e.dirty)))
+	for j := range e.dirty {
+		if len(out) == limit {
+			break
+		}
+		delete(e.dirty, j)
+		j.dirty = false
+		out[j.id] = j.progress()
+	}
+	return out
+}
+
+// HasDirty reports whether progress waits to be recorded.
+func (e *Engine) HasDirty() bool { return len(e.dirty) > 0 }
+
+// MarkDirty makes a job's progress be recorded again, after a record whose outcome is not known.
+func (e *Engine) MarkDirty(id graph.JobID) {
+	if j := e.jobs[id]; j != nil {
+		e.markDirty(j)
+	}
+}
+
+// Recorded returns, for each worker, the sequence of the last end that the engine has taken in.
+func (e *Engine) Recorded() map[WorkerID]uint64 {
+	out := make(map[WorkerID]uint64, len(e.workers))
+	for id, w := range e.workers {
+		out[id] = w.recorded
+	}
+	return out
+}
+
+// PutWorker adds a worker or updates what the register says of it.
+func (e *Engine) PutWorker(info Worker) {
+	w := e.workers[info.ID]
+	if w == nil {
+		w = &worker{runs: make(map[RunKey]*run)}
+		e.workers[info.ID] = w
+	}
+	w.Worker = info
+}
+
+// SetReachable tells whether the worker answers; one that does not gets nothing new.
+func (e *Engine) SetReachable(id WorkerID, reachable bool) {
+	if w := e.workers[id]; w != nil {
+		w.reachable = reachable
+	}
+}
+
+// RemoveWorker takes a worker out that has certainly ended, with everything that ran on it.
+func (e *Engine) RemoveWorker(id WorkerID) {
+	delete(e.awaited, id)
+	w := e.workers[id]
+	if w == nil {
+		return
+	}
+	delete(e.workers, id)
+	for _, r := range w.runs {
+		e.endRun(w, r.RunKey, EndInterrupted, "")
+	}
+}
+
+// HasRuns reports whether the worker may run anything.
+func (e *Engine) HasRuns(id WorkerID) bool {
+	w := e.workers[id]
+	return w != nil && len(w.runs) > 0
+}
+
+func (e *Engine) task(id graph.TaskID) *task {
+	j := e.jobs[id.Job]
+	if j == nil || id.Occurrence < 0 || id.Occurrence >= len(j.steps) {
+		return nil
+	}
+	steps := j.steps[id.Occurrence]
+	if id.Step < 0 || id.Step >= len(steps) || id.Index < 0 || id.Index >= len(steps[id.Step].tasks) {
+		return nil
+	}
+	return steps[id.Step].tasks[id.Index]
+}
+
+// JobState returns the state of a job that the engine knows.
+func (e *Engine) JobState(id graph.JobID) (graph.State, bool) {
+	j := e.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.state, true
+}
--- /dev/null
+++ b/internal/dispatch/model.go
@@ -0,0 +1,265 @@
+// Package dispatch decides which task of which job runs on which worker. It is pure: no I/O and no clock of its own.
+// One goroutine feeds it what happened and carries out the orders that Plan returns.
+//
+// A run passes through these states:
+//
+//	starting ──answered──▶ running ──end listed──▶ (gone)
+//	    │                     │
+//	    │ no answer           │ cancelled, failed elsewhere
+//	    ▼                     ▼
+//	 stopping ──end listed, or absent from a report sent after the stop was answered──▶ (gone)
+//
+// A run holds its claim on the worker until it is gone, so that a worker is never filled beyond its capacity.
+package dispatch
+
+import (
+	"time"
+
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime"
+)
+
+// WorkerID names one life of a worker.
+type WorkerID string
+
+// Worker is what the register of workers says of one.
+type Worker struct {
+	ID       WorkerID
+	Pool     string
+	Address  string
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity graph.Claim
+	// Draining means that the worker leaves soon and gets nothing new.
+	Draining bool
+}
+
+// End is how a run ended.
+type End int
+
+// The ends of a run.
+const (
+	// EndDone means that the task is done.
+	EndDone End = iota
+	// EndFailed means that the task, or its worker, failed; it counts as an attempt.
+	EndFailed
+	// EndInterrupted means any other end: stopped, lease lapsed, another member of the gang ended.
+	EndInterrupted
+)
+
+// RunKey names a run of a task. Numbers rise with each run of the task.
+type RunKey struct {
+	Task   graph.TaskID
+	Number uint64
+}
+
+// RunningEntry is a run that a worker lists as present.
+type RunningEntry struct {
+	RunKey
+	Checkpoint string
+	// Progress is the share of the work that is done, in percent; 100 for a long-running task that serves.
+	Progress int
+	// Gauge is the tail latency in milliseconds of a long-running task with a target, else the processor time in use.
+	Gauge float64
+}
+
+// EndedEntry is an end that a worker lists until it is told that the end has been recorded.
+type EndedEntry struct {
+	// Sequence numbers the ends of one life of a worker from 1.
+	Sequence uint64
+	RunKey
+	End        End
+	Checkpoint string
+}
+
+// Report is what a worker says of all its runs.
+type Report struct {
+	Running []RunningEntry
+	Ended   []EndedEntry
+	// Partial means that more ends wait than the report holds.
+	Partial bool
+}
+
+// StartOutcome is what became of an order to start a run.
+type StartOutcome int
+
+// The outcomes of a start.
+const (
+	// Started means that the worker has the run.
+	Started StartOutcome = iota
+	// StartNoRoom means that the worker refused for want of room; the run does not exist.
+	StartNoRoom
+	// StartOutdated means that the worker has seen a run of the task that is not lower.
+	StartOutdated
+	// StartNoPermit means that the permit was not valid.
+	StartNoPermit
+	// StartRefused means any other refusal; the run does not exist and this order will not create it.
+	StartRefused
+	// StartInDoubt means that no answer came; the run may exist now or later.
+	StartInDoubt
+)
+
+// StepID names a step of one occurrence.
+type StepID struct {
+	Job        graph.JobID
+	Occurrence int
+	Step       int
+}
+
+// Order is a Start, a Stop, a Pace or an Ask.
+type Order interface{ order() }
+
+// Start orders a worker to run a task.
+type Start struct {
+	RunKey
+	Worker     WorkerID
+	Payload    string
+	Permit     string
+	Checkpoint string
+}
+
+// Stop orders a worker to end a run, or never to begin it.
+type Stop struct {
+	RunKey
+	Worker WorkerID
+	// Reason is for the log.
+	Reason string
+}
+
+// Pace sets the share of its speed at which a run works.
+type Pace struct {
+	RunKey
+	Worker  WorkerID
+	Percent int
+}
+
+// Ask asks the policy service which workers may run a step.
+type Ask struct {
+	Step     StepID
+	Workers  []WorkerID
+	Cost     time.Duration
+	Priority int
+	Due      monotime.Instant
+}
+
+func (Start) order() {}
+func (Stop) order()  {}
+func (Pace) order()  {}
+func (Ask) order()   {}
+
+type runState int
+
+const (
+	runStarting runState = iota
+	runRunning
+	runStopping
+)
+
+type run struct {
+	RunKey
+	worker *worker
+	// task is nil if the run is not its task's current one; it is then being stopped.
+	task *task
+	held graph.Claim
+	// unsized means that the claim is not known: the worker counts as full.
+	unsized bool
+	filler  bool
+	state   runState
+	// confirmed is when the worker acknowledged the start or listed the run.
+	confirmed monotime.Instant
+	// stopAnswered is when the worker acknowledged a stop; 0 before.
+	stopAnswered monotime.Instant
+	stopRetryAt  monotime.Instant
+	stopReason   string
+
+	progress   int
+	progressAt monotime.Instant
+	percent    int
+	gauge      float64
+}
+
+type worker struct {
+	Worker
+	used graph.Claim
+	runs map[RunKey]*run
+	// recorded is the sequence of the last end that was taken into the engine.
+	recorded  uint64
+	reachable bool
+	reported  bool
+	// avoidUntil keeps new runs away for a while after a refusal or repeated failures.
+	avoidUntil monotime.Instant
+	// failures counts failed runs since the last one that was done.
+	failures int
+}
+
+func (w *worker) free() graph.Claim { return w.Capacity.Sub(w.used) }
+
+type permit struct {
+	ticket     string
+	validUntil monotime.Instant
+}
+
+type task struct {
+	step  *step
+	index int
+	done  bool
+	// failures counts the runs that failed; failedRun is the highest number among them.
+	failures   int
+	failedRun  uint64
+	lastRun    uint64
+	checkpoint string
+	run        *run
+}
+
+func (t *task) id() graph.TaskID {
+	return graph.TaskID{Job: t.step.job.id, Occurrence: t.step.occurrence, Step: t.step.index, Index: t.index}
+}
+
+type step struct {
+	job        *job
+	occurrence int
+	index      int
+	def        *graph.Step
+	tasks      []*task
+	open       int
+	waiting    int
+	// failures and failedRun count a gang's failed runs.
+	failures  int
+	failedRun uint64
+
+	due     monotime.Instant
+	active  bool
+	asking  bool
+	askAt   monotime.Instant
+	permits map[WorkerID]permit
+	// allowed holds what the policy service has said; its verdicts on a step don't change.
+	allowed map[WorkerID]bool
+}
+
+func (s *step) id() StepID { return StepID{s.job.id, s.occurrence, s.index} }
+
+type job struct {
+	id      graph.JobID
+	queue   graph.Queue
+	spec    *graph.Spec
+	arrived monotime.Instant
+	state   graph.State
+	started bool
+	// uncertain means that an earlier owner may have started tasks that no worker has reported yet.
+	uncertain bool
+	steps     [][]*step
+	// occurrencesLeft counts the occurrences with open tasks.
+	openSteps int
+	dirty     bool
+}
+
+func (j *job) eachTask(visit func(*task)) {
+	for _, occurrence := range j.steps {
+		for _, s := range occurrence {
+			for _, t := range s.tasks {
+				visit(t)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/plan.go
@@ -0,0 +1,369 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime"
+)
+
+// maxAsk bounds the workers of one question to the policy service.
+const maxAsk = 100
+
+// Plan places what can be placed and returns the orders that follow, with those of earlier events. wall is the time of
+// day since the Unix epoch.
+func (e *Engine) Plan(wall time.Duration) []Order {
+	e.wake(wall)
+	e.retryStops()
+	pools := e.pools()
+	for _, s := range e.byUrgency() {
+		if s.job.uncertain {
+			if len(e.awaited) > 0 {
+				continue
+			}
+			s.job.uncertain = false
+		}
+		pool := pools[s.job.queue.Pool]
+		if pool == nil {
+			continue
+		}
+		e.place(s, pool)
+	}
+	orders := e.orders
+	e.orders = nil
+	return orders
+}
+
+func (e *Engine) retryStops() {
+	for r := range e.stopping {
+		if e.now >= r.stopRetryAt {
+			e.sendStop(r)
+		}
+	}
+}
+
+// pool is the workers of a pool that take new runs.
+type pool struct {
+	workers []*worker
+	// asked is what the steps that wait for permits will claim.
+	asked graph.Claim
+	free  graph.Claim
+}
+
+func (e *Engine) pools() map[string]*pool {
+	pools := make(map[string]*pool)
+	for _, w := range e.workers {
+		if w.Draining || !w.reachable || w.hasUnsized() {
+			continue
+		}
+		p := pools[w.Pool]
+		if p == nil {
+			p = &pool{}
+			pools[w.Pool] = p
+		}
+		p.workers = append(p.workers, w)
+		p.free = p.free.Add(w.free())
+	}
+	for _, p := range pools {
+		slices.SortFunc(p.workers, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return pools
+}
+
+func (w *worker) hasUnsized() bool {
+	for _, r := range w.runs {
+		if r.unsized {
+			return true
+		}
+	}
+	return false
+}
+
+// byUrgency returns the active steps in the order in which they get room: those that can still be of use first, then
+// by priority and due time.
+func (e *Engine) byUrgency() []*step {
+	steps := make([]*step, 0, len(e.active))
+	for s := range e.active {
+		steps = append(steps, s)
+	}
+	slices.SortFunc(steps, func(a, b *step) int {
+		return cmp.Or(
+			cmp.Compare(e.lateness(a), e.lateness(b)),
+			cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
+			cmp.Compare(a.due, b.due),
+			cmp.Compare(a.job.id, b.job.id),
+			cmp.Compare(a.occurrence, b.occurrence),
+			cmp.Compare(a.index, b.index),
+		)
+	})
+	return steps
+}
+
+// lateFactor times a job's objective is the time after which its completion is worth little.
+const lateFactor = 3
+
+// lateness is 1 for a step whose job is far beyond its objective, else 0.
+func (e *Engine) lateness(s *step) int {
+	objective := s.job.queue.Objective(s.job.spec)
+	if !s.def.LongRunning && e.now.Sub(s.due) > (lateFactor-1)*objective {
+		return 1
+	}
+	return 0
+}
+
+// place starts what it can of a step, and asks for permits if they are what is missing.
+func (e *Engine) place(s *step, p *pool) {
+	open := s.unplaced()
+	if len(open) == 0 {
+		return
+	}
+	if s.def.Gang {
+		if len(open) == len(s.tasks) && e.placeGang(s, p, open) {
+			return
+		}
+		if len(open) < len(s.tasks) {
+			return // members of an earlier run are still ending
+		}
+	} else {
+		open = e.placeEach(s, p, open)
+	}
+	if len(open) > 0 && s.job.queue.Permit != nil && !s.asking {
+		e.ask(s, p, open)
+	}
+	if s.asking {
+		p.asked = p.asked.Add(s.def.Held().Times(len(open)))
+	}
+}
+
+func (s *step) unplaced() []*task {
+	var open []*task
+	for _, t := range s.tasks {
+		if !t.done && t.run == nil {
+			open = append(open, t)
+		}
+	}
+	return open
+}
+
+func (e *Engine) placeEach(s *step, p *pool, open []*task) []*task {
+	for i, t := range open {
+		w := e.choose(s, p, nil, s.onWorkers())
+		if w == nil {
+			return open[i:]
+		}
+		e.start(t, w, e.nextNumber(t.lastRun))
+	}
+	return nil
+}
+
+// placeGang starts all members at once or none.
+func (e *Engine) placeGang(s *step, p *pool, open []*task) bool {
+	taken := make(map[*worker]graph.Claim)
+	counts := s.onWorkers()
+	chosen := make([]*worker, 0, len(open))
+	var last uint64
+	for _, t := range open {
+		w := e.choose(s, p, taken, counts)
+		if w == nil {
+			return false
+		}
+		chosen = append(chosen, w)
+		taken[w] = taken[w].Add(s.def.Held())
+		counts[w.ID]++
+		last = max(last, t.lastRun)
+	}
+	checkpoint := newestCheckpoint(s)
+	number := e.nextNumber(last)
+	for i, t := range open {
+		t.checkpoint = checkpoint
+		e.start(t, chosen[i], number)
+	}
+	return true
+}
+
+// newestCheckpoint returns the checkpoint that all members of a gang resume from. Any member's is valid for all.
+func newestCheckpoint(s *step) string {
+	for _, t := range s.tasks {
+		if t.checkpoint != "" {
+			return t.checkpoint
+		}
+	}
+	return ""
+}
+
+// onWorkers counts the step's runs by worker.
+func (s *step) onWorkers() map[WorkerID]int {
+	counts := make(map[WorkerID]int)
+	for _, t := range s.tasks {
+		if t.run != nil {
+			counts[t.run.worker.ID]++
+		}
+	}
+	return counts
+}
+
+func (e *Engine) nextNumber(last uint64) uint64 { return max(last, e.runBase) + 1 }
+
+func (e *Engine) start(t *task, w *worker, number uint64) {
+	t.lastRun = number
+	r := &run{RunKey: RunKey{t.id(), number}, worker: w, task: t, percent: 100}
+	w.runs[r.RunKey] = r
+	e.reserve(r, t.step.def)
+	t.run = r
+	e.markStarted(t.step.job)
+	e.stats.Starts++
+	e.orders = append(e.orders, Start{
+		RunKey:     r.RunKey,
+		Worker:     w.ID,
+		Payload:    t.step.job.spec.Payload,
+		Permit:     t.step.permits[w.ID].ticket,
+		Checkpoint: t.checkpoint,
+	})
+}
+
+// eligible reports whether the worker may ever run the step's tasks, permits and room aside.
+func (s *step) eligible(w *worker) bool {
+	return s.def.Label == "" || slices.Contains(w.Labels, s.def.Label)
+}
+
+// permitMargin is kept between the use of a permit and its end, for the order's way to the worker.
+const permitMargin = 200 * time.Millisecond
+
+func (s *step) permitted(w *worker, now monotime.Instant) bool {
+	if s.job.queue.Permit == nil {
+		return true
+	}
+	p, ok := s.permits[w.ID]
+	return ok && now.Add(permitMargin) < p.validUntil
+}
+
+// choose returns the best worker for one more task of the step, nil if there is none.
+func (e *Engine) choose(s *step, p *pool, taken map[*worker]graph.Claim, counts map[WorkerID]int) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range p.workers {
+		if !s.eligible(w) || !s.permitted(w, e.now) || !e.hasRoom(s, w, taken[w], counts) {
+			continue
+		}
+		score := e.score(s, w, taken[w])
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+func (e *Engine) hasRoom(s *step, w *worker, taken graph.Claim, counts map[WorkerID]int) bool {
+	if s.def.MaxPerWorker > 0 && counts[w.ID] >= s.def.MaxPerWorker {
+		return false
+	}
+	if !s.def.Held().Fits(w.free().Sub(taken)) {
+		return false
+	}
+	return !w.clashes(s.def)
+}
+
+// clashes keeps tasks that fill apart from tasks with users of their own, which they would slow.
+func (w *worker) clashes(def *graph.Step) bool {
+	if !def.Filler && def.TailTarget == 0 {
+		return false
+	}
+	for _, r := range w.runs {
+		if def.Filler && r.task != nil && r.task.step.def.TailTarget > 0 {
+			return true
+		}
+		if def.TailTarget > 0 && r.filler {
+			return true
+		}
+	}
+	return false
+}
+
+// Weights of a placement: data and health count more than packing.
+const (
+	dataRackWeight = 4.0
+	suspectWeight  = 8.0
+)
+
+// score ranks workers: sound ones first, then those near the data, then the fullest.
+func (e *Engine) score(s *step, w *worker, taken graph.Claim) float64 {
+	score := 0.0
+	if e.now < w.avoidUntil {
+		score -= suspectWeight
+	}
+	if s.def.DataRack != "" && w.Rack == s.def.DataRack {
+		score += dataRackWeight
+	}
+	return score + fullness(w.free().Sub(taken).Sub(s.def.Held()), w.Capacity)
+}
+
+// fullness is the share of the scarcest part of a worker that would be in use.
+func fullness(free, capacity graph.Claim) float64 {
+	used := 0.0
+	if capacity.Accelerators > 0 {
+		return 1 - float64(free.Accelerators)/float64(capacity.Accelerators)
+	}
+	if capacity.MilliCPU > 0 {
+		used = 1 - float64(free.MilliCPU)/float64(capacity.MilliCPU)
+	}
+	if capacity.MemoryMB > 0 {
+		used = max(used, 1-float64(free.MemoryMB)/float64(capacity.MemoryMB))
+	}
+	return used
+}
+
+// ask asks the policy service about the workers that have room for the step, if the pool has room beyond what was
+// asked for already.
+func (e *Engine) ask(s *step, p *pool, open []*task) {
+	if !s.def.Held().Fits(p.free.Sub(p.asked)) {
+		return
+	}
+	counts := s.onWorkers()
+	var workers []WorkerID
+	room := 0
+	for _, w := range p.workers {
+		if allowed, known := s.allowed[w.ID]; known && !allowed {
+			continue
+		}
+		if s.permitted(w, e.now) || !s.eligible(w) || !e.hasRoom(s, w, graph.Claim{}, counts) {
+			continue
+		}
+		if len(workers) < maxAsk {
+			workers = append(workers, w.ID)
+		}
+		room += tasksThatFit(s.def, w.free())
+	}
+	if len(workers) == 0 || (s.def.Gang && room < len(open)) {
+		return
+	}
+	s.asking = true
+	e.stats.Asks++
+	e.orders = append(e.orders, Ask{
+		Step:     s.id(),
+		Workers:  workers,
+		Cost:     s.job.queue.Permit.Of(len(workers)),
+		Priority: s.job.queue.Priority,
+		Due:      s.due,
+	})
+}
+
+// tasksThatFit counts the tasks of a step that fit into free.
+func tasksThatFit(def *graph.Step, free graph.Claim) int {
+	held := def.Held()
+	n := int64(def.Count)
+	if held.MilliCPU > 0 {
+		n = min(n, free.MilliCPU/held.MilliCPU)
+	}
+	if held.MemoryMB > 0 {
+		n = min(n, free.MemoryMB/held.MemoryMB)
+	}
+	if held.Accelerators > 0 {
+		n = min(n, free.Accelerators/held.Accelerators)
+	}
+	if def.MaxPerWorker > 0 {
+		n = min(n, int64(def.MaxPerWorker))
+	}
+	return int(n)
+}
--- /dev/null
+++ b/internal/dispatch/progress.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import "laburnumpoint/internal/graph"
+
+// Progress is the durable part of a job's progress. Runs in flight are not in it: the workers list them.
+type Progress struct {
+	State   graph.State    `json:"state"`
+	Started bool           `json:"started,omitempty"`
+	Steps   []StepProgress `json:"steps,omitempty"`
+}
+
+// StepProgress is the progress of one step of one occurrence; a step without any is left out.
+type StepProgress struct {
+	Occurrence int    `json:"k,omitempty"`
+	Step       int    `json:"i,omitempty"`
+	Failures   int    `json:"f,omitempty"`
+	FailedRun  uint64 `json:"r,omitempty"`
+	AllDone    bool   `json:"all,omitempty"`
+	// Done is a bitmap of the tasks that are done.
+	Done  []byte         `json:"done,omitempty"`
+	Tasks []TaskProgress `json:"tasks,omitempty"`
+}
+
+// TaskProgress is what must last of a task that is not done.
+type TaskProgress struct {
+	Index      int    `json:"i,omitempty"`
+	Failures   int    `json:"f,omitempty"`
+	FailedRun  uint64 `json:"r,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
+}
+
+func (j *job) progress() Progress {
+	p := Progress{State: j.state, Started: j.started}
+	if j.state.Ended() {
+		return p
+	}
+	for _, occurrence := range j.steps {
+		for _, s := range occurrence {
+			if sp, any := s.progress(); any {
+				p.Steps = append(p.Steps, sp)
+			}
+		}
+	}
+	return p
+}
+
+func (s *step) progress() (StepProgress, bool) {
+	p := StepProgress{Occurrence: s.occurrence, Step: s.index, Failures: s.failures, FailedRun: s.failedRun}
+	if s.open == 0 {
+		p.AllDone = true
+		return p, true
+	}
+	any := p.Failures > 0
+	if s.open < len(s.tasks) {
+		any = true
+		p.Done = make([]byte, (len(s.tasks)+7)/8)
+	}
+	for _, t := range s.tasks {
+		switch {
+		case t.done:
+			p.Done[t.index/8] |= 1 << (t.index % 8)
+		case t.failures > 0 || t.checkpoint != "":
+			any = true
+			p.Tasks = append(p.Tasks, TaskProgress{t.index, t.failures, t.failedRun, t.checkpoint})
+		}
+	}
+	return p, any
+}
+
+// restore applies durable progress. Entries that don't fit the job's spec are ignored.
+func (j *job) restore(p Progress) {
+	j.state = p.State
+	j.started = p.Started
+	for _, sp := range p.Steps {
+		if sp.Occurrence < 0 || sp.Occurrence >= len(j.steps) || sp.Step < 0 || sp.Step >= len(j.steps[0]) {
+			continue
+		}
+		j.steps[sp.Occurrence][sp.Step].restore(sp)
+	}
+}
+
+func (s *step) restore(p StepProgress) {
+	s.failures = p.Failures
+	s.failedRun = p.FailedRun
+	for _, t := range s.tasks {
+		if p.AllDone || (t.index/8 < len(p.Done) && p.Done[t.index/8]&(1<<(t.index%8)) != 0) {
+			t.done = true
+			s.open--
+		}
+	}
+	for _, tp := range p.Tasks {
+		if tp.Index < 0 || tp.Index >= len(s.tasks) {
+			continue
+		}
+		t := s.tasks[tp.Index]
+		t.failures, t.failedRun, t.checkpoint = tp.Failures, tp.FailedRun, tp.Checkpoint
+		t.lastRun = max(t.lastRun, tp.FailedRun)
+	}
+	if s.open == 0 {
+		s.job.openSteps--
+	}
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,312 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/ledger"
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/peer"
+	"laburnumpoint/internal/rowstore"
+	"laburnumpoint/internal/wire"
+)
+
+// Result is what a caller is told.
+type Result int
+
+// The results of commands and queries.
+const (
+	// OK means that the command is durable, or that the query has an answer.
+	OK Result = iota
+	// NoQueue means that no such queue exists.
+	NoQueue
+	// NoJob means that no such job exists.
+	NoJob
+	// Invalid means that the request can't be understood; nothing was stored.
+	Invalid
+	// Unavailable means that nothing was stored and nothing will be.
+	Unavailable
+	// Uncertain means that the command may or may not take effect.
+	Uncertain
+)
+
+// Answer is a result with what belongs to it.
+type Answer struct {
+	Result  Result
+	State   graph.State
+	Pending int
+	// RetryAfter is when the caller may come back, with Unavailable.
+	RetryAfter time.Duration
+	Detail     string
+}
+
+// Bounds of commands.
+const (
+	// storeTimeout bounds one call to the store.
+	storeTimeout = 800 * time.Millisecond
+	// relayTimeout bounds one call to the owner in the store's place.
+	relayTimeout = 700 * time.Millisecond
+	// storeRetry is kept between two tries.
+	storeRetry = 120 * time.Millisecond
+	// maxTries bounds the tries of one command. A store that fails them all is down for longer than a caller waits.
+	maxTries = 4
+	// storeBackoff is when a caller may come back after the store was found down.
+	storeBackoff = 1 * time.Second
+	// staleConfig is the age of the configuration from which an unknown queue may be one just added.
+	staleConfig = 1500 * time.Millisecond
+	// staleReplica is the age of the ledger's copy from which counts are not answered from it.
+	staleReplica = 2500 * time.Millisecond
+)
+
+// Service answers callers. It is safe for concurrent use.
+type Service struct {
+	Replica *ledger.Replica
+	Clock   monotime.Clock
+	Log     *log.Logger
+	Peers   peer.Caller
+	// Life is the daemon's own, as in the ownership row.
+	Life string
+
+	routes      atomic.Pointer[Routes]
+	configHeard atomic.Int64
+	answers     map[Result]*metrics.Counter
+}
+
+// NewService returns a service without configuration.
+func NewService(replica *ledger.Replica, clock monotime.Clock, logger *log.Logger, peers peer.Caller, life string, set *metrics.Set) *Service {
+	s := &Service{Replica: replica, Clock: clock, Log: logger, Peers: peers, Life: life}
+	s.answers = make(map[Result]*metrics.Counter)
+	names := map[Result]string{OK: "ok", NoQueue: "no_queue", NoJob: "no_job", Invalid: "invalid", Unavailable: "unavailable", Uncertain: "uncertain"}
+	for r, name := range names {
+		s.answers[r] = set.NewCounter(`laburnumpoint_answers_total{result="` + name + `"}`)
+	}
+	return s
+}
+
+// SetRoutes puts a version of the configuration in force unless a newer one is.
+func (s *Service) SetRoutes(routes *Routes) {
+	for {
+		current := s.routes.Load()
+		if current != nil && current.Version >= routes.Version {
+			return
+		}
+		if s.routes.CompareAndSwap(current, routes) {
+			s.Log.Info().Uint64("version", routes.Version).Int("routes", len(routes.Routes)).Msg("configuration in force")
+			return
+		}
+	}
+}
+
+// ConfigHeard notes that the configuration was the newest at the given time.
+func (s *Service) ConfigHeard(at monotime.Instant) { s.configHeard.Store(int64(at)) }
+
+// Routes returns the configuration in force, nil if there is none yet.
+func (s *Service) Routes() *Routes { return s.routes.Load() }
+
+// Queue returns the policy in force of a queue.
+func (s *Service) Queue(name string) (graph.Queue, bool) {
+	routes := s.routes.Load()
+	if routes == nil {
+		return graph.Queue{}, false
+	}
+	return routes.Queue(name)
+}
+
+// Ready reports whether the service can answer callers.
+func (s *Service) Ready() bool { return s.Replica.Ready() && s.routes.Load() != nil }
+
+// route finds the queue that a request is for. The answer is set if there is none.
+func (s *Service) route(host, path string) (*Route, string, *Answer) {
+	routes := s.routes.Load()
+	if routes == nil {
+		return nil, "", &Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "no configuration yet"}
+	}
+	route, rest, ok := routes.Match(host, path)
+	if ok {
+		return route, rest, nil
+	}
+	if s.Clock.Now().Sub(monotime.Instant(s.configHeard.Load())) > staleConfig {
+		return nil, "", &Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "configuration may be outdated"}
+	}
+	return nil, "", &Answer{Result: NoQueue}
+}
+
+// Submit accepts a job. decode returns the job's description.
+func (s *Service) Submit(ctx context.Context, host, path string, decode func() (*graph.Spec, error)) Answer {
+	route, rest, refused := s.route(host, path)
+	if refused != nil {
+		return s.answer("submit", rest, *refused)
+	}
+	id, ok := parseJobID(rest)
+	if !ok {
+		return s.answer("submit", rest, Answer{Result: Invalid, Detail: "malformed job id"})
+	}
+	spec, err := decode()
+	if err == nil {
+		err = spec.Validate()
+	}
+	if err != nil {
+		return s.answer("submit", rest, Answer{Result: Invalid, Detail: err.Error()})
+	}
+	record := ledger.NewJobRecord(route.Queue, spec, time.Now())
+	return s.answer("submit", rest, s.accept(ctx, id, record))
+}
+
+func (s *Service) accept(ctx context.Context, id graph.JobID, record ledger.JobRecord) Answer {
+	return s.durable(ctx,
+		func(ctx context.Context) error { return s.Replica.Accept(ctx, id, record) },
+		func() *wire.IntakeRequest {
+			data, err := json.Marshal(record)
+			if err != nil {
+				s.Log.Error().Str("job", string(id)).Err(err).Msg("job record not encoded")
+			}
+			return &wire.IntakeRequest{Command: commandAccept, Job: string(id), Record: data}
+		})
+}
+
+// durable carries out a command by the store, or through the owner if the store turns this daemon away.
+func (s *Service) durable(ctx context.Context, write func(context.Context) error, relay func() *wire.IntakeRequest) Answer {
+	uncertain := false
+	for try := range maxTries {
+		err := s.write(ctx, write)
+		if err == nil {
+			return Answer{Result: OK}
+		}
+		uncertain = uncertain || !errors.Is(err, rowstore.ErrUnavailable)
+		if result, _ := s.relay(ctx, relay()); result == resultOK {
+			return Answer{Result: OK}
+		} else if result == resultUncertain {
+			uncertain = true
+		}
+		if ctx.Err() != nil || try == maxTries-1 {
+			break
+		}
+		pause(ctx, storeRetry)
+	}
+	if uncertain {
+		return Answer{Result: Uncertain, Detail: "store gave no answer"}
+	}
+	return Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "store unavailable"}
+}
+
+func (s *Service) write(ctx context.Context, write func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return write(ctx)
+}
+
+// Cancel cancels a job.
+func (s *Service) Cancel(ctx context.Context, host, path string) Answer {
+	_, rest, refused := s.route(host, path)
+	if refused != nil {
+		return s.answer("cancel", rest, *refused)
+	}
+	id, ok := parseJobID(rest)
+	if !ok {
+		return s.answer("cancel", rest, Answer{Result: NoJob})
+	}
+	found := s.find(ctx, id)
+	if found.Result != OK {
+		return s.answer("cancel", rest, found)
+	}
+	answer := s.durable(ctx,
+		func(ctx context.Context) error { return s.Replica.Cancel(ctx, id) },
+		func() *wire.IntakeRequest { return &wire.IntakeRequest{Command: commandCancel, Job: string(id)} })
+	return s.answer("cancel", rest, answer)
+}
+
+// State tells a job's state.
+func (s *Service) State(ctx context.Context, host, path string) Answer {
+	route, rest, refused := s.route(host, path)
+	if refused != nil {
+		return s.answer("state", rest, *refused)
+	}
+	if rest == "" {
+		return s.pending(route)
+	}
+	id, ok := parseJobID(rest)
+	if !ok {
+		return s.answer("state", rest, Answer{Result: NoJob})
+	}
+	return s.answer("state", rest, s.find(ctx, id))
+}
+
+func (s *Service) pending(route *Route) Answer {
+	if s.Replica.Age() > staleReplica {
+		return s.answer("pending", "", Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "ledger copy outdated"})
+	}
+	s.answers[OK].Inc()
+	return Answer{Result: OK, Pending: s.Replica.Pending(route.Queue.Name)}
+}
+
+// find looks a job up, in the store or at the owner if this daemon doesn't know it.
+func (s *Service) find(ctx context.Context, id graph.JobID) Answer {
+	if j, ok := s.Replica.Job(id); ok {
+		return Answer{Result: OK, State: j.State()}
+	}
+	for try := range maxTries {
+		j, ok, err := s.lookUp(ctx, id)
+		if err == nil && ok {
+			return Answer{Result: OK, State: j.State()}
+		}
+		if err == nil {
+			return Answer{Result: NoJob}
+		}
+		result, state := s.relay(ctx, &wire.IntakeRequest{Command: commandFind, Job: string(id)})
+		switch result {
+		case resultOK:
+			return Answer{Result: OK, State: state}
+		case resultUnknown:
+			return Answer{Result: NoJob}
+		}
+		if ctx.Err() != nil || try == maxTries-1 {
+			break
+		}
+		pause(ctx, storeRetry)
+	}
+	return Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "store unavailable"}
+}
+
+func (s *Service) lookUp(ctx context.Context, id graph.JobID) (ledger.Job, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return s.Replica.Find(ctx, id)
+}
+
+// answer counts an answer and logs what is not plain success.
+func (s *Service) answer(command, rest string, a Answer) Answer {
+	s.answers[a.Result].Inc()
+	if a.Result != OK || command != "state" {
+		s.Log.Info().Str("job", rest).Str("command", command).Int("result", int(a.Result)).Str("detail", a.Detail).Dur("retry_after", a.RetryAfter).Msg("answered")
+	}
+	return a
+}
+
+// jobIDLength is the number of hexadecimal digits of a job's id.
+const jobIDLength = 16
+
+func parseJobID(s string) (graph.JobID, bool) {
+	if len(s) != jobIDLength {
+		return "", false
+	}
+	for _, c := range []byte(s) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return "", false
+		}
+	}
+	return graph.JobID(s), true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/ledger/replica.go
@@ -0,0 +1,329 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/rowstore"
+)
+
+// feedWait is how long a call for changes waits: a quiet feed, and so the silence of an owner, is confirmed this often.
+const feedWait = 500 * time.Millisecond
+
+// Job is what the replica knows of a job.
+type Job struct {
+	JobRecord
+	Cancelled bool
+	Progress  *dispatch.Progress
+
+	recorded        bool
+	progressVersion uint64
+}
+
+// State returns the state that a caller is told.
+func (j *Job) State() graph.State {
+	switch {
+	case j.Progress != nil && j.Progress.State.Ended():
+		return j.Progress.State
+	case j.Cancelled:
+		return graph.Cancelled
+	case j.Progress != nil:
+		return j.Progress.State
+	}
+	return graph.Queued
+}
+
+// Started reports whether a task of the job has started, as far as recorded.
+func (j *Job) Started() bool { return j.Progress != nil && j.Progress.Started }
+
+// Replica is a copy of the ledger in memory that follows the store's feed. It is safe for concurrent use.
+type Replica struct {
+	store     rowstore.Store
+	clock     monotime.Clock
+	log       *log.Logger
+	followers []*rowstore.Follower
+
+	mu      sync.RWMutex
+	jobs    map[graph.JobID]*Job
+	workers map[dispatch.WorkerID]dispatch.Worker
+	owner   Owner
+	// ownerVersion is 0 if there is no ownership row; ownerSeen is when it was last seen to change.
+	ownerVersion uint64
+	ownerSeen    monotime.Instant
+	// changed is called without the lock for each job that is new or newly cancelled.
+	changed func(graph.JobID)
+}
+
+// NewReplica returns an empty replica. Run fills it and keeps it current.
+func NewReplica(store rowstore.Store, clock monotime.Clock, logger *log.Logger) *Replica {
+	r := &Replica{
+		store:     store,
+		clock:     clock,
+		log:       logger,
+		jobs:      make(map[graph.JobID]*Job),
+		workers:   make(map[dispatch.WorkerID]dispatch.Worker),
+		ownerSeen: clock.Now(),
+		changed:   func(graph.JobID) {},
+	}
+	parts := make([]string, intakeParts)
+	for n := range parts {
+		parts[n] = partName(n)
+	}
+	r.followers = []*rowstore.Follower{r.follower(intakeTable, parts), r.follower(progressTable, []string{""})}
+	return r
+}
+
+func (r *Replica) follower(table string, parts []string) *rowstore.Follower {
+	return &rowstore.Follower{
+		Store: r.store, Clock: r.clock, Log: r.log, Table: table, Parts: parts, Wait: feedWait, Apply: r.applyAll,
+	}
+}
+
+// OnChange sets what is called for each job that is new or newly cancelled. It must not block.
+func (r *Replica) OnChange(f func(graph.JobID)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changed = f
+}
+
+// Store returns the store that the replica follows.
+func (r *Replica) Store() rowstore.Store { return r.store }
+
+// Run follows the store until ctx ends.
+func (r *Replica) Run(ctx context.Context) {
+	var tables sync.WaitGroup
+	for _, f := range r.followers {
+		tables.Go(func() { f.Run(ctx) })
+	}
+	tables.Wait()
+}
+
+// Ready reports whether the ledger has been read whole.
+func (r *Replica) Ready() bool {
+	for _, f := range r.followers {
+		if !f.Loaded() {
+			return false
+		}
+	}
+	return true
+}
+
+// CatchUp takes in every change that the store holds now. Errors: ErrUnavailable.
+func (r *Replica) CatchUp(ctx context.Context) error {
+	for _, f := range r.followers {
+		if err := f.Refresh(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Replica) applyAll(changes []rowstore.Change, _ bool) {
+	for _, change := range changes {
+		r.apply(change)
+	}
+}
+
+// apply takes in one row. A row that can't be decoded is skipped alone.
+func (r *Replica) apply(change rowstore.Change) {
+	notify, err := r.applyRow(change)
+	if err != nil {
+		r.log.Error().Str("table", change.Table).Str("row", change.Name).Uint64("version", change.Version).Err(err).Msg("ledger row skipped")
+		return
+	}
+	if notify != "" {
+		r.mu.RLock()
+		changed := r.changed
+		r.mu.RUnlock()
+		changed(notify)
+	}
+}
+
+func (r *Replica) applyRow(change rowstore.Change) (notify graph.JobID, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if id, ok := rowJob(change.Name, jobPrefix); ok && change.Table == intakeTable {
+		return r.applyJob(id, change)
+	}
+	if id, ok := rowJob(change.Name, cancelPrefix); ok && change.Table == intakeTable {
+		return r.applyCancel(id, change), nil
+	}
+	if id, ok := rowJob(change.Name, progressPrefix); ok && change.Table == progressTable {
+		return "", r.applyProgress(id, change)
+	}
+	if id, ok := rowJob(change.Name, workerPrefix); ok && change.Table == progressTable {
+		return "", r.applyWorker(dispatch.WorkerID(id), change)
+	}
+	if change.Name == ownerName && change.Table == progressTable {
+		return "", r.applyOwner(change)
+	}
+	return "", nil
+}
+
+func (r *Replica) job(id graph.JobID) *Job {
+	j := r.jobs[id]
+	if j == nil {
+		j = &Job{}
+		r.jobs[id] = j
+	}
+	return j
+}
+
+func (r *Replica) applyJob(id graph.JobID, change rowstore.Change) (graph.JobID, error) {
+	if change.Removed {
+		delete(r.jobs, id)
+		return "", nil
+	}
+	if j := r.jobs[id]; j != nil && j.recorded {
+		return "", nil // a job's record never changes
+	}
+	var record JobRecord
+	if err := json.Unmarshal(change.Value, &record); err != nil {
+		return "", err
+	}
+	if record.Spec == nil {
+		return "", errors.New("job record without a spec")
+	}
+	j := r.job(id)
+	j.JobRecord = record
+	j.recorded = true
+	return id, nil
+}
+
+func (r *Replica) applyCancel(id graph.JobID, change rowstore.Change) graph.JobID {
+	if change.Removed {
+		return ""
+	}
+	j := r.job(id)
+	if j.Cancelled {
+		return ""
+	}
+	j.Cancelled = true
+	return id
+}
+
+func (r *Replica) applyProgress(id graph.JobID, change rowstore.Change) error {
+	if change.Removed {
+		return nil
+	}
+	if j := r.jobs[id]; j != nil && j.progressVersion >= change.Version {
+		return nil
+	}
+	var p dispatch.Progress
+	if err := json.Unmarshal(change.Value, &p); err != nil {
+		return err
+	}
+	j := r.job(id)
+	j.Progress = &p
+	j.progressVersion = change.Version
+	return nil
+}
+
+func (r *Replica) applyWorker(id dispatch.WorkerID, change rowstore.Change) error {
+	if change.Removed {
+		delete(r.workers, id)
+		return nil
+	}
+	var record WorkerRecord
+	if err := json.Unmarshal(change.Value, &record); err != nil {
+		return err
+	}
+	record.ID = id
+	r.workers[id] = record.Worker
+	return nil
+}
+
+func (r *Replica) applyOwner(change rowstore.Change) error {
+	if change.Version <= r.ownerVersion {
+		return nil
+	}
+	var owner Owner
+	if err := json.Unmarshal(change.Value, &owner); err != nil && !change.Removed {
+		return err
+	}
+	r.owner = owner
+	r.ownerVersion = change.Version
+	r.ownerSeen = r.clock.Now()
+	return nil
+}
+
+// Job returns a copy of what is known of an accepted job.
+func (r *Replica) Job(id graph.JobID) (Job, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	j := r.jobs[id]
+	if j == nil || !j.recorded {
+		return Job{}, false
+	}
+	return *j, true
+}
+
+// Jobs returns copies of all accepted jobs.
+func (r *Replica) Jobs() map[graph.JobID]Job {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make(map[graph.JobID]Job, len(r.jobs))
+	for id, j := range r.jobs {
+		if j.recorded {
+			out[id] = *j
+		}
+	}
+	return out
+}
+
+// Pending counts a queue's accepted jobs of which no task has started.
+func (r *Replica) Pending(queue string) int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	n := 0
+	for _, j := range r.jobs {
+		if j.recorded && j.Queue.Name == queue && !j.Started() && !j.State().Ended() {
+			n++
+		}
+	}
+	return n
+}
+
+// Workers returns the workers that owners have recorded.
+func (r *Replica) Workers() []dispatch.Worker {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]dispatch.Worker, 0, len(r.workers))
+	for _, w := range r.workers {
+		out = append(out, w)
+	}
+	return out
+}
+
+// OwnerView is what a daemon knows of ownership.
+type OwnerView struct {
+	Owner
+	// Version is the ownership row's version; 0 if there is none.
+	Version uint64
+	// Unchanged is how long ago the row was last seen to change.
+	Unchanged time.Duration
+}
+
+// Owner returns the ownership row as last read.
+func (r *Replica) Owner() OwnerView {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return OwnerView{r.owner, r.ownerVersion, r.clock.Now().Sub(r.ownerSeen)}
+}
+
+// Age returns how long ago the replica was last known to be current.
+func (r *Replica) Age() time.Duration {
+	heard := r.followers[0].Heard()
+	for _, f := range r.followers[1:] {
+		heard = min(heard, f.Heard())
+	}
+	return r.clock.Now().Sub(heard)
+}
--- /dev/null
+++ b/internal/ledger/writer.go
@@ -0,0 +1,118 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/rowstore"
+)
+
+// ErrNotOwner means that another daemon owns the cell.
+var ErrNotOwner = errors.New("ledger: not the owner")
+
+// callTimeout bounds a write; the store may be slow without being down.
+const callTimeout = 1500 * time.Millisecond
+
+// Batch is what an owner records in one transaction.
+type Batch struct {
+	Progress   map[graph.JobID]dispatch.Progress
+	Workers    []dispatch.Worker
+	OldWorkers []dispatch.WorkerID
+}
+
+// Entries returns the number of rows that the batch writes.
+func (b *Batch) Entries() int { return len(b.Progress) + len(b.Workers) + len(b.OldWorkers) }
+
+// Tenure is a daemon's ownership of the cell. It is used by one goroutine at a time.
+type Tenure struct {
+	replica *Replica
+	owner   Owner
+	version uint64
+}
+
+// Acquire makes self the owner in place of the owner in view.
+// Errors: ErrNotOwner if another daemon was faster, ErrUnavailable, ErrUncertain.
+func (r *Replica) Acquire(ctx context.Context, view OwnerView, self Owner) (*Tenure, error) {
+	self.Epoch = view.Epoch + 1
+	t := &Tenure{replica: r, owner: self, version: view.Version}
+	err := t.Record(ctx, Batch{})
+	for tries := 1; errors.Is(err, rowstore.ErrUncertain) && tries < acquireTries; tries++ {
+		err = t.Record(ctx, Batch{})
+	}
+	if err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// acquireTries bounds the writes by which a daemon learns whether an unanswered one made it the owner.
+const acquireTries = 3
+
+// Epoch returns the tenure's fencing epoch.
+func (t *Tenure) Epoch() uint64 { return t.owner.Epoch }
+
+// Record writes a batch and renews the ownership. After ErrUncertain the batch must be recorded again.
+// Errors: ErrNotOwner, ErrUnavailable, ErrUncertain.
+func (t *Tenure) Record(ctx context.Context, b Batch) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	t.owner.Beat++
+	tx := t.transaction(b)
+	version, current, err := t.replica.store.Apply(ctx, tx)
+	if errors.Is(err, rowstore.ErrConflict) {
+		return t.resolveConflict(current)
+	}
+	if err != nil {
+		return err
+	}
+	t.version = version
+	for _, row := range tx.Put {
+		row.Version = version
+		t.replica.apply(rowstore.Change{Row: row})
+	}
+	return nil
+}
+
+func (t *Tenure) transaction(b Batch) rowstore.Tx {
+	tx := rowstore.Tx{Expect: []rowstore.Condition{{Key: ownerKey(), Version: t.version}}}
+	tx.Put = append(tx.Put, rowstore.Row{Key: ownerKey(), Value: encode(t.owner)})
+	for id, p := range b.Progress {
+		tx.Put = append(tx.Put, rowstore.Row{Key: progressKey(id), Value: encode(p)})
+	}
+	for _, w := range b.Workers {
+		tx.Put = append(tx.Put, rowstore.Row{Key: workerKey(w.ID), Value: encode(WorkerRecord{w})})
+	}
+	for _, id := range b.OldWorkers {
+		tx.Delete = append(tx.Delete, workerKey(id))
+	}
+	return tx
+}
+
+// resolveConflict tells a transaction of this tenure that was applied unnoticed from the loss of ownership.
+func (t *Tenure) resolveConflict(current []rowstore.Row) error {
+	for _, row := range current {
+		if row.Key != ownerKey() {
+			continue
+		}
+		t.replica.apply(rowstore.Change{Row: row})
+		var owner Owner
+		if decodeOwner(row.Value, &owner) && owner.Life == t.owner.Life && owner.Epoch == t.owner.Epoch {
+			t.version = row.Version
+			return rowstore.ErrUncertain
+		}
+	}
+	return ErrNotOwner
+}
+
+// Release gives up ownership, so that another daemon takes over at once. The caller sends no order any more.
+func (t *Tenure) Release(ctx context.Context) error {
+	t.owner.Released = true
+	err := t.Record(ctx, Batch{})
+	if errors.Is(err, rowstore.ErrUncertain) {
+		err = t.Record(ctx, Batch{})
+	}
+	return err
+}
--- /dev/null
+++ b/internal/owner/contracts.go
@@ -0,0 +1,81 @@
+// Package owner runs the one daemon that decides for the cell's graph jobs: it takes ownership in the store, learns from
+// the workers what runs, lets package dispatch decide, carries the decisions out and records what must last.
+//
+// One goroutine owns the engine. Calls to workers, the store, other daemons and the policy service run in goroutines of
+// their own and post their results to it.
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"laburnumpoint/internal/dispatch"
+)
+
+// Errors of calls to workers.
+var (
+	// ErrSuperseded means that the worker has seen a higher epoch; the call did nothing.
+	ErrSuperseded = errors.New("worker: epoch superseded")
+	// ErrOtherLife means that another life of a worker answers at the address: the one meant has ended.
+	ErrOtherLife = errors.New("worker: another life answers")
+	// ErrNoAnswer means that no answer came; the call may have been carried out, or may be later.
+	ErrNoAnswer = errors.New("worker: no answer")
+)
+
+// StartCall is an order to start a run.
+type StartCall struct {
+	dispatch.Start
+	Epoch uint64
+	// Deadline is the time on the worker's clock at which its lease ends; an order that arrives later does nothing.
+	Deadline time.Duration
+}
+
+// HoldCall extends a worker's lease and asks for its report.
+type HoldCall struct {
+	Epoch uint64
+	// Deadline is the time on the worker's clock up to which its lease is extended; 0 leaves the lease as it is.
+	Deadline time.Duration
+	// Recorded is the sequence up to which the worker may forget ends.
+	Recorded uint64
+	// Wait is how long the worker may wait for an end before it answers.
+	Wait time.Duration
+}
+
+// Runners calls workers. Every method ends with its context at the latest.
+type Runners interface {
+	// Start returns what became of the order. Errors: ErrSuperseded, ErrOtherLife; the run then does not exist.
+	Start(ctx context.Context, w dispatch.Worker, call StartCall) (dispatch.StartOutcome, error)
+	// Stop ends a run, or keeps it from ever starting. Errors: ErrSuperseded, ErrOtherLife, ErrNoAnswer.
+	Stop(ctx context.Context, w dispatch.Worker, key dispatch.RunKey, epoch uint64) error
+	// Pace sets the share of its speed at which a run works. Errors: ErrSuperseded, ErrOtherLife, ErrNoAnswer.
+	Pace(ctx context.Context, w dispatch.Worker, key dispatch.RunKey, percent int, epoch uint64) error
+	// Hold returns the worker's report and its clock. Errors: ErrSuperseded, ErrOtherLife, ErrNoAnswer.
+	Hold(ctx context.Context, w dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error)
+}
+
+// RegisterChange is a change of the register of workers.
+type RegisterChange struct {
+	// Full means that Put holds every worker.
+	Full    bool
+	Put     []dispatch.Worker
+	Removed []dispatch.WorkerID
+}
+
+// Register is the platform's register of workers.
+type Register interface {
+	// Follow reports the register's content and then its changes until ctx ends.
+	Follow(ctx context.Context, changed func(RegisterChange))
+}
+
+// PermitAnswer is what the policy service says of a step.
+type PermitAnswer struct {
+	// Tickets holds a ticket for each worker that may run the step.
+	Tickets map[dispatch.WorkerID]string
+	Valid   time.Duration
+}
+
+// Policy asks the policy service. It answers one call at a time of each daemon.
+type Policy interface {
+	Ask(ctx context.Context, step dispatch.StepID, workers []dispatch.WorkerID) (PermitAnswer, error)
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,228 @@
+package owner
+
+import (
+	"context"
+	"hash/fnv"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/ledger"
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/peer"
+	"laburnumpoint/internal/wire"
+)
+
+// Bounds of ownership.
+const (
+	// renewInterval is how often an owner renews its ownership at least.
+	renewInterval = 400 * time.Millisecond
+	// validFor is how long an owner gives orders after it sent its last successful renewal. It is shorter than
+	// takeoverAfter by more than clocks drift.
+	validFor = 1600 * time.Millisecond
+	// takeoverAfter is how long an ownership row must have been unchanged before another daemon takes over.
+	takeoverAfter = 2 * time.Second
+	// takeoverSpread spreads the daemons' attempts, so that they don't all write at once.
+	takeoverSpread = 300 * time.Millisecond
+	// electionPoll is how often a daemon looks whether ownership is free.
+	electionPoll = 40 * time.Millisecond
+	// helloInterval is how often a daemon tells the owner that it can help.
+	helloInterval = 400 * time.Millisecond
+	// catchUpTimeout bounds how long a new owner waits for its ledger to catch up.
+	catchUpTimeout = 3 * time.Second
+)
+
+// Options are what an owner needs. All fields are required.
+type Options struct {
+	Node string
+	// Life tells this process from earlier ones of the node.
+	Life string
+	// PeerAddr is where this daemon answers others.
+	PeerAddr string
+	Zone     string
+	Replica  *ledger.Replica
+	Runners  Runners
+	Register Register
+	Policy   Policy
+	Peers    peer.Caller
+	Clock    monotime.Clock
+	Log      *log.Logger
+	Metrics  *metrics.Set
+	// MaxLease bounds the lease that a worker grants.
+	MaxLease time.Duration
+	// Queue returns the policy in force of a queue, if there is one.
+	Queue func(name string) (graph.Queue, bool)
+}
+
+// Daemon takes part in ownership: it owns the cell, or helps the daemon that does.
+type Daemon struct {
+	Options
+	control atomic.Pointer[control]
+	counts  counts
+	asking  chan struct{}
+}
+
+// New returns a daemon that does nothing before Run.
+func New(o Options) *Daemon {
+	d := &Daemon{Options: o, asking: make(chan struct{}, 1)}
+	d.counts = newCounts(o.Metrics, d)
+	return d
+}
+
+// Run takes part until ctx ends, and then gives up ownership.
+func (d *Daemon) Run(ctx context.Context) {
+	go d.sayHello(ctx)
+	for ctx.Err() == nil {
+		if !d.mayTake() {
+			pause(ctx, electionPoll)
+			continue
+		}
+		tenure, err := d.take(ctx)
+		if err != nil {
+			d.Log.Info().Err(err).Msg("ownership not taken")
+			pause(ctx, electionPoll)
+			continue
+		}
+		d.rule(ctx, tenure)
+	}
+}
+
+// mayTake reports whether ownership is free as far as this daemon knows.
+func (d *Daemon) mayTake() bool {
+	if !d.Replica.Ready() {
+		return false
+	}
+	view := d.Replica.Owner()
+	spread := d.spread()
+	switch {
+	case view.Version == 0 || view.Released:
+		return view.Unchanged > spread
+	case view.Node == d.Node && view.Life != d.Life:
+		return true // a node runs one process: the owner was an earlier one of ours, and has ended
+	default:
+		return view.Unchanged > takeoverAfter+spread
+	}
+}
+
+// spread is this daemon's share of takeoverSpread.
+func (d *Daemon) spread() time.Duration {
+	h := fnv.New32a()
+	h.Write([]byte(d.Node))
+	return time.Duration(h.Sum32()%64) * takeoverSpread / 64
+}
+
+func (d *Daemon) take(ctx context.Context) (*ledger.Tenure, error) {
+	view := d.Replica.Owner()
+	self := ledger.Owner{Node: d.Node, Life: d.Life, Address: d.PeerAddr}
+	return d.Replica.Acquire(ctx, view, self)
+}
+
+// rule owns the cell until ownership is lost or ctx ends.
+func (d *Daemon) rule(ctx context.Context, tenure *ledger.Tenure) {
+	started := d.Clock.Now()
+	view := d.Replica.Owner()
+	d.Log.Info().Uint64("epoch", tenure.Epoch()).Str("node", d.Node).Msg("ownership taken")
+	c := newControl(ctx, d, tenure, started)
+	d.counts.takeovers.Inc()
+	if err := c.load(); err != nil {
+		c.end()
+		d.Log.Warn().Uint64("epoch", tenure.Epoch()).Err(err).Msg("ledger could not be read, giving up ownership")
+		release(d, tenure)
+		return
+	}
+	d.control.Store(c)
+	c.run()
+	d.control.Store(nil)
+	d.Log.Info().Uint64("epoch", tenure.Epoch()).Str("owner", view.Node).Bool("planned", ctx.Err() != nil).Msg("ownership ended")
+	if ctx.Err() != nil && !c.lost {
+		release(d, tenure)
+	}
+}
+
+// releaseTimeout bounds the giving up of ownership at a planned stop.
+const releaseTimeout = 1 * time.Second
+
+func release(d *Daemon, tenure *ledger.Tenure) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := tenure.Release(ctx); err != nil {
+		d.Log.Warn().Err(err).Msg("ownership not released, others wait until it lapses")
+	}
+}
+
+// sayHello tells the owner of the cell that this daemon can ask the policy service.
+func (d *Daemon) sayHello(ctx context.Context) {
+	for ctx.Err() == nil {
+		owner := d.Replica.Owner()
+		if owner.Version > 0 && !owner.Released && owner.Life != d.Life {
+			d.hello(ctx, owner.Address)
+		}
+		pause(ctx, helloInterval)
+	}
+}
+
+func (d *Daemon) hello(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, helloInterval)
+	defer cancel()
+	body := &wire.Hello{Node: d.Node, Addr: d.PeerAddr, Zone: d.Zone}
+	_, err := d.Peers.Call(ctx, addr, &wire.Request{Body: &wire.Request_Hello{Hello: body}})
+	if err != nil {
+		d.counts.helloFailures.Inc()
+	}
+}
+
+// HandleHello notes a daemon that can help.
+func (d *Daemon) HandleHello(hello *wire.Hello) *wire.Reply {
+	c := d.control.Load()
+	if c == nil {
+		return &wire.Reply{Body: &wire.Reply_NotOwner{NotOwner: &wire.Empty{}}}
+	}
+	c.post(func() { c.permits.hello(hello.Addr, c.now()) })
+	return &wire.Reply{Body: &wire.Reply_Done{Done: &wire.Empty{}}}
+}
+
+// HandlePermit asks the policy service for the owner.
+func (d *Daemon) HandlePermit(ctx context.Context, req *wire.PermitRequest) *wire.Reply {
+	step := dispatch.StepID{Job: graph.JobID(req.Job), Occurrence: int(req.Occurrence), Step: int(req.Step)}
+	workers := make([]dispatch.WorkerID, len(req.Workers))
+	for i, w := range req.Workers {
+		workers[i] = dispatch.WorkerID(w)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMs)*time.Millisecond)
+	defer cancel()
+	answer, err := d.askPolicy(ctx, step, workers)
+	reply := &wire.PermitReply{Answered: err == nil, ValidMs: answer.Valid.Milliseconds()}
+	for w, ticket := range answer.Tickets {
+		reply.Permits = append(reply.Permits, &wire.Permit{Worker: string(w), Ticket: ticket})
+	}
+	return &wire.Reply{Body: &wire.Reply_Permit{Permit: reply}}
+}
+
+// askPolicy asks the policy service, one call at a time, as it serves them.
+func (d *Daemon) askPolicy(ctx context.Context, step dispatch.StepID, workers []dispatch.WorkerID) (PermitAnswer, error) {
+	select {
+	case d.asking <- struct{}{}:
+		defer func() { <-d.asking }()
+	case <-ctx.Done():
+		return PermitAnswer{}, ctx.Err()
+	}
+	return d.Policy.Ask(ctx, step, workers)
+}
+
+// Changed tells the owner, if this daemon is it, that a job is new or was cancelled.
+func (d *Daemon) Changed(id graph.JobID) {
+	if c := d.control.Load(); c != nil {
+		c.post(func() { c.takeJob(id) })
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/owner/permits.go
@@ -0,0 +1,109 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/monotime"
+)
+
+// longQuestion is the time of the policy service above which a question keeps others waiting noticeably.
+const longQuestion = 80 * time.Millisecond
+
+// helperSilence is the time without a hello after which a daemon is asked nothing.
+const helperSilence = 1600 * time.Millisecond
+
+// helper is a daemon that can ask the policy service; the service serves one call at a time of each.
+type helper struct {
+	// addr is where the daemon answers; empty for the owner itself.
+	addr  string
+	heard monotime.Instant
+	busy  bool
+	long  bool
+	// avoidUntil keeps questions away after one that failed.
+	avoidUntil monotime.Instant
+}
+
+// permitQueue assigns questions for the policy service to daemons: the most urgent first, and long ones only to so many
+// daemons at once that short ones always find one soon.
+type permitQueue struct {
+	waiting []dispatch.Ask
+	helpers map[string]*helper
+}
+
+func newPermitQueue() *permitQueue {
+	return &permitQueue{helpers: map[string]*helper{"": {}}}
+}
+
+func (q *permitQueue) hello(addr string, now monotime.Instant) {
+	h := q.helpers[addr]
+	if h == nil {
+		h = &helper{addr: addr}
+		q.helpers[addr] = h
+	}
+	h.heard = now
+}
+
+func (q *permitQueue) add(ask dispatch.Ask) { q.waiting = append(q.waiting, ask) }
+
+// next takes the question to ask now and the daemon to ask it from; ok is false if there is none.
+func (q *permitQueue) next(now monotime.Instant) (ask dispatch.Ask, h *helper, ok bool) {
+	if len(q.waiting) == 0 {
+		return dispatch.Ask{}, nil, false
+	}
+	idle, live, long := q.survey(now)
+	if idle == nil {
+		return dispatch.Ask{}, nil, false
+	}
+	slices.SortStableFunc(q.waiting, func(a, b dispatch.Ask) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Due, b.Due))
+	})
+	longAllowed := long < maxLong(live)
+	for i, ask := range q.waiting {
+		isLong := ask.Cost > longQuestion
+		if isLong && !longAllowed {
+			continue
+		}
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+		idle.busy, idle.long = true, isLong
+		return ask, idle, true
+	}
+	return dispatch.Ask{}, nil, false
+}
+
+// survey returns an idle daemon, and counts the live ones and the long questions under way. The owner itself comes last,
+// since it has other work.
+func (q *permitQueue) survey(now monotime.Instant) (idle *helper, live, long int) {
+	for addr, h := range q.helpers {
+		if addr != "" && now.Sub(h.heard) > helperSilence {
+			if !h.busy {
+				delete(q.helpers, addr)
+			}
+			continue
+		}
+		live++
+		if h.busy && h.long {
+			long++
+		}
+		if !h.busy && now >= h.avoidUntil && (idle == nil || idle.addr == "" || (addr != "" && addr < idle.addr)) {
+			idle = h
+		}
+	}
+	return idle, live, long
+}
+
+// maxLong is how many of the daemons may be busy with long questions.
+func maxLong(live int) int { return max(1, live-(live+3)/4) }
+
+// helperBackoff keeps questions from a daemon whose last one got no answer.
+const helperBackoff = 500 * time.Millisecond
+
+// done returns a daemon after a question.
+func (q *permitQueue) done(h *helper, now monotime.Instant, ok bool) {
+	h.busy, h.long = false, false
+	if !ok {
+		h.avoidUntil = now.Add(helperBackoff)
+	}
+}
--- /dev/null
+++ b/internal/owner/workers.go
@@ -0,0 +1,323 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/monotime"
+)
+
+// Bounds of looking at a worker.
+const (
+	// holdWait is how long a worker may wait for an end before it answers a look.
+	holdWait = 1200 * time.Millisecond
+	// holdTimeout bounds a look beyond its wait.
+	holdTimeout = 800 * time.Millisecond
+	// holdRetry is kept after a look without an answer.
+	holdRetry = 150 * time.Millisecond
+	// recordWait is how long a look waits for the ends of the last one to be recorded. Beyond it the worker is looked
+	// at without waiting, so that its lease is extended while the store is down.
+	recordWait = 300 * time.Millisecond
+)
+
+// link is the owner's connection to one worker.
+type link struct {
+	c *control
+	// worker never changes; calls go to its address.
+	worker dispatch.Worker
+	lease  workerLease
+	cancel context.CancelFunc
+	// listed is what the register said last; listed and failing belong to the control loop.
+	listed  dispatch.Worker
+	failing bool
+
+	mu       sync.Mutex
+	recorded uint64
+	advanced chan struct{}
+}
+
+// addLink begins to look after a worker. known tells that an earlier owner may have started tasks on it.
+func (c *control) addLink(w dispatch.Worker, known bool) {
+	if c.links[w.ID] != nil {
+		return
+	}
+	l := &link{c: c, worker: w, listed: w, advanced: make(chan struct{}, 1)}
+	if known {
+		l.lease.bound(c.startedAt.Add(onSlowestClock(c.leaseLength()) + unknownLeaseMargin))
+	}
+	c.links[w.ID] = l
+	c.engine.PutWorker(w)
+	l.begin()
+}
+
+func (l *link) begin() {
+	ctx, cancel := context.WithCancel(l.c.ctx)
+	l.cancel = cancel
+	go l.run(ctx)
+}
+
+// cover notes up to which sequence the worker's ends are recorded.
+func (l *link) cover(sequence uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if sequence <= l.recorded {
+		return
+	}
+	l.recorded = sequence
+	select {
+	case l.advanced <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) covered() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.recorded
+}
+
+// run looks at the worker again and again.
+func (l *link) run(ctx context.Context) {
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		last, err := l.hold(ctx, wait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			l.c.post(func() { l.c.linkFailed(l, err) })
+			pause(ctx, holdRetry)
+			wait = 0
+			continue
+		}
+		wait = holdWait
+		if !l.awaitRecorded(ctx, last) {
+			wait = 0
+		}
+	}
+}
+
+// awaitRecorded waits until the ends up to last are recorded, within bounds.
+func (l *link) awaitRecorded(ctx context.Context, last uint64) bool {
+	timer := time.NewTimer(recordWait)
+	defer timer.Stop()
+	for l.covered() < last {
+		select {
+		case <-l.advanced:
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// hold looks at the worker once and returns the sequence of the last end that it listed.
+func (l *link) hold(ctx context.Context, wait time.Duration) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
+	defer cancel()
+	call := HoldCall{Epoch: l.c.tenure.Epoch(), Recorded: l.covered(), Wait: wait}
+	sent := l.c.now()
+	if l.c.valid() {
+		if deadline, ok := l.lease.extend(sent, l.c.leaseLength()); ok {
+			call.Deadline = deadline
+		} else {
+			call.Wait = 0
+		}
+	}
+	l.c.counts.holds.Inc()
+	report, clock, err := l.c.Runners.Hold(ctx, l.worker, call)
+	if err != nil {
+		l.c.counts.holdFailures.Inc()
+		return 0, err
+	}
+	l.lease.note(clock, l.c.now())
+	last := call.Recorded
+	for _, e := range report.Ended {
+		last = max(last, e.Sequence)
+	}
+	l.c.post(func() { l.c.linkReported(l, sent, report) })
+	return last, nil
+}
+
+func (c *control) leaseLength() time.Duration { return min(leaseLength, c.MaxLease) }
+
+func (c *control) linkReported(l *link, sent monotime.Instant, report dispatch.Report) {
+	if c.links[l.worker.ID] != l {
+		return
+	}
+	if l.failing {
+		l.failing = false
+		c.Log.Info().Str("worker", string(l.worker.ID)).Msg("worker answers again")
+	}
+	for _, e := range report.Ended {
+		c.Log.Info().Str("job", string(e.Task.Job)).Str("task", e.Task.String()).Uint64("run", e.Number).Str("worker", string(l.worker.ID)).Int("end", int(e.End)).Msg("run ended")
+	}
+	c.engine.Report(l.worker.ID, sent, report)
+}
+
+// linkFailed takes in that the worker did not answer a look.
+func (c *control) linkFailed(l *link, err error) {
+	if c.links[l.worker.ID] != l {
+		return
+	}
+	if errors.Is(err, ErrSuperseded) {
+		c.lose("worker has seen a higher epoch")
+		return
+	}
+	if !l.failing {
+		l.failing = true
+		c.Log.Warn().Str("worker", string(l.worker.ID)).Err(err).Msg("worker does not answer")
+	}
+	c.engine.SetReachable(l.worker.ID, false)
+	_, listed := c.registered[l.worker.ID]
+	left := l.listed.Draining && !listed
+	if errors.Is(err, ErrOtherLife) || left {
+		c.workerEnded(l, "worker has ended")
+	}
+}
+
+// expireLinks gives up what ran on workers whose lease is over.
+func (c *control) expireLinks() {
+	now := c.now()
+	for _, l := range c.links {
+		if !l.failing || !l.lease.over(now) {
+			continue
+		}
+		if _, listed := c.registered[l.worker.ID]; !listed {
+			c.workerEnded(l, "lease over, not registered")
+			continue
+		}
+		if c.engine.HasRuns(l.worker.ID) || !c.engine.Settled() {
+			c.Log.Warn().Str("worker", string(l.worker.ID)).Msg("lease of silent worker is over, its runs are given up")
+			c.engine.RemoveWorker(l.worker.ID)
+			c.engine.PutWorker(l.listed)
+		}
+	}
+}
+
+// workerEnded forgets a worker that has certainly ended.
+func (c *control) workerEnded(l *link, why string) {
+	id := l.worker.ID
+	c.Log.Info().Str("worker", string(id)).Str("why", why).Msg("worker gone")
+	if l.cancel != nil {
+		l.cancel()
+	}
+	delete(c.links, id)
+	c.engine.RemoveWorker(id)
+	c.oldWorkers[id] = struct{}{}
+}
+
+// registerChanged takes in what the register lists.
+func (c *control) registerChanged(change RegisterChange) {
+	if change.Full {
+		before := c.registered
+		c.registered = make(map[dispatch.WorkerID]dispatch.Worker, len(change.Put))
+		for _, w := range change.Put {
+			delete(before, w.ID)
+		}
+		for id := range before {
+			c.unregistered(id)
+		}
+	}
+	for _, id := range change.Removed {
+		delete(c.registered, id)
+		c.unregistered(id)
+	}
+	for _, w := range change.Put {
+		c.registered[w.ID] = w
+		c.workerListed(w)
+	}
+}
+
+func (c *control) workerListed(w dispatch.Worker) {
+	l := c.links[w.ID]
+	if l == nil {
+		if _, ended := c.oldWorkers[w.ID]; !ended {
+			c.newWorkers[w.ID] = w
+		}
+		return
+	}
+	if l.listed.Draining != w.Draining {
+		c.Log.Info().Str("worker", string(w.ID)).Bool("draining", w.Draining).Msg("worker state")
+	}
+	l.listed = w
+	c.engine.PutWorker(w)
+}
+
+// unregistered keeps new runs from a worker that the register no longer lists.
+func (c *control) unregistered(id dispatch.WorkerID) {
+	delete(c.newWorkers, id)
+	l := c.links[id]
+	if l == nil {
+		return
+	}
+	c.Log.Info().Str("worker", string(id)).Msg("worker no longer registered")
+	w := l.listed
+	w.Draining = true
+	c.engine.PutWorker(w)
+}
+
+// start carries out a start order.
+func (l *link) start(order dispatch.Start) {
+	c := l.c
+	outcome, err := dispatch.StartRefused, error(nil)
+	now := c.now()
+	deadline, known := l.lease.extend(now, c.leaseLength())
+	if known && c.valid() {
+		ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
+		defer cancel()
+		outcome, err = c.Runners.Start(ctx, l.worker, StartCall{order, c.tenure.Epoch(), deadline})
+	}
+	took := c.now().Sub(now)
+	c.counts.startTime.Update(took.Seconds())
+	entry := c.Log.Info()
+	if outcome != dispatch.Started {
+		entry = c.Log.Warn()
+	}
+	entry.Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Str("worker", string(order.Worker)).Int("outcome", int(outcome)).Dur("took", took).Err(err).Msg("run start")
+	c.post(func() {
+		c.engine.StartAnswered(l.worker.ID, order.RunKey, outcome)
+		c.callFailed(l, err)
+	})
+}
+
+// stop carries out a stop order.
+func (l *link) stop(order dispatch.Stop) {
+	c := l.c
+	ctx, cancel := context.WithTimeout(c.ctx, stopTimeout)
+	defer cancel()
+	err := c.Runners.Stop(ctx, l.worker, order.RunKey, c.tenure.Epoch())
+	c.Log.Info().Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Str("worker", string(order.Worker)).Str("why", order.Reason).Err(err).Msg("run stop")
+	c.post(func() {
+		c.engine.StopAnswered(l.worker.ID, order.RunKey, err == nil)
+		c.callFailed(l, err)
+	})
+}
+
+// pace carries out a pace order.
+func (l *link) pace(order dispatch.Pace) {
+	c := l.c
+	ctx, cancel := context.WithTimeout(c.ctx, stopTimeout)
+	defer cancel()
+	err := c.Runners.Pace(ctx, l.worker, order.RunKey, order.Percent, c.tenure.Epoch())
+	c.Log.Info().Str("task", order.Task.String()).Uint64("run", order.Number).Str("worker", string(order.Worker)).Int("percent", order.Percent).Err(err).Msg("run pace")
+	c.post(func() { c.callFailed(l, err) })
+}
+
+// callFailed takes in what an order's failure tells of the worker or of ownership.
+func (c *control) callFailed(l *link, err error) {
+	if c.links[l.worker.ID] != l {
+		return
+	}
+	switch {
+	case errors.Is(err, ErrSuperseded):
+		c.lose("worker has seen a higher epoch")
+	case errors.Is(err, ErrOtherLife):
+		c.workerEnded(l, "another life answers")
+	}
+}
--- /dev/null
+++ b/internal/rowstore/follower.go
@@ -0,0 +1,176 @@
+package rowstore
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/monotime"
+)
+
+// Bounds of following a table.
+const (
+	// callSlack is the time beyond its wait in which a call for changes must be answered; a silent connection is left.
+	callSlack = 800 * time.Millisecond
+	// loadTimeout bounds the reading of a whole table.
+	loadTimeout = 3 * time.Second
+	// retryDelay is kept between a failed call and the next.
+	retryDelay = 100 * time.Millisecond
+)
+
+// Follower keeps its user informed of a table's rows.
+type Follower struct {
+	Store Store
+	Clock monotime.Clock
+	Log   *log.Logger
+	Table string
+	// Parts are the parts that the table has.
+	Parts []string
+	// Wait is how long a call for changes waits; Gap is kept between two calls, so that frequent changes come together.
+	Wait, Gap time.Duration
+	// Apply takes in changes in order. With full set, they are all rows of the table. It may be called concurrently if
+	// Refresh is; older changes may then come after newer ones.
+	Apply func(changes []Change, full bool)
+	// Done is called, if set, after each call with the time at which it was sent: the rows are as new as that.
+	Done func(sent monotime.Instant)
+
+	mu      sync.Mutex
+	loaded  bool
+	version uint64
+	heard   monotime.Instant
+	lost    bool
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.step(ctx, f.Wait)
+		if ctx.Err() != nil {
+			return
+		}
+		f.note(err)
+		if err != nil {
+			sleep(ctx, retryDelay)
+		} else if f.Gap > 0 {
+			sleep(ctx, f.Gap)
+		}
+	}
+}
+
+// note logs the loss of the store and its return.
+func (f *Follower) note(err error) {
+	f.mu.Lock()
+	was := f.lost
+	f.lost = err != nil
+	version := f.version
+	f.mu.Unlock()
+	switch {
+	case err != nil && !was:
+		f.Log.Warn().Str("table", f.Table).Uint64("version", version).Err(err).Msg("store lost")
+	case err == nil && was:
+		f.Log.Info().Str("table", f.Table).Uint64("version", version).Msg("store regained")
+	}
+}
+
+// Refresh takes in every change that the store holds now. Errors: ErrUnavailable.
+func (f *Follower) Refresh(ctx context.Context) error {
+	err := f.step(ctx, 0)
+	if errors.Is(err, ErrHistoryLost) {
+		err = f.step(ctx, 0)
+	}
+	return err
+}
+
+// Loaded reports whether the table has been read whole.
+func (f *Follower) Loaded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loaded
+}
+
+// Heard returns when the follower was last known to be current.
+func (f *Follower) Heard() monotime.Instant {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard
+}
+
+func (f *Follower) step(ctx context.Context, wait time.Duration) error {
+	if !f.Loaded() {
+		return f.load(ctx)
+	}
+	return f.feed(ctx, wait)
+}
+
+func (f *Follower) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	sent := f.Clock.Now()
+	var all []Change
+	var lowest uint64
+	for i, part := range f.Parts {
+		rows, version, err := f.Store.Range(ctx, f.Table, part, "", "")
+		if err != nil {
+			return err
+		}
+		if i == 0 || version < lowest {
+			lowest = version
+		}
+		for _, row := range rows {
+			all = append(all, Change{Row: row})
+		}
+	}
+	f.Apply(all, true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loaded = true
+	f.version = lowest
+	f.heard = sent
+	f.done(sent)
+	return nil
+}
+
+func (f *Follower) done(sent monotime.Instant) {
+	if f.Done != nil {
+		f.Done(sent)
+	}
+}
+
+func (f *Follower) feed(ctx context.Context, wait time.Duration) error {
+	f.mu.Lock()
+	after := f.version
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
+	defer cancel()
+	sent := f.Clock.Now()
+	changes, next, err := f.Store.Feed(ctx, f.Table, after, wait)
+	if errors.Is(err, ErrHistoryLost) {
+		f.Log.Warn().Str("table", f.Table).Uint64("after", after).Msg("history lost, reading the table again")
+		f.mu.Lock()
+		f.loaded = false
+		f.mu.Unlock()
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	if len(changes) > 0 {
+		f.Apply(changes, false)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version = max(f.version, next)
+	f.heard = max(f.heard, sent)
+	f.done(sent)
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/rowstore/rowstore.go
@@ -0,0 +1,72 @@
+// Package rowstore states the contract of a transactional store of rows with a feed of changes.
+package rowstore
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Errors of a store.
+var (
+	// ErrConflict means that a condition of the transaction did not hold; nothing was written.
+	ErrConflict = errors.New("store: condition failed")
+	// ErrUnavailable means that the operation was certainly not applied.
+	ErrUnavailable = errors.New("store: unavailable")
+	// ErrUncertain means that the operation may have been applied, or may be applied later while its conditions hold.
+	ErrUncertain = errors.New("store: outcome uncertain")
+	// ErrHistoryLost means that the feed can't be continued; the table must be read again.
+	ErrHistoryLost = errors.New("store: history no longer available")
+)
+
+// Key names a row. Rows of one transaction share a Part.
+type Key struct {
+	Table string
+	Part  string
+	Name  string
+}
+
+// Row is a row of the store. Version rises with each transaction over all rows; 0 means that the row does not exist.
+type Row struct {
+	Key
+	Value   []byte
+	Version uint64
+}
+
+// Condition is a row's version that a transaction relies on.
+type Condition struct {
+	Key     Key
+	Version uint64
+}
+
+// Tx is applied whole or not at all.
+type Tx struct {
+	Expect []Condition
+	Put    []Row
+	Delete []Key
+}
+
+// Bounds of one transaction.
+const (
+	MaxTxEntries = 100
+	MaxTxBytes   = 1 << 20
+)
+
+// Change is a row that was written or removed.
+type Change struct {
+	Row
+	Removed bool
+}
+
+// Store is a linearizable store.
+type Store interface {
+	// Apply executes tx and returns its version. On ErrConflict it returns the rows named in Expect as they are.
+	// Errors: ErrConflict, ErrUnavailable, ErrUncertain.
+	Apply(ctx context.Context, tx Tx) (version uint64, current []Row, err error)
+	// Range returns the rows of a table's part with from <= name < to (empty: no bound) as of one version.
+	// Errors: ErrUnavailable.
+	Range(ctx context.Context, table, part, from, to string) (rows []Row, version uint64, err error)
+	// Feed returns the changes of a table after a version, as soon as there is one and after wait at the latest,
+	// and the version to continue from. Errors: ErrUnavailable, ErrHistoryLost.
+	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
+}
