A task is not started while a stray run of it lasts; runs of later steps are kept after a takeover

Cause: a new owner heard of a second step's run before it heard, from another worker, that the first step had ended. Ruled out: orders of the superseded owner (fenced), workers not awaited (the takeover settled first). Also: a daemon that the store turns away no longer tries to take over every 40 ms.

--- /dev/null
+++ b/internal/dispatch/engine_test.go
@@ -0,0 +1,301 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime"
+)
+
+// cell drives an engine in virtual time.
+type cell struct {
+	t *testing.T
+	*Engine
+	clock monotime.Instant
+}
+
+func newCell(t *testing.T, epoch uint64) *cell {
+	return &cell{t: t, Engine: New(epoch), clock: 1}
+}
+
+func (c *cell) advance(d time.Duration) {
+	c.clock = c.clock.Add(d)
+	c.SetNow(c.clock)
+}
+
+func (c *cell) worker(id string, cpu int64) WorkerID {
+	w := WorkerID(id)
+	c.PutWorker(Worker{ID: w, Pool: "p", Capacity: graph.Claim{MilliCPU: cpu, MemoryMB: 1000}})
+	c.SetReachable(w, true)
+	return w
+}
+
+var plainQueue = graph.Queue{Name: "q", Pool: "p", Attempts: 2, Stretch: 1.5, Target: time.Second}
+
+func (c *cell) job(id string, uncertain bool, steps ...graph.Step) graph.JobID {
+	j := graph.JobID(id)
+	c.AddJob(j, plainQueue, &graph.Spec{Steps: steps}, c.clock, nil, uncertain)
+	return j
+}
+
+func plainStep(n int, after ...int) graph.Step {
+	return graph.Step{Count: n, Claim: graph.Claim{MilliCPU: 100, MemoryMB: 10}, Estimate: time.Second, After: after}
+}
+
+// plan returns the orders by kind.
+func (c *cell) plan() (starts []Start, stops []Stop, asks []Ask) {
+	for _, order := range c.Plan(0) {
+		switch o := order.(type) {
+		case Start:
+			starts = append(starts, o)
+		case Stop:
+			stops = append(stops, o)
+		case Ask:
+			asks = append(asks, o)
+		}
+	}
+	return starts, stops, asks
+}
+
+func key(job graph.JobID, step, index int, number uint64) RunKey {
+	return RunKey{graph.TaskID{Job: job, Step: step, Index: index}, number}
+}
+
+func running(keys ...RunKey) Report {
+	var r Report
+	for _, k := range keys {
+		r.Running = append(r.Running, RunningEntry{RunKey: k})
+	}
+	return r
+}
+
+func ended(sequence uint64, k RunKey, end End) Report {
+	return Report{Ended: []EndedEntry{{Sequence: sequence, RunKey: k, End: end}}}
+}
+
+// A new owner hears of a second step's run before it hears that the first step has ended, which the earlier owner knew.
+func TestRunOfLaterStepIsKeptAfterTakeover(t *testing.T) {
+	c := newCell(t, 2)
+	a, b := c.worker("a", 1000), c.worker("b", 1000)
+	c.Await(a)
+	c.Await(b)
+	j := c.job("j", true, plainStep(1), plainStep(1, 0))
+	c.Report(a, c.clock, running(key(j, 1, 0, 1)))
+	c.Report(b, c.clock, ended(1, key(j, 0, 0, 1), EndDone))
+	starts, stops, _ := c.plan()
+	if len(starts) != 0 || len(stops) != 0 {
+		t.Errorf("starts %v, stops %v, want the run kept", starts, stops)
+	}
+}
+
+// A task whose unneeded run is still being stopped is not started elsewhere.
+func TestTaskWaitsForItsStrayRun(t *testing.T) {
+	c := newCell(t, 2)
+	a, b := c.worker("a", 1000), c.worker("b", 1000)
+	j := c.job("j", false, plainStep(1))
+	c.Report(a, c.clock, running(key(j, 0, 0, 1)))
+	c.Report(b, c.clock, running(key(j, 0, 0, 2)))
+	_, stops, _ := c.plan()
+	if len(stops) != 1 || stops[0].Worker != b {
+		t.Fatalf("stops %v, want the second run stopped", stops)
+	}
+	c.Report(a, c.clock, ended(1, key(j, 0, 0, 1), EndInterrupted))
+	if starts, _, _ := c.plan(); len(starts) != 0 {
+		t.Fatalf("started %v while a stray run is being stopped", starts)
+	}
+	c.Report(b, c.clock, ended(1, key(j, 0, 0, 2), EndInterrupted))
+	if starts, _, _ := c.plan(); len(starts) != 1 {
+		t.Errorf("%d starts, want 1 once the stray run has ended", len(starts))
+	}
+}
+
+func TestUncertainJobWaitsForAwaitedWorkers(t *testing.T) {
+	c := newCell(t, 2)
+	a, b := c.worker("a", 1000), c.worker("b", 1000)
+	c.Await(a)
+	c.Await(b)
+	c.job("old", true, plainStep(1))
+	c.job("new", false, plainStep(1))
+	c.Report(a, c.clock, Report{})
+	starts, _, _ := c.plan()
+	if len(starts) != 1 || starts[0].Task.Job != "new" {
+		t.Fatalf("starts %v, want only the job that no earlier owner knew", starts)
+	}
+	c.RemoveWorker(b)
+	if starts, _, _ = c.plan(); len(starts) != 1 || starts[0].Number <= runsPerEpoch {
+		t.Errorf("starts %v, want the old job under a number above the earlier owner's", starts)
+	}
+}
+
+func TestStartInDoubtIsSettledBeforeTheNext(t *testing.T) {
+	c := newCell(t, 1)
+	a := c.worker("a", 1000)
+	j := c.job("j", false, plainStep(1))
+	starts, _, _ := c.plan()
+	c.StartAnswered(a, starts[0].RunKey, StartInDoubt)
+	starts, stops, _ := c.plan()
+	if len(starts) != 0 || len(stops) != 1 {
+		t.Fatalf("starts %v, stops %v, want only a stop", starts, stops)
+	}
+	sent := c.clock
+	c.advance(time.Millisecond)
+	c.StopAnswered(a, key(j, 0, 0, 1), true)
+	c.Report(a, sent, Report{})
+	if starts, _, _ = c.plan(); len(starts) != 0 {
+		t.Fatal("started on a report that is older than the answer to the stop")
+	}
+	c.advance(time.Millisecond)
+	c.Report(a, c.clock, Report{})
+	if starts, _, _ = c.plan(); len(starts) != 1 || starts[0].Number != 2 {
+		t.Errorf("starts %v, want run 2", starts)
+	}
+}
+
+func TestNeverBeyondCapacity(t *testing.T) {
+	c := newCell(t, 1)
+	a := c.worker("a", 250)
+	j := c.job("j", false, plainStep(5))
+	starts, _, _ := c.plan()
+	if len(starts) != 2 {
+		t.Fatalf("%d starts on a worker with room for 2", len(starts))
+	}
+	c.StartAnswered(a, starts[0].RunKey, Started)
+	c.StartAnswered(a, starts[1].RunKey, Started)
+	c.Cancel(j)
+	c.job("k", false, plainStep(5))
+	if starts, _, _ = c.plan(); len(starts) != 0 {
+		t.Errorf("started %v while what is being stopped holds its claim", starts)
+	}
+}
+
+func TestFailureIsCountedOnceAcrossOwners(t *testing.T) {
+	c := newCell(t, 1)
+	a := c.worker("a", 1000)
+	j := c.job("j", false, plainStep(1))
+	c.plan()
+	c.Report(a, c.clock, ended(1, key(j, 0, 0, 1), EndFailed))
+	recorded := c.TakeDirty(10)[j]
+
+	next := newCell(t, 2)
+	next.worker("a", 1000)
+	next.AddJob(j, plainQueue, &graph.Spec{Steps: []graph.Step{plainStep(1)}}, next.clock, &recorded, true)
+	next.Report(a, next.clock, ended(1, key(j, 0, 0, 1), EndFailed))
+	if state, _ := next.JobState(j); state == graph.Failed {
+		t.Fatal("one failed run counted as two attempts")
+	}
+	next.Report(a, next.clock, ended(2, key(j, 0, 0, 1001), EndFailed))
+	if state, _ := next.JobState(j); state != graph.Failed {
+		t.Errorf("state %s after two failed runs, want failed", state)
+	}
+}
+
+func TestGangStartsTogetherAndRestartsAsAWhole(t *testing.T) {
+	c := newCell(t, 1)
+	a := c.worker("a", 150)
+	gang := plainStep(2)
+	gang.Gang = true
+	j := c.job("j", false, gang)
+	if starts, _, _ := c.plan(); len(starts) != 0 {
+		t.Fatalf("started %v of a gang that does not fit", starts)
+	}
+	b := c.worker("b", 150)
+	starts, _, _ := c.plan()
+	if len(starts) != 2 || starts[0].Number != starts[1].Number {
+		t.Fatalf("starts %v, want both members under one number", starts)
+	}
+	c.StartAnswered(starts[0].Worker, starts[0].RunKey, Started)
+	c.StartAnswered(starts[1].Worker, starts[1].RunKey, StartNoRoom)
+	starts, stops, _ := c.plan()
+	if len(stops) != 1 || len(starts) != 0 {
+		t.Fatalf("starts %v, stops %v, want the other member stopped", starts, stops)
+	}
+	c.advance(time.Second)
+	c.Report(stops[0].Worker, c.clock, ended(1, stops[0].RunKey, EndInterrupted))
+	starts, _, _ = c.plan()
+	if len(starts) != 2 {
+		t.Fatalf("%d starts, want the gang again", len(starts))
+	}
+	c.Report(a, c.clock, ended(5, key(j, 0, 0, starts[0].Number), EndDone))
+	c.Report(b, c.clock, ended(5, key(j, 0, 1, starts[0].Number), EndDone))
+	if state, _ := c.JobState(j); state != graph.Completed {
+		t.Errorf("state %s, want completed", state)
+	}
+}
+
+func TestLongRunningTaskIsRestartedHoweverItEnds(t *testing.T) {
+	c := newCell(t, 1)
+	a := c.worker("a", 1000)
+	lasting := plainStep(1)
+	lasting.LongRunning = true
+	j := c.job("j", false, lasting)
+	for i, end := range []End{EndFailed, EndFailed, EndFailed, EndDone, EndInterrupted} {
+		starts, _, _ := c.plan()
+		if len(starts) != 1 {
+			t.Fatalf("%d starts after %d ends, want 1", len(starts), i)
+		}
+		c.Report(a, c.clock, ended(uint64(i+1), key(j, 0, 0, starts[0].Number), end))
+	}
+}
+
+func TestCheckpointIsCarriedToTheNextRun(t *testing.T) {
+	c := newCell(t, 1)
+	a := c.worker("a", 1000)
+	j := c.job("j", false, plainStep(1))
+	c.plan()
+	report := ended(1, key(j, 0, 0, 1), EndInterrupted)
+	report.Ended[0].Checkpoint = "saved"
+	c.Report(a, c.clock, report)
+	if starts, _, _ := c.plan(); len(starts) != 1 || starts[0].Checkpoint != "saved" {
+		t.Errorf("starts %v, want one that resumes", starts)
+	}
+}
+
+func TestScheduledJobStartsAtItsTimes(t *testing.T) {
+	c := newCell(t, 1)
+	c.worker("a", 1000)
+	spec := &graph.Spec{Steps: []graph.Step{plainStep(1)}, Occurrences: 2, StartAt: 10 * time.Second, Interval: 5 * time.Second}
+	c.AddJob("j", plainQueue, spec, c.clock, nil, false)
+	for _, step := range []struct {
+		wall time.Duration
+		want int
+	}{{9 * time.Second, 0}, {10 * time.Second, 1}, {14 * time.Second, 0}, {15 * time.Second, 1}} {
+		starts := 0
+		for _, order := range c.Plan(step.wall) {
+			if _, ok := order.(Start); ok {
+				starts++
+			}
+		}
+		if starts != step.want {
+			t.Errorf("%d starts at %s, want %d", starts, step.wall, step.want)
+		}
+	}
+}
+
+func TestPermitsLimitTheWorkers(t *testing.T) {
+	c := newCell(t, 1)
+	a, b := c.worker("a", 1000), c.worker("b", 1000)
+	queue := plainQueue
+	queue.Permit = &graph.PermitCost{Base: time.Millisecond}
+	c.AddJob("j", queue, &graph.Spec{Steps: []graph.Step{plainStep(3)}}, c.clock, nil, false)
+	starts, _, asks := c.plan()
+	if len(starts) != 0 || len(asks) != 1 || len(asks[0].Workers) != 2 {
+		t.Fatalf("starts %v, asks %v, want one question about both workers", starts, asks)
+	}
+	c.Permits(asks[0].Step, asks[0].Workers, map[WorkerID]string{b: "ticket"}, 2*time.Second, true)
+	starts, _, _ = c.plan()
+	if len(starts) != 3 {
+		t.Fatalf("%d starts, want 3", len(starts))
+	}
+	for _, s := range starts {
+		if s.Worker == a || s.Permit != "ticket" {
+			t.Errorf("start %v, want it on the allowed worker with its ticket", s)
+		}
+	}
+}
+
+func ExampleRunKey() {
+	fmt.Println(key("0123456789abcdef", 1, 2, 3).Task)
+	// Output: 0123456789abcdef/0/1/2
+}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -91,10 +91,14 @@
 	}
 	e.reserve(r, t.step.def)
 	t.lastRun = max(t.lastRun, entry.Number)
-	if t.done || t.run != nil || t.step.job.state.Ended() || t.step.waiting > 0 {
+	if t.done || t.run != nil || t.step.job.state.Ended() {
+		r.strayOf = t
+		t.strays++
 		e.stop(r, "run is not needed")
 		return r
 	}
+	// A step that still waits for another is no reason to stop its run: the earlier owner had heard of the end that
+	// this one has yet to hear of.
 	r.task = t
 	t.run = r
 	e.markStarted(t.step.job)
@@ -115,6 +119,9 @@
 	}
 	delete(r.worker.runs, r.RunKey)
 	r.worker.used = r.worker.used.Sub(r.held)
+	if r.strayOf != nil {
+		r.strayOf.strays--
+	}
 	if r.task != nil && r.task.run == r {
 		r.task.run = nil
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -161,6 +161,8 @@
 	worker *worker
 	// task is nil if the run is not its task's current one; it is then being stopped.
 	task *task
+	// strayOf is set if the run is of a task that did not need it; the task is not started while it lasts.
+	strayOf *task
 	held graph.Claim
 	// unsized means that the claim is not known: the worker counts as full.
 	unsized bool
@@ -210,6 +212,8 @@
 	lastRun    uint64
 	checkpoint string
 	run        *run
+	// strays counts runs of the task beside run that have not ended.
+	strays int
 }
 
 func (t *task) id() graph.TaskID {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -140,7 +140,7 @@
 func (s *step) unplaced() []*task {
 	var open []*task
 	for _, t := range s.tasks {
-		if !t.done && t.run == nil {
+		if !t.done && t.run == nil && t.strays == 0 {
 			open = append(open, t)
 		}
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -30,6 +30,10 @@
 	takeoverSpread = 300 * time.Millisecond
 	// electionPoll is how often a daemon looks whether ownership is free.
 	electionPoll = 40 * time.Millisecond
+	// electionRetry is kept after an attempt that failed.
+	electionRetry = 250 * time.Millisecond
+	// blindAfter is the age of the ledger's copy from which a daemon doesn't try to take over: the store turns it away.
+	blindAfter = 1500 * time.Millisecond
 	// helloInterval is how often a daemon tells the owner that it can help.
 	helloInterval = 400 * time.Millisecond
 	// catchUpTimeout bounds how long a new owner waits for its ledger to catch up.
@@ -84,7 +88,7 @@
 		tenure, err := d.take(ctx)
 		if err != nil {
 			d.Log.Info().Err(err).Msg("ownership not taken")
-			pause(ctx, electionPoll)
+			pause(ctx, electionRetry)
 			continue
 		}
 		d.rule(ctx, tenure)
@@ -93,7 +97,7 @@
 
 // mayTake reports whether ownership is free as far as this daemon knows.
 func (d *Daemon) mayTake() bool {
-	if !d.Replica.Ready() {
+	if !d.Replica.Ready() || d.Replica.Age() > blindAfter {
 		return false
 	}
 	view := d.Replica.Owner()
