Store calls: feeds with gaps, job states asked of the owner

Daemons that don't own the cell now read changes together; a caller's question for a job that has not ended goes to the owner, which has the state in memory.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -163,7 +163,7 @@
 	task *task
 	// strayOf is set if the run is of a task that did not need it; the task is not started while it lasts.
 	strayOf *task
-	held graph.Claim
+	held    graph.Claim
 	// unsized means that the claim is not known: the worker counts as full.
 	unsized bool
 	filler  bool
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -46,7 +46,9 @@
 	if body == nil {
 		return resultUnavailable, ""
 	}
-	s.Log.Info().Str("job", req.Job).Str("command", req.Command).Str("owner", owner.Node).Str("result", body.Result).Msg("relayed")
+	if req.Command != commandFind {
+		s.Log.Info().Str("job", req.Job).Str("command", req.Command).Str("owner", owner.Node).Str("result", body.Result).Msg("relayed")
+	}
 	return body.Result, graph.State(body.State)
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -53,6 +53,8 @@
 	storeTimeout = 800 * time.Millisecond
 	// relayTimeout bounds one call to the owner in the store's place.
 	relayTimeout = 700 * time.Millisecond
+	// ownerTimeout bounds the question for a job's state to the owner; it answers from memory.
+	ownerTimeout = 250 * time.Millisecond
 	// storeRetry is kept between two tries.
 	storeRetry = 120 * time.Millisecond
 	// maxTries bounds the tries of one command. A store that fails them all is down for longer than a caller waits.
@@ -235,7 +237,26 @@
 	if !ok {
 		return s.answer("state", rest, Answer{Result: NoJob})
 	}
-	return s.answer("state", rest, s.find(ctx, id))
+	return s.answer("state", rest, s.newest(ctx, id))
+}
+
+// newest tells a job's state as its owner has it. The copy at hand lags, which would keep a caller waiting for a job that
+// has ended; it serves if the owner gives no answer soon.
+func (s *Service) newest(ctx context.Context, id graph.JobID) Answer {
+	j, known := s.Replica.Job(id)
+	if known && j.State().Ended() {
+		return Answer{Result: OK, State: j.State()}
+	}
+	owner := s.Replica.Owner()
+	if known && (owner.Version == 0 || owner.Life == s.Life) {
+		return Answer{Result: OK, State: j.State()}
+	}
+	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	if result, state := s.relay(ownerCtx, &wire.IntakeRequest{Command: commandFind, Job: string(id)}); result == resultOK {
+		return Answer{Result: OK, State: state}
+	}
+	return s.find(ctx, id)
 }
 
 func (s *Service) pending(route *Route) Answer {
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -15,8 +16,17 @@
 	"laburnumpoint/internal/rowstore"
 )
 
-// feedWait is how long a call for changes waits: a quiet feed, and so the silence of an owner, is confirmed this often.
-const feedWait = 500 * time.Millisecond
+// Bounds of following the store. Each call is charged, and each daemon follows each table.
+const (
+	// feedWait is how long a call for changes waits: a quiet feed, and so the silence of an owner, is confirmed this often.
+	feedWait = 500 * time.Millisecond
+	// intakeGap is kept between calls for new jobs by a daemon that does not own the cell and so only tells of them.
+	intakeGap = 400 * time.Millisecond
+	// progressGap is kept between calls for progress. It delays the notice of a lost owner.
+	progressGap = 200 * time.Millisecond
+	// ownProgressGap is kept between calls for progress by the owner, which wrote it.
+	ownProgressGap = 1 * time.Second
+)
 
 // Job is what the replica knows of a job.
 type Job struct {
@@ -50,6 +60,7 @@
 	clock     monotime.Clock
 	log       *log.Logger
 	followers []*rowstore.Follower
+	owning    atomic.Bool
 
 	mu      sync.RWMutex
 	jobs    map[graph.JobID]*Job
@@ -77,16 +88,30 @@
 	for n := range parts {
 		parts[n] = partName(n)
 	}
-	r.followers = []*rowstore.Follower{r.follower(intakeTable, parts), r.follower(progressTable, []string{""})}
+	r.followers = []*rowstore.Follower{
+		r.follower(intakeTable, parts, 0, intakeGap),
+		r.follower(progressTable, []string{""}, ownProgressGap, progressGap),
+	}
 	return r
 }
 
-func (r *Replica) follower(table string, parts []string) *rowstore.Follower {
+// follower returns the follower of a table, with the gap between its calls while this daemon owns the cell and while it
+// does not.
+func (r *Replica) follower(table string, parts []string, owning, other time.Duration) *rowstore.Follower {
 	return &rowstore.Follower{
 		Store: r.store, Clock: r.clock, Log: r.log, Table: table, Parts: parts, Wait: feedWait, Apply: r.applyAll,
+		Gap: func() time.Duration {
+			if r.owning.Load() {
+				return owning
+			}
+			return other
+		},
 	}
 }
 
+// SetOwning tells the replica whether this daemon owns the cell.
+func (r *Replica) SetOwning(owning bool) { r.owning.Store(owning) }
+
 // OnChange sets what is called for each job that is new or newly cancelled. It must not block.
 func (r *Replica) OnChange(f func(graph.JobID)) {
 	r.mu.Lock()
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -19,7 +19,7 @@
 	// tick is how often the loop looks at what only time brings about.
 	tick = 100 * time.Millisecond
 	// recordGap is kept between two records, so that what ends together is recorded together.
-	recordGap = 15 * time.Millisecond
+	recordGap = 25 * time.Millisecond
 	// recordRetry is kept before a record that failed is tried again.
 	recordRetry = 100 * time.Millisecond
 	// leaseLength is for how long a worker's lease is extended. It outlasts a takeover, and bounds how long tasks of a
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -139,7 +139,9 @@
 		return
 	}
 	d.control.Store(c)
+	d.Replica.SetOwning(true)
 	c.run()
+	d.Replica.SetOwning(false)
 	d.control.Store(nil)
 	d.Log.Info().Uint64("epoch", tenure.Epoch()).Str("owner", view.Node).Bool("planned", ctx.Err() != nil).Msg("ownership ended")
 	if ctx.Err() != nil && !c.lost {
--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -29,8 +29,10 @@
 	Table string
 	// Parts are the parts that the table has.
 	Parts []string
-	// Wait is how long a call for changes waits; Gap is kept between two calls, so that frequent changes come together.
-	Wait, Gap time.Duration
+	// Wait is how long a call for changes waits.
+	Wait time.Duration
+	// Gap tells, if set, what is kept between two calls, so that frequent changes come together in one.
+	Gap func() time.Duration
 	// Apply takes in changes in order. With full set, they are all rows of the table. It may be called concurrently if
 	// Refresh is; older changes may then come after newer ones.
 	Apply func(changes []Change, full bool)
@@ -54,8 +56,8 @@
 		f.note(err)
 		if err != nil {
 			sleep(ctx, retryDelay)
-		} else if f.Gap > 0 {
-			sleep(ctx, f.Gap)
+		} else if f.Gap != nil {
+			sleep(ctx, f.Gap())
 		}
 	}
 }
@@ -169,6 +171,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
