Lease of a silent worker ends; order and reservation of steps under load

Cause: each look in vain noted that it might have extended the worker's lease, so that the lease was never over. Looks extend leases only after one that was answered. Ruled out: starvation of a gang (the step was none), permits.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -295,6 +295,61 @@
 	}
 }
 
+// A gang that needs whole workers gets them although small tasks keep coming to each worker, if half the pool is free.
+func TestGangIsNotStarvedBySmallTasks(t *testing.T) {
+	const workers = 8
+	c := newCell(t, 1)
+	name := func(i int) string { return fmt.Sprint("w", i) }
+	for i := range workers {
+		c.PutWorker(Worker{ID: WorkerID(name(i)), Pool: "p", Labels: []string{name(i)}, Capacity: graph.Claim{MilliCPU: 300, MemoryMB: 1000}})
+		c.SetReachable(WorkerID(name(i)), true)
+	}
+	jobs := 0
+	small := func(worker string) {
+		step := plainStep(1)
+		step.Label = worker
+		jobs++
+		c.job(fmt.Sprint("small", jobs), false, step)
+	}
+	for i := range workers {
+		small(name(i))
+	}
+	running, _, _ := c.plan()
+	gang := plainStep(2)
+	gang.Gang = true
+	gang.Claim.MilliCPU = 300
+	c.job("gang", false, gang)
+	sequences := make(map[WorkerID]uint64)
+	for range 5 * workers {
+		c.advance(100 * time.Millisecond)
+		oldest := running[0]
+		running = running[1:]
+		small(string(oldest.Worker))
+		sequences[oldest.Worker]++
+		c.Report(oldest.Worker, c.clock, ended(sequences[oldest.Worker], oldest.RunKey, EndDone))
+		starts, _, _ := c.plan()
+		for _, s := range starts {
+			if s.Task.Job == "gang" {
+				return
+			}
+		}
+		running = append(running, starts...)
+	}
+	t.Error("the gang never started although more than half of the pool was free all the while")
+}
+
+// Under overload a job that has missed its objective does not make others of its priority miss theirs.
+func TestMissedJobsDoNotDelayOthers(t *testing.T) {
+	c := newCell(t, 1)
+	c.worker("a", 100)
+	c.job("old", false, plainStep(1))
+	c.advance(plainQueue.Objective(&graph.Spec{Steps: []graph.Step{plainStep(1)}}) + time.Second)
+	c.job("new", false, plainStep(1))
+	if starts, _, _ := c.plan(); len(starts) != 1 || starts[0].Task.Job != "new" {
+		t.Errorf("starts %v, want the job that can still complete in time", starts)
+	}
+}
+
 func ExampleRunKey() {
 	fmt.Println(key("0123456789abcdef", 1, 2, 3).Task)
 	// Output: 0123456789abcdef/0/1/2
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -81,7 +81,7 @@
 // carried out late. It becomes its task's run if the task needs one, and is stopped otherwise.
 func (e *Engine) adopt(w *worker, entry RunningEntry) *run {
 	e.stats.Orphans++
-	r := &run{RunKey: entry.RunKey, worker: w, state: runRunning, percent: 100}
+	r := &run{RunKey: entry.RunKey, worker: w, state: runRunning, percent: 100, ordered: e.now}
 	w.runs[entry.RunKey] = r
 	t := e.task(entry.Task)
 	if t == nil {
@@ -310,6 +310,9 @@
 	}
 }
 
+// askRetry is kept after a question without an answer.
+const askRetry = 200 * time.Millisecond
+
 // Permits takes in the policy service's answer about a step: tickets of the workers that may run it, among those asked.
 // ok false means that there was no answer.
 func (e *Engine) Permits(id StepID, asked []WorkerID, tickets map[WorkerID]string, valid time.Duration, ok bool) {
@@ -320,6 +323,7 @@
 	s := j.steps[id.Occurrence][id.Step]
 	s.asking = false
 	if !ok {
+		s.askAt = e.now.Add(askRetry)
 		return
 	}
 	if s.permits == nil {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -170,6 +170,8 @@
 	state   runState
 	// confirmed is when the worker acknowledged the start or listed the run.
 	confirmed monotime.Instant
+	// ordered is when the run was started, or first listed.
+	ordered monotime.Instant
 	// stopAnswered is when the worker acknowledged a stop; 0 before.
 	stopAnswered monotime.Instant
 	stopRetryAt  monotime.Instant
@@ -193,6 +195,8 @@
 	avoidUntil monotime.Instant
 	// failures counts failed runs since the last one that was done.
 	failures int
+	// reservedFor is the gang for which the worker is kept free in the present plan.
+	reservedFor *step
 }
 
 func (w *worker) free() graph.Claim { return w.Capacity.Sub(w.used) }
@@ -239,6 +243,8 @@
 	permits map[WorkerID]permit
 	// allowed holds what the policy service has said; its verdicts on a step don't change.
 	allowed map[WorkerID]bool
+	// reserved are the workers that are kept free for a gang.
+	reserved []*worker
 }
 
 func (s *step) id() StepID { return StepID{s.job.id, s.occurrence, s.index} }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -18,7 +18,9 @@
 	e.wake(wall)
 	e.retryStops()
 	pools := e.pools()
-	for _, s := range e.byUrgency() {
+	steps := e.byUrgency()
+	e.reserveForGangs(steps, pools)
+	for _, s := range steps {
 		if s.job.uncertain {
 			if len(e.awaited) > 0 {
 				continue
@@ -50,11 +52,15 @@
 	// asked is what the steps that wait for permits will claim.
 	asked graph.Claim
 	free  graph.Claim
+	size  graph.Claim
+	// reserved counts the workers that are kept free for gangs.
+	reserved int
 }
 
 func (e *Engine) pools() map[string]*pool {
 	pools := make(map[string]*pool)
 	for _, w := range e.workers {
+		w.reservedFor = nil
 		if w.Draining || !w.reachable || w.hasUnsized() {
 			continue
 		}
@@ -65,6 +71,7 @@
 		}
 		p.workers = append(p.workers, w)
 		p.free = p.free.Add(w.free())
+		p.size = p.size.Add(w.Capacity)
 	}
 	for _, p := range pools {
 		slices.SortFunc(p.workers, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
@@ -81,8 +88,8 @@
 	return false
 }
 
-// byUrgency returns the active steps in the order in which they get room: those that can still be of use first, then
-// by priority and due time.
+// byUrgency returns the active steps in the order in which they get room: by priority, then those whose jobs can still
+// complete in time, then by due time; jobs far beyond their objective come last of all.
 func (e *Engine) byUrgency() []*step {
 	steps := make([]*step, 0, len(e.active))
 	for s := range e.active {
@@ -92,6 +99,7 @@
 		return cmp.Or(
 			cmp.Compare(e.lateness(a), e.lateness(b)),
 			cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
+			cmp.Compare(e.missed(a), e.missed(b)),
 			cmp.Compare(a.due, b.due),
 			cmp.Compare(a.job.id, b.job.id),
 			cmp.Compare(a.occurrence, b.occurrence),
@@ -101,6 +109,15 @@
 	return steps
 }
 
+// missed is 1 for a step whose job can no longer complete in time, else 0. Within a priority the others go first: what has
+// missed its objective is worth little more now than later, and would make them miss theirs.
+func (e *Engine) missed(s *step) int {
+	if !s.def.LongRunning && e.now > s.due {
+		return 1
+	}
+	return 0
+}
+
 // lateFactor times a job's objective is the time after which its completion is worth little.
 const lateFactor = 3
 
@@ -120,12 +137,13 @@
 		return
 	}
 	if s.def.Gang {
-		if len(open) == len(s.tasks) && e.placeGang(s, p, open) {
-			return
-		}
 		if len(open) < len(s.tasks) {
 			return // members of an earlier run are still ending
 		}
+		if e.placeGang(s, p, open) {
+			s.reserved = nil
+			return
+		}
 	} else {
 		open = e.placeEach(s, p, open)
 	}
@@ -208,7 +226,7 @@
 
 func (e *Engine) start(t *task, w *worker, number uint64) {
 	t.lastRun = number
-	r := &run{RunKey: RunKey{t.id(), number}, worker: w, task: t, percent: 100}
+	r := &run{RunKey: RunKey{t.id(), number}, worker: w, task: t, percent: 100, ordered: e.now}
 	w.runs[r.RunKey] = r
 	e.reserve(r, t.step.def)
 	t.run = r
@@ -256,6 +274,9 @@
 }
 
 func (e *Engine) hasRoom(s *step, w *worker, taken graph.Claim, counts map[WorkerID]int) bool {
+	if w.reservedFor != nil && w.reservedFor != s {
+		return false
+	}
 	if s.def.MaxPerWorker > 0 && counts[w.ID] >= s.def.MaxPerWorker {
 		return false
 	}
@@ -314,28 +335,27 @@
 	return used
 }
 
-// ask asks the policy service about the workers that have room for the step, if the pool has room beyond what was
-// asked for already.
+// ask asks the policy service about a step. The first question is about every worker that may ever run it, since its
+// verdicts don't change; later ones renew the permits of the allowed workers that have room.
 func (e *Engine) ask(s *step, p *pool, open []*task) {
-	if !s.def.Held().Fits(p.free.Sub(p.asked)) {
+	if e.now < s.askAt || !s.def.Held().Fits(p.free.Sub(p.asked)) {
 		return
 	}
 	counts := s.onWorkers()
 	var workers []WorkerID
 	room := 0
 	for _, w := range p.workers {
-		if allowed, known := s.allowed[w.ID]; known && !allowed {
+		allowed, known := s.allowed[w.ID]
+		if (known && !allowed) || !s.eligible(w) || len(workers) >= maxAsk {
 			continue
 		}
-		if s.permitted(w, e.now) || !s.eligible(w) || !e.hasRoom(s, w, graph.Claim{}, counts) {
+		if known && (s.permitted(w, e.now) || !e.hasRoom(s, w, graph.Claim{}, counts)) {
 			continue
 		}
-		if len(workers) < maxAsk {
-			workers = append(workers, w.ID)
-		}
-		room += tasksThatFit(s.def, w.free())
+		workers = append(workers, w.ID)
+		room += s.tasksThatFit(w.free(), counts[w.ID])
 	}
-	if len(workers) == 0 || (s.def.Gang && room < len(open)) {
+	if room == 0 || (s.def.Gang && s.allowed != nil && room < len(open)) {
 		return
 	}
 	s.asking = true
@@ -349,10 +369,10 @@
 	})
 }
 
-// tasksThatFit counts the tasks of a step that fit into free.
-func tasksThatFit(def *graph.Step, free graph.Claim) int {
-	held := def.Held()
-	n := int64(def.Count)
+// tasksThatFit counts the tasks of a step that fit into free, beside those that the worker has of it.
+func (s *step) tasksThatFit(free graph.Claim, present int) int {
+	held := s.def.Held()
+	n := int64(s.def.Count)
 	if held.MilliCPU > 0 {
 		n = min(n, free.MilliCPU/held.MilliCPU)
 	}
@@ -362,8 +382,8 @@
 	if held.Accelerators > 0 {
 		n = min(n, free.Accelerators/held.Accelerators)
 	}
-	if def.MaxPerWorker > 0 {
-		n = min(n, int64(def.MaxPerWorker))
+	if s.def.MaxPerWorker > 0 {
+		n = min(n, int64(s.def.MaxPerWorker-present))
 	}
-	return int(n)
+	return int(max(0, n))
 }
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -82,8 +82,11 @@
 // run looks at the worker again and again.
 func (l *link) run(ctx context.Context) {
 	wait := time.Duration(0)
+	// A look that may go unanswered extends no lease: otherwise the lease of a worker that has gone would never be over.
+	answering := false
 	for ctx.Err() == nil {
-		last, err := l.hold(ctx, wait)
+		last, err := l.hold(ctx, wait, answering)
+		answering = err == nil
 		if ctx.Err() != nil {
 			return
 		}
@@ -116,17 +119,15 @@
 	return true
 }
 
-// hold looks at the worker once and returns the sequence of the last end that it listed.
-func (l *link) hold(ctx context.Context, wait time.Duration) (uint64, error) {
+// hold looks at the worker once, extends its lease if asked to, and returns the sequence of the last end that it listed.
+func (l *link) hold(ctx context.Context, wait time.Duration, extend bool) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
 	defer cancel()
 	call := HoldCall{Epoch: l.c.tenure.Epoch(), Recorded: l.covered(), Wait: wait}
 	sent := l.c.now()
-	if l.c.valid() {
+	if extend && l.c.valid() {
 		if deadline, ok := l.lease.extend(sent, l.c.leaseLength()); ok {
 			call.Deadline = deadline
-		} else {
-			call.Wait = 0
 		}
 	}
 	l.c.counts.holds.Inc()
