Acceptance while the store is slow: 32 parts of intake, the owner told directly; unknown queues judged by age of the configuration

Unknown queues were answered 503 while the configuration's copy was up to 2 s old: now refused only beyond the bound of the settings.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -52,6 +52,23 @@
 	return body.Result, graph.State(body.State)
 }
 
+// notify tells the owner, in the background, of a command that the store has carried out. The owner follows the store
+// too: a notice that is lost costs time only.
+func (s *Service) notify(done *wire.IntakeRequest) {
+	owner := s.Replica.Owner()
+	if owner.Version == 0 || owner.Life == s.Life {
+		return
+	}
+	req := &wire.IntakeRequest{Command: done.Command, Job: done.Job, Record: done.Record, Stored: true}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+		defer cancel()
+		if _, err := s.Peers.Call(ctx, owner.Address, &wire.Request{Body: &wire.Request_Intake{Intake: req}}); err != nil {
+			s.Log.Warn().Str("job", req.Job).Str("command", req.Command).Str("owner", owner.Node).Err(err).Msg("notice failed")
+		}
+	}()
+}
+
 // HandleIntake carries out a command for a daemon that the store turns away.
 func (s *Service) HandleIntake(ctx context.Context, req *wire.IntakeRequest) *wire.Reply {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMs)*time.Millisecond)
@@ -69,8 +86,16 @@
 		if err := json.Unmarshal(req.Record, &record); err != nil || record.Spec == nil {
 			return resultUnavailable, ""
 		}
+		if req.Stored {
+			s.Replica.NoteAccepted(id, record)
+			return resultOK, ""
+		}
 		return writeResult(s.Replica.Accept(ctx, id, record)), ""
 	case commandCancel:
+		if req.Stored {
+			s.Replica.NoteCancelled(id)
+			return resultOK, ""
+		}
 		return writeResult(s.Replica.Cancel(ctx, id)), ""
 	case commandFind:
 		j, ok, err := s.Replica.Find(ctx, id)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -61,20 +61,26 @@
 	maxTries = 4
 	// storeBackoff is when a caller may come back after the store was found down.
 	storeBackoff = 1 * time.Second
-	// staleConfig is the age of the configuration from which an unknown queue may be one just added.
-	staleConfig = 1500 * time.Millisecond
 	// staleReplica is the age of the ledger's copy from which counts are not answered from it.
 	staleReplica = 2500 * time.Millisecond
 )
 
-// Service answers callers. It is safe for concurrent use.
-type Service struct {
+// Options are what a service needs. All fields are required.
+type Options struct {
 	Replica *ledger.Replica
 	Clock   monotime.Clock
 	Log     *log.Logger
 	Peers   peer.Caller
 	// Life is the daemon's own, as in the ownership row.
 	Life string
+	// ConfigBound is the age of the configuration from which an unknown queue may be one that should be in force.
+	ConfigBound time.Duration
+	Metrics     *metrics.Set
+}
+
+// Service answers callers. It is safe for concurrent use.
+type Service struct {
+	Options
 
 	routes      atomic.Pointer[Routes]
 	configHeard atomic.Int64
@@ -82,12 +88,12 @@
 }
 
 // NewService returns a service without configuration.
-func NewService(replica *ledger.Replica, clock monotime.Clock, logger *log.Logger, peers peer.Caller, life string, set *metrics.Set) *Service {
-	s := &Service{Replica: replica, Clock: clock, Log: logger, Peers: peers, Life: life}
+func NewService(o Options) *Service {
+	s := &Service{Options: o}
 	s.answers = make(map[Result]*metrics.Counter)
 	names := map[Result]string{OK: "ok", NoQueue: "no_queue", NoJob: "no_job", Invalid: "invalid", Unavailable: "unavailable", Uncertain: "uncertain"}
 	for r, name := range names {
-		s.answers[r] = set.NewCounter(`laburnumpoint_answers_total{result="` + name + `"}`)
+		s.answers[r] = o.Metrics.NewCounter(`laburnumpoint_answers_total{result="` + name + `"}`)
 	}
 	return s
 }
@@ -134,7 +140,7 @@
 	if ok {
 		return route, rest, nil
 	}
-	if s.Clock.Now().Sub(monotime.Instant(s.configHeard.Load())) > staleConfig {
+	if s.Clock.Now().Sub(monotime.Instant(s.configHeard.Load())) > s.ConfigBound {
 		return nil, "", &Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "configuration may be outdated"}
 	}
 	return nil, "", &Answer{Result: NoQueue}
@@ -162,27 +168,27 @@
 }
 
 func (s *Service) accept(ctx context.Context, id graph.JobID, record ledger.JobRecord) Answer {
+	data, err := json.Marshal(record)
+	if err != nil {
+		return Answer{Result: Invalid, Detail: err.Error()}
+	}
 	return s.durable(ctx,
 		func(ctx context.Context) error { return s.Replica.Accept(ctx, id, record) },
-		func() *wire.IntakeRequest {
-			data, err := json.Marshal(record)
-			if err != nil {
-				s.Log.Error().Str("job", string(id)).Err(err).Msg("job record not encoded")
-			}
-			return &wire.IntakeRequest{Command: commandAccept, Job: string(id), Record: data}
-		})
+		&wire.IntakeRequest{Command: commandAccept, Job: string(id), Record: data})
 }
 
-// durable carries out a command by the store, or through the owner if the store turns this daemon away.
-func (s *Service) durable(ctx context.Context, write func(context.Context) error, relay func() *wire.IntakeRequest) Answer {
+// durable carries out a command by the store, or through the owner if the store turns this daemon away. The owner is told
+// what the store has, since it would hear of it later.
+func (s *Service) durable(ctx context.Context, write func(context.Context) error, relay *wire.IntakeRequest) Answer {
 	uncertain := false
 	for try := range maxTries {
 		err := s.write(ctx, write)
 		if err == nil {
+			s.notify(relay)
 			return Answer{Result: OK}
 		}
 		uncertain = uncertain || !errors.Is(err, rowstore.ErrUnavailable)
-		if result, _ := s.relay(ctx, relay()); result == resultOK {
+		if result, _ := s.relay(ctx, relay); result == resultOK {
 			return Answer{Result: OK}
 		} else if result == resultUncertain {
 			uncertain = true
@@ -220,7 +226,7 @@
 	}
 	answer := s.durable(ctx,
 		func(ctx context.Context) error { return s.Replica.Cancel(ctx, id) },
-		func() *wire.IntakeRequest { return &wire.IntakeRequest{Command: commandCancel, Job: string(id)} })
+		&wire.IntakeRequest{Command: commandCancel, Job: string(id)})
 	return s.answer("cancel", rest, answer)
 }
 
--- a/internal/ledger/intake.go
+++ b/internal/ledger/intake.go
@@ -49,6 +49,16 @@
 	return nil
 }
 
+// NoteAccepted takes in a job that another daemon has stored, before the store's feed tells of it.
+func (r *Replica) NoteAccepted(id graph.JobID, record JobRecord) {
+	r.apply(rowstore.Change{Row: rowstore.Row{Key: jobKey(id), Value: encode(record)}})
+}
+
+// NoteCancelled takes in a cancellation that another daemon has stored.
+func (r *Replica) NoteCancelled(id graph.JobID) {
+	r.apply(rowstore.Change{Row: rowstore.Row{Key: cancelKey(id)}})
+}
+
 // Find reports whether a job was accepted, asking the store if the replica doesn't know it. Errors: ErrUnavailable.
 func (r *Replica) Find(ctx context.Context, id graph.JobID) (Job, bool, error) {
 	if j, known := r.Job(id); known {
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -27,8 +27,9 @@
 	workerPrefix   = "worker/"
 	ownerName      = "owner"
 
-	// intakeParts spreads the intake, since each part takes a limited number of transactions a second.
-	intakeParts = 4
+	// intakeParts spreads the intake. A part takes one transaction after the other, so that a store that answers sixty
+	// times as slowly as usual takes four a second of each; the jobs of a busy second are some forty.
+	intakeParts = 32
 )
 
 // JobRecord is a job as it was accepted, with its queue's policy at that time.
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -22,6 +22,8 @@
 	feedWait = 500 * time.Millisecond
 	// intakeGap is kept between calls for new jobs by a daemon that does not own the cell and so only tells of them.
 	intakeGap = 400 * time.Millisecond
+	// ownIntakeGap is kept by the owner, which the accepting daemons tell of new jobs directly.
+	ownIntakeGap = 60 * time.Millisecond
 	// progressGap is kept between calls for progress. It delays the notice of a lost owner.
 	progressGap = 200 * time.Millisecond
 	// ownProgressGap is kept between calls for progress by the owner, which wrote it.
@@ -89,7 +91,7 @@
 		parts[n] = partName(n)
 	}
 	r.followers = []*rowstore.Follower{
-		r.follower(intakeTable, parts, 0, intakeGap),
+		r.follower(intakeTable, parts, ownIntakeGap, intakeGap),
 		r.follower(progressTable, []string{""}, ownProgressGap, progressGap),
 	}
 	return r
--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
 
 	"laburnumpoint/internal/monotime"
 )
@@ -107,21 +109,29 @@
 	return f.feed(ctx, wait)
 }
 
+// loadCalls is how many parts are read at once, so that a slow store delays the reading of a table only a little.
+const loadCalls = 8
+
 func (f *Follower) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	sent := f.Clock.Now()
-	var all []Change
-	var lowest uint64
+	rows := make([][]Row, len(f.Parts))
+	versions := make([]uint64, len(f.Parts))
+	calls, ctx := errgroup.WithContext(ctx)
+	calls.SetLimit(loadCalls)
 	for i, part := range f.Parts {
-		rows, version, err := f.Store.Range(ctx, f.Table, part, "", "")
-		if err != nil {
+		calls.Go(func() (err error) {
+			rows[i], versions[i], err = f.Store.Range(ctx, f.Table, part, "", "")
 			return err
-		}
-		if i == 0 || version < lowest {
-			lowest = version
-		}
-		for _, row := range rows {
+		})
+	}
+	if err := calls.Wait(); err != nil {
+		return err
+	}
+	var all []Change
+	for _, part := range rows {
+		for _, row := range part {
 			all = append(all, Change{Row: row})
 		}
 	}
@@ -129,7 +139,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.loaded = true
-	f.version = lowest
+	f.version = slices.Min(versions)
 	f.heard = sent
 	f.done(sent)
 	return nil
