--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -191,6 +191,21 @@
 	}
 }
 
+// A new owner hears of two failed runs from two workers, the later run first.
+func TestFailuresHeardOutOfOrderAllCount(t *testing.T) {
+	c := newCell(t, 2)
+	a, b := c.worker("a", 1000), c.worker("b", 1000)
+	j := c.job("j", true, plainStep(1))
+	c.Report(b, c.clock, ended(1, key(j, 0, 0, 2), EndFailed))
+	c.Report(a, c.clock, ended(1, key(j, 0, 0, 1), EndFailed))
+	if starts, _, _ := c.plan(); len(starts) != 0 {
+		t.Errorf("started %v after two failed runs", starts)
+	}
+	if state, _ := c.JobState(j); state != graph.Failed {
+		t.Errorf("state %s, want failed", state)
+	}
+}
+
 func TestGangStartsTogetherAndRestartsAsAWhole(t *testing.T) {
 	c := newCell(t, 1)
 	a := c.worker("a", 150)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -226,18 +226,15 @@
 	if s.def.LongRunning {
 		return
 	}
-	failures := &t.failures
-	last := &t.failedRun
+	failed := &t.failedRuns
 	if s.def.Gang {
-		failures, last = &s.failures, &s.failedRun
+		failed = &s.failedRuns
 	}
-	if number <= *last {
+	if !failed.add(number) {
 		return // counted before, by this owner or an earlier one
 	}
-	*failures++
-	*last = number
 	e.markDirty(s.job)
-	if *failures >= s.job.queue.Attempts && !t.done && !s.job.state.Ended() {
+	if len(*failed) >= s.job.queue.Attempts && !t.done && !s.job.state.Ended() {
 		e.endJob(s.job, graph.Failed, "job failed")
 	}
 }
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -13,6 +13,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"laburnumpoint/internal/graph"
@@ -206,13 +207,24 @@
 	validUntil monotime.Instant
 }
 
+// runSet is a set of run numbers, each listed once in any order. It holds as many as a queue allows attempts.
+type runSet []uint64
+
+// add adds a number and reports whether it is new.
+func (s *runSet) add(number uint64) bool {
+	if slices.Contains(*s, number) {
+		return false
+	}
+	*s = append(*s, number)
+	return true
+}
+
 type task struct {
 	step  *step
 	index int
 	done  bool
-	// failures counts the runs that failed; failedRun is the highest number among them.
-	failures   int
-	failedRun  uint64
+	// failedRuns are the numbers of the runs that failed.
+	failedRuns runSet
 	lastRun    uint64
 	checkpoint string
 	run        *run
@@ -232,9 +244,8 @@
 	tasks      []*task
 	open       int
 	waiting    int
-	// failures and failedRun count a gang's failed runs.
-	failures  int
-	failedRun uint64
+	// failedRuns are the numbers of a gang's runs that failed.
+	failedRuns runSet
 
 	due     monotime.Instant
 	active  bool
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -11,11 +11,11 @@
 
 // StepProgress is the progress of one step of one occurrence; a step without any is left out.
 type StepProgress struct {
-	Occurrence int    `json:"k,omitempty"`
-	Step       int    `json:"i,omitempty"`
-	Failures   int    `json:"f,omitempty"`
-	FailedRun  uint64 `json:"r,omitempty"`
-	AllDone    bool   `json:"all,omitempty"`
+	Occurrence int `json:"k,omitempty"`
+	Step       int `json:"i,omitempty"`
+	// FailedRuns are the numbers of a gang's runs that failed.
+	FailedRuns []uint64 `json:"f,omitempty"`
+	AllDone    bool     `json:"all,omitempty"`
 	// Done is a bitmap of the tasks that are done.
 	Done  []byte         `json:"done,omitempty"`
 	Tasks []TaskProgress `json:"tasks,omitempty"`
@@ -23,10 +23,9 @@
 
 // TaskProgress is what must last of a task that is not done.
 type TaskProgress struct {
-	Index      int    `json:"i,omitempty"`
-	Failures   int    `json:"f,omitempty"`
-	FailedRun  uint64 `json:"r,omitempty"`
-	Checkpoint string `json:"c,omitempty"`
+	Index      int      `json:"i,omitempty"`
+	FailedRuns []uint64 `json:"f,omitempty"`
+	Checkpoint string   `json:"c,omitempty"`
 }
 
 func (j *job) progress() Progress {
@@ -45,12 +44,12 @@
 }
 
 func (s *step) progress() (StepProgress, bool) {
-	p := StepProgress{Occurrence: s.occurrence, Step: s.index, Failures: s.failures, FailedRun: s.failedRun}
+	p := StepProgress{Occurrence: s.occurrence, Step: s.index, FailedRuns: s.failedRuns}
 	if s.open == 0 {
 		p.AllDone = true
 		return p, true
 	}
-	any := p.Failures > 0
+	any := len(p.FailedRuns) > 0
 	if s.open < len(s.tasks) {
 		any = true
 		p.Done = make([]byte, (len(s.tasks)+7)/8)
@@ -59,9 +58,9 @@
 		switch {
 		case t.done:
 			p.Done[t.index/8] |= 1 << (t.index % 8)
-		case t.failures > 0 || t.checkpoint != "":
+		case len(t.failedRuns) > 0 || t.checkpoint != "":
 			any = true
-			p.Tasks = append(p.Tasks, TaskProgress{t.index, t.failures, t.failedRun, t.checkpoint})
+			p.Tasks = append(p.Tasks, TaskProgress{t.index, t.failedRuns, t.checkpoint})
 		}
 	}
 	return p, any
@@ -80,8 +79,7 @@
 }
 
 func (s *step) restore(p StepProgress) {
-	s.failures = p.Failures
-	s.failedRun = p.FailedRun
+	s.failedRuns = p.FailedRuns
 	for _, t := range s.tasks {
 		if p.AllDone || (t.index/8 < len(p.Done) && p.Done[t.index/8]&(1<<(t.index%8)) != 0) {
 			t.done = true
@@ -93,8 +91,7 @@
 			continue
 		}
 		t := s.tasks[tp.Index]
-		t.failures, t.failedRun, t.checkpoint = tp.Failures, tp.FailedRun, tp.Checkpoint
-		t.lastRun = max(t.lastRun, tp.FailedRun)
+		t.failedRuns, t.checkpoint = tp.FailedRuns, tp.Checkpoint
 	}
 	if s.open == 0 {
 		s.job.openSteps--
