Refusals while the store is down are immediate and true; awaited workers hold back their own pool only

A monitor of the store tells when it has answered nothing for 0.9 s with a failure since: requests are then relayed or refused with 503 before anything is sent. And after the takeover at 5.2 s jobs of both pools waited 2.9 s for crashed workers of one.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -23,8 +23,8 @@
 	scheduled map[*step]struct{}
 	dirty     map[*job]struct{}
 	orders    []Order
-	// awaited holds the workers that may run tasks of earlier owners and have not reported yet.
-	awaited map[WorkerID]struct{}
+	// awaited holds the workers that may run tasks of earlier owners and have not reported yet, with their pools.
+	awaited map[WorkerID]string
 	// stopping holds the runs whose stop may have to be sent again.
 	stopping map[*run]struct{}
 	stats    Stats
@@ -44,7 +44,7 @@
 		active:    make(map[*step]struct{}),
 		scheduled: make(map[*step]struct{}),
 		dirty:     make(map[*job]struct{}),
-		awaited:   make(map[WorkerID]struct{}),
+		awaited:   make(map[WorkerID]string),
 		stopping:  make(map[*run]struct{}),
 	}
 }
@@ -55,8 +55,18 @@
 // Stats returns the counts so far.
 func (e *Engine) Stats() Stats { return e.stats }
 
-// Await keeps the tasks of uncertain jobs from starting until the worker has reported or is dead.
-func (e *Engine) Await(id WorkerID) { e.awaited[id] = struct{}{} }
+// Await keeps the tasks of uncertain jobs of the pool from starting until the worker has reported or is dead.
+func (e *Engine) Await(id WorkerID, pool string) { e.awaited[id] = pool }
+
+// awaits reports whether a worker of the pool is awaited.
+func (e *Engine) awaits(pool string) bool {
+	for _, p := range e.awaited {
+		if p == pool {
+			return true
+		}
+	}
+	return false
+}
 
 // Settled reports whether every awaited worker has reported or is dead.
 func (e *Engine) Settled() bool { return len(e.awaited) == 0 }
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -79,8 +79,8 @@
 func TestRunOfLaterStepIsKeptAfterTakeover(t *testing.T) {
 	c := newCell(t, 2)
 	a, b := c.worker("a", 1000), c.worker("b", 1000)
-	c.Await(a)
-	c.Await(b)
+	c.Await(a, "p")
+	c.Await(b, "p")
 	j := c.job("j", true, plainStep(1), plainStep(1, 0))
 	c.Report(a, c.clock, running(key(j, 1, 0, 1)))
 	c.Report(b, c.clock, ended(1, key(j, 0, 0, 1), EndDone))
@@ -114,8 +114,8 @@
 func TestUncertainJobWaitsForAwaitedWorkers(t *testing.T) {
 	c := newCell(t, 2)
 	a, b := c.worker("a", 1000), c.worker("b", 1000)
-	c.Await(a)
-	c.Await(b)
+	c.Await(a, "p")
+	c.Await(b, "p")
 	c.job("old", true, plainStep(1))
 	c.job("new", false, plainStep(1))
 	c.Report(a, c.clock, Report{})
@@ -129,6 +129,17 @@
 	}
 }
 
+// A silent worker holds back only jobs that may run on its pool.
+func TestAwaitedWorkerHoldsBackItsPoolOnly(t *testing.T) {
+	c := newCell(t, 2)
+	c.worker("a", 1000)
+	c.Await("gone", "other")
+	c.job("old", true, plainStep(1))
+	if starts, _, _ := c.plan(); len(starts) != 1 {
+		t.Errorf("%d starts, want 1", len(starts))
+	}
+}
+
 func TestStartInDoubtIsSettledBeforeTheNext(t *testing.T) {
 	c := newCell(t, 1)
 	a := c.worker("a", 1000)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -22,7 +22,7 @@
 	e.reserveForGangs(steps, pools)
 	for _, s := range steps {
 		if s.job.uncertain {
-			if len(e.awaited) > 0 {
+			if e.awaits(s.job.queue.Pool) {
 				continue
 			}
 			s.job.uncertain = false
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -90,12 +90,18 @@
 			s.Replica.NoteAccepted(id, record)
 			return resultOK, ""
 		}
+		if s.StoreDown() {
+			return resultUnavailable, ""
+		}
 		return writeResult(s.Replica.Accept(ctx, id, record)), ""
 	case commandCancel:
 		if req.Stored {
 			s.Replica.NoteCancelled(id)
 			return resultOK, ""
 		}
+		if s.StoreDown() {
+			return resultUnavailable, ""
+		}
 		return writeResult(s.Replica.Cancel(ctx, id)), ""
 	case commandFind:
 		j, ok, err := s.Replica.Find(ctx, id)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -75,7 +75,9 @@
 	Life string
 	// ConfigBound is the age of the configuration from which an unknown queue may be one that should be in force.
 	ConfigBound time.Duration
-	Metrics     *metrics.Set
+	// StoreDown reports whether the store has lately answered nothing.
+	StoreDown func() bool
+	Metrics   *metrics.Set
 }
 
 // Service answers callers. It is safe for concurrent use.
@@ -182,18 +184,21 @@
 func (s *Service) durable(ctx context.Context, write func(context.Context) error, relay *wire.IntakeRequest) Answer {
 	uncertain := false
 	for try := range maxTries {
-		err := s.write(ctx, write)
-		if err == nil {
-			s.notify(relay)
-			return Answer{Result: OK}
+		if !s.StoreDown() {
+			err := s.write(ctx, write)
+			if err == nil {
+				s.notify(relay)
+				return Answer{Result: OK}
+			}
+			uncertain = uncertain || !errors.Is(err, rowstore.ErrUnavailable)
 		}
-		uncertain = uncertain || !errors.Is(err, rowstore.ErrUnavailable)
 		if result, _ := s.relay(ctx, relay); result == resultOK {
 			return Answer{Result: OK}
 		} else if result == resultUncertain {
 			uncertain = true
 		}
-		if ctx.Err() != nil || try == maxTries-1 {
+		// What was not sent while the store is down can be refused at once.
+		if ctx.Err() != nil || try == maxTries-1 || (!uncertain && s.StoreDown()) {
 			break
 		}
 		pause(ctx, storeRetry)
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -104,7 +104,7 @@
 		c.addJob(id, j, uncertain)
 	}
 	for _, w := range c.Replica.Workers() {
-		c.engine.Await(w.ID)
+		c.engine.Await(w.ID, w.Pool)
 		c.addLink(w, true)
 	}
 	c.settled = c.engine.Settled()
@@ -129,12 +129,13 @@
 	if !ok {
 		return
 	}
-	if _, known := c.engine.JobState(id); !known {
+	state, known := c.engine.JobState(id)
+	if !known {
 		c.addJob(id, j, false)
 		c.Log.Info().Str("job", string(id)).Str("queue", j.Queue.Name).Msg("job queued")
 		return
 	}
-	if j.Cancelled {
+	if j.Cancelled && !state.Ended() {
 		c.Log.Info().Str("job", string(id)).Msg("job cancelled")
 		c.engine.Cancel(id)
 	}
@@ -149,7 +150,7 @@
 	})
 	// Jobs that arrived between the load and now are told again; the engine ignores those that it has.
 	for id, j := range c.Replica.Jobs() {
-		if _, known := c.engine.JobState(id); !known || j.Cancelled {
+		if state, known := c.engine.JobState(id); !known || (j.Cancelled && !state.Ended()) {
 			c.takeJob(id)
 		}
 	}
--- /dev/null
+++ b/internal/rowstore/monitor.go
@@ -0,0 +1,72 @@
+package rowstore
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"laburnumpoint/internal/monotime"
+)
+
+// downAfter is how long a store must have answered nothing, with a failure since, to count as down. It is longer than a
+// quiet feed waits between two answers.
+const downAfter = 900 * time.Millisecond
+
+// Monitor is a store that knows whether it answers. It is safe for concurrent use.
+type Monitor struct {
+	store Store
+	clock monotime.Clock
+
+	mu       sync.Mutex
+	answered monotime.Instant
+	failed   monotime.Instant
+}
+
+var _ Store = (*Monitor)(nil)
+
+// NewMonitor returns a monitor of store, which counts as up at first.
+func NewMonitor(store Store, clock monotime.Clock) *Monitor {
+	return &Monitor{store: store, clock: clock, answered: clock.Now()}
+}
+
+// Down reports whether the store has lately answered nothing, so that a call now would most likely fail.
+func (m *Monitor) Down() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.failed > m.answered && m.clock.Now().Sub(m.answered) > downAfter
+}
+
+func (m *Monitor) note(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case err == nil, errors.Is(err, ErrConflict), errors.Is(err, ErrHistoryLost):
+		m.answered = m.clock.Now()
+	case errors.Is(err, context.Canceled):
+		// The caller left; that tells nothing of the store.
+	default:
+		m.failed = m.clock.Now()
+	}
+}
+
+// Apply implements Store.
+func (m *Monitor) Apply(ctx context.Context, tx Tx) (uint64, []Row, error) {
+	version, rows, err := m.store.Apply(ctx, tx)
+	m.note(err)
+	return version, rows, err
+}
+
+// Range implements Store.
+func (m *Monitor) Range(ctx context.Context, table, part, from, to string) ([]Row, uint64, error) {
+	rows, version, err := m.store.Range(ctx, table, part, from, to)
+	m.note(err)
+	return rows, version, err
+}
+
+// Feed implements Store.
+func (m *Monitor) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	changes, version, err := m.store.Feed(ctx, table, after, wait)
+	m.note(err)
+	return changes, version, err
+}
