--- /dev/null
+++ b/internal/logs/writer_test.go
@@ -0,0 +1,66 @@
+package logs
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+)
+
+// An output that nobody reads holds up no author, and what waits stays bounded.
+func TestOutputThatDoesNotDrain(t *testing.T) {
+	reader, out := io.Pipe()
+	defer reader.Close()
+	w := NewWriter(out, metrics.NewSet())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go w.Run(ctx)
+	logger := log.Logger{Level: log.InfoLevel, Writer: w}
+	const lines = 40_000
+	for i := range lines {
+		logger.Info().Int("i", i).Str("pad", strings.Repeat("x", 100)).Msg(fmt.Sprint("kind ", i%50))
+	}
+	w.mu.Lock()
+	waiting := len(w.pending)
+	w.mu.Unlock()
+	if waiting > routineBytes {
+		t.Errorf("%d bytes wait, want at most %d", waiting, routineBytes)
+	}
+	logger.Warn().Msg("worker does not answer")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !bytes.Contains(w.pending, []byte("worker does not answer")) {
+		t.Error("a warning was left out while routine lines were kept")
+	}
+	if got := w.lines.Get() + w.dropped.Get(); got != lines+1 {
+		t.Errorf("%d lines accounted for, want %d", got, lines+1)
+	}
+	if w.dropped.Get() == 0 {
+		t.Error("no line was left out")
+	}
+}
+
+func TestLinesOfOneKindAreBounded(t *testing.T) {
+	w := NewWriter(io.Discard, metrics.NewSet())
+	kept := 0
+	for range 2 * kindPerSecond {
+		if w.add([]byte(`{"message":"often"}`+"\n"), false, 1) {
+			kept++
+		}
+	}
+	if kept != kindPerSecond {
+		t.Errorf("%d lines kept, want %d", kept, kindPerSecond)
+	}
+	if !w.add([]byte(`{"message":"seldom"}`+"\n"), false, 1) {
+		t.Error("a line of another kind was left out")
+	}
+	w.add([]byte(`{"message":"often"}`+"\n"), false, 2)
+	if !bytes.Contains(w.pending, []byte(fmt.Sprintf(`"lines":%d,"message":"log lines left out"`, kindPerSecond))) {
+		t.Error("no line says how many were left out")
+	}
+}
