Hand-over when the store turns the owner away; workers that are gone; decisions at larger pools

Now an owner whose renewals fail, and that hears from a daemon whom the store answers, gives no more orders and asks that one to take over (0.8 s). A daemon that the store turns away learns the owner from other daemons and relays to it.

Gone workers: after a restart of everything tasks waited 5.7 s for a worker that had left. One that is silent and missing from the register for 2 s is taken as gone. Test: TestSilentWorkerThatIsNotRegisteredIsGone.

Decisions: in pools of more than 100 workers every question was about the same 100; questions now spread.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -27,7 +27,10 @@
 	awaited map[WorkerID]string
 	// stopping holds the runs whose stop may have to be sent again.
 	stopping map[*run]struct{}
-	stats    Stats
+	// pools holds the workers that take new runs; poolsStale means that it has to be made anew.
+	pools      map[string]*pool
+	poolsStale bool
+	stats      Stats
 }
 
 // Stats counts decisions since the engine was made.
@@ -76,7 +79,7 @@
 	if e.jobs[id] != nil {
 		return
 	}
-	j := &job{id: id, queue: queue, spec: spec, arrived: arrived, state: graph.Queued, uncertain: uncertain}
+	j := &job{id: id, queue: queue, spec: spec, arrived: arrived, state: graph.Queued, uncertain: uncertain, objective: queue.Objective(spec)}
 	for k := range spec.Runs() {
 		steps := make([]*step, len(spec.Steps))
 		for i := range spec.Steps {
@@ -138,7 +141,7 @@
 func (e *Engine) makeActive(s *step) {
 	s.active = true
 	if s.due == 0 {
-		s.due = s.job.arrived.Add(s.job.queue.Objective(s.job.spec))
+		s.due = s.job.arrived.Add(s.job.objective)
 	}
 	e.active[s] = struct{}{}
 }
@@ -148,9 +151,8 @@
 	for s := range e.scheduled {
 		if late := wall - s.job.spec.DueAt(s.occurrence); late >= 0 {
 			delete(e.scheduled, s)
-			objective := s.job.queue.Objective(s.job.spec)
 			for _, other := range s.job.steps[s.occurrence] {
-				other.due = e.now.Add(objective - late)
+				other.due = e.now.Add(s.job.objective - late)
 			}
 			e.makeActive(s)
 		}
@@ -197,7 +199,7 @@
 // abandon stops a run and takes it from its task.
 func (e *Engine) abandon(r *run, reason string) {
 	if r.task != nil {
-		r.task.run = nil
+		r.task.assign(nil)
 		r.task = nil
 	}
 	e.stop(r, reason)
@@ -268,12 +270,20 @@
 		e.workers[info.ID] = w
 	}
 	w.Worker = info
+	e.poolsStale = true
 }
 
 // SetReachable tells whether the worker answers; one that does not gets nothing new.
 func (e *Engine) SetReachable(id WorkerID, reachable bool) {
 	if w := e.workers[id]; w != nil {
+		e.setReachable(w, reachable)
+	}
+}
+
+func (e *Engine) setReachable(w *worker, reachable bool) {
+	if w.reachable != reachable {
 		w.reachable = reachable
+		e.poolsStale = true
 	}
 }
 
@@ -285,6 +295,7 @@
 		return
 	}
 	delete(e.workers, id)
+	e.poolsStale = true
 	for _, r := range w.runs {
 		e.endRun(w, r.RunKey, EndInterrupted, "")
 	}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -23,7 +23,7 @@
 	if w == nil {
 		return
 	}
-	w.reachable = true
+	e.setReachable(w, true)
 	w.reported = true
 	listed := make(map[RunKey]struct{}, len(report.Running))
 	for _, entry := range report.Running {
@@ -86,6 +86,8 @@
 	t := e.task(entry.Task)
 	if t == nil {
 		r.unsized = true
+		w.unsized++
+		e.poolsStale = true
 		e.stop(r, "no such job")
 		return r
 	}
@@ -100,7 +102,7 @@
 	// A step that still waits for another is no reason to stop its run: the earlier owner had heard of the end that
 	// this one has yet to hear of.
 	r.task = t
-	t.run = r
+	t.assign(r)
 	e.markStarted(t.step.job)
 	return r
 }
@@ -122,10 +124,22 @@
 	if r.strayOf != nil {
 		r.strayOf.strays--
 	}
+	if r.unsized {
+		r.worker.unsized--
+		e.poolsStale = true
+	}
 	if r.task != nil && r.task.run == r {
-		r.task.run = nil
+		r.task.assign(nil)
 	}
 	r.task = nil
+	e.roomFreed(r.worker.Pool)
+}
+
+// roomFreed lets steps of the pool that found no room try again.
+func (e *Engine) roomFreed(name string) {
+	if p := e.pools[name]; p != nil {
+		p.freed++
+	}
 }
 
 func (e *Engine) markStarted(j *job) {
@@ -196,6 +210,9 @@
 		return
 	}
 	j := t.step.job
+	if t.run != nil {
+		t.step.placed--
+	}
 	t.done = true
 	t.step.open--
 	e.markDirty(j)
@@ -319,6 +336,7 @@
 	}
 	s := j.steps[id.Occurrence][id.Step]
 	s.asking = false
+	s.triedAt = 0
 	if !ok {
 		s.askAt = e.now.Add(askRetry)
 		return
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -165,7 +165,7 @@
 	// strayOf is set if the run is of a task that did not need it; the task is not started while it lasts.
 	strayOf *task
 	held    graph.Claim
-	// unsized means that the claim is not known: the worker counts as full.
+	// unsized means that the claim is not known.
 	unsized bool
 	filler  bool
 	state   runState
@@ -196,6 +196,8 @@
 	avoidUntil monotime.Instant
 	// failures counts failed runs since the last one that was done.
 	failures int
+	// unsized counts runs whose claims are not known: while there are any, the worker counts as full.
+	unsized int
 	// reservedFor is the gang for which the worker is kept free in the present plan.
 	reservedFor *step
 }
@@ -232,6 +234,19 @@
 	strays int
 }
 
+// assign makes r the task's run; nil for none.
+func (t *task) assign(r *run) {
+	if !t.done {
+		if t.run != nil {
+			t.step.placed--
+		}
+		if r != nil {
+			t.step.placed++
+		}
+	}
+	t.run = r
+}
+
 func (t *task) id() graph.TaskID {
 	return graph.TaskID{Job: t.step.job.id, Occurrence: t.step.occurrence, Step: t.step.index, Index: t.index}
 }
@@ -247,11 +262,19 @@
 	// failedRuns are the numbers of a gang's runs that failed.
 	failedRuns runSet
 
-	due     monotime.Instant
-	active  bool
-	asking  bool
-	askAt   monotime.Instant
-	permits map[WorkerID]permit
+	// placed counts the tasks that are not done and have a run.
+	placed int
+
+	due monotime.Instant
+	// lateNow and missedNow are the step's lateness and whether it missed its objective in the present plan.
+	lateNow, missedNow int
+	// blockedAt is the pool's count of changes when the step last found no room, at triedAt.
+	blockedAt uint64
+	triedAt   monotime.Instant
+	active    bool
+	asking    bool
+	askAt     monotime.Instant
+	permits   map[WorkerID]permit
 	// allowed holds what the policy service has said; its verdicts on a step don't change.
 	allowed map[WorkerID]bool
 	// reserved are the workers that are kept free for a gang.
@@ -265,8 +288,10 @@
 	queue   graph.Queue
 	spec    *graph.Spec
 	arrived monotime.Instant
-	state   graph.State
-	started bool
+	// objective is the time in which the job should complete.
+	objective time.Duration
+	state     graph.State
+	started   bool
 	// uncertain means that an earlier owner may have started tasks that no worker has reported yet.
 	uncertain bool
 	steps     [][]*step
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/monotime"
 )
@@ -17,9 +19,9 @@
 func (e *Engine) Plan(wall time.Duration) []Order {
 	e.wake(wall)
 	e.retryStops()
-	pools := e.pools()
+	e.refreshPools()
 	steps := e.byUrgency()
-	e.reserveForGangs(steps, pools)
+	e.reserveForGangs(steps)
 	for _, s := range steps {
 		if s.job.uncertain {
 			if e.awaits(s.job.queue.Pool) {
@@ -27,11 +29,9 @@
 			}
 			s.job.uncertain = false
 		}
-		pool := pools[s.job.queue.Pool]
-		if pool == nil {
-			continue
+		if pool := e.pools[s.job.queue.Pool]; pool != nil {
+			e.place(s, pool)
 		}
-		e.place(s, pool)
 	}
 	orders := e.orders
 	e.orders = nil
@@ -55,51 +55,63 @@
 	size  graph.Claim
 	// reserved counts the workers that are kept free for gangs.
 	reserved int
+	// freed counts what may let a step in that found no room: runs that are gone and workers that came.
+	freed uint64
+}
+
+// refreshPools brings the pools up to date. Which workers they have changes seldom, their room with each run.
+func (e *Engine) refreshPools() {
+	if e.poolsStale {
+		e.rebuildPools()
+	}
+	for _, p := range e.pools {
+		p.asked, p.free, p.reserved = graph.Claim{}, graph.Claim{}, 0
+		for _, w := range p.workers {
+			w.reservedFor = nil
+			p.free = p.free.Add(w.free())
+		}
+	}
 }
 
-func (e *Engine) pools() map[string]*pool {
-	pools := make(map[string]*pool)
+func (e *Engine) rebuildPools() {
+	e.poolsStale = false
+	old := e.pools
+	e.pools = make(map[string]*pool, len(old))
 	for _, w := range e.workers {
-		w.reservedFor = nil
-		if w.Draining || !w.reachable || w.hasUnsized() {
+		if w.Draining || !w.reachable || w.unsized > 0 {
 			continue
 		}
-		p := pools[w.Pool]
+		p := e.pools[w.Pool]
 		if p == nil {
 			p = &pool{}
-			pools[w.Pool] = p
+			if before := old[w.Pool]; before != nil {
+				p.freed = before.freed + 1
+			}
+			e.pools[w.Pool] = p
 		}
 		p.workers = append(p.workers, w)
-		p.free = p.free.Add(w.free())
 		p.size = p.size.Add(w.Capacity)
 	}
-	for _, p := range pools {
+	for _, p := range e.pools {
 		slices.SortFunc(p.workers, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	return pools
-}
-
-func (w *worker) hasUnsized() bool {
-	for _, r := range w.runs {
-		if r.unsized {
-			return true
-		}
-	}
-	return false
 }
 
-// byUrgency returns the active steps in the order in which they get room: by priority, then those whose jobs can still
-// complete in time, then by due time; jobs far beyond their objective come last of all.
+// byUrgency returns the steps with tasks to place in the order in which they get room: by priority, then those whose jobs
+// can still complete in time, then by due time; jobs far beyond their objective come last of all.
 func (e *Engine) byUrgency() []*step {
 	steps := make([]*step, 0, len(e.active))
 	for s := range e.active {
-		steps = append(steps, s)
+		if s.toPlace() > 0 {
+			s.lateNow, s.missedNow = e.lateness(s), e.missed(s)
+			steps = append(steps, s)
+		}
 	}
 	slices.SortFunc(steps, func(a, b *step) int {
 		return cmp.Or(
-			cmp.Compare(e.lateness(a), e.lateness(b)),
+			cmp.Compare(a.lateNow, b.lateNow),
 			cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
-			cmp.Compare(e.missed(a), e.missed(b)),
+			cmp.Compare(a.missedNow, b.missedNow),
 			cmp.Compare(a.due, b.due),
 			cmp.Compare(a.job.id, b.job.id),
 			cmp.Compare(a.occurrence, b.occurrence),
@@ -123,19 +135,22 @@
 
 // lateness is 1 for a step whose job is far beyond its objective, else 0.
 func (e *Engine) lateness(s *step) int {
-	objective := s.job.queue.Objective(s.job.spec)
-	if !s.def.LongRunning && e.now.Sub(s.due) > (lateFactor-1)*objective {
+	if !s.def.LongRunning && e.now.Sub(s.due) > (lateFactor-1)*s.job.objective {
 		return 1
 	}
 	return 0
 }
 
+// retryBlocked is how long a step that found no room is left alone while nothing in its pool has changed.
+const retryBlocked = 100 * time.Millisecond
+
 // place starts what it can of a step, and asks for permits if they are what is missing.
 func (e *Engine) place(s *step, p *pool) {
-	open := s.unplaced()
-	if len(open) == 0 {
+	if s.triedAt > 0 && s.blockedAt == p.freed && e.now.Sub(s.triedAt) < retryBlocked && s.reserved == nil {
+		e.countAsked(s, p)
 		return
 	}
+	open := s.unplaced()
 	if s.def.Gang {
 		if len(open) < len(s.tasks) {
 			return // members of an earlier run are still ending
@@ -147,14 +162,26 @@
 	} else {
 		open = e.placeEach(s, p, open)
 	}
-	if len(open) > 0 && s.job.queue.Permit != nil && !s.asking {
+	if len(open) == 0 {
+		return
+	}
+	s.blockedAt, s.triedAt = p.freed, e.now
+	if s.job.queue.Permit != nil && !s.asking {
 		e.ask(s, p, open)
 	}
+	e.countAsked(s, p)
+}
+
+// countAsked notes the room that a step will take once its permits come.
+func (e *Engine) countAsked(s *step, p *pool) {
 	if s.asking {
-		p.asked = p.asked.Add(s.def.Held().Times(len(open)))
+		p.asked = p.asked.Add(s.def.Held().Times(s.toPlace()))
 	}
 }
 
+// toPlace counts the tasks that are neither done nor running.
+func (s *step) toPlace() int { return s.open - s.placed }
+
 func (s *step) unplaced() []*task {
 	var open []*task
 	for _, t := range s.tasks {
@@ -166,12 +193,14 @@
 }
 
 func (e *Engine) placeEach(s *step, p *pool, open []*task) []*task {
+	counts := s.onWorkers()
 	for i, t := range open {
-		w := e.choose(s, p, nil, s.onWorkers())
+		w := e.choose(s, p, nil, counts)
 		if w == nil {
 			return open[i:]
 		}
 		e.start(t, w, e.nextNumber(t.lastRun))
+		counts[w.ID]++
 	}
 	return nil
 }
@@ -211,9 +240,12 @@
 	return ""
 }
 
-// onWorkers counts the step's runs by worker.
+// onWorkers counts the step's runs by worker, if that matters to where more may run.
 func (s *step) onWorkers() map[WorkerID]int {
 	counts := make(map[WorkerID]int)
+	if s.def.MaxPerWorker == 0 {
+		return counts
+	}
 	for _, t := range s.tasks {
 		if t.run != nil {
 			counts[t.run.worker.ID]++
@@ -229,7 +261,7 @@
 	r := &run{RunKey: RunKey{t.id(), number}, worker: w, task: t, percent: 100, ordered: e.now}
 	w.runs[r.RunKey] = r
 	e.reserve(r, t.step.def)
-	t.run = r
+	t.assign(r)
 	e.markStarted(t.step.job)
 	e.stats.Starts++
 	e.orders = append(e.orders, Start{
@@ -335,26 +367,13 @@
 	return used
 }
 
-// ask asks the policy service about a step. The first question is about every worker that may ever run it, since its
-// verdicts don't change; later ones renew the permits of the allowed workers that have room.
+// ask asks the policy service about a step. The first question is about every worker that may ever run it, as far as one
+// question goes, since its verdicts don't change; later ones are about workers that have room.
 func (e *Engine) ask(s *step, p *pool, open []*task) {
 	if e.now < s.askAt || !s.def.Held().Fits(p.free.Sub(p.asked)) {
 		return
 	}
-	counts := s.onWorkers()
-	var workers []WorkerID
-	room := 0
-	for _, w := range p.workers {
-		allowed, known := s.allowed[w.ID]
-		if (known && !allowed) || !s.eligible(w) || len(workers) >= maxAsk {
-			continue
-		}
-		if known && (s.permitted(w, e.now) || !e.hasRoom(s, w, graph.Claim{}, counts)) {
-			continue
-		}
-		workers = append(workers, w.ID)
-		room += s.tasksThatFit(w.free(), counts[w.ID])
-	}
+	workers, room := e.toAskAbout(s, p)
 	if room == 0 || (s.def.Gang && s.allowed != nil && room < len(open)) {
 		return
 	}
@@ -369,6 +388,38 @@
 	})
 }
 
+// toAskAbout returns the workers of a question and how many of the step's tasks fit on them now. Those with room come
+// first. Each step begins at another worker, so that in a large pool questions spread over all of it.
+func (e *Engine) toAskAbout(s *step, p *pool) (workers []WorkerID, room int) {
+	counts := s.onWorkers()
+	first := s.allowed == nil
+	var full []WorkerID
+	begin := int(s.spread() % uint64(len(p.workers)))
+	for i := range p.workers {
+		w := p.workers[(begin+i)%len(p.workers)]
+		if allowed, known := s.allowed[w.ID]; (known && !allowed) || !s.eligible(w) || s.permitted(w, e.now) {
+			continue
+		}
+		if !e.hasRoom(s, w, graph.Claim{}, counts) {
+			full = append(full, w.ID)
+			continue
+		}
+		if len(workers) < maxAsk {
+			workers = append(workers, w.ID)
+			room += s.tasksThatFit(w.free(), counts[w.ID])
+		}
+	}
+	if first {
+		workers = append(workers, full[:min(len(full), maxAsk-len(workers))]...)
+	}
+	return workers, room
+}
+
+// spread is a number that differs from step to step.
+func (s *step) spread() uint64 {
+	return xxhash.Sum64String(string(s.job.id)) + uint64(s.index)
+}
+
 // tasksThatFit counts the tasks of a step that fit into free, beside those that the worker has of it.
 func (s *step) tasksThatFit(free graph.Claim, present int) int {
 	held := s.def.Held()
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -22,10 +22,10 @@
 )
 
 // reserveForGangs keeps workers free for the gangs that don't fit although the pool has room for them.
-func (e *Engine) reserveForGangs(steps []*step, pools map[string]*pool) {
+func (e *Engine) reserveForGangs(steps []*step) {
 	for _, s := range steps {
-		p := pools[s.job.queue.Pool]
-		if !s.def.Gang || p == nil || len(s.unplaced()) < len(s.tasks) {
+		p := e.pools[s.job.queue.Pool]
+		if !s.def.Gang || p == nil || s.toPlace() < len(s.tasks) {
 			continue
 		}
 		if s.job.queue.Permit != nil && s.allowed == nil {
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -339,6 +339,11 @@
 	Unchanged time.Duration
 }
 
+// NoteOwner takes in the ownership row as another daemon has it, if it is newer.
+func (r *Replica) NoteOwner(owner Owner, version uint64) {
+	r.apply(rowstore.Change{Row: rowstore.Row{Key: ownerKey(), Value: encode(owner), Version: version}})
+}
+
 // Owner returns the ownership row as last read.
 func (r *Replica) Owner() OwnerView {
 	r.mu.RLock()
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -52,6 +52,7 @@
 	recording  bool
 	recordAt   monotime.Instant
 	renewAt    monotime.Instant
+	renewedAt  monotime.Instant
 	startedAt  monotime.Instant
 	settled    bool
 	lost       bool
@@ -73,6 +74,7 @@
 		newWorkers: make(map[dispatch.WorkerID]dispatch.Worker),
 		oldWorkers: make(map[dispatch.WorkerID]struct{}),
 		startedAt:  started,
+		renewedAt:  started,
 	}
 	c.validUntil.Store(int64(started.Add(validFor)))
 	return c
@@ -168,6 +170,7 @@
 		case <-ticker.C:
 			c.engine.SetNow(c.now())
 			c.expireLinks()
+			c.considerResigning()
 		}
 		c.round()
 	}
@@ -296,6 +299,7 @@
 		return
 	}
 	c.counts.records.Inc()
+	c.renewedAt = sent
 	c.recordAt = sent.Add(recordGap)
 	c.renewAt = sent.Add(renewInterval)
 	if !c.lost {
--- /dev/null
+++ b/internal/owner/hello.go
@@ -0,0 +1,89 @@
+package owner
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"laburnumpoint/internal/ledger"
+	"laburnumpoint/internal/wire"
+)
+
+// sayHello tells the owner of the cell, again and again, that this daemon can ask the policy service. A daemon that the
+// store turns away learns from others who the owner is.
+func (d *Daemon) sayHello(ctx context.Context) {
+	for ctx.Err() == nil {
+		owner := d.Replica.Owner()
+		if owner.Version > 0 && !owner.Released && owner.Life != d.Life {
+			d.hello(ctx, owner.Address)
+		}
+		if !d.StoreUp() && !d.Owns() {
+			d.askForOwner(ctx)
+		}
+		pause(ctx, helloInterval)
+	}
+}
+
+func (d *Daemon) hello(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, helloInterval)
+	defer cancel()
+	body := &wire.Hello{Node: d.Node, Addr: d.PeerAddr, Zone: d.Zone, StoreUp: d.StoreUp()}
+	reply, err := d.Peers.Call(ctx, addr, &wire.Request{Body: &wire.Request_Hello{Hello: body}})
+	if err != nil {
+		d.counts.helloFailures.Inc()
+		return
+	}
+	if peers := reply.GetHello().GetPeers(); len(peers) > 0 {
+		d.peers.Store(&peers)
+	}
+}
+
+// askForOwner asks one of the other daemons who owns the cell.
+func (d *Daemon) askForOwner(ctx context.Context) {
+	peers := d.peers.Load()
+	if peers == nil {
+		return
+	}
+	addr := (*peers)[rand.IntN(len(*peers))]
+	if addr == d.PeerAddr {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, helloInterval)
+	defer cancel()
+	reply, err := d.Peers.Call(ctx, addr, &wire.Request{Body: &wire.Request_Owner{Owner: &wire.OwnerRequest{}}})
+	if err != nil {
+		d.counts.helloFailures.Inc()
+		return
+	}
+	known := d.Replica.Owner()
+	if o := reply.GetOwner(); o.GetVersion() > known.Version {
+		if o.Epoch > known.Epoch {
+			d.Log.Info().Str("owner", o.Node).Uint64("epoch", o.Epoch).Str("via", addr).Msg("owner learnt from another daemon")
+		}
+		d.Replica.NoteOwner(ledger.Owner{Node: o.Node, Life: o.Life, Address: o.Addr, Epoch: o.Epoch, Released: o.Released}, o.Version)
+	}
+}
+
+// HandleOwner tells who owns the cell.
+func (d *Daemon) HandleOwner() *wire.Reply {
+	o := d.Replica.Owner()
+	body := &wire.OwnerReply{Node: o.Node, Life: o.Life, Addr: o.Address, Epoch: o.Epoch, Released: o.Released, Version: o.Version}
+	return &wire.Reply{Body: &wire.Reply_Owner{Owner: body}}
+}
+
+// HandleHello notes a daemon that can help.
+func (d *Daemon) HandleHello(hello *wire.Hello) *wire.Reply {
+	c := d.control.Load()
+	if c == nil {
+		return &wire.Reply{Body: &wire.Reply_NotOwner{NotOwner: &wire.Empty{}}}
+	}
+	c.post(func() {
+		c.permits.hello(hello.Addr, hello.StoreUp, c.now())
+		peers := c.permits.heardLately(c.now())
+		d.peers.Store(&peers)
+	})
+	body := &wire.HelloReply{}
+	if peers := d.peers.Load(); peers != nil {
+		body.Peers = *peers
+	}
+	return &wire.Reply{Body: &wire.Reply_Hello{Hello: body}}
+}
--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -278,7 +278,7 @@
 		}
 	}
 	for h := range s.office.helpers {
-		s.permits.hello(fmt.Sprintf("helper-%d", h), s.now)
+		s.permits.hello(fmt.Sprintf("helper-%d", h), true, s.now)
 	}
 	for {
 		ask, h, ok := s.permits.next(s.now)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -60,6 +60,8 @@
 	MaxLease time.Duration
 	// Queue returns the policy in force of a queue, if there is one.
 	Queue func(name string) (graph.Queue, bool)
+	// StoreUp reports whether the store answers this daemon.
+	StoreUp func() bool
 }
 
 // Daemon takes part in ownership: it owns the cell, or helps the daemon that does.
@@ -68,6 +70,10 @@
 	control atomic.Pointer[control]
 	counts  counts
 	asking  chan struct{}
+	// invited is the epoch of an owner that has resigned in this daemon's favour.
+	invited atomic.Uint64
+	// peers are the addresses of other daemons, as the owner told them.
+	peers atomic.Pointer[[]string]
 }
 
 // New returns a daemon that does nothing before Run.
@@ -103,6 +109,8 @@
 	view := d.Replica.Owner()
 	spread := d.spread()
 	switch {
+	case view.Epoch > 0 && view.Epoch == d.invited.Load():
+		return true
 	case view.Version == 0 || view.Released:
 		return view.Unchanged > spread
 	case view.Node == d.Node && view.Life != d.Life:
@@ -160,34 +168,17 @@
 	}
 }
 
-// sayHello tells the owner of the cell that this daemon can ask the policy service.
-func (d *Daemon) sayHello(ctx context.Context) {
-	for ctx.Err() == nil {
-		owner := d.Replica.Owner()
-		if owner.Version > 0 && !owner.Released && owner.Life != d.Life {
-			d.hello(ctx, owner.Address)
-		}
-		pause(ctx, helloInterval)
-	}
-}
-
-func (d *Daemon) hello(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, helloInterval)
-	defer cancel()
-	body := &wire.Hello{Node: d.Node, Addr: d.PeerAddr, Zone: d.Zone}
-	_, err := d.Peers.Call(ctx, addr, &wire.Request{Body: &wire.Request_Hello{Hello: body}})
-	if err != nil {
-		d.counts.helloFailures.Inc()
-	}
-}
+// Owns reports whether this daemon owns the cell.
+func (d *Daemon) Owns() bool { return d.control.Load() != nil }
 
-// HandleHello notes a daemon that can help.
-func (d *Daemon) HandleHello(hello *wire.Hello) *wire.Reply {
-	c := d.control.Load()
-	if c == nil {
-		return &wire.Reply{Body: &wire.Reply_NotOwner{NotOwner: &wire.Empty{}}}
+// HandleResign takes note that an owner gives no orders any more.
+func (d *Daemon) HandleResign(ctx context.Context, resign *wire.Resign) *wire.Reply {
+	d.Log.Info().Uint64("epoch", resign.Epoch).Msg("asked to take over from an owner that the store turns away")
+	// The owner's last renewal may not have been heard of yet.
+	if err := d.Replica.CatchUp(ctx); err != nil {
+		d.Log.Warn().Err(err).Msg("ledger not caught up before taking over")
 	}
-	c.post(func() { c.permits.hello(hello.Addr, c.now()) })
+	d.invited.Store(resign.Epoch)
 	return &wire.Reply{Body: &wire.Reply_Done{Done: &wire.Empty{}}}
 }
 
--- a/internal/owner/permits.go
+++ b/internal/owner/permits.go
@@ -20,8 +20,10 @@
 	// addr is where the daemon answers; empty for the owner itself.
 	addr  string
 	heard monotime.Instant
-	busy  bool
-	long  bool
+	// storeUp tells whether the store answers the daemon.
+	storeUp bool
+	busy    bool
+	long    bool
 	// avoidUntil keeps questions away after one that failed.
 	avoidUntil monotime.Instant
 }
@@ -37,13 +39,37 @@
 	return &permitQueue{helpers: map[string]*helper{"": {}}}
 }
 
-func (q *permitQueue) hello(addr string, now monotime.Instant) {
+func (q *permitQueue) hello(addr string, storeUp bool, now monotime.Instant) {
 	h := q.helpers[addr]
 	if h == nil {
 		h = &helper{addr: addr}
 		q.helpers[addr] = h
 	}
 	h.heard = now
+	h.storeUp = storeUp
+}
+
+// heardLately returns the addresses of the other daemons that were heard lately.
+func (q *permitQueue) heardLately(now monotime.Instant) []string {
+	var addrs []string
+	for addr, h := range q.helpers {
+		if addr != "" && now.Sub(h.heard) < helperSilence {
+			addrs = append(addrs, addr)
+		}
+	}
+	slices.Sort(addrs)
+	return addrs
+}
+
+// withStore returns the address of a daemon that was heard lately and that the store answers; empty if there is none.
+func (q *permitQueue) withStore(now monotime.Instant) string {
+	best := ""
+	for addr, h := range q.helpers {
+		if addr != "" && h.storeUp && now.Sub(h.heard) < resignFresh && (best == "" || addr < best) {
+			best = addr
+		}
+	}
+	return best
 }
 
 func (q *permitQueue) add(ask dispatch.Ask) { q.waiting = append(q.waiting, ask) }
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -33,6 +33,8 @@
 	// listed is what the register said last; listed and failing belong to the control loop.
 	listed  dispatch.Worker
 	failing bool
+	// absentSince is when the register was found not to list the worker; 0 while it does.
+	absentSince monotime.Instant
 
 	mu       sync.Mutex
 	recorded uint64
@@ -182,10 +184,18 @@
 	}
 }
 
+// absentTime is how long a worker that lives may be missing from the register after an outage of the store, from the
+// platform's contract; one that is missing for longer, and silent, has gone.
+const absentTime = 2 * time.Second
+
 // expireLinks gives up what ran on workers whose lease is over.
 func (c *control) expireLinks() {
 	now := c.now()
 	for _, l := range c.links {
+		if l.failing && l.absentSince > 0 && now.Sub(l.absentSince) > absentTime {
+			c.workerEnded(l, "silent and not registered")
+			continue
+		}
 		if !l.failing || !l.lease.over(now) {
 			continue
 		}
@@ -216,13 +226,14 @@
 // registerChanged takes in what the register lists.
 func (c *control) registerChanged(change RegisterChange) {
 	if change.Full {
-		before := c.registered
 		c.registered = make(map[dispatch.WorkerID]dispatch.Worker, len(change.Put))
 		for _, w := range change.Put {
-			delete(before, w.ID)
+			c.registered[w.ID] = w
 		}
-		for id := range before {
-			c.unregistered(id)
+		for id := range c.links {
+			if _, listed := c.registered[id]; !listed {
+				c.unregistered(id)
+			}
 		}
 	}
 	for _, id := range change.Removed {
@@ -247,6 +258,7 @@
 		c.Log.Info().Str("worker", string(w.ID)).Bool("draining", w.Draining).Msg("worker state")
 	}
 	l.listed = w
+	l.absentSince = 0
 	c.engine.PutWorker(w)
 }
 
@@ -254,9 +266,10 @@
 func (c *control) unregistered(id dispatch.WorkerID) {
 	delete(c.newWorkers, id)
 	l := c.links[id]
-	if l == nil {
+	if l == nil || l.absentSince > 0 {
 		return
 	}
+	l.absentSince = c.now()
 	c.Log.Info().Str("worker", string(id)).Msg("worker no longer registered")
 	w := l.listed
 	w.Draining = true
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -58,6 +58,34 @@
 	return c
 }
 
+// A worker that an earlier owner used is gone, and the register no longer lists it: what it ran is given up before the
+// lease that it may have had is over.
+func TestSilentWorkerThatIsNotRegisteredIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		runners := &fakeRunners{start: time.Now(), silent: true}
+		c := newTestControl(ctx, runners)
+		c.engine.Await("w", "p")
+		c.addLink(dispatch.Worker{ID: "w", Pool: "p"}, true)
+		c.registerChanged(RegisterChange{Full: true})
+		deadline := time.Now().Add(absentTime + holdTimeout + tick)
+		for !c.engine.Settled() && time.Now().Before(deadline) {
+			select {
+			case f := <-c.events:
+				f()
+			case <-time.After(tick):
+			}
+			c.expireLinks()
+		}
+		if !c.engine.Settled() {
+			t.Error("tasks wait for a worker that has gone")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // A worker that is gone for good has its lease over in time, however often it is looked at in vain.
 func TestLooksInVainExtendNoLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/rowstore/monitor.go
+++ b/internal/rowstore/monitor.go
@@ -37,6 +37,16 @@
 	return m.failed > m.answered && m.clock.Now().Sub(m.answered) > downAfter
 }
 
+// upWithin is how lately a store must have answered to count as up; a quiet feed answers more often.
+const upWithin = 800 * time.Millisecond
+
+// Up reports whether the store's last call was answered, and lately.
+func (m *Monitor) Up() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answered >= m.failed && m.clock.Now().Sub(m.answered) < upWithin
+}
+
 func (m *Monitor) note(err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
