--- a/internal/owner/hello.go
+++ b/internal/owner/hello.go
@@ -26,7 +26,7 @@
 func (d *Daemon) hello(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, helloInterval)
 	defer cancel()
-	body := &wire.Hello{Node: d.Node, Addr: d.PeerAddr, Zone: d.Zone, StoreUp: d.StoreUp()}
+	body := &wire.Hello{Node: d.Node, Addr: d.PeerAddr, Zone: d.Zone, StoreUp: d.StoreUp(), MilliCores: uint32(d.Cores * 1000)}
 	reply, err := d.Peers.Call(ctx, addr, &wire.Request{Body: &wire.Request_Hello{Hello: body}})
 	if err != nil {
 		d.counts.helloFailures.Inc()
@@ -77,7 +77,7 @@
 		return &wire.Reply{Body: &wire.Reply_NotOwner{NotOwner: &wire.Empty{}}}
 	}
 	c.post(func() {
-		c.permits.hello(hello.Addr, hello.StoreUp, c.now())
+		c.permits.hello(hello, c.now())
 		peers := c.permits.heardLately(c.now())
 		d.peers.Store(&peers)
 	})
--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -11,6 +11,7 @@
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/wire"
 )
 
 // This file drives the engine and the queue of permits with the load of an office in virtual time: jobs arrive, tasks
@@ -278,7 +279,7 @@
 		}
 	}
 	for h := range s.office.helpers {
-		s.permits.hello(fmt.Sprintf("helper-%d", h), true, s.now)
+		s.permits.hello(&wire.Hello{Addr: fmt.Sprintf("helper-%d", h)}, s.now)
 	}
 	for {
 		ask, h, ok := s.permits.next(s.now)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -28,6 +28,10 @@
 	takeoverAfter = 2 * time.Second
 	// takeoverSpread spreads the daemons' attempts, so that they don't all write at once.
 	takeoverSpread = 300 * time.Millisecond
+	// strongCores is the processor time of a VM that can own a cell of today's size; an owner there uses a quarter of it.
+	strongCores = 0.4
+	// weakDelay is how much longer than others a VM without any processor time would wait before it takes over.
+	weakDelay = 1 * time.Second
 	// electionPoll is how often a daemon looks whether ownership is free.
 	electionPoll = 40 * time.Millisecond
 	// electionRetry is kept after an attempt that failed.
@@ -62,6 +66,8 @@
 	Queue func(name string) (graph.Queue, bool)
 	// StoreUp reports whether the store answers this daemon.
 	StoreUp func() bool
+	// Cores is the processor time that this daemon's VM has, in cores.
+	Cores float64
 }
 
 // Daemon takes part in ownership: it owns the cell, or helps the daemon that does.
@@ -120,11 +126,15 @@
 	}
 }
 
-// spread is this daemon's share of takeoverSpread.
+// spread is how much later than others this daemon tries to take over: its share of takeoverSpread, and more on a weak VM.
 func (d *Daemon) spread() time.Duration {
 	h := fnv.New32a()
 	h.Write([]byte(d.Node))
-	return time.Duration(h.Sum32()%64) * takeoverSpread / 64
+	spread := time.Duration(h.Sum32()%64) * takeoverSpread / 64
+	if weakness := 1 - d.Cores/strongCores; weakness > 0 {
+		spread += time.Duration(weakness * float64(weakDelay))
+	}
+	return spread
 }
 
 func (d *Daemon) take(ctx context.Context) (*ledger.Tenure, error) {
@@ -173,7 +183,7 @@
 
 // HandleResign takes note that an owner gives no orders any more.
 func (d *Daemon) HandleResign(ctx context.Context, resign *wire.Resign) *wire.Reply {
-	d.Log.Info().Uint64("epoch", resign.Epoch).Msg("asked to take over from an owner that the store turns away")
+	d.Log.Info().Uint64("epoch", resign.Epoch).Msg("asked to take over from an owner that has resigned")
 	// The owner's last renewal may not have been heard of yet.
 	if err := d.Replica.CatchUp(ctx); err != nil {
 		d.Log.Warn().Err(err).Msg("ledger not caught up before taking over")
--- a/internal/owner/permits.go
+++ b/internal/owner/permits.go
@@ -7,6 +7,7 @@
 
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/wire"
 )
 
 // longQuestion is the time of the policy service above which a question keeps others waiting noticeably.
@@ -22,8 +23,10 @@
 	heard monotime.Instant
 	// storeUp tells whether the store answers the daemon.
 	storeUp bool
-	busy    bool
-	long    bool
+	// cores is the processor time that the daemon's VM has.
+	cores float64
+	busy  bool
+	long  bool
 	// avoidUntil keeps questions away after one that failed.
 	avoidUntil monotime.Instant
 }
@@ -39,14 +42,15 @@
 	return &permitQueue{helpers: map[string]*helper{"": {}}}
 }
 
-func (q *permitQueue) hello(addr string, storeUp bool, now monotime.Instant) {
-	h := q.helpers[addr]
+func (q *permitQueue) hello(hello *wire.Hello, now monotime.Instant) {
+	h := q.helpers[hello.Addr]
 	if h == nil {
-		h = &helper{addr: addr}
-		q.helpers[addr] = h
+		h = &helper{addr: hello.Addr}
+		q.helpers[hello.Addr] = h
 	}
 	h.heard = now
-	h.storeUp = storeUp
+	h.storeUp = hello.StoreUp
+	h.cores = float64(hello.MilliCores) / 1000
 }
 
 // heardLately returns the addresses of the other daemons that were heard lately.
@@ -61,12 +65,15 @@
 	return addrs
 }
 
-// withStore returns the address of a daemon that was heard lately and that the store answers; empty if there is none.
-func (q *permitQueue) withStore(now monotime.Instant) string {
-	best := ""
+// successor returns the strongest daemon that was heard lately and that the store answers; nil if there is none.
+func (q *permitQueue) successor(now monotime.Instant) *helper {
+	var best *helper
 	for addr, h := range q.helpers {
-		if addr != "" && h.storeUp && now.Sub(h.heard) < resignFresh && (best == "" || addr < best) {
-			best = addr
+		if addr == "" || !h.storeUp || now.Sub(h.heard) > resignFresh {
+			continue
+		}
+		if best == nil || h.cores > best.cores || (h.cores == best.cores && addr < best.addr) {
+			best = h
 		}
 	}
 	return best
--- a/internal/owner/resign.go
+++ b/internal/owner/resign.go
@@ -8,30 +8,35 @@
 )
 
 // Bounds of resigning. An owner that the store turns away, while it serves other daemons, would lose its ownership once it
-// lapses; it hands over before, so that work goes on.
+// lapses; it hands over before, so that work goes on. An owner on a weak VM decides late.
 const (
 	// resignAfter is how long renewals must have failed.
 	resignAfter = 700 * time.Millisecond
 	// resignFresh is how lately another daemon must have said that the store answers it.
 	resignFresh = 600 * time.Millisecond
+	// strongerFactor is how much stronger another VM must be for a weak one to hand over.
+	strongerFactor = 1.5
 	// resignTimeout bounds the call by which the other daemon is asked.
 	resignTimeout = 500 * time.Millisecond
 )
 
-// considerResigning hands ownership over if renewals fail here and the store answers another daemon.
+// considerResigning hands ownership over if renewals fail here and the store answers another daemon, or if this VM is weak
+// and another is stronger.
 func (c *control) considerResigning() {
-	now := c.now()
-	if now.Sub(c.renewedAt) < resignAfter || c.StoreUp() {
+	successor := c.permits.successor(c.now())
+	if successor == nil {
 		return
 	}
-	successor := c.permits.withStore(now)
-	if successor == "" {
+	sinceRenewal := c.now().Sub(c.renewedAt)
+	turnedAway := sinceRenewal >= resignAfter && !c.StoreUp()
+	weak := c.Cores < strongCores && successor.cores >= strongerFactor*c.Cores && c.settled
+	if !turnedAway && !weak {
 		return
 	}
-	c.Log.Warn().Uint64("epoch", c.tenure.Epoch()).Str("successor", successor).Dur("since_renewal", now.Sub(c.renewedAt)).Msg("store turns this daemon away, resigning")
+	c.Log.Warn().Uint64("epoch", c.tenure.Epoch()).Str("successor", successor.addr).Bool("turned_away", turnedAway).Float64("cores", c.Cores).Float64("successor_cores", successor.cores).Dur("since_renewal", sinceRenewal).Msg("resigning")
 	// From here on no order is given: the successor relies on it.
 	c.lose("resigned")
-	go c.invite(successor)
+	go c.invite(successor.addr)
 }
 
 func (c *control) invite(successor string) {
