--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -49,6 +49,9 @@
 	EndInterrupted
 )
 
+// String returns the end's name in logs.
+func (e End) String() string { return [...]string{"done", "failed", "interrupted"}[e] }
+
 // RunKey names a run of a task. Numbers rise with each run of the task.
 type RunKey struct {
 	Task   graph.TaskID
@@ -101,6 +104,11 @@
 	StartInDoubt
 )
 
+// String returns the outcome's name in logs.
+func (o StartOutcome) String() string {
+	return [...]string{"started", "no_room", "outdated", "no_permit", "refused", "in_doubt"}[o]
+}
+
 // StepID names a step of one occurrence.
 type StepID struct {
 	Job        graph.JobID
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -37,6 +37,14 @@
 	Uncertain
 )
 
+// resultNames are the results as logs and metrics have them.
+var resultNames = map[Result]string{
+	OK: "ok", NoQueue: "no_queue", NoJob: "no_job", Invalid: "invalid", Unavailable: "unavailable", Uncertain: "uncertain",
+}
+
+// String returns the result's name in logs and metrics.
+func (r Result) String() string { return resultNames[r] }
+
 // Answer is a result with what belongs to it.
 type Answer struct {
 	Result  Result
@@ -93,8 +101,7 @@
 func NewService(o Options) *Service {
 	s := &Service{Options: o}
 	s.answers = make(map[Result]*metrics.Counter)
-	names := map[Result]string{OK: "ok", NoQueue: "no_queue", NoJob: "no_job", Invalid: "invalid", Unavailable: "unavailable", Uncertain: "uncertain"}
-	for r, name := range names {
+	for r, name := range resultNames {
 		s.answers[r] = o.Metrics.NewCounter(`laburnumpoint_answers_total{result="` + name + `"}`)
 	}
 	return s
@@ -129,6 +136,13 @@
 	return routes.Queue(name)
 }
 
+func (s *Service) configVersion() uint64 {
+	if routes := s.routes.Load(); routes != nil {
+		return routes.Version
+	}
+	return 0
+}
+
 // Ready reports whether the service can answer callers.
 func (s *Service) Ready() bool { return s.Replica.Ready() && s.routes.Load() != nil }
 
@@ -316,7 +330,7 @@
 func (s *Service) answer(command, rest string, a Answer) Answer {
 	s.answers[a.Result].Inc()
 	if a.Result != OK || command != "state" {
-		s.Log.Info().Str("job", rest).Str("command", command).Int("result", int(a.Result)).Str("detail", a.Detail).Dur("retry_after", a.RetryAfter).Msg("answered")
+		s.Log.Info().Str("job", rest).Str("command", command).Str("result", a.Result.String()).Str("detail", a.Detail).Dur("retry_after", a.RetryAfter).Uint64("config", s.configVersion()).Dur("ledger_age", s.Replica.Age()).Msg("answered")
 	}
 	return a
 }
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -308,6 +308,11 @@
 	for _, w := range batch.Workers {
 		c.addLink(w, false)
 	}
+	for id, p := range batch.Progress {
+		if p.State.Ended() {
+			c.Log.Info().Str("job", string(id)).Str("state", string(p.State)).Uint64("epoch", c.tenure.Epoch()).Msg("job ended")
+		}
+	}
 	c.cover(covered)
 }
 
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -158,7 +158,7 @@
 		c.Log.Info().Str("worker", string(l.worker.ID)).Msg("worker answers again")
 	}
 	for _, e := range report.Ended {
-		c.Log.Info().Str("job", string(e.Task.Job)).Str("task", e.Task.String()).Uint64("run", e.Number).Str("worker", string(l.worker.ID)).Int("end", int(e.End)).Msg("run ended")
+		c.Log.Info().Str("job", string(e.Task.Job)).Str("task", e.Task.String()).Uint64("run", e.Number).Str("worker", string(l.worker.ID)).Str("end", e.End.String()).Msg("run ended")
 	}
 	c.engine.Report(l.worker.ID, sent, report)
 }
@@ -293,7 +293,7 @@
 	if outcome != dispatch.Started {
 		entry = c.Log.Warn()
 	}
-	entry.Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Str("worker", string(order.Worker)).Int("outcome", int(outcome)).Dur("took", took).Err(err).Msg("run start")
+	entry.Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Uint64("epoch", c.tenure.Epoch()).Str("worker", string(order.Worker)).Str("outcome", outcome.String()).Dur("took", took).Err(err).Msg("run start")
 	c.post(func() {
 		c.engine.StartAnswered(l.worker.ID, order.RunKey, outcome)
 		c.callFailed(l, err)
