Shorter takeover; an outage for all is no reason to hand over

Ownership lapses 1.5 s after its last change instead of 2 s, orders end after 1.15 s; a record is tried again after 0.65 s.

--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -13,8 +13,9 @@
 // ErrNotOwner means that another daemon owns the cell.
 var ErrNotOwner = errors.New("ledger: not the owner")
 
-// callTimeout bounds a write; the store may be slow without being down.
-const callTimeout = 1500 * time.Millisecond
+// callTimeout bounds a write. A store sixty times slower than usual answers in a quarter of a second; one that loses
+// answers must be asked again well before the ownership's validity ends.
+const callTimeout = 650 * time.Millisecond
 
 // Batch is what an owner records in one transaction.
 type Batch struct {
--- a/internal/owner/hello.go
+++ b/internal/owner/hello.go
@@ -26,7 +26,7 @@
 func (d *Daemon) hello(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, helloInterval)
 	defer cancel()
-	body := &wire.Hello{Node: d.Node, Addr: d.PeerAddr, Zone: d.Zone, StoreUp: d.StoreUp(), MilliCores: uint32(d.Cores * 1000)}
+	body := &wire.Hello{Node: d.Node, Addr: d.PeerAddr, Zone: d.Zone, StoreAgeMs: d.StoreAge().Milliseconds(), MilliCores: uint32(d.Cores * 1000)}
 	reply, err := d.Peers.Call(ctx, addr, &wire.Request{Body: &wire.Request_Hello{Hello: body}})
 	if err != nil {
 		d.counts.helloFailures.Inc()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -20,12 +20,12 @@
 // Bounds of ownership.
 const (
 	// renewInterval is how often an owner renews its ownership at least.
-	renewInterval = 400 * time.Millisecond
+	renewInterval = 300 * time.Millisecond
 	// validFor is how long an owner gives orders after it sent its last successful renewal. It is shorter than
 	// takeoverAfter by more than clocks drift.
-	validFor = 1600 * time.Millisecond
+	validFor = 1150 * time.Millisecond
 	// takeoverAfter is how long an ownership row must have been unchanged before another daemon takes over.
-	takeoverAfter = 2 * time.Second
+	takeoverAfter = 1500 * time.Millisecond
 	// takeoverSpread spreads the daemons' attempts, so that they don't all write at once.
 	takeoverSpread = 300 * time.Millisecond
 	// strongCores is the processor time of a VM that can own a cell of today's size; an owner there uses a quarter of it.
@@ -66,6 +66,8 @@
 	Queue func(name string) (graph.Queue, bool)
 	// StoreUp reports whether the store answers this daemon.
 	StoreUp func() bool
+	// StoreAge returns how long ago the store last answered this daemon.
+	StoreAge func() time.Duration
 	// Cores is the processor time that this daemon's VM has, in cores.
 	Cores float64
 }
--- a/internal/owner/permits.go
+++ b/internal/owner/permits.go
@@ -21,8 +21,8 @@
 	// addr is where the daemon answers; empty for the owner itself.
 	addr  string
 	heard monotime.Instant
-	// storeUp tells whether the store answers the daemon.
-	storeUp bool
+	// storeAt is when the store last answered the daemon.
+	storeAt monotime.Instant
 	// cores is the processor time that the daemon's VM has.
 	cores float64
 	busy  bool
@@ -49,7 +49,7 @@
 		q.helpers[hello.Addr] = h
 	}
 	h.heard = now
-	h.storeUp = hello.StoreUp
+	h.storeAt = now.Add(-time.Duration(hello.StoreAgeMs) * time.Millisecond)
 	h.cores = float64(hello.MilliCores) / 1000
 }
 
@@ -65,11 +65,12 @@
 	return addrs
 }
 
-// successor returns the strongest daemon that was heard lately and that the store answers; nil if there is none.
-func (q *permitQueue) successor(now monotime.Instant) *helper {
+// successor returns the strongest daemon that was heard lately and that the store has answered since the given time; nil if
+// there is none.
+func (q *permitQueue) successor(now, since monotime.Instant) *helper {
 	var best *helper
 	for addr, h := range q.helpers {
-		if addr == "" || !h.storeUp || now.Sub(h.heard) > resignFresh {
+		if addr == "" || h.storeAt < since || now.Sub(h.heard) > resignFresh {
 			continue
 		}
 		if best == nil || h.cores > best.cores || (h.cores == best.cores && addr < best.addr) {
--- a/internal/owner/resign.go
+++ b/internal/owner/resign.go
@@ -14,6 +14,8 @@
 	resignAfter = 700 * time.Millisecond
 	// resignFresh is how lately another daemon must have said that the store answers it.
 	resignFresh = 600 * time.Millisecond
+	// resignEvidence is how much later than a renewal that should have succeeded the store must have answered another.
+	resignEvidence = 200 * time.Millisecond
 	// strongerFactor is how much stronger another VM must be for a weak one to hand over.
 	strongerFactor = 1.5
 	// resignTimeout bounds the call by which the other daemon is asked.
@@ -23,17 +25,27 @@
 // considerResigning hands ownership over if renewals fail here and the store answers another daemon, or if this VM is weak
 // and another is stronger.
 func (c *control) considerResigning() {
-	successor := c.permits.successor(c.now())
-	if successor == nil {
+	now := c.now()
+	sinceRenewal := now.Sub(c.renewedAt)
+	if sinceRenewal >= resignAfter && !c.StoreUp() {
+		// An outage for all begins at the same time for all: the store serves another daemon only if it answered it
+		// after a renewal here should have been answered.
+		if successor := c.permits.successor(now, c.renewedAt.Add(renewInterval+resignEvidence)); successor != nil {
+			c.resign(successor, "store does not answer")
+		}
 		return
 	}
-	sinceRenewal := c.now().Sub(c.renewedAt)
-	turnedAway := sinceRenewal >= resignAfter && !c.StoreUp()
-	weak := c.Cores < strongCores && successor.cores >= strongerFactor*c.Cores && c.settled
-	if !turnedAway && !weak {
-		return
+	if c.Cores < strongCores && c.settled {
+		successor := c.permits.successor(now, now.Add(-resignFresh))
+		if successor != nil && successor.cores >= strongerFactor*c.Cores {
+			c.resign(successor, "weak VM")
+		}
 	}
-	c.Log.Warn().Uint64("epoch", c.tenure.Epoch()).Str("successor", successor.addr).Bool("turned_away", turnedAway).Float64("cores", c.Cores).Float64("successor_cores", successor.cores).Dur("since_renewal", sinceRenewal).Msg("resigning")
+}
+
+// resign ends the tenure in favour of another daemon.
+func (c *control) resign(successor *helper, why string) {
+	c.Log.Warn().Uint64("epoch", c.tenure.Epoch()).Str("successor", successor.addr).Str("why", why).Float64("cores", c.Cores).Float64("successor_cores", successor.cores).Dur("since_renewal", c.now().Sub(c.renewedAt)).Msg("resigning")
 	// From here on no order is given: the successor relies on it.
 	c.lose("resigned")
 	go c.invite(successor.addr)
--- a/internal/rowstore/monitor.go
+++ b/internal/rowstore/monitor.go
@@ -47,6 +47,13 @@
 	return m.answered >= m.failed && m.clock.Now().Sub(m.answered) < upWithin
 }
 
+// Age returns how long ago the store last answered.
+func (m *Monitor) Age() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.clock.Now().Sub(m.answered)
+}
+
 func (m *Monitor) note(err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
