Tasks that checkpoint make room for more urgent ones

A step without room now stops tasks of lower priority that checkpoint and whose jobs have half of their objective left, once a second at most; the room is kept for it. Tests: TestUrgentGangPreemptsTasksThatCheckpoint, TestWhatWouldLoseWorkIsNotPreempted.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -35,7 +35,7 @@
 
 // Stats counts decisions since the engine was made.
 type Stats struct {
-	Starts, Refused, InDoubt, Done, Failed, Interrupted, Asks, Orphans uint64
+	Starts, Refused, InDoubt, Done, Failed, Interrupted, Asks, Orphans, Preempted uint64
 }
 
 // New returns an engine without jobs for the owner with the given epoch.
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -364,6 +364,57 @@
 	t.Error("the gang never started although more than half of the pool was free all the while")
 }
 
+// Tasks that save their progress make room for more urgent ones; the room is kept for the step that it was made for.
+func TestUrgentGangPreemptsTasksThatCheckpoint(t *testing.T) {
+	c := newCell(t, 1)
+	a := c.worker("a", 200)
+	background := plainQueue
+	background.Priority = 2
+	saving := plainStep(2)
+	saving.Checkpoints = true
+	c.AddJob("low", background, &graph.Spec{Steps: []graph.Step{saving}}, c.clock, nil, false)
+	starts, _, _ := c.plan()
+	for _, s := range starts {
+		c.StartAnswered(a, s.RunKey, Started)
+	}
+	c.advance(10 * time.Millisecond)
+	gang := plainStep(2)
+	gang.Gang = true
+	c.job("high", false, gang)
+	starts, stops, _ := c.plan()
+	if len(starts) != 0 || len(stops) != 2 {
+		t.Fatalf("starts %v, stops %v, want both tasks stopped", starts, stops)
+	}
+	c.Report(a, c.clock, ended(1, stops[0].RunKey, EndInterrupted))
+	if starts, _, _ = c.plan(); len(starts) != 0 {
+		t.Fatalf("started %v in room that is kept for the gang", starts)
+	}
+	c.Report(a, c.clock, ended(2, stops[1].RunKey, EndInterrupted))
+	if starts, _, _ = c.plan(); len(starts) != 2 || starts[0].Task.Job != "high" {
+		t.Errorf("starts %v, want the gang", starts)
+	}
+}
+
+func TestWhatWouldLoseWorkIsNotPreempted(t *testing.T) {
+	saving := plainStep(1)
+	saving.Checkpoints = true
+	lasting := saving
+	lasting.LongRunning = true
+	for name, step := range map[string]graph.Step{"no checkpoint": plainStep(1), "long-running": lasting} {
+		c := newCell(t, 1)
+		a := c.worker("a", 100)
+		background := plainQueue
+		background.Priority = 2
+		c.AddJob("low", background, &graph.Spec{Steps: []graph.Step{step}}, c.clock, nil, false)
+		starts, _, _ := c.plan()
+		c.StartAnswered(a, starts[0].RunKey, Started)
+		c.job("high", false, plainStep(1))
+		if _, stops, _ := c.plan(); len(stops) != 0 {
+			t.Errorf("%s: stopped %v", name, stops)
+		}
+	}
+}
+
 // Under overload a job that has missed its objective does not make others of its priority miss theirs.
 func TestMissedJobsDoNotDelayOthers(t *testing.T) {
 	c := newCell(t, 1)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -208,6 +208,8 @@
 	unsized int
 	// reservedFor is the gang for which the worker is kept free in the present plan.
 	reservedFor *step
+	// promise is room that a preemption makes.
+	promise promise
 }
 
 func (w *worker) free() graph.Claim { return w.Capacity.Sub(w.used) }
@@ -279,10 +281,12 @@
 	// blockedAt is the pool's count of changes when the step last found no room, at triedAt.
 	blockedAt uint64
 	triedAt   monotime.Instant
-	active    bool
-	asking    bool
-	askAt     monotime.Instant
-	permits   map[WorkerID]permit
+	// preemptedAt is when tasks were last stopped for this step.
+	preemptedAt monotime.Instant
+	active      bool
+	asking      bool
+	askAt       monotime.Instant
+	permits     map[WorkerID]permit
 	// allowed holds what the policy service has said; its verdicts on a step don't change.
 	allowed map[WorkerID]bool
 	// reserved are the workers that are kept free for a gang.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -166,6 +166,7 @@
 		return
 	}
 	s.blockedAt, s.triedAt = p.freed, e.now
+	e.preempt(s, p, open)
 	if s.job.queue.Permit != nil && !s.asking {
 		e.ask(s, p, open)
 	}
@@ -312,7 +313,7 @@
 	if s.def.MaxPerWorker > 0 && counts[w.ID] >= s.def.MaxPerWorker {
 		return false
 	}
-	if !s.def.Held().Fits(w.free().Sub(taken)) {
+	if !s.def.Held().Fits(w.free().Sub(taken).Sub(w.promised(s, e.now))) {
 		return false
 	}
 	return !w.clashes(s.def)
--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -20,16 +20,16 @@
 
 // loadKind is one kind of job.
 type loadKind struct {
-	name    string
-	queue   graph.Queue
-	perS    float64
-	steps   int
-	width   float64
-	claim   graph.Claim
-	work    time.Duration
-	gang    bool
-	lasting bool
-	accs    []int64
+	name  string
+	queue graph.Queue
+	perS  float64
+	steps int
+	width float64
+	claim graph.Claim
+	work  time.Duration
+	gang  bool
+	saves bool
+	accs  []int64
 	// allowed is the share of the workers that may run a step.
 	allowed float64
 	worth   float64
@@ -65,7 +65,7 @@
 			},
 			{
 				name: "preview", perS: 1.52, steps: 1, width: 8, work: 2400 * time.Millisecond,
-				claim: graph.Claim{MilliCPU: 2800, MemoryMB: 5700}, accs: []int64{1}, allowed: 0.45, worth: 2.5,
+				claim: graph.Claim{MilliCPU: 2800, MemoryMB: 5700}, accs: []int64{1}, allowed: 0.45, worth: 2.5, saves: true,
 				queue: graph.Queue{Name: "preview", Pool: "media", Priority: 2, Attempts: 2, Stretch: 4, Target: 3 * time.Second, Permit: permitCost(150, 2.2)},
 			},
 		},
@@ -85,7 +85,7 @@
 			},
 			{
 				name: "nightly", perS: 0.8 * load, steps: 2, width: 11, work: 4500 * time.Millisecond,
-				claim: graph.Claim{MilliCPU: 13000, MemoryMB: 19000}, allowed: 0.45, worth: 4.7,
+				claim: graph.Claim{MilliCPU: 13000, MemoryMB: 19000}, allowed: 0.45, worth: 4.7, saves: true,
 				queue: graph.Queue{Name: "nightly", Pool: "sheets", Priority: 2, Attempts: 2, Stretch: 4, Target: 3 * time.Second, Permit: permitCost(150, 2.1)},
 			},
 		},
@@ -155,6 +155,9 @@
 
 const (
 	loadCall = 3 * time.Millisecond
+	// loadStop is what a stop takes, loadResume what a task takes to resume from its checkpoint.
+	loadStop   = 300 * time.Millisecond
+	loadResume = 600 * time.Millisecond
 	// loadTime is how long jobs arrive; they are followed for as long again.
 	loadTime  = 60 * time.Second
 	loadSeeds = 2
@@ -222,7 +225,7 @@
 	var chain time.Duration
 	work := 0.0
 	for i := range k.steps {
-		step := graph.Step{Count: max(1, int(s.spread(k.width, 0.7, 6)+0.5)), Claim: k.claim, Gang: k.gang}
+		step := graph.Step{Count: max(1, int(s.spread(k.width, 0.7, 6)+0.5)), Claim: k.claim, Gang: k.gang, Checkpoints: k.saves}
 		if len(k.accs) > 0 {
 			step.Claim.Accelerators = k.accs[s.rng.IntN(len(k.accs))]
 		}
@@ -273,7 +276,7 @@
 		case dispatch.Start:
 			s.start(o)
 		case dispatch.Stop:
-			s.after(loadCall, func() { s.end(o.Worker, o.RunKey, dispatch.EndInterrupted) })
+			s.after(loadStop, func() { s.end(o.Worker, o.RunKey, dispatch.EndInterrupted) })
 		case dispatch.Ask:
 			s.permits.add(o)
 		}
@@ -341,6 +344,10 @@
 	}
 	delete(s.runs, key)
 	j := s.jobs[key.Task.Job]
+	if how == dispatch.EndInterrupted && j.spec.Steps[key.Task.Step].Checkpoints {
+		left := &j.actual[key.Task.Step][key.Task.Index]
+		*left = max(0, *left-s.now.Sub(s.begun[key])) + loadResume
+	}
 	s.used[w] = s.used[w].Sub(j.spec.Steps[key.Task.Step].Claim)
 	s.sequences[w]++
 	report := dispatch.Report{Ended: []dispatch.EndedEntry{{Sequence: s.sequences[w], RunKey: key, End: how}}}
