Takeover reads the ownership row first; room is kept while a gang renews its permits; 64 intake parts

A daemon now reads the row before it tries, unless ownership was given up. Test: TestRoomIsKeptWhileAGangRenewsItsPermits, failing first.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -364,6 +364,34 @@
 	t.Error("the gang never started although more than half of the pool was free all the while")
 }
 
+// A gang that renews its permits finds its room again, although others that need none would take it meanwhile.
+func TestRoomIsKeptWhileAGangRenewsItsPermits(t *testing.T) {
+	c := newCell(t, 1)
+	a := c.worker("a", 200)
+	queue := plainQueue
+	queue.Permit = &graph.PermitCost{Base: 500 * time.Millisecond}
+	gang := plainStep(2)
+	gang.Gang = true
+	c.AddJob("gang", queue, &graph.Spec{Steps: []graph.Step{gang}}, c.clock, nil, false)
+	_, _, asks := c.plan()
+	c.advance(500 * time.Millisecond)
+	// The permits lapse before they can be used.
+	c.Permits(asks[0].Step, asks[0].Workers, map[WorkerID]string{a: "t"}, time.Millisecond, true)
+	if _, _, asks = c.plan(); len(asks) != 1 {
+		t.Fatalf("%d questions, want the permits renewed", len(asks))
+	}
+	c.advance(100 * time.Millisecond)
+	c.job("other", false, plainStep(2))
+	if starts, _, _ := c.plan(); len(starts) != 0 {
+		t.Fatalf("started %v in the room of the gang", starts)
+	}
+	c.advance(400 * time.Millisecond)
+	c.Permits(asks[0].Step, asks[0].Workers, map[WorkerID]string{a: "t"}, 2*time.Second, true)
+	if starts, _, _ := c.plan(); len(starts) != 2 || starts[0].Task.Job != "gang" {
+		t.Errorf("starts %v, want the gang", starts)
+	}
+}
+
 // Tasks that save their progress make room for more urgent ones; the room is kept for the step that it was made for.
 func TestUrgentGangPreemptsTasksThatCheckpoint(t *testing.T) {
 	c := newCell(t, 1)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -380,6 +380,9 @@
 	}
 	s.asking = true
 	e.stats.Asks++
+	if s.def.Gang && s.allowed != nil {
+		e.keepRoom(s, workers, len(open))
+	}
 	e.orders = append(e.orders, Ask{
 		Step:     s.id(),
 		Workers:  workers,
@@ -389,6 +392,21 @@
 	})
 }
 
+// keepRoom keeps room for a gang on the workers that it asks permits for: another would take it meanwhile, and the gang
+// would ask again and again.
+func (e *Engine) keepRoom(s *step, workers []WorkerID, tasks int) {
+	until := e.now.Add(s.job.queue.Permit.Of(len(workers)) + holdMargin)
+	for _, id := range workers {
+		w := e.workers[id]
+		fit := min(tasks, s.tasksThatFit(w.free(), 0))
+		if fit == 0 || w.promise.step != nil && e.now <= w.promise.until {
+			continue
+		}
+		w.promise = promise{s, s.def.Held().Times(fit), until}
+		tasks -= fit
+	}
+}
+
 // toAskAbout returns the workers of a question and how many of the step's tasks fit on them now. Those with room come
 // first. Each step begins at another worker, so that in a large pool questions spread over all of it.
 func (e *Engine) toAskAbout(s *step, p *pool) (workers []WorkerID, room int) {
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -17,6 +17,8 @@
 	yieldSlack = 0.5
 	// holdRoom is how long the room that a preemption makes is kept for its step: longer than a stop takes.
 	holdRoom = 1500 * time.Millisecond
+	// holdMargin is how long room is kept beyond the policy service's time for a question.
+	holdMargin = 400 * time.Millisecond
 )
 
 // promise is room on a worker that is kept for a step.
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -28,8 +28,8 @@
 	ownerName      = "owner"
 
 	// intakeParts spreads the intake. A part takes one transaction after the other, so that a store that answers sixty
-	// times as slowly as usual takes four a second of each; the jobs of a busy second are some forty.
-	intakeParts = 32
+	// times as slowly as usual takes four a second of each; the jobs of a busy second are some hundred.
+	intakeParts = 64
 )
 
 // JobRecord is a job as it was accepted, with its queue's policy at that time.
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -339,6 +339,19 @@
 	Unchanged time.Duration
 }
 
+// ReadOwner takes in the ownership row as the store has it now. Errors: ErrUnavailable.
+func (r *Replica) ReadOwner(ctx context.Context) error {
+	key := ownerKey()
+	rows, _, err := r.store.Range(ctx, key.Table, key.Part, key.Name, key.Name+"\x00")
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		r.apply(rowstore.Change{Row: row})
+	}
+	return nil
+}
+
 // NoteOwner takes in the ownership row as another daemon has it, if it is newer.
 func (r *Replica) NoteOwner(owner Owner, version uint64) {
 	r.apply(rowstore.Change{Row: rowstore.Row{Key: ownerKey(), Value: encode(owner), Version: version}})
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"sync/atomic"
 	"time"
@@ -139,8 +140,24 @@
 	return spread
 }
 
+// errOwned means that the owner has renewed its ownership.
+var errOwned = errors.New("owner: the owner lives")
+
+// take makes this daemon the owner. The copy of the ownership row may be behind while the store is slow, and attempts of
+// many daemons would hold up the owner's own writes: unless ownership was given up, the row is read first.
 func (d *Daemon) take(ctx context.Context) (*ledger.Tenure, error) {
 	view := d.Replica.Owner()
+	if view.Version > 0 && !view.Released && view.Node != d.Node && view.Epoch != d.invited.Load() {
+		readCtx, cancel := context.WithTimeout(ctx, takeoverAfter)
+		defer cancel()
+		if err := d.Replica.ReadOwner(readCtx); err != nil {
+			return nil, err
+		}
+		if !d.mayTake() {
+			return nil, errOwned
+		}
+		view = d.Replica.Owner()
+	}
 	self := ledger.Owner{Node: d.Node, Life: d.Life, Address: d.PeerAddr}
 	return d.Replica.Acquire(ctx, view, self)
 }
