--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -215,7 +215,7 @@
 		if ctx.Err() != nil || try == maxTries-1 || (!uncertain && s.StoreDown()) {
 			break
 		}
-		pause(ctx, storeRetry)
+		monotime.Sleep(ctx, storeRetry)
 	}
 	if uncertain {
 		return Answer{Result: Uncertain, Detail: "store gave no answer"}
@@ -315,7 +315,7 @@
 		if ctx.Err() != nil || try == maxTries-1 {
 			break
 		}
-		pause(ctx, storeRetry)
+		monotime.Sleep(ctx, storeRetry)
 	}
 	return Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "store unavailable"}
 }
@@ -349,10 +349,3 @@
 	}
 	return graph.JobID(s), true
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/owner/hello.go
+++ b/internal/owner/hello.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 
 	"laburnumpoint/internal/ledger"
+	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/wire"
 )
 
@@ -19,7 +20,7 @@
 		if !d.StoreUp() && !d.Owns() {
 			d.askForOwner(ctx)
 		}
-		pause(ctx, helloInterval)
+		monotime.Sleep(ctx, helloInterval)
 	}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -97,13 +97,13 @@
 	go d.sayHello(ctx)
 	for ctx.Err() == nil {
 		if !d.mayTake() {
-			pause(ctx, electionPoll)
+			monotime.Sleep(ctx, electionPoll)
 			continue
 		}
 		tenure, err := d.take(ctx)
 		if err != nil {
 			d.Log.Info().Err(err).Msg("ownership not taken")
-			pause(ctx, electionRetry)
+			monotime.Sleep(ctx, electionRetry)
 			continue
 		}
 		d.rule(ctx, tenure)
@@ -245,10 +245,3 @@
 		c.post(func() { c.takeJob(id) })
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -94,7 +94,7 @@
 		}
 		if err != nil {
 			l.c.post(func() { l.c.linkFailed(l, err) })
-			pause(ctx, holdRetry)
+			monotime.Sleep(ctx, holdRetry)
 			wait = 0
 			continue
 		}
--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -57,9 +57,9 @@
 		}
 		f.note(err)
 		if err != nil {
-			sleep(ctx, retryDelay)
+			monotime.Sleep(ctx, retryDelay)
 		} else if f.Gap != nil {
-			sleep(ctx, f.Gap())
+			monotime.Sleep(ctx, f.Gap())
 		}
 	}
 }
@@ -179,13 +179,3 @@
 	f.done(sent)
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
