--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -398,6 +398,7 @@
 	a := c.worker("a", 200)
 	background := plainQueue
 	background.Priority = 2
+	background.Target = time.Minute
 	saving := plainStep(2)
 	saving.Checkpoints = true
 	c.AddJob("low", background, &graph.Spec{Steps: []graph.Step{saving}}, c.clock, nil, false)
@@ -405,9 +406,9 @@
 	for _, s := range starts {
 		c.StartAnswered(a, s.RunKey, Started)
 	}
-	c.advance(10 * time.Millisecond)
 	gang := plainStep(2)
 	gang.Gang = true
+	c.advance(10 * time.Millisecond)
 	c.job("high", false, gang)
 	starts, stops, _ := c.plan()
 	if len(starts) != 0 || len(stops) != 2 {
@@ -423,6 +424,43 @@
 	}
 }
 
+// One task is stopped for others only so often, whatever comes.
+func TestTaskIsNotPreemptedForEver(t *testing.T) {
+	c := newCell(t, 1)
+	a := c.worker("a", 100)
+	background := plainQueue
+	background.Priority = 2
+	background.Target = time.Hour
+	saving := plainStep(1)
+	saving.Checkpoints = true
+	c.AddJob("low", background, &graph.Spec{Steps: []graph.Step{saving}}, c.clock, nil, false)
+	sequence := uint64(0)
+	end := func(key RunKey, how End) {
+		sequence++
+		c.Report(a, c.clock, ended(sequence, key, how))
+	}
+	stopped := 0
+	for i := range 3 * maxPreempted {
+		low, _, _ := c.plan()
+		if len(low) != 1 || low[0].Task.Job != "low" {
+			t.Fatalf("starts %v, want the preempted task again", low)
+		}
+		c.StartAnswered(a, low[0].RunKey, Started)
+		c.advance(2 * preemptGap)
+		urgent := c.job(fmt.Sprint("urgent", i), false, plainStep(1))
+		if _, stops, _ := c.plan(); len(stops) == 0 {
+			break
+		}
+		stopped++
+		end(low[0].RunKey, EndInterrupted)
+		c.plan()
+		end(key(urgent, 0, 0, 1), EndDone)
+	}
+	if stopped != maxPreempted {
+		t.Errorf("stopped %d times, want %d", stopped, maxPreempted)
+	}
+}
+
 func TestWhatWouldLoseWorkIsNotPreempted(t *testing.T) {
 	saving := plainStep(1)
 	saving.Checkpoints = true
@@ -433,9 +471,11 @@
 		a := c.worker("a", 100)
 		background := plainQueue
 		background.Priority = 2
+		background.Target = time.Minute
 		c.AddJob("low", background, &graph.Spec{Steps: []graph.Step{step}}, c.clock, nil, false)
 		starts, _, _ := c.plan()
 		c.StartAnswered(a, starts[0].RunKey, Started)
+		c.advance(10 * time.Millisecond)
 		c.job("high", false, plainStep(1))
 		if _, stops, _ := c.plan(); len(stops) != 0 {
 			t.Errorf("%s: stopped %v", name, stops)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -242,6 +242,8 @@
 	run        *run
 	// strays counts runs of the task beside run that have not ended.
 	strays int
+	// preempted counts how often the task was stopped for others.
+	preempted int
 }
 
 // assign makes r the task's run; nil for none.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -399,7 +399,7 @@
 	for _, id := range workers {
 		w := e.workers[id]
 		fit := min(tasks, s.tasksThatFit(w.free(), 0))
-		if fit == 0 || w.promise.step != nil && e.now <= w.promise.until {
+		if fit == 0 || w.isPromised(e.now) {
 			continue
 		}
 		w.promise = promise{s, s.def.Held().Times(fit), until}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -13,6 +13,9 @@
 const (
 	// preemptGap is kept between two preemptions for one step.
 	preemptGap = 1 * time.Second
+	// maxPreempted bounds how often one task is stopped for others: otherwise a wide step is stopped and resumed again and
+	// again without getting on.
+	maxPreempted = 2
 	// yieldSlack is the share of its objective that a job must have left for its tasks to be stopped.
 	yieldSlack = 0.5
 	// holdRoom is how long the room that a preemption makes is kept for its step: longer than a stop takes.
@@ -30,12 +33,18 @@
 
 // promised returns the room of the worker that is kept for steps other than s.
 func (w *worker) promised(s *step, now monotime.Instant) graph.Claim {
-	if w.promise.step == nil || w.promise.step == s || now > w.promise.until {
+	if !w.isPromised(now) || w.promise.step == s {
 		return graph.Claim{}
 	}
 	return w.promise.claim
 }
 
+// isPromised reports whether room of the worker is kept for a step that still needs it.
+func (w *worker) isPromised(now monotime.Instant) bool {
+	kept := w.promise.step
+	return kept != nil && now <= w.promise.until && kept.active && kept.toPlace() > 0
+}
+
 // preempt stops tasks of lower priority so that the open tasks of s find room, if all of them or, for a step that is no
 // gang, some of them do.
 func (e *Engine) preempt(s *step, p *pool, open []*task) {
@@ -54,7 +63,7 @@
 		if left == 0 {
 			break
 		}
-		if !s.eligible(w) || !s.permitted(w, e.now) || w.reservedFor != nil || w.clashes(s.def) || w.promise.step != nil && e.now <= w.promise.until {
+		if !s.eligible(w) || !s.permitted(w, e.now) || w.reservedFor != nil || w.clashes(s.def) || w.isPromised(e.now) {
 			continue
 		}
 		victims, tasks := e.victims(s, w, left, counts[w.ID])
@@ -72,6 +81,7 @@
 		plan.worker.promise = promise{s, s.def.Held().Times(plan.tasks), e.now.Add(holdRoom)}
 		for _, r := range plan.victims {
 			e.stats.Preempted++
+			r.task.preempted++
 			e.stop(r, "preempted by "+string(s.job.id))
 		}
 	}
@@ -82,7 +92,7 @@
 func (e *Engine) victims(s *step, w *worker, want, present int) (victims []*run, tasks int) {
 	var stoppable []*run
 	for _, r := range w.runs {
-		if r.state == runRunning && r.task != nil && e.mayYield(r.task.step, s) {
+		if r.state == runRunning && r.task != nil && e.mayYield(r, s) {
 			stoppable = append(stoppable, r)
 		}
 	}
@@ -109,10 +119,14 @@
 	return victims, tasks
 }
 
-// mayYield reports whether a task of victim may be stopped for one of s: if it loses no work, its priority is lower, and its
-// job has time left to make the pause good.
-func (e *Engine) mayYield(victim, s *step) bool {
+// mayYield reports whether a run may be stopped for a task of s: if it loses no work, its priority is lower, and its job has
+// time left to make the pause good.
+func (e *Engine) mayYield(r *run, s *step) bool {
+	victim := r.task.step
 	def := victim.def
+	if r.task.preempted >= maxPreempted {
+		return false
+	}
 	if victim.job.queue.Priority <= s.job.queue.Priority || !def.Checkpoints || def.Gang || def.LongRunning {
 		return false
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -197,7 +197,7 @@
 // what the store has, since it would hear of it later.
 func (s *Service) durable(ctx context.Context, write func(context.Context) error, relay *wire.IntakeRequest) Answer {
 	uncertain := false
-	for try := range maxTries {
+	for try := 0; ; try++ {
 		if !s.StoreDown() {
 			err := s.write(ctx, write)
 			if err == nil {
@@ -211,8 +211,9 @@
 		} else if result == resultUncertain {
 			uncertain = true
 		}
-		// What was not sent while the store is down can be refused at once.
-		if ctx.Err() != nil || try == maxTries-1 || (!uncertain && s.StoreDown()) {
+		// What was not sent while the store is down can be refused at once. What may have been stored is settled by
+		// further tries as long as the caller waits: a refusal might be untrue.
+		if ctx.Err() != nil || (!uncertain && (try >= maxTries-1 || s.StoreDown())) {
 			break
 		}
 		monotime.Sleep(ctx, storeRetry)
