--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -166,19 +166,6 @@
 	}
 }
 
-// Forget drops a job that has ended and has no runs. It reports whether the job is gone.
-func (e *Engine) Forget(id graph.JobID) bool {
-	j := e.jobs[id]
-	if j == nil {
-		return true
-	}
-	if !j.state.Ended() || j.dirty {
-		return false
-	}
-	delete(e.jobs, id)
-	return true
-}
-
 func (e *Engine) endJob(j *job, state graph.State, reason string) {
 	j.state = state
 	e.markDirty(j)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -24,7 +24,6 @@
 		return
 	}
 	e.setReachable(w, true)
-	w.reported = true
 	listed := make(map[RunKey]struct{}, len(report.Running))
 	for _, entry := range report.Running {
 		listed[entry.RunKey] = struct{}{}
@@ -71,7 +70,6 @@
 	if entry.Progress != r.progress || r.progressAt == 0 {
 		r.progress, r.progressAt = entry.Progress, e.now
 	}
-	r.gauge = entry.Gauge
 	if r.task != nil && entry.Checkpoint != "" {
 		r.task.checkpoint = entry.Checkpoint
 	}
@@ -81,7 +79,7 @@
 // carried out late. It becomes its task's run if the task needs one, and is stopped otherwise.
 func (e *Engine) adopt(w *worker, entry RunningEntry) *run {
 	e.stats.Orphans++
-	r := &run{RunKey: entry.RunKey, worker: w, state: runRunning, percent: 100, ordered: e.now}
+	r := &run{RunKey: entry.RunKey, worker: w, state: runRunning, ordered: e.now}
 	w.runs[entry.RunKey] = r
 	t := e.task(entry.Task)
 	if t == nil {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -64,8 +64,6 @@
 	Checkpoint string
 	// Progress is the share of the work that is done, in percent; 100 for a long-running task that serves.
 	Progress int
-	// Gauge is the tail latency in milliseconds of a long-running task with a target, else the processor time in use.
-	Gauge float64
 }
 
 // EndedEntry is an end that a worker lists until it is told that the end has been recorded.
@@ -116,7 +114,7 @@
 	Step       int
 }
 
-// Order is a Start, a Stop, a Pace or an Ask.
+// Order is a Start, a Stop or an Ask.
 type Order interface{ order() }
 
 // Start orders a worker to run a task.
@@ -136,13 +134,6 @@
 	Reason string
 }
 
-// Pace sets the share of its speed at which a run works.
-type Pace struct {
-	RunKey
-	Worker  WorkerID
-	Percent int
-}
-
 // Ask asks the policy service which workers may run a step.
 type Ask struct {
 	Step     StepID
@@ -154,7 +145,6 @@
 
 func (Start) order() {}
 func (Stop) order()  {}
-func (Pace) order()  {}
 func (Ask) order()   {}
 
 type runState int
@@ -188,8 +178,6 @@
 
 	progress   int
 	progressAt monotime.Instant
-	percent    int
-	gauge      float64
 }
 
 type worker struct {
@@ -199,7 +187,6 @@
 	// recorded is the sequence of the last end that was taken into the engine.
 	recorded  uint64
 	reachable bool
-	reported  bool
 	// avoidUntil keeps new runs away for a while after a refusal or repeated failures.
 	avoidUntil monotime.Instant
 	// failures counts failed runs since the last one that was done.
@@ -309,7 +296,7 @@
 	// uncertain means that an earlier owner may have started tasks that no worker has reported yet.
 	uncertain bool
 	steps     [][]*step
-	// occurrencesLeft counts the occurrences with open tasks.
+	// openSteps counts the steps with open tasks, over all occurrences.
 	openSteps int
 	dirty     bool
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -5,15 +5,10 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/monotime"
 )
 
-// maxAsk bounds the workers of one question to the policy service.
-const maxAsk = 100
-
 // Plan places what can be placed and returns the orders that follow, with those of earlier events. wall is the time of
 // day since the Unix epoch.
 func (e *Engine) Plan(wall time.Duration) []Order {
@@ -46,57 +41,6 @@
 	}
 }
 
-// pool is the workers of a pool that take new runs.
-type pool struct {
-	workers []*worker
-	// asked is what the steps that wait for permits will claim.
-	asked graph.Claim
-	free  graph.Claim
-	size  graph.Claim
-	// reserved counts the workers that are kept free for gangs.
-	reserved int
-	// freed counts what may let a step in that found no room: runs that are gone and workers that came.
-	freed uint64
-}
-
-// refreshPools brings the pools up to date. Which workers they have changes seldom, their room with each run.
-func (e *Engine) refreshPools() {
-	if e.poolsStale {
-		e.rebuildPools()
-	}
-	for _, p := range e.pools {
-		p.asked, p.free, p.reserved = graph.Claim{}, graph.Claim{}, 0
-		for _, w := range p.workers {
-			w.reservedFor = nil
-			p.free = p.free.Add(w.free())
-		}
-	}
-}
-
-func (e *Engine) rebuildPools() {
-	e.poolsStale = false
-	old := e.pools
-	e.pools = make(map[string]*pool, len(old))
-	for _, w := range e.workers {
-		if w.Draining || !w.reachable || w.unsized > 0 {
-			continue
-		}
-		p := e.pools[w.Pool]
-		if p == nil {
-			p = &pool{}
-			if before := old[w.Pool]; before != nil {
-				p.freed = before.freed + 1
-			}
-			e.pools[w.Pool] = p
-		}
-		p.workers = append(p.workers, w)
-		p.size = p.size.Add(w.Capacity)
-	}
-	for _, p := range e.pools {
-		slices.SortFunc(p.workers, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
-	}
-}
-
 // byUrgency returns the steps with tasks to place in the order in which they get room: by priority, then those whose jobs
 // can still complete in time, then by due time; jobs far beyond their objective come last of all.
 func (e *Engine) byUrgency() []*step {
@@ -259,7 +203,7 @@
 
 func (e *Engine) start(t *task, w *worker, number uint64) {
 	t.lastRun = number
-	r := &run{RunKey: RunKey{t.id(), number}, worker: w, task: t, percent: 100, ordered: e.now}
+	r := &run{RunKey: RunKey{t.id(), number}, worker: w, task: t, ordered: e.now}
 	w.runs[r.RunKey] = r
 	e.reserve(r, t.step.def)
 	t.assign(r)
@@ -367,93 +311,3 @@
 	}
 	return used
 }
-
-// ask asks the policy service about a step. The first question is about every worker that may ever run it, as far as one
-// question goes, since its verdicts don't change; later ones are about workers that have room.
-func (e *Engine) ask(s *step, p *pool, open []*task) {
-	if e.now < s.askAt || !s.def.Held().Fits(p.free.Sub(p.asked)) {
-		return
-	}
-	workers, room := e.toAskAbout(s, p)
-	if room == 0 || (s.def.Gang && s.allowed != nil && room < len(open)) {
-		return
-	}
-	s.asking = true
-	e.stats.Asks++
-	if s.def.Gang && s.allowed != nil {
-		e.keepRoom(s, workers, len(open))
-	}
-	e.orders = append(e.orders, Ask{
-		Step:     s.id(),
-		Workers:  workers,
-		Cost:     s.job.queue.Permit.Of(len(workers)),
-		Priority: s.job.queue.Priority,
-		Due:      s.due,
-	})
-}
-
-// keepRoom keeps room for a gang on the workers that it asks permits for: another would take it meanwhile, and the gang
-// would ask again and again.
-func (e *Engine) keepRoom(s *step, workers []WorkerID, tasks int) {
-	until := e.now.Add(s.job.queue.Permit.Of(len(workers)) + holdMargin)
-	for _, id := range workers {
-		w := e.workers[id]
-		fit := min(tasks, s.tasksThatFit(w.free(), 0))
-		if fit == 0 || w.isPromised(e.now) {
-			continue
-		}
-		w.promise = promise{s, s.def.Held().Times(fit), until}
-		tasks -= fit
-	}
-}
-
-// toAskAbout returns the workers of a question and how many of the step's tasks fit on them now. Those with room come
-// first. Each step begins at another worker, so that in a large pool questions spread over all of it.
-func (e *Engine) toAskAbout(s *step, p *pool) (workers []WorkerID, room int) {
-	counts := s.onWorkers()
-	first := s.allowed == nil
-	var full []WorkerID
-	begin := int(s.spread() % uint64(len(p.workers)))
-	for i := range p.workers {
-		w := p.workers[(begin+i)%len(p.workers)]
-		if allowed, known := s.allowed[w.ID]; (known && !allowed) || !s.eligible(w) || s.permitted(w, e.now) {
-			continue
-		}
-		if !e.hasRoom(s, w, graph.Claim{}, counts) {
-			full = append(full, w.ID)
-			continue
-		}
-		if len(workers) < maxAsk {
-			workers = append(workers, w.ID)
-			room += s.tasksThatFit(w.free(), counts[w.ID])
-		}
-	}
-	if first {
-		workers = append(workers, full[:min(len(full), maxAsk-len(workers))]...)
-	}
-	return workers, room
-}
-
-// spread is a number that differs from step to step.
-func (s *step) spread() uint64 {
-	return xxhash.Sum64String(string(s.job.id)) + uint64(s.index)
-}
-
-// tasksThatFit counts the tasks of a step that fit into free, beside those that the worker has of it.
-func (s *step) tasksThatFit(free graph.Claim, present int) int {
-	held := s.def.Held()
-	n := int64(s.def.Count)
-	if held.MilliCPU > 0 {
-		n = min(n, free.MilliCPU/held.MilliCPU)
-	}
-	if held.MemoryMB > 0 {
-		n = min(n, free.MemoryMB/held.MemoryMB)
-	}
-	if held.Accelerators > 0 {
-		n = min(n, free.Accelerators/held.Accelerators)
-	}
-	if s.def.MaxPerWorker > 0 {
-		n = min(n, int64(s.def.MaxPerWorker-present))
-	}
-	return int(max(0, n))
-}
--- a/internal/owner/contracts.go
+++ b/internal/owner/contracts.go
@@ -48,8 +48,6 @@
 	Start(ctx context.Context, w dispatch.Worker, call StartCall) (dispatch.StartOutcome, error)
 	// Stop ends a run, or keeps it from ever starting. Errors: ErrSuperseded, ErrOtherLife, ErrNoAnswer.
 	Stop(ctx context.Context, w dispatch.Worker, key dispatch.RunKey, epoch uint64) error
-	// Pace sets the share of its speed at which a run works. Errors: ErrSuperseded, ErrOtherLife, ErrNoAnswer.
-	Pace(ctx context.Context, w dispatch.Worker, key dispatch.RunKey, percent int, epoch uint64) error
 	// Hold returns the worker's report and its clock. Errors: ErrSuperseded, ErrOtherLife, ErrNoAnswer.
 	Hold(ctx context.Context, w dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error)
 }
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -224,10 +224,6 @@
 		if l := c.links[o.Worker]; l != nil {
 			go l.stop(o)
 		}
-	case dispatch.Pace:
-		if l := c.links[o.Worker]; l != nil {
-			go l.pace(o)
-		}
 	case dispatch.Ask:
 		c.permits.add(o)
 	}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -313,16 +313,6 @@
 	})
 }
 
-// pace carries out a pace order.
-func (l *link) pace(order dispatch.Pace) {
-	c := l.c
-	ctx, cancel := context.WithTimeout(c.ctx, stopTimeout)
-	defer cancel()
-	err := c.Runners.Pace(ctx, l.worker, order.RunKey, order.Percent, c.tenure.Epoch())
-	c.Log.Info().Str("task", order.Task.String()).Uint64("run", order.Number).Str("worker", string(order.Worker)).Int("percent", order.Percent).Err(err).Msg("run pace")
-	c.post(func() { c.callFailed(l, err) })
-}
-
 // callFailed takes in what an order's failure tells of the worker or of ownership.
 func (c *control) callFailed(l *link, err error) {
 	if c.links[l.worker.ID] != l {
