--- a/internal/logs/writer_test.go
+++ b/internal/logs/writer_test.go
@@ -64,3 +64,14 @@
 		t.Error("no line says how many were left out")
 	}
 }
+
+// BenchmarkLine measures what a line of a decision costs its author.
+func BenchmarkLine(b *testing.B) {
+	w := NewWriter(io.Discard, metrics.NewSet())
+	go w.Run(b.Context())
+	logger := log.Logger{Level: log.InfoLevel, Writer: w}
+	for i := range b.N {
+		logger.Info().Str("job", "0123456789abcdef").Str("task", "0123456789abcdef/0/1/2").Uint64("run", uint64(i)).
+			Uint64("epoch", 3).Str("worker", "i-0123456789").Str("outcome", "started").Dur("took", 3000000).Msg("run start")
+	}
+}
