Workers that leave starts unanswered get new ones only where no other has room

A worker is now suspect while a start of it is unanswered for 150 ms, and for 4 s after one stayed so.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -164,6 +164,39 @@
 	}
 }
 
+// A machine has gone without a word: what is sent to it until its looks fail is in doubt for most of a second each.
+func TestWorkerThatLeavesStartsUnansweredGetsNoMore(t *testing.T) {
+	c := newCell(t, 1)
+	c.advance(time.Second)
+	dead, sound := c.worker("a", 1000), c.worker("b", 1000)
+	first := c.job("first", false, plainStep(1))
+	starts, _, _ := c.plan()
+	if len(starts) != 1 || starts[0].Worker != dead {
+		t.Fatalf("starts %v, want one on the worker that is about to go", starts)
+	}
+	startsOn := func(job string) map[WorkerID]int {
+		c.job(job, false, plainStep(3))
+		on := make(map[WorkerID]int)
+		starts, _, _ := c.plan()
+		for _, s := range starts {
+			on[s.Worker]++
+			if s.Worker == sound {
+				c.StartAnswered(sound, s.RunKey, Started)
+			}
+		}
+		return on
+	}
+	c.advance(200 * time.Millisecond)
+	if on := startsOn("second"); on[dead] > 0 || on[sound] != 3 {
+		t.Errorf("starts %v while one is unanswered, want them on the other worker", on)
+	}
+	c.advance(500 * time.Millisecond)
+	c.StartAnswered(dead, key(first, 0, 0, 1), StartInDoubt)
+	if on := startsOn("third"); on[dead] > 0 || on[sound] != 3 {
+		t.Errorf("starts %v after one went unanswered, want them on the other worker", on)
+	}
+}
+
 func TestNeverBeyondCapacity(t *testing.T) {
 	c := newCell(t, 1)
 	a := c.worker("a", 250)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -15,8 +15,26 @@
 	suspectFailures = 2
 	// suspectTime keeps new runs from a suspect worker while others have room.
 	suspectTime = 4 * time.Second
+	// answerTime is how long a start may go unanswered before the worker is suspect: several times what a sound worker takes
+	// under load.
+	answerTime = 150 * time.Millisecond
 )
 
+// isSuspect reports whether a worker gets new runs only where no other has room.
+func (e *Engine) isSuspect(w *worker) bool {
+	return e.now < w.avoidUntil || (w.unanswered > 0 && e.now.Sub(w.unanswered) > answerTime)
+}
+
+// countUnanswered finds the earliest of the worker's starts that have no answer.
+func (w *worker) countUnanswered() {
+	w.unanswered = 0
+	for _, r := range w.runs {
+		if r.state == runStarting && (w.unanswered == 0 || r.ordered < w.unanswered) {
+			w.unanswered = r.ordered
+		}
+	}
+}
+
 // Report takes in what a worker listed in answer to a call sent at the given time.
 func (e *Engine) Report(id WorkerID, sent monotime.Instant, report Report) {
 	w := e.workers[id]
@@ -268,6 +286,7 @@
 	if r == nil {
 		return
 	}
+	defer w.countUnanswered()
 	switch outcome {
 	case Started:
 		if r.state == runStarting {
@@ -276,6 +295,7 @@
 		r.confirmed = e.now
 	case StartInDoubt:
 		e.stats.InDoubt++
+		w.avoidUntil = max(w.avoidUntil, e.now.Add(suspectTime))
 		e.stop(r, "start was not answered")
 	default:
 		e.stats.Refused++
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -189,6 +189,8 @@
 	reachable bool
 	// avoidUntil keeps new runs away for a while after a refusal or repeated failures.
 	avoidUntil monotime.Instant
+	// unanswered is when the earliest start was ordered of those that the worker has yet to answer; 0 if there is none.
+	unanswered monotime.Instant
 	// failures counts failed runs since the last one that was done.
 	failures int
 	// unsized counts runs whose claims are not known: while there are any, the worker counts as full.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -248,6 +248,9 @@
 	t.lastRun = number
 	r := &run{RunKey: RunKey{t.id(), number}, worker: w, task: t, ordered: e.now}
 	w.runs[r.RunKey] = r
+	if w.unanswered == 0 {
+		w.unanswered = e.now
+	}
 	e.reserve(r, t.step.def)
 	t.assign(r)
 	e.markStarted(t.step.job)
@@ -333,7 +336,7 @@
 // score ranks workers: sound ones first, then those near the data, then the fullest.
 func (e *Engine) score(s *step, w *worker, taken graph.Claim) float64 {
 	score := 0.0
-	if e.now < w.avoidUntil {
+	if e.isSuspect(w) {
 		score -= suspectWeight
 	}
 	if s.def.DataRack != "" && w.Rack == s.def.DataRack {
