Orders without an answer are sent again

Cause: where half of the orders to workers go unanswered (applied_late), each start was in doubt for 0.7 s, then stopped, the stop unanswered in turn, and only then settled by a report: revisions with an objective of a second were lost.

A worker that has the run answers a repeated start like the first, so the same order is sent again after 0.23 s, within the 0.7 s that one start had before. After a try without an answer only the answer that the run is there counts: a refusal may come of an earlier try's run having ended, and stays in doubt. Stops likewise.

--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -25,9 +25,13 @@
 	// leaseLength is for how long a worker's lease is extended. It outlasts a takeover, and bounds how long tasks of a
 	// worker that is cut off wait.
 	leaseLength = 5 * time.Second
-	// startTimeout and stopTimeout bound a call to a worker that answers within milliseconds when it is sound.
+	// startTimeout and stopTimeout bound an order to a worker that answers within milliseconds when it is sound.
 	startTimeout = 700 * time.Millisecond
 	stopTimeout  = 700 * time.Millisecond
+	// orderTry bounds one try of an order: several times what a sound worker takes under load.
+	orderTry = 230 * time.Millisecond
+	// orderPause is kept between two tries, for a worker that answers at once that it can't.
+	orderPause = 20 * time.Millisecond
 	// unknownLeaseMargin covers the way of an earlier owner's last order to a worker.
 	unknownLeaseMargin = 300 * time.Millisecond
 )
--- a/internal/owner/counts.go
+++ b/internal/owner/counts.go
@@ -6,7 +6,7 @@
 type counts struct {
 	takeovers, records, recordFailures  *metrics.Counter
 	holds, holdFailures, permitFailures *metrics.Counter
-	helloFailures                       *metrics.Counter
+	helloFailures, orderRetries         *metrics.Counter
 	startTime, permitTime               *metrics.Histogram
 }
 
@@ -25,6 +25,7 @@
 		holdFailures:   set.NewCounter("laburnumpoint_hold_failures_total"),
 		permitFailures: set.NewCounter("laburnumpoint_permit_failures_total"),
 		helloFailures:  set.NewCounter("laburnumpoint_hello_failures_total"),
+		orderRetries:   set.NewCounter("laburnumpoint_order_retries_total"),
 		startTime:      set.NewHistogram("laburnumpoint_start_seconds"),
 		permitTime:     set.NewHistogram("laburnumpoint_permit_seconds"),
 	}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -283,9 +283,7 @@
 	now := c.now()
 	deadline, known := l.lease.extend(now, c.leaseLength())
 	if known && c.valid() {
-		ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
-		defer cancel()
-		outcome, err = c.Runners.Start(ctx, l.worker, StartCall{order, c.tenure.Epoch(), deadline})
+		outcome, err = l.sendStart(StartCall{order, c.tenure.Epoch(), deadline})
 	}
 	took := c.now().Sub(now)
 	c.counts.startTime.Update(took.Seconds())
@@ -300,12 +298,55 @@
 	})
 }
 
+// sendStart sends an order until it is answered, within startTimeout: a worker that has the run says so again. After a try
+// without an answer only that is conclusive, since an earlier try may yet be carried out, or its run have ended.
+func (l *link) sendStart(call StartCall) (dispatch.StartOutcome, error) {
+	ctx, cancel := context.WithTimeout(l.c.ctx, startTimeout)
+	defer cancel()
+	for doubted := false; ; doubted = true {
+		outcome, err := l.tryStart(ctx, call)
+		conclusive := outcome == dispatch.Started || errors.Is(err, ErrOtherLife) || errors.Is(err, ErrSuperseded)
+		if conclusive || (!doubted && outcome != dispatch.StartInDoubt) {
+			return outcome, err
+		}
+		if outcome != dispatch.StartInDoubt || ctx.Err() != nil || !l.c.valid() {
+			return dispatch.StartInDoubt, err
+		}
+		l.c.counts.orderRetries.Inc()
+		monotime.Sleep(ctx, orderPause)
+	}
+}
+
+func (l *link) tryStart(ctx context.Context, call StartCall) (dispatch.StartOutcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTry)
+	defer cancel()
+	return l.c.Runners.Start(ctx, l.worker, call)
+}
+
+// sendStop sends an order until it is answered, within stopTimeout; a stop may be carried out more than once.
+func (l *link) sendStop(key dispatch.RunKey) error {
+	ctx, cancel := context.WithTimeout(l.c.ctx, stopTimeout)
+	defer cancel()
+	for {
+		err := l.tryStop(ctx, key)
+		if !errors.Is(err, ErrNoAnswer) || ctx.Err() != nil {
+			return err
+		}
+		l.c.counts.orderRetries.Inc()
+		monotime.Sleep(ctx, orderPause)
+	}
+}
+
+func (l *link) tryStop(ctx context.Context, key dispatch.RunKey) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTry)
+	defer cancel()
+	return l.c.Runners.Stop(ctx, l.worker, key, l.c.tenure.Epoch())
+}
+
 // stop carries out a stop order.
 func (l *link) stop(order dispatch.Stop) {
 	c := l.c
-	ctx, cancel := context.WithTimeout(c.ctx, stopTimeout)
-	defer cancel()
-	err := c.Runners.Stop(ctx, l.worker, order.RunKey, c.tenure.Epoch())
+	err := l.sendStop(order.RunKey)
 	c.Log.Info().Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Str("worker", string(order.Worker)).Str("why", order.Reason).Err(err).Msg("run stop")
 	c.post(func() {
 		c.engine.StopAnswered(l.worker.ID, order.RunKey, err == nil)
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -49,6 +49,76 @@
 	return dispatch.Report{}, time.Since(f.start), nil
 }
 
+// forgetfulRunners leaves the first starts and stops unanswered, and answers later ones with the given outcome.
+type forgetfulRunners struct {
+	Runners
+	unanswered int
+	then       dispatch.StartOutcome
+	tries      int
+}
+
+func (f *forgetfulRunners) try(ctx context.Context) bool {
+	if f.tries++; f.tries > f.unanswered {
+		return true
+	}
+	<-ctx.Done()
+	return false
+}
+
+func (f *forgetfulRunners) Start(ctx context.Context, _ dispatch.Worker, _ StartCall) (dispatch.StartOutcome, error) {
+	if f.try(ctx) {
+		return f.then, nil
+	}
+	return dispatch.StartInDoubt, ErrNoAnswer
+}
+
+func (f *forgetfulRunners) Stop(ctx context.Context, _ dispatch.Worker, _ dispatch.RunKey, _ uint64) error {
+	if f.try(ctx) {
+		return nil
+	}
+	return ErrNoAnswer
+}
+
+// Answers to orders get lost, as when a link drops some packets or a worker holds calls up: an order is sent again soon
+// and not given up after the first. What an earlier try has done is known only from the answer that the run is there.
+func TestOrderWithoutAnswerIsSentAgain(t *testing.T) {
+	cases := map[string]struct {
+		unanswered int
+		then, want dispatch.StartOutcome
+		within     time.Duration
+	}{
+		"answered":                    {0, dispatch.Started, dispatch.Started, 0},
+		"refused":                     {0, dispatch.StartNoRoom, dispatch.StartNoRoom, 0},
+		"second answered":             {1, dispatch.Started, dispatch.Started, 300 * time.Millisecond},
+		"third answered":              {2, dispatch.Started, dispatch.Started, 600 * time.Millisecond},
+		"refused after one in doubt":  {1, dispatch.StartNoRoom, dispatch.StartInDoubt, 300 * time.Millisecond},
+		"outdated after one in doubt": {1, dispatch.StartOutdated, dispatch.StartInDoubt, 300 * time.Millisecond},
+		"never answered":              {1000, dispatch.Started, dispatch.StartInDoubt, startTimeout},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				control := newTestControl(t.Context(), &forgetfulRunners{unanswered: c.unanswered, then: c.then})
+				control.validUntil.Store(int64(control.now().Add(time.Hour)))
+				l := &link{c: control}
+				began := time.Now()
+				outcome, _ := l.sendStart(StartCall{})
+				if took := time.Since(began); outcome != c.want || took > c.within {
+					t.Errorf("%s after %s, want %s within %s", outcome, took, c.want, c.within)
+				}
+			})
+			synctest.Test(t, func(t *testing.T) {
+				l := &link{c: newTestControl(t.Context(), &forgetfulRunners{unanswered: c.unanswered})}
+				began := time.Now()
+				err := l.sendStop(dispatch.RunKey{})
+				if took := time.Since(began); took > c.within || (err == nil) != (c.unanswered < 1000) {
+					t.Errorf("stop: %v after %s, want it within %s", err, took, c.within)
+				}
+			})
+		})
+	}
+}
+
 func newTestControl(ctx context.Context, runners Runners) *control {
 	d := New(Options{
 		Runners: runners, Clock: bubbleClock{time.Now()}, MaxLease: 10 * time.Second, Metrics: metrics.NewSet(),
