--- a/internal/dispatch/backlog_test.go
+++ b/internal/dispatch/backlog_test.go
@@ -88,3 +88,27 @@
 		t.Errorf("%.0f looks at workers for each start, want at most %.0f", looks, most)
 	}
 }
+
+// Renders wait for accelerators that small tasks free one by one: a gang for which there is no room must not be laid out
+// over the pool task by task at each end.
+func TestGangWithoutRoomCostsOneLookAtEachWorker(t *testing.T) {
+	c := newCell(t, 1)
+	const workers = 100
+	for i := range workers {
+		c.worker(fmt.Sprintf("w%03d", i), 100)
+	}
+	members := plainStep(workers)
+	members.Gang = true
+	c.job("small", false, plainStep(1))
+	if starts, _, _ := c.plan(); len(starts) != 1 {
+		t.Fatalf("%d starts, want one that leaves the gang a worker short", len(starts))
+	}
+	before := c.Stats().Looks
+	c.job("gang", false, members)
+	if starts, _, _ := c.plan(); len(starts) != 0 {
+		t.Fatalf("%d starts, want none", len(starts))
+	}
+	if looks, most := c.Stats().Looks-before, uint64(searchPasses*workers); looks > most {
+		t.Errorf("%d looks at %d workers, want at most %d", looks, workers, most)
+	}
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -197,6 +197,9 @@
 func (e *Engine) placeGang(s *step, p *pool, open []*task) bool {
 	taken := make(map[*worker]graph.Claim)
 	counts := s.onWorkers()
+	if !e.gangFits(s, p, len(open), counts) {
+		return false
+	}
 	chosen := make([]*worker, 0, len(open))
 	var last uint64
 	for _, t := range open {
@@ -218,6 +221,22 @@
 	return true
 }
 
+// gangFits reports whether there is room for so many tasks, with one look at each worker: most tries of a gang in a busy
+// pool fail.
+func (e *Engine) gangFits(s *step, p *pool, tasks int, counts map[WorkerID]int) bool {
+	for _, w := range p.workers {
+		e.stats.Looks++
+		if !e.hasRoom(s, w, graph.Claim{}, counts) || !s.eligible(w) || !s.permitted(w, e.now) {
+			continue
+		}
+		tasks -= s.tasksThatFit(w.free().Sub(w.promised(s, e.now)), counts[w.ID])
+		if tasks <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // newestCheckpoint returns the checkpoint that all members of a gang resume from. Any member's is valid for all.
 func newestCheckpoint(s *step) string {
 	for _, t := range s.tasks {
