Rounds of decisions are 2 ms apart, events are taken in at their own time

Events of 2 ms now lead to one round; after a pause a round follows at once.

While events were gathered the engine's clock stood still, so that a confirmed start was stamped up to 2 ms too early, before a report had been asked for that could not list it, and was given up as lost. The same window, shorter, was there when events were drained in a batch. Every event now has its own time.

Tests first: TestRoundsAreBoundedUnderLoad, TestReportAskedForBeforeARunIsConfirmedDoesNotLoseIt.

--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -18,6 +18,8 @@
 	eventQueue = 4096
 	// tick is how often the loop looks at what only time brings about.
 	tick = 100 * time.Millisecond
+	// roundGap is kept between two rounds of decisions, so that under load they answer several events each.
+	roundGap = 2 * time.Millisecond
 	// recordGap is kept between two records, so that what ends together is recorded together.
 	recordGap = 25 * time.Millisecond
 	// recordRetry is kept before a record that failed is tried again.
@@ -55,12 +57,14 @@
 	oldWorkers map[dispatch.WorkerID]struct{}
 	recording  bool
 	recordAt   monotime.Instant
-	renewAt    monotime.Instant
-	renewedAt  monotime.Instant
-	startedAt  monotime.Instant
-	settled    bool
-	lost       bool
-	end        context.CancelFunc
+	// roundAt is when the next round may begin.
+	roundAt   monotime.Instant
+	renewAt   monotime.Instant
+	renewedAt monotime.Instant
+	startedAt monotime.Instant
+	settled   bool
+	lost      bool
+	end       context.CancelFunc
 }
 
 func newControl(parent context.Context, d *Daemon, tenure *ledger.Tenure, started monotime.Instant) *control {
@@ -168,18 +172,48 @@
 			c.awaitRecord()
 			return
 		case f := <-c.events:
-			c.engine.SetNow(c.now())
-			f()
+			c.takeIn(f)
 			c.drainEvents()
 		case <-ticker.C:
 			c.engine.SetNow(c.now())
 			c.expireLinks()
 			c.considerResigning()
 		}
+		c.gather()
+		began := c.now()
 		c.round()
+		c.counts.roundTime.Update(c.now().Sub(began).Seconds())
+		c.roundAt = c.now().Add(roundGap)
 	}
 }
 
+// takeIn takes in one event at its own time. A start that counted as confirmed before it was would be given up as lost when
+// a report comes that was asked for in between.
+func (c *control) takeIn(f func()) {
+	c.engine.SetNow(c.now())
+	f()
+}
+
+// gather takes in events until the next round may begin.
+func (c *control) gather() {
+	wait := c.roundAt.Sub(c.now())
+	if wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		for gathering := true; gathering; {
+			select {
+			case f := <-c.events:
+				c.takeIn(f)
+			case <-timer.C:
+				gathering = false
+			case <-c.ctx.Done():
+				gathering = false
+			}
+		}
+	}
+	c.engine.SetNow(c.now())
+}
+
 // maxBatch bounds the events that are taken in before decisions follow from them.
 const maxBatch = 256
 
@@ -187,7 +221,7 @@
 	for range maxBatch {
 		select {
 		case f := <-c.events:
-			f()
+			c.takeIn(f)
 		default:
 			return
 		}
--- a/internal/owner/counts.go
+++ b/internal/owner/counts.go
@@ -7,7 +7,7 @@
 	takeovers, records, recordFailures  *metrics.Counter
 	holds, holdFailures, permitFailures *metrics.Counter
 	helloFailures, orderRetries         *metrics.Counter
-	startTime, permitTime               *metrics.Histogram
+	startTime, permitTime, roundTime    *metrics.Histogram
 }
 
 func newCounts(set *metrics.Set, d *Daemon) counts {
@@ -27,6 +27,7 @@
 		helloFailures:  set.NewCounter("laburnumpoint_hello_failures_total"),
 		orderRetries:   set.NewCounter("laburnumpoint_order_retries_total"),
 		startTime:      set.NewHistogram("laburnumpoint_start_seconds"),
+		roundTime:      set.NewHistogram("laburnumpoint_round_seconds"),
 		permitTime:     set.NewHistogram("laburnumpoint_permit_seconds"),
 	}
 }
--- a/internal/owner/hello.go
+++ b/internal/owner/hello.go
@@ -35,6 +35,7 @@
 	}
 	if peers := reply.GetHello().GetPeers(); len(peers) > 0 {
 		d.peers.Store(&peers)
+		d.Replica.SetDaemons(len(peers) + 1)
 	}
 }
 
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
 )
@@ -179,3 +180,78 @@
 		synctest.Wait()
 	})
 }
+
+// Thousands of ends a second come one by one: decisions follow from several together, and from a single one at once.
+func TestRoundsAreBoundedUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := newTestControl(ctx, &fakeRunners{start: time.Now()})
+		c.recording = true // nothing is recorded here
+		rounds := 0
+		loop := func(until time.Duration) {
+			for end := time.After(until); ; {
+				select {
+				case f := <-c.events:
+					f()
+				case <-end:
+					return
+				}
+				c.gather()
+				rounds++
+				c.roundAt = c.now().Add(roundGap)
+			}
+		}
+		began := c.now()
+		handled := monotime.Instant(0)
+		go c.post(func() { handled = c.now() })
+		loop(10 * time.Millisecond)
+		if rounds != 1 || handled != began {
+			t.Fatalf("%d rounds, the event handled after %s; want it handled at once", rounds, handled.Sub(began))
+		}
+		rounds = 0
+		go func() {
+			for range 1000 {
+				c.post(func() {})
+				time.Sleep(100 * time.Microsecond)
+			}
+		}()
+		loop(200 * time.Millisecond)
+		if most := int(100*time.Millisecond/roundGap) + 1; rounds > most || rounds < most/2 {
+			t.Errorf("%d rounds for 1000 events in 100 ms, want about %d", rounds, most)
+		}
+	})
+}
+
+// While events are gathered, a worker is asked for its report, gets a run, confirms it, and its report without the run
+// comes last. The run is not lost: the report is older than what the worker has confirmed.
+func TestReportAskedForBeforeARunIsConfirmedDoesNotLoseIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := newTestControl(ctx, &fakeRunners{start: time.Now()})
+		c.engine.SetNow(c.now())
+		w := dispatch.Worker{ID: "w", Pool: "p", Capacity: graph.Claim{MilliCPU: 1000}}
+		c.engine.PutWorker(w)
+		c.engine.SetReachable("w", true)
+		spec := &graph.Spec{Steps: []graph.Step{{Count: 1, Claim: graph.Claim{MilliCPU: 1}}}}
+		c.engine.AddJob("j", graph.Queue{Name: "q", Pool: "p", Attempts: 1}, spec, c.now(), nil, false)
+		orders := c.engine.Plan(0)
+		if len(orders) != 1 {
+			t.Fatalf("%d orders, want a start", len(orders))
+		}
+		start := orders[0].(dispatch.Start)
+		c.roundAt = c.now().Add(10 * time.Millisecond)
+		go func() {
+			time.Sleep(time.Millisecond)
+			asked := c.now()
+			time.Sleep(time.Millisecond)
+			c.post(func() { c.engine.StartAnswered("w", start.RunKey, dispatch.Started) })
+			c.post(func() { c.engine.Report("w", asked, dispatch.Report{}) })
+		}()
+		c.gather()
+		if !c.engine.HasRuns("w") {
+			t.Error("the run was given up")
+		}
+	})
+}
