Daemons poll the store less often where there are many

The gap now grows with the number of daemons, which the owner tells, by 10 ms each, up to 0.6 s: a lost owner is noticed by the first of many.

--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -28,8 +28,18 @@
 	progressGap = 200 * time.Millisecond
 	// ownProgressGap is kept between calls for progress by the owner, which wrote it.
 	ownProgressGap = 1 * time.Second
+	// daemonGap is kept between two daemons' calls for the same table: the store answers as many calls a second however
+	// many VMs there are.
+	daemonGap = 10 * time.Millisecond
+	// longestGap keeps a copy young enough to notice a lost owner in time.
+	longestGap = 600 * time.Millisecond
 )
 
+// pollGap returns what a daemon that does not own the cell keeps between two of its calls.
+func pollGap(least time.Duration, daemons int) time.Duration {
+	return max(least, min(longestGap, time.Duration(daemons)*daemonGap))
+}
+
 // Job is what the replica knows of a job.
 type Job struct {
 	JobRecord
@@ -63,6 +73,8 @@
 	log       *log.Logger
 	followers []*rowstore.Follower
 	owning    atomic.Bool
+	// daemons is how many daemons follow the store, 0 while that is not known.
+	daemons atomic.Int64
 
 	mu      sync.RWMutex
 	jobs    map[graph.JobID]*Job
@@ -106,7 +118,7 @@
 			if r.owning.Load() {
 				return owning
 			}
-			return other
+			return pollGap(other, int(r.daemons.Load()))
 		},
 	}
 }
@@ -114,6 +126,9 @@
 // SetOwning tells the replica whether this daemon owns the cell.
 func (r *Replica) SetOwning(owning bool) { r.owning.Store(owning) }
 
+// SetDaemons tells the replica how many daemons follow the store.
+func (r *Replica) SetDaemons(n int) { r.daemons.Store(int64(n)) }
+
 // OnChange sets what is called for each job that is new or newly cancelled. It must not block.
 func (r *Replica) OnChange(f func(graph.JobID)) {
 	r.mu.Lock()
