--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -18,6 +18,8 @@
 	commandAccept = "accept"
 	commandCancel = "cancel"
 	commandFind   = "find"
+	// commandExplain asks the owner why a job is where it is.
+	commandExplain = "explain"
 
 	resultOK          = "ok"
 	resultUnknown     = "unknown"
@@ -26,10 +28,11 @@
 )
 
 // relay asks the owner, which reaches the store as long as it owns, to carry out a command.
-func (s *Service) relay(ctx context.Context, req *wire.IntakeRequest) (result string, state graph.State) {
+func (s *Service) relay(ctx context.Context, req *wire.IntakeRequest) *wire.IntakeReply {
+	unavailable := &wire.IntakeReply{Result: resultUnavailable}
 	owner := s.Replica.Owner()
 	if owner.Version == 0 || owner.Life == s.Life {
-		return resultUnavailable, ""
+		return unavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
@@ -38,18 +41,18 @@
 	if err != nil {
 		s.Log.Warn().Str("job", req.Job).Str("command", req.Command).Str("owner", owner.Node).Err(err).Msg("relay failed")
 		if errors.Is(err, peer.ErrNotSent) {
-			return resultUnavailable, ""
+			return unavailable
 		}
-		return resultUncertain, ""
+		return &wire.IntakeReply{Result: resultUncertain}
 	}
 	body := reply.GetIntake()
 	if body == nil {
-		return resultUnavailable, ""
+		return unavailable
 	}
 	if req.Command != commandFind {
 		s.Log.Info().Str("job", req.Job).Str("command", req.Command).Str("owner", owner.Node).Str("result", body.Result).Msg("relayed")
 	}
-	return body.Result, graph.State(body.State)
+	return body
 }
 
 // notify tells the owner, in the background, of a command that the store has carried out. The owner follows the store
@@ -73,47 +76,61 @@
 func (s *Service) HandleIntake(ctx context.Context, req *wire.IntakeRequest) *wire.Reply {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.TimeoutMs)*time.Millisecond)
 	defer cancel()
-	result, state := s.intake(ctx, req)
-	reply := &wire.IntakeReply{Result: result, State: string(state)}
-	return &wire.Reply{Body: &wire.Reply_Intake{Intake: reply}}
+	return &wire.Reply{Body: &wire.Reply_Intake{Intake: s.intake(ctx, req)}}
 }
 
-func (s *Service) intake(ctx context.Context, req *wire.IntakeRequest) (string, graph.State) {
+func (s *Service) intake(ctx context.Context, req *wire.IntakeRequest) *wire.IntakeReply {
 	id := graph.JobID(req.Job)
 	switch req.Command {
 	case commandAccept:
-		var record ledger.JobRecord
-		if err := json.Unmarshal(req.Record, &record); err != nil || record.Spec == nil {
-			return resultUnavailable, ""
-		}
-		if req.Stored {
-			s.Replica.NoteAccepted(id, record)
-			return resultOK, ""
-		}
-		if s.StoreDown() {
-			return resultUnavailable, ""
-		}
-		return writeResult(s.Replica.Accept(ctx, id, record)), ""
+		return &wire.IntakeReply{Result: s.acceptFor(ctx, id, req)}
 	case commandCancel:
-		if req.Stored {
-			s.Replica.NoteCancelled(id)
-			return resultOK, ""
-		}
-		if s.StoreDown() {
-			return resultUnavailable, ""
-		}
-		return writeResult(s.Replica.Cancel(ctx, id)), ""
+		return &wire.IntakeReply{Result: s.cancelFor(ctx, id, req)}
 	case commandFind:
-		j, ok, err := s.Replica.Find(ctx, id)
-		if err != nil {
-			return resultUnavailable, ""
-		}
-		if !ok {
-			return resultUnknown, ""
+		return s.findFor(ctx, id)
+	case commandExplain:
+		if lines, ok := s.Explain(ctx, id); ok {
+			return &wire.IntakeReply{Result: resultOK, Detail: lines}
 		}
-		return resultOK, j.State()
 	}
-	return resultUnavailable, ""
+	return &wire.IntakeReply{Result: resultUnavailable}
+}
+
+func (s *Service) acceptFor(ctx context.Context, id graph.JobID, req *wire.IntakeRequest) string {
+	var record ledger.JobRecord
+	if err := json.Unmarshal(req.Record, &record); err != nil || record.Spec == nil {
+		return resultUnavailable
+	}
+	if req.Stored {
+		s.Replica.NoteAccepted(id, record)
+		return resultOK
+	}
+	if s.StoreDown() {
+		return resultUnavailable
+	}
+	return writeResult(s.Replica.Accept(ctx, id, record))
+}
+
+func (s *Service) cancelFor(ctx context.Context, id graph.JobID, req *wire.IntakeRequest) string {
+	if req.Stored {
+		s.Replica.NoteCancelled(id)
+		return resultOK
+	}
+	if s.StoreDown() {
+		return resultUnavailable
+	}
+	return writeResult(s.Replica.Cancel(ctx, id))
+}
+
+func (s *Service) findFor(ctx context.Context, id graph.JobID) *wire.IntakeReply {
+	j, ok, err := s.Replica.Find(ctx, id)
+	switch {
+	case err != nil:
+		return &wire.IntakeReply{Result: resultUnavailable}
+	case !ok:
+		return &wire.IntakeReply{Result: resultUnknown}
+	}
+	return &wire.IntakeReply{Result: resultOK, State: string(j.State())}
 }
 
 func writeResult(err error) string {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -50,6 +50,8 @@
 	Result  Result
 	State   graph.State
 	Pending int
+	// Reasons tell why a job is where it is.
+	Reasons []string
 	// RetryAfter is when the caller may come back, with Unavailable.
 	RetryAfter time.Duration
 	Detail     string
@@ -83,6 +85,8 @@
 	Life string
 	// ConfigBound is the age of the configuration from which an unknown queue may be one that should be in force.
 	ConfigBound time.Duration
+	// Explain tells why a job is where it is if this daemon owns the cell; ok is false otherwise.
+	Explain func(ctx context.Context, id graph.JobID) (lines []string, ok bool)
 	// StoreDown reports whether the store has lately answered nothing.
 	StoreDown func() bool
 	Metrics   *metrics.Set
@@ -206,9 +210,10 @@
 			}
 			uncertain = uncertain || !errors.Is(err, rowstore.ErrUnavailable)
 		}
-		if result, _ := s.relay(ctx, relay); result == resultOK {
+		switch s.relay(ctx, relay).GetResult() {
+		case resultOK:
 			return Answer{Result: OK}
-		} else if result == resultUncertain {
+		case resultUncertain:
 			uncertain = true
 		}
 		// What was not sent while the store is down can be refused at once. What may have been stored is settled by
@@ -279,12 +284,37 @@
 	}
 	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	if result, state := s.relay(ownerCtx, &wire.IntakeRequest{Command: commandFind, Job: string(id)}); result == resultOK {
-		return Answer{Result: OK, State: state}
+	if reply := s.relay(ownerCtx, &wire.IntakeRequest{Command: commandFind, Job: string(id)}); reply.GetResult() == resultOK {
+		return Answer{Result: OK, State: graph.State(reply.GetState())}
 	}
 	return s.find(ctx, id)
 }
 
+// Why tells why a job is where it is, as its owner has it.
+func (s *Service) Why(ctx context.Context, host, path string) Answer {
+	_, rest, refused := s.route(host, path)
+	if refused != nil {
+		return s.answer("why", rest, *refused)
+	}
+	id, ok := parseJobID(rest)
+	if !ok {
+		return s.answer("why", rest, Answer{Result: NoJob})
+	}
+	answer := s.newest(ctx, id)
+	if answer.Result != OK || answer.State.Ended() {
+		return s.answer("why", rest, answer)
+	}
+	if answer.Reasons, ok = s.Explain(ctx, id); ok {
+		return s.answer("why", rest, answer)
+	}
+	reply := s.relay(ctx, &wire.IntakeRequest{Command: commandExplain, Job: string(id)})
+	if reply.GetResult() != resultOK {
+		return s.answer("why", rest, Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "no owner answers"})
+	}
+	answer.Reasons = reply.GetDetail()
+	return s.answer("why", rest, answer)
+}
+
 func (s *Service) pending(route *Route) Answer {
 	if s.Replica.Age() > staleReplica {
 		return s.answer("pending", "", Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "ledger copy outdated"})
@@ -306,10 +336,10 @@
 		if err == nil {
 			return Answer{Result: NoJob}
 		}
-		result, state := s.relay(ctx, &wire.IntakeRequest{Command: commandFind, Job: string(id)})
-		switch result {
+		reply := s.relay(ctx, &wire.IntakeRequest{Command: commandFind, Job: string(id)})
+		switch reply.GetResult() {
 		case resultOK:
-			return Answer{Result: OK, State: state}
+			return Answer{Result: OK, State: graph.State(reply.GetState())}
 		case resultUnknown:
 			return Answer{Result: NoJob}
 		}
--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -124,6 +124,20 @@
 	return string(rest)
 }
 
+// Start writes in the background until stop is called, which returns once all lines are written or lost.
+func (w *Writer) Start() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		w.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-written
+	}
+}
+
 // Run writes lines to the output until ctx ends, and then those that wait.
 func (w *Writer) Run(ctx context.Context) {
 	var spare []byte
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -214,6 +214,19 @@
 	c.engine.SetNow(c.now())
 }
 
+// explain tells why a job is where it is. It runs in the control loop, and waits for it.
+func (c *control) explain(ctx context.Context, id graph.JobID) ([]string, bool) {
+	lines := make(chan []string, 1)
+	c.post(func() { lines <- c.engine.Explain(id, time.Duration(time.Now().UnixNano())) })
+	select {
+	case told := <-lines:
+		return told, true
+	case <-ctx.Done():
+	case <-c.ctx.Done():
+	}
+	return nil, false
+}
+
 // maxBatch bounds the events that are taken in before decisions follow from them.
 const maxBatch = 256
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -239,6 +239,15 @@
 	return d.Policy.Ask(ctx, step, workers)
 }
 
+// Explain tells why a job is where it is, a line for each reason; ok is false if this daemon does not own the cell or gives
+// no answer before ctx ends.
+func (d *Daemon) Explain(ctx context.Context, id graph.JobID) (lines []string, ok bool) {
+	if c := d.control.Load(); c != nil {
+		return c.explain(ctx, id)
+	}
+	return nil, false
+}
+
 // Changed tells the owner, if this daemon is it, that a job is new or was cancelled.
 func (d *Daemon) Changed(id graph.JobID) {
 	if c := d.control.Load(); c != nil {
