Gangs ask for permits as soon as room grows

Cause: a blocked step looked again, with preemption and questions, each 100 ms only; a gang whose permits had run out lost the room meanwhile to small tasks. Asking at once for all steps, not gangs alone, was tried and dropped: 3,565 looks for each start.

Test first: TestGangAsksAtOnceWhenRoomGrows.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -9,12 +9,14 @@
 // maxAsk bounds the workers of one question to the policy service.
 const maxAsk = 100
 
+// mayAsk reports whether the policy service may be asked about a step: there is room beside what others have asked for.
+func (e *Engine) mayAsk(s *step, p *pool) bool {
+	return s.job.queue.Permit != nil && !s.asking && e.now >= s.askAt && s.def.Held().Fits(p.free.Sub(p.asked))
+}
+
 // ask asks the policy service about a step. The first question is about every worker that may ever run it, as far as one
 // question goes, since its verdicts don't change; later ones are about workers that have room.
 func (e *Engine) ask(s *step, p *pool, open []*task) {
-	if e.now < s.askAt || !s.def.Held().Fits(p.free.Sub(p.asked)) {
-		return
-	}
 	workers, room := e.toAskAbout(s, p)
 	if room == 0 || (s.def.Gang && s.allowed != nil && room < len(open)) {
 		return
--- a/internal/dispatch/backlog_test.go
+++ b/internal/dispatch/backlog_test.go
@@ -112,3 +112,30 @@
 		t.Errorf("%d looks at %d workers, want at most %d", looks, workers, most)
 	}
 }
+
+// A gang waits for a whole worker and its permits have run out: as soon as the worker is free, and not some time later,
+// the gang asks again, or small tasks take the room.
+func TestGangAsksAtOnceWhenRoomGrows(t *testing.T) {
+	c := newCell(t, 1)
+	c.advance(time.Second)
+	w := c.worker("w", 1000)
+	small := c.job("small", false, plainStep(1))
+	if starts, _, _ := c.plan(); len(starts) != 1 {
+		t.Fatalf("%d starts, want one", len(starts))
+	}
+	c.StartAnswered(w, key(small, 0, 0, 1), Started)
+	whole := graph.Step{Count: 1, Gang: true, Claim: graph.Claim{MilliCPU: 1000}}
+	queue := plainQueue
+	queue.Permit = &graph.PermitCost{Base: 10 * time.Millisecond}
+	c.AddJob("gang", queue, &graph.Spec{Steps: []graph.Step{whole}}, c.clock, nil, false)
+	c.plan()
+	c.Permits(StepID{Job: "gang"}, []WorkerID{w}, map[WorkerID]string{w: "t"}, time.Second, true)
+	c.plan()
+	c.advance(2 * time.Second)
+	c.plan() // looks through the pool, finds no room
+	c.advance(retryBlocked / 10)
+	c.Report(w, c.clock, ended(1, key(small, 0, 0, 1), EndDone))
+	if _, _, asks := c.plan(); len(asks) != 1 {
+		t.Errorf("%d questions to the policy service, want one", len(asks))
+	}
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -107,10 +107,15 @@
 // place starts what it can of a step, and asks for permits if they are what is missing.
 func (e *Engine) place(s *step, p *pool) {
 	workers, all := e.candidates(s, p)
-	if !all && !e.mayFit(s, workers) {
-		s.blockedAt = p.freed
-		e.countAsked(s, p)
-		return
+	if !all {
+		if !e.mayFit(s, p, workers) {
+			s.blockedAt = p.freed
+			e.countAsked(s, p)
+			return
+		}
+		if s.def.Gang {
+			workers, all = p.workers, true
+		}
 	}
 	open := s.unplaced()
 	if s.def.Gang {
@@ -131,7 +136,7 @@
 	if all {
 		s.triedAt = e.now
 		e.preempt(s, p, open)
-		if s.job.queue.Permit != nil && !s.asking {
+		if e.mayAsk(s, p) {
 			e.ask(s, p, open)
 		}
 	}
@@ -148,11 +153,17 @@
 	return p.workers, true
 }
 
-// mayFit reports whether one of the workers has room for a task of the step.
-func (e *Engine) mayFit(s *step, workers []*worker) bool {
+// mayFit reports whether one of the workers has room for a task of the step. For a gang, whose room is rare and gone soon,
+// that includes room for which a permit has yet to be asked.
+func (e *Engine) mayFit(s *step, p *pool, workers []*worker) bool {
+	mayAsk := s.def.Gang && e.mayAsk(s, p)
 	for _, w := range workers {
 		e.stats.Looks++
-		if s.def.Held().Fits(w.free()) && s.permitted(w, e.now) {
+		if !s.def.Held().Fits(w.free()) {
+			continue
+		}
+		allowed, known := s.allowed[w.ID]
+		if s.permitted(w, e.now) || (mayAsk && (allowed || !known)) {
 			return true
 		}
 	}
