The product's own interface for graph jobs: HTTP, command line, protocol, stand-in, demonstration

Tests over real daemons and the stand-in: graph with gang and label, cancel, occurrences, planned stop of the owner, why from any daemon, bad requests (nothing stored, nothing run); the tool's exit codes; checked settings.

--- /dev/null
+++ b/cmd/laburnumpoint-standin/graphs.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/phuslu/log"
+	"github.com/urfave/cli/v3"
+
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/graphproto"
+	"laburnumpoint/internal/standin/graphwork"
+)
+
+// Names of settings of the stand-in for graph jobs.
+const (
+	flagQueues = "queues"
+	flagPool   = "pool"
+)
+
+// graphCapacity is what each worker of the stand-in for graph jobs has.
+var graphCapacity = graph.Claim{MilliCPU: 16_000, MemoryMB: 32_000, Accelerators: 4}
+
+// graphLabel is the label of every second worker.
+const graphLabel = "fast"
+
+func graphsCommand(logger *log.Logger) *cli.Command {
+	return &cli.Command{
+		Name:  "graphs",
+		Usage: "serve a store of rows and a pool of workers for graph jobs",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: flagQueues, Usage: "`FILE` with the configuration of queues, JSON", Required: true, Sources: env(flagQueues)},
+			&cli.StringFlag{Name: flagPool, Usage: "`NAME` of the workers' pool", Value: "workers", Sources: env(flagPool)},
+			&cli.IntFlag{Name: flagWorkers, Usage: "`NUMBER` of workers", Value: 8, Sources: env(flagWorkers)},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if err := checkGraphs(cmd); err != nil {
+				return err
+			}
+			return runGraphs(ctx, cmd, logger)
+		},
+	}
+}
+
+func checkGraphs(cmd *cli.Command) error {
+	var workersErr error
+	if n := cmd.Int(flagWorkers); n < 1 {
+		workersErr = fmt.Errorf("--%s: %d, want 1 or more", flagWorkers, n)
+	}
+	return errors.Join(checkNoArguments(cmd), checkAddr(flagListen, cmd.String(flagListen)), workersErr)
+}
+
+// errTwice means that the workers saw a task run in two places, or again after it was done.
+var errTwice = errors.New("a task ran twice")
+
+func runGraphs(ctx context.Context, cmd *cli.Command, logger *log.Logger) error {
+	data, err := os.ReadFile(cmd.String(flagQueues))
+	if err != nil {
+		return err
+	}
+	var queues graphproto.Queues
+	if err := json.Unmarshal(data, &queues); err != nil {
+		return fmt.Errorf("--%s: %w", flagQueues, err)
+	}
+	pool := graphwork.Pool{Name: cmd.String(flagPool), Workers: cmd.Int(flagWorkers), Capacity: graphCapacity, Labels: []string{graphLabel}}
+	site, err := graphwork.NewSite(ctx, cmd.String(flagListen), []graphwork.Pool{pool}, queues)
+	if err != nil {
+		return err
+	}
+	logger.Info().Str("addr", site.Addr).Int("workers", pool.Workers).Msg("store and workers serve")
+	err = errors.Join(site.Wait(ctx), site.Close())
+	runs := site.Hall.Runs()
+	twice := graphwork.Twice(runs)
+	logger.Info().Int("runs", len(runs)).Int("twice", len(twice)).Msg("stopped")
+	if len(twice) > 0 {
+		return errors.Join(err, errTwice)
+	}
+	return err
+}
--- a/cmd/laburnumpoint-standin/main.go
+++ b/cmd/laburnumpoint-standin/main.go
@@ -30,6 +30,6 @@
 	return &cli.Command{
 		Name:     "laburnumpoint-standin",
 		Usage:    "play the platform and the runners for tests and demonstrations",
-		Commands: []*cli.Command{platformCommand(logger), runnersCommand(logger)},
+		Commands: []*cli.Command{platformCommand(logger), runnersCommand(logger), graphsCommand(logger)},
 	}
 }
--- a/cmd/laburnumpointd/main.go
+++ b/cmd/laburnumpointd/main.go
@@ -16,7 +16,9 @@
 
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/edge"
+	"laburnumpoint/internal/graphd"
 	"laburnumpoint/internal/httpplatform"
+	"laburnumpoint/internal/logs"
 	"laburnumpoint/internal/node"
 	"laburnumpoint/internal/settings"
 	"laburnumpoint/platform"
@@ -30,6 +32,10 @@
 		runOnPlatform(path)
 		return
 	}
+	if len(os.Args) > 1 && os.Args[1] == settings.GraphsCommand {
+		runGraphs()
+		return
+	}
 	s, err := settings.Parse(os.Args, os.Stdout)
 	if errors.Is(err, settings.ErrHelp) {
 		return
@@ -56,6 +62,35 @@
 	}
 }
 
+// runGraphs runs the daemon for graph jobs over the product's own protocol.
+func runGraphs() {
+	s, err := settings.ParseGraphs(os.Args, os.Stdout)
+	if errors.Is(err, settings.ErrHelp) {
+		return
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(settings.ExitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := serveGraphs(ctx, s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
+
+func serveGraphs(ctx context.Context, s settings.Graphs) error {
+	set := metrics.NewSet()
+	writer := logs.NewWriter(os.Stdout, set)
+	defer writer.Start()()
+	d, err := graphd.New(s.Settings, graphd.OwnProtocol(s.StoreAddr), &log.Logger{Level: log.InfoLevel, Writer: writer}, set)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
+
 // daemon is the running parts of the process.
 type daemon struct {
 	node   *node.Node
--- a/demo.sh
+++ b/demo.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
 # Runs laburnumpoint with separate processes on this machine: the stand-in platform, an office's runners and three entry
 # VMs' daemons. It runs a service, a batch, a gang and urgent requests, kills one entry VM under load, and stops
-# everything it started. The exit code is 0 only if all went well.
+# everything it started. Then it does the like for graph jobs: steps, a gang, a cancellation, occurrences, and a killed
+# owner. The exit code is 0 only if all went well.
 #
-# Usage: ./demo.sh [galwad|rimac]...     both offices if none is named
+# Usage: ./demo.sh [galwad|rimac|graphs]...     all if none is named
 # DEMO_VICTIM is the entry VM that is killed, 0 to 2 (0).
 set -euo pipefail
 cd "$(dirname "$0")"
@@ -68,6 +69,7 @@
 
 has_addr() { grep -q '"addr":"' "$1"; }
 has_listen() { grep -q '"listen":"' "$1"; }
+serves_callers() { grep -q '"what":"callers"' "$1"; }
 
 # addr_of LOG prints the address that a stand-in logged; listen_of the one that a daemon serves callers at.
 addr_of() { sed -n 's/.*"addr":"\([^"]*\)".*/\1/p' "$1" | head -1; }
@@ -183,13 +185,89 @@
   judge
 }
 
+# graph_addr OUT WHAT prints the address where a daemon for graph jobs serves WHAT.
+graph_addr() { sed -n "s/.*\"what\":\"$2\",\"listen\":\"\([^\"]*\)\".*/\1/p" "$1" | head -1; }
+
+graph_tool() { tool graph "$@"; }
+
+# start_graph_vms STORE starts the daemons for graph jobs, and sets servers.
+start_graph_vms() {
+  local i list=()
+  for ((i = 0; i < ENTRY_VMS; i++)); do
+    start "graph$i" bin/laburnumpointd graphs --node "graph$i" --zone "entry-$i" --store "$1" --balancer-delay 500ms --stop-grace 15s
+    graph_pids+=("${pids[-1]}")
+  done
+  for ((i = 0; i < ENTRY_VMS; i++)); do
+    wait_for "daemon $i serves callers" serves_callers "$dir/graph$i.out"
+    wait_for "daemon $i is ready" is_ready "$(graph_addr "$dir/graph$i.out" readiness)"
+    list+=("$(graph_addr "$dir/graph$i.out" callers)")
+  done
+  servers=$(IFS=,; echo "${list[*]}")
+}
+
+# kill_graph_owner kills the daemon that owns the cell.
+kill_graph_owner() {
+  local i
+  for ((i = 0; i < ENTRY_VMS; i++)); do
+    if grep -q '"message":"ownership taken"' "$dir/graph$i.out"; then
+      kill -9 "${graph_pids[i]}"
+      wait "${graph_pids[i]}" 2>/dev/null || true # reaps it
+      echo "killed process ${graph_pids[i]}, the owner"
+      return 0
+    fi
+  done
+  echo "no daemon owns the cell" >&2
+  return 1
+}
+
+demo_graphs() {
+  dir="$work/graphs"
+  graph_pids=()
+  mkdir -p "$dir"
+  say "Graph jobs: a store, 8 workers and $ENTRY_VMS entry VMs start"
+  printf '{"version":1,"queues":[{"name":"nightly","pool":"workers","attempts":2,"stretch":2,"target_ms":500}]}' >"$dir/queues.json"
+  start site bin/laburnumpoint-standin graphs --listen 127.0.0.1:0 --queues "$dir/queues.json"
+  local site=${pids[-1]}
+  wait_for "store and workers" has_addr "$dir/site.log"
+  start_graph_vms "$(addr_of "$dir/site.log")"
+  say "Fetch, then a gang of 4, then print: three steps, one after the other"
+  graph_tool submit --queue nightly --id 00000000000000a1 - <<<'{"payload":"{\"run_ms\":300,\"gangs\":{\"1\":4}}","steps":[
+    {"count":6,"milli_cpu":1000,"estimate_ms":300},{"count":4,"milli_cpu":4000,"accelerators":1,"gang":true,"after":[0],"estimate_ms":300},
+    {"count":2,"milli_cpu":1000,"label":"fast","after":[1],"estimate_ms":300}]}'
+  graph_tool status --queue nightly --wait 30s 00000000000000a1
+  say "A standing task, why it is where it is, and its cancellation"
+  graph_tool submit --queue nightly --id 00000000000000a2 - <<<'{"payload":"{\"forever\":true}","steps":[{"count":2,"milli_cpu":1000,"long_running":true}]}'
+  tool why --queue nightly 00000000000000a2
+  graph_tool cancel --queue nightly 00000000000000a2
+  say "Two occurrences a second apart"
+  graph_tool submit --queue nightly --id 00000000000000a3 - <<<"{\"payload\":\"{\\\"run_ms\\\":50}\",\"steps\":[{\"count\":3}],
+    \"occurrences\":2,\"interval_ms\":1000,\"start_at\":\"$(date -u -d '+1 second' +%Y-%m-%dT%H:%M:%SZ)\"}"
+  graph_tool status --queue nightly --wait 30s 00000000000000a3
+  say "The owner is killed while tasks run; another daemon goes on"
+  graph_tool submit --queue nightly --id 00000000000000a4 - <<<'{"payload":"{\"run_ms\":1500}","steps":[{"count":8,"milli_cpu":4000},{"count":8,"after":[0]}]}'
+  sleep 0.5
+  kill_graph_owner
+  graph_tool status --queue nightly --wait 60s 00000000000000a4
+  graph_tool pending --queue nightly
+  say "A job for a queue that does not exist is refused"
+  if graph_tool submit --queue other - <<<'{"payload":"","steps":[{"count":1}]}'; then
+    echo "a job for an unknown queue was accepted" >&2
+    return 1
+  fi
+  say "The store and the workers stop; no task ran twice"
+  kill "$site"
+  wait "$site"
+  stop_all
+}
+
 go build -o bin/ ./cmd/...
-for shape in "${@:-galwad rimac}"; do
+for shape in "${@:-galwad rimac graphs}"; do
   for office in $shape; do
     case "$office" in
       galwad) demo galwad callsheet callsheet media '"cardiff","swansea","wrexham","aberystwyth"' ;;
       rimac) demo rimac exchange exchange imaging '"barranco","lince","jesus-maria","brena"' ;;
-      *) echo "no office $office; there are galwad and rimac" >&2; exit 2 ;;
+      graphs) demo_graphs ;;
+      *) echo "no demonstration $office; there are galwad, rimac and graphs" >&2; exit 2 ;;
     esac
   done
 done
--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -87,6 +87,7 @@
 		Commands: []*cli.Command{
 			a.runCommand(),
 			a.jobCommand(),
+			a.graphCommand(),
 			a.cancelCommand(),
 			a.whyCommand(),
 			a.configCommand(),
--- /dev/null
+++ b/internal/cli/graph.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"laburnumpoint/internal/graphapi"
+)
+
+const flagQueue = "queue"
+
+// graphPoll is how often a job is asked for while the tool waits for it.
+const graphPoll = 100 * time.Millisecond
+
+// graphCommand groups the commands on graph jobs.
+func (a *app) graphCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "graph",
+		Usage: "submit, follow and cancel graph jobs",
+		Commands: []*cli.Command{
+			a.graphSubmitCommand(), a.graphStatusCommand(), a.graphCancelCommand(), a.graphPendingCommand(), a.graphWhyCommand(),
+		},
+	}
+}
+
+func queueFlag() cli.Flag {
+	return &cli.StringFlag{Name: flagQueue, Usage: "`NAME` of the queue", Required: true}
+}
+
+func newGraphClient(cmd *cli.Command) *graphapi.Client {
+	return &graphapi.Client{Servers: cmd.StringSlice(flagServer), RetryFor: cmd.Duration(flagRetryFor), HTTP: &http.Client{}}
+}
+
+// graphQuery returns the action of a command on one job.
+func (a *app) graphQuery(ask func(c *graphapi.Client, ctx context.Context, queue, id string) (graphapi.Answer, error)) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		id, err := oneArg(cmd, "job")
+		if err != nil {
+			return err
+		}
+		answer, err := ask(newGraphClient(cmd), ctx, cmd.String(flagQueue), id)
+		if err != nil {
+			return graphError(err)
+		}
+		return a.printGraph(cmd, answer)
+	}
+}
+
+func (a *app) printGraph(cmd *cli.Command, answer graphapi.Answer) error {
+	var t table
+	if answer.Pending != nil {
+		t.add("QUEUE", "PENDING")
+		t.add(answer.Queue, *answer.Pending)
+		return a.print(cmd, answer, t)
+	}
+	t.add("QUEUE", "JOB", "STATE")
+	t.add(answer.Queue, answer.ID, answer.State)
+	for _, reason := range answer.Reasons {
+		t.add(reason)
+	}
+	return a.print(cmd, answer, t)
+}
+
+// graphError returns the error that ends the tool after a call that failed.
+func graphError(err error) error {
+	var refused *graphapi.RefusedError
+	if !errors.As(err, &refused) {
+		return &exitError{code: ExitUnknown, message: err.Error()}
+	}
+	message := strings.TrimSuffix(refused.Error(), ": ")
+	switch {
+	case refused.Status < http.StatusInternalServerError:
+		return &exitError{code: ExitUsage, message: message}
+	case refused.Status == http.StatusServiceUnavailable:
+		return &exitError{code: ExitNotRun, message: message}
+	}
+	return &exitError{code: ExitUnknown, message: message}
+}
--- /dev/null
+++ b/internal/cli/graph_cancel.go
@@ -0,0 +1,25 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"laburnumpoint/internal/graphapi"
+)
+
+// graphCancelCommand cancels a job.
+func (a *app) graphCancelCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "cancel",
+		Usage:     "cancel a graph job; the cancellation is durable when the command ends with code 0",
+		ArgsUsage: "JOB",
+		Flags:     []cli.Flag{queueFlag()},
+		Action: a.graphQuery(func(c *graphapi.Client, ctx context.Context, queue, id string) (graphapi.Answer, error) {
+			if _, err := c.Cancel(ctx, queue, id); err != nil {
+				return graphapi.Answer{}, err
+			}
+			return c.State(ctx, queue, id)
+		}),
+	}
+}
--- /dev/null
+++ b/internal/cli/graph_submit.go
@@ -0,0 +1,61 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"laburnumpoint/internal/graphapi"
+)
+
+// graphSubmitCommand submits a graph job.
+func (a *app) graphSubmitCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "submit",
+		Usage:     "submit a graph job; it is durable when the command ends with code 0",
+		ArgsUsage: "FILE",
+		Flags: []cli.Flag{
+			queueFlag(),
+			&cli.StringFlag{Name: flagID, Usage: "`ID` of the job, 16 hexadecimal digits; a new one if none is given"},
+		},
+		Action: a.graphSubmit,
+	}
+}
+
+func (a *app) graphSubmit(ctx context.Context, cmd *cli.Command) error {
+	path, err := oneArg(cmd, "file")
+	if err != nil {
+		return err
+	}
+	job, err := a.readGraph(path)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	id := cmd.String(flagID)
+	if id == "" {
+		id = fmt.Sprintf("%016x", rand.Uint64())
+	}
+	answer, err := newGraphClient(cmd).Submit(ctx, cmd.String(flagQueue), id, job)
+	if err != nil {
+		return graphError(err)
+	}
+	return a.printGraph(cmd, answer)
+}
+
+// readGraph reads a job from a file, or from the tool's input if its name is a dash.
+func (a *app) readGraph(path string) (*graphapi.Job, error) {
+	var in io.Reader = a.streams.In
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		defer file.Close()
+		in = file
+	}
+	return graphapi.ReadJob(in)
+}
--- /dev/null
+++ b/internal/cli/graph_why.go
@@ -0,0 +1,26 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"laburnumpoint/internal/graphapi"
+)
+
+// graphWhyCommand explains why a job is where it is.
+func (a *app) graphWhyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "why",
+		Usage:     "explain what each step of a graph job waits for",
+		ArgsUsage: "JOB",
+		Flags:     []cli.Flag{queueFlag()},
+		Action:    a.graphWhy,
+	}
+}
+
+func (a *app) graphWhy(ctx context.Context, cmd *cli.Command) error {
+	return a.graphQuery(func(c *graphapi.Client, ctx context.Context, queue, id string) (graphapi.Answer, error) {
+		return c.Why(ctx, queue, id)
+	})(ctx, cmd)
+}
--- a/internal/cli/why.go
+++ b/internal/cli/why.go
@@ -12,13 +12,17 @@
 func (a *app) whyCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "why",
-		Usage:     "explain why a task waits, runs or was refused",
+		Usage:     "explain why a task, or with --queue a graph job, waits, runs or was refused",
 		ArgsUsage: "TASK",
+		Flags:     []cli.Flag{&cli.StringFlag{Name: flagQueue, Usage: "`NAME` of a graph job's queue; the argument is then the job"}},
 		Action:    a.why,
 	}
 }
 
 func (a *app) why(ctx context.Context, cmd *cli.Command) error {
+	if cmd.String(flagQueue) != "" {
+		return a.graphWhy(ctx, cmd)
+	}
 	id, err := oneArg(cmd, "task")
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/graphapi/handler.go
@@ -0,0 +1,117 @@
+package graphapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"laburnumpoint/internal/entry"
+	"laburnumpoint/internal/graph"
+)
+
+// Bounds of requests.
+const (
+	maxBodyBytes   = 256 << 10
+	defaultTimeout = 3 * time.Second
+	maxTimeout     = 60 * time.Second
+)
+
+var statuses = map[entry.Result]int{
+	entry.OK:          http.StatusOK,
+	entry.NoQueue:     http.StatusNotFound,
+	entry.NoJob:       http.StatusNotFound,
+	entry.Invalid:     http.StatusBadRequest,
+	entry.Unavailable: http.StatusServiceUnavailable,
+	entry.Uncertain:   http.StatusGatewayTimeout,
+}
+
+// Handler serves callers.
+func Handler(service *entry.Service) http.Handler {
+	h := &handler{service}
+	r := chi.NewRouter()
+	r.Get("/v1/queues/{queue}", h.pending)
+	r.Put("/v1/queues/{queue}/jobs/{id}", h.submit)
+	r.Get("/v1/queues/{queue}/jobs/{id}", h.query(service.State))
+	r.Get("/v1/queues/{queue}/jobs/{id}/why", h.query(service.Why))
+	r.Delete("/v1/queues/{queue}/jobs/{id}", h.query(service.Cancel))
+	return r
+}
+
+type handler struct{ service *entry.Service }
+
+// pathOf is a job's path in the routes of package entry; without an id it is its queue's.
+func pathOf(r *http.Request) string {
+	return "/" + chi.URLParam(r, "queue") + "/" + chi.URLParam(r, "id")
+}
+
+func (h *handler) submit(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := callerContext(r)
+	defer cancel()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		write(w, r, http.StatusRequestEntityTooLarge, entry.Answer{Result: entry.Invalid, Detail: err.Error()})
+		return
+	}
+	answer := h.service.Submit(ctx, "", pathOf(r), func() (*graph.Spec, error) { return decode(body, err) })
+	if answer.Result == entry.OK {
+		answer.State = graph.Queued
+	}
+	write(w, r, statuses[answer.Result], answer)
+}
+
+// decode reads a job. Unknown fields are mistakes, so that none is silently left out.
+func decode(body []byte, readErr error) (*graph.Spec, error) {
+	if readErr != nil {
+		return nil, readErr
+	}
+	var job Job
+	if err := strictly(body, &job); err != nil {
+		return nil, err
+	}
+	return job.Spec(), nil
+}
+
+func (h *handler) query(ask func(ctx context.Context, host, path string) entry.Answer) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := callerContext(r)
+		defer cancel()
+		answer := ask(ctx, "", pathOf(r))
+		write(w, r, statuses[answer.Result], answer)
+	}
+}
+
+func (h *handler) pending(w http.ResponseWriter, r *http.Request) {
+	answer := h.service.State(r.Context(), "", pathOf(r))
+	write(w, r, statuses[answer.Result], answer)
+}
+
+func callerContext(r *http.Request) (context.Context, context.CancelFunc) {
+	timeout, err := time.ParseDuration(r.Header.Get(HeaderTimeout))
+	if err != nil || timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return context.WithTimeout(r.Context(), min(timeout, maxTimeout))
+}
+
+func write(w http.ResponseWriter, r *http.Request, status int, a entry.Answer) {
+	out := Answer{Queue: chi.URLParam(r, "queue"), ID: chi.URLParam(r, "id"), State: a.State, Reasons: a.Reasons, Error: a.Detail}
+	if a.Result != entry.OK {
+		out.Result = a.Result.String()
+	} else if out.ID == "" {
+		out.Pending = &a.Pending
+	}
+	if a.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(out) // fails only if the caller has gone
+}
--- /dev/null
+++ b/internal/graphd/graphd_test.go
@@ -0,0 +1,281 @@
+package graphd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/graphapi"
+	"laburnumpoint/internal/graphproto"
+	"laburnumpoint/internal/standin/graphwork"
+)
+
+// patience bounds what a test waits for; it decides no verdict but that of a test that would never end.
+const patience = 20 * time.Second
+
+const (
+	queue = "nightly"
+	idA   = "00000000000000aa"
+	idB   = "00000000000000bb"
+)
+
+// cell is a site with daemons on it, and a caller.
+type cell struct {
+	*testing.T
+	site    *graphwork.Site
+	daemons []*cellDaemon
+	caller  *graphapi.Client
+}
+
+type cellDaemon struct {
+	*Daemon
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func newCell(t *testing.T, daemons int) *cell {
+	t.Helper()
+	pools := []graphwork.Pool{{Name: "sheets", Workers: 4, Capacity: graph.Claim{MilliCPU: 4000, MemoryMB: 4000}, Labels: []string{"fast"}}}
+	queues := graphproto.Queues{Version: 1, Queues: []graphproto.Queue{{Name: queue, Pool: "sheets", Attempts: 2, Stretch: 2, TargetMS: 500}}}
+	site, err := graphwork.NewSite(t.Context(), "127.0.0.1:0", pools, queues)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = site.Close() })
+	c := &cell{T: t, site: site, caller: &graphapi.Client{RetryFor: patience, HTTP: &http.Client{}}}
+	for i := range daemons {
+		c.start(fmt.Sprint("vm-", i))
+	}
+	return c
+}
+
+func (c *cell) start(node string) {
+	c.Helper()
+	settings := Settings{
+		Node: node, Zone: "z", CallerAddr: c.freeAddr(), ReadyAddr: c.freeAddr(), MetricsAddr: c.freeAddr(), PeerAddr: "127.0.0.1:0",
+		Cores: 1, MaxLease: 10 * time.Second, ConfigBound: 2 * time.Second, StopGrace: 3 * time.Second, BalancerDelay: 100 * time.Millisecond,
+	}
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	d, err := New(settings, OwnProtocol(c.site.Addr), logger, metrics.NewSet())
+	if err != nil {
+		c.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	cd := &cellDaemon{d, stop, make(chan error, 1)}
+	go func() { cd.ended <- d.Run(ctx) }()
+	c.Cleanup(stop)
+	c.daemons = append(c.daemons, cd)
+	c.caller.Servers = append(c.caller.Servers, settings.CallerAddr)
+	c.eventually("ready", func() bool {
+		resp, err := http.Get("http://" + settings.ReadyAddr)
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+func (c *cell) freeAddr() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (c *cell) eventually(what string, ok func() bool) {
+	c.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	c.Fatalf("not in time: %s", what)
+}
+
+func (c *cell) submit(id string, job *graphapi.Job) {
+	c.Helper()
+	if _, err := c.caller.Submit(c.Context(), queue, id, job); err != nil {
+		c.Fatal(err)
+	}
+}
+
+func (c *cell) becomes(id string, want graph.State) {
+	c.Helper()
+	c.eventually(fmt.Sprint(id, " ", want), func() bool {
+		answer, err := c.caller.State(c.Context(), queue, id)
+		return err == nil && answer.State == want
+	})
+}
+
+// check looks at what the workers have run.
+func (c *cell) check(id string, tasks int) {
+	c.Helper()
+	runs := c.site.Hall.Runs()
+	if twice := graphwork.Twice(runs); len(twice) > 0 {
+		c.Errorf("ran in two places, or again: %v", twice)
+	}
+	done := 0
+	for _, r := range runs {
+		if string(r.Key.Task.Job) == id && r.End == "done" {
+			done++
+		}
+	}
+	if done != tasks {
+		c.Errorf("%d tasks of %s were done, want %d", done, id, tasks)
+	}
+}
+
+func step(count int, after ...int) graphapi.Step {
+	return graphapi.Step{Count: count, MilliCPU: 500, MemoryMB: 100, EstimateMS: 30, After: after}
+}
+
+// A job of three steps, the second a gang, the last with a label, is handed in at one daemon and asked for at all.
+func TestGraphWithGangAndLabel(t *testing.T) {
+	c := newCell(t, 3)
+	gang, labelled := step(4, 0), step(2, 1)
+	gang.Gang, labelled.Label = true, "fast"
+	c.submit(idA, &graphapi.Job{Payload: `{"run_ms":30,"gangs":{"1":4}}`, Steps: []graphapi.Step{step(3), gang, labelled}})
+	c.becomes(idA, graph.Completed)
+	c.check(idA, 9)
+	last := map[int]time.Time{}
+	for _, r := range c.site.Hall.Runs() {
+		if s := r.Key.Task.Step; s > 0 && r.Began.Before(last[s-1]) {
+			t.Errorf("step %d began before step %d was done", s, s-1)
+		}
+		if r.Key.Task.Step == 2 && !strings.HasSuffix(string(r.Worker), "0") && !strings.HasSuffix(string(r.Worker), "2") {
+			t.Errorf("a task that needs the label ran on %s", r.Worker)
+		}
+		if r.Ended.After(last[r.Key.Task.Step]) {
+			last[r.Key.Task.Step] = r.Ended
+		}
+	}
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	c := newCell(t, 2)
+	c.submit(idA, &graphapi.Job{Payload: `{"forever":true}`, Steps: []graphapi.Step{{Count: 3, MilliCPU: 100, LongRunning: true}}})
+	running := func() (n int) {
+		for _, r := range c.site.Hall.Runs() {
+			if r.End == "" {
+				n++
+			}
+		}
+		return n
+	}
+	c.eventually("all run", func() bool { return running() == 3 })
+	if _, err := c.caller.Cancel(t.Context(), queue, idA); err != nil {
+		t.Fatal(err)
+	}
+	c.becomes(idA, graph.Cancelled)
+	c.eventually("all stopped", func() bool { return running() == 0 })
+	c.check(idA, 0)
+}
+
+func TestOccurrencesRunAtTheirTimes(t *testing.T) {
+	c := newCell(t, 1)
+	begin := time.Now().Add(300 * time.Millisecond)
+	c.submit(idA, &graphapi.Job{Payload: `{"run_ms":10}`, Steps: []graphapi.Step{step(2)}, Occurrences: 3, StartAt: begin, IntervalMS: 200})
+	c.becomes(idA, graph.Completed)
+	c.check(idA, 6)
+	for _, r := range c.site.Hall.Runs() {
+		if due := begin.Add(time.Duration(r.Key.Task.Occurrence) * 200 * time.Millisecond); r.Began.Before(due) {
+			t.Errorf("occurrence %d began %s early", r.Key.Task.Occurrence, due.Sub(r.Began))
+		}
+	}
+}
+
+// The owner is stopped while tasks run: another daemon goes on, and nothing runs twice.
+func TestPlannedStopOfTheOwner(t *testing.T) {
+	c := newCell(t, 3)
+	c.submit(idA, &graphapi.Job{Payload: `{"run_ms":400}`, Steps: []graphapi.Step{step(6), step(6, 0)}})
+	owner := func() *cellDaemon {
+		for _, d := range c.daemons {
+			if d.Owner.Owns() {
+				return d
+			}
+		}
+		return nil
+	}
+	c.eventually("tasks run", func() bool { return len(c.site.Hall.Runs()) == 6 })
+	first := owner()
+	first.stop()
+	if err := <-first.ended; err != nil {
+		t.Error(err)
+	}
+	c.becomes(idA, graph.Completed)
+	c.check(idA, 12)
+}
+
+func TestWhyAndPending(t *testing.T) {
+	c := newCell(t, 2)
+	large := graphapi.Step{Count: 1, MilliCPU: 99_000}
+	c.submit(idA, &graphapi.Job{Payload: `{}`, Steps: []graphapi.Step{large}})
+	for range c.daemons { // the owner, and one that asks it
+		c.eventually("a reason", func() bool {
+			answer, err := c.caller.Why(t.Context(), queue, idA)
+			return err == nil && strings.Contains(strings.Join(answer.Reasons, "\n"), "0 of these room for one")
+		})
+		c.caller.Servers = append(c.caller.Servers[1:], c.caller.Servers[0])
+	}
+	c.eventually("counted as pending", func() bool {
+		answer, err := c.caller.Pending(t.Context(), queue)
+		return err == nil && answer.Pending != nil && *answer.Pending == 1
+	})
+}
+
+// What can't be served is refused at once, and nothing of it runs.
+func TestBadRequests(t *testing.T) {
+	c := newCell(t, 1)
+	good := `{"payload":"{}","steps":[{"count":1}]}`
+	cases := map[string]struct {
+		method, path, body string
+		status             int
+	}{
+		"malformed JSON":   {http.MethodPut, "/v1/queues/nightly/jobs/" + idA, `{"steps":`, http.StatusBadRequest},
+		"two values":       {http.MethodPut, "/v1/queues/nightly/jobs/" + idA, good + good, http.StatusBadRequest},
+		"unknown field":    {http.MethodPut, "/v1/queues/nightly/jobs/" + idA, `{"steps":[{"count":1,"gpus":1}]}`, http.StatusBadRequest},
+		"no steps":         {http.MethodPut, "/v1/queues/nightly/jobs/" + idA, `{"payload":"{}"}`, http.StatusBadRequest},
+		"negative count":   {http.MethodPut, "/v1/queues/nightly/jobs/" + idA, `{"steps":[{"count":-1}]}`, http.StatusBadRequest},
+		"huge count":       {http.MethodPut, "/v1/queues/nightly/jobs/" + idA, `{"steps":[{"count":100000000}]}`, http.StatusBadRequest},
+		"cycle":            {http.MethodPut, "/v1/queues/nightly/jobs/" + idA, `{"steps":[{"count":1,"after":[0]}]}`, http.StatusBadRequest},
+		"id of other form": {http.MethodPut, "/v1/queues/nightly/jobs/xyz", good, http.StatusBadRequest},
+		"too large":        {http.MethodPut, "/v1/queues/nightly/jobs/" + idA, `{"payload":"` + strings.Repeat("x", 300<<10) + `"}`, http.StatusRequestEntityTooLarge},
+		"unknown queue":    {http.MethodPut, "/v1/queues/other/jobs/" + idA, good, http.StatusNotFound},
+		"unknown job":      {http.MethodGet, "/v1/queues/nightly/jobs/" + idB, "", http.StatusNotFound},
+		"cancel unknown":   {http.MethodDelete, "/v1/queues/nightly/jobs/" + idB, "", http.StatusNotFound},
+	}
+	for name, cs := range cases {
+		req, err := http.NewRequest(cs.method, "http://"+c.caller.Servers[0]+cs.path, strings.NewReader(cs.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != cs.status {
+			t.Errorf("%s: status %d, want %d", name, resp.StatusCode, cs.status)
+		}
+	}
+	var refused *graphapi.RefusedError
+	if _, err := c.caller.State(t.Context(), queue, idA); !errors.As(err, &refused) || refused.Status != http.StatusNotFound {
+		t.Errorf("after refusals the job is told as %v", err)
+	}
+	if runs := c.site.Hall.Runs(); len(runs) > 0 {
+		t.Errorf("%d runs of refused jobs", len(runs))
+	}
+}
--- /dev/null
+++ b/internal/graphproto/config.go
@@ -0,0 +1,140 @@
+package graphproto
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/entry"
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/owner"
+	"laburnumpoint/internal/rowstore"
+)
+
+// Tables beside those of the ledger.
+const (
+	workersTable = "laburnumpoint-workers"
+	queuesTable  = "laburnumpoint-queues"
+	queuesName   = "queues"
+	// followWait is how long a call for changes waits; a new configuration is heard of at once.
+	followWait = 700 * time.Millisecond
+)
+
+// QueuesKey names the row with the configuration of queues.
+func QueuesKey() rowstore.Key { return rowstore.Key{Table: queuesTable, Name: queuesName} }
+
+// WorkerRow returns the row by which a worker registers.
+func WorkerRow(w dispatch.Worker) (rowstore.Row, error) {
+	value, err := json.Marshal(w)
+	return rowstore.Row{Key: rowstore.Key{Table: workersTable, Name: string(w.ID)}, Value: value}, err
+}
+
+// Queues is a version of the configuration of queues.
+type Queues struct {
+	Version uint64  `json:"version"`
+	Queues  []Queue `json:"queues"`
+}
+
+// Queue is a queue's policy as operators write it. The fields are those of graph.Queue.
+type Queue struct {
+	Name     string  `json:"name"`
+	Pool     string  `json:"pool"`
+	Priority int     `json:"priority"`
+	Attempts int     `json:"attempts"`
+	Stretch  float64 `json:"stretch"`
+	TargetMS int64   `json:"target_ms"`
+}
+
+var errBadQueues = errors.New("each queue needs a name, a pool and at least one attempt, and the version is above 0")
+
+// Check reports whether the configuration can be put in force.
+func (q *Queues) Check() error {
+	for _, queue := range q.Queues {
+		if queue.Name == "" || queue.Pool == "" || queue.Attempts < 1 || queue.Stretch < 0 || queue.TargetMS < 0 {
+			return errBadQueues
+		}
+	}
+	if q.Version == 0 {
+		return errBadQueues
+	}
+	return nil
+}
+
+// Routes returns the queues as callers reach them: the path of a job is its queue's name and its id.
+func (q *Queues) Routes() *entry.Routes {
+	routes := &entry.Routes{Version: q.Version}
+	for _, queue := range q.Queues {
+		policy := graph.Queue{
+			Name: queue.Name, Pool: queue.Pool, Priority: queue.Priority, Attempts: queue.Attempts,
+			Stretch: queue.Stretch, Target: time.Duration(queue.TargetMS) * time.Millisecond,
+		}
+		routes.Routes = append(routes.Routes, entry.Route{Prefix: "/" + queue.Name + "/", Queue: policy})
+	}
+	return routes
+}
+
+// FollowQueues keeps the service's queues current until ctx ends. A version that can't be read is left out.
+func FollowQueues(ctx context.Context, store rowstore.Store, clock monotime.Clock, logger *log.Logger, service *entry.Service) {
+	f := &rowstore.Follower{Store: store, Clock: clock, Log: logger, Table: queuesTable, Parts: []string{""}, Wait: followWait}
+	f.Apply = func(changes []rowstore.Change, _ bool) {
+		for _, change := range changes {
+			var q Queues
+			if change.Removed || change.Name != queuesName {
+				continue
+			}
+			if err := errors.Join(json.Unmarshal(change.Value, &q), q.Check()); err != nil {
+				logger.Error().Uint64("version", change.Version).Err(err).Msg("configuration can't be read, the last one stays in force")
+				continue
+			}
+			service.SetRoutes(q.Routes())
+		}
+	}
+	f.Done = service.ConfigHeard
+	f.Run(ctx)
+}
+
+// Register is the register of workers in the store.
+type Register struct {
+	Store rowstore.Store
+	Clock monotime.Clock
+	Log   *log.Logger
+}
+
+// Follow implements owner.Register.
+func (r *Register) Follow(ctx context.Context, changed func(owner.RegisterChange)) {
+	f := rowstore.Follower{Store: r.Store, Clock: r.Clock, Log: r.Log, Table: workersTable, Parts: []string{""}, Wait: followWait}
+	f.Apply = func(changes []rowstore.Change, full bool) { changed(r.decode(changes, full)) }
+	f.Run(ctx)
+}
+
+func (r *Register) decode(changes []rowstore.Change, full bool) owner.RegisterChange {
+	out := owner.RegisterChange{Full: full}
+	for _, change := range changes {
+		var w dispatch.Worker
+		if change.Removed {
+			out.Removed = append(out.Removed, dispatch.WorkerID(change.Name))
+		} else if err := json.Unmarshal(change.Value, &w); err != nil || string(w.ID) != change.Name {
+			r.Log.Warn().Str("worker", change.Name).Uint64("version", change.Version).Err(err).Msg("register entry skipped")
+		} else {
+			out.Put = append(out.Put, w)
+		}
+	}
+	return out
+}
+
+// errNoPolicy is answered where a queue asks for permits that nobody gives.
+var errNoPolicy = errors.New("no policy service")
+
+// NoPolicy stands where there is no policy service.
+type NoPolicy struct{}
+
+// Ask implements owner.Policy.
+func (NoPolicy) Ask(_ context.Context, step dispatch.StepID, _ []dispatch.WorkerID) (owner.PermitAnswer, error) {
+	return owner.PermitAnswer{}, fmt.Errorf("%s: %w", step.Job, errNoPolicy)
+}
--- /dev/null
+++ b/internal/graphproto/rows.go
@@ -0,0 +1,120 @@
+package graphproto
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"laburnumpoint/internal/rowstore"
+)
+
+// Paths of a store of rows.
+const (
+	pathApply = "/v1/rows/apply"
+	pathRange = "/v1/rows/range"
+	pathFeed  = "/v1/rows/feed"
+)
+
+// Names of a store's errors on the wire.
+const (
+	errorConflict    = "conflict"
+	errorUnavailable = "unavailable"
+	errorUncertain   = "uncertain"
+	errorHistoryLost = "history_lost"
+)
+
+var rowErrors = map[string]error{
+	errorConflict:    rowstore.ErrConflict,
+	errorUnavailable: rowstore.ErrUnavailable,
+	errorUncertain:   rowstore.ErrUncertain,
+	errorHistoryLost: rowstore.ErrHistoryLost,
+}
+
+type rangeBody struct{ Table, Part, From, To string }
+
+type feedBody struct {
+	Table string
+	After uint64
+	Wait  time.Duration
+}
+
+type rowsAnswer struct {
+	Error   string `json:",omitempty"`
+	Version uint64
+	Rows    []rowstore.Row    `json:",omitempty"`
+	Changes []rowstore.Change `json:",omitempty"`
+}
+
+func nameOf(err error) string {
+	for name, known := range rowErrors {
+		if errors.Is(err, known) {
+			return name
+		}
+	}
+	if err != nil {
+		return errorUncertain
+	}
+	return ""
+}
+
+// RowsHandler serves a store.
+func RowsHandler(store rowstore.Store) http.Handler {
+	r := chi.NewRouter()
+	r.Post(pathApply, serve(func(ctx context.Context, tx rowstore.Tx) rowsAnswer {
+		version, current, err := store.Apply(ctx, tx)
+		return rowsAnswer{Error: nameOf(err), Version: version, Rows: current}
+	}))
+	r.Post(pathRange, serve(func(ctx context.Context, b rangeBody) rowsAnswer {
+		rows, version, err := store.Range(ctx, b.Table, b.Part, b.From, b.To)
+		return rowsAnswer{Error: nameOf(err), Version: version, Rows: rows}
+	}))
+	r.Post(pathFeed, serve(func(ctx context.Context, b feedBody) rowsAnswer {
+		changes, version, err := store.Feed(ctx, b.Table, b.After, b.Wait)
+		return rowsAnswer{Error: nameOf(err), Version: version, Changes: changes}
+	}))
+	return r
+}
+
+// Rows is a store that is served elsewhere.
+type Rows struct {
+	Addr   string
+	Client *Client
+}
+
+var _ rowstore.Store = (*Rows)(nil)
+
+// Apply implements rowstore.Store.
+func (s *Rows) Apply(ctx context.Context, tx rowstore.Tx) (uint64, []rowstore.Row, error) {
+	var answer rowsAnswer
+	err := s.Client.call(ctx, s.Addr, pathApply, tx, &answer)
+	switch {
+	case errors.Is(err, errNotSent):
+		return 0, nil, fmt.Errorf("%w: %w", rowstore.ErrUnavailable, err)
+	case err != nil:
+		return 0, nil, fmt.Errorf("%w: %w", rowstore.ErrUncertain, err)
+	}
+	return answer.Version, answer.Rows, rowErrors[answer.Error]
+}
+
+// Range implements rowstore.Store.
+func (s *Rows) Range(ctx context.Context, table, part, from, to string) ([]rowstore.Row, uint64, error) {
+	answer, err := s.read(ctx, pathRange, rangeBody{table, part, from, to})
+	return answer.Rows, answer.Version, err
+}
+
+// Feed implements rowstore.Store.
+func (s *Rows) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowstore.Change, uint64, error) {
+	answer, err := s.read(ctx, pathFeed, feedBody{table, after, wait})
+	return answer.Changes, answer.Version, err
+}
+
+func (s *Rows) read(ctx context.Context, path string, body any) (answer rowsAnswer, err error) {
+	if err := s.Client.call(ctx, s.Addr, path, body, &answer); err != nil {
+		return rowsAnswer{}, fmt.Errorf("%w: %w", rowstore.ErrUnavailable, err)
+	}
+	return answer, rowErrors[answer.Error]
+}
--- /dev/null
+++ b/internal/rowstore/memory.go
@@ -0,0 +1,123 @@
+package rowstore
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// maxHistory bounds the changes that a Memory keeps for its feeds.
+const maxHistory = 100_000
+
+// Memory is a store in the memory of one process, for stand-ins and tests. It is safe for concurrent use.
+type Memory struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[Key]Row
+	// history holds the changes after the version oldest.
+	history []Change
+	oldest  uint64
+	// changed is closed at the next transaction.
+	changed chan struct{}
+}
+
+var _ Store = (*Memory)(nil)
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{rows: make(map[Key]Row), changed: make(chan struct{})}
+}
+
+// Apply implements Store.
+func (m *Memory) Apply(_ context.Context, tx Tx) (uint64, []Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var current []Row
+	conflict := false
+	for _, c := range tx.Expect {
+		row := m.rows[c.Key]
+		if row.Version > 0 {
+			current = append(current, row)
+		}
+		conflict = conflict || row.Version != c.Version
+	}
+	if conflict {
+		return 0, current, ErrConflict
+	}
+	m.version++
+	for _, row := range tx.Put {
+		row.Version = m.version
+		row.Value = slices.Clone(row.Value)
+		m.rows[row.Key] = row
+		m.history = append(m.history, Change{Row: row})
+	}
+	for _, key := range tx.Delete {
+		delete(m.rows, key)
+		m.history = append(m.history, Change{Row: Row{Key: key, Version: m.version}, Removed: true})
+	}
+	m.forget()
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return m.version, nil, nil
+}
+
+// forget drops the older half of a history that is too long; the lock is held.
+func (m *Memory) forget() {
+	if len(m.history) <= maxHistory {
+		return
+	}
+	half := len(m.history) / 2
+	m.oldest = m.history[half-1].Version
+	m.history = slices.DeleteFunc(m.history, func(c Change) bool { return c.Version <= m.oldest })
+}
+
+// Range implements Store.
+func (m *Memory) Range(_ context.Context, table, part, from, to string) ([]Row, uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Row
+	for key, row := range m.rows {
+		if key.Table == table && key.Part == part && key.Name >= from && (to == "" || key.Name < to) {
+			out = append(out, row)
+		}
+	}
+	slices.SortFunc(out, func(a, b Row) int { return strings.Compare(a.Name, b.Name) })
+	return out, m.version, nil
+}
+
+// Feed implements Store.
+func (m *Memory) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changes, version, changed, err := m.changesAfter(table, after)
+		if err != nil || len(changes) > 0 {
+			return changes, version, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, version, nil
+		case <-ctx.Done():
+			return nil, 0, ErrUnavailable
+		}
+	}
+}
+
+func (m *Memory) changesAfter(table string, after uint64) ([]Change, uint64, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if after < m.oldest {
+		return nil, 0, nil, ErrHistoryLost
+	}
+	var out []Change
+	for i := len(m.history) - 1; i >= 0 && m.history[i].Version > after; i-- {
+		if m.history[i].Table == table {
+			out = append(out, m.history[i])
+		}
+	}
+	slices.Reverse(out)
+	return out, m.version, m.changed, nil
+}
--- /dev/null
+++ b/internal/settings/graphs_test.go
@@ -0,0 +1,47 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+func graphArgs(more ...string) []string {
+	return append([]string{"laburnumpointd", GraphsCommand, "--node", "vm-1", "--zone", "z", "--store", "127.0.0.1:7000"}, more...)
+}
+
+func TestGraphSettings(t *testing.T) {
+	t.Setenv("LABURNUMPOINT_MAX_LEASE", "7s")
+	s, err := ParseGraphs(graphArgs("--cores", "0.4"), &bytes.Buffer{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Node != "vm-1" || s.StoreAddr != "127.0.0.1:7000" || s.Cores != 0.4 || s.MaxLease != 7*time.Second {
+		t.Errorf("settings %+v", s)
+	}
+}
+
+func TestGraphSettingsMistakes(t *testing.T) {
+	cases := map[string]struct {
+		args []string
+		want string
+	}{
+		"nothing":       {[]string{"laburnumpointd", GraphsCommand}, "--node"},
+		"store by name": {graphArgs("--store", "store:1"), "--store"},
+		"no cores":      {graphArgs("--cores", "0"), "--cores"},
+		"short lease":   {graphArgs("--max-lease", "1ms"), "--max-lease"},
+		"argument":      {graphArgs("more"), `"more"`},
+		"unknown flag":  {graphArgs("--colour", "red"), "colour"},
+	}
+	for name, c := range cases {
+		if _, err := ParseGraphs(c.args, &bytes.Buffer{}); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: error %v, want %q in it", name, err, c.want)
+		}
+	}
+	var help bytes.Buffer
+	if _, err := ParseGraphs([]string{"laburnumpointd", GraphsCommand, "--help"}, &help); !errors.Is(err, ErrHelp) || !strings.Contains(help.String(), "--store") {
+		t.Errorf("help: error %v, text %q", err, help.String())
+	}
+}
