--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -24,9 +24,9 @@
 	renewInterval = 300 * time.Millisecond
 	// validFor is how long an owner gives orders after it sent its last successful renewal. It is shorter than
 	// takeoverAfter by more than clocks drift.
-	validFor = 1150 * time.Millisecond
+	validFor = 900 * time.Millisecond
 	// takeoverAfter is how long an ownership row must have been unchanged before another daemon takes over.
-	takeoverAfter = 1500 * time.Millisecond
+	takeoverAfter = 1200 * time.Millisecond
 	// takeoverSpread spreads the daemons' attempts, so that they don't all write at once.
 	takeoverSpread = 300 * time.Millisecond
 	// strongCores is the processor time of a VM that can own a cell of today's size; an owner there uses a quarter of it.
