After an outage of the store, calls that were sent into it are left soon

In the same way a daemon that runs notices the store's return only when calls of up to 1.3 s have timed out. Ruled out: ownership (taken 20 ms after the ledger was read), workers (settled 80 ms later).

Each part of a table is now read with a bound of its own and tried again; while the store is down, calls are cut short after 0.3 s and feeds wait for nothing, so that any answer tells that it is back. The bound grows with the outage, for a store that has become slow.

Tests first, in virtual time: TestStartDuringAnOutage, TestReturnOfTheStoreIsNoticed; TestSlowStoreIsFoundUp fails without the growth.

--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -16,9 +16,11 @@
 // Bounds of following a table.
 const (
 	// callSlack is the time beyond its wait in which a call for changes must be answered; a silent connection is left.
-	callSlack = 800 * time.Millisecond
+	callSlack = 500 * time.Millisecond
 	// loadTimeout bounds the reading of a whole table.
 	loadTimeout = 3 * time.Second
+	// partTimeout bounds one call for a part of it, about twice what a store sixty times slower than usual takes.
+	partTimeout = 500 * time.Millisecond
 	// retryDelay is kept between a failed call and the next.
 	retryDelay = 100 * time.Millisecond
 )
@@ -122,7 +124,7 @@
 	calls.SetLimit(loadCalls)
 	for i, part := range f.Parts {
 		calls.Go(func() (err error) {
-			rows[i], versions[i], err = f.Store.Range(ctx, f.Table, part, "", "")
+			rows[i], versions[i], err = f.loadPart(ctx, part)
 			return err
 		})
 	}
@@ -145,6 +147,24 @@
 	return nil
 }
 
+// loadPart reads a part, again and again until ctx ends: a store that is away when a daemon starts is back at any moment, and
+// what was sent before is not answered then.
+func (f *Follower) loadPart(ctx context.Context, part string) ([]Row, uint64, error) {
+	for {
+		rows, version, err := f.tryPart(ctx, part)
+		if err == nil || ctx.Err() != nil {
+			return rows, version, err
+		}
+		monotime.Sleep(ctx, retryDelay)
+	}
+}
+
+func (f *Follower) tryPart(ctx context.Context, part string) ([]Row, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, partTimeout)
+	defer cancel()
+	return f.Store.Range(ctx, f.Table, part, "", "")
+}
+
 func (f *Follower) done(sent monotime.Instant) {
 	if f.Done != nil {
 		f.Done(sent)
--- a/internal/rowstore/monitor.go
+++ b/internal/rowstore/monitor.go
@@ -13,6 +13,16 @@
 // quiet feed waits between two answers.
 const downAfter = 900 * time.Millisecond
 
+// While the store is down, calls are cut short: one that was sent into an outage is never answered, and its caller would go
+// on waiting for it after the store has returned.
+const (
+	// downCall bounds a call while the store is down; a sound store answers in milliseconds.
+	downCall = 300 * time.Millisecond
+	// downGrowth is the share of an outage's length by which the bound grows, so that a store that has become slow beyond
+	// downCall is found to be up.
+	downGrowth = 16
+)
+
 // Monitor is a store that knows whether it answers. It is safe for concurrent use.
 type Monitor struct {
 	store Store
@@ -54,6 +64,15 @@
 	return m.clock.Now().Sub(m.answered)
 }
 
+// bound cuts a call short if the store is down.
+func (m *Monitor) bound(ctx context.Context) (bounded context.Context, cancel context.CancelFunc, down bool) {
+	if !m.Down() {
+		return ctx, func() {}, false
+	}
+	ctx, cancel = context.WithTimeout(ctx, downCall+m.Age()/downGrowth)
+	return ctx, cancel, true
+}
+
 func (m *Monitor) note(err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -69,6 +88,8 @@
 
 // Apply implements Store.
 func (m *Monitor) Apply(ctx context.Context, tx Tx) (uint64, []Row, error) {
+	ctx, cancel, _ := m.bound(ctx)
+	defer cancel()
 	version, rows, err := m.store.Apply(ctx, tx)
 	m.note(err)
 	return version, rows, err
@@ -76,13 +97,20 @@
 
 // Range implements Store.
 func (m *Monitor) Range(ctx context.Context, table, part, from, to string) ([]Row, uint64, error) {
+	ctx, cancel, _ := m.bound(ctx)
+	defer cancel()
 	rows, version, err := m.store.Range(ctx, table, part, from, to)
 	m.note(err)
 	return rows, version, err
 }
 
-// Feed implements Store.
+// Feed implements Store. While the store is down it does not wait for changes: any answer tells that the store is back.
 func (m *Monitor) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	ctx, cancel, down := m.bound(ctx)
+	defer cancel()
+	if down {
+		wait = 0
+	}
 	changes, version, err := m.store.Feed(ctx, table, after, wait)
 	m.note(err)
 	return changes, version, err
--- /dev/null
+++ b/internal/rowstore/outage_test.go
@@ -0,0 +1,138 @@
+package rowstore
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/monotime"
+)
+
+// bubbleClock tells the time of a synctest bubble.
+type bubbleClock struct{ start time.Time }
+
+func (c bubbleClock) Now() monotime.Instant { return monotime.Instant(1 + time.Since(c.start)) }
+
+// silentStore answers nothing while it is silent, and never what was sent then. Slow delays each answer.
+type silentStore struct {
+	*Memory
+	silent atomic.Bool
+	slow   time.Duration
+}
+
+func (s *silentStore) pass(ctx context.Context) error {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return ErrUnavailable
+	}
+	select {
+	case <-time.After(s.slow):
+		return nil
+	case <-ctx.Done():
+		return ErrUnavailable
+	}
+}
+
+func (s *silentStore) Range(ctx context.Context, table, part, from, to string) ([]Row, uint64, error) {
+	if err := s.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	return s.Memory.Range(ctx, table, part, from, to)
+}
+
+func (s *silentStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	if err := s.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	return s.Memory.Feed(ctx, table, after, wait)
+}
+
+func follow(ctx context.Context, store Store, clock monotime.Clock, parts int) *Follower {
+	f := &Follower{Store: store, Clock: clock, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Table: "t", Wait: 500 * time.Millisecond}
+	for i := range parts {
+		f.Parts = append(f.Parts, string(rune('a'+i)))
+	}
+	f.Apply = func([]Change, bool) {}
+	go f.Run(ctx)
+	return f
+}
+
+// soonBack is how long after the return of the store everything must go on, so that jobs with an objective of a second that
+// arrive then are served in time.
+const soonBack = 700 * time.Millisecond
+
+// All VMs restart while the store is silent: what they ask it then is never answered, and they must read it soon after it is
+// back.
+func TestStartDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, sentBefore := range []time.Duration{50 * time.Millisecond, 250 * time.Millisecond, 900 * time.Millisecond, 2900 * time.Millisecond, 5 * time.Second} {
+			ctx, cancel := context.WithCancel(t.Context())
+			clock := bubbleClock{time.Now()}
+			store := &silentStore{Memory: NewMemory()}
+			store.silent.Store(true)
+			f := follow(ctx, NewMonitor(store, clock), clock, 20)
+			time.Sleep(sentBefore)
+			store.silent.Store(false)
+			time.Sleep(soonBack)
+			if !f.Loaded() {
+				t.Errorf("started %s before the store was back: table not read %s after", sentBefore, soonBack)
+			}
+			cancel()
+			synctest.Wait()
+		}
+	})
+}
+
+// The store falls silent for a while: once it is back, that is known soon, however long the calls wait that were under way.
+func TestReturnOfTheStoreIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, outage := range []time.Duration{2 * time.Second, 4200 * time.Millisecond} {
+			ctx, cancel := context.WithCancel(t.Context())
+			clock := bubbleClock{time.Now()}
+			store := &silentStore{Memory: NewMemory()}
+			m := NewMonitor(store, clock)
+			f := follow(ctx, m, clock, 1)
+			time.Sleep(time.Second)
+			store.silent.Store(true)
+			time.Sleep(outage)
+			if !m.Down() {
+				t.Errorf("outage of %s: the store is not found down", outage)
+			}
+			store.silent.Store(false)
+			time.Sleep(soonBack)
+			if m.Down() || m.Age() > soonBack || clock.Now().Sub(f.Heard()) > soonBack {
+				t.Errorf("outage of %s: %s after the store is back it counts as down", outage, soonBack)
+			}
+			cancel()
+			synctest.Wait()
+		}
+	})
+}
+
+// A store that has become slower than a call may take while the store is down, though not than a follower waits, is no store
+// that is down for ever.
+func TestSlowStoreIsFoundUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		clock := bubbleClock{time.Now()}
+		store := &silentStore{Memory: NewMemory()}
+		m := NewMonitor(store, clock)
+		follow(ctx, m, clock, 1)
+		store.silent.Store(true)
+		time.Sleep(3 * time.Second)
+		store.slow = (downCall + callSlack) / 2
+		store.silent.Store(false)
+		time.Sleep(10 * time.Second)
+		if m.Down() {
+			t.Error("a slow store counts as down")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
