Rows of ended jobs are removed

A record that is heard of late, as when a table is read again, then still finds the progress of a job that has ended and never runs again.

Test: TestEndedJobsAreForgotten (did not compile before: there was no retention).

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -218,6 +218,21 @@
 	e.dirty[j] = struct{}{}
 }
 
+// Forget drops a job that has ended, and reports whether it is gone: a job with runs that are still being stopped stays.
+func (e *Engine) Forget(id graph.JobID) bool {
+	j := e.jobs[id]
+	if j == nil {
+		return true
+	}
+	present := !j.state.Ended() || j.dirty
+	j.eachTask(func(t *task) { present = present || t.run != nil || t.strays > 0 })
+	if present {
+		return false
+	}
+	delete(e.jobs, id)
+	return true
+}
+
 // TakeDirty returns the jobs whose progress changed since the last call.
 func (e *Engine) TakeDirty(limit int) map[graph.JobID]Progress {
 	out := make(map[graph.JobID]Progress, min(limit, len(e.dirty)))
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -52,6 +52,8 @@
 	ConfigBound time.Duration
 	// StopGrace is the time from the request to stop to the kill.
 	StopGrace time.Duration
+	// Retention is how long a job that has ended is told of.
+	Retention time.Duration
 	// BalancerDelay is how long the balancer may still send connections after the daemon says that it isn't ready.
 	BalancerDelay time.Duration
 }
@@ -113,7 +115,7 @@
 		Clock:    clock,
 		Log:      logger,
 		Metrics:  set,
-		MaxLease: settings.MaxLease,
+		MaxLease: settings.MaxLease, Retention: settings.Retention,
 		Queue:    d.Service.Queue,
 		StoreUp:  store.Up,
 		StoreAge: store.Age,
--- a/internal/graphd/graphd_test.go
+++ b/internal/graphd/graphd_test.go
@@ -35,6 +35,8 @@
 	site    *graphwork.Site
 	daemons []*cellDaemon
 	caller  *graphapi.Client
+	// retention is that of the daemons.
+	retention time.Duration
 }
 
 type cellDaemon struct {
@@ -43,7 +45,9 @@
 	ended chan error
 }
 
-func newCell(t *testing.T, daemons int) *cell {
+func newCell(t *testing.T, daemons int) *cell { return newForgetfulCell(t, daemons, time.Hour) }
+
+func newForgetfulCell(t *testing.T, daemons int, retention time.Duration) *cell {
 	t.Helper()
 	pools := []graphwork.Pool{{Name: "sheets", Workers: 4, Capacity: graph.Claim{MilliCPU: 4000, MemoryMB: 4000}, Labels: []string{"fast"}}}
 	queues := graphproto.Queues{Version: 1, Queues: []graphproto.Queue{{Name: queue, Pool: "sheets", Attempts: 2, Stretch: 2, TargetMS: 500}}}
@@ -52,7 +56,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = site.Close() })
-	c := &cell{T: t, site: site, caller: &graphapi.Client{RetryFor: patience, HTTP: &http.Client{}}}
+	c := &cell{T: t, site: site, caller: &graphapi.Client{RetryFor: patience, HTTP: &http.Client{}}, retention: retention}
 	for i := range daemons {
 		c.start(fmt.Sprint("vm-", i))
 	}
@@ -63,7 +67,7 @@
 	c.Helper()
 	settings := Settings{
 		Node: node, Zone: "z", CallerAddr: c.freeAddr(), ReadyAddr: c.freeAddr(), MetricsAddr: c.freeAddr(), PeerAddr: "127.0.0.1:0",
-		Cores: 1, MaxLease: 10 * time.Second, ConfigBound: 2 * time.Second, StopGrace: 3 * time.Second, BalancerDelay: 100 * time.Millisecond,
+		Cores: 1, MaxLease: 10 * time.Second, ConfigBound: 2 * time.Second, StopGrace: 3 * time.Second, Retention: c.retention, BalancerDelay: 100 * time.Millisecond,
 	}
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	d, err := New(settings, OwnProtocol(c.site.Addr), logger, metrics.NewSet())
@@ -219,6 +223,52 @@
 	c.check(idA, 12)
 }
 
+// Rows of jobs that have ended go, first the records, then the progress, also where the owner changes in between; nothing runs again.
+func TestEndedJobsAreForgotten(t *testing.T) {
+	c := newForgetfulCell(t, 2, 500*time.Millisecond)
+	c.submit(idA, &graphapi.Job{Payload: `{"run_ms":10}`, Steps: []graphapi.Step{step(3)}})
+	c.submit(idB, &graphapi.Job{Payload: `{"forever":true}`, Steps: []graphapi.Step{step(1)}})
+	c.becomes(idA, graph.Completed)
+	if _, err := c.caller.Cancel(t.Context(), queue, idB); err != nil {
+		t.Fatal(err)
+	}
+	// removed returns the version at which a row was removed, 0 while it is there.
+	removed := func(table, name string) (version uint64) {
+		changes, _, err := c.site.Store.Feed(t.Context(), table, 0, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, change := range changes {
+			if change.Name == name && change.Removed {
+				version = change.Version
+			}
+		}
+		return version
+	}
+	record := func(name string) uint64 { return removed("laburnumpoint-intake", name) }
+	progress := func(id string) uint64 { return removed("laburnumpoint-progress", "progress/"+id) }
+	c.eventually("records removed", func() bool { return record("job/"+idA) > 0 && record("job/"+idB) > 0 && record("cancel/"+idB) > 0 })
+	for _, d := range c.daemons {
+		if d.Owner.Owns() {
+			d.stop()
+			<-d.ended
+			break
+		}
+	}
+	c.eventually("progress removed", func() bool { return progress(idA) > 0 && progress(idB) > 0 })
+	for _, id := range []string{idA, idB} {
+		if progress(id) < record("job/"+id) {
+			t.Errorf("the progress of %s went before its record", id)
+		}
+	}
+	var refused *graphapi.RefusedError
+	c.eventually("no longer told of", func() bool {
+		_, err := c.caller.State(t.Context(), queue, idA)
+		return errors.As(err, &refused) && refused.Status == http.StatusNotFound
+	})
+	c.check(idA, 3)
+}
+
 func TestWhyAndPending(t *testing.T) {
 	c := newCell(t, 2)
 	large := graphapi.Step{Count: 1, MilliCPU: 99_000}
--- a/internal/ledger/intake.go
+++ b/internal/ledger/intake.go
@@ -49,6 +49,29 @@
 	return nil
 }
 
+// Forget removes the records of jobs that have ended. Their progress must outlive them. Errors: ErrUnavailable, ErrUncertain;
+// some of the records may then be gone.
+func (r *Replica) Forget(ctx context.Context, ids []graph.JobID) error {
+	parts := make(map[string][]rowstore.Key)
+	for _, id := range ids {
+		key := jobKey(id)
+		parts[key.Part] = append(parts[key.Part], key)
+		if j, known := r.Job(id); known && j.Cancelled {
+			parts[key.Part] = append(parts[key.Part], cancelKey(id))
+		}
+	}
+	for _, keys := range parts {
+		version, _, err := r.store.Apply(ctx, rowstore.Tx{Delete: keys})
+		if err != nil {
+			return err
+		}
+		for _, key := range keys {
+			r.apply(rowstore.Change{Row: rowstore.Row{Key: key, Version: version}, Removed: true})
+		}
+	}
+	return nil
+}
+
 // NoteAccepted takes in a job that another daemon has stored, before the store's feed tells of it.
 func (r *Replica) NoteAccepted(id graph.JobID, record JobRecord) {
 	r.apply(rowstore.Change{Row: rowstore.Row{Key: jobKey(id), Value: encode(record)}})
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -221,7 +221,7 @@
 
 func (r *Replica) applyJob(id graph.JobID, change rowstore.Change) (graph.JobID, error) {
 	if change.Removed {
-		delete(r.jobs, id)
+		r.forgetRecord(id)
 		return "", nil
 	}
 	if j := r.jobs[id]; j != nil && j.recorded {
@@ -240,6 +240,20 @@
 	return id, nil
 }
 
+// forgetRecord drops a job's record. Its progress stays until its own row is removed, so that a record that is heard of
+// late, as while a table is read again, is that of a job that has ended. The lock is held.
+func (r *Replica) forgetRecord(id graph.JobID) {
+	j := r.jobs[id]
+	if j == nil {
+		return
+	}
+	if j.Progress == nil {
+		delete(r.jobs, id)
+		return
+	}
+	j.JobRecord, j.recorded = JobRecord{}, false
+}
+
 func (r *Replica) applyCancel(id graph.JobID, change rowstore.Change) graph.JobID {
 	if change.Removed {
 		return ""
@@ -254,6 +268,9 @@
 
 func (r *Replica) applyProgress(id graph.JobID, change rowstore.Change) error {
 	if change.Removed {
+		if j := r.jobs[id]; j != nil && !j.recorded {
+			delete(r.jobs, id)
+		}
 		return nil
 	}
 	if j := r.jobs[id]; j != nil && j.progressVersion >= change.Version {
@@ -321,6 +338,19 @@
 	return out
 }
 
+// Orphans returns the jobs that have ended and of which only the progress is left.
+func (r *Replica) Orphans() []graph.JobID {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var out []graph.JobID
+	for id, j := range r.jobs {
+		if !j.recorded && j.Progress != nil && j.Progress.State.Ended() {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Pending counts a queue's accepted jobs of which no task has started.
 func (r *Replica) Pending(queue string) int {
 	r.mu.RLock()
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -22,10 +22,14 @@
 	Progress   map[graph.JobID]dispatch.Progress
 	Workers    []dispatch.Worker
 	OldWorkers []dispatch.WorkerID
+	// OldJobs are jobs that ended long ago, whose records have been removed.
+	OldJobs []graph.JobID
 }
 
 // Entries returns the number of rows that the batch writes.
-func (b *Batch) Entries() int { return len(b.Progress) + len(b.Workers) + len(b.OldWorkers) }
+func (b *Batch) Entries() int {
+	return len(b.Progress) + len(b.Workers) + len(b.OldWorkers) + len(b.OldJobs)
+}
 
 // Tenure is a daemon's ownership of the cell. It is used by one goroutine at a time.
 type Tenure struct {
@@ -74,6 +78,9 @@
 		row.Version = version
 		t.replica.apply(rowstore.Change{Row: row})
 	}
+	for _, key := range tx.Delete {
+		t.replica.apply(rowstore.Change{Row: rowstore.Row{Key: key, Version: version}, Removed: true})
+	}
 	return nil
 }
 
@@ -89,6 +96,9 @@
 	for _, id := range b.OldWorkers {
 		tx.Delete = append(tx.Delete, workerKey(id))
 	}
+	for _, id := range b.OldJobs {
+		tx.Delete = append(tx.Delete, progressKey(id))
+	}
 	return tx
 }
 
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -55,6 +55,11 @@
 	// newWorkers and oldWorkers wait to be recorded.
 	newWorkers map[dispatch.WorkerID]dispatch.Worker
 	oldWorkers map[dispatch.WorkerID]struct{}
+	// endings are jobs whose rows are to be removed, the first due first; noted holds the same, oldJobs those whose progress is.
+	endings    []ending
+	noted      map[graph.JobID]bool
+	oldJobs    map[graph.JobID]struct{}
+	forgetting bool
 	recording  bool
 	recordAt   monotime.Instant
 	// roundAt is when the next round may begin.
@@ -81,6 +86,8 @@
 		registered: make(map[dispatch.WorkerID]dispatch.Worker),
 		newWorkers: make(map[dispatch.WorkerID]dispatch.Worker),
 		oldWorkers: make(map[dispatch.WorkerID]struct{}),
+		noted:      make(map[graph.JobID]bool),
+		oldJobs:    make(map[graph.JobID]struct{}),
 		startedAt:  started,
 		renewedAt:  started,
 	}
@@ -112,6 +119,12 @@
 	uncertain := c.tenure.Epoch() > 1
 	for id, j := range c.Replica.Jobs() {
 		c.addJob(id, j, uncertain)
+		if j.State().Ended() {
+			c.noteEnded(id, true)
+		}
+	}
+	for _, id := range c.Replica.Orphans() {
+		c.noteEnded(id, false)
 	}
 	for _, w := range c.Replica.Workers() {
 		c.engine.Await(w.ID, w.Pool)
@@ -178,6 +191,7 @@
 			c.engine.SetNow(c.now())
 			c.expireLinks()
 			c.considerResigning()
+			c.forgetEnded()
 		}
 		c.gather()
 		began := c.now()
@@ -297,7 +311,7 @@
 // record writes what changed, if nothing is being written and it is time.
 func (c *control) record() {
 	now := c.now()
-	due := now >= c.renewAt || c.engine.HasDirty() || len(c.newWorkers) > 0 || len(c.oldWorkers) > 0
+	due := now >= c.renewAt || c.engine.HasDirty() || len(c.newWorkers) > 0 || len(c.oldWorkers) > 0 || len(c.oldJobs) > 0
 	if c.recording || !due || now < c.recordAt {
 		if !c.recording && due {
 			time.AfterFunc(max(0, c.recordAt.Sub(now)), func() { c.post(func() {}) })
@@ -333,6 +347,13 @@
 		batch.OldWorkers = append(batch.OldWorkers, id)
 		delete(c.oldWorkers, id)
 	}
+	for id := range c.oldJobs {
+		if batch.Entries() >= maxRecords {
+			break
+		}
+		batch.OldJobs = append(batch.OldJobs, id)
+		delete(c.oldJobs, id)
+	}
 	return batch
 }
 
@@ -358,6 +379,7 @@
 	for id, p := range batch.Progress {
 		if p.State.Ended() {
 			c.Log.Info().Str("job", string(id)).Str("state", string(p.State)).Uint64("epoch", c.tenure.Epoch()).Msg("job ended")
+			c.noteEnded(id, true)
 		}
 	}
 	c.cover(covered)
@@ -379,6 +401,9 @@
 	for _, id := range batch.OldWorkers {
 		c.oldWorkers[id] = struct{}{}
 	}
+	for _, id := range batch.OldJobs {
+		c.oldJobs[id] = struct{}{}
+	}
 }
 
 // acknowledge lets workers forget ends that need no record, when nothing waits to be recorded.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -63,6 +63,8 @@
 	Metrics  *metrics.Set
 	// MaxLease bounds the lease that a worker grants.
 	MaxLease time.Duration
+	// Retention is how long a job that has ended is told of.
+	Retention time.Duration
 	// Queue returns the policy in force of a queue, if there is one.
 	Queue func(name string) (graph.Queue, bool)
 	// StoreUp reports whether the store answers this daemon.
--- a/internal/settings/graphs.go
+++ b/internal/settings/graphs.go
@@ -25,6 +25,7 @@
 	flagCores         = "cores"
 	flagMaxLease      = "max-lease"
 	flagConfigBound   = "config-bound"
+	flagRetention     = "retention"
 	flagStopGrace     = "stop-grace"
 	flagBalancerDelay = "balancer-delay"
 )
@@ -55,6 +56,7 @@
 		&cli.FloatFlag{Name: flagCores, Usage: "processor time that the VM has, in `CORES`; the strong own first", Value: 1, Sources: env(flagCores)},
 		span(flagMaxLease, "`TIME` for which a worker grants a lease at most", 10*time.Second),
 		span(flagConfigBound, "`TIME` in which a new configuration must be in force", 3*time.Second),
+		span(flagRetention, "`TIME` for which a job that has ended is told of", time.Hour),
 		span(flagStopGrace, "`TIME` from the request to stop to the kill", 20*time.Second),
 		span(flagBalancerDelay, "`TIME` that the balancer needs to notice that a daemon isn't ready", 2*time.Second),
 	}
@@ -101,6 +103,7 @@
 		Cores:         cmd.Float(flagCores),
 		MaxLease:      cmd.Duration(flagMaxLease),
 		ConfigBound:   cmd.Duration(flagConfigBound),
+		Retention:     cmd.Duration(flagRetention),
 		StopGrace:     cmd.Duration(flagStopGrace),
 		BalancerDelay: cmd.Duration(flagBalancerDelay),
 	}}
@@ -121,6 +124,7 @@
 	need(s.Cores > 0, flagCores, "a positive number")
 	need(s.MaxLease >= time.Second, flagMaxLease, "a second or more")
 	need(s.ConfigBound >= time.Second, flagConfigBound, "a second or more")
+	need(s.Retention >= time.Minute, flagRetention, "a minute or more")
 	need(s.StopGrace >= time.Second, flagStopGrace, "a second or more")
 	need(s.BalancerDelay >= 0, flagBalancerDelay, "no negative time")
 	if cmd.NArg() > 0 {
