One way to a job in package entry; the daemon's start without repetition

Cancel and Why find their job alike, the tool reads files in one place, and the daemon's three ways to run share their start and end.

--- a/cmd/laburnumpointd/main.go
+++ b/cmd/laburnumpointd/main.go
@@ -29,7 +29,7 @@
 
 func main() {
 	if path := os.Getenv(platform.SettingsVariable); path != "" {
-		runOnPlatform(path)
+		runUntilSignal(func(ctx context.Context) error { return platform.Run(ctx, path) })
 		return
 	}
 	if len(os.Args) > 1 && os.Args[1] == settings.GraphsCommand {
@@ -37,26 +37,26 @@
 		return
 	}
 	s, err := settings.Parse(os.Args, os.Stdout)
+	exitOnMistakes(err)
+	runUntilSignal(func(ctx context.Context) error { return serve(ctx, s) })
+}
+
+// exitOnMistakes ends the process after help was written or the settings were found wrong.
+func exitOnMistakes(err error) {
 	if errors.Is(err, settings.ErrHelp) {
-		return
+		os.Exit(0)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(settings.ExitUsage)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := serve(ctx, s); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitFailed)
-	}
 }
 
-// runOnPlatform runs the daemon with the settings file of the users' platform.
-func runOnPlatform(path string) {
+// runUntilSignal runs a daemon whose context ends when the process is asked to stop.
+func runUntilSignal(run func(context.Context) error) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := platform.Run(ctx, path); err != nil {
+	if err := run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
@@ -65,19 +65,8 @@
 // runGraphs runs the daemon for graph jobs over the product's own protocol.
 func runGraphs() {
 	s, err := settings.ParseGraphs(os.Args, os.Stdout)
-	if errors.Is(err, settings.ErrHelp) {
-		return
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(settings.ExitUsage)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := serveGraphs(ctx, s); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitFailed)
-	}
+	exitOnMistakes(err)
+	runUntilSignal(func(ctx context.Context) error { return serveGraphs(ctx, s) })
 }
 
 func serveGraphs(ctx context.Context, s settings.Graphs) error {
--- a/internal/cli/graph_submit.go
+++ b/internal/cli/graph_submit.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"os"
 
 	"github.com/urfave/cli/v3"
 
@@ -31,7 +29,11 @@
 	if err != nil {
 		return err
 	}
-	job, err := a.readGraph(path)
+	data, err := a.readFile(path, maxPayloadBytes)
+	if err != nil {
+		return err
+	}
+	job, err := graphapi.ReadJob(data)
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
@@ -45,17 +47,3 @@
 	}
 	return a.printGraph(cmd, answer)
 }
-
-// readGraph reads a job from a file, or from the tool's input if its name is a dash.
-func (a *app) readGraph(path string) (*graphapi.Job, error) {
-	var in io.Reader = a.streams.In
-	if path != "-" {
-		file, err := os.Open(path)
-		if err != nil {
-			return nil, err
-		}
-		defer file.Close()
-		in = file
-	}
-	return graphapi.ReadJob(in)
-}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -235,24 +235,29 @@
 	return write(ctx)
 }
 
-// Cancel cancels a job.
-func (s *Service) Cancel(ctx context.Context, host, path string) Answer {
+// about carries out a command on the job that a request names, and counts and logs the answer.
+func (s *Service) about(command, host, path string, do func(graph.JobID) Answer) Answer {
 	_, rest, refused := s.route(host, path)
 	if refused != nil {
-		return s.answer("cancel", rest, *refused)
+		return s.answer(command, rest, *refused)
 	}
 	id, ok := parseJobID(rest)
 	if !ok {
-		return s.answer("cancel", rest, Answer{Result: NoJob})
+		return s.answer(command, rest, Answer{Result: NoJob})
 	}
-	found := s.find(ctx, id)
-	if found.Result != OK {
-		return s.answer("cancel", rest, found)
-	}
-	answer := s.durable(ctx,
-		func(ctx context.Context) error { return s.Replica.Cancel(ctx, id) },
-		&wire.IntakeRequest{Command: commandCancel, Job: string(id)})
-	return s.answer("cancel", rest, answer)
+	return s.answer(command, rest, do(id))
+}
+
+// Cancel cancels a job.
+func (s *Service) Cancel(ctx context.Context, host, path string) Answer {
+	return s.about("cancel", host, path, func(id graph.JobID) Answer {
+		if found := s.find(ctx, id); found.Result != OK {
+			return found
+		}
+		return s.durable(ctx,
+			func(ctx context.Context) error { return s.Replica.Cancel(ctx, id) },
+			&wire.IntakeRequest{Command: commandCancel, Job: string(id)})
+	})
 }
 
 // State tells a job's state.
@@ -292,27 +297,24 @@
 
 // Why tells why a job is where it is, as its owner has it.
 func (s *Service) Why(ctx context.Context, host, path string) Answer {
-	_, rest, refused := s.route(host, path)
-	if refused != nil {
-		return s.answer("why", rest, *refused)
-	}
-	id, ok := parseJobID(rest)
-	if !ok {
-		return s.answer("why", rest, Answer{Result: NoJob})
-	}
+	return s.about("why", host, path, func(id graph.JobID) Answer { return s.reasons(ctx, id) })
+}
+
+func (s *Service) reasons(ctx context.Context, id graph.JobID) Answer {
 	answer := s.newest(ctx, id)
 	if answer.Result != OK || answer.State.Ended() {
-		return s.answer("why", rest, answer)
+		return answer
 	}
-	if answer.Reasons, ok = s.Explain(ctx, id); ok {
-		return s.answer("why", rest, answer)
+	if lines, owns := s.Explain(ctx, id); owns {
+		answer.Reasons = lines
+		return answer
 	}
 	reply := s.relay(ctx, &wire.IntakeRequest{Command: commandExplain, Job: string(id)})
 	if reply.GetResult() != resultOK {
-		return s.answer("why", rest, Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "no owner answers"})
+		return Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "no owner answers"}
 	}
 	answer.Reasons = reply.GetDetail()
-	return s.answer("why", rest, answer)
+	return answer
 }
 
 func (s *Service) pending(route *Route) Answer {
--- a/internal/graphapi/client.go
+++ b/internal/graphapi/client.go
@@ -27,11 +27,7 @@
 }
 
 // ReadJob reads a job as callers write it.
-func ReadJob(r io.Reader) (*Job, error) {
-	data, err := io.ReadAll(r)
-	if err != nil {
-		return nil, err
-	}
+func ReadJob(data []byte) (*Job, error) {
 	job := &Job{}
 	return job, strictly(data, job)
 }
--- a/internal/graphapi/handler.go
+++ b/internal/graphapi/handler.go
@@ -72,8 +72,8 @@
 	if readErr != nil {
 		return nil, readErr
 	}
-	var job Job
-	if err := strictly(body, &job); err != nil {
+	job, err := ReadJob(body)
+	if err != nil {
 		return nil, err
 	}
 	return job.Spec(), nil
