Metrics of the queues, the store, answers and takeovers

Gauges of the tasks, questions and events that wait on the owner; histograms of the store's calls, of answers by command and of takeovers; failures of the store by call. No change of what is done.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -30,7 +30,9 @@
 	// pools holds the workers that take new runs; poolsStale means that it has to be made anew.
 	pools      map[string]*pool
 	poolsStale bool
-	stats      Stats
+	// waiting counts the tasks that the last plan could have placed.
+	waiting int
+	stats   Stats
 }
 
 // Stats counts decisions since the engine was made.
@@ -60,6 +62,9 @@
 // Stats returns the counts so far.
 func (e *Engine) Stats() Stats { return e.stats }
 
+// Waiting returns the number of tasks that were to be placed at the last plan.
+func (e *Engine) Waiting() int { return e.waiting }
+
 // Await keeps the tasks of uncertain jobs of the pool from starting until the worker has reported or is dead.
 func (e *Engine) Await(id WorkerID, pool string) { e.awaited[id] = pool }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -48,8 +48,10 @@
 // can still complete in time, then by due time; jobs far beyond their objective come last of all.
 func (e *Engine) byUrgency() []*step {
 	steps := make([]*step, 0, len(e.active))
+	e.waiting = 0
 	for s := range e.active {
 		if s.toPlace() > 0 {
+			e.waiting += s.toPlace()
 			s.lateNow, s.missedNow = e.lateness(s), e.missed(s)
 			steps = append(steps, s)
 		}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -99,8 +99,19 @@
 	routes      atomic.Pointer[Routes]
 	configHeard atomic.Int64
 	answers     map[Result]*metrics.Counter
+	// took is how long answers took, by command.
+	took map[string]*metrics.Histogram
 }
 
+// Names of commands and queries in logs and metrics.
+const (
+	nameSubmit  = "submit"
+	nameCancel  = "cancel"
+	nameState   = "state"
+	nameWhy     = "why"
+	namePending = "pending"
+)
+
 // NewService returns a service without configuration.
 func NewService(o Options) *Service {
 	s := &Service{Options: o}
@@ -108,6 +119,10 @@
 	for r, name := range resultNames {
 		s.answers[r] = o.Metrics.NewCounter(`laburnumpoint_answers_total{result="` + name + `"}`)
 	}
+	s.took = make(map[string]*metrics.Histogram)
+	for _, name := range []string{nameSubmit, nameCancel, nameState, nameWhy} {
+		s.took[name] = o.Metrics.NewHistogram(`laburnumpoint_answer_seconds{command="` + name + `"}`)
+	}
 	return s
 }
 
@@ -168,23 +183,24 @@
 
 // Submit accepts a job. decode returns the job's description.
 func (s *Service) Submit(ctx context.Context, host, path string, decode func() (*graph.Spec, error)) Answer {
+	defer s.time(nameSubmit, s.Clock.Now())
 	route, rest, refused := s.route(host, path)
 	if refused != nil {
-		return s.answer("submit", rest, *refused)
+		return s.answer(nameSubmit, rest, *refused)
 	}
 	id, ok := parseJobID(rest)
 	if !ok {
-		return s.answer("submit", rest, Answer{Result: Invalid, Detail: "malformed job id"})
+		return s.answer(nameSubmit, rest, Answer{Result: Invalid, Detail: "malformed job id"})
 	}
 	spec, err := decode()
 	if err == nil {
 		err = spec.Validate()
 	}
 	if err != nil {
-		return s.answer("submit", rest, Answer{Result: Invalid, Detail: err.Error()})
+		return s.answer(nameSubmit, rest, Answer{Result: Invalid, Detail: err.Error()})
 	}
 	record := ledger.NewJobRecord(route.Queue, spec, time.Now())
-	return s.answer("submit", rest, s.accept(ctx, id, record))
+	return s.answer(nameSubmit, rest, s.accept(ctx, id, record))
 }
 
 func (s *Service) accept(ctx context.Context, id graph.JobID, record ledger.JobRecord) Answer {
@@ -237,6 +253,7 @@
 
 // about carries out a command on the job that a request names, and counts and logs the answer.
 func (s *Service) about(command, host, path string, do func(graph.JobID) Answer) Answer {
+	defer s.time(command, s.Clock.Now())
 	_, rest, refused := s.route(host, path)
 	if refused != nil {
 		return s.answer(command, rest, *refused)
@@ -250,7 +267,7 @@
 
 // Cancel cancels a job.
 func (s *Service) Cancel(ctx context.Context, host, path string) Answer {
-	return s.about("cancel", host, path, func(id graph.JobID) Answer {
+	return s.about(nameCancel, host, path, func(id graph.JobID) Answer {
 		if found := s.find(ctx, id); found.Result != OK {
 			return found
 		}
@@ -262,18 +279,19 @@
 
 // State tells a job's state.
 func (s *Service) State(ctx context.Context, host, path string) Answer {
+	defer s.time(nameState, s.Clock.Now())
 	route, rest, refused := s.route(host, path)
 	if refused != nil {
-		return s.answer("state", rest, *refused)
+		return s.answer(nameState, rest, *refused)
 	}
 	if rest == "" {
 		return s.pending(route)
 	}
 	id, ok := parseJobID(rest)
 	if !ok {
-		return s.answer("state", rest, Answer{Result: NoJob})
+		return s.answer(nameState, rest, Answer{Result: NoJob})
 	}
-	return s.answer("state", rest, s.newest(ctx, id))
+	return s.answer(nameState, rest, s.newest(ctx, id))
 }
 
 // newest tells a job's state as its owner has it. The copy at hand lags, which would keep a caller waiting for a job that
@@ -297,7 +315,7 @@
 
 // Why tells why a job is where it is, as its owner has it.
 func (s *Service) Why(ctx context.Context, host, path string) Answer {
-	return s.about("why", host, path, func(id graph.JobID) Answer { return s.reasons(ctx, id) })
+	return s.about(nameWhy, host, path, func(id graph.JobID) Answer { return s.reasons(ctx, id) })
 }
 
 func (s *Service) reasons(ctx context.Context, id graph.JobID) Answer {
@@ -319,7 +337,7 @@
 
 func (s *Service) pending(route *Route) Answer {
 	if s.Replica.Age() > staleReplica {
-		return s.answer("pending", "", Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "ledger copy outdated"})
+		return s.answer(namePending, "", Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "ledger copy outdated"})
 	}
 	s.answers[OK].Inc()
 	return Answer{Result: OK, Pending: s.Replica.Pending(route.Queue.Name)}
@@ -359,10 +377,15 @@
 	return s.Replica.Find(ctx, id)
 }
 
+// time notes how long an answer took.
+func (s *Service) time(command string, began monotime.Instant) {
+	s.took[command].Update(s.Clock.Now().Sub(began).Seconds())
+}
+
 // answer counts an answer and logs what is not plain success.
 func (s *Service) answer(command, rest string, a Answer) Answer {
 	s.answers[a.Result].Inc()
-	if a.Result != OK || command != "state" {
+	if a.Result != OK || command != nameState {
 		s.Log.Info().Str("job", rest).Str("command", command).Str("result", a.Result.String()).Str("detail", a.Detail).Dur("retry_after", a.RetryAfter).Uint64("config", s.configVersion()).Dur("ledger_age", s.Replica.Age()).Msg("answered")
 	}
 	return a
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -88,7 +88,7 @@
 // New returns a daemon that answers other daemons but does nothing else before Run.
 func New(settings Settings, backends Backends, logger *log.Logger, set *metrics.Set) (*Daemon, error) {
 	clock := monotime.Boot{}
-	store := rowstore.NewMonitor(backends.Store, clock)
+	store := rowstore.NewMonitor(backends.Store, clock, set)
 	peers := peer.NewClient(clock, set)
 	server, err := peer.Bind(settings.PeerAddr, set)
 	if err != nil {
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -44,8 +44,10 @@
 	tenure *ledger.Tenure
 	// validUntil bounds the time in which orders may be given.
 	validUntil atomic.Int64
-	events     chan func()
-	ctx        context.Context
+	// tasksWaiting and questionsWaiting are for the metrics.
+	tasksWaiting, questionsWaiting atomic.Int64
+	events                         chan func()
+	ctx                            context.Context
 
 	engine  *dispatch.Engine
 	links   map[dispatch.WorkerID]*link
@@ -130,10 +132,18 @@
 		c.engine.Await(w.ID, w.Pool)
 		c.addLink(w, true)
 	}
-	c.settled = c.engine.Settled()
+	if c.engine.Settled() {
+		c.settle()
+	}
 	return nil
 }
 
+// settle notes that all that earlier owners may have started is known.
+func (c *control) settle() {
+	c.settled = true
+	c.counts.takeoverTime.Update(c.now().Sub(c.startedAt).Seconds())
+}
+
 // addJob hands a job to the engine.
 func (c *control) addJob(id graph.JobID, j ledger.Job, uncertain bool) {
 	queue := j.Queue
@@ -270,9 +280,11 @@
 			c.execute(order)
 		}
 		c.assignPermits()
+		c.tasksWaiting.Store(int64(c.engine.Waiting()))
+		c.questionsWaiting.Store(int64(len(c.permits.waiting)))
 	}
 	if !c.settled && c.engine.Settled() {
-		c.settled = true
+		c.settle()
 		c.Log.Info().Uint64("epoch", c.tenure.Epoch()).Dur("after", c.now().Sub(c.startedAt)).Msg("workers settled after takeover")
 	}
 	c.record()
--- a/internal/rowstore/monitor.go
+++ b/internal/rowstore/monitor.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"laburnumpoint/internal/monotime"
 )
 
@@ -28,6 +30,10 @@
 	store Store
 	clock monotime.Clock
 
+	// took and failures are by call.
+	took     map[string]*metrics.Histogram
+	failures map[string]*metrics.Counter
+
 	mu       sync.Mutex
 	answered monotime.Instant
 	failed   monotime.Instant
@@ -35,9 +41,24 @@
 
 var _ Store = (*Monitor)(nil)
 
-// NewMonitor returns a monitor of store, which counts as up at first.
-func NewMonitor(store Store, clock monotime.Clock) *Monitor {
-	return &Monitor{store: store, clock: clock, answered: clock.Now()}
+// Names of calls in metrics. Feeds wait for changes; only their failures are of interest.
+const (
+	callApply = "apply"
+	callRange = "range"
+	callFeed  = "feed"
+)
+
+// NewMonitor returns a monitor of store, which counts as up at first. Its metrics are registered in set.
+func NewMonitor(store Store, clock monotime.Clock, set *metrics.Set) *Monitor {
+	m := &Monitor{store: store, clock: clock, answered: clock.Now()}
+	m.took, m.failures = make(map[string]*metrics.Histogram), make(map[string]*metrics.Counter)
+	for _, call := range []string{callApply, callRange, callFeed} {
+		m.failures[call] = set.NewCounter(`laburnumpoint_store_failures_total{call="` + call + `"}`)
+	}
+	for _, call := range []string{callApply, callRange} {
+		m.took[call] = set.NewHistogram(`laburnumpoint_store_seconds{call="` + call + `"}`)
+	}
+	return m
 }
 
 // Down reports whether the store has lately answered nothing, so that a call now would most likely fail.
@@ -73,16 +94,22 @@
 	return ctx, cancel, true
 }
 
-func (m *Monitor) note(err error) {
+// note takes in the outcome of a call that was sent at the given time.
+func (m *Monitor) note(call string, sent monotime.Instant, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := m.clock.Now()
 	switch {
 	case err == nil, errors.Is(err, ErrConflict), errors.Is(err, ErrHistoryLost):
-		m.answered = m.clock.Now()
+		m.answered = now
+		if took := m.took[call]; took != nil {
+			took.Update(now.Sub(sent).Seconds())
+		}
 	case errors.Is(err, context.Canceled):
 		// The caller left; that tells nothing of the store.
 	default:
-		m.failed = m.clock.Now()
+		m.failed = now
+		m.failures[call].Inc()
 	}
 }
 
@@ -90,8 +117,9 @@
 func (m *Monitor) Apply(ctx context.Context, tx Tx) (uint64, []Row, error) {
 	ctx, cancel, _ := m.bound(ctx)
 	defer cancel()
+	sent := m.clock.Now()
 	version, rows, err := m.store.Apply(ctx, tx)
-	m.note(err)
+	m.note(callApply, sent, err)
 	return version, rows, err
 }
 
@@ -99,8 +127,9 @@
 func (m *Monitor) Range(ctx context.Context, table, part, from, to string) ([]Row, uint64, error) {
 	ctx, cancel, _ := m.bound(ctx)
 	defer cancel()
+	sent := m.clock.Now()
 	rows, version, err := m.store.Range(ctx, table, part, from, to)
-	m.note(err)
+	m.note(callRange, sent, err)
 	return rows, version, err
 }
 
@@ -111,7 +140,8 @@
 	if down {
 		wait = 0
 	}
+	sent := m.clock.Now()
 	changes, version, err := m.store.Feed(ctx, table, after, wait)
-	m.note(err)
+	m.note(callFeed, sent, err)
 	return changes, version, err
 }
--- a/internal/rowstore/outage_test.go
+++ b/internal/rowstore/outage_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
 	"laburnumpoint/internal/monotime"
@@ -75,7 +76,7 @@
 			clock := bubbleClock{time.Now()}
 			store := &silentStore{Memory: NewMemory()}
 			store.silent.Store(true)
-			f := follow(ctx, NewMonitor(store, clock), clock, 20)
+			f := follow(ctx, NewMonitor(store, clock, metrics.NewSet()), clock, 20)
 			time.Sleep(sentBefore)
 			store.silent.Store(false)
 			time.Sleep(soonBack)
@@ -95,7 +96,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			clock := bubbleClock{time.Now()}
 			store := &silentStore{Memory: NewMemory()}
-			m := NewMonitor(store, clock)
+			m := NewMonitor(store, clock, metrics.NewSet())
 			f := follow(ctx, m, clock, 1)
 			time.Sleep(time.Second)
 			store.silent.Store(true)
@@ -122,7 +123,7 @@
 		defer cancel()
 		clock := bubbleClock{time.Now()}
 		store := &silentStore{Memory: NewMemory()}
-		m := NewMonitor(store, clock)
+		m := NewMonitor(store, clock, metrics.NewSet())
 		follow(ctx, m, clock, 1)
 		store.silent.Store(true)
 		time.Sleep(3 * time.Second)
