--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -238,7 +238,7 @@
 	c.engine.SetNow(c.now())
 }
 
-// explain tells why a job is where it is. It runs in the control loop, and waits for it.
+// explain asks the control loop why a job is where it is, and waits for its answer.
 func (c *control) explain(ctx context.Context, id graph.JobID) ([]string, bool) {
 	lines := make(chan []string, 1)
 	c.post(func() { lines <- c.engine.Explain(id, time.Duration(time.Now().UnixNano())) })
