Tables are read page by page, each page with a bound of its own

Range now answers one page and tells where to go on. A page without an answer is asked for again and the others are kept; its time is doubled once the store has answered something, since it is then slow and not away.

Tests: TestLongTableIsReadPageByPage (fails without the doubling; before, Range did not show its pages), TestStartDuringAnOutage as before.

--- a/internal/graphproto/rows.go
+++ b/internal/graphproto/rows.go
@@ -46,6 +46,7 @@
 	Error   string `json:",omitempty"`
 	Version uint64
 	Rows    []rowstore.Row    `json:",omitempty"`
+	Next    string            `json:",omitempty"`
 	Changes []rowstore.Change `json:",omitempty"`
 }
 
@@ -69,8 +70,8 @@
 		return rowsAnswer{Error: nameOf(err), Version: version, Rows: current}
 	}))
 	r.Post(pathRange, serve(func(ctx context.Context, b rangeBody) rowsAnswer {
-		rows, version, err := store.Range(ctx, b.Table, b.Part, b.From, b.To)
-		return rowsAnswer{Error: nameOf(err), Version: version, Rows: rows}
+		rows, next, version, err := store.Range(ctx, b.Table, b.Part, b.From, b.To)
+		return rowsAnswer{Error: nameOf(err), Version: version, Rows: rows, Next: next}
 	}))
 	r.Post(pathFeed, serve(func(ctx context.Context, b feedBody) rowsAnswer {
 		changes, version, err := store.Feed(ctx, b.Table, b.After, b.Wait)
@@ -101,9 +102,9 @@
 }
 
 // Range implements rowstore.Store.
-func (s *Rows) Range(ctx context.Context, table, part, from, to string) ([]rowstore.Row, uint64, error) {
+func (s *Rows) Range(ctx context.Context, table, part, from, to string) ([]rowstore.Row, string, uint64, error) {
 	answer, err := s.read(ctx, pathRange, rangeBody{table, part, from, to})
-	return answer.Rows, answer.Version, err
+	return answer.Rows, answer.Next, answer.Version, err
 }
 
 // Feed implements rowstore.Store.
--- a/internal/ledger/intake.go
+++ b/internal/ledger/intake.go
@@ -88,7 +88,7 @@
 		return j, true, nil
 	}
 	key := jobKey(id)
-	rows, _, err := r.store.Range(ctx, key.Table, key.Part, key.Name, key.Name+"\x00")
+	rows, _, _, err := r.store.Range(ctx, key.Table, key.Part, key.Name, key.Name+"\x00")
 	if err != nil {
 		return Job{}, false, err
 	}
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -387,7 +387,7 @@
 // ReadOwner takes in the ownership row as the store has it now. Errors: ErrUnavailable.
 func (r *Replica) ReadOwner(ctx context.Context) error {
 	key := ownerKey()
-	rows, _, err := r.store.Range(ctx, key.Table, key.Part, key.Name, key.Name+"\x00")
+	rows, _, _, err := r.store.Range(ctx, key.Table, key.Part, key.Name, key.Name+"\x00")
 	if err != nil {
 		return err
 	}
--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
-	"golang.org/x/sync/errgroup"
 
 	"laburnumpoint/internal/monotime"
 )
@@ -17,10 +15,6 @@
 const (
 	// callSlack is the time beyond its wait in which a call for changes must be answered; a silent connection is left.
 	callSlack = 500 * time.Millisecond
-	// loadTimeout bounds the reading of a whole table.
-	loadTimeout = 3 * time.Second
-	// partTimeout bounds one call for a part of it, about twice what a store sixty times slower than usual takes.
-	partTimeout = 500 * time.Millisecond
 	// retryDelay is kept between a failed call and the next.
 	retryDelay = 100 * time.Millisecond
 )
@@ -111,60 +105,24 @@
 	return f.feed(ctx, wait)
 }
 
-// loadCalls is how many parts are read at once, so that a slow store delays the reading of a table only a little.
-const loadCalls = 8
-
+// load reads the whole table. Rows may be newer than the version from which the feed goes on, which then repeats them.
 func (f *Follower) load(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
 	sent := f.Clock.Now()
-	rows := make([][]Row, len(f.Parts))
-	versions := make([]uint64, len(f.Parts))
-	calls, ctx := errgroup.WithContext(ctx)
-	calls.SetLimit(loadCalls)
-	for i, part := range f.Parts {
-		calls.Go(func() (err error) {
-			rows[i], versions[i], err = f.loadPart(ctx, part)
-			return err
-		})
-	}
-	if err := calls.Wait(); err != nil {
+	l := &loader{store: f.Store, table: f.Table}
+	all, version, err := l.read(ctx, f.Parts)
+	if err != nil {
 		return err
 	}
-	var all []Change
-	for _, part := range rows {
-		for _, row := range part {
-			all = append(all, Change{Row: row})
-		}
-	}
 	f.Apply(all, true)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.loaded = true
-	f.version = slices.Min(versions)
+	f.version = version
 	f.heard = sent
 	f.done(sent)
 	return nil
 }
 
-// loadPart reads a part, again and again until ctx ends: a store that is away when a daemon starts is back at any moment, and
-// what was sent before is not answered then.
-func (f *Follower) loadPart(ctx context.Context, part string) ([]Row, uint64, error) {
-	for {
-		rows, version, err := f.tryPart(ctx, part)
-		if err == nil || ctx.Err() != nil {
-			return rows, version, err
-		}
-		monotime.Sleep(ctx, retryDelay)
-	}
-}
-
-func (f *Follower) tryPart(ctx context.Context, part string) ([]Row, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, partTimeout)
-	defer cancel()
-	return f.Store.Range(ctx, f.Table, part, "", "")
-}
-
 func (f *Follower) done(sent monotime.Instant) {
 	if f.Done != nil {
 		f.Done(sent)
--- a/internal/rowstore/memory.go
+++ b/internal/rowstore/memory.go
@@ -73,8 +73,11 @@
 	m.history = slices.DeleteFunc(m.history, func(c Change) bool { return c.Version <= m.oldest })
 }
 
+// maxRange bounds the rows of one answer.
+const maxRange = 500
+
 // Range implements Store.
-func (m *Memory) Range(_ context.Context, table, part, from, to string) ([]Row, uint64, error) {
+func (m *Memory) Range(_ context.Context, table, part, from, to string) ([]Row, string, uint64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []Row
@@ -84,7 +87,10 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b Row) int { return strings.Compare(a.Name, b.Name) })
-	return out, m.version, nil
+	if len(out) > maxRange {
+		return out[:maxRange], out[maxRange].Name, m.version, nil
+	}
+	return out, "", m.version, nil
 }
 
 // Feed implements Store.
--- a/internal/rowstore/monitor.go
+++ b/internal/rowstore/monitor.go
@@ -124,13 +124,13 @@
 }
 
 // Range implements Store.
-func (m *Monitor) Range(ctx context.Context, table, part, from, to string) ([]Row, uint64, error) {
+func (m *Monitor) Range(ctx context.Context, table, part, from, to string) ([]Row, string, uint64, error) {
 	ctx, cancel, _ := m.bound(ctx)
 	defer cancel()
 	sent := m.clock.Now()
-	rows, version, err := m.store.Range(ctx, table, part, from, to)
+	rows, next, version, err := m.store.Range(ctx, table, part, from, to)
 	m.note(callRange, sent, err)
-	return rows, version, err
+	return rows, next, version, err
 }
 
 // Feed implements Store. While the store is down it does not wait for changes: any answer tells that the store is back.
--- a/internal/rowstore/outage_test.go
+++ b/internal/rowstore/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -24,13 +25,21 @@
 	*Memory
 	silent atomic.Bool
 	slow   time.Duration
+	// slowAfter is how many calls are answered at once before that.
+	slowAfter int64
+	calls     atomic.Int64
 }
 
+func quiet() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
+
 func (s *silentStore) pass(ctx context.Context) error {
 	if s.silent.Load() {
 		<-ctx.Done()
 		return ErrUnavailable
 	}
+	if s.calls.Add(1) <= s.slowAfter {
+		return nil
+	}
 	select {
 	case <-time.After(s.slow):
 		return nil
@@ -39,9 +48,9 @@
 	}
 }
 
-func (s *silentStore) Range(ctx context.Context, table, part, from, to string) ([]Row, uint64, error) {
+func (s *silentStore) Range(ctx context.Context, table, part, from, to string) ([]Row, string, uint64, error) {
 	if err := s.pass(ctx); err != nil {
-		return nil, 0, err
+		return nil, "", 0, err
 	}
 	return s.Memory.Range(ctx, table, part, from, to)
 }
@@ -54,7 +63,7 @@
 }
 
 func follow(ctx context.Context, store Store, clock monotime.Clock, parts int) *Follower {
-	f := &Follower{Store: store, Clock: clock, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Table: "t", Wait: 500 * time.Millisecond}
+	f := &Follower{Store: store, Clock: clock, Log: quiet(), Table: "t", Wait: 500 * time.Millisecond}
 	for i := range parts {
 		f.Parts = append(f.Parts, string(rune('a'+i)))
 	}
@@ -89,6 +98,37 @@
 	})
 }
 
+// All VMs of a large cell start at once, and the table is long: each page takes most of the time of a call, or more than that.
+// The pages that were read must not be read again.
+func TestLongTableIsReadPageByPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, slow := range []time.Duration{pageTimeout * 4 / 5, pageTimeout * 3 / 2} {
+			ctx, cancel := context.WithCancel(t.Context())
+			clock := bubbleClock{time.Now()}
+			store := &silentStore{Memory: NewMemory()}
+			const pages = 4
+			for i := range pages * maxRange {
+				row := Row{Key: Key{Table: "t", Part: "a", Name: fmt.Sprintf("%08d", i)}}
+				if _, _, err := store.Apply(ctx, Tx{Put: []Row{row}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			store.slowAfter = 1
+			store.slow = slow
+			rows := 0
+			f := &Follower{Store: store, Clock: clock, Log: quiet(), Table: "t", Parts: []string{"a"}, Wait: time.Second}
+			f.Apply = func(changes []Change, _ bool) { rows += len(changes) }
+			go f.Run(ctx)
+			time.Sleep(loadTimeout - time.Second)
+			if rows != pages*maxRange {
+				t.Errorf("pages of %s: %d rows read, want %d", slow, rows, pages*maxRange)
+			}
+			cancel()
+			synctest.Wait()
+		}
+	})
+}
+
 // The store falls silent for a while: once it is back, that is known soon, however long the calls wait that were under way.
 func TestReturnOfTheStoreIsNoticed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -63,9 +63,9 @@
 	// Apply executes tx and returns its version. On ErrConflict it returns the rows named in Expect as they are.
 	// Errors: ErrConflict, ErrUnavailable, ErrUncertain.
 	Apply(ctx context.Context, tx Tx) (version uint64, current []Row, err error)
-	// Range returns the rows of a table's part with from <= name < to (empty: no bound) as of one version.
-	// Errors: ErrUnavailable.
-	Range(ctx context.Context, table, part, from, to string) (rows []Row, version uint64, err error)
+	// Range returns rows of a table's part with from <= name < to (empty: no bound) in order as of one version, as many as
+	// one call answers. next is the bound from which to go on, empty at the end. Errors: ErrUnavailable.
+	Range(ctx context.Context, table, part, from, to string) (rows []Row, next string, version uint64, err error)
 	// Feed returns the changes of a table after a version, as soon as there is one and after wait at the latest,
 	// and the version to continue from. Errors: ErrUnavailable, ErrHistoryLost.
 	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
