Where answers of workers get lost, orders are sent again sooner and looks wait less

A try of an order now takes 0.11 s, and for 4 s after a lost answer a worker's looks wait 0.3 s instead of 1.2 s. The bound of the answer itself stays at 0.8 s, so that slow workers don't count as silent.

--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -30,8 +30,9 @@
 	// startTimeout and stopTimeout bound an order to a worker that answers within milliseconds when it is sound.
 	startTimeout = 700 * time.Millisecond
 	stopTimeout  = 700 * time.Millisecond
-	// orderTry bounds one try of an order: several times what a sound worker takes under load.
-	orderTry = 230 * time.Millisecond
+	// orderTry bounds one try of an order: several times what a sound worker takes, and short beside the objective of a
+	// second of the quickest jobs, whose wide steps wait for the slowest of their starts.
+	orderTry = 110 * time.Millisecond
 	// orderPause is kept between two tries, for a worker that answers at once that it can't.
 	orderPause = 20 * time.Millisecond
 	// unknownLeaseMargin covers the way of an earlier owner's last order to a worker.
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -14,6 +14,10 @@
 const (
 	// holdWait is how long a worker may wait for an end before it answers a look.
 	holdWait = 1200 * time.Millisecond
+	// lossyWait is holdWait while answers get lost: an end is heard of only after the look that should have told of it.
+	lossyWait = 300 * time.Millisecond
+	// lossyTime is how long after a lost answer more are expected to be lost.
+	lossyTime = 4 * time.Second
 	// holdTimeout bounds a look beyond its wait.
 	holdTimeout = 800 * time.Millisecond
 	// holdRetry is kept after a look without an answer.
@@ -84,6 +88,7 @@
 // run looks at the worker again and again.
 func (l *link) run(ctx context.Context) {
 	wait := time.Duration(0)
+	var lostAt monotime.Instant
 	// A look that may go unanswered extends no lease: otherwise the lease of a worker that has gone would never be over.
 	answering := false
 	for ctx.Err() == nil {
@@ -93,18 +98,27 @@
 			return
 		}
 		if err != nil {
+			lostAt = l.c.now()
 			l.c.post(func() { l.c.linkFailed(l, err) })
 			monotime.Sleep(ctx, holdRetry)
 			wait = 0
 			continue
 		}
-		wait = holdWait
+		wait = nextWait(lostAt, l.c.now())
 		if !l.awaitRecorded(ctx, last) {
 			wait = 0
 		}
 	}
 }
 
+// nextWait returns how long the next look may wait for an end, if the last lost answer was at lostAt, 0 for never.
+func nextWait(lostAt, now monotime.Instant) time.Duration {
+	if lostAt > 0 && now.Sub(lostAt) < lossyTime {
+		return lossyWait
+	}
+	return holdWait
+}
+
 // awaitRecorded waits until the ends up to last are recorded, within bounds.
 func (l *link) awaitRecorded(ctx context.Context, last uint64) bool {
 	timer := time.NewTimer(recordWait)
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -90,8 +90,8 @@
 	}{
 		"answered":                    {0, dispatch.Started, dispatch.Started, 0},
 		"refused":                     {0, dispatch.StartNoRoom, dispatch.StartNoRoom, 0},
-		"second answered":             {1, dispatch.Started, dispatch.Started, 300 * time.Millisecond},
-		"third answered":              {2, dispatch.Started, dispatch.Started, 600 * time.Millisecond},
+		"second answered":             {1, dispatch.Started, dispatch.Started, 150 * time.Millisecond},
+		"third answered":              {2, dispatch.Started, dispatch.Started, 300 * time.Millisecond},
 		"refused after one in doubt":  {1, dispatch.StartNoRoom, dispatch.StartInDoubt, 300 * time.Millisecond},
 		"outdated after one in doubt": {1, dispatch.StartOutdated, dispatch.StartInDoubt, 300 * time.Millisecond},
 		"never answered":              {1000, dispatch.Started, dispatch.StartInDoubt, startTimeout},
@@ -181,6 +181,47 @@
 	})
 }
 
+// Some answers of a worker get lost: its looks then wait less, so that ends are heard of sooner, and wait as before once none
+// has been lost for a while.
+func TestLooksWaitLessWhileAnswersGetLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		runners := &fakeRunners{start: time.Now()}
+		c := newTestControl(ctx, runners)
+		c.addLink(dispatch.Worker{ID: "w"}, false)
+		longest := func(over time.Duration) (wait time.Duration) {
+			runners.mu.Lock()
+			runners.holds = nil
+			runners.mu.Unlock()
+			time.Sleep(over)
+			runners.mu.Lock()
+			defer runners.mu.Unlock()
+			for _, h := range runners.holds {
+				wait = max(wait, h.Wait)
+			}
+			return wait
+		}
+		if wait := longest(3 * time.Second); wait != holdWait {
+			t.Errorf("looks wait %s, want %s", wait, holdWait)
+		}
+		runners.setSilent(true)
+		time.Sleep(holdWait + holdTimeout)
+		runners.setSilent(false)
+		time.Sleep(holdTimeout + holdRetry)
+		if wait := longest(lossyTime / 2); wait != lossyWait {
+			t.Errorf("after a lost answer looks wait %s, want %s", wait, lossyWait)
+		}
+		time.Sleep(lossyTime)
+		if wait := longest(3 * time.Second); wait != holdWait {
+			t.Errorf("looks wait %s long after, want %s", wait, holdWait)
+		}
+		cancel()
+		time.Sleep(holdWait) // the look under way
+		synctest.Wait()
+	})
+}
+
 // Thousands of ends a second come one by one: decisions follow from several together, and from a single one at once.
 func TestRoundsAreBoundedUnderLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
