Owner and engine in smaller files

The control loop, records, questions to the policy service, orders and the choice of a worker have a file each. Nothing but imports and constants' places has changed.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"laburnumpoint/internal/graph"
-	"laburnumpoint/internal/monotime"
 )
 
 // Plan places what can be placed and returns the orders that follow, with those of earlier events. wall is the time of
@@ -300,94 +299,3 @@
 func (s *step) eligible(w *worker) bool {
 	return s.def.Label == "" || slices.Contains(w.Labels, s.def.Label)
 }
-
-// permitMargin is kept between the use of a permit and its end, for the order's way to the worker.
-const permitMargin = 200 * time.Millisecond
-
-func (s *step) permitted(w *worker, now monotime.Instant) bool {
-	if s.job.queue.Permit == nil {
-		return true
-	}
-	p, ok := s.permits[w.ID]
-	return ok && now.Add(permitMargin) < p.validUntil
-}
-
-// choose returns the best of the workers for one more task of the step, nil if there is none.
-func (e *Engine) choose(s *step, workers []*worker, taken map[*worker]graph.Claim, counts map[WorkerID]int) *worker {
-	var best *worker
-	var bestScore float64
-	for _, w := range workers {
-		e.stats.Looks++
-		// Room comes first: it is the cheapest to look at, and what most workers of a busy pool lack.
-		if !e.hasRoom(s, w, taken[w], counts) || !s.eligible(w) || !s.permitted(w, e.now) {
-			continue
-		}
-		score := e.score(s, w, taken[w])
-		if best == nil || score > bestScore {
-			best, bestScore = w, score
-		}
-	}
-	return best
-}
-
-func (e *Engine) hasRoom(s *step, w *worker, taken graph.Claim, counts map[WorkerID]int) bool {
-	if w.reservedFor != nil && w.reservedFor != s {
-		return false
-	}
-	if s.def.MaxPerWorker > 0 && counts[w.ID] >= s.def.MaxPerWorker {
-		return false
-	}
-	if !s.def.Held().Fits(w.free().Sub(taken).Sub(w.promised(s, e.now))) {
-		return false
-	}
-	return !w.clashes(s.def)
-}
-
-// clashes keeps tasks that fill apart from tasks with users of their own, which they would slow.
-func (w *worker) clashes(def *graph.Step) bool {
-	if !def.Filler && def.TailTarget == 0 {
-		return false
-	}
-	for _, r := range w.runs {
-		if def.Filler && r.task != nil && r.task.step.def.TailTarget > 0 {
-			return true
-		}
-		if def.TailTarget > 0 && r.filler {
-			return true
-		}
-	}
-	return false
-}
-
-// Weights of a placement: data and health count more than packing.
-const (
-	dataRackWeight = 4.0
-	suspectWeight  = 8.0
-)
-
-// score ranks workers: sound ones first, then those near the data, then the fullest.
-func (e *Engine) score(s *step, w *worker, taken graph.Claim) float64 {
-	score := 0.0
-	if e.isSuspect(w) {
-		score -= suspectWeight
-	}
-	if s.def.DataRack != "" && w.Rack == s.def.DataRack {
-		score += dataRackWeight
-	}
-	return score + fullness(w.free().Sub(taken).Sub(s.def.Held()), w.Capacity)
-}
-
-// fullness is the share of the scarcest part of a worker that would be in use.
-func fullness(free, capacity graph.Claim) float64 {
-	used := 0.0
-	if capacity.Accelerators > 0 {
-		return 1 - float64(free.Accelerators)/float64(capacity.Accelerators)
-	}
-	if capacity.MilliCPU > 0 {
-		used = 1 - float64(free.MilliCPU)/float64(capacity.MilliCPU)
-	}
-	if capacity.MemoryMB > 0 {
-		used = max(used, 1-float64(free.MemoryMB)/float64(capacity.MemoryMB))
-	}
-	return used
-}
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
@@ -10,7 +9,6 @@
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
-	"laburnumpoint/internal/wire"
 )
 
 // Bounds of the control loop.
@@ -20,21 +18,9 @@
 	tick = 100 * time.Millisecond
 	// roundGap is kept between two rounds of decisions, so that under load they answer several events each.
 	roundGap = 2 * time.Millisecond
-	// recordGap is kept between two records, so that what ends together is recorded together.
-	recordGap = 25 * time.Millisecond
-	// recordRetry is kept before a record that failed is tried again.
-	recordRetry = 100 * time.Millisecond
 	// leaseLength is for how long a worker's lease is extended. It outlasts a takeover, and bounds how long tasks of a
 	// worker that is cut off wait.
 	leaseLength = 5 * time.Second
-	// startTimeout and stopTimeout bound an order to a worker that answers within milliseconds when it is sound.
-	startTimeout = 700 * time.Millisecond
-	stopTimeout  = 700 * time.Millisecond
-	// orderTry bounds one try of an order: several times what a sound worker takes, and short beside the objective of a
-	// second of the quickest jobs, whose wide steps wait for the slowest of their starts.
-	orderTry = 110 * time.Millisecond
-	// orderPause is kept between two tries, for a worker that answers at once that it can't.
-	orderPause = 20 * time.Millisecond
 	// unknownLeaseMargin covers the way of an earlier owner's last order to a worker.
 	unknownLeaseMargin = 300 * time.Millisecond
 )
@@ -317,191 +303,3 @@
 	c.Log.Warn().Uint64("epoch", c.tenure.Epoch()).Str("why", why).Msg("ownership lost")
 	c.end()
 }
-
-// maxRecords bounds the jobs of one record, below the store's bound of a transaction with the ownership row.
-const maxRecords = 80
-
-// record writes what changed, if nothing is being written and it is time.
-func (c *control) record() {
-	now := c.now()
-	due := now >= c.renewAt || c.engine.HasDirty() || len(c.newWorkers) > 0 || len(c.oldWorkers) > 0 || len(c.oldJobs) > 0
-	if c.recording || !due || now < c.recordAt {
-		if !c.recording && due {
-			time.AfterFunc(max(0, c.recordAt.Sub(now)), func() { c.post(func() {}) })
-		}
-		return
-	}
-	batch := c.takeBatch()
-	covered := map[dispatch.WorkerID]uint64(nil)
-	if !c.engine.HasDirty() {
-		covered = c.engine.Recorded()
-	}
-	c.recording = true
-	sent := now
-	go func() {
-		err := c.tenure.Record(context.WithoutCancel(c.ctx), batch)
-		c.events <- func() { c.recorded(batch, covered, sent, err) }
-	}()
-}
-
-func (c *control) takeBatch() ledger.Batch {
-	batch := ledger.Batch{Progress: c.engine.TakeDirty(maxRecords)}
-	for id, w := range c.newWorkers {
-		if batch.Entries() >= maxRecords {
-			break
-		}
-		batch.Workers = append(batch.Workers, w)
-		delete(c.newWorkers, id)
-	}
-	for id := range c.oldWorkers {
-		if batch.Entries() >= maxRecords {
-			break
-		}
-		batch.OldWorkers = append(batch.OldWorkers, id)
-		delete(c.oldWorkers, id)
-	}
-	for id := range c.oldJobs {
-		if batch.Entries() >= maxRecords {
-			break
-		}
-		batch.OldJobs = append(batch.OldJobs, id)
-		delete(c.oldJobs, id)
-	}
-	return batch
-}
-
-// recorded takes in the outcome of a record sent at the given time.
-func (c *control) recorded(batch ledger.Batch, covered map[dispatch.WorkerID]uint64, sent monotime.Instant, err error) {
-	c.recording = false
-	now := c.now()
-	if err != nil {
-		c.recordFailed(batch, err)
-		c.recordAt = now.Add(recordRetry)
-		return
-	}
-	c.counts.records.Inc()
-	c.renewedAt = sent
-	c.recordAt = sent.Add(recordGap)
-	c.renewAt = sent.Add(renewInterval)
-	if !c.lost {
-		c.validUntil.Store(int64(sent.Add(validFor)))
-	}
-	for _, w := range batch.Workers {
-		c.addLink(w, false)
-	}
-	for id, p := range batch.Progress {
-		if p.State.Ended() {
-			c.Log.Info().Str("job", string(id)).Str("state", string(p.State)).Uint64("epoch", c.tenure.Epoch()).Msg("job ended")
-			c.noteEnded(id, true)
-		}
-	}
-	c.cover(covered)
-}
-
-func (c *control) recordFailed(batch ledger.Batch, err error) {
-	c.counts.recordFailures.Inc()
-	if errors.Is(err, ledger.ErrNotOwner) {
-		c.lose("ownership row changed")
-		return
-	}
-	c.Log.Warn().Uint64("epoch", c.tenure.Epoch()).Int("rows", batch.Entries()).Err(err).Msg("record not written, trying again")
-	for id := range batch.Progress {
-		c.engine.MarkDirty(id)
-	}
-	for _, w := range batch.Workers {
-		c.newWorkers[w.ID] = w
-	}
-	for _, id := range batch.OldWorkers {
-		c.oldWorkers[id] = struct{}{}
-	}
-	for _, id := range batch.OldJobs {
-		c.oldJobs[id] = struct{}{}
-	}
-}
-
-// acknowledge lets workers forget ends that need no record, when nothing waits to be recorded.
-func (c *control) acknowledge() {
-	if !c.recording && !c.engine.HasDirty() {
-		c.cover(c.engine.Recorded())
-	}
-}
-
-// cover tells the links up to which sequence their workers' ends are recorded.
-func (c *control) cover(recorded map[dispatch.WorkerID]uint64) {
-	for id, sequence := range recorded {
-		if l := c.links[id]; l != nil {
-			l.cover(sequence)
-		}
-	}
-}
-
-// assignPermits asks the policy service what waits to be asked, from the daemons that are free.
-func (c *control) assignPermits() {
-	for {
-		ask, h, ok := c.permits.next(c.now())
-		if !ok {
-			return
-		}
-		if state, known := c.engine.JobState(ask.Step.Job); !known || state.Ended() {
-			c.permits.done(h, c.now(), true)
-			continue
-		}
-		go c.ask(ask, h, h.addr)
-	}
-}
-
-// permitSlack is granted to a question beyond the time that the policy service needs.
-const permitSlack = 600 * time.Millisecond
-
-func (c *control) ask(ask dispatch.Ask, h *helper, addr string) {
-	timeout := 2*ask.Cost + permitSlack
-	ctx, cancel := context.WithTimeout(c.ctx, timeout)
-	defer cancel()
-	sent := c.now()
-	var answer PermitAnswer
-	var err error
-	if addr == "" {
-		answer, err = c.askPolicy(ctx, ask.Step, ask.Workers)
-	} else {
-		answer, err = c.askThrough(ctx, addr, ask, timeout)
-	}
-	took := c.now().Sub(sent)
-	c.counts.permitTime.Update(took.Seconds())
-	if err != nil {
-		c.counts.permitFailures.Inc()
-		c.Log.Warn().Str("job", string(ask.Step.Job)).Int("step", ask.Step.Step).Str("via", addr).Dur("took", took).Err(err).Msg("policy service gave no answer")
-	} else {
-		c.Log.Info().Str("job", string(ask.Step.Job)).Int("step", ask.Step.Step).Str("via", addr).Int("asked", len(ask.Workers)).Int("allowed", len(answer.Tickets)).Dur("took", took).Msg("permits")
-	}
-	c.post(func() {
-		c.permits.done(h, c.now(), err == nil)
-		c.engine.Permits(ask.Step, ask.Workers, answer.Tickets, answer.Valid, err == nil)
-	})
-}
-
-var errNoPermitAnswer = errors.New("owner: the daemon asked got no answer from the policy service")
-
-func (c *control) askThrough(ctx context.Context, addr string, ask dispatch.Ask, timeout time.Duration) (PermitAnswer, error) {
-	req := &wire.PermitRequest{
-		Job:        string(ask.Step.Job),
-		Occurrence: uint32(ask.Step.Occurrence),
-		Step:       uint32(ask.Step.Step),
-		TimeoutMs:  timeout.Milliseconds(),
-	}
-	for _, w := range ask.Workers {
-		req.Workers = append(req.Workers, string(w))
-	}
-	reply, err := c.Peers.Call(ctx, addr, &wire.Request{Body: &wire.Request_Permit{Permit: req}})
-	if err != nil {
-		return PermitAnswer{}, err
-	}
-	body := reply.GetPermit()
-	if body == nil || !body.Answered {
-		return PermitAnswer{}, errNoPermitAnswer
-	}
-	answer := PermitAnswer{Tickets: make(map[dispatch.WorkerID]string), Valid: time.Duration(body.ValidMs) * time.Millisecond}
-	for _, p := range body.Permits {
-		answer.Tickets[dispatch.WorkerID(p.Worker)] = p.Ticket
-	}
-	return answer, nil
-}
