A successor knows all that is durable before its first order

Cause: an answer of the store's feed holds at most 500 rows and the rest of the last transaction; the version to continue from is then that of its last row. A follower took each answer for all there was.

Ruled out: ends released before their record (released only after the transaction is acknowledged, and none while anything is unrecorded), table pages read while they are written, hand-over by word (the ownership row is read and the write is conditional on it).

Now a new owner reads the feed until it has reached the version of the transaction that made it the owner; earlier owners can't write after that. A copy whose last answer may have been cut is not current, reads on without a pause, and its daemon is no successor. The store in memory cuts its answers likewise.

TestSuccessorKnowsAllThatIsDurable (random interleavings of records, refusals and takeover) and TestCopyThatIsBehindIsNotCurrent fail with the old reading.

--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -158,10 +158,10 @@
 	return true
 }
 
-// CatchUp takes in every change that the store holds now. Errors: ErrUnavailable.
-func (r *Replica) CatchUp(ctx context.Context) error {
+// CatchUp takes in every change up to a version that the store is known to have reached. Errors: ErrUnavailable.
+func (r *Replica) CatchUp(ctx context.Context, version uint64) error {
 	for _, f := range r.followers {
-		if err := f.Refresh(ctx); err != nil {
+		if err := f.CatchUp(ctx, version); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/ledger/takeover_test.go
@@ -0,0 +1,224 @@
+package ledger
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"reflect"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"pgregory.net/rapid"
+
+	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/rowstore"
+)
+
+// bubbleClock tells the time of a synctest bubble.
+type bubbleClock struct{ start time.Time }
+
+func (c bubbleClock) Now() monotime.Instant { return monotime.Instant(1 + time.Since(c.start)) }
+
+// gatedStore turns its daemon away while it is shut, and answers after a millisecond otherwise.
+type gatedStore struct {
+	*rowstore.Memory
+	shut atomic.Bool
+}
+
+func (s *gatedStore) pass() error {
+	time.Sleep(time.Millisecond)
+	if s.shut.Load() {
+		return rowstore.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *gatedStore) Apply(ctx context.Context, tx rowstore.Tx) (uint64, []rowstore.Row, error) {
+	if err := s.pass(); err != nil {
+		return 0, nil, err
+	}
+	return s.Memory.Apply(ctx, tx)
+}
+
+func (s *gatedStore) Range(ctx context.Context, table, part, from, to string) ([]rowstore.Row, string, uint64, error) {
+	if err := s.pass(); err != nil {
+		return nil, "", 0, err
+	}
+	return s.Memory.Range(ctx, table, part, from, to)
+}
+
+func (s *gatedStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowstore.Change, uint64, error) {
+	if err := s.pass(); err != nil {
+		return nil, 0, err
+	}
+	return s.Memory.Feed(ctx, table, after, wait)
+}
+
+// takeoverWorld is an owner that records ends at a high rate, and a daemon that the store turns away now and then and that
+// takes over at any moment.
+type takeoverWorld struct {
+	gate      *gatedStore
+	owner     *Tenure
+	successor *Replica
+	durable   map[graph.JobID]dispatch.Progress
+	runs      uint64
+}
+
+func newTakeoverWorld(ctx context.Context) (*takeoverWorld, error) {
+	clock := bubbleClock{time.Now()}
+	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	memory := rowstore.NewMemory()
+	w := &takeoverWorld{gate: &gatedStore{Memory: memory}, durable: make(map[graph.JobID]dispatch.Progress)}
+	w.successor = NewReplica(w.gate, clock, quiet)
+	w.successor.SetDaemons(40)
+	go w.successor.Run(ctx)
+	owner := NewReplica(memory, clock, quiet)
+	var err error
+	w.owner, err = owner.Acquire(ctx, owner.Owner(), Owner{Node: "a", Life: "a"})
+	time.Sleep(time.Second)
+	return w, err
+}
+
+// record has the owner record ends of so many of a hundred jobs.
+func (w *takeoverWorld) record(ctx context.Context, jobs, first int) error {
+	batch := Batch{Progress: make(map[graph.JobID]dispatch.Progress)}
+	for n := range jobs {
+		w.runs++
+		id := graph.JobID(fmt.Sprintf("%016x", (first+n)%100))
+		batch.Progress[id] = dispatch.Progress{State: graph.Running, Started: true, Steps: []dispatch.StepProgress{{FailedRuns: []uint64{w.runs}}}}
+	}
+	if err := w.owner.Record(ctx, batch); err != nil {
+		return err
+	}
+	maps.Copy(w.durable, batch.Progress)
+	return nil
+}
+
+// takeOver makes the other daemon the owner, and compares what it knows before its first order with what is durable.
+func (w *takeoverWorld) takeOver(ctx context.Context) error {
+	if err := w.successor.ReadOwner(ctx); err != nil {
+		return err
+	}
+	tenure, err := w.successor.Acquire(ctx, w.successor.Owner(), Owner{Node: "b", Life: "b"})
+	if err != nil {
+		return err
+	}
+	if err := tenure.CatchUp(ctx); err != nil {
+		return err
+	}
+	for id, want := range w.durable {
+		if !w.knows(id, want) {
+			return fmt.Errorf("job %s: the successor has another progress than the store", id)
+		}
+	}
+	return nil
+}
+
+func (w *takeoverWorld) knows(id graph.JobID, want dispatch.Progress) bool {
+	w.successor.mu.RLock()
+	defer w.successor.mu.RUnlock()
+	j := w.successor.jobs[id]
+	return j != nil && reflect.DeepEqual(*j.Progress, want)
+}
+
+// takeoverAction is one step of a random history.
+type takeoverAction struct {
+	kind string
+	// jobs and first choose the jobs that the owner records; wait is how long nothing happens.
+	jobs, first int
+	wait        time.Duration
+}
+
+func drawTakeover(t *rapid.T) []takeoverAction {
+	actions := make([]takeoverAction, rapid.IntRange(1, 80).Draw(t, "actions"))
+	for i := range actions {
+		actions[i] = takeoverAction{
+			kind:  rapid.SampledFrom([]string{"record", "record", "record", "shut", "open", "wait"}).Draw(t, "kind"),
+			jobs:  rapid.IntRange(1, 80).Draw(t, "jobs"),
+			first: rapid.IntRange(0, 99).Draw(t, "first"),
+			wait:  time.Duration(rapid.IntRange(1, 600).Draw(t, "ms")) * time.Millisecond,
+		}
+	}
+	return actions
+}
+
+func playTakeover(ctx context.Context, actions []takeoverAction) error {
+	w, err := newTakeoverWorld(ctx)
+	if err != nil {
+		return err
+	}
+	for _, a := range actions {
+		switch a.kind {
+		case "record":
+			if err := w.record(ctx, a.jobs, a.first); err != nil {
+				return err
+			}
+		case "shut":
+			w.gate.shut.Store(true)
+		case "open":
+			w.gate.shut.Store(false)
+		case "wait":
+			time.Sleep(a.wait)
+		}
+	}
+	w.gate.shut.Store(false)
+	return w.takeOver(ctx)
+}
+
+// Pattern: the owner records several hundred ends a second while another daemon, which the store had turned away, is behind
+// by more than one answer of the feed, and takes over. Before its first order it knows all that is durable.
+func TestSuccessorKnowsAllThatIsDurable(t *testing.T) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		actions := drawTakeover(rt)
+		var err error
+		synctest.Test(t, func(*testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			err = playTakeover(ctx, actions)
+		})
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// A copy that is behind by several answers of the feed is not taken for a current one, and catches up without pauses.
+func TestCopyThatIsBehindIsNotCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		w, err := newTakeoverWorld(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.gate.shut.Store(true)
+		time.Sleep(time.Second)
+		for range 100 {
+			if err := w.record(ctx, 80, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.gate.shut.Store(false)
+		returned := time.Now()
+		const last = graph.JobID("0000000000000000")
+		for !w.knows(last, w.durable[last]) {
+			if age := w.successor.Age(); age < time.Since(returned) {
+				t.Fatalf("a copy that lacks changes says that it is %s old, %s after the return", age, time.Since(returned))
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if took := time.Since(returned); took > time.Second {
+			t.Errorf("caught up after %s, want within a second", took)
+		}
+	})
+}
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -59,6 +59,10 @@
 // Epoch returns the tenure's fencing epoch.
 func (t *Tenure) Epoch() uint64 { return t.owner.Epoch }
 
+// CatchUp takes in all that earlier owners have recorded: none of them can write after the row that made this one the
+// owner. Errors: ErrUnavailable.
+func (t *Tenure) CatchUp(ctx context.Context) error { return t.replica.CatchUp(ctx, t.version) }
+
 // Record writes a batch and renews the ownership. After ErrUncertain the batch must be recorded again.
 // Errors: ErrNotOwner, ErrUnavailable, ErrUncertain.
 func (t *Tenure) Record(ctx context.Context, b Batch) error {
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -101,7 +101,7 @@
 func (c *control) load() error {
 	ctx, cancel := context.WithTimeout(c.ctx, catchUpTimeout)
 	defer cancel()
-	if err := c.Replica.CatchUp(ctx); err != nil {
+	if err := c.tenure.CatchUp(ctx); err != nil {
 		return err
 	}
 	c.engine.SetNow(c.now())
--- a/internal/owner/hello.go
+++ b/internal/owner/hello.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
@@ -24,10 +25,19 @@
 	}
 }
 
+// knowledgeAge is how old what the store has told this daemon is, as far as it matters to who may own the cell: a daemon
+// whose copy of the ledger is behind could not take over although the store answers it.
+func (d *Daemon) knowledgeAge() time.Duration {
+	if age := d.Replica.Age(); age > blindAfter {
+		return age
+	}
+	return d.StoreAge()
+}
+
 func (d *Daemon) hello(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, helloInterval)
 	defer cancel()
-	body := &wire.Hello{Node: d.Node, Addr: d.PeerAddr, Zone: d.Zone, StoreAgeMs: d.StoreAge().Milliseconds(), MilliCores: uint32(d.Cores * 1000)}
+	body := &wire.Hello{Node: d.Node, Addr: d.PeerAddr, Zone: d.Zone, StoreAgeMs: d.knowledgeAge().Milliseconds(), MilliCores: uint32(d.Cores * 1000)}
 	reply, err := d.Peers.Call(ctx, addr, &wire.Request{Body: &wire.Request_Hello{Hello: body}})
 	if err != nil {
 		d.counts.helloFailures.Inc()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -206,8 +206,8 @@
 func (d *Daemon) HandleResign(ctx context.Context, resign *wire.Resign) *wire.Reply {
 	d.Log.Info().Uint64("epoch", resign.Epoch).Msg("asked to take over from an owner that has resigned")
 	// The owner's last renewal may not have been heard of yet.
-	if err := d.Replica.CatchUp(ctx); err != nil {
-		d.Log.Warn().Err(err).Msg("ledger not caught up before taking over")
+	if err := d.Replica.ReadOwner(ctx); err != nil {
+		d.Log.Warn().Err(err).Msg("ownership row not read before taking over")
 	}
 	d.invited.Store(resign.Epoch)
 	return &wire.Reply{Body: &wire.Reply_Done{Done: &wire.Empty{}}}
--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -32,7 +33,7 @@
 	// Gap tells, if set, what is kept between two calls, so that frequent changes come together in one.
 	Gap func() time.Duration
 	// Apply takes in changes in order. With full set, they are all rows of the table. It may be called concurrently if
-	// Refresh is; older changes may then come after newer ones.
+	// CatchUp is; older changes may then come after newer ones.
 	Apply func(changes []Change, full bool)
 	// Done is called, if set, after each call with the time at which it was sent: the rows are as new as that.
 	Done func(sent monotime.Instant)
@@ -40,8 +41,10 @@
 	mu      sync.Mutex
 	loaded  bool
 	version uint64
-	heard   monotime.Instant
-	lost    bool
+	// behind means that the last answer may have lacked later changes.
+	behind bool
+	heard  monotime.Instant
+	lost   bool
 }
 
 // Run follows the table until ctx ends.
@@ -52,14 +55,21 @@
 			return
 		}
 		f.note(err)
-		if err != nil {
+		switch {
+		case err != nil:
 			monotime.Sleep(ctx, retryDelay)
-		} else if f.Gap != nil {
+		case f.Gap != nil && !f.isBehind():
 			monotime.Sleep(ctx, f.Gap())
 		}
 	}
 }
 
+func (f *Follower) isBehind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.behind
+}
+
 // note logs the loss of the store and its return.
 func (f *Follower) note(err error) {
 	f.mu.Lock()
@@ -75,13 +85,26 @@
 	}
 }
 
-// Refresh takes in every change that the store holds now. Errors: ErrUnavailable.
-func (f *Follower) Refresh(ctx context.Context) error {
-	err := f.step(ctx, 0)
-	if errors.Is(err, ErrHistoryLost) {
-		err = f.step(ctx, 0)
+// CatchUp takes in every change up to a version that the store is known to have reached. Errors: ErrUnavailable.
+func (f *Follower) CatchUp(ctx context.Context, version uint64) error {
+	for {
+		if err := f.step(ctx, 0); err != nil && !errors.Is(err, ErrHistoryLost) {
+			return err
+		}
+		if f.reached(version) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+		}
 	}
-	return err
+}
+
+// reached reports whether every change up to the version has been taken in.
+func (f *Follower) reached(version uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loaded && f.version >= version
 }
 
 // Loaded reports whether the table has been read whole.
@@ -91,7 +114,7 @@
 	return f.loaded
 }
 
-// Heard returns when the follower was last known to be current.
+// Heard returns when the follower was last known to be current. One that is behind is not.
 func (f *Follower) Heard() monotime.Instant {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -117,6 +140,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.loaded = true
+	f.behind = false
 	f.version = version
 	f.heard = sent
 	f.done(sent)
@@ -153,7 +177,20 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version = max(f.version, next)
-	f.heard = max(f.heard, sent)
-	f.done(sent)
+	f.behind = mayBeCut(changes)
+	if !f.behind {
+		f.heard = max(f.heard, sent)
+		f.done(sent)
+	}
 	return nil
 }
+
+// mayBeCut reports whether an answer may lack later changes because it is full. Values are encoded on the way, with names
+// around them: one of half the bound may have reached it.
+func mayBeCut(changes []Change) bool {
+	bytes := 0
+	for _, c := range changes {
+		bytes += len(c.Value)
+	}
+	return len(changes) >= FeedRows || bytes >= MaxTxBytes/2
+}
--- a/internal/rowstore/memory.go
+++ b/internal/rowstore/memory.go
@@ -1,6 +1,7 @@
 package rowstore
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -119,11 +120,14 @@
 		return nil, 0, nil, ErrHistoryLost
 	}
 	var out []Change
-	for i := len(m.history) - 1; i >= 0 && m.history[i].Version > after; i-- {
-		if m.history[i].Table == table {
-			out = append(out, m.history[i])
+	first, _ := slices.BinarySearchFunc(m.history, after+1, func(c Change, v uint64) int { return cmp.Compare(c.Version, v) })
+	for _, c := range m.history[first:] {
+		if len(out) >= FeedRows && c.Version > out[len(out)-1].Version {
+			return out, out[len(out)-1].Version, m.changed, nil
+		}
+		if c.Table == table {
+			out = append(out, c)
 		}
 	}
-	slices.Reverse(out)
 	return out, m.version, m.changed, nil
 }
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -52,6 +52,9 @@
 	MaxTxBytes   = 1 << 20
 )
 
+// FeedRows is how many changes an answer of the feed holds at most, beside the rest of the last change's transaction.
+const FeedRows = 500
+
 // Change is a row that was written or removed.
 type Change struct {
 	Row
@@ -67,6 +70,7 @@
 	// one call answers. next is the bound from which to go on, empty at the end. Errors: ErrUnavailable.
 	Range(ctx context.Context, table, part, from, to string) (rows []Row, next string, version uint64, err error)
 	// Feed returns the changes of a table after a version, as soon as there is one and after wait at the latest,
-	// and the version to continue from. Errors: ErrUnavailable, ErrHistoryLost.
+	// and the version to continue from. Of many changes it returns the first: at least FeedRows, or MaxTxBytes of them.
+	// Errors: ErrUnavailable, ErrHistoryLost.
 	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
 }
