Retry-After grows with an outage

Cause: a caller whom nothing could be stored for was always told to come back in a second, and used up its tries within an outage of five. Now it is told half as long as the outage has lasted, with a spread, between 1 and 10 s.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -69,8 +70,9 @@
 	storeRetry = 120 * time.Millisecond
 	// maxTries bounds the tries of one command. A store that fails them all is down for longer than a caller waits.
 	maxTries = 4
-	// storeBackoff is when a caller may come back after the store was found down.
-	storeBackoff = 1 * time.Second
+	// notYet is when a caller may come back to a daemon that is starting or whose copies are outdated, and which others can
+	// answer for.
+	notYet = 1 * time.Second
 	// staleReplica is the age of the ledger's copy from which counts are not answered from it.
 	staleReplica = 2500 * time.Millisecond
 )
@@ -96,6 +98,7 @@
 type Service struct {
 	Options
 
+	outage      outage
 	routes      atomic.Pointer[Routes]
 	configHeard atomic.Int64
 	answers     map[Result]*metrics.Counter
@@ -169,14 +172,14 @@
 func (s *Service) route(host, path string) (*Route, string, *Answer) {
 	routes := s.routes.Load()
 	if routes == nil {
-		return nil, "", &Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "no configuration yet"}
+		return nil, "", &Answer{Result: Unavailable, RetryAfter: notYet, Detail: "no configuration yet"}
 	}
 	route, rest, ok := routes.Match(host, path)
 	if ok {
 		return route, rest, nil
 	}
 	if s.Clock.Now().Sub(monotime.Instant(s.configHeard.Load())) > s.ConfigBound {
-		return nil, "", &Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "configuration may be outdated"}
+		return nil, "", &Answer{Result: Unavailable, RetryAfter: notYet, Detail: "configuration may be outdated"}
 	}
 	return nil, "", &Answer{Result: NoQueue}
 }
@@ -221,6 +224,7 @@
 		if !s.StoreDown() {
 			err := s.write(ctx, write)
 			if err == nil {
+				s.outage.over()
 				s.notify(relay)
 				return Answer{Result: OK}
 			}
@@ -228,6 +232,7 @@
 		}
 		switch s.relay(ctx, relay).GetResult() {
 		case resultOK:
+			s.outage.over()
 			return Answer{Result: OK}
 		case resultUncertain:
 			uncertain = true
@@ -242,7 +247,7 @@
 	if uncertain {
 		return Answer{Result: Uncertain, Detail: "store gave no answer"}
 	}
-	return Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "store unavailable"}
+	return Answer{Result: Unavailable, RetryAfter: s.retryAfter(), Detail: "store unavailable"}
 }
 
 func (s *Service) write(ctx context.Context, write func(context.Context) error) error {
@@ -251,6 +256,11 @@
 	return write(ctx)
 }
 
+// retryAfter returns when a caller may come back of whom nothing could be stored.
+func (s *Service) retryAfter() time.Duration {
+	return s.outage.retryAfter(s.Clock.Now(), rand.Float64())
+}
+
 // about carries out a command on the job that a request names, and counts and logs the answer.
 func (s *Service) about(command, host, path string, do func(graph.JobID) Answer) Answer {
 	defer s.time(command, s.Clock.Now())
@@ -329,7 +339,7 @@
 	}
 	reply := s.relay(ctx, &wire.IntakeRequest{Command: commandExplain, Job: string(id)})
 	if reply.GetResult() != resultOK {
-		return Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "no owner answers"}
+		return Answer{Result: Unavailable, RetryAfter: notYet, Detail: "no owner answers"}
 	}
 	answer.Reasons = reply.GetDetail()
 	return answer
@@ -337,7 +347,7 @@
 
 func (s *Service) pending(route *Route) Answer {
 	if s.Replica.Age() > staleReplica {
-		return s.answer(namePending, "", Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "ledger copy outdated"})
+		return s.answer(namePending, "", Answer{Result: Unavailable, RetryAfter: notYet, Detail: "ledger copy outdated"})
 	}
 	s.answers[OK].Inc()
 	return Answer{Result: OK, Pending: s.Replica.Pending(route.Queue.Name)}
@@ -368,7 +378,7 @@
 		}
 		monotime.Sleep(ctx, storeRetry)
 	}
-	return Answer{Result: Unavailable, RetryAfter: storeBackoff, Detail: "store unavailable"}
+	return Answer{Result: Unavailable, RetryAfter: s.retryAfter(), Detail: "store unavailable"}
 }
 
 func (s *Service) lookUp(ctx context.Context, id graph.JobID) (ledger.Job, bool, error) {
