Daemons on weak VMs leave copies of the ledger to strong ones

Now a daemon on a VM much weaker than the owner's reads the ownership row alone while two others about as strong as the owner stand by; what callers ask goes to the owner, or to the row in the store. It gets a copy once the owner has been silent for longer than a takeover among the strong takes, or when it is asked to take over. Where all VMs are alike, all have copies as before. The ownership row says how strong the owner is and how many stand by.

TestWeakDaemonLeavesTheCopyToOthers and three more (virtual time, a slow link); the first fails without the rule.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -20,6 +20,8 @@
 	commandFind   = "find"
 	// commandExplain asks the owner why a job is where it is.
 	commandExplain = "explain"
+	// commandPending asks the owner for the number of a queue's jobs that have not started.
+	commandPending = "pending"
 
 	resultOK          = "ok"
 	resultUnknown     = "unknown"
@@ -49,7 +51,7 @@
 	if body == nil {
 		return unavailable
 	}
-	if req.Command != commandFind {
+	if req.Command != commandFind && req.Command != commandPending {
 		s.Log.Info().Str("job", req.Job).Str("command", req.Command).Str("owner", owner.Node).Str("result", body.Result).Msg("relayed")
 	}
 	return body
@@ -92,6 +94,10 @@
 		if lines, ok := s.Explain(ctx, id); ok {
 			return &wire.IntakeReply{Result: resultOK, Detail: lines}
 		}
+	case commandPending:
+		if s.Replica.Complete() {
+			return &wire.IntakeReply{Result: resultOK, Pending: uint32(s.Replica.Pending(req.Job))}
+		}
 	}
 	return &wire.IntakeReply{Result: resultUnavailable}
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -295,7 +295,7 @@
 		return s.answer(nameState, rest, *refused)
 	}
 	if rest == "" {
-		return s.pending(route)
+		return s.pending(ctx, route)
 	}
 	id, ok := parseJobID(rest)
 	if !ok {
@@ -345,12 +345,18 @@
 	return answer
 }
 
-func (s *Service) pending(route *Route) Answer {
-	if s.Replica.Age() > staleReplica {
-		return s.answer(namePending, "", Answer{Result: Unavailable, RetryAfter: notYet, Detail: "ledger copy outdated"})
+// pending counts a queue's jobs that have not started, at the owner if there is no current copy at hand.
+func (s *Service) pending(ctx context.Context, route *Route) Answer {
+	if s.Replica.Complete() && s.Replica.Age() <= staleReplica {
+		s.answers[OK].Inc()
+		return Answer{Result: OK, Pending: s.Replica.Pending(route.Queue.Name)}
 	}
-	s.answers[OK].Inc()
-	return Answer{Result: OK, Pending: s.Replica.Pending(route.Queue.Name)}
+	reply := s.relay(ctx, &wire.IntakeRequest{Command: commandPending, Job: route.Queue.Name})
+	if reply.GetResult() == resultOK {
+		s.answers[OK].Inc()
+		return Answer{Result: OK, Pending: int(reply.GetPending())}
+	}
+	return s.answer(namePending, "", Answer{Result: Unavailable, RetryAfter: notYet, Detail: "ledger copy outdated"})
 }
 
 // find looks a job up, in the store or at the owner if this daemon doesn't know it.
--- /dev/null
+++ b/internal/ledger/copy_test.go
@@ -0,0 +1,170 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/rowstore"
+)
+
+// weakLink is the store behind a slow link: each row that is read takes its time, and is counted.
+type weakLink struct {
+	*rowstore.Memory
+	rows atomic.Int64
+}
+
+// rowTime is what a row of a kilobyte takes on a link of 10 Mbit/s.
+const rowTime = time.Millisecond
+
+func (s *weakLink) Range(ctx context.Context, table, part, from, to string) ([]rowstore.Row, string, uint64, error) {
+	rows, next, version, err := s.Memory.Range(ctx, table, part, from, to)
+	s.rows.Add(int64(len(rows)))
+	time.Sleep(time.Duration(1+len(rows)) * rowTime)
+	return rows, next, version, err
+}
+
+func (s *weakLink) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]rowstore.Change, uint64, error) {
+	changes, version, err := s.Memory.Feed(ctx, table, after, wait)
+	s.rows.Add(int64(len(changes)))
+	time.Sleep(time.Duration(1+len(changes)) * rowTime)
+	return changes, version, err
+}
+
+// copyWorld is an owner that records ends, and a daemon on a weak VM.
+type copyWorld struct {
+	link  *weakLink
+	owner *Tenure
+	weak  *Replica
+	lives atomic.Bool
+}
+
+func newCopyWorld(ctx context.Context, t *testing.T, ownerCores float64, standbys int) *copyWorld {
+	t.Helper()
+	clock := bubbleClock{time.Now()}
+	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	w := &copyWorld{link: &weakLink{Memory: rowstore.NewMemory()}}
+	strong := NewReplica(w.link.Memory, clock, quiet, Self{Life: "a", Cores: ownerCores})
+	var err error
+	if w.owner, err = strong.Acquire(ctx, strong.Owner(), Owner{Node: "a", Life: "a", Cores: ownerCores, Standbys: standbys}); err != nil {
+		t.Fatal(err)
+	}
+	for n := range 100 {
+		w.record(ctx, t, n*60)
+	}
+	w.lives.Store(true)
+	go func() {
+		for ctx.Err() == nil {
+			if w.lives.Load() {
+				w.record(ctx, t, 0)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	w.weak = NewReplica(w.link, clock, quiet, Self{Life: "b", Cores: 0.2, Weak: true})
+	w.weak.SetDaemons(40)
+	go w.weak.Run(ctx)
+	return w
+}
+
+// record has the owner record the progress of sixty jobs.
+func (w *copyWorld) record(ctx context.Context, t *testing.T, first int) {
+	batch := Batch{Progress: make(map[graph.JobID]dispatch.Progress)}
+	for n := range 60 {
+		batch.Progress[graph.JobID(fmt.Sprintf("%016x", first+n))] = dispatch.Progress{State: graph.Running, Started: true}
+	}
+	if err := w.owner.Record(ctx, batch); err != nil && ctx.Err() == nil {
+		t.Error(err)
+	}
+}
+
+// leave ends what runs in a bubble and waits for it.
+func leave(cancel context.CancelFunc) {
+	cancel()
+	time.Sleep(time.Second)
+}
+
+// All daemons start again at once. One on a weak VM answers callers soon, since strong ones have the ledger, and reads next
+// to nothing.
+func TestWeakDaemonLeavesTheCopyToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer leave(cancel)
+		w := newCopyWorld(ctx, t, 0.8, 3)
+		time.Sleep(soonReady)
+		if !w.weak.Ready() || w.weak.Owner().Node != "a" {
+			t.Errorf("not ready %s after the start", soonReady)
+		}
+		time.Sleep(20 * time.Second)
+		if rows := w.link.rows.Load(); rows > 200 || w.weak.Complete() {
+			t.Errorf("%d rows read in 20 s, want the ownership row alone", rows)
+		}
+		if age := w.weak.Age(); age > time.Second {
+			t.Errorf("what is known of the owner is %s old", age)
+		}
+	})
+}
+
+// soonReady is well within the time in which callers' first requests come after a restart.
+const soonReady = 100 * time.Millisecond
+
+// The strong VMs are gone: the weak daemon gets its copy, so that it can take over.
+func TestWeakDaemonGetsACopyWhenTheOwnerIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer leave(cancel)
+		w := newCopyWorld(ctx, t, 0.8, 3)
+		time.Sleep(5 * time.Second)
+		w.lives.Store(false)
+		time.Sleep(ownerLapse + copyPatience + 10*time.Second)
+		if !w.weak.Complete() {
+			t.Fatal("no copy although the owner is gone")
+		}
+		w.lives.Store(true)
+		time.Sleep(copyPatience + 2*time.Second)
+		if w.weak.Complete() {
+			t.Error("the copy is kept although the owner is back")
+		}
+	})
+}
+
+// Where no VM is much stronger, or too few stand by, every daemon has a copy.
+func TestEqualDaemonsHaveCopies(t *testing.T) {
+	for _, c := range []struct {
+		cores    float64
+		standbys int
+	}{{0.25, 5}, {0.8, 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer leave(cancel)
+			w := newCopyWorld(ctx, t, c.cores, c.standbys)
+			time.Sleep(copyPatience + 10*time.Second)
+			if !w.weak.Complete() {
+				t.Errorf("owner with %.2f cores, %d standbys: no copy", c.cores, c.standbys)
+			}
+		})
+	}
+}
+
+// A daemon that is asked to take over gets its copy at once.
+func TestRequestedCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer leave(cancel)
+		w := newCopyWorld(ctx, t, 0.8, 3)
+		time.Sleep(time.Second)
+		w.weak.RequestCopy()
+		time.Sleep(9 * time.Second)
+		if !w.weak.Complete() {
+			t.Error("no copy although it was asked for")
+		}
+	})
+}
--- a/internal/ledger/intake.go
+++ b/internal/ledger/intake.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 
+	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/rowstore"
 )
@@ -30,10 +31,17 @@
 		return err
 	}
 	row.Version = version
-	r.apply(rowstore.Change{Row: row})
+	r.keep(rowstore.Change{Row: row})
 	return nil
 }
 
+// keep takes in a row of which the daemon knows before the store's feed tells of it, if it has a copy.
+func (r *Replica) keep(change rowstore.Change) {
+	if r.following.Load() {
+		r.apply(change)
+	}
+}
+
 // Cancel stores a job's cancellation. Errors: ErrUnavailable, ErrUncertain.
 func (r *Replica) Cancel(ctx context.Context, id graph.JobID) error {
 	if j, known := r.Job(id); known && (j.Cancelled || j.State().Ended()) {
@@ -45,7 +53,7 @@
 		return err
 	}
 	row.Version = version
-	r.apply(rowstore.Change{Row: row})
+	r.keep(rowstore.Change{Row: row})
 	return nil
 }
 
@@ -74,21 +82,23 @@
 
 // NoteAccepted takes in a job that another daemon has stored, before the store's feed tells of it.
 func (r *Replica) NoteAccepted(id graph.JobID, record JobRecord) {
-	r.apply(rowstore.Change{Row: rowstore.Row{Key: jobKey(id), Value: encode(record)}})
+	r.keep(rowstore.Change{Row: rowstore.Row{Key: jobKey(id), Value: encode(record)}})
 }
 
 // NoteCancelled takes in a cancellation that another daemon has stored.
 func (r *Replica) NoteCancelled(id graph.JobID) {
-	r.apply(rowstore.Change{Row: rowstore.Row{Key: cancelKey(id)}})
+	r.keep(rowstore.Change{Row: rowstore.Row{Key: cancelKey(id)}})
 }
 
 // Find reports whether a job was accepted, asking the store if the replica doesn't know it. Errors: ErrUnavailable.
 func (r *Replica) Find(ctx context.Context, id graph.JobID) (Job, bool, error) {
+	if !r.following.Load() {
+		return r.lookUp(ctx, id)
+	}
 	if j, known := r.Job(id); known {
 		return j, true, nil
 	}
-	key := jobKey(id)
-	rows, _, _, err := r.store.Range(ctx, key.Table, key.Part, key.Name, key.Name+"\x00")
+	rows, err := r.read(ctx, jobKey(id))
 	if err != nil {
 		return Job{}, false, err
 	}
@@ -98,3 +108,34 @@
 	j, known := r.Job(id)
 	return j, known, nil
 }
+
+// lookUp reads a job for a daemon without a copy.
+func (r *Replica) lookUp(ctx context.Context, id graph.JobID) (Job, bool, error) {
+	found := Job{}
+	records, err := r.read(ctx, jobKey(id))
+	if err != nil || len(records) == 0 {
+		return Job{}, false, err
+	}
+	if err := json.Unmarshal(records[0].Value, &found.JobRecord); err != nil {
+		r.log.Error().Str("job", string(id)).Err(err).Msg("ledger row skipped")
+		return Job{}, false, nil
+	}
+	progress, err := r.read(ctx, progressKey(id))
+	if err != nil {
+		return Job{}, false, err
+	}
+	if len(progress) > 0 {
+		found.Progress = new(dispatch.Progress)
+		if err := json.Unmarshal(progress[0].Value, found.Progress); err != nil {
+			r.log.Error().Str("job", string(id)).Err(err).Msg("ledger row skipped")
+			found.Progress = nil
+		}
+	}
+	return found, true, nil
+}
+
+// read returns the row with the key, if there is one.
+func (r *Replica) read(ctx context.Context, key rowstore.Key) ([]rowstore.Row, error) {
+	rows, _, _, err := r.store.Range(ctx, key.Table, key.Part, key.Name, key.Name+"\x00")
+	return rows, err
+}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -48,6 +48,9 @@
 	// Address is where the owner answers other daemons.
 	Address string `json:"addr"`
 	Epoch   uint64 `json:"epoch"`
+	// Cores is the processor time of the owner's VM; Standbys counts the other daemons on VMs about as strong.
+	Cores    float64 `json:"cores,omitempty"`
+	Standbys int     `json:"standbys,omitempty"`
 	// Released means that the owner has given up ownership and sends no orders any more.
 	Released bool `json:"released,omitempty"`
 	// Beat changes with each renewal.
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -71,8 +71,12 @@
 	store     rowstore.Store
 	clock     monotime.Clock
 	log       *log.Logger
+	self      Self
+	policy    *copyPolicy
 	followers []*rowstore.Follower
 	owning    atomic.Bool
+	// following means that there is a copy, or one is being made.
+	following atomic.Bool
 	// daemons is how many daemons follow the store, 0 while that is not known.
 	daemons atomic.Int64
 
@@ -83,14 +87,18 @@
 	// ownerVersion is 0 if there is no ownership row; ownerSeen is when it was last seen to change.
 	ownerVersion uint64
 	ownerSeen    monotime.Instant
+	// ownerRead is when the row was last read by itself.
+	ownerRead monotime.Instant
 	// changed is called without the lock for each job that is new or newly cancelled.
 	changed func(graph.JobID)
 }
 
 // NewReplica returns an empty replica. Run fills it and keeps it current.
-func NewReplica(store rowstore.Store, clock monotime.Clock, logger *log.Logger) *Replica {
+func NewReplica(store rowstore.Store, clock monotime.Clock, logger *log.Logger, self Self) *Replica {
 	r := &Replica{
 		store:     store,
+		self:      self,
+		policy:    newCopyPolicy(self, clock.Now()),
 		clock:     clock,
 		log:       logger,
 		jobs:      make(map[graph.JobID]*Job),
@@ -139,17 +147,88 @@
 // Store returns the store that the replica follows.
 func (r *Replica) Store() rowstore.Store { return r.store }
 
-// Run follows the store until ctx ends.
+// Run follows the store until ctx ends: all of the ledger while the daemon needs a copy of it, else the ownership row.
 func (r *Replica) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r.needsCopy() {
+			r.follow(ctx)
+		} else {
+			r.watchOwner(ctx)
+		}
+	}
+}
+
+func (r *Replica) needsCopy() bool {
+	now := r.clock.Now()
+	r.policy.note(now, r.Owner())
+	return r.owning.Load() || r.policy.needed(now)
+}
+
+// follow keeps a copy for as long as the daemon needs one.
+func (r *Replica) follow(ctx context.Context) {
+	r.log.Info().Msg("following the ledger")
+	r.following.Store(true)
+	tablesCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var tables sync.WaitGroup
 	for _, f := range r.followers {
-		tables.Go(func() { f.Run(ctx) })
+		tables.Go(func() { f.Run(tablesCtx) })
 	}
+	for ctx.Err() == nil && r.needsCopy() {
+		monotime.Sleep(ctx, copyCheck)
+	}
+	cancel()
 	tables.Wait()
+	if ctx.Err() == nil {
+		r.dropCopy()
+	}
 }
 
-// Ready reports whether the ledger has been read whole.
+// dropCopy forgets all but the ownership row.
+func (r *Replica) dropCopy() {
+	r.log.Info().Msg("following the ownership row alone, others have the ledger")
+	r.following.Store(false)
+	for _, f := range r.followers {
+		f.Reset()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.jobs = make(map[graph.JobID]*Job)
+	r.workers = make(map[dispatch.WorkerID]dispatch.Worker)
+	r.ownerRead = r.clock.Now()
+}
+
+// ownerReadTimeout bounds a reading of the ownership row, about twice what a store sixty times slower than usual takes.
+const ownerReadTimeout = 500 * time.Millisecond
+
+// watchOwner reads the ownership row and waits until it is to be read again.
+func (r *Replica) watchOwner(ctx context.Context) {
+	readCtx, cancel := context.WithTimeout(ctx, ownerReadTimeout)
+	defer cancel()
+	if err := r.ReadOwner(readCtx); err != nil && ctx.Err() == nil {
+		r.log.Warn().Err(err).Msg("ownership row not read")
+	}
+	monotime.Sleep(ctx, pollGap(progressGap, int(r.daemons.Load())))
+}
+
+// RequestCopy has the daemon get a copy of the ledger if it has none.
+func (r *Replica) RequestCopy() { r.policy.ask(r.clock.Now()) }
+
+// Ready reports whether callers can be answered: the ledger has been read whole, or the owner is known, who has it.
 func (r *Replica) Ready() bool {
+	if r.following.Load() {
+		return r.Complete()
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.ownerRead > 0
+}
+
+// Complete reports whether the daemon has a copy of the whole ledger.
+func (r *Replica) Complete() bool {
+	if !r.following.Load() {
+		return false
+	}
 	for _, f := range r.followers {
 		if !f.Loaded() {
 			return false
@@ -386,14 +465,16 @@
 
 // ReadOwner takes in the ownership row as the store has it now. Errors: ErrUnavailable.
 func (r *Replica) ReadOwner(ctx context.Context) error {
-	key := ownerKey()
-	rows, _, _, err := r.store.Range(ctx, key.Table, key.Part, key.Name, key.Name+"\x00")
+	rows, err := r.read(ctx, ownerKey())
 	if err != nil {
 		return err
 	}
 	for _, row := range rows {
 		r.apply(rowstore.Change{Row: row})
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ownerRead = r.clock.Now()
 	return nil
 }
 
@@ -409,8 +490,13 @@
 	return OwnerView{r.owner, r.ownerVersion, r.clock.Now().Sub(r.ownerSeen)}
 }
 
-// Age returns how long ago the replica was last known to be current.
+// Age returns how long ago what the replica has was last known to be current.
 func (r *Replica) Age() time.Duration {
+	if !r.following.Load() {
+		r.mu.RLock()
+		defer r.mu.RUnlock()
+		return r.clock.Now().Sub(r.ownerRead)
+	}
 	heard := r.followers[0].Heard()
 	for _, f := range r.followers[1:] {
 		heard = min(heard, f.Heard())
--- a/internal/ledger/takeover_test.go
+++ b/internal/ledger/takeover_test.go
@@ -76,10 +76,10 @@
 	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	memory := rowstore.NewMemory()
 	w := &takeoverWorld{gate: &gatedStore{Memory: memory}, durable: make(map[graph.JobID]dispatch.Progress)}
-	w.successor = NewReplica(w.gate, clock, quiet)
+	w.successor = NewReplica(w.gate, clock, quiet, Self{Life: "b"})
 	w.successor.SetDaemons(40)
 	go w.successor.Run(ctx)
-	owner := NewReplica(memory, clock, quiet)
+	owner := NewReplica(memory, clock, quiet, Self{Life: "a"})
 	var err error
 	w.owner, err = owner.Acquire(ctx, owner.Owner(), Owner{Node: "a", Life: "a"})
 	time.Sleep(time.Second)
@@ -183,7 +183,7 @@
 		var err error
 		synctest.Test(t, func(*testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
+			defer leave(cancel)
 			err = playTakeover(ctx, actions)
 		})
 		if err != nil {
@@ -196,7 +196,7 @@
 func TestCopyThatIsBehindIsNotCurrent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
+		defer leave(cancel)
 		w, err := newTakeoverWorld(ctx)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"laburnumpoint/internal/dispatch"
@@ -36,6 +37,8 @@
 	replica *Replica
 	owner   Owner
 	version uint64
+	// standbys is what the next record says of them.
+	standbys atomic.Int64
 }
 
 // Acquire makes self the owner in place of the owner in view.
@@ -43,6 +46,7 @@
 func (r *Replica) Acquire(ctx context.Context, view OwnerView, self Owner) (*Tenure, error) {
 	self.Epoch = view.Epoch + 1
 	t := &Tenure{replica: r, owner: self, version: view.Version}
+	t.standbys.Store(int64(self.Standbys))
 	err := t.Record(ctx, Batch{})
 	for tries := 1; errors.Is(err, rowstore.ErrUncertain) && tries < acquireTries; tries++ {
 		err = t.Record(ctx, Batch{})
@@ -56,6 +60,9 @@
 // acquireTries bounds the writes by which a daemon learns whether an unanswered one made it the owner.
 const acquireTries = 3
 
+// SetStandbys tells how many daemons on VMs about as strong as the owner's stand by. It may be called at any time.
+func (t *Tenure) SetStandbys(n int) { t.standbys.Store(int64(n)) }
+
 // Epoch returns the tenure's fencing epoch.
 func (t *Tenure) Epoch() uint64 { return t.owner.Epoch }
 
@@ -69,6 +76,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	t.owner.Beat++
+	t.owner.Standbys = int(t.standbys.Load())
 	tx := t.transaction(b)
 	version, current, err := t.replica.store.Apply(ctx, tx)
 	if errors.Is(err, rowstore.ErrConflict) {
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -188,6 +188,7 @@
 			c.engine.SetNow(c.now())
 			c.expireLinks()
 			c.considerResigning()
+			c.tenure.SetStandbys(c.permits.standbys(c.now(), c.Cores))
 			c.forgetEnded()
 		}
 		c.gather()
--- a/internal/owner/hello.go
+++ b/internal/owner/hello.go
@@ -28,7 +28,7 @@
 // knowledgeAge is how old what the store has told this daemon is, as far as it matters to who may own the cell: a daemon
 // whose copy of the ledger is behind could not take over although the store answers it.
 func (d *Daemon) knowledgeAge() time.Duration {
-	if age := d.Replica.Age(); age > blindAfter {
+	if age := d.Replica.Age(); age > blindAfter && d.Replica.Complete() {
 		return age
 	}
 	return d.StoreAge()
@@ -71,14 +71,18 @@
 		if o.Epoch > known.Epoch {
 			d.Log.Info().Str("owner", o.Node).Uint64("epoch", o.Epoch).Str("via", addr).Msg("owner learnt from another daemon")
 		}
-		d.Replica.NoteOwner(ledger.Owner{Node: o.Node, Life: o.Life, Address: o.Addr, Epoch: o.Epoch, Released: o.Released}, o.Version)
+		d.Replica.NoteOwner(ledger.Owner{
+			Node: o.Node, Life: o.Life, Address: o.Addr, Epoch: o.Epoch, Released: o.Released,
+			Cores: float64(o.MilliCores) / 1000, Standbys: int(o.Standbys),
+		}, o.Version)
 	}
 }
 
 // HandleOwner tells who owns the cell.
 func (d *Daemon) HandleOwner() *wire.Reply {
 	o := d.Replica.Owner()
-	body := &wire.OwnerReply{Node: o.Node, Life: o.Life, Addr: o.Address, Epoch: o.Epoch, Released: o.Released, Version: o.Version}
+	body := &wire.OwnerReply{Node: o.Node, Life: o.Life, Addr: o.Address, Epoch: o.Epoch, Released: o.Released, Version: o.Version,
+		MilliCores: uint32(o.Cores * 1000), Standbys: uint32(o.Standbys)}
 	return &wire.Reply{Body: &wire.Reply_Owner{Owner: body}}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -29,8 +29,6 @@
 	takeoverAfter = 1200 * time.Millisecond
 	// takeoverSpread spreads the daemons' attempts, so that they don't all write at once.
 	takeoverSpread = 300 * time.Millisecond
-	// strongCores is the processor time of a VM that can own a cell of today's size; an owner there uses a quarter of it.
-	strongCores = 0.4
 	// weakDelay is how much longer than others a VM without any processor time would wait before it takes over.
 	weakDelay = 1 * time.Second
 	// electionPoll is how often a daemon looks whether ownership is free.
@@ -45,6 +43,9 @@
 	catchUpTimeout = 3 * time.Second
 )
 
+// StrongCores is the processor time of a VM that can own a cell of today's size; an owner there uses a quarter of it.
+const StrongCores = 0.4
+
 // Options are what an owner needs. All fields are required.
 type Options struct {
 	Node string
@@ -114,7 +115,7 @@
 
 // mayTake reports whether ownership is free as far as this daemon knows.
 func (d *Daemon) mayTake() bool {
-	if !d.Replica.Ready() || d.Replica.Age() > blindAfter {
+	if !d.Replica.Complete() || d.Replica.Age() > blindAfter {
 		return false
 	}
 	view := d.Replica.Owner()
@@ -136,7 +137,7 @@
 	h := fnv.New32a()
 	h.Write([]byte(d.Node))
 	spread := time.Duration(h.Sum32()%64) * takeoverSpread / 64
-	if weakness := 1 - d.Cores/strongCores; weakness > 0 {
+	if weakness := 1 - d.Cores/StrongCores; weakness > 0 {
 		spread += time.Duration(weakness * float64(weakDelay))
 	}
 	return spread
@@ -160,7 +161,7 @@
 		}
 		view = d.Replica.Owner()
 	}
-	self := ledger.Owner{Node: d.Node, Life: d.Life, Address: d.PeerAddr}
+	self := ledger.Owner{Node: d.Node, Life: d.Life, Address: d.PeerAddr, Cores: d.Cores, Standbys: view.Standbys}
 	return d.Replica.Acquire(ctx, view, self)
 }
 
@@ -205,6 +206,7 @@
 // HandleResign takes note that an owner gives no orders any more.
 func (d *Daemon) HandleResign(ctx context.Context, resign *wire.Resign) *wire.Reply {
 	d.Log.Info().Uint64("epoch", resign.Epoch).Msg("asked to take over from an owner that has resigned")
+	d.Replica.RequestCopy()
 	// The owner's last renewal may not have been heard of yet.
 	if err := d.Replica.ReadOwner(ctx); err != nil {
 		d.Log.Warn().Err(err).Msg("ownership row not read before taking over")
--- a/internal/owner/permits.go
+++ b/internal/owner/permits.go
@@ -65,6 +65,17 @@
 	return addrs
 }
 
+// standbys counts the other daemons that were heard lately and whose VMs are about as strong as one with the given cores.
+func (q *permitQueue) standbys(now monotime.Instant, cores float64) int {
+	n := 0
+	for addr, h := range q.helpers {
+		if addr != "" && now.Sub(h.heard) < helperSilence && h.cores*strongerFactor >= cores {
+			n++
+		}
+	}
+	return n
+}
+
 // successor returns the strongest daemon that was heard lately and that the store has answered since the given time; nil if
 // there is none.
 func (q *permitQueue) successor(now, since monotime.Instant) *helper {
--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -107,6 +107,13 @@
 	return f.loaded && f.version >= version
 }
 
+// Reset forgets what was read, so that the table is read anew. Run must not be running.
+func (f *Follower) Reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loaded, f.behind, f.version, f.heard = false, false, 0, 0
+}
+
 // Loaded reports whether the table has been read whole.
 func (f *Follower) Loaded() bool {
 	f.mu.Lock()
