Jobs that can't complete in time any more yield earlier; objectives count permits

Hypothesis: a job whose rest no longer fits into its objective has missed it, not one whose objective has passed; room that it takes makes others miss theirs. The objective now counts the policy service's time for a question about thirty workers, as the users define it. Jobs of the first priority keep their place until they are worth little: they are due soonest.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -39,7 +39,7 @@
 		Workers:  workers,
 		Cost:     s.job.queue.Permit.Of(len(workers)),
 		Priority: s.job.queue.Priority,
-		Missed:   s.missedNow + s.lateNow,
+		Standing: s.standing(),
 		Due:      s.due,
 	}
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -90,10 +90,12 @@
 		return
 	}
 	j := &job{id: id, queue: queue, spec: spec, arrived: arrived, state: graph.Queued, uncertain: uncertain, objective: queue.Objective(spec)}
+	chains := spec.Chains(queue.PermitTime())
 	for k := range spec.Runs() {
 		steps := make([]*step, len(spec.Steps))
 		for i := range spec.Steps {
 			steps[i] = newStep(j, k, i)
+			steps[i].rest = chains[i]
 		}
 		j.steps = append(j.steps, steps)
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -140,9 +140,9 @@
 	Workers  []WorkerID
 	Cost     time.Duration
 	Priority int
-	// Missed is 1 if the job can no longer complete in time, 2 if it is worth little any more, else 0.
-	Missed int
-	Due    monotime.Instant
+	// Standing is 1 if the job comes after those that can still complete in time, 2 if it is worth little any more, else 0.
+	Standing int
+	Due      monotime.Instant
 }
 
 func (Start) order() {}
@@ -269,6 +269,8 @@
 	placed int
 
 	due monotime.Instant
+	// rest is about how long the job yet takes from the step's start.
+	rest time.Duration
 	// lateNow and missedNow are the step's lateness and whether it missed its objective in the present plan.
 	lateNow, missedNow int
 	// blockedAt is the pool's count of changes when the step last found no room, at triedAt.
--- a/internal/graph/graph.go
+++ b/internal/graph/graph.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -123,19 +124,17 @@
 	return s.StartAt + time.Duration(k)*s.Interval
 }
 
-// CriticalPath returns the longest chain of estimated run times through the steps.
-func (s *Spec) CriticalPath() time.Duration {
-	ends := make([]time.Duration, len(s.Steps))
-	var longest time.Duration
-	for i := range s.Steps {
-		var begin time.Duration
+// Chains returns, for each step, the longest chain of estimated run times from its start to the job's end. Each step takes
+// extra time besides.
+func (s *Spec) Chains(extra time.Duration) []time.Duration {
+	chains := make([]time.Duration, len(s.Steps))
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		chains[i] += s.Steps[i].Estimate + extra
 		for _, before := range s.Steps[i].After {
-			begin = max(begin, ends[before])
+			chains[before] = max(chains[before], chains[i])
 		}
-		ends[i] = begin + s.Steps[i].Estimate
-		longest = max(longest, ends[i])
 	}
-	return longest
+	return chains
 }
 
 // Bounds of a job that is accepted.
@@ -221,9 +220,22 @@
 	Permit *PermitCost `json:"permit,omitempty"`
 }
 
+// objectiveWorkers is how many workers the policy service is asked about for a step, as objectives count it: by the users'
+// definition.
+const objectiveWorkers = 30
+
+// PermitTime returns what permits for a step take, as objectives count it.
+func (q *Queue) PermitTime() time.Duration {
+	if q.Permit == nil {
+		return 0
+	}
+	return q.Permit.Of(objectiveWorkers)
+}
+
 // Objective returns the time in which the job should complete.
 func (q *Queue) Objective(s *Spec) time.Duration {
-	return time.Duration(q.Stretch*float64(s.CriticalPath())) + q.Target
+	longest := slices.Max(s.Chains(q.PermitTime()))
+	return time.Duration(q.Stretch*float64(longest)) + q.Target
 }
 
 // State is what a caller is told of a job.
--- a/internal/owner/permits.go
+++ b/internal/owner/permits.go
@@ -103,7 +103,7 @@
 		return dispatch.Ask{}, nil, false
 	}
 	slices.SortStableFunc(q.waiting, func(a, b dispatch.Ask) int {
-		return cmp.Or(a.Missed-b.Missed, a.Priority-b.Priority, cmp.Compare(a.Due, b.Due))
+		return cmp.Or(a.Standing-b.Standing, a.Priority-b.Priority, cmp.Compare(a.Due, b.Due))
 	})
 	longAllowed := long < maxLong(live)
 	for i, ask := range q.waiting {
