A stopping owner hands over to the daemon that started last

Now a stopping owner invites its successor, as one does that the store turns away: of the daemons that are strong enough and that the store answers the one that started last, whose turn is over.

--- a/internal/owner/hello.go
+++ b/internal/owner/hello.go
@@ -37,7 +37,7 @@
 func (d *Daemon) hello(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, helloInterval)
 	defer cancel()
-	body := &wire.Hello{Node: d.Node, Addr: d.PeerAddr, Zone: d.Zone, StoreAgeMs: d.knowledgeAge().Milliseconds(), MilliCores: uint32(d.Cores * 1000)}
+	body := &wire.Hello{Node: d.Node, Addr: d.PeerAddr, Zone: d.Zone, StoreAgeMs: d.knowledgeAge().Milliseconds(), MilliCores: uint32(d.Cores * 1000), UptimeMs: d.Clock.Now().Sub(d.startedAt).Milliseconds()}
 	reply, err := d.Peers.Call(ctx, addr, &wire.Request{Body: &wire.Request_Hello{Hello: body}})
 	if err != nil {
 		d.counts.helloFailures.Inc()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -79,9 +79,10 @@
 // Daemon takes part in ownership: it owns the cell, or helps the daemon that does.
 type Daemon struct {
 	Options
-	control atomic.Pointer[control]
-	counts  counts
-	asking  chan struct{}
+	startedAt monotime.Instant
+	control   atomic.Pointer[control]
+	counts    counts
+	asking    chan struct{}
 	// invited is the epoch of an owner that has resigned in this daemon's favour.
 	invited atomic.Uint64
 	// peers are the addresses of other daemons, as the owner told them.
@@ -90,7 +91,7 @@
 
 // New returns a daemon that does nothing before Run.
 func New(o Options) *Daemon {
-	d := &Daemon{Options: o, asking: make(chan struct{}, 1)}
+	d := &Daemon{Options: o, startedAt: o.Clock.Now(), asking: make(chan struct{}, 1)}
 	d.counts = newCounts(o.Metrics, d)
 	return d
 }
@@ -185,7 +186,7 @@
 	d.control.Store(nil)
 	d.Log.Info().Uint64("epoch", tenure.Epoch()).Str("owner", view.Node).Bool("planned", ctx.Err() != nil).Msg("ownership ended")
 	if ctx.Err() != nil && !c.lost {
-		release(d, tenure)
+		c.leave()
 	}
 }
 
--- a/internal/owner/permits.go
+++ b/internal/owner/permits.go
@@ -25,8 +25,10 @@
 	storeAt monotime.Instant
 	// cores is the processor time that the daemon's VM has.
 	cores float64
-	busy  bool
-	long  bool
+	// started is when the daemon started.
+	started monotime.Instant
+	busy    bool
+	long    bool
 	// avoidUntil keeps questions away after one that failed.
 	avoidUntil monotime.Instant
 }
@@ -51,6 +53,7 @@
 	h.heard = now
 	h.storeAt = now.Add(-time.Duration(hello.StoreAgeMs) * time.Millisecond)
 	h.cores = float64(hello.MilliCores) / 1000
+	h.started = now.Add(-time.Duration(hello.UptimeMs) * time.Millisecond)
 }
 
 // heardLately returns the addresses of the other daemons that were heard lately.
@@ -91,6 +94,22 @@
 	return best
 }
 
+// heir returns the daemon to which an owner on a VM with the given cores hands over as it stops: of those that are about as
+// strong and that the store has answered lately the one that started last; nil if there is none. VMs that are restarted in
+// turn are left alone once they are back, while the next owner might be stopped a second later.
+func (q *permitQueue) heir(now monotime.Instant, cores float64) *helper {
+	var best *helper
+	for addr, h := range q.helpers {
+		if addr == "" || h.storeAt < now.Add(-resignFresh) || now.Sub(h.heard) > resignFresh || h.cores*strongerFactor < cores {
+			continue
+		}
+		if best == nil || h.started > best.started || (h.started == best.started && addr < best.addr) {
+			best = h
+		}
+	}
+	return best
+}
+
 func (q *permitQueue) add(ask dispatch.Ask) { q.waiting = append(q.waiting, ask) }
 
 // next takes the question to ask now and the daemon to ask it from; ok is false if there is none.
--- a/internal/owner/resign.go
+++ b/internal/owner/resign.go
@@ -43,6 +43,18 @@
 	}
 }
 
+// leave gives up ownership at a planned stop, after the control loop has ended. A daemon that is invited takes over at once;
+// a row that says that ownership is free would make all of them try, and hold each other up while the store is slow.
+func (c *control) leave() {
+	if heir := c.permits.heir(c.now(), c.Cores); heir != nil {
+		c.Log.Info().Uint64("epoch", c.tenure.Epoch()).Str("successor", heir.addr).Str("why", "planned stop").Msg("resigning")
+		if c.invite(heir.addr) {
+			return
+		}
+	}
+	release(c.Daemon, c.tenure)
+}
+
 // resign ends the tenure in favour of another daemon.
 func (c *control) resign(successor *helper, why string) {
 	c.Log.Warn().Uint64("epoch", c.tenure.Epoch()).Str("successor", successor.addr).Str("why", why).Float64("cores", c.Cores).Float64("successor_cores", successor.cores).Dur("since_renewal", c.now().Sub(c.renewedAt)).Msg("resigning")
@@ -51,11 +63,14 @@
 	go c.invite(successor.addr)
 }
 
-func (c *control) invite(successor string) {
+// invite asks another daemon to take over, and reports whether it was told.
+func (c *control) invite(successor string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
 	body := &wire.Resign{Epoch: c.tenure.Epoch()}
 	if _, err := c.Peers.Call(ctx, successor, &wire.Request{Body: &wire.Request_Resign{Resign: body}}); err != nil {
 		c.Log.Warn().Str("successor", successor).Err(err).Msg("successor not told, it takes over once ownership lapses")
+		return false
 	}
+	return true
 }
--- a/internal/owner/resign_test.go
+++ b/internal/owner/resign_test.go
@@ -26,3 +26,48 @@
 		t.Errorf("successor %v, want d", h)
 	}
 }
+
+// Pattern: VMs are stopped and started again in turn. The owner hands over to one that has been restarted already, not to
+// one whose turn is next.
+func TestRollingRestartMovesOwnershipOnce(t *testing.T) {
+	const vms, gap = 8, 1300 * time.Millisecond
+	start := monotime.Instant(time.Hour)
+	started := make([]monotime.Instant, vms)
+	owner, moves := 3, 0
+	for turn := range vms {
+		now := start.Add(time.Duration(turn) * gap)
+		if turn == owner {
+			q := newPermitQueue()
+			for n := range vms {
+				if n != owner {
+					q.hello(&wire.Hello{Addr: string(rune('a' + n)), MilliCores: 400, UptimeMs: now.Sub(started[n]).Milliseconds()}, now)
+				}
+			}
+			heir := q.heir(now, 0.4)
+			if heir == nil {
+				t.Fatal("no successor")
+			}
+			owner = int(heir.addr[0] - 'a')
+			moves++
+		}
+		started[turn] = now
+	}
+	if moves != 1 {
+		t.Errorf("ownership moved %d times, want once", moves)
+	}
+}
+
+// Neither a weak VM nor one that the store turns away is an heir, however lately it started.
+func TestHeirCanOwn(t *testing.T) {
+	now := monotime.Instant(time.Hour)
+	q := newPermitQueue()
+	q.hello(&wire.Hello{Addr: "weak", MilliCores: 190, UptimeMs: 10}, now)
+	q.hello(&wire.Hello{Addr: "refused", MilliCores: 800, UptimeMs: 10, StoreAgeMs: 2000}, now)
+	if h := q.heir(now, 0.8); h != nil {
+		t.Errorf("heir %s, want none", h.addr)
+	}
+	q.hello(&wire.Hello{Addr: "sound", MilliCores: 800, UptimeMs: 100_000}, now)
+	if h := q.heir(now, 0.8); h == nil || h.addr != "sound" {
+		t.Errorf("heir %v, want the sound one", h)
+	}
+}
