laburnumpoint report: where the time of graph jobs goes, from the daemons' logs

By second what was refused, queued, permitted, started, ended and recorded, with a plot of the starts; by queue how long jobs took from one to the next.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -88,6 +88,7 @@
 			a.runCommand(),
 			a.jobCommand(),
 			a.graphCommand(),
+			a.reportCommand(),
 			a.cancelCommand(),
 			a.whyCommand(),
 			a.configCommand(),
--- /dev/null
+++ b/internal/cli/report.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"laburnumpoint/internal/report"
+)
+
+// reportCommand tells from the daemons' logs where the time of graph jobs goes.
+func (a *app) reportCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "report",
+		Usage:     "tell from the daemons' logs where the time of graph jobs goes, by second and by queue",
+		ArgsUsage: "[FILE...]",
+		Description: "Reads the logs of all daemons from the files, or from standard input without any. Prints what was queued, permitted,\n" +
+			"started and ended each second, and how long the jobs of each queue spent between these.",
+		Action: a.report,
+	}
+}
+
+func (a *app) report(_ context.Context, cmd *cli.Command) error {
+	in := a.streams.In
+	var files []io.Reader
+	for _, name := range cmd.Args().Slice() {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		files = append(files, f)
+	}
+	if len(files) > 0 {
+		in = io.MultiReader(files...)
+	}
+	r, err := report.Read(in)
+	if err != nil {
+		return err
+	}
+	return r.Write(a.streams.Out)
+}
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,89 @@
+package report
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const logs = `
+{"time":"2026-01-02T03:04:05.100Z","message":"starting"}
+not a log line
+{"time":"2026-01-02T03:04:05.100Z","job":"a","queue":"nightly","message":"job queued"}
+ 12.3 node-1 {"time":"2026-01-02T03:04:05.300Z","job":"a","step":0,"message":"permits"}
+{"time":"2026-01-02T03:04:05.310Z","job":"a","task":"a/0/0/0","outcome":"started","message":"run start"}
+{"time":"2026-01-02T03:04:05.320Z","job":"a","task":"a/0/0/1","outcome":"no_room","message":"run start"}
+{"time":"2026-01-02T03:04:07.310Z","job":"a","end":"done","message":"run ended"}
+{"time":"2026-01-02T03:04:07.410Z","job":"a","end":"done","message":"run ended"}
+{"time":"2026-01-02T03:04:07.450Z","job":"a","state":"completed","message":"job ended"}
+{"time":"2026-01-02T03:04:05.900Z","job":"b","queue":"nightly","message":"job queued"}
+{"time":"2026-01-02T03:04:06.900Z","job":"b","message":"policy service gave no answer"}
+{"time":"2026-01-02T03:04:06.950Z","job":"c","command":"submit","result":"unavailable","message":"answered"}
+{"time":"2026-01-02T03:04:06.950Z","job":"a","command":"state","result":"unavailable","message":"answered"}
+{"time":"2026-01-02T03:04:0`
+
+func read(t *testing.T) *Report {
+	t.Helper()
+	r, err := Read(strings.NewReader(logs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestRowsCountEachSecond(t *testing.T) {
+	r := read(t)
+	want := []Row{
+		{0, Counts{Queued: 2, Permits: 1, Starts: 1, Failed: 1}},
+		{time.Second, Counts{Refused: 1, Unanswered: 1}},
+		{2 * time.Second, Counts{Done: 2, Recorded: 1}},
+	}
+	rows := r.Rows()
+	if len(rows) != len(want) {
+		t.Fatalf("%d rows, want %d", len(rows), len(want))
+	}
+	for i := range want {
+		if rows[i] != want[i] {
+			t.Errorf("row %d: %+v, want %+v", i, rows[i], want[i])
+		}
+	}
+	if r.Skipped != 3 {
+		t.Errorf("%d lines skipped, want 3: an empty one, one without an entry, one that is cut", r.Skipped)
+	}
+}
+
+func TestWaitsBetweenStages(t *testing.T) {
+	want := []Wait{
+		{"nightly", Permitted, 1, 1, 200 * time.Millisecond, 200 * time.Millisecond},
+		{"nightly", Started, 1, 0, 10 * time.Millisecond, 10 * time.Millisecond},
+		{"nightly", LastEnded, 1, 0, 2100 * time.Millisecond, 2100 * time.Millisecond},
+		{"nightly", Recorded, 1, 0, 40 * time.Millisecond, 40 * time.Millisecond},
+	}
+	waits := read(t).Waits()
+	if len(waits) != len(want) {
+		t.Fatalf("waits %+v, want %+v", waits, want)
+	}
+	for i := range want {
+		if waits[i] != want[i] {
+			t.Errorf("wait %d: %+v, want %+v", i, waits[i], want[i])
+		}
+	}
+}
+
+func TestNoEntriesIsAnError(t *testing.T) {
+	if _, err := Read(strings.NewReader("nothing here\n")); err == nil {
+		t.Error("no error")
+	}
+}
+
+func TestWriteShowsTableAndPlot(t *testing.T) {
+	var out strings.Builder
+	if err := read(t).Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"unanswered", strings.Repeat("#", plotWidth), "nightly", "2.1s", "3 lines held no log entry"} {
+		if !strings.Contains(out.String(), part) {
+			t.Errorf("%q is missing in\n%s", part, out.String())
+		}
+	}
+}
