Gangs ask for all their permits at one time

A gang now asks for those permits again that would lapse before the answer comes. TestGangAsksForAllItsPermitsAtOneTime fails without this.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime"
 )
 
 // maxAsk bounds the workers of one question to the policy service.
@@ -127,7 +128,7 @@
 		w := p.workers[(begin+i)%len(p.workers)]
 		e.stats.Looks++
 		allowed, told := s.allowed[w.ID]
-		if told != known || (known && !allowed) || !s.eligible(w) || s.permitted(w, e.now) {
+		if told != known || (known && !allowed) || !s.eligible(w) || s.permitLasts(w, e.now) {
 			continue
 		}
 		if !e.hasRoom(s, w, graph.Claim{}, counts) {
@@ -141,6 +142,15 @@
 	}
 }
 
+// permitLasts reports whether the step need not ask about a worker, since it has a permit. A gang needs all its permits at one
+// time: those that lapse before the answer comes are asked for again with the others.
+func (s *step) permitLasts(w *worker, now monotime.Instant) bool {
+	if s.def.Gang {
+		now = now.Add(s.job.queue.Permit.Of(maxAsk))
+	}
+	return s.permitted(w, now)
+}
+
 // verdictCount counts what the policy service has said of workers for the steps of a queue.
 type verdictCount struct{ asked, allowed int }
 
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -397,6 +398,46 @@
 	t.Error("the gang never started although more than half of the pool was free all the while")
 }
 
+// Workers get room for a gang one after the other: as soon as all of it fits, it asks for all the permits that it needs at one
+// time, also for those that would lapse before the answer comes.
+func TestGangAsksForAllItsPermitsAtOneTime(t *testing.T) {
+	c := newCell(t, 1)
+	early := []WorkerID{c.worker("a", 100), c.worker("b", 100)}
+	late := []WorkerID{c.worker("c", 100), c.worker("d", 100)}
+	c.job("small", false, plainStep(4))
+	running, _, _ := c.plan()
+	sequences := map[WorkerID]uint64{}
+	free := func(workers []WorkerID) {
+		for _, s := range running {
+			if slices.Contains(workers, s.Worker) {
+				sequences[s.Worker]++
+				c.Report(s.Worker, c.clock, ended(sequences[s.Worker], s.RunKey, EndDone))
+			}
+		}
+	}
+	free(early)
+	queue := plainQueue
+	queue.Permit = &graph.PermitCost{Base: 500 * time.Millisecond}
+	gang := plainStep(4)
+	gang.Gang = true
+	c.AddJob("gang", queue, &graph.Spec{Steps: []graph.Step{gang}}, c.clock, nil, false)
+	_, _, asks := c.plan()
+	if len(asks) != 1 {
+		t.Fatalf("%d questions, want one", len(asks))
+	}
+	c.advance(500 * time.Millisecond)
+	c.Permits(asks[0].Step, early, map[WorkerID]string{"a": "t", "b": "t"}, time.Second, true)
+	c.advance(300 * time.Millisecond)
+	free(late)
+	_, _, asks = c.plan()
+	if len(asks) != 1 {
+		t.Fatalf("%d questions, want one as soon as the gang fits", len(asks))
+	}
+	if ask, ok := c.Question(asks[0].Step); !ok || len(ask.Workers) != 4 {
+		t.Errorf("asked about %v, want all four", ask.Workers)
+	}
+}
+
 // A gang that renews its permits finds its room again, although others that need none would take it meanwhile.
 func TestRoomIsKeptWhileAGangRenewsItsPermits(t *testing.T) {
 	c := newCell(t, 1)
