--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,7 +20,7 @@
 // mayAsk reports whether the policy service may be asked about a step: there is room for a task of it. Others that ask may
 // want the same room, but some of them will not get their permits there; what they don't take would idle.
 func (e *Engine) mayAsk(s *step, p *pool) bool {
-	return s.job.queue.Permit != nil && !s.asking && e.now >= s.askAt && s.def.Held().Fits(p.free)
+	return s.job.queue.Permit != nil && s.questions == 0 && e.now >= s.askAt && s.def.Held().Fits(p.free)
 }
 
 // ask wants the policy service asked about a step. What the question is about is decided when it is sent.
@@ -28,9 +29,46 @@
 	if room == 0 || (s.def.Gang && s.allowed != nil && room < len(open)) {
 		return
 	}
-	s.asking = true
-	e.stats.Asks++
-	e.orders = append(e.orders, s.question(workers))
+	s.questions = 1
+	if s.def.Gang && s.allowed == nil {
+		s.questions = e.questionsFor(s, p, len(open))
+	}
+	for range s.questions {
+		e.stats.Asks++
+		e.orders = append(e.orders, s.question(workers))
+	}
+}
+
+// maxQuestions bounds the questions about one step at a time, so that a gang doesn't take the lines of all daemons.
+const maxQuestions = 3
+
+// questionsFor returns how many questions a gang asks at first. Its tasks need permits at one time, and in a busy pool each
+// allowed worker has room, or victims, for about as many as its free share holds, at least one: a gang that is wider than what
+// one question will allow would ask again and again about a part of what it needs.
+func (e *Engine) questionsFor(s *step, p *pool, open int) int {
+	idle := float64(p.free.MilliCPU) / float64(max(1, p.size.MilliCPU))
+	perWorker := max(1, idle*float64(s.tasksThatFit(p.workers[0].Capacity, 0)))
+	allowed := e.verdicts[s.job.queue.Name].share() * maxAsk * perWorker
+	all := (len(p.workers) + maxAsk - 1) / maxAsk
+	return max(1, min(maxQuestions, all, int(math.Ceil(float64(open)/allowed))))
+}
+
+// sent notes that a question is about the workers.
+func (s *step) sent(workers []WorkerID) {
+	if s.inQuestion == nil {
+		s.inQuestion = make(map[WorkerID]struct{})
+	}
+	for _, w := range workers {
+		s.inQuestion[w] = struct{}{}
+	}
+}
+
+// answered notes that a question about the workers is over.
+func (s *step) answered(workers []WorkerID) {
+	s.questions = max(0, s.questions-1)
+	for _, w := range workers {
+		delete(s.inQuestion, w)
+	}
 }
 
 // question is the question about a step and the workers.
@@ -49,22 +87,24 @@
 // whose question has waited has other needs, and other workers have room.
 func (e *Engine) Question(id StepID) (ask Ask, ok bool) {
 	s := e.step(id)
-	if s == nil || !s.asking {
+	if s == nil || s.questions == 0 {
 		return Ask{}, false
 	}
 	p := e.pools[s.job.queue.Pool]
 	if !s.active || s.toPlace() == 0 || p == nil || len(p.workers) == 0 {
-		s.asking = false
+		s.answered(nil)
 		return Ask{}, false
 	}
 	workers, room := e.toAskAbout(s, p, s.toPlace())
-	if room == 0 {
-		s.asking = false
+	learns := s.def.Gang && s.allowed == nil && len(workers) > 0
+	if room == 0 && !learns {
+		s.answered(nil)
 		return Ask{}, false
 	}
 	if s.def.Gang && s.allowed != nil {
 		e.keepRoom(s, workers)
 	}
+	s.sent(workers)
 	return s.question(workers), true
 }
 
@@ -127,6 +167,9 @@
 		}
 		w := p.workers[(begin+i)%len(p.workers)]
 		e.stats.Looks++
+		if _, asked := s.inQuestion[w.ID]; asked {
+			continue
+		}
 		allowed, told := s.allowed[w.ID]
 		if told != known || (known && !allowed) || !s.eligible(w) || s.permitLasts(w, e.now) {
 			continue
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -438,6 +438,45 @@
 	}
 }
 
+// A gang that is wider than what the policy service allows of one question's workers asks about others at the same time: its
+// permits would lapse one question after the other.
+func TestWideGangAsksSeveralQuestionsAtOnce(t *testing.T) {
+	c := newCell(t, 1)
+	for i := range 3 * maxAsk {
+		c.worker(fmt.Sprintf("w%03d", i), 100)
+	}
+	queue := plainQueue
+	queue.Permit = &graph.PermitCost{Base: 500 * time.Millisecond}
+	c.job("small", false, plainStep(2*maxAsk+maxAsk/2)) // only some workers have room left
+	c.plan()
+	gang := plainStep(maxAsk)
+	gang.Gang = true
+	c.AddJob("gang", queue, &graph.Spec{Steps: []graph.Step{gang}}, c.clock, nil, false)
+	_, _, asks := c.plan()
+	if len(asks) != 2 {
+		t.Fatalf("%d questions, want two: half of the workers are allowed as far as is known", len(asks))
+	}
+	asked := map[WorkerID]bool{}
+	for _, a := range asks {
+		q, ok := c.Question(a.Step)
+		if !ok {
+			t.Fatal("a question need not be asked")
+		}
+		for _, w := range q.Workers {
+			if asked[w] {
+				t.Errorf("asked about %s twice", w)
+			}
+			asked[w] = true
+		}
+	}
+	if len(asked) != 2*maxAsk {
+		t.Errorf("asked about %d workers, want %d", len(asked), 2*maxAsk)
+	}
+	if _, _, more := c.plan(); len(more) != 0 {
+		t.Errorf("%d more questions while two have no answer", len(more))
+	}
+}
+
 // A gang that renews its permits finds its room again, although others that need none would take it meanwhile.
 func TestRoomIsKeptWhileAGangRenewsItsPermits(t *testing.T) {
 	c := newCell(t, 1)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -350,7 +350,7 @@
 	if s == nil {
 		return
 	}
-	s.asking = false
+	s.answered(asked)
 	s.triedAt = 0
 	if !ok {
 		s.askAt = e.now.Add(askRetry)
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -50,7 +50,7 @@
 		return "waiting for workers that an earlier owner used to report"
 	case p == nil || len(p.workers) == 0:
 		return fmt.Sprintf("pool %s has no workers that take new runs", s.job.queue.Pool)
-	case s.asking:
+	case s.questions > 0:
 		return "waiting for the policy service"
 	}
 	return e.explainRoom(s, p)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -279,9 +279,11 @@
 	// preemptedAt is when tasks were last stopped for this step.
 	preemptedAt monotime.Instant
 	active      bool
-	asking      bool
-	askAt       monotime.Instant
-	permits     map[WorkerID]permit
+	// questions counts the questions about the step that have no answer yet, inQuestion the workers that they are about.
+	questions  int
+	inQuestion map[WorkerID]struct{}
+	askAt      monotime.Instant
+	permits    map[WorkerID]permit
 	// allowed holds what the policy service has said; its verdicts on a step don't change.
 	allowed map[WorkerID]bool
 	// reserved are the workers that are kept free for a gang.
