Room is made where it takes the fewest stops

Workers were taken in the order of their ids. Now those come first where the fewest stops make room for a task. TestFewestTasksArePreempted fails without.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -477,6 +477,35 @@
 	}
 }
 
+// Each stop costs its victim time: room is made where it takes the fewest.
+func TestFewestTasksArePreempted(t *testing.T) {
+	c := newCell(t, 1)
+	many, few := c.worker("a-many", 300), c.worker("b-few", 300)
+	low := plainQueue
+	low.Priority = 2
+	low.Target = time.Minute
+	fill := func(job graph.JobID, w WorkerID, tasks int, cpu int64) {
+		c.PutWorker(Worker{ID: w, Pool: "p", Labels: []string{string(w)}, Capacity: graph.Claim{MilliCPU: 300, MemoryMB: 1000}})
+		step := plainStep(tasks)
+		step.Claim.MilliCPU, step.Label, step.Checkpoints = cpu, string(w), true
+		c.AddJob(job, low, &graph.Spec{Steps: []graph.Step{step}}, c.clock, nil, false)
+	}
+	fill("small", many, 6, 50)
+	fill("large", few, 1, 300)
+	running, _, _ := c.plan()
+	for _, s := range running {
+		c.StartAnswered(s.Worker, s.RunKey, Started)
+	}
+	c.advance(time.Second)
+	urgent := plainStep(1)
+	urgent.Claim.MilliCPU = 300
+	c.job("urgent", false, urgent)
+	_, stops, _ := c.plan()
+	if len(stops) != 1 || stops[0].Worker != few {
+		t.Errorf("stops %v, want one on %s", stops, few)
+	}
+}
+
 // A gang that renews its permits finds its room again, although others that need none would take it meanwhile.
 func TestRoomIsKeptWhileAGangRenewsItsPermits(t *testing.T) {
 	c := newCell(t, 1)
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -51,28 +51,15 @@
 	if e.now.Sub(s.preemptedAt) < preemptGap && s.preemptedAt > 0 {
 		return
 	}
-	type victimPlan struct {
-		worker  *worker
-		victims []*run
-		tasks   int
-	}
-	var plans []victimPlan
+	plans := e.preemptions(s, p, len(open))
 	left := len(open)
-	counts := s.onWorkers()
-	for _, w := range p.workers {
-		if left == 0 {
+	for i, plan := range plans {
+		if plan.tasks >= left {
+			plans = plans[:i+1]
+			left = 0
 			break
 		}
-		e.stats.Looks++
-		if !s.eligible(w) || !s.permitted(w, e.now) || w.reservedFor != nil || w.clashes(s.def) || w.isPromised(e.now) {
-			continue
-		}
-		victims, tasks := e.victims(s, w, left, counts[w.ID])
-		if tasks == 0 {
-			continue
-		}
-		plans = append(plans, victimPlan{w, victims, tasks})
-		left -= tasks
+		left -= plan.tasks
 	}
 	if left > 0 && s.def.Gang || len(plans) == 0 {
 		return
@@ -88,6 +75,33 @@
 	}
 }
 
+// preemption is what to stop on a worker so that so many tasks of a step fit there.
+type preemption struct {
+	worker  *worker
+	victims []*run
+	tasks   int
+}
+
+// preemptions returns what could be stopped on each worker of a pool for up to want tasks of s, the fewest stops for a task
+// first: each costs its victim the time to stop and to resume.
+func (e *Engine) preemptions(s *step, p *pool, want int) []preemption {
+	counts := s.onWorkers()
+	var plans []preemption
+	for _, w := range p.workers {
+		e.stats.Looks++
+		if !s.eligible(w) || !s.permitted(w, e.now) || w.reservedFor != nil || w.clashes(s.def) || w.isPromised(e.now) {
+			continue
+		}
+		if victims, tasks := e.victims(s, w, want, counts[w.ID]); tasks > 0 {
+			plans = append(plans, preemption{w, victims, tasks})
+		}
+	}
+	slices.SortStableFunc(plans, func(a, b preemption) int {
+		return cmp.Compare(len(a.victims)*b.tasks, len(b.victims)*a.tasks)
+	})
+	return plans
+}
+
 // victims returns the runs to stop so that up to want tasks of s fit on the worker, and how many then do. Room that is
 // free counts too.
 func (e *Engine) victims(s *step, w *worker, want, present int) (victims []*run, tasks int) {
