A daemon that takes over keeps its copy of the ledger

Read as a newcomer: a weak daemon whose copy is being given up (the strong owner is back) while it is about to take over could have ended up an owner without jobs, which would then have been told of as new and started beside their runs. The copy is now kept from before the attempt, and an owner without a whole copy gives up at once. TestCopyIsKeptWhileTakingOver. An objective of a job without steps is no panic.

--- a/internal/graph/graph.go
+++ b/internal/graph/graph.go
@@ -3,7 +3,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 )
 
@@ -234,7 +233,10 @@
 
 // Objective returns the time in which the job should complete.
 func (q *Queue) Objective(s *Spec) time.Duration {
-	longest := slices.Max(s.Chains(q.PermitTime()))
+	var longest time.Duration
+	for _, chain := range s.Chains(q.PermitTime()) {
+		longest = max(longest, chain)
+	}
 	return time.Duration(q.Stretch*float64(longest)) + q.Target
 }
 
--- a/internal/ledger/copy_test.go
+++ b/internal/ledger/copy_test.go
@@ -168,3 +168,24 @@
 		}
 	})
 }
+
+// A daemon that is taking over keeps its copy, whatever it hears of another owner meanwhile.
+func TestCopyIsKeptWhileTakingOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer leave(cancel)
+		w := newCopyWorld(ctx, t, 0.8, 3)
+		w.weak.RequestCopy()
+		time.Sleep(8 * time.Second)
+		w.weak.SetOwning(true)
+		time.Sleep(copyAsked + copyPatience)
+		if !w.weak.Complete() {
+			t.Error("the copy is given up by a daemon that takes over")
+		}
+		w.weak.SetOwning(false)
+		time.Sleep(time.Second)
+		if w.weak.Complete() {
+			t.Error("the copy is kept by a daemon that does not take over")
+		}
+	})
+}
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -131,7 +131,7 @@
 	}
 }
 
-// SetOwning tells the replica whether this daemon owns the cell.
+// SetOwning tells the replica whether this daemon owns the cell or is about to. It then keeps its copy.
 func (r *Replica) SetOwning(owning bool) { r.owning.Store(owning) }
 
 // SetDaemons tells the replica how many daemons follow the store.
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -97,6 +98,9 @@
 	}
 }
 
+// errNoCopy means that the copy of the ledger was given up just before this daemon took over.
+var errNoCopy = errors.New("owner: no copy of the ledger")
+
 // load takes over what the ledger holds: its jobs, and the workers that earlier owners used.
 func (c *control) load() error {
 	ctx, cancel := context.WithTimeout(c.ctx, catchUpTimeout)
@@ -104,6 +108,9 @@
 	if err := c.tenure.CatchUp(ctx); err != nil {
 		return err
 	}
+	if !c.Replica.Complete() {
+		return errNoCopy
+	}
 	c.engine.SetNow(c.now())
 	uncertain := c.tenure.Epoch() > 1
 	for id, j := range c.Replica.Jobs() {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -104,13 +104,17 @@
 			monotime.Sleep(ctx, electionPoll)
 			continue
 		}
+		// From before the attempt on the copy of the ledger is kept: what is taken over is read from it.
+		d.Replica.SetOwning(true)
 		tenure, err := d.take(ctx)
 		if err != nil {
+			d.Replica.SetOwning(false)
 			d.Log.Info().Err(err).Msg("ownership not taken")
 			monotime.Sleep(ctx, electionRetry)
 			continue
 		}
 		d.rule(ctx, tenure)
+		d.Replica.SetOwning(false)
 	}
 }
 
@@ -180,9 +184,7 @@
 		return
 	}
 	d.control.Store(c)
-	d.Replica.SetOwning(true)
 	c.run()
-	d.Replica.SetOwning(false)
 	d.control.Store(nil)
 	d.Log.Info().Uint64("epoch", tenure.Epoch()).Str("owner", view.Node).Bool("planned", ctx.Err() != nil).Msg("ownership ended")
 	if ctx.Err() != nil && !c.lost {
