--- a/internal/ledger/copy_test.go
+++ b/internal/ledger/copy_test.go
@@ -13,6 +13,7 @@
 
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime/monotimetest"
 	"laburnumpoint/internal/rowstore"
 )
 
@@ -49,7 +50,7 @@
 
 func newCopyWorld(ctx context.Context, t *testing.T, ownerCores float64, standbys int) *copyWorld {
 	t.Helper()
-	clock := bubbleClock{time.Now()}
+	clock := monotimetest.Clock{Start: time.Now()}
 	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	w := &copyWorld{link: &weakLink{Memory: rowstore.NewMemory()}}
 	strong := NewReplica(w.link.Memory, clock, quiet, Self{Life: "a", Cores: ownerCores})
--- a/internal/ledger/takeover_test.go
+++ b/internal/ledger/takeover_test.go
@@ -17,15 +17,10 @@
 
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/graph"
-	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/monotime/monotimetest"
 	"laburnumpoint/internal/rowstore"
 )
 
-// bubbleClock tells the time of a synctest bubble.
-type bubbleClock struct{ start time.Time }
-
-func (c bubbleClock) Now() monotime.Instant { return monotime.Instant(1 + time.Since(c.start)) }
-
 // gatedStore turns its daemon away while it is shut, and answers after a millisecond otherwise.
 type gatedStore struct {
 	*rowstore.Memory
@@ -72,7 +67,7 @@
 }
 
 func newTakeoverWorld(ctx context.Context) (*takeoverWorld, error) {
-	clock := bubbleClock{time.Now()}
+	clock := monotimetest.Clock{Start: time.Now()}
 	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	memory := rowstore.NewMemory()
 	w := &takeoverWorld{gate: &gatedStore{Memory: memory}, durable: make(map[graph.JobID]dispatch.Progress)}
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -15,13 +15,9 @@
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/monotime/monotimetest"
 )
 
-// bubbleClock tells the time of a synctest bubble.
-type bubbleClock struct{ start time.Time }
-
-func (c bubbleClock) Now() monotime.Instant { return monotime.Instant(1 + time.Since(c.start)) }
-
 // fakeRunners answers looks until it is told to be silent.
 type fakeRunners struct {
 	Runners
@@ -122,7 +118,7 @@
 
 func newTestControl(ctx context.Context, runners Runners) *control {
 	d := New(Options{
-		Runners: runners, Clock: bubbleClock{time.Now()}, MaxLease: 10 * time.Second, Metrics: metrics.NewSet(),
+		Runners: runners, Clock: monotimetest.Clock{Start: time.Now()}, MaxLease: 10 * time.Second, Metrics: metrics.NewSet(),
 		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 	})
 	c := newControl(ctx, d, &ledger.Tenure{}, d.Clock.Now())
--- a/internal/rowstore/outage_test.go
+++ b/internal/rowstore/outage_test.go
@@ -13,13 +13,9 @@
 	"github.com/phuslu/log"
 
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/monotime/monotimetest"
 )
 
-// bubbleClock tells the time of a synctest bubble.
-type bubbleClock struct{ start time.Time }
-
-func (c bubbleClock) Now() monotime.Instant { return monotime.Instant(1 + time.Since(c.start)) }
-
 // silentStore answers nothing while it is silent, and never what was sent then. Slow delays each answer.
 type silentStore struct {
 	*Memory
@@ -82,7 +78,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		for _, sentBefore := range []time.Duration{50 * time.Millisecond, 250 * time.Millisecond, 900 * time.Millisecond, 2900 * time.Millisecond, 5 * time.Second} {
 			ctx, cancel := context.WithCancel(t.Context())
-			clock := bubbleClock{time.Now()}
+			clock := monotimetest.Clock{Start: time.Now()}
 			store := &silentStore{Memory: NewMemory()}
 			store.silent.Store(true)
 			f := follow(ctx, NewMonitor(store, clock, metrics.NewSet()), clock, 20)
@@ -104,7 +100,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		for _, slow := range []time.Duration{pageTimeout * 4 / 5, pageTimeout * 3 / 2} {
 			ctx, cancel := context.WithCancel(t.Context())
-			clock := bubbleClock{time.Now()}
+			clock := monotimetest.Clock{Start: time.Now()}
 			store := &silentStore{Memory: NewMemory()}
 			const pages = 4
 			for i := range pages * maxRange {
@@ -134,7 +130,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		for _, outage := range []time.Duration{2 * time.Second, 4200 * time.Millisecond} {
 			ctx, cancel := context.WithCancel(t.Context())
-			clock := bubbleClock{time.Now()}
+			clock := monotimetest.Clock{Start: time.Now()}
 			store := &silentStore{Memory: NewMemory()}
 			m := NewMonitor(store, clock, metrics.NewSet())
 			f := follow(ctx, m, clock, 1)
@@ -161,7 +157,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		clock := bubbleClock{time.Now()}
+		clock := monotimetest.Clock{Start: time.Now()}
 		store := &silentStore{Memory: NewMemory()}
 		m := NewMonitor(store, clock, metrics.NewSet())
 		follow(ctx, m, clock, 1)
