--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -78,7 +78,7 @@
 		Workers:  workers,
 		Cost:     s.job.queue.Permit.Of(len(workers)),
 		Priority: s.job.queue.Priority,
-		Late:     s.lateNow > 0,
+		Standing: s.standing(),
 		Due:      s.due,
 	}
 }
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -140,9 +140,9 @@
 	Workers  []WorkerID
 	Cost     time.Duration
 	Priority int
-	// Late means that the job completes far beyond its objective: its question comes last.
-	Late bool
-	Due  monotime.Instant
+	// Standing is 1 if the job comes after those that can still complete in time, 2 if it is worth little any more, else 0.
+	Standing int
+	Due      monotime.Instant
 }
 
 func (Start) order() {}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// byUrgency returns the steps with tasks to place in the order in which they get room: by priority, then those whose jobs
-// can still complete in time, then by due time; jobs far beyond their objective come last of all.
+// byUrgency returns the steps with tasks to place in the order in which they get room: those whose jobs can still complete in
+// time before others, then by priority, then by due time; jobs far beyond their objective come last of all.
 func (e *Engine) byUrgency() []*step {
 	steps := make([]*step, 0, len(e.active))
 	e.waiting = 0
@@ -60,7 +60,7 @@
 }
 
 func compareUrgency(a, b *step) int {
-	if c := cmp.Or(a.lateNow-b.lateNow, a.job.queue.Priority-b.job.queue.Priority, a.missedNow-b.missedNow); c != 0 {
+	if c := cmp.Or(a.standing()-b.standing(), a.job.queue.Priority-b.job.queue.Priority, a.missedNow-b.missedNow); c != 0 {
 		return c
 	}
 	if a.due != b.due {
@@ -69,8 +69,21 @@
 	return cmp.Or(cmp.Compare(a.job.id, b.job.id), a.occurrence-b.occurrence, a.index-b.index)
 }
 
-// missed is 1 for a step whose job can no longer complete in time, else 0. Within a priority the others go first: what has
-// missed its objective is worth little more now than later, and would make them miss theirs.
+// standing orders steps before their priority does: 0 for those that are served by priority, 1 for those whose jobs can no
+// longer complete in time, 2 for those that are worth little any more. Jobs of the first priority keep their place until
+// then: they are due soonest, so that those behind them have the time to wait, and they would not.
+func (s *step) standing() int {
+	switch {
+	case s.lateNow > 0:
+		return 2
+	case s.missedNow > 0 && s.job.queue.Priority > 0:
+		return 1
+	}
+	return 0
+}
+
+// missed is 1 for a step whose job can no longer complete in time, else 0. What has missed its objective is worth little more
+// now than later, and would make others miss theirs.
 func (e *Engine) missed(s *step) int {
 	if !s.def.LongRunning && e.now.Add(s.rest) > s.due {
 		return 1
--- a/internal/owner/permits.go
+++ b/internal/owner/permits.go
@@ -122,7 +122,7 @@
 		return dispatch.Ask{}, nil, false
 	}
 	slices.SortStableFunc(q.waiting, func(a, b dispatch.Ask) int {
-		return cmp.Or(lateLast(a, b), a.Priority-b.Priority, cmp.Compare(a.Due, b.Due))
+		return cmp.Or(a.Standing-b.Standing, a.Priority-b.Priority, cmp.Compare(a.Due, b.Due))
 	})
 	longAllowed := long < maxLong(live)
 	for i, ask := range q.waiting {
@@ -137,16 +137,6 @@
 	return dispatch.Ask{}, nil, false
 }
 
-func lateLast(a, b dispatch.Ask) int {
-	switch {
-	case a.Late == b.Late:
-		return 0
-	case a.Late:
-		return 1
-	}
-	return -1
-}
-
 // survey returns an idle daemon, and counts the live ones and the long questions under way. The owner itself comes last,
 // since it has other work.
 func (q *permitQueue) survey(now monotime.Instant) (idle *helper, live, long int) {
