Waiting jobs are not counted in an outdated copy for another daemon

A daemon that owned the cell a moment ago, or whose copy is behind under a burst, counted what it had. TestOutdatedCopyIsNotCounted fails without the check.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -95,7 +95,7 @@
 			return &wire.IntakeReply{Result: resultOK, Detail: lines}
 		}
 	case commandPending:
-		if s.Replica.Complete() {
+		if s.countsCurrent() {
 			return &wire.IntakeReply{Result: resultOK, Pending: uint32(s.Replica.Pending(req.Job))}
 		}
 	}
