Logs say why a task ran again: what a new owner knew, and each run given up unheard

A caller's task ran twice on a landing whose logs we don't have. The hypotheses are a new owner whose copy of the ledger was behind, a worker that was given up while it ran on, and a run that a report seemed to miss. The logs could not tell them apart: a takeover did not say what the daemon knew, and a run whose end was never heard vanished without a line.

A takeover now logs the version it had and the one it had to read; every run that an owner takes for ended without its end is a line `run lost` with the reason and what was left of its worker's lease; `worker gone` has the latter too. The volume is bounded by the runs.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -301,18 +301,20 @@
 	}
 }
 
-// RemoveWorker takes a worker out that has certainly ended, with everything that ran on it.
-func (e *Engine) RemoveWorker(id WorkerID) {
+// RemoveWorker takes a worker out that has certainly ended, with everything that ran on it, and returns those runs.
+func (e *Engine) RemoveWorker(id WorkerID) (ended []RunKey) {
 	delete(e.awaited, id)
 	w := e.workers[id]
 	if w == nil {
-		return
+		return nil
 	}
 	delete(e.workers, id)
 	e.poolsStale = true
 	for _, r := range w.runs {
+		ended = append(ended, r.RunKey)
 		e.endRun(w, r.RunKey, EndInterrupted, "")
 	}
+	return ended
 }
 
 // HasRuns reports whether the worker may run anything.
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -35,11 +35,12 @@
 	}
 }
 
-// Report takes in what a worker listed in answer to a call sent at the given time.
-func (e *Engine) Report(id WorkerID, sent monotime.Instant, report Report) {
+// Report takes in what a worker listed in answer to a call sent at the given time. It returns the runs that are given up
+// because the worker should have listed them.
+func (e *Engine) Report(id WorkerID, sent monotime.Instant, report Report) (lost []RunKey) {
 	w := e.workers[id]
 	if w == nil {
-		return
+		return nil
 	}
 	e.setReachable(w, true)
 	listed := make(map[RunKey]struct{}, len(report.Running))
@@ -55,23 +56,28 @@
 		}
 	}
 	if !report.Partial {
-		e.dropAbsent(w, sent, listed)
+		lost = e.dropAbsent(w, sent, listed)
 	}
 	delete(e.awaited, id)
+	return lost
 }
 
-// dropAbsent ends the runs that the worker should have listed and did not.
-func (e *Engine) dropAbsent(w *worker, sent monotime.Instant, listed map[RunKey]struct{}) {
+// dropAbsent ends the runs that the worker should have listed and did not. It returns those that had been confirmed.
+func (e *Engine) dropAbsent(w *worker, sent monotime.Instant, listed map[RunKey]struct{}) (lost []RunKey) {
 	for key, r := range w.runs {
 		if _, ok := listed[key]; ok {
 			continue
 		}
-		lost := r.state == runRunning && r.confirmed < sent
+		missing := r.state == runRunning && r.confirmed < sent
 		settled := r.state == runStopping && r.stopAnswered > 0 && r.stopAnswered < sent
-		if lost || settled {
+		if missing || settled {
 			e.endRun(w, key, EndInterrupted, "")
 		}
+		if missing {
+			lost = append(lost, key)
+		}
 	}
+	return lost
 }
 
 func (e *Engine) listRunning(w *worker, entry RunningEntry) {
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -247,6 +247,15 @@
 	return nil
 }
 
+// Version returns the version up to which the copy holds every change.
+func (r *Replica) Version() uint64 {
+	version := r.followers[0].Version()
+	for _, f := range r.followers[1:] {
+		version = min(version, f.Version())
+	}
+	return version
+}
+
 func (r *Replica) applyAll(changes []rowstore.Change, _ bool) {
 	for _, change := range changes {
 		r.apply(change)
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -66,6 +66,9 @@
 // Epoch returns the tenure's fencing epoch.
 func (t *Tenure) Epoch() uint64 { return t.owner.Epoch }
 
+// Version returns the version of the ownership row as this tenure last wrote it.
+func (t *Tenure) Version() uint64 { return t.version }
+
 // CatchUp takes in all that earlier owners have recorded: none of them can write after the row that made this one the
 // owner. Errors: ErrUnavailable.
 func (t *Tenure) CatchUp(ctx context.Context) error { return t.replica.CatchUp(ctx, t.version) }
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -105,9 +105,11 @@
 func (c *control) load() error {
 	ctx, cancel := context.WithTimeout(c.ctx, catchUpTimeout)
 	defer cancel()
+	had := c.Replica.Version()
 	if err := c.tenure.CatchUp(ctx); err != nil {
 		return err
 	}
+	c.Log.Info().Uint64("epoch", c.tenure.Epoch()).Uint64("version", c.tenure.Version()).Uint64("had", had).Dur("took", c.now().Sub(c.startedAt)).Msg("ledger caught up")
 	if !c.Replica.Complete() {
 		return errNoCopy
 	}
--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -61,12 +61,15 @@
 	l.endsBy = max(l.endsBy, endsBy)
 }
 
-// over reports whether everything on the worker has certainly ended.
-func (l *workerLease) over(now monotime.Instant) bool {
+// left returns how long the worker may still run what it has; 0 once everything on it has certainly ended.
+func (l *workerLease) left(now monotime.Instant) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now > l.endsBy.Add(leaseMargin)
+	return max(0, l.endsBy.Add(leaseMargin).Sub(now))
 }
 
+// over reports whether everything on the worker has certainly ended.
+func (l *workerLease) over(now monotime.Instant) bool { return l.left(now) == 0 }
+
 // leaseMargin covers the time that a worker takes to end what its lease held.
 const leaseMargin = 300 * time.Millisecond
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -174,7 +174,15 @@
 	for _, e := range report.Ended {
 		c.Log.Info().Str("job", string(e.Task.Job)).Str("task", e.Task.String()).Uint64("run", e.Number).Str("worker", string(l.worker.ID)).Str("end", e.End.String()).Msg("run ended")
 	}
-	c.engine.Report(l.worker.ID, sent, report)
+	c.logRunsLost(l, c.engine.Report(l.worker.ID, sent, report), "worker does not list it")
+}
+
+// logRunsLost says why the owner takes runs for ended without having heard of their ends.
+func (c *control) logRunsLost(l *link, runs []dispatch.RunKey, why string) {
+	left := l.lease.left(c.now())
+	for _, run := range runs {
+		c.Log.Warn().Str("job", string(run.Task.Job)).Str("task", run.Task.String()).Uint64("run", run.Number).Str("worker", string(l.worker.ID)).Str("why", why).Dur("lease_left", left).Msg("run lost")
+	}
 }
 
 // linkFailed takes in that the worker did not answer a look.
@@ -219,7 +227,7 @@
 		}
 		if c.engine.HasRuns(l.worker.ID) || !c.engine.Settled() {
 			c.Log.Warn().Str("worker", string(l.worker.ID)).Msg("lease of silent worker is over, its runs are given up")
-			c.engine.RemoveWorker(l.worker.ID)
+			c.logRunsLost(l, c.engine.RemoveWorker(l.worker.ID), "lease over")
 			c.engine.PutWorker(l.listed)
 		}
 	}
@@ -228,12 +236,12 @@
 // workerEnded forgets a worker that has certainly ended.
 func (c *control) workerEnded(l *link, why string) {
 	id := l.worker.ID
-	c.Log.Info().Str("worker", string(id)).Str("why", why).Msg("worker gone")
+	c.Log.Info().Str("worker", string(id)).Str("why", why).Dur("lease_left", l.lease.left(c.now())).Msg("worker gone")
 	if l.cancel != nil {
 		l.cancel()
 	}
 	delete(c.links, id)
-	c.engine.RemoveWorker(id)
+	c.logRunsLost(l, c.engine.RemoveWorker(id), why)
 	c.oldWorkers[id] = struct{}{}
 }
 
--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -128,6 +128,13 @@
 	return f.heard
 }
 
+// Version returns the version up to which every change has been taken in; 0 before the table has been read.
+func (f *Follower) Version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
 func (f *Follower) step(ctx context.Context, wait time.Duration) error {
 	if !f.Loaded() {
 		return f.load(ctx)
