A worker with more ends to tell than an answer holds is still awaited

What callers could see: a task that is done runs again after a change of owner.

Cause: an answer of a worker lists 500 ends at most. A new owner took a cut list for all there was: the worker was no longer awaited, and tasks whose ends were among the untold ones were started again. It takes over 500 ends that no owner has acknowledged, as after a long time in which records fail.

Evidence: TestWorkerWithMoreEndsToTellIsStillAwaited fails on the code before and passes now. The rest comes with the following looks, since ends that are recorded are acknowledged.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -55,11 +55,11 @@
 			e.endRun(w, ended.RunKey, ended.End, ended.Checkpoint)
 		}
 	}
-	if !report.Partial {
-		lost = e.dropAbsent(w, sent, listed)
+	if report.Partial {
+		return nil // what is not listed may have ended
 	}
 	delete(e.awaited, id)
-	return lost
+	return e.dropAbsent(w, sent, listed)
 }
 
 // dropAbsent ends the runs that the worker should have listed and did not. It returns those that had been confirmed.
