The lease that a start brings is fixed when the loop decides, not when the order is sent

What callers could see: a task in two places.

Cause: the deadline of a start was worked out in the order's own goroutine. If that is held up, as on a VM without processor time, until the loop has given the run up because the worker's lease is over, the order went out with five seconds of a lease that the loop knew nothing of, beside the run that had replaced it. Class of fault: a promise counted from when it is carried out, not from the decision that others rely on.

Evidence: TestOrderThatWasGivenUpHasNoLease fails on the code before (a lease of 5 s) and passes now.

--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -292,7 +292,7 @@
 	switch o := order.(type) {
 	case dispatch.Start:
 		if l := c.links[o.Worker]; l != nil {
-			go l.start(o)
+			go l.start(l.startCall(o))
 		}
 	case dispatch.Stop:
 		if l := c.links[o.Worker]; l != nil {
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -21,14 +21,20 @@
 	orderPause = 20 * time.Millisecond
 )
 
+// startCall returns the call for a start order. The lease that it brings is fixed when the control loop decides, which gives
+// the run up once that lease is over: a call that is held up until then does nothing.
+func (l *link) startCall(order dispatch.Start) StartCall {
+	deadline, _ := l.lease.extend(l.c.now(), l.c.leaseLength()) // 0 while the worker's clock is not known
+	return StartCall{order, l.c.tenure.Epoch(), deadline}
+}
+
 // start carries out a start order.
-func (l *link) start(order dispatch.Start) {
+func (l *link) start(order StartCall) {
 	c := l.c
 	outcome, err := dispatch.StartRefused, error(nil)
 	now := c.now()
-	deadline, known := l.lease.extend(now, c.leaseLength())
-	if known && c.valid() {
-		outcome, err = l.sendStart(StartCall{order, c.tenure.Epoch(), deadline})
+	if order.Deadline > 0 && c.valid() {
+		outcome, err = l.sendStart(order)
 	}
 	took := c.now().Sub(now)
 	c.counts.startTime.Update(took.Seconds())
