Ownership counts from its transaction, not from the arrival of the answer

What callers could see: two owners that give orders at one time. Workers refuse the earlier one once the later one has reached them; until then a job that both know of could run twice.

Cause: a new owner's orders were valid for 0.9 s from when it heard that it owned the cell. Others count 1.2 s from the transaction. With the answer 0.6 s late, or the VM paused before it came, the two overlapped. A renewal counted from its sending already. Class of fault: a promise counted from when it is noticed, not from when others count it.

Evidence: TestOwnershipCountsFromItsTransaction fails on the code before and passes now. The bound of unknown leases still counts from the later moment, which is the safe one there.

--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -8,6 +8,7 @@
 
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/rowstore"
 )
 
@@ -37,6 +38,8 @@
 	replica *Replica
 	owner   Owner
 	version uint64
+	// sentAt is when the last record was sent: others count the age of the ownership row from no earlier.
+	sentAt monotime.Instant
 	// standbys is what the next record says of them.
 	standbys atomic.Int64
 }
@@ -66,6 +69,9 @@
 // Epoch returns the tenure's fencing epoch.
 func (t *Tenure) Epoch() uint64 { return t.owner.Epoch }
 
+// SentAt returns when the last record was sent.
+func (t *Tenure) SentAt() monotime.Instant { return t.sentAt }
+
 // Version returns the version of the ownership row as this tenure last wrote it.
 func (t *Tenure) Version() uint64 { return t.version }
 
@@ -78,6 +84,7 @@
 func (t *Tenure) Record(ctx context.Context, b Batch) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	t.sentAt = t.replica.clock.Now()
 	t.owner.Beat++
 	t.owner.Standbys = int(t.standbys.Load())
 	tx := t.transaction(b)
--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -79,9 +79,9 @@
 		noted:      make(map[graph.JobID]bool),
 		oldJobs:    make(map[graph.JobID]struct{}),
 		startedAt:  started,
-		renewedAt:  started,
+		renewedAt:  tenure.SentAt(),
 	}
-	c.validUntil.Store(int64(started.Add(validFor)))
+	c.validUntil.Store(int64(tenure.SentAt().Add(validFor)))
 	return c
 }
 
--- /dev/null
+++ b/internal/owner/tenure_test.go
@@ -0,0 +1,79 @@
+package owner
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/ledger"
+	"laburnumpoint/internal/monotime/monotimetest"
+	"laburnumpoint/internal/rowstore"
+)
+
+// unsteadyStore answers its first transaction late, after it was carried out, and refuses later ones if told so.
+type unsteadyStore struct {
+	*rowstore.Memory
+	late    time.Duration
+	writes  atomic.Int64
+	refuses atomic.Bool
+}
+
+func (s *unsteadyStore) Apply(ctx context.Context, tx rowstore.Tx) (uint64, []rowstore.Row, error) {
+	time.Sleep(time.Millisecond)
+	if s.refuses.Load() {
+		return 0, nil, rowstore.ErrUnavailable
+	}
+	version, rows, err := s.Memory.Apply(ctx, tx)
+	if s.writes.Add(1) == 1 {
+		time.Sleep(s.late)
+		s.refuses.Store(s.late > 0)
+	}
+	return version, rows, err
+}
+
+// silentRegister lists nothing.
+type silentRegister struct{}
+
+func (silentRegister) Follow(ctx context.Context, _ func(RegisterChange)) { <-ctx.Done() }
+
+func newStoreDaemon(store rowstore.Store, runners Runners) *Daemon {
+	clock := monotimetest.Clock{Start: time.Now()}
+	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	replica := ledger.NewReplica(store, clock, quiet, ledger.Self{Life: "a"})
+	return New(Options{
+		Node: "a", Life: "a", Replica: replica, Runners: runners, Register: silentRegister{}, Clock: clock, Log: quiet, Metrics: metrics.NewSet(),
+		MaxLease: 10 * time.Second, Retention: time.Hour, Cores: 1,
+		Queue:   func(string) (graph.Queue, bool) { return graph.Queue{}, false },
+		StoreUp: func() bool { return true }, StoreAge: func() time.Duration { return 0 },
+	})
+}
+
+// The answer that tells a daemon that it owns the cell is late, as after a pause of its VM: its orders end in time before
+// others take over, which count from the transaction.
+func TestOwnershipCountsFromItsTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &unsteadyStore{Memory: rowstore.NewMemory(), late: 600 * time.Millisecond}
+		d := newStoreDaemon(store, &fakeRunners{start: time.Now()})
+		go d.Replica.Run(ctx)
+		go d.Run(ctx)
+		for store.writes.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		written := d.Clock.Now()
+		time.Sleep(takeoverAfter)
+		if c := d.control.Load(); c != nil && c.valid() {
+			t.Errorf("the owner gives orders %s after its last transaction, when others take over", d.Clock.Now().Sub(written))
+		}
+		cancel()
+		time.Sleep(2 * time.Second)
+	})
+}
