The last word on a worker is what the ledger is told

What callers could see: a task in two places after a change of owner, since a new owner asks only the workers that the ledger lists.

Cause: workers to record and workers to remove were two sets. A worker taken for gone that registered again while the record of its going failed was in both; one transaction then put and deleted its row, and it was in use without one. A worker that registered again while its removal waited was ignored for the rest of the tenure. Class of fault: a failed write brought back over a newer decision.

Evidence: TestWorkerInUseIsInTheLedger fails on the code before and passes now. One map now holds the row wanted of each worker, and a failed record restores it only if nothing newer is known.

--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -42,9 +42,8 @@
 	permits *permitQueue
 	// registered holds what the register lists.
 	registered map[dispatch.WorkerID]dispatch.Worker
-	// newWorkers and oldWorkers wait to be recorded.
-	newWorkers map[dispatch.WorkerID]dispatch.Worker
-	oldWorkers map[dispatch.WorkerID]struct{}
+	// workerRows wait to be recorded: a worker to put, or nil to remove its row. The last word on a worker replaces others.
+	workerRows map[dispatch.WorkerID]*dispatch.Worker
 	// endings are jobs whose rows are to be removed, the first due first; noted holds the same, oldJobs those whose progress is.
 	endings    []ending
 	noted      map[graph.JobID]bool
@@ -74,8 +73,7 @@
 		links:      make(map[dispatch.WorkerID]*link),
 		permits:    newPermitQueue(),
 		registered: make(map[dispatch.WorkerID]dispatch.Worker),
-		newWorkers: make(map[dispatch.WorkerID]dispatch.Worker),
-		oldWorkers: make(map[dispatch.WorkerID]struct{}),
+		workerRows: make(map[dispatch.WorkerID]*dispatch.Worker),
 		noted:      make(map[graph.JobID]bool),
 		oldJobs:    make(map[graph.JobID]struct{}),
 		startedAt:  started,
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -23,7 +23,7 @@
 // record writes what changed, if nothing is being written and it is time.
 func (c *control) record() {
 	now := c.now()
-	due := now >= c.renewAt || c.engine.HasDirty() || len(c.newWorkers) > 0 || len(c.oldWorkers) > 0 || len(c.oldJobs) > 0
+	due := now >= c.renewAt || c.engine.HasDirty() || len(c.workerRows) > 0 || len(c.oldJobs) > 0
 	if c.recording || !due || now < c.recordAt {
 		if !c.recording && due {
 			time.AfterFunc(max(0, c.recordAt.Sub(now)), func() { c.post(func() {}) })
@@ -45,19 +45,16 @@
 
 func (c *control) takeBatch() ledger.Batch {
 	batch := ledger.Batch{Progress: c.engine.TakeDirty(maxRecords)}
-	for id, w := range c.newWorkers {
+	for id, w := range c.workerRows {
 		if batch.Entries() >= maxRecords {
 			break
 		}
-		batch.Workers = append(batch.Workers, w)
-		delete(c.newWorkers, id)
-	}
-	for id := range c.oldWorkers {
-		if batch.Entries() >= maxRecords {
-			break
+		if w != nil {
+			batch.Workers = append(batch.Workers, *w)
+		} else {
+			batch.OldWorkers = append(batch.OldWorkers, id)
 		}
-		batch.OldWorkers = append(batch.OldWorkers, id)
-		delete(c.oldWorkers, id)
+		delete(c.workerRows, id)
 	}
 	for id := range c.oldJobs {
 		if batch.Entries() >= maxRecords {
@@ -108,16 +105,23 @@
 		c.engine.MarkDirty(id)
 	}
 	for _, w := range batch.Workers {
-		c.newWorkers[w.ID] = w
+		c.restoreWorkerRow(w.ID, &w)
 	}
 	for _, id := range batch.OldWorkers {
-		c.oldWorkers[id] = struct{}{}
+		c.restoreWorkerRow(id, nil)
 	}
 	for _, id := range batch.OldJobs {
 		c.oldJobs[id] = struct{}{}
 	}
 }
 
+// restoreWorkerRow has a row that was not written recorded again, unless something newer is known of the worker.
+func (c *control) restoreWorkerRow(id dispatch.WorkerID, w *dispatch.Worker) {
+	if _, newer := c.workerRows[id]; !newer {
+		c.workerRows[id] = w
+	}
+}
+
 // acknowledge lets workers forget ends that need no record, when nothing waits to be recorded.
 func (c *control) acknowledge() {
 	if !c.recording && !c.engine.HasDirty() {
--- a/internal/owner/tenure_test.go
+++ b/internal/owner/tenure_test.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime/monotimetest"
@@ -77,3 +78,49 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// A worker that was taken for gone registers again while the record of its going fails: as long as it is in use the ledger
+// has it.
+func TestWorkerInUseIsInTheLedger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &unsteadyStore{Memory: rowstore.NewMemory()}
+		d := newStoreDaemon(store, &fakeRunners{start: time.Now()})
+		tenure, err := d.Replica.Acquire(ctx, d.Replica.Owner(), ledger.Owner{Node: "a", Life: "a"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := newControl(ctx, d, tenure, d.Clock.Now())
+		record := func() {
+			time.Sleep(recordRetry)
+			c.record()
+			for c.recording {
+				c.takeIn(<-c.events)
+			}
+		}
+		w := dispatch.Worker{ID: "w", Pool: "p"}
+		c.registerChanged(RegisterChange{Full: true, Put: []dispatch.Worker{w}})
+		record()
+		c.workerEnded(c.links["w"], "silent and not registered")
+		store.refuses.Store(true)
+		time.Sleep(recordRetry)
+		c.record()
+		c.registerChanged(RegisterChange{Put: []dispatch.Worker{w}})
+		for c.recording {
+			c.takeIn(<-c.events)
+		}
+		store.refuses.Store(false)
+		record()
+		record()
+		rows, _, _, err := store.Range(ctx, "laburnumpoint-progress", "", "worker/", "worker0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.links["w"] != nil && len(rows) != 1 {
+			t.Error("a worker is in use, and the ledger has no row of it")
+		}
+		cancel()
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -233,7 +233,7 @@
 	}
 	delete(c.links, id)
 	c.logRunsLost(l, c.engine.RemoveWorker(id), why)
-	c.oldWorkers[id] = struct{}{}
+	c.workerRows[id] = nil
 }
 
 // registerChanged takes in what the register lists.
@@ -262,9 +262,7 @@
 func (c *control) workerListed(w dispatch.Worker) {
 	l := c.links[w.ID]
 	if l == nil {
-		if _, ended := c.oldWorkers[w.ID]; !ended {
-			c.newWorkers[w.ID] = w
-		}
+		c.workerRows[w.ID] = &w
 		return
 	}
 	if l.listed.Draining != w.Draining {
@@ -277,7 +275,9 @@
 
 // unregistered keeps new runs from a worker that the register no longer lists.
 func (c *control) unregistered(id dispatch.WorkerID) {
-	delete(c.newWorkers, id)
+	if c.workerRows[id] != nil {
+		delete(c.workerRows, id) // not used yet
+	}
 	l := c.links[id]
 	if l == nil || l.absent {
 		return
