An owner that lost the cell acknowledges no ends

What callers could see: a task that is done runs again after a change of owner.

Cause: a record that failed because another daemon owns the cell left nothing to be recorded, so that all ends counted as recorded, and the links might have told their workers to forget them. Only the order in which contexts end kept them from it.

Evidence: TestEndsOfALostRecordAreNotAcknowledged fails on the code before and passes now.

--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -129,8 +129,12 @@
 	}
 }
 
-// cover tells the links up to which sequence their workers' ends are recorded.
+// cover tells the links up to which sequence their workers' ends are recorded. Once ownership is lost nothing is known of
+// what the store has.
 func (c *control) cover(recorded map[dispatch.WorkerID]uint64) {
+	if c.lost {
+		return
+	}
 	for id, sequence := range recorded {
 		if l := c.links[id]; l != nil {
 			l.cover(sequence)
--- a/internal/owner/tenure_test.go
+++ b/internal/owner/tenure_test.go
@@ -124,3 +124,37 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// Another daemon owns the cell, so that a record fails for good: the worker is not told that its ends are recorded.
+func TestEndsOfALostRecordAreNotAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &unsteadyStore{Memory: rowstore.NewMemory()}
+		d := newStoreDaemon(store, &fakeRunners{start: time.Now()})
+		tenure, err := d.Replica.Acquire(ctx, d.Replica.Owner(), ledger.Owner{Node: "a", Life: "a"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := newControl(ctx, d, tenure, d.Clock.Now())
+		c.engine.SetNow(c.now())
+		c.addLink(cutWorker, false)
+		l := c.links["w"]
+		addOneTask(c, "j")
+		if _, err := d.Replica.Acquire(ctx, d.Replica.Owner(), ledger.Owner{Node: "b", Life: "b"}); err != nil {
+			t.Fatal(err)
+		}
+		key := dispatch.RunKey{Task: graph.TaskID{Job: "j"}, Number: 1}
+		c.engine.Report("w", c.now(), dispatch.Report{Ended: []dispatch.EndedEntry{{Sequence: 1, RunKey: key, End: dispatch.EndDone}}})
+		c.record()
+		for c.recording {
+			c.takeIn(<-c.events)
+		}
+		c.round()
+		if l.covered() > 0 {
+			t.Error("the worker may forget an end that the store does not have")
+		}
+		cancel()
+		time.Sleep(2 * time.Second)
+	})
+}
