Followers take answers of the feed in one at a time, and none that was overtaken

What callers could see: a task in two places after a change of owner, since a new owner asks only the workers that its copy of the ledger lists.

Cause: a daemon that takes over catches up while its follower still has a call under way, and the two took their answers in as they came. Progress has a guard by version; workers had none, so an older removal after a newer entry made a worker that is in use disappear from the copy. Class of fault: older news taken in over newer.

The check is in the follower, for all rows; workers have a version besides, since an owner takes in what it writes at once. Followers hand on an Update, which says up to which version everything is known.

--- a/internal/graphproto/config.go
+++ b/internal/graphproto/config.go
@@ -82,8 +82,8 @@
 // FollowQueues keeps the service's queues current until ctx ends. A version that can't be read is left out.
 func FollowQueues(ctx context.Context, store rowstore.Store, clock monotime.Clock, logger *log.Logger, service *entry.Service) {
 	f := &rowstore.Follower{Store: store, Clock: clock, Log: logger, Table: queuesTable, Parts: []string{""}, Wait: followWait}
-	f.Apply = func(changes []rowstore.Change, _ bool) {
-		for _, change := range changes {
+	f.Apply = func(u rowstore.Update) {
+		for _, change := range u.Changes {
 			var q Queues
 			if change.Removed || change.Name != queuesName {
 				continue
@@ -109,7 +109,7 @@
 // Follow implements owner.Register.
 func (r *Register) Follow(ctx context.Context, changed func(owner.RegisterChange)) {
 	f := rowstore.Follower{Store: r.Store, Clock: r.Clock, Log: r.Log, Table: workersTable, Parts: []string{""}, Wait: followWait}
-	f.Apply = func(changes []rowstore.Change, full bool) { changed(r.decode(changes, full)) }
+	f.Apply = func(u rowstore.Update) { changed(r.decode(u.Changes, u.Full)) }
 	f.Run(ctx)
 }
 
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -50,6 +50,12 @@
 	progressVersion uint64
 }
 
+// workerRow is a worker as its row had it at a version.
+type workerRow struct {
+	dispatch.Worker
+	version uint64
+}
+
 // State returns the state that a caller is told.
 func (j *Job) State() graph.State {
 	switch {
@@ -82,7 +88,7 @@
 
 	mu      sync.RWMutex
 	jobs    map[graph.JobID]*Job
-	workers map[dispatch.WorkerID]dispatch.Worker
+	workers map[dispatch.WorkerID]workerRow
 	owner   Owner
 	// ownerVersion is 0 if there is no ownership row; ownerSeen is when it was last seen to change.
 	ownerVersion uint64
@@ -102,7 +108,7 @@
 		clock:     clock,
 		log:       logger,
 		jobs:      make(map[graph.JobID]*Job),
-		workers:   make(map[dispatch.WorkerID]dispatch.Worker),
+		workers:   make(map[dispatch.WorkerID]workerRow),
 		ownerSeen: clock.Now(),
 		changed:   func(graph.JobID) {},
 	}
@@ -194,7 +200,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.jobs = make(map[graph.JobID]*Job)
-	r.workers = make(map[dispatch.WorkerID]dispatch.Worker)
+	r.workers = make(map[dispatch.WorkerID]workerRow)
 	r.ownerRead = r.clock.Now()
 }
 
@@ -256,8 +262,8 @@
 	return version
 }
 
-func (r *Replica) applyAll(changes []rowstore.Change, _ bool) {
-	for _, change := range changes {
+func (r *Replica) applyAll(u rowstore.Update) {
+	for _, change := range u.Changes {
 		r.apply(change)
 	}
 }
@@ -375,6 +381,9 @@
 }
 
 func (r *Replica) applyWorker(id dispatch.WorkerID, change rowstore.Change) error {
+	if change.Version < r.workers[id].version {
+		return nil
+	}
 	if change.Removed {
 		delete(r.workers, id)
 		return nil
@@ -384,7 +393,7 @@
 		return err
 	}
 	record.ID = id
-	r.workers[id] = record.Worker
+	r.workers[id] = workerRow{record.Worker, change.Version}
 	return nil
 }
 
@@ -458,7 +467,7 @@
 	defer r.mu.RUnlock()
 	out := make([]dispatch.Worker, 0, len(r.workers))
 	for _, w := range r.workers {
-		out = append(out, w)
+		out = append(out, w.Worker)
 	}
 	return out
 }
--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -32,12 +32,14 @@
 	Wait time.Duration
 	// Gap tells, if set, what is kept between two calls, so that frequent changes come together in one.
 	Gap func() time.Duration
-	// Apply takes in changes in order. With full set, they are all rows of the table. It may be called concurrently if
-	// CatchUp is; older changes may then come after newer ones.
-	Apply func(changes []Change, full bool)
+	// Apply takes in updates in order, one at a time.
+	Apply func(Update)
 	// Done is called, if set, after each call with the time at which it was sent: the rows are as new as that.
 	Done func(sent monotime.Instant)
 
+	// applying is held while an answer is taken in.
+	applying sync.Mutex
+
 	mu      sync.Mutex
 	loaded  bool
 	version uint64
@@ -47,6 +49,15 @@
 	lost   bool
 }
 
+// Update is what a follower has learnt of its table.
+type Update struct {
+	Changes []Change
+	// Full means that the table was read whole: rows that Changes lack were removed by Version.
+	Full bool
+	// Version is that up to which everything is known.
+	Version uint64
+}
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -107,6 +118,13 @@
 	return f.loaded && f.version >= version
 }
 
+// continues reports whether an answer of the feed after a version continues what has been taken in.
+func (f *Follower) continues(after uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loaded && f.version == after
+}
+
 // Reset forgets what was read, so that the table is read anew. Run must not be running.
 func (f *Follower) Reset() {
 	f.mu.Lock()
@@ -150,7 +168,12 @@
 	if err != nil {
 		return err
 	}
-	f.Apply(all, true)
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	if f.reached(version) {
+		return nil // CatchUp or Run was faster
+	}
+	f.Apply(Update{all, true, version})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.loaded = true
@@ -175,6 +198,11 @@
 	defer cancel()
 	sent := f.Clock.Now()
 	changes, next, err := f.Store.Feed(ctx, f.Table, after, wait)
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	if !f.continues(after) {
+		return err // CatchUp or Run was faster, and what it took in is newer
+	}
 	if errors.Is(err, ErrHistoryLost) {
 		f.Log.Warn().Str("table", f.Table).Uint64("after", after).Msg("history lost, reading the table again")
 		f.mu.Lock()
@@ -186,7 +214,7 @@
 		return err
 	}
 	if len(changes) > 0 {
-		f.Apply(changes, false)
+		f.Apply(Update{Changes: changes, Version: next})
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/rowstore/outage_test.go
+++ b/internal/rowstore/outage_test.go
@@ -63,7 +63,7 @@
 	for i := range parts {
 		f.Parts = append(f.Parts, string(rune('a'+i)))
 	}
-	f.Apply = func([]Change, bool) {}
+	f.Apply = func(Update) {}
 	go f.Run(ctx)
 	return f
 }
@@ -113,7 +113,7 @@
 			store.slow = slow
 			rows := 0
 			f := &Follower{Store: store, Clock: clock, Log: quiet(), Table: "t", Parts: []string{"a"}, Wait: time.Second}
-			f.Apply = func(changes []Change, _ bool) { rows += len(changes) }
+			f.Apply = func(u Update) { rows += len(u.Changes) }
 			go f.Run(ctx)
 			time.Sleep(loadTimeout - time.Second)
 			if rows != pages*maxRange {
