A table that is read again lacks what was removed meanwhile

What callers could see: a job that had completed long ago runs again after a change of owner, and is told of as running until then.

Cause: rows that went while the feed's history was lost stayed in a daemon's copy for ever; only its first reading began from nothing. A VM that the store had turned away for over twice the time for which ended jobs are told of kept jobs as unfinished that had no rows any more, and would have started them as owner.

A reading may be older than what this daemon has written since, so only rows up to its version are dropped; a job whose progress is gone keeps it in memory until its record goes too, since it would pass for a new job otherwise.

--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -47,7 +47,10 @@
 	Progress  *dispatch.Progress
 
 	recorded        bool
+	recordVersion   uint64
 	progressVersion uint64
+	// progressRemoved means that the row of the progress is gone, and the record is to go as well.
+	progressRemoved bool
 }
 
 // workerRow is a worker as its row had it at a version.
@@ -127,7 +130,7 @@
 // does not.
 func (r *Replica) follower(table string, parts []string, owning, other time.Duration) *rowstore.Follower {
 	return &rowstore.Follower{
-		Store: r.store, Clock: r.clock, Log: r.log, Table: table, Parts: parts, Wait: feedWait, Apply: r.applyAll,
+		Store: r.store, Clock: r.clock, Log: r.log, Table: table, Parts: parts, Wait: feedWait, Apply: func(u rowstore.Update) { r.applyAll(table, u) },
 		Gap: func() time.Duration {
 			if r.owning.Load() {
 				return owning
@@ -262,10 +265,47 @@
 	return version
 }
 
-func (r *Replica) applyAll(u rowstore.Update) {
+func (r *Replica) applyAll(table string, u rowstore.Update) {
 	for _, change := range u.Changes {
 		r.apply(change)
 	}
+	if u.Full {
+		r.removeUnlisted(table, u)
+	}
+}
+
+// removeUnlisted takes in that the rows which a reading of a whole table lacks were removed, as while the feed's history was
+// lost. Rows newer than the reading are those that this daemon wrote itself.
+func (r *Replica) removeUnlisted(table string, u rowstore.Update) {
+	listed := make(map[string]struct{}, len(u.Changes))
+	for _, change := range u.Changes {
+		listed[change.Name] = struct{}{}
+	}
+	gone := func(name string, version uint64) bool {
+		_, ok := listed[name]
+		return !ok && version <= u.Version
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch table {
+	case intakeTable:
+		for id, j := range r.jobs {
+			if j.recorded && gone(jobPrefix+string(id), j.recordVersion) {
+				r.forgetRecord(id)
+			}
+		}
+	case progressTable:
+		for id, j := range r.jobs {
+			if j.Progress != nil && gone(progressPrefix+string(id), j.progressVersion) {
+				r.forgetProgress(id)
+			}
+		}
+		for id, w := range r.workers {
+			if gone(workerPrefix+string(id), w.version) {
+				delete(r.workers, id)
+			}
+		}
+	}
 }
 
 // apply takes in one row. A row that can't be decoded is skipped alone.
@@ -330,7 +370,7 @@
 	}
 	j := r.job(id)
 	j.JobRecord = record
-	j.recorded = true
+	j.recorded, j.recordVersion = true, change.Version
 	return id, nil
 }
 
@@ -341,13 +381,26 @@
 	if j == nil {
 		return
 	}
-	if j.Progress == nil {
+	if j.Progress == nil || j.progressRemoved {
 		delete(r.jobs, id)
 		return
 	}
 	j.JobRecord, j.recorded = JobRecord{}, false
 }
 
+// forgetProgress drops a job whose progress has been removed. While its record is still there it keeps the progress: without it
+// the job would pass for a new one. The lock is held.
+func (r *Replica) forgetProgress(id graph.JobID) {
+	j := r.jobs[id]
+	switch {
+	case j == nil:
+	case j.recorded:
+		j.progressRemoved = true
+	default:
+		delete(r.jobs, id)
+	}
+}
+
 func (r *Replica) applyCancel(id graph.JobID, change rowstore.Change) graph.JobID {
 	if change.Removed {
 		return ""
@@ -362,9 +415,7 @@
 
 func (r *Replica) applyProgress(id graph.JobID, change rowstore.Change) error {
 	if change.Removed {
-		if j := r.jobs[id]; j != nil && !j.recorded {
-			delete(r.jobs, id)
-		}
+		r.forgetProgress(id)
 		return nil
 	}
 	if j := r.jobs[id]; j != nil && j.progressVersion >= change.Version {
