The copy of a daemon that takes over is not dropped under it

What callers could see: a task in two places, or run again after it was done, for all jobs of a cell at once.

Cause: a daemon on a weaker VM that no longer needs its copy of the ledger decides so, waits for calls under way, and drops it. If it comes to own the cell in that time, as when it is invited, its copy passed for whole and went while it was read: without workers none is awaited, and without progress all jobs are new. Class of fault: a decision carried out after its reason is gone.

Evidence: TestCopyOfANewOwnerIsNotDropped fails on the code before (the copy is empty 65 ms after it was found whole) and passes now. Dropping and the decision to own exclude each other, and what is dropped is decided again.

--- a/internal/ledger/behind_test.go
+++ b/internal/ledger/behind_test.go
@@ -105,3 +105,63 @@
 	}
 }
 
+// A daemon that just gave up its copy, since others have one, takes over: once it has found its copy whole the copy stays, at
+// whichever moment that was.
+func TestCopyOfANewOwnerIsNotDropped(t *testing.T) {
+	for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
+		for late := time.Duration(0); late < time.Second; late += 50 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) { takeOverWhileCopyIsDropped(t, phase, late) })
+			if t.Failed() {
+				return
+			}
+		}
+	}
+}
+
+// takeOverWhileCopyIsDropped takes over so long after the copy is needed no more, which is at some phase of the follower's calls.
+func takeOverWhileCopyIsDropped(t *testing.T, phase, late time.Duration) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer leave(cancel)
+	store := &forgetfulStore{gatedStore: &gatedStore{Memory: rowstore.NewMemory()}}
+	ownerCopy := testReplica(store.Memory, Self{Life: "a", Cores: 0.8})
+	owner, err := ownerCopy.Acquire(ctx, ownerCopy.Owner(), Owner{Node: "a", Life: "a", Cores: 0.8, Standbys: minStandbys})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := ownerCopy.Accept(ctx, "j", oneTask); err != nil {
+		t.Fatal(err)
+	}
+	if err := owner.Record(ctx, Batch{Workers: []dispatch.Worker{{ID: "w", Pool: "p"}}}); err != nil {
+		t.Fatal(err)
+	}
+	weak := testReplica(store, Self{Life: "b", Cores: 0.2, Weak: true})
+	weak.RequestCopy()
+	began := time.Now()
+	time.Sleep(phase)
+	go weak.Run(ctx)
+	for ; time.Since(began) < copyAsked+late; time.Sleep(50 * time.Millisecond) {
+		if err := owner.Record(ctx, Batch{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !weak.Complete() {
+		return // it would not try to take over
+	}
+	weak.SetOwning(true)
+	if err := weak.ReadOwner(ctx); err != nil {
+		t.Fatal(err)
+	}
+	tenure, err := weak.Acquire(ctx, weak.Owner(), Owner{Node: "b", Life: "b"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := tenure.CatchUp(ctx); err != nil || !weak.Complete() {
+		return // it gives ownership up
+	}
+	for taken := time.Now(); time.Since(taken) < time.Second; time.Sleep(100 * time.Microsecond) {
+		if jobs, workers := len(weak.Jobs()), len(weak.Workers()); jobs != 1 || workers != 1 {
+			t.Errorf("%s after the new owner found its copy whole it has %d jobs and %d workers, want one of each", time.Since(taken), jobs, workers)
+			return
+		}
+	}
+}
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -84,6 +84,8 @@
 	policy    *copyPolicy
 	followers []*rowstore.Follower
 	owning    atomic.Bool
+	// dropping is held while a copy is dropped, and while it is decided that this daemon may own the cell.
+	dropping sync.Mutex
 	// following means that there is a copy, or one is being made.
 	following atomic.Bool
 	// daemons is how many daemons follow the store, 0 while that is not known.
@@ -140,8 +142,12 @@
 	}
 }
 
-// SetOwning tells the replica whether this daemon owns the cell or is about to. It then keeps its copy.
-func (r *Replica) SetOwning(owning bool) { r.owning.Store(owning) }
+// SetOwning tells the replica whether this daemon owns the cell or is about to. It then keeps its copy, if there is one.
+func (r *Replica) SetOwning(owning bool) {
+	r.dropping.Lock()
+	defer r.dropping.Unlock()
+	r.owning.Store(owning)
+}
 
 // SetDaemons tells the replica how many daemons follow the store.
 func (r *Replica) SetDaemons(n int) { r.daemons.Store(int64(n)) }
@@ -193,8 +199,13 @@
 	}
 }
 
-// dropCopy forgets all but the ownership row.
+// dropCopy forgets all but the ownership row, unless this daemon has come to need its copy since that was decided.
 func (r *Replica) dropCopy() {
+	r.dropping.Lock()
+	defer r.dropping.Unlock()
+	if r.owning.Load() {
+		return
+	}
 	r.log.Info().Msg("following the ownership row alone, others have the ledger")
 	r.following.Store(false)
 	for _, f := range r.followers {
