A job stays in the pool that it was accepted for

What callers could see: a task in two places, if a configuration sends its queue to another pool and the owner changes afterwards.

Cause: a new owner took a job's queue as it is in force now, and awaited the workers of that pool alone. What an earlier owner had started on workers of the former pool was not asked for, and started again. Class of fault: a decision made anew from newer inputs while something relies on the old one.

Evidence: TestWorkersOfTheFormerPoolAreAwaited fails on the code before and passes now. The other terms of a queue still follow the configuration. What becomes of a job whose pool has no workers any more is a question to the users.

--- a/internal/owner/control.go
+++ b/internal/owner/control.go
@@ -143,6 +143,7 @@
 	queue := j.Queue
 	if current, ok := c.Queue(queue.Name); ok {
 		queue = current
+		queue.Pool = j.Queue.Pool // earlier owners ran the job there, and those workers are awaited
 	}
 	age := max(0, time.Duration(time.Now().UnixMilli()-j.AcceptedMS)*time.Millisecond)
 	c.engine.AddJob(id, queue, j.Spec, c.now().Add(-age), j.Progress, uncertain)
--- a/internal/owner/cutoff_test.go
+++ b/internal/owner/cutoff_test.go
@@ -10,6 +10,7 @@
 
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/ledger"
 )
 
 // cutRunners is one worker that runs what it is told to until its lease is over. Its answers can be cut off, or both ways.
@@ -231,3 +232,19 @@
 		synctest.Wait()
 	})
 }
+
+// A queue was sent to another pool since an earlier owner started the job: its workers there are awaited too.
+func TestWorkersOfTheFormerPoolAreAwaited(t *testing.T) {
+	c := newTestControl(t.Context(), &cutRunners{})
+	c.Queue = func(string) (graph.Queue, bool) { return graph.Queue{Name: "q", Pool: "p", Attempts: 1}, true }
+	c.engine.SetNow(c.now())
+	c.engine.Await("former", "former")
+	c.engine.PutWorker(cutWorker)
+	c.engine.SetReachable("w", true)
+	spec := &graph.Spec{Steps: []graph.Step{{Count: 1, Claim: graph.Claim{MilliCPU: 1}}}}
+	record := ledger.JobRecord{Queue: graph.Queue{Name: "q", Pool: "former", Attempts: 1}, Spec: spec}
+	c.addJob("j", ledger.Job{JobRecord: record}, true)
+	if orders := c.engine.Plan(0); len(orders) != 0 {
+		t.Errorf("%d orders while a worker that may run the task is awaited", len(orders))
+	}
+}
