A status that promises nothing leaves an order or a write in doubt

What callers could see: a task in two places, or an answer "not run" of what was stored.

Cause: any status of a worker or of the store but the expected ones counted as "not carried out". Class of fault: the lack of a yes taken for a no.

--- a/internal/graphproto/proto.go
+++ b/internal/graphproto/proto.go
@@ -57,9 +57,12 @@
 		return err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
+	if resp.StatusCode == http.StatusBadRequest {
 		return fmt.Errorf("%w: %s answers %s", errNotSent, path, resp.Status)
 	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answers %s", path, resp.Status)
+	}
 	return json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(answer)
 }
 
