A run that is being stopped counts against its step's bound on a worker

What callers could see: more tasks of a step on one worker than its job allows.

Cause: a run whose task is done, or that an earlier owner left, is stopped and taken from its task. The step counted its tasks' runs only, so another task started beside it until it was gone.

The step now counts such runs by worker.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -198,6 +198,7 @@
 // abandon stops a run and takes it from its task.
 func (e *Engine) abandon(r *run, reason string) {
 	if r.task != nil {
+		r.task.step.addExtra(r)
 		r.task.assign(nil)
 		r.task = nil
 	}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -118,6 +118,7 @@
 	if t.done || t.run != nil || t.step.job.state.Ended() {
 		r.strayOf = t
 		t.strays++
+		t.step.addExtra(r)
 		e.stop(r, "run is not needed")
 		return r
 	}
@@ -146,6 +147,9 @@
 	if r.strayOf != nil {
 		r.strayOf.strays--
 	}
+	if r.extraOf != nil {
+		r.extraOf.extra[r.worker.ID]--
+	}
 	if r.unsized {
 		r.worker.unsized--
 		e.poolsStale = true
--- a/internal/dispatch/history_test.go
+++ b/internal/dispatch/history_test.go
@@ -896,3 +896,7 @@
 
 // As above, with more ends than a report holds: a task whose end waits behind them is not started again.
 func TestHistoriesWithPartialReportsKeepRunsSingle(t *testing.T) { playHistories(t, 1000, 3, false) }
+
+// As above, with steps that bound their tasks on one worker: a run that is being stopped, since its task is done, still counts
+// there.
+func TestHistoriesKeepStepsSpread(t *testing.T) { playHistories(t, 2000, 500, true) }
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -164,6 +164,9 @@
 	task *task
 	// strayOf is set if the run is of a task that did not need it; the task is not started while it lasts.
 	strayOf *task
+	// extraOf is set if the run is of a task of the step, but not the task's current one: it counts against the step's bound
+	// on one worker until it is gone.
+	extraOf *step
 	held    graph.Claim
 	// unsized means that the claim is not known.
 	unsized bool
@@ -267,6 +270,8 @@
 
 	// placed counts the tasks that are not done and have a run.
 	placed int
+	// extra counts, by worker, the runs of the step's tasks that are being stopped and are no task's current one.
+	extra map[WorkerID]int
 
 	due monotime.Instant
 	// rest is about how long the job yet takes from the step's start.
@@ -290,6 +295,15 @@
 	reserved []*worker
 }
 
+// addExtra notes that a run is of one of the step's tasks beside the task's current one.
+func (s *step) addExtra(r *run) {
+	r.extraOf = s
+	if s.extra == nil {
+		s.extra = make(map[WorkerID]int)
+	}
+	s.extra[r.worker.ID]++
+}
+
 func (s *step) id() StepID { return StepID{s.job.id, s.occurrence, s.index} }
 
 type job struct {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -272,6 +273,7 @@
 	if s.def.MaxPerWorker == 0 {
 		return counts
 	}
+	maps.Copy(counts, s.extra)
 	for _, t := range s.tasks {
 		if t.run != nil {
 			counts[t.run.worker.ID]++
