Run numbers of two owners don't meet after a thousand refusals

What callers could see: a task that is tried more often than its queue allows.

Cause: each owner has a space of 1,000 run numbers for a task. A worker that refuses a start at once gets another in the next round, so that seconds use them up, and ten outdated starts too; the next owner's numbers then repeat them. Failed runs are told apart by their numbers, and two counted as one. Class of fault: an identifier taken for unique beyond its range.

The space is a million numbers.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -7,9 +7,14 @@
 	"laburnumpoint/internal/monotime"
 )
 
-// runsPerEpoch is the space of run numbers that each owner has for a task, so that a new owner's numbers are above
-// those of every earlier one without a record of each start.
-const runsPerEpoch = 1000
+const (
+	// runsPerEpoch is the space of run numbers that each owner has for a task, so that a new owner's numbers are above
+	// those of every earlier one without a record of each start. A task that is refused in each round of decisions, every
+	// 2 ms, uses it up in half an hour.
+	runsPerEpoch = 1_000_000
+	// outdatedStep is how far a task's numbers go on where a worker has seen a higher one.
+	outdatedStep = 100
+)
 
 // Engine holds the jobs, the workers and the runs of one cell. It is not safe for concurrent use.
 type Engine struct {
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -230,7 +230,7 @@
 	if state, _ := next.JobState(j); state == graph.Failed {
 		t.Fatal("one failed run counted as two attempts")
 	}
-	next.Report(a, next.clock, ended(2, key(j, 0, 0, 1001), EndFailed))
+	next.Report(a, next.clock, ended(2, key(j, 0, 0, runsPerEpoch+1), EndFailed))
 	if state, _ := next.JobState(j); state != graph.Failed {
 		t.Errorf("state %s after two failed runs, want failed", state)
 	}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -324,7 +324,7 @@
 		w.avoidUntil = max(w.avoidUntil, e.now.Add(roomBackoff))
 	case StartOutdated:
 		if t != nil {
-			t.lastRun += runsPerEpoch / 10
+			t.lastRun += outdatedStep
 		}
 	case StartNoPermit:
 		if t != nil {
