A recorded worker is used as the register has it now

What callers could see: a task in two places after a change of owner, and starts on a worker that drains or has left.

Cause: a worker whose first record is under way has no link, so news of it changed only the row to be written. Once the record was there the worker was linked as it had been, whatever had become known since; one that had meanwhile been taken for gone was linked although its row was about to be removed, and was then in use without one. Class of fault: an older decision carried out over a newer one. Workers also waited behind progress: while eighty jobs changed from one record to the next, no new worker came into use.

Evidence: TestWorkerThatIsRecordedTwiceIsInTheLedger, TestWorkerThatDrainsWhileItIsRecordedGetsNothing, TestWorkerThatLeavesWhileItIsRecordedGetsNothing and TestNewWorkerIsRecordedWhileManyJobsChange fail on the code before and pass now. TestWorkerThatRegistersAgainIsUsedAgain sharpens TestWorkerInUseIsInTheLedger.

--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -44,9 +44,10 @@
 }
 
 func (c *control) takeBatch() ledger.Batch {
-	batch := ledger.Batch{Progress: c.engine.TakeDirty(maxRecords)}
+	batch := ledger.Batch{}
+	// Workers come first, since progress alone may fill one record after the other.
 	for id, w := range c.workerRows {
-		if batch.Entries() >= maxRecords {
+		if batch.Entries() >= maxRecords/2 {
 			break
 		}
 		if w != nil {
@@ -56,6 +57,7 @@
 		}
 		delete(c.workerRows, id)
 	}
+	batch.Progress = c.engine.TakeDirty(maxRecords - batch.Entries())
 	for id := range c.oldJobs {
 		if batch.Entries() >= maxRecords {
 			break
@@ -83,7 +85,7 @@
 		c.validUntil.Store(int64(sent.Add(validFor)))
 	}
 	for _, w := range batch.Workers {
-		c.addLink(w, false)
+		c.workerRecorded(w)
 	}
 	for id, p := range batch.Progress {
 		if p.State.Ended() {
@@ -94,6 +96,20 @@
 	c.cover(covered)
 }
 
+// workerRecorded takes a worker into use whose row is written, as the register has it now: it may have drained, left or ended
+// meanwhile.
+func (c *control) workerRecorded(w dispatch.Worker) {
+	if row, newer := c.workerRows[w.ID]; newer && row == nil {
+		return // it has ended, and its row goes with the next record
+	}
+	c.addLink(w, false)
+	if listed, ok := c.registered[w.ID]; ok {
+		c.workerListed(listed)
+	} else {
+		c.unregistered(w.ID)
+	}
+}
+
 func (c *control) recordFailed(batch ledger.Batch, err error) {
 	c.counts.recordFailures.Inc()
 	if errors.Is(err, ledger.ErrNotOwner) {
