Of several changes of a row in one answer the last counts

What operators could see: a worker that has left is looked at for the rest of an owner's tenure, and the next owner waits for it for a whole lease before it starts what may have run there.

Cause: both registers told removals apart from entries, and the owner took removals in first: an answer with a last heartbeat and then the removal left the worker registered. A full reading also left workers that it lacks waiting to be recorded. Class of fault: the order of news lost. Whether the users' feed tells each change of a row or the last is not known; our own store tells each.

Evidence: TestEntryThatIsWrittenAndRemovedIsGone and TestLastChangeOfARowCounts fail on the code before and pass now. Followers hand on the last change of each row, for all tables.

--- a/internal/owner/contracts.go
+++ b/internal/owner/contracts.go
@@ -54,7 +54,7 @@
 
 // RegisterChange is a change of the register of workers.
 type RegisterChange struct {
-	// Full means that Put holds every worker.
+	// Full means that Put holds every worker. A worker in Put and Removed has been removed last.
 	Full    bool
 	Put     []dispatch.Worker
 	Removed []dispatch.WorkerID
--- a/internal/owner/records_test.go
+++ b/internal/owner/records_test.go
@@ -166,6 +166,17 @@
 	})
 }
 
+// A worker's entry is written and then removed, and both are told in one change: the worker is not registered.
+func TestEntryThatIsWrittenAndRemovedIsGone(t *testing.T) {
+	c := newTestControl(t.Context(), &cutRunners{})
+	c.registerChanged(RegisterChange{Full: true, Put: []dispatch.Worker{cutWorker}})
+	// As both registers decode an answer of the feed with the entry's last heartbeat and its removal.
+	c.registerChanged(RegisterChange{Put: []dispatch.Worker{cutWorker}, Removed: []dispatch.WorkerID{"w"}})
+	if _, listed := c.registered["w"]; listed {
+		t.Error("a worker whose entry was removed counts as registered")
+	}
+}
+
 // newRecordControl returns an owner whose store answers after the given time, and a function that waits for its record.
 func newRecordControl(ctx context.Context, t *testing.T, store rowstore.Store) (c *control, finish func()) {
 	t.Helper()
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -248,15 +248,20 @@
 				c.unregistered(id)
 			}
 		}
-	}
-	for _, id := range change.Removed {
-		delete(c.registered, id)
-		c.unregistered(id)
+		for id := range c.workerRows {
+			if _, listed := c.registered[id]; !listed {
+				c.unregistered(id)
+			}
+		}
 	}
 	for _, w := range change.Put {
 		c.registered[w.ID] = w
 		c.workerListed(w)
 	}
+	for _, id := range change.Removed {
+		delete(c.registered, id)
+		c.unregistered(id)
+	}
 }
 
 func (c *control) workerListed(w dispatch.Worker) {
--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -51,6 +51,7 @@
 
 // Update is what a follower has learnt of its table.
 type Update struct {
+	// Changes holds the last change of each row.
 	Changes []Change
 	// Full means that the table was read whole: rows that Changes lack were removed by Version.
 	Full bool
@@ -214,7 +215,7 @@
 		return err
 	}
 	if len(changes) > 0 {
-		f.Apply(Update{Changes: changes, Version: next})
+		f.Apply(Update{Changes: lastOfEach(changes), Version: next})
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -227,6 +228,24 @@
 	return nil
 }
 
+// lastOfEach leaves out what later changes of the same row replace.
+func lastOfEach(changes []Change) []Change {
+	last := make(map[Key]int, len(changes))
+	for i, c := range changes {
+		last[c.Key] = i
+	}
+	if len(last) == len(changes) {
+		return changes
+	}
+	var out []Change
+	for i, c := range changes {
+		if last[c.Key] == i {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // mayBeCut reports whether an answer may lack later changes because it is full. Values are encoded on the way, with names
 // around them: one of half the bound may have reached it.
 func mayBeCut(changes []Change) bool {
--- a/internal/rowstore/follower_test.go
+++ b/internal/rowstore/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,3 +68,101 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+// faultyStore leaves one call of the feed that does not wait without an answer.
+type faultyStore struct {
+	*Memory
+	failed bool
+}
+
+func (s *faultyStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	if wait == 0 && !s.failed {
+		s.failed = true
+		return nil, 0, ErrUnavailable
+	}
+	return s.Memory.Feed(ctx, table, after, wait)
+}
+
+// slowReading answers the first reading of a table late.
+type slowReading struct {
+	*Memory
+	reads atomic.Int64
+}
+
+func (s *slowReading) Range(ctx context.Context, table, part, from, to string) ([]Row, string, uint64, error) {
+	rows, next, version, err := s.Memory.Range(ctx, table, part, from, to)
+	if s.reads.Add(1) == 1 {
+		time.Sleep(300 * time.Millisecond)
+	}
+	return rows, next, version, err
+}
+
+// Run's first reading of the table is still on its way when CatchUp has read it, with later rows: it is not taken in.
+func TestReadingThatCatchUpOvertookIsNotTakenIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &slowReading{Memory: NewMemory()}
+		f := &Follower{Store: store, Clock: monotimetest.Clock{Start: time.Now()}, Log: quiet(), Table: "t", Parts: []string{""}, Wait: time.Second}
+		newest := uint64(0)
+		f.Apply = func(u Update) {
+			if u.Version < newest {
+				t.Errorf("a reading of version %d is taken in after %d", u.Version, newest)
+			}
+			newest = u.Version
+		}
+		write := func(name string) uint64 {
+			version, _, err := store.Apply(ctx, Tx{Put: []Row{{Key: Key{Table: "t", Name: name}}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return version
+		}
+		write("a")
+		go f.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		version := write("b")
+		if err := f.CatchUp(ctx, version); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if f.Version() != version {
+			t.Errorf("version %d, want %d", f.Version(), version)
+		}
+		cancel()
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// Guards against an entry that counts as present after its removal: an answer with several changes of a row tells the last.
+func TestLastChangeOfARowCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		store := NewMemory()
+		f := &Follower{Store: store, Clock: monotimetest.Clock{Start: time.Now()}, Log: quiet(), Table: "t", Parts: []string{""}, Wait: time.Second}
+		var got []Change
+		f.Apply = func(u Update) { got = u.Changes }
+		if err := f.CatchUp(ctx, 0); err != nil {
+			t.Fatal(err)
+		}
+		gone, kept := Key{Table: "t", Name: "gone"}, Key{Table: "t", Name: "kept"}
+		version := uint64(0)
+		for _, tx := range []Tx{{Put: []Row{{Key: gone}, {Key: kept}}}, {Delete: []Key{gone, kept}}, {Put: []Row{{Key: kept}}}} {
+			var err error
+			if version, _, err = store.Apply(ctx, tx); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := f.CatchUp(ctx, version); err != nil {
+			t.Fatal(err)
+		}
+		removed := make(map[Key]bool)
+		for _, change := range got {
+			removed[change.Key] = change.Removed
+		}
+		if len(got) != 2 || !removed[gone] || removed[kept] {
+			t.Errorf("told %v, want the removal of one row and the entry of the other", got)
+		}
+	})
+}
