One call without an answer does not end a takeover

What callers could see: nothing starts for longer than a takeover takes, while answers of the store get lost.

Cause: a new owner that catches up gave ownership up at the first call that failed, with seconds left to try again, and even if its follower had all that was wanted by then. A daemon whose copy was dropped just before it decided to own took ownership as well, only to give it up: it now looks once more.

Evidence: TestCatchUpOutlivesACallWithoutAnAnswer fails on the code before and passes now.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -106,6 +106,10 @@
 		}
 		// From before the attempt on the copy of the ledger is kept: what is taken over is read from it.
 		d.Replica.SetOwning(true)
+		if !d.Replica.Complete() {
+			d.Replica.SetOwning(false) // it was dropped just before
+			continue
+		}
 		tenure, err := d.take(ctx)
 		if err != nil {
 			d.Replica.SetOwning(false)
--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -97,18 +97,20 @@
 	}
 }
 
-// CatchUp takes in every change up to a version that the store is known to have reached. Errors: ErrUnavailable.
+// CatchUp takes in every change up to a version that the store is known to have reached, for as long as ctx lasts.
+// Errors: ErrUnavailable.
 func (f *Follower) CatchUp(ctx context.Context, version uint64) error {
 	for {
-		if err := f.step(ctx, 0); err != nil && !errors.Is(err, ErrHistoryLost) {
-			return err
-		}
+		err := f.step(ctx, 0)
 		if f.reached(version) {
 			return nil
 		}
 		if ctx.Err() != nil {
 			return fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
 		}
+		if err != nil && !errors.Is(err, ErrHistoryLost) {
+			monotime.Sleep(ctx, retryDelay)
+		}
 	}
 }
 
--- a/internal/rowstore/follower_test.go
+++ b/internal/rowstore/follower_test.go
@@ -83,6 +83,27 @@
 	return s.Memory.Feed(ctx, table, after, wait)
 }
 
+// One call without an answer is no reason to give up catching up, and with it ownership: there is time for others.
+func TestCatchUpOutlivesACallWithoutAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		store := &faultyStore{Memory: NewMemory()}
+		f := &Follower{Store: store, Clock: monotimetest.Clock{Start: time.Now()}, Log: quiet(), Table: "t", Parts: []string{""}, Wait: time.Second}
+		f.Apply = func(Update) {}
+		if err := f.CatchUp(ctx, 0); err != nil {
+			t.Fatal(err)
+		}
+		version, _, err := store.Apply(ctx, Tx{Put: []Row{{Key: Key{Table: "t", Name: "a"}}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := f.CatchUp(ctx, version); err != nil {
+			t.Errorf("given up after one call: %v", err)
+		}
+	})
+}
+
 // slowReading answers the first reading of a table late.
 type slowReading struct {
 	*Memory
