--- a/internal/rowstore/outage_test.go
+++ b/internal/rowstore/outage_test.go
@@ -111,13 +111,13 @@
 			}
 			store.slowAfter = 1
 			store.slow = slow
-			rows := 0
+			var rows atomic.Int64
 			f := &Follower{Store: store, Clock: clock, Log: quiet(), Table: "t", Parts: []string{"a"}, Wait: time.Second}
-			f.Apply = func(u Update) { rows += len(u.Changes) }
+			f.Apply = func(u Update) { rows.Add(int64(len(u.Changes))) }
 			go f.Run(ctx)
 			time.Sleep(loadTimeout - time.Second)
-			if rows != pages*maxRange {
-				t.Errorf("pages of %s: %d rows read, want %d", slow, rows, pages*maxRange)
+			if rows.Load() != pages*maxRange {
+				t.Errorf("pages of %s: %d rows read, want %d", slow, rows.Load(), pages*maxRange)
 			}
 			cancel()
 			synctest.Wait()
