TestJobsOutliveTheirOwners always kills owners while work is under way

Cause, in the test: before each kill it waited for sixty more entries of the workers' record without a bound, and the work of one batch for all kills had ended while the second replacement started, 4 s after the first. Evidence, from the processes that hung: the jobs' states (400 of 400 and 8 of 8 succeeded, 6 of 6 running) and the record, 834 entries with 414 starts and 408 ends, the last 7 s after the first; nothing was to come. Ruled out: a fault of the product; nothing was queued, nothing ran twice.

The test is as strict: each kill now has a batch of its own, counted from before it is handed in, so that more than sixty entries always come, and owners die with more of it left than before at worst. 450 tasks in place of 400; every check is made for every batch.

--- a/internal/e2e/jobs_test.go
+++ b/internal/e2e/jobs_test.go
@@ -69,19 +69,25 @@
 
 func TestJobsOutliveTheirOwners(t *testing.T) {
 	t.Parallel()
-	const tasks, replicas = 400, 6
+	const tasks, replicas = 150, 6
 	c := startCell(t, testDaemons, testWorkers)
-	c.submit("batch", cell.KindBatch, tasks, "callsheet", `{"run_ms":150}`)
 	c.submit("service", cell.KindService, replicas, "callsheet", `{}`)
 	c.submit("gang", cell.KindGang, 8, "callsheet", `{"run_ms":500}`)
-	for range testDaemons {
+	var batches []cell.JobID
+	for k := range testDaemons {
+		// Each death has a batch of its own: however long a daemon takes to start, work is under way when the next dies.
+		batch := cell.JobID(fmt.Sprintf("batch-%d", k))
+		batches = append(batches, batch)
 		before := len(c.workerHistory())
+		c.submit(batch, cell.KindBatch, tasks, "callsheet", `{"run_ms":150}`)
 		for len(c.workerHistory()) < before+60 {
 			time.Sleep(10 * time.Millisecond)
 		}
 		killDaemonAt(c, 0)
 	}
-	c.awaitJob("batch", func(s api.JobStatus) bool { return s.Succeeded == tasks })
+	for _, batch := range batches {
+		c.awaitJob(batch, func(s api.JobStatus) bool { return s.Succeeded == tasks })
+	}
 	c.awaitJob("gang", func(s api.JobStatus) bool { return s.Succeeded == 8 })
 	c.awaitJob("service", func(s api.JobStatus) bool { return s.Running == replicas })
 	c.awaitRunning(replicas)
@@ -89,7 +95,9 @@
 	for _, v := range history.Check(entries, bounds) {
 		t.Error(v)
 	}
-	checkRunsAgain(t, entries, tasks)
+	for _, batch := range batches {
+		checkRunsAgain(t, entries, batch, tasks)
+	}
 }
 
 // killDaemonAt kills a daemon and replaces it.
@@ -101,7 +109,7 @@
 }
 
 // checkRunsAgain checks that an owner's death repeats no more of a batch than what ended since its progress was written.
-func checkRunsAgain(t *testing.T, entries []history.Entry, tasks int) {
+func checkRunsAgain(t *testing.T, entries []history.Entry, batch cell.JobID, tasks int) {
 	t.Helper()
 	starts := make(map[cell.TaskID]int)
 	for _, e := range entries {
@@ -111,11 +119,11 @@
 	}
 	again := 0
 	for i := range tasks {
-		n := starts[cell.TaskID(fmt.Sprintf("batch/%d", i))]
+		n := starts[cell.TaskID(fmt.Sprintf("%s/%d", batch, i))]
 		if n == 0 {
-			t.Errorf("batch/%d never ran", i)
+			t.Errorf("%s/%d never ran", batch, i)
 		}
 		again += max(0, n-1)
 	}
-	t.Logf("%d of %d tasks ran again after the deaths of %d owners", again, tasks, testDaemons)
+	t.Logf("%s: %d of %d tasks ran again after the deaths of %d owners", batch, again, tasks, testDaemons)
 }
