A reading from before a job closed does not open it again

What callers could see: tasks of a job that has ended run again, and with a cancel in between a cancelled job runs.

Cause: two notices of a job (submission and poll, or a client's re-send) read its rows at one time. The first opens, runs and closes the job. The second's reading, up to 3 s late, was taken in if the part was not there at that moment, which is also so when it has closed. Class of fault: an older view taken for the newest.

TestNothingIsRememberedOfAClosedJob is new; it fails if readings are not forgotten.

Ruled out: one reading of a job at a time. A list of closed jobs: it has no natural bound.

Why it works: the controller knows the readings under way of each job. When it removes a part, each of them is marked, and what it brings does not open the part. A reading that begins later sees the table as of later, where the row is gone (the table is linearizable). What is remembered ends with the readings, 3 s at the most. The same holds for a part that another owner has written; the next poll reads it afresh. A reading that finds the part known still only passes on a cancellation.

--- a/internal/job/controller.go
+++ b/internal/job/controller.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"laburnumpoint/internal/cell"
-	"laburnumpoint/internal/platform"
 )
 
 // Timing of a controller.
@@ -42,6 +40,8 @@
 	log    *log.Logger
 	inbox  *inbox
 	parts  map[cell.JobID]*part
+	// readings holds the readings under way of each job.
+	readings map[cell.JobID][]*reading
 	// onLost is called when another owner is seen to have written a part.
 	onLost func()
 	cancel context.CancelFunc
@@ -56,15 +56,16 @@
 func Start(shard cell.ShardID, store *Store, placer Placer, logger *log.Logger, onLost func()) *Controller {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Controller{
-		shard:  shard,
-		store:  store,
-		placer: placer,
-		log:    logger,
-		inbox:  newInbox(),
-		parts:  make(map[cell.JobID]*part),
-		onLost: onLost,
-		cancel: cancel,
-		ended:  make(chan struct{}),
+		shard:    shard,
+		store:    store,
+		placer:   placer,
+		log:      logger,
+		inbox:    newInbox(),
+		parts:    make(map[cell.JobID]*part),
+		readings: make(map[cell.JobID][]*reading),
+		onLost:   onLost,
+		cancel:   cancel,
+		ended:    make(chan struct{}),
 	}
 	go c.loop(ctx)
 	return c
@@ -174,48 +175,6 @@
 	}()
 }
 
-// load reads a job's record and, if the part isn't run yet, its progress.
-func (c *Controller) load(id cell.JobID) {
-	known := c.parts[id] != nil
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), tableTimeout)
-		defer cancel()
-		r, _, err := c.store.Load(ctx, id)
-		if err != nil {
-			c.log.Warn().Str("job", string(id)).Err(err).Msg("job not read")
-			return
-		}
-		if known {
-			c.inbox.post(func(c *Controller) { c.update(r) })
-			return
-		}
-		row, err := c.store.LoadPart(ctx, c.shard, id)
-		if err != nil {
-			if !errors.Is(err, platform.ErrNotFound) {
-				c.log.Warn().Str("job", string(id)).Err(err).Msg("job progress not read")
-			}
-			return
-		}
-		c.inbox.post(func(c *Controller) { c.open(r, row) })
-	}()
-}
-
-func (c *Controller) open(r Record, row PartRow) {
-	if c.parts[r.Spec.ID] != nil {
-		c.update(r)
-		return
-	}
-	bounds, ok := partIn(r, c.shard)
-	if !ok {
-		return
-	}
-	p := newPart(r, bounds, row)
-	c.parts[r.Spec.ID] = p
-	c.log.Info().Str("shard", string(c.shard)).Str("job", string(r.Spec.ID)).Str("kind", string(r.Spec.Kind)).
-		Int("from", bounds.From).Int("to", bounds.To).Int("done", row.Progress.Counts.Done()).Msg("job opened")
-	c.advance(p)
-}
-
 func (c *Controller) update(r Record) {
 	p := c.parts[r.Spec.ID]
 	if p == nil || !r.Cancelled || p.record.Cancelled {
--- a/internal/job/flush.go
+++ b/internal/job/flush.go
@@ -93,7 +93,7 @@
 	p.closing = false
 	switch {
 	case err == nil, errors.Is(err, platform.ErrNotFound):
-		delete(c.parts, id)
+		c.remove(id)
 		c.log.Info().Str("shard", string(c.shard)).Str("job", string(id)).
 			Int("succeeded", p.row.Progress.Counts.Succeeded).Int("failed", p.row.Progress.Counts.Failed).Msg("job closed")
 	case errors.Is(err, platform.ErrConflict):
@@ -111,7 +111,7 @@
 
 // lost gives up a part that another owner has written.
 func (c *Controller) lost(p *part) {
-	delete(c.parts, p.record.Spec.ID)
+	c.remove(p.record.Spec.ID)
 	c.log.Warn().Str("shard", string(c.shard)).Str("job", string(p.record.Spec.ID)).Msg("job written by another owner")
 	c.onLost()
 }
