--- a/internal/owner/records_test.go
+++ b/internal/owner/records_test.go
@@ -25,6 +25,24 @@
 	return version, rows, err
 }
 
+// newRecordControl returns an owner over a store, and a function that waits until no record is under way.
+func newRecordControl(ctx context.Context, t *testing.T, store rowstore.Store) (c *control, finish func()) {
+	t.Helper()
+	d := newStoreDaemon(store, &fakeRunners{start: time.Now()})
+	tenure, err := d.Replica.Acquire(ctx, d.Replica.Owner(), ledger.Owner{Node: "a", Life: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c = newControl(ctx, d, tenure, d.Clock.Now())
+	c.validUntil.Store(int64(c.now().Add(time.Hour)))
+	c.engine.SetNow(c.now())
+	return c, func() {
+		for c.recording {
+			c.takeIn(<-c.events)
+		}
+	}
+}
+
 // A new worker's entry is listed again while its first record is under way, so that a second one follows. While that is under
 // way the worker is taken for gone. It is cut off only, and is used again: the ledger has it.
 func TestWorkerThatIsRecordedTwiceIsInTheLedger(t *testing.T) {
@@ -32,20 +50,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		store := &gappedStore{Memory: rowstore.NewMemory()}
-		runners := &fakeRunners{start: time.Now()}
-		d := newStoreDaemon(store, runners)
-		tenure, err := d.Replica.Acquire(ctx, d.Replica.Owner(), ledger.Owner{Node: "a", Life: "a"})
-		if err != nil {
-			t.Fatal(err)
-		}
-		c := newControl(ctx, d, tenure, d.Clock.Now())
-		c.validUntil.Store(int64(c.now().Add(time.Hour)))
+		c, finish := newRecordControl(ctx, t, store)
+		runners := c.Runners.(*fakeRunners)
 		store.late = 300 * time.Millisecond // a slow store
-		finish := func() {
-			for c.recording {
-				c.takeIn(<-c.events)
-			}
-		}
 		w := dispatch.Worker{ID: "w", Pool: "p"}
 		time.Sleep(recordRetry)
 		runners.setSilent(true)
@@ -90,19 +97,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		store := &gappedStore{Memory: rowstore.NewMemory()}
-		d := newStoreDaemon(store, &fakeRunners{start: time.Now()})
-		tenure, err := d.Replica.Acquire(ctx, d.Replica.Owner(), ledger.Owner{Node: "a", Life: "a"})
-		if err != nil {
-			t.Fatal(err)
-		}
-		c := newControl(ctx, d, tenure, d.Clock.Now())
-		c.validUntil.Store(int64(c.now().Add(time.Hour)))
+		c, finish := newRecordControl(ctx, t, store)
 		store.late = 100 * time.Millisecond
-		finish := func() {
-			for c.recording {
-				c.takeIn(<-c.events)
-			}
-		}
 		time.Sleep(recordRetry)
 		w := cutWorker
 		c.registerChanged(RegisterChange{Full: true, Put: []dispatch.Worker{w}})
@@ -136,21 +132,13 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		store := &gappedStore{Memory: rowstore.NewMemory()}
-		d := newStoreDaemon(store, &fakeRunners{start: time.Now()})
-		tenure, err := d.Replica.Acquire(ctx, d.Replica.Owner(), ledger.Owner{Node: "a", Life: "a"})
-		if err != nil {
-			t.Fatal(err)
-		}
-		c := newControl(ctx, d, tenure, d.Clock.Now())
-		c.validUntil.Store(int64(c.now().Add(time.Hour)))
+		c, finish := newRecordControl(ctx, t, store)
 		store.late = 100 * time.Millisecond
 		time.Sleep(recordRetry)
 		c.registerChanged(RegisterChange{Full: true, Put: []dispatch.Worker{cutWorker}})
 		c.record()
 		c.registerChanged(RegisterChange{Removed: []dispatch.WorkerID{"w"}})
-		for c.recording {
-			c.takeIn(<-c.events)
-		}
+		finish()
 		addOneTask(c, "j")
 		for range 20 {
 			time.Sleep(tick)
@@ -177,24 +165,6 @@
 	}
 }
 
-// newRecordControl returns an owner whose store answers after the given time, and a function that waits for its record.
-func newRecordControl(ctx context.Context, t *testing.T, store rowstore.Store) (c *control, finish func()) {
-	t.Helper()
-	d := newStoreDaemon(store, &fakeRunners{start: time.Now()})
-	tenure, err := d.Replica.Acquire(ctx, d.Replica.Owner(), ledger.Owner{Node: "a", Life: "a"})
-	if err != nil {
-		t.Fatal(err)
-	}
-	c = newControl(ctx, d, tenure, d.Clock.Now())
-	c.validUntil.Store(int64(c.now().Add(time.Hour)))
-	c.engine.SetNow(c.now())
-	return c, func() {
-		for c.recording {
-			c.takeIn(<-c.events)
-		}
-	}
-}
-
 // As TestWorkerInUseIsInTheLedger, and the worker is in use in the end: a record that failed does not bring back that it has
 // gone.
 func TestWorkerThatRegistersAgainIsUsedAgain(t *testing.T) {
