TestJobsOutliveTheirOwners: one batch lives through all deaths again

That batch is back as it was, and the batches of 100 for each death come besides, so that there is always work to come and the wait ends.

--- a/internal/e2e/jobs_test.go
+++ b/internal/e2e/jobs_test.go
@@ -69,24 +69,25 @@
 
 func TestJobsOutliveTheirOwners(t *testing.T) {
 	t.Parallel()
-	const tasks, replicas = 150, 6
+	const tasks, more, replicas = 400, 100, 6
 	c := startCell(t, testDaemons, testWorkers)
+	c.submit("batch", cell.KindBatch, tasks, "callsheet", `{"run_ms":150}`)
 	c.submit("service", cell.KindService, replicas, "callsheet", `{}`)
 	c.submit("gang", cell.KindGang, 8, "callsheet", `{"run_ms":500}`)
-	var batches []cell.JobID
+	batches := map[cell.JobID]int{"batch": tasks}
 	for k := range testDaemons {
-		// Each death has a batch of its own: however long a daemon takes to start, work is under way when the next dies.
+		// Each death has a batch of its own besides: however long a daemon takes to start, work is under way when the next dies.
 		batch := cell.JobID(fmt.Sprintf("batch-%d", k))
-		batches = append(batches, batch)
+		batches[batch] = more
 		before := len(c.workerHistory())
-		c.submit(batch, cell.KindBatch, tasks, "callsheet", `{"run_ms":150}`)
+		c.submit(batch, cell.KindBatch, more, "callsheet", `{"run_ms":150}`)
 		for len(c.workerHistory()) < before+60 {
 			time.Sleep(10 * time.Millisecond)
 		}
 		killDaemonAt(c, 0)
 	}
-	for _, batch := range batches {
-		c.awaitJob(batch, func(s api.JobStatus) bool { return s.Succeeded == tasks })
+	for batch, count := range batches {
+		c.awaitJob(batch, func(s api.JobStatus) bool { return s.Succeeded == count })
 	}
 	c.awaitJob("gang", func(s api.JobStatus) bool { return s.Succeeded == 8 })
 	c.awaitJob("service", func(s api.JobStatus) bool { return s.Running == replicas })
@@ -95,8 +96,8 @@
 	for _, v := range history.Check(entries, bounds) {
 		t.Error(v)
 	}
-	for _, batch := range batches {
-		checkRunsAgain(t, entries, batch, tasks)
+	for batch, count := range batches {
+		checkRunsAgain(t, entries, batch, count)
 	}
 }
 
