Orders to workers: a gate that adapts to answer times in place of repeats after 110 ms

Cause: an attempt of an order was given up after 110 ms and sent again up to six times, each on new connections. Where the typical answer takes that long (a full link, an owner that is behind), hardly an order succeeds, each costs six requests and its connections, each start in doubt brings stops that fail likewise, and that load keeps the answers slow.

Change: package flowcontrol admits orders. The time to the next attempt and to giving up follows the median answer time, with a smoothed mean and deviation for each worker and a back-off; an attempt goes on when the next is sent, and its answer counts; repeats take from a budget of one for each order; a bound on orders under way falls while answers are slow; stops go first, then urgent and gang starts. A start without a place within a second is not sent, which the engine learns as such. Idle connections are closed only if a worker has been silent on all of them. A stop is sent again 0.5 s after its order ended instead of every 1.2 s. The log buffer's bound counts the line that it adds.

TestExplain now answers the starts before it wants "running" for the job: the check is the same, a job runs when its worker says so.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -200,6 +200,7 @@
 	}
 	j.eachTask(func(t *task) {
 		if t.run != nil {
+			t.run.jobEnded = true
 			e.detachAndStop(t.run, reason)
 		}
 	})
@@ -222,18 +223,42 @@
 	}
 	r.state = runStopping
 	r.stopReason = reason
+	r.stopOrderedAt = e.now
 	e.unansweredStops[r] = struct{}{}
 	e.sendStop(r)
 }
 
 func (e *Engine) sendStop(r *run) {
-	r.stopRetryAt = e.now.Add(stopRetryInterval)
+	r.stopRetryAt = e.now.Add(maxStopTime)
 	e.orders = append(e.orders, Stop{RunKey: r.RunKey, Worker: r.worker.ID, Reason: r.stopReason})
 }
 
-// stopRetryInterval is the time after which an unanswered stop is sent again. It is a little longer than the timeout of calls
-// to workers.
-const stopRetryInterval = 1200 * time.Millisecond
+const (
+	// stopRetryDelay is the time from the end of a stop order without an answer to the next one.
+	stopRetryDelay = 500 * time.Millisecond
+	// maxStopTime is the time after which a stop is sent again although its order has not ended. It is longer than any order
+	// takes.
+	maxStopTime = 4 * time.Second
+	// stopOverdueAfter is how long the stop of a run whose job has ended may go without an answer. After that the run is ended
+	// by the end of its worker's lease.
+	stopOverdueAfter = 2 * time.Second
+)
+
+// WorkersWithOverdueStops returns the workers that have not answered for stopOverdueAfter that they stop a run whose job has
+// ended. Their leases must not be extended: the run would go on as long as they are.
+func (e *Engine) WorkersWithOverdueStops() map[WorkerID]struct{} {
+	var overdue map[WorkerID]struct{}
+	for r := range e.unansweredStops {
+		if !r.jobEnded || e.now.Sub(r.stopOrderedAt) < stopOverdueAfter {
+			continue
+		}
+		if overdue == nil {
+			overdue = make(map[WorkerID]struct{})
+		}
+		overdue[r.worker.ID] = struct{}{}
+	}
+	return overdue
+}
 
 func (e *Engine) markDirty(j *job) {
 	j.dirty = true
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -86,9 +86,7 @@
 	if r == nil {
 		r = e.addOrphan(w, entry)
 	}
-	if r.state == runStarting {
-		r.state = runRunning
-	}
+	e.confirmRunning(r)
 	if r.confirmedAt == 0 {
 		r.confirmedAt = e.now
 	}
@@ -111,6 +109,7 @@
 		r.unknownSize = true
 		w.runsOfUnknownSize++
 		e.poolsStale = true
+		r.jobEnded = true
 		e.stop(r, "no such job")
 		return r
 	}
@@ -120,6 +119,7 @@
 		r.surplusOf = t
 		t.surplusRuns++
 		t.step.addDetachedRun(r)
+		r.jobEnded = t.step.job.state.Ended()
 		e.stop(r, "run is not needed")
 		return r
 	}
@@ -168,6 +168,18 @@
 	}
 }
 
+// confirmRunning notes that the worker has the run.
+func (e *Engine) confirmRunning(r *run) {
+	if r.state == runStarting {
+		r.state = runRunning
+	}
+	if r.task != nil {
+		e.markJobStarted(r.task.step.job)
+	}
+}
+
+// markJobStarted notes that a task of the job has started. An order to start one does not suffice: callers see the job as
+// pending until a worker has carried it out.
 func (e *Engine) markJobStarted(j *job) {
 	if !j.started {
 		j.started = true
@@ -189,6 +201,9 @@
 	}
 	t.lastRunNumber = max(t.lastRunNumber, key.Number)
 	j := t.step.job
+	if outcome != RunInterrupted {
+		e.markJobStarted(j)
+	}
 	if checkpoint != "" && !t.done {
 		t.checkpoint = checkpoint
 		e.markDirty(j)
@@ -304,9 +319,7 @@
 	defer w.updateOldestUnansweredStart()
 	switch outcome {
 	case Started:
-		if r.state == runStarting {
-			r.state = runRunning
-		}
+		e.confirmRunning(r)
 		r.confirmedAt = e.now
 	case StartInDoubt:
 		e.stats.InDoubt++
@@ -332,6 +345,7 @@
 		if t != nil {
 			delete(t.step.permits, w.ID)
 		}
+	case StartNotSent:
 	default:
 		w.avoidUntil = max(w.avoidUntil, e.now.Add(refusalBackoff))
 	}
@@ -346,10 +360,16 @@
 	if w == nil {
 		return
 	}
-	if r := w.runs[key]; r != nil && acknowledged {
+	r := w.runs[key]
+	if r == nil {
+		return
+	}
+	if acknowledged {
 		r.stopAnsweredAt = e.now
 		delete(e.unansweredStops, r)
+		return
 	}
+	r.stopRetryAt = e.now.Add(stopRetryDelay)
 }
 
 // permitRetryInterval is how long a step waits after a permit request without an answer.
--- a/internal/dispatch/explain_test.go
+++ b/internal/dispatch/explain_test.go
@@ -48,7 +48,10 @@
 			}
 			c.advance(time.Second)
 			c.AddJob("j", queue, &graph.Spec{Steps: tc.steps}, c.virtualTime, nil, tc.awaited)
-			c.planByKind()
+			starts, _, _ := c.planByKind()
+			for _, start := range starts {
+				c.HandleStartOutcome(start.Worker, start.RunKey, Started)
+			}
 			explanation := strings.Join(c.Explain("j", 0), "\n")
 			for _, want := range tc.want {
 				if !strings.Contains(explanation, want) {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -100,11 +100,13 @@
 	StartRefused
 	// StartInDoubt means that no answer came. The run may exist now or later.
 	StartInDoubt
+	// StartNotSent means that the order was not sent. It says nothing about the worker.
+	StartNotSent
 )
 
 // String returns the outcome's name in logs.
 func (o StartOutcome) String() string {
-	return [...]string{"started", "no_room", "outdated", "no_permit", "refused", "in_doubt"}[o]
+	return [...]string{"started", "no_room", "outdated", "no_permit", "refused", "in_doubt", "not_sent"}[o]
 }
 
 // StepID identifies a step of one occurrence of a job.
@@ -124,6 +126,8 @@
 	Payload    string
 	Permit     string
 	Checkpoint string
+	// Urgent means that the job's callers wait for it: its priority is the highest. Gang means that the other members wait.
+	Urgent, Gang bool
 }
 
 // Stop orders a worker to end a run, or not to start it if the start order has not arrived yet.
@@ -181,8 +185,12 @@
 	orderedAt monotime.Instant
 	// stopAnsweredAt is when the worker acknowledged the stop; 0 before that.
 	stopAnsweredAt monotime.Instant
-	stopRetryAt    monotime.Instant
-	stopReason     string
+	// stopOrderedAt is when the stop was first ordered.
+	stopOrderedAt monotime.Instant
+	stopRetryAt   monotime.Instant
+	stopReason    string
+	// jobEnded means that the run is stopped because its job has ended, was cancelled or is not known.
+	jobEnded bool
 
 	progress          int
 	progressChangedAt monotime.Instant
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -299,7 +299,6 @@
 	}
 	e.allocate(r, t.step.def)
 	t.setRun(r)
-	e.markJobStarted(t.step.job)
 	e.stats.Starts++
 	e.orders = append(e.orders, Start{
 		RunKey:     r.RunKey,
@@ -307,6 +306,8 @@
 		Payload:    t.step.job.spec.Payload,
 		Permit:     t.step.permits[w.ID].ticket,
 		Checkpoint: t.checkpoint,
+		Urgent:     t.step.job.queue.Priority == 0,
+		Gang:       t.step.def.Gang,
 	})
 }
 
--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -93,14 +93,18 @@
 	return true
 }
 
-// reportDropped adds a log line with the number of lines that were left out, if the buffer is below
+// reportDropped adds a log line with the number of lines that were left out, unless the buffer then exceeds
 // maxPendingRoutineBytes.
 func (w *Writer) reportDropped() {
-	if w.unreportedDrops == 0 || len(w.pending) >= maxPendingRoutineBytes {
+	if w.unreportedDrops == 0 {
 		return
 	}
-	w.pending = fmt.Appendf(w.pending, `{"time":%q,"level":"warn","lines":%d,"message":"log lines left out"}`+"\n",
+	line := fmt.Appendf(nil, `{"time":%q,"level":"warn","lines":%d,"message":"log lines left out"}`+"\n",
 		time.Now().Format(time.RFC3339Nano), w.unreportedDrops)
+	if len(w.pending)+len(line) > maxPendingRoutineBytes {
+		return
+	}
+	w.pending = append(w.pending, line...)
 	w.unreportedDrops = 0
 	w.signal()
 }
--- a/internal/logs/writer_test.go
+++ b/internal/logs/writer_test.go
@@ -45,6 +45,22 @@
 	}
 }
 
+// The line that counts the lines left out counts against the bound as well.
+func TestReportOfLinesLeftOutStaysWithinTheBound(t *testing.T) {
+	for _, free := range []int{0, 1, 40, 200} {
+		w := NewWriter(io.Discard, metrics.NewSet())
+		w.pending = make([]byte, maxPendingRoutineBytes-free)
+		w.unreportedDrops = 1
+		w.reportDropped()
+		if len(w.pending) > maxPendingRoutineBytes {
+			t.Errorf("%d bytes pending with %d bytes free before, want at most %d", len(w.pending), free, maxPendingRoutineBytes)
+		}
+		if fits := free >= 200; fits != (w.unreportedDrops == 0) {
+			t.Errorf("%d bytes free: lines left out are reported: %v", free, w.unreportedDrops == 0)
+		}
+	}
+}
+
 func TestLinesOfOneKindAreBounded(t *testing.T) {
 	w := NewWriter(io.Discard, metrics.NewSet())
 	kept := 0
--- a/internal/owner/contracts.go
+++ b/internal/owner/contracts.go
@@ -53,6 +53,12 @@
 	Hold(ctx context.Context, w dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error)
 }
 
+// SilentConnCloser is a WorkerClient that keeps idle connections. A connection may go silent for good while new ones work.
+type SilentConnCloser interface {
+	// CloseSilentConns closes the idle connections to a worker that has answered no call for the given time.
+	CloseSilentConns(w dispatch.Worker, silence time.Duration)
+}
+
 // RegistryChange is a change of the worker registry.
 type RegistryChange struct {
 	// Full means that Put holds every registered worker. A worker in both Put and Removed was removed after it was put.
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
@@ -35,7 +36,9 @@
 	// tasksWaiting and permitRequestsWaiting are for the metrics.
 	tasksWaiting, permitRequestsWaiting atomic.Int64
 	events                              chan func()
-	ctx                                 context.Context
+	// gate admits the orders to workers.
+	gate *flowcontrol.Gate
+	ctx  context.Context
 
 	engine      *dispatch.Engine
 	workerConns map[dispatch.WorkerID]*workerConn
@@ -73,6 +76,7 @@
 		Daemon:            d,
 		ownership:         ownership,
 		events:            make(chan func(), eventQueueSize),
+		gate:              d.newGate(),
 		engine:            dispatch.New(ownership.Epoch()),
 		workerConns:       make(map[dispatch.WorkerID]*workerConn),
 		permits:           newPermitQueue(),
@@ -201,6 +205,7 @@
 		case <-ticker.C:
 			c.engine.SetNow(c.now())
 			c.expireLeases()
+			c.holdBackLeases()
 			c.resignIfNeeded()
 			c.ownership.SetStandbys(c.permits.countStandbys(c.now(), c.Cores))
 			c.removeEndedJobs()
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -1,6 +1,10 @@
 package owner
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"laburnumpoint/internal/flowcontrol"
+)
 
 // instruments are the counters and histograms of a daemon.
 type instruments struct {
@@ -25,6 +29,14 @@
 	ownerGauge("laburnumpoint_events_waiting", func(c *controller) float64 { return float64(len(c.events)) })
 	ownerGauge("laburnumpoint_tasks_waiting", func(c *controller) float64 { return float64(c.tasksWaiting.Load()) })
 	ownerGauge("laburnumpoint_permit_questions_waiting", func(c *controller) float64 { return float64(c.permitRequestsWaiting.Load()) })
+	gateGauge := func(name string, value func(flowcontrol.Stats) float64) {
+		ownerGauge(name, func(c *controller) float64 { return value(c.gate.Stats()) })
+	}
+	gateGauge("laburnumpoint_orders_under_way", func(s flowcontrol.Stats) float64 { return float64(s.UnderWay) })
+	gateGauge("laburnumpoint_orders_waiting", func(s flowcontrol.Stats) float64 { return float64(s.Waiting) })
+	gateGauge("laburnumpoint_orders_bound", func(s flowcontrol.Stats) float64 { return float64(s.Bound) })
+	gateGauge("laburnumpoint_order_answer_seconds", func(s flowcontrol.Stats) float64 { return s.AnswerTime.Seconds() })
+	gateGauge("laburnumpoint_order_retries_withheld", func(s flowcontrol.Stats) float64 { return float64(s.Withheld) })
 	return instruments{
 		takeovers:      set.NewCounter("laburnumpoint_takeovers_total"),
 		commits:        set.NewCounter("laburnumpoint_records_total"),
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -3,41 +3,43 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"laburnumpoint/internal/dispatch"
-	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/flowcontrol"
 )
 
 // Timing of orders to workers.
 const (
-	// startTimeout and stopTimeout bound an order with all its attempts. A healthy worker answers within milliseconds.
-	startTimeout = 700 * time.Millisecond
-	stopTimeout  = 700 * time.Millisecond
-	// orderAttemptTimeout bounds one attempt of an order: several times what a healthy worker takes, and short compared with the
-	// objective of one second of the fastest jobs, whose wide steps wait for the slowest of their starts.
-	orderAttemptTimeout = 110 * time.Millisecond
-	// orderRetryDelay is the delay between two attempts, for a worker whose calls fail at once.
+	// startTimeout and stopTimeout bound an order with all its attempts while answers come fast.
+	startTimeout = flowcontrol.DefaultMinTimeout
+	stopTimeout  = flowcontrol.DefaultMinTimeout
+	// orderRetryDelay is the delay after a failed attempt, for a worker whose calls fail at once.
 	orderRetryDelay = 20 * time.Millisecond
+	// maxPlaceWait bounds how long an order waits for a place among those under way. After that the engine decides anew.
+	maxPlaceWait = 1 * time.Second
 )
 
 // newStartCall returns the call for a start order. Its lease deadline is set when the control loop decides: the control loop gives
 // up the run when that lease has expired, and a call that is delayed until then does nothing.
 func (wc *workerConn) newStartCall(order dispatch.Start) StartCall {
-	deadline, _ := wc.lease.extend(wc.controller.now(), wc.controller.workerLeaseDuration()) // the deadline is 0 while the worker's clock is not known
-	return StartCall{order, wc.controller.ownership.Epoch(), deadline}
+	call := StartCall{Start: order, Epoch: wc.controller.ownership.Epoch()}
+	if !wc.leaseHeldBack.Load() {
+		call.Deadline, _ = wc.lease.extend(wc.controller.now(), wc.controller.workerLeaseDuration()) // 0 while the worker's clock is not known
+	}
+	return call
 }
 
-// start sends a start order and posts its outcome. An order without a deadline, or after the ownership's validity, is not sent and
-// counts as refused.
+// start sends a start order and posts its outcome. An order without a deadline is not sent and counts as refused.
 func (wc *workerConn) start(order StartCall) {
 	c := wc.controller
 	outcome, err := dispatch.StartRefused, error(nil)
-	sentAt := c.now()
-	if order.Deadline > 0 && c.ownershipValid() {
+	orderedAt := c.now()
+	if order.Deadline > 0 {
 		outcome, err = wc.sendStart(order)
 	}
-	took := c.now().Sub(sentAt)
+	took := c.now().Sub(orderedAt)
 	c.instruments.startTime.Update(took.Seconds())
 	entry := c.Log.Info()
 	if outcome != dispatch.Started {
@@ -50,50 +52,55 @@
 	})
 }
 
-// sendStart sends a start order until it is answered, for startTimeout at most; a worker that has the run already answers that it
-// has started. After an attempt without an answer only that answer is conclusive: an earlier attempt may yet be carried out, or
-// its run may have ended.
-func (wc *workerConn) sendStart(call StartCall) (dispatch.StartOutcome, error) {
-	ctx, cancel := context.WithTimeout(wc.controller.ctx, startTimeout)
-	defer cancel()
-	for inDoubt := false; ; inDoubt = true {
-		outcome, err := wc.tryStart(ctx, call)
-		conclusive := outcome == dispatch.Started || errors.Is(err, ErrOtherIncarnation) || errors.Is(err, ErrSuperseded)
-		if conclusive || (!inDoubt && outcome != dispatch.StartInDoubt) {
-			return outcome, err
-		}
-		if outcome != dispatch.StartInDoubt || ctx.Err() != nil || !wc.controller.ownershipValid() {
-			return dispatch.StartInDoubt, err
-		}
-		wc.controller.instruments.orderRetries.Inc()
-		monotime.Sleep(ctx, orderRetryDelay)
+// startClass returns the class in which a start waits for a place: the callers of urgent jobs wait for it, and the members of a
+// gang wait for each other.
+func startClass(order dispatch.Start) flowcontrol.Class {
+	if order.Urgent || order.Gang {
+		return flowcontrol.Urgent
 	}
+	return flowcontrol.Normal
 }
 
-func (wc *workerConn) tryStart(ctx context.Context, call StartCall) (dispatch.StartOutcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
-	defer cancel()
-	return wc.controller.Workers.Start(ctx, wc.worker, call)
+// sendStart sends a start order until it is answered or given up; a worker that has the run already answers that it has started.
+// After several attempts only that answer is conclusive: an earlier attempt may yet be carried out, or its run may have ended. An
+// order that finds no place, or not before the ownership's validity ends, is not sent.
+func (wc *workerConn) sendStart(call StartCall) (dispatch.StartOutcome, error) {
+	c := wc.controller
+	if !wc.enterGate(startClass(call.Start)) {
+		return dispatch.StartNotSent, nil
+	}
+	if !c.ownershipValid() {
+		c.gate.Leave()
+		return dispatch.StartNotSent, nil
+	}
+	last, attempts := wc.sendOrder(c.ownershipValid, func(ctx context.Context) orderAnswer {
+		outcome, err := c.Workers.Start(ctx, wc.worker, call)
+		return orderAnswer{outcome: outcome, err: err, answered: outcome != dispatch.StartInDoubt}
+	})
+	conclusive := last.outcome == dispatch.Started || errors.Is(last.err, ErrOtherIncarnation) || errors.Is(last.err, ErrSuperseded)
+	if !conclusive && attempts > 1 {
+		return dispatch.StartInDoubt, last.err
+	}
+	return last.outcome, last.err
 }
 
-// sendStop sends a stop order until it is answered, for stopTimeout at most; the worker may carry it out more than once.
+// sendStop sends a stop order until it is answered or given up; the worker may carry it out more than once.
 func (wc *workerConn) sendStop(key dispatch.RunKey) error {
-	ctx, cancel := context.WithTimeout(wc.controller.ctx, stopTimeout)
-	defer cancel()
-	for {
-		err := wc.tryStop(ctx, key)
-		if !errors.Is(err, ErrNoAnswer) || ctx.Err() != nil {
-			return err
-		}
-		wc.controller.instruments.orderRetries.Inc()
-		monotime.Sleep(ctx, orderRetryDelay)
+	if !wc.enterGate(flowcontrol.Stop) {
+		return fmt.Errorf("%w: %w", ErrNoAnswer, flowcontrol.ErrNoPlace)
 	}
+	last, _ := wc.sendOrder(always, func(ctx context.Context) orderAnswer {
+		err := wc.controller.Workers.Stop(ctx, wc.worker, key, wc.controller.ownership.Epoch())
+		return orderAnswer{err: err, answered: !errors.Is(err, ErrNoAnswer)}
+	})
+	return last.err
 }
 
-func (wc *workerConn) tryStop(ctx context.Context, key dispatch.RunKey) error {
-	ctx, cancel := context.WithTimeout(ctx, orderAttemptTimeout)
+// enterGate waits for a place among the orders under way, and reports whether the order may still be sent then.
+func (wc *workerConn) enterGate(class flowcontrol.Class) bool {
+	ctx, cancel := context.WithTimeout(wc.controller.ctx, maxPlaceWait)
 	defer cancel()
-	return wc.controller.Workers.Stop(ctx, wc.worker, key, wc.controller.ownership.Epoch())
+	return wc.controller.gate.Enter(ctx, class) == nil
 }
 
 // stop sends a stop order and posts its outcome.
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/monotime"
 )
 
@@ -19,7 +21,7 @@
 	holdWaitAfterLoss = 300 * time.Millisecond
 	// lossPeriod is how long after a lost answer more are expected to be lost.
 	lossPeriod = 4 * time.Second
-	// holdTimeout bounds a hold call beyond its wait.
+	// holdTimeout bounds a hold call beyond its wait while answers come fast.
 	holdTimeout = 800 * time.Millisecond
 	// holdRetryDelay is the delay after a hold call without an answer.
 	holdRetryDelay = 150 * time.Millisecond
@@ -46,6 +48,10 @@
 	// recordedSequence is the sequence up to which the worker's ends are recorded; recordedAdvanced signals that it grew.
 	recordedSequence uint64
 	recordedAdvanced chan struct{}
+	// leaseHeldBack means that the lease must not be extended.
+	leaseHeldBack atomic.Bool
+	// answerTime follows the worker's answers to orders.
+	answerTime flowcontrol.AnswerTime
 }
 
 // addWorkerConn starts to use a worker. usedBefore means that an earlier owner may have started tasks on it.
@@ -142,11 +148,11 @@
 // hold sends one hold call, which extends the worker's lease if extend is set, and returns the sequence of the last end that the
 // worker has reported.
 func (wc *workerConn) hold(ctx context.Context, wait time.Duration, extend bool) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+holdTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+max(holdTimeout, wc.controller.gate.Timeout()))
 	defer cancel()
 	call := HoldCall{Epoch: wc.controller.ownership.Epoch(), Recorded: wc.recorded(), Wait: wait}
 	sentAt := wc.controller.now()
-	if extend && wc.controller.ownershipValid() {
+	if extend && wc.controller.ownershipValid() && !wc.leaseHeldBack.Load() {
 		if deadline, ok := wc.lease.extend(sentAt, wc.controller.workerLeaseDuration()); ok {
 			call.Deadline = deadline
 		}
@@ -231,6 +237,18 @@
 	}
 }
 
+// holdBackLeases stops extending the leases of workers that can't be got to stop a run whose job has ended, and extends the others'
+// again.
+func (c *controller) holdBackLeases() {
+	overdue := c.engine.WorkersWithOverdueStops()
+	for id, wc := range c.workerConns {
+		_, holdBack := overdue[id]
+		if wc.leaseHeldBack.Swap(holdBack) != holdBack {
+			c.Log.Warn().Str("worker", string(id)).Bool("held_back", holdBack).Dur("lease_left", wc.lease.remaining(c.now())).Msg("extension of a worker's lease")
+		}
+	}
+}
+
 // removeEndedWorker removes a worker that has certainly ended, and its row from the ledger.
 func (c *controller) removeEndedWorker(wc *workerConn, why string) {
 	id := wc.worker.ID
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -337,3 +337,43 @@
 		}
 	})
 }
+
+// A run whose job was cancelled goes on while its worker doesn't answer stops but gets its lease extended by hold calls. The lease
+// must then not be extended, nor a start be sent that would extend it, until the worker has answered a stop.
+func TestLeaseOfWorkerWithOverdueStopIsNotExtended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		client := &fakeClient{startedAt: time.Now()}
+		c := newTestController(ctx, client)
+		c.validUntil.Store(int64(c.now().Add(time.Hour)))
+		c.addWorkerConn(dispatch.Worker{ID: "w", Pool: "p", Capacity: graph.Resources{MilliCPU: 1000, MemoryMB: 1000}}, false)
+		wc := c.workerConns["w"]
+		c.engine.SetReachable("w", true)
+		c.engine.AddJob("j", graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, &graph.Spec{Steps: []graph.Step{{Count: 1}}}, c.now(), nil, false)
+		start := c.engine.Plan(0)[0].(dispatch.Start)
+		c.engine.HandleStartOutcome("w", start.RunKey, dispatch.Started)
+		c.engine.Cancel("j")
+		extended := func() bool {
+			time.Sleep(3 * holdWait) // so that a new call is under way
+			client.mu.Lock()
+			defer client.mu.Unlock()
+			return client.holds[len(client.holds)-1].Deadline > 0
+		}
+		if !extended() {
+			t.Fatal("the lease is not extended before the stop is overdue")
+		}
+		c.engine.SetNow(c.now().Add(10 * time.Second))
+		c.holdBackLeases()
+		if extended() || wc.newStartCall(start).Deadline != 0 {
+			t.Error("the lease is extended while a stop is overdue")
+		}
+		c.engine.HandleStopAnswer("w", start.RunKey, true)
+		c.holdBackLeases()
+		if !extended() || wc.newStartCall(start).Deadline == 0 {
+			t.Error("the lease is not extended after the stop was answered")
+		}
+		cancel()
+		time.Sleep(time.Minute) // lets the hold loop end
+	})
+}
