--- a/internal/flowcontrol/gate.go
+++ b/internal/flowcontrol/gate.go
@@ -65,22 +65,6 @@
 	return Options{DefaultMinUnderWay, DefaultMaxUnderWay, DefaultRepeatRatio, DefaultMinRepeatDelay, DefaultMinTimeout}
 }
 
-// Validate returns an error that names every invalid field.
-func (o Options) Validate() error {
-	var problems []error
-	require := func(ok bool, problem string) {
-		if !ok {
-			problems = append(problems, errors.New(problem))
-		}
-	}
-	require(o.MinUnderWay > 0, "least bound on calls under way: want a positive number")
-	require(o.MaxUnderWay >= o.MinUnderWay, "greatest bound on calls under way: want the least bound or more")
-	require(o.RepeatRatio >= 0, "repeats for each call: want 0 or more")
-	require(o.MinRepeatDelay > 0, "least delay of a repeat: want a positive time")
-	require(o.MinTimeout >= o.MinRepeatDelay, "least timeout of a call: want the least delay of a repeat or more")
-	return errors.Join(problems...)
-}
-
 // Limits derived from the typical answer time.
 const (
 	// repeatDelayFactor and timeoutFactor times the typical answer time are the repeat delay and the timeout of a slow caller.
--- a/internal/flowcontrol/gate_test.go
+++ b/internal/flowcontrol/gate_test.go
@@ -189,12 +189,3 @@
 		}
 	})
 }
-
-func TestOptionsAreChecked(t *testing.T) {
-	if err := DefaultOptions().Validate(); err != nil {
-		t.Error(err)
-	}
-	if err := (Options{MaxUnderWay: -1, RepeatRatio: -1}).Validate(); err == nil {
-		t.Error("invalid options were accepted")
-	}
-}
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	"laburnumpoint/internal/entry"
+	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
@@ -58,6 +59,8 @@
 	Retention time.Duration
 	// BalancerDelay is how long the balancer may still send connections after the daemon stops being ready.
 	BalancerDelay time.Duration
+	// Orders bounds the starts and stops that an owner sends to workers.
+	Orders flowcontrol.Options
 }
 
 // Backends are a platform's implementations of what the daemon depends on. The functions are called with the daemon's
@@ -123,6 +126,7 @@
 		StoreUp:  store.Up,
 		StoreAge: store.SinceLastAnswer,
 		Cores:    settings.Cores,
+		Orders:   settings.Orders,
 	})
 	replica.OnJobChange(d.Owner.JobChanged)
 	server.Serve(d)
--- a/internal/graphd/graphd_test.go
+++ b/internal/graphd/graphd_test.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/graphapi"
 	"laburnumpoint/internal/graphproto"
@@ -68,6 +69,7 @@
 	settings := Settings{
 		Node: node, Zone: "z", CallerAddr: c.freeAddr(), ReadyAddr: c.freeAddr(), MetricsAddr: c.freeAddr(), PeerAddr: "127.0.0.1:0",
 		Cores: 1, MaxLease: 10 * time.Second, MaxConfigDelay: 2 * time.Second, StopGrace: 3 * time.Second, Retention: c.retention, BalancerDelay: 100 * time.Millisecond,
+		Orders: flowcontrol.DefaultOptions(),
 	}
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	d, err := New(settings, NativeBackends(c.cluster.StoreAddr), logger, metrics.NewSet())
--- a/internal/owner/order_attempts.go
+++ b/internal/owner/order_attempts.go
@@ -141,7 +141,7 @@
 
 // newGate returns the gate of all orders of this daemon.
 func (d *Daemon) newGate() *flowcontrol.Gate {
-	gate := flowcontrol.NewGate(d.Flow)
+	gate := flowcontrol.NewGate(d.Orders)
 	gate.OnBoundChange = func(bound int, typical time.Duration, waiting int) {
 		d.Log.Info().Int("bound", bound).Dur("answer_time", typical).Int("waiting", waiting).Msg("bound on orders under way changed")
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -50,7 +50,7 @@
 // quarter of it. A VM with less counts as weak.
 const RecommendedOwnerCores = 0.4
 
-// Options are the dependencies and settings of a Daemon. All fields but Flow are required.
+// Options are the dependencies and settings of a Daemon. All fields are required.
 type Options struct {
 	Node string
 	// Incarnation distinguishes this process from earlier ones of the node.
@@ -78,8 +78,8 @@
 	StoreAge func() time.Duration
 	// Cores is the processor time of this daemon's VM, in cores.
 	Cores float64
-	// Flow bounds the orders to workers; its zero value stands for the defaults.
-	Flow flowcontrol.Options
+	// Orders bounds the starts and stops that are sent to workers.
+	Orders flowcontrol.Options
 }
 
 // Daemon takes part in the election of the owner: it owns the cell, or helps the daemon that does.
@@ -99,9 +99,6 @@
 
 // New returns a daemon that does nothing until Run is called.
 func New(o Options) *Daemon {
-	if o.Flow == (flowcontrol.Options{}) {
-		o.Flow = flowcontrol.DefaultOptions()
-	}
 	d := &Daemon{Options: o, startedAt: o.Clock.Now(), policyCallSlot: make(chan struct{}, 1)}
 	d.instruments = newInstruments(o.Metrics, d)
 	return d
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
@@ -120,7 +121,8 @@
 func newTestController(ctx context.Context, client WorkerClient) *controller {
 	d := New(Options{
 		Workers: client, Clock: monotimetest.Clock{Start: time.Now()}, MaxLease: 10 * time.Second, Metrics: metrics.NewSet(),
-		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+		Orders: flowcontrol.DefaultOptions(),
+		Log:    &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 	})
 	c := newController(ctx, d, &ledger.Ownership{}, d.Clock.Now())
 	return c
--- a/internal/settings/graphs.go
+++ b/internal/settings/graphs.go
@@ -10,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/graphd"
 )
 
@@ -28,6 +29,11 @@
 	flagRetention     = "retention"
 	flagStopGrace     = "stop-grace"
 	flagBalancerDelay = "balancer-delay"
+	flagMinOrders     = "min-orders"
+	flagMaxOrders     = "max-orders"
+	flagOrderRepeats  = "order-repeats"
+	flagRepeatDelay   = "order-repeat-delay"
+	flagOrderTimeout  = "order-timeout"
 )
 
 // GraphSettings are the validated settings of a daemon for graph jobs.
@@ -42,6 +48,7 @@
 	stringFlag := func(name, usage, value string) cli.Flag {
 		return &cli.StringFlag{Name: name, Usage: usage, Value: value, Sources: env(name)}
 	}
+	flow := flowcontrol.DefaultOptions()
 	durationFlag := func(name, usage string, value time.Duration) cli.Flag {
 		return &cli.DurationFlag{Name: name, Usage: usage, Value: value, Sources: env(name)}
 	}
@@ -59,6 +66,11 @@
 		durationFlag(flagRetention, "`TIME` for which callers can query a job after its end", time.Hour),
 		durationFlag(flagStopGrace, "`TIME` from the request to stop until the process is killed", 20*time.Second),
 		durationFlag(flagBalancerDelay, "`TIME` that the balancer takes to notice that a daemon isn't ready", 2*time.Second),
+		&cli.IntFlag{Name: flagMinOrders, Usage: "`NUMBER` of starts and stops that may be under way however slow their answers are", Value: flow.MinUnderWay, Sources: env(flagMinOrders)},
+		&cli.IntFlag{Name: flagMaxOrders, Usage: "greatest `NUMBER` of starts and stops under way", Value: flow.MaxUnderWay, Sources: env(flagMaxOrders)},
+		&cli.FloatFlag{Name: flagOrderRepeats, Usage: "`NUMBER` of times that an order without an answer is sent again, in the mean of all orders", Value: flow.RepeatRatio, Sources: env(flagOrderRepeats)},
+		durationFlag(flagRepeatDelay, "least `TIME` after which an order without an answer is sent again", flow.MinRepeatDelay),
+		durationFlag(flagOrderTimeout, "least `TIME` after which an order without an answer is given up", flow.MinTimeout),
 	}
 }
 
@@ -106,6 +118,13 @@
 		Retention:      cmd.Duration(flagRetention),
 		StopGrace:      cmd.Duration(flagStopGrace),
 		BalancerDelay:  cmd.Duration(flagBalancerDelay),
+		Orders: flowcontrol.Options{
+			MinUnderWay:    cmd.Int(flagMinOrders),
+			MaxUnderWay:    cmd.Int(flagMaxOrders),
+			RepeatRatio:    cmd.Float(flagOrderRepeats),
+			MinRepeatDelay: cmd.Duration(flagRepeatDelay),
+			MinTimeout:     cmd.Duration(flagOrderTimeout),
+		},
 	}}
 	var problems []error
 	require := func(ok bool, flag, want string) {
@@ -127,6 +146,11 @@
 	require(s.Retention >= time.Minute, flagRetention, "a minute or more")
 	require(s.StopGrace >= time.Second, flagStopGrace, "a second or more")
 	require(s.BalancerDelay >= 0, flagBalancerDelay, "0 or more")
+	require(s.Orders.MinUnderWay > 0, flagMinOrders, "a positive number")
+	require(s.Orders.MaxUnderWay >= s.Orders.MinUnderWay, flagMaxOrders, "at least --"+flagMinOrders)
+	require(s.Orders.RepeatRatio >= 0, flagOrderRepeats, "0 or more")
+	require(s.Orders.MinRepeatDelay > 0, flagRepeatDelay, "a positive time")
+	require(s.Orders.MinTimeout >= s.Orders.MinRepeatDelay, flagOrderTimeout, "at least --"+flagRepeatDelay)
 	if cmd.NArg() > 0 {
 		problems = append(problems, fmt.Errorf("unexpected argument %q", cmd.Args().First()))
 	}
--- a/internal/settings/graphs_test.go
+++ b/internal/settings/graphs_test.go
@@ -14,11 +14,11 @@
 
 func TestGraphSettings(t *testing.T) {
 	t.Setenv("LABURNUMPOINT_MAX_LEASE", "7s")
-	s, err := ParseGraphSettings(graphArgsWith("--cores", "0.4"), &bytes.Buffer{})
+	s, err := ParseGraphSettings(graphArgsWith("--cores", "0.4", "--max-orders", "100"), &bytes.Buffer{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Node != "vm-1" || s.StoreAddr != "127.0.0.1:7000" || s.Cores != 0.4 || s.MaxLease != 7*time.Second {
+	if s.Node != "vm-1" || s.StoreAddr != "127.0.0.1:7000" || s.Cores != 0.4 || s.MaxLease != 7*time.Second || s.Orders.MaxUnderWay != 100 || s.Orders.MinTimeout == 0 {
 		t.Errorf("settings %+v", s)
 	}
 }
@@ -32,6 +32,11 @@
 		"store by name": {graphArgsWith("--store", "store:1"), "--store"},
 		"no cores":      {graphArgsWith("--cores", "0"), "--cores"},
 		"short lease":   {graphArgsWith("--max-lease", "1ms"), "--max-lease"},
+		"no orders":     {graphArgsWith("--min-orders", "0"), "--min-orders"},
+		"order bounds":  {graphArgsWith("--min-orders", "9", "--max-orders", "8"), "--max-orders"},
+		"repeats":       {graphArgsWith("--order-repeats", "-1"), "--order-repeats"},
+		"no delay":      {graphArgsWith("--order-repeat-delay", "0s"), "--order-repeat-delay"},
+		"order timeout": {graphArgsWith("--order-timeout", "1ms"), "--order-timeout"},
 		"argument":      {graphArgsWith("more"), `"more"`},
 		"unknown flag":  {graphArgsWith("--colour", "red"), "colour"},
 	}
