--- a/internal/shard/claim.go
+++ b/internal/shard/claim.go
@@ -151,6 +151,7 @@
 	c.recordEndedLeases(w, ev.report.Leases)
 	if firstClaim {
 		c.adoptLeases(w, ev.report.Leases)
+		c.updatePolicy()
 		c.admitRecovered()
 	}
 	c.reconcile(w, ev)
--- a/internal/shard/policy.go
+++ b/internal/shard/policy.go
@@ -38,14 +38,51 @@
 	c.schedulingNeeded = true
 }
 
+// minClockRate is the least rate of a worker's clock against the owner's.
+const minClockRate = 0.98
+
+// unreadCapacity returns the capacity on which tasks of an earlier owner may run that this owner doesn't know of: that of the
+// workers whose leases it has not read yet. Leases that the earlier owner can't renew have ended after LeaseTTL.
+func (c *controlLoop) unreadCapacity(now time.Time) cell.Resources {
+	var sum cell.Resources
+	longestLease := time.Duration(float64(c.params.LeaseTTL)/minClockRate) + c.params.ClaimInterval
+	if c.params.Epoch == 1 || now.Sub(c.startedAt) > longestLease {
+		return sum
+	}
+	for _, w := range c.workers {
+		if !w.everClaimed {
+			sum = sum.Add(w.Capacity)
+		}
+	}
+	return sum
+}
+
+// lessUnknown returns what a team may use of its quota while its tasks may use up to the unknown amount already. A zero dimension
+// of the quota stays unbounded, and one that may be used up becomes negative, which allows nothing.
+func lessUnknown(quota, unknown cell.Resources) cell.Resources {
+	rest := func(quota, unknown int64) int64 {
+		if quota > 0 && quota <= unknown {
+			return -1
+		}
+		return quota - min(unknown, max(0, quota))
+	}
+	return cell.Resources{
+		MilliCPU:     rest(quota.MilliCPU, unknown.MilliCPU),
+		MemoryMiB:    rest(quota.MemoryMiB, unknown.MemoryMiB),
+		Accelerators: rest(quota.Accelerators, unknown.Accelerators),
+		Slots:        rest(quota.Slots, unknown.Slots),
+	}
+}
+
 func (c *controlLoop) buildPolicy(d config.Document) scheduler.Policy {
+	unknown := c.unreadCapacity(time.Now())
 	teams := make(map[string]scheduler.TeamPolicy, len(d.Teams))
 	for name, t := range d.Teams {
 		quota := t.Quota
 		if c.params.QuotaShare != nil {
 			quota = c.params.QuotaShare(name, d)
 		}
-		teams[name] = scheduler.TeamPolicy{Weight: t.Weight, Quota: quota}
+		teams[name] = scheduler.TeamPolicy{Weight: t.Weight, Quota: lessUnknown(quota, unknown)}
 	}
 	return scheduler.Policy{
 		PackingWeight: d.PackingWeight,
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -65,6 +65,7 @@
 			c.removeWorker(c.workers[id])
 		}
 	}
+	c.updatePolicy() // quotas depend on which workers have not been claimed yet
 	c.claimDueWorkers(now)
 	c.admitRecovered()
 }
