--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"laburnumpoint/internal/graph"
@@ -34,6 +35,9 @@
 	awaitedReports map[WorkerID]string
 	// unansweredStops holds the runs whose stop is sent again until the worker acknowledges it.
 	unansweredStops map[*run]struct{}
+	// unconfirmedEnds holds the sequence number of the last processed end of each worker that has not been told that it is
+	// recorded.
+	unconfirmedEnds map[WorkerID]uint64
 	// pools holds the workers that take new runs; poolsStale means that it has to be rebuilt.
 	pools      map[string]*pool
 	poolsStale bool
@@ -63,6 +67,7 @@
 		dirty:           make(map[*job]struct{}),
 		awaitedReports:  make(map[WorkerID]string),
 		unansweredStops: make(map[*run]struct{}),
+		unconfirmedEnds: make(map[WorkerID]uint64),
 		verdictCounts:   make(map[string]verdictCount),
 	}
 }
@@ -305,13 +310,17 @@
 	}
 }
 
-// LastEndSequences returns, for each worker, the sequence number of the last ended run that the engine has processed.
-func (e *Engine) LastEndSequences() map[WorkerID]uint64 {
-	sequences := make(map[WorkerID]uint64, len(e.workers))
-	for id, w := range e.workers {
-		sequences[id] = w.lastEndSequence
+// LastEndSequences returns the sequence number of the last ended run that the engine has processed, for each worker where
+// ConfirmEnds has not been called with it.
+func (e *Engine) LastEndSequences() map[WorkerID]uint64 { return maps.Clone(e.unconfirmedEnds) }
+
+// ConfirmEnds notes that workers were told that their ends are recorded, up to the given sequence numbers.
+func (e *Engine) ConfirmEnds(sequences map[WorkerID]uint64) {
+	for id, sequence := range sequences {
+		if e.unconfirmedEnds[id] <= sequence {
+			delete(e.unconfirmedEnds, id)
+		}
 	}
-	return sequences
 }
 
 // PutWorker adds a worker or updates its registry entry.
@@ -347,6 +356,7 @@
 		return nil
 	}
 	delete(e.workers, id)
+	delete(e.unconfirmedEnds, id)
 	e.poolsStale = true
 	for _, r := range w.runs {
 		ended = append(ended, r.RunKey)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -52,6 +52,7 @@
 		listed[ended.RunKey] = struct{}{}
 		if ended.Sequence > w.lastEndSequence {
 			w.lastEndSequence = ended.Sequence
+			e.unconfirmedEnds[id] = ended.Sequence
 			e.handleEnd(w, ended.RunKey, ended.End, ended.Checkpoint)
 		}
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -122,10 +122,12 @@
 // Start orders a worker to run a task.
 type Start struct {
 	RunKey
-	Worker     WorkerID
-	Payload    string
-	Permit     string
-	Checkpoint string
+	Worker  WorkerID
+	Payload string
+	Permit  string
+	// PermitUntil is when the permit expires; 0 for a step that needs none.
+	PermitUntil monotime.Instant
+	Checkpoint  string
 	// Urgent means that the job's callers wait for it: its priority is the highest. Gang means that the other members wait.
 	Urgent, Gang bool
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -300,14 +300,16 @@
 	e.allocate(r, t.step.def)
 	t.setRun(r)
 	e.stats.Starts++
+	permit := t.step.permits[w.ID]
 	e.orders = append(e.orders, Start{
-		RunKey:     r.RunKey,
-		Worker:     w.ID,
-		Payload:    t.step.job.spec.Payload,
-		Permit:     t.step.permits[w.ID].ticket,
-		Checkpoint: t.checkpoint,
-		Urgent:     t.step.job.queue.Priority == 0,
-		Gang:       t.step.def.Gang,
+		RunKey:      r.RunKey,
+		Worker:      w.ID,
+		Payload:     t.step.job.spec.Payload,
+		Permit:      permit.ticket,
+		PermitUntil: permit.validUntil,
+		Checkpoint:  t.checkpoint,
+		Urgent:      t.step.job.queue.Priority == 0,
+		Gang:        t.step.def.Gang,
 	})
 }
 
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -162,4 +162,5 @@
 			wc.setRecorded(sequence)
 		}
 	}
+	c.engine.ConfirmEnds(recorded)
 }
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -63,13 +63,14 @@
 
 // sendStart sends a start order until it is answered or given up; a worker that has the run already answers that it has started.
 // After several attempts only that answer is conclusive: an earlier attempt may yet be carried out, or its run may have ended. An
-// order that finds no place, or not before the ownership's validity ends, is not sent.
+// order that finds no place before its permit or the ownership's validity ends is not sent.
 func (wc *workerConn) sendStart(call StartCall) (dispatch.StartOutcome, error) {
 	c := wc.controller
 	if !wc.enterGate(startClass(call.Start)) {
 		return dispatch.StartNotSent, nil
 	}
-	if !c.ownershipValid() {
+	expired := call.PermitUntil > 0 && c.now() >= call.PermitUntil
+	if expired || !c.ownershipValid() {
 		c.gate.Leave()
 		return dispatch.StartNotSent, nil
 	}
--- a/internal/owner/slow_answers_test.go
+++ b/internal/owner/slow_answers_test.go
@@ -113,3 +113,28 @@
 		})
 	}
 }
+
+// A start may wait for a place until its permit has expired. The worker would reject it, so it must not be sent.
+func TestStartWhosePermitExpiresWhileItWaitsIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := &slowClient{answerTime: time.Millisecond, silentWorker: "none", rng: rand.New(rand.NewPCG(1, 1))}
+		c := newTestController(t.Context(), client)
+		c.validUntil.Store(int64(c.now().Add(time.Hour)))
+		for range c.Orders.MaxUnderWay {
+			if err := c.gate.Enter(t.Context(), 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		const wait = 100 * time.Millisecond
+		time.AfterFunc(wait, c.gate.Leave)
+		conn := &workerConn{controller: c}
+		expired := StartCall{Start: dispatch.Start{PermitUntil: c.now().Add(wait / 2)}}
+		if outcome, _ := conn.sendStart(expired); outcome != dispatch.StartNotSent || client.attempts > 0 {
+			t.Errorf("start with an expired permit: %s after %d attempts, want it not sent", outcome, client.attempts)
+		}
+		valid := StartCall{Start: dispatch.Start{PermitUntil: c.now().Add(wait)}}
+		if outcome, _ := conn.sendStart(valid); outcome != dispatch.Started {
+			t.Errorf("start with a valid permit: %s, want started", outcome)
+		}
+	})
+}
