Takeover: leases of an earlier owner count from its last orders, not from the takeover

Change: the row is acquired only if it has not changed since it was last seen to, so the earlier owner's orders ended 0.9 s after that at the latest; leases are counted from there. Workers that don't answer are given up once that is over, as before.

Seen to fail first: TestLeasesOfEarlierOwnersCountFromItsLastOrders with the lease counted from the takeover: 5.7 s for a report where all leases had ended (last orders 3 and 6 s before the takeover).

--- a/internal/owner/commit_test.go
+++ b/internal/owner/commit_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c = newController(ctx, d, ownership, d.Clock.Now())
+	c = newController(ctx, d, ownership, d.Clock.Now(), d.Clock.Now())
 	c.validUntil.Store(int64(c.now().Add(time.Hour)))
 	c.engine.SetNow(c.now())
 	return c, func() {
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -62,30 +62,33 @@
 	// lastRenewalAt is when the last successful commit was sent.
 	lastRenewalAt     monotime.Instant
 	takeoverStartedAt monotime.Instant
+	// earlierOrdersUntil is the latest time at which an earlier owner may have given orders.
+	earlierOrdersUntil monotime.Instant
 	// reportsComplete means that all workers of earlier owners have reported their runs or have ended.
 	reportsComplete bool
 	ownershipLost   bool
 	cancel          context.CancelFunc
 }
 
-func newController(parent context.Context, d *Daemon, ownership *ledger.Ownership, takeoverStartedAt monotime.Instant) *controller {
+func newController(parent context.Context, d *Daemon, ownership *ledger.Ownership, takeoverStartedAt, earlierOrdersUntil monotime.Instant) *controller {
 	ctx, cancel := context.WithCancel(parent)
 	c := &controller{
-		ctx:               ctx,
-		cancel:            cancel,
-		Daemon:            d,
-		ownership:         ownership,
-		events:            make(chan func(), eventQueueSize),
-		gate:              d.newGate(),
-		engine:            dispatch.New(ownership.Epoch()),
-		workerConns:       make(map[dispatch.WorkerID]*workerConn),
-		permits:           newPermitQueue(),
-		registered:        make(map[dispatch.WorkerID]dispatch.Worker),
-		pendingWorkerRows: make(map[dispatch.WorkerID]*dispatch.Worker),
-		removalScheduled:  make(map[graph.JobID]bool),
-		removableProgress: make(map[graph.JobID]struct{}),
-		takeoverStartedAt: takeoverStartedAt,
-		lastRenewalAt:     ownership.CommitSentAt(),
+		ctx:                ctx,
+		cancel:             cancel,
+		Daemon:             d,
+		ownership:          ownership,
+		events:             make(chan func(), eventQueueSize),
+		gate:               d.newGate(),
+		engine:             dispatch.New(ownership.Epoch()),
+		workerConns:        make(map[dispatch.WorkerID]*workerConn),
+		permits:            newPermitQueue(),
+		registered:         make(map[dispatch.WorkerID]dispatch.Worker),
+		pendingWorkerRows:  make(map[dispatch.WorkerID]*dispatch.Worker),
+		removalScheduled:   make(map[graph.JobID]bool),
+		removableProgress:  make(map[graph.JobID]struct{}),
+		takeoverStartedAt:  takeoverStartedAt,
+		earlierOrdersUntil: earlierOrdersUntil,
+		lastRenewalAt:      ownership.CommitSentAt(),
 	}
 	c.validUntil.Store(int64(ownership.CommitSentAt().Add(ownershipValidity)))
 	return c
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -118,14 +118,14 @@
 			d.Replica.SetOwning(false) // the copy was dropped just before
 			continue
 		}
-		ownership, err := d.takeOver(ctx)
+		ownership, earlierOrdersUntil, err := d.takeOver(ctx)
 		if err != nil {
 			d.Replica.SetOwning(false)
 			d.Log.Info().Err(err).Msg("ownership not taken")
 			monotime.Sleep(ctx, electionRetryDelay)
 			continue
 		}
-		d.runAsOwner(ctx, ownership)
+		d.runAsOwner(ctx, ownership, earlierOrdersUntil)
 		d.Replica.SetOwning(false)
 	}
 }
@@ -165,30 +165,39 @@
 var errOwnerAlive = errors.New("owner: the current owner has renewed its ownership")
 
 // takeOver makes this daemon the owner. Unless ownership was given up, it reads the ownership row first: the replica's copy may
-// be behind while the store is slow, and attempts of many daemons would delay the owner's own commits.
-func (d *Daemon) takeOver(ctx context.Context) (*ledger.Ownership, error) {
+// be behind while the store is slow, and attempts of many daemons would delay the owner's own commits. takeOver also returns the
+// latest time at which an earlier owner may have given orders.
+func (d *Daemon) takeOver(ctx context.Context) (*ledger.Ownership, monotime.Instant, error) {
 	view := d.Replica.Owner()
 	if view.Version > 0 && !view.Released && view.Node != d.Node && view.Epoch != d.invitedEpoch.Load() {
 		readCtx, cancel := context.WithTimeout(ctx, takeoverAfter)
 		defer cancel()
 		if err := d.Replica.ReadOwner(readCtx); err != nil {
-			return nil, err
+			return nil, 0, err
 		}
 		if !d.canTakeOver() {
-			return nil, errOwnerAlive
+			return nil, 0, errOwnerAlive
 		}
 		view = d.Replica.Owner()
 	}
 	self := ledger.OwnerRecord{Node: d.Node, Incarnation: d.Incarnation, Address: d.PeerAddr, Cores: d.Cores, Standbys: view.Standbys}
-	return d.Replica.Acquire(ctx, view, self)
+	until := earlierOrdersUntil(d.Clock.Now(), view.UnchangedFor)
+	ownership, err := d.Replica.Acquire(ctx, view, self)
+	return ownership, until, err
+}
+
+// earlierOrdersUntil returns the latest time at which an earlier owner may have given orders if the ownership row, which it renews, was
+// last seen to change the given time ago: the row is acquired only if it has not changed since.
+func earlierOrdersUntil(now monotime.Instant, unchangedFor time.Duration) monotime.Instant {
+	return min(now, now.Add(ownershipValidity-unchangedFor))
 }
 
 // runAsOwner runs the control loop until ownership is lost or ctx ends.
-func (d *Daemon) runAsOwner(ctx context.Context, ownership *ledger.Ownership) {
+func (d *Daemon) runAsOwner(ctx context.Context, ownership *ledger.Ownership, earlierOrdersUntil monotime.Instant) {
 	started := d.Clock.Now()
 	view := d.Replica.Owner()
 	d.Log.Info().Uint64("epoch", ownership.Epoch()).Str("node", d.Node).Msg("ownership taken")
-	c := newController(ctx, d, ownership, started)
+	c := newController(ctx, d, ownership, started, earlierOrdersUntil)
 	d.instruments.takeovers.Inc()
 	if err := c.loadLedger(); err != nil {
 		c.cancel()
--- a/internal/owner/ownership_test.go
+++ b/internal/owner/ownership_test.go
@@ -92,7 +92,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c := newController(ctx, d, ownership, d.Clock.Now())
+		c := newController(ctx, d, ownership, d.Clock.Now(), d.Clock.Now())
 		commit := func() {
 			time.Sleep(commitRetryDelay)
 			c.commitChanges()
@@ -137,7 +137,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c := newController(ctx, d, ownership, d.Clock.Now())
+		c := newController(ctx, d, ownership, d.Clock.Now(), d.Clock.Now())
 		c.engine.SetNow(c.now())
 		c.addWorkerConn(testWorker, false)
 		conn := c.workerConns["w"]
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -124,7 +124,7 @@
 		Orders: flowcontrol.DefaultOptions(),
 		Log:    &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 	})
-	c := newController(ctx, d, &ledger.Ownership{}, d.Clock.Now())
+	c := newController(ctx, d, &ledger.Ownership{}, d.Clock.Now(), d.Clock.Now())
 	return c
 }
 
@@ -379,3 +379,51 @@
 		time.Sleep(time.Minute) // lets the hold loop end
 	})
 }
+
+func TestEarlierOrdersUntil(t *testing.T) {
+	now := monotime.Instant(time.Minute)
+	cases := map[string]struct{ unchangedFor, ago time.Duration }{
+		"renewed just now":    {0, 0},
+		"still valid":         {ownershipValidity, 0},
+		"silent":              {takeoverAfter, takeoverAfter - ownershipValidity},
+		"outage of the store": {6 * time.Second, 6*time.Second - ownershipValidity},
+	}
+	for name, c := range cases {
+		if got := earlierOrdersUntil(now, c.unchangedFor); got != now.Add(-c.ago) {
+			t.Errorf("%s: %s ago, want %s", name, now.Sub(got), c.ago)
+		}
+	}
+}
+
+// After an outage of the store the earlier owner's last orders, and with them the leases of its workers, lie far back. The jobs that
+// wait for the report of a worker that has ended must not wait for a whole lease from the takeover.
+func TestLeasesOfEarlierOwnersCountFromItsLastOrders(t *testing.T) {
+	for _, ago := range []time.Duration{0, 3 * time.Second, 6 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			client := &fakeClient{startedAt: time.Now(), unresponsive: true}
+			c := newTestController(ctx, client)
+			time.Sleep(time.Minute)
+			takenAt := c.now()
+			c.takeoverStartedAt, c.earlierOrdersUntil = takenAt, takenAt.Add(-ago)
+			c.engine.AwaitReport("w", "p")
+			c.addWorkerConn(dispatch.Worker{ID: "w", Pool: "p"}, true)
+			for !c.engine.ReportsComplete() {
+				select {
+				case f := <-c.events:
+					c.handleEvent(f)
+				case <-time.After(tickInterval):
+				}
+				c.expireLeases()
+			}
+			leaseEnd := onSlowestClock(leaseDuration) + earlierOrderMargin + leaseMargin - ago
+			waited := c.now().Sub(takenAt)
+			if most := max(leaseEnd, holdTimeout) + 2*tickInterval; waited < leaseEnd || waited > most {
+				t.Errorf("last orders %s before the takeover: the report was waited for for %s, want %s to %s", ago, waited, leaseEnd, most)
+			}
+			cancel()
+			time.Sleep(time.Minute) // lets the hold loop end
+		})
+	}
+}
