--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -7,9 +7,6 @@
 	"laburnumpoint/internal/monotime"
 )
 
-// minClockRate is the least rate of a worker's clock against the owner's: by the platform's contract it may run 2% slow.
-const minClockRate = 0.98
-
 // workerLease tracks a worker's clock and the latest time at which its lease can end. It is safe for concurrent use.
 type workerLease struct {
 	mu sync.Mutex
@@ -46,12 +43,7 @@
 
 // latestAt returns the latest time at which the worker's clock can reach deadline.
 func (l *workerLease) latestAt(deadline time.Duration) monotime.Instant {
-	return l.readAt.Add(onSlowestClock(deadline - l.clockReading))
-}
-
-// onSlowestClock returns the longest time that a worker's clock can take to advance by d.
-func onSlowestClock(d time.Duration) time.Duration {
-	return time.Duration(float64(d) / minClockRate)
+	return l.readAt.Add(monotime.OnSlowestClock(deadline - l.clockReading))
 }
 
 // extendUntil counts the lease as lasting until the given time at least.
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -12,9 +12,6 @@
 
 // Timing of orders to workers.
 const (
-	// startTimeout and stopTimeout bound an order with all its attempts while answers come fast.
-	startTimeout = flowcontrol.DefaultMinTimeout
-	stopTimeout  = flowcontrol.DefaultMinTimeout
 	// orderRetryDelay is the delay after a failed attempt, for a worker whose calls fail at once.
 	orderRetryDelay = 20 * time.Millisecond
 	// maxPlaceWait bounds how long an order waits for a place among those under way. After that the engine decides anew.
--- a/internal/owner/slow_answers_test.go
+++ b/internal/owner/slow_answers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,14 +20,15 @@
 	lossRate     float64
 	silentWorker dispatch.WorkerID
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	attempts int
+	attempts atomic.Int64
+
+	mu  sync.Mutex
+	rng *rand.Rand
 }
 
 func (f *slowClient) call(ctx context.Context, w dispatch.WorkerID) bool {
+	f.attempts.Add(1)
 	f.mu.Lock()
-	f.attempts++
 	lost := f.rng.Float64() < f.lossRate || w == f.silentWorker
 	f.mu.Unlock()
 	if lost {
@@ -100,7 +102,7 @@
 				}
 				done.Wait()
 				time.Sleep(10 * time.Second) // lets the attempts under way end
-				if repeats := float64(client.attempts-starts) / starts; repeats > tc.maxRepeats {
+				if repeats := float64(client.attempts.Load()-starts) / starts; repeats > tc.maxRepeats {
 					t.Errorf("%.3f repeats for each start, want %.3f at most", repeats, tc.maxRepeats)
 				}
 				if share := float64(inDoubt) / starts; share > tc.maxInDoubt {
@@ -129,8 +131,8 @@
 		time.AfterFunc(wait, c.gate.Leave)
 		conn := &workerConn{controller: c}
 		expired := StartCall{Start: dispatch.Start{PermitUntil: c.now().Add(wait / 2)}}
-		if outcome, _ := conn.sendStart(expired); outcome != dispatch.StartNotSent || client.attempts > 0 {
-			t.Errorf("start with an expired permit: %s after %d attempts, want it not sent", outcome, client.attempts)
+		if outcome, _ := conn.sendStart(expired); outcome != dispatch.StartNotSent || client.attempts.Load() > 0 {
+			t.Errorf("start with an expired permit: %s after %d attempts, want it not sent", outcome, client.attempts.Load())
 		}
 		valid := StartCall{Start: dispatch.Start{PermitUntil: c.now().Add(wait)}}
 		if outcome, _ := conn.sendStart(valid); outcome != dispatch.Started {
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -61,7 +61,7 @@
 	}
 	wc := &workerConn{controller: c, worker: w, listing: w, recordedAdvanced: make(chan struct{}, 1)}
 	if usedBefore {
-		wc.lease.extendUntil(c.earlierOrdersUntil.Add(onSlowestClock(c.workerLeaseDuration()) + earlierOrderMargin))
+		wc.lease.extendUntil(c.earlierOrdersUntil.Add(monotime.OnSlowestClock(c.workerLeaseDuration()) + earlierOrderMargin))
 	}
 	c.workerConns[w.ID] = wc
 	c.engine.PutWorker(w)
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,11 +54,11 @@
 	WorkerClient
 	unanswered int
 	outcome    dispatch.StartOutcome
-	attempts   int
+	attempts   atomic.Int64
 }
 
 func (f *lossyClient) attempt(ctx context.Context) bool {
-	if f.attempts++; f.attempts > f.unanswered {
+	if int(f.attempts.Add(1)) > f.unanswered {
 		return true
 	}
 	<-ctx.Done()
@@ -92,7 +93,7 @@
 		"third attempt answered":      {2, dispatch.Started, dispatch.Started, 300 * time.Millisecond},
 		"refused after one in doubt":  {1, dispatch.StartNoCapacity, dispatch.StartInDoubt, 300 * time.Millisecond},
 		"outdated after one in doubt": {1, dispatch.StartOutdated, dispatch.StartInDoubt, 300 * time.Millisecond},
-		"never answered":              {1000, dispatch.Started, dispatch.StartInDoubt, startTimeout},
+		"never answered":              {1000, dispatch.Started, dispatch.StartInDoubt, flowcontrol.DefaultMinTimeout},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -214,7 +215,7 @@
 			t.Error("the lease has expired although the worker answers")
 		}
 		client.setUnresponsive(true)
-		time.Sleep(onSlowestClock(leaseDuration) + leaseMargin + holdWait + holdTimeout)
+		time.Sleep(monotime.OnSlowestClock(leaseDuration) + leaseMargin + holdWait + holdTimeout)
 		if !conn.lease.expired(c.now()) {
 			t.Errorf("the lease of an unresponsive worker lasts for another %s", conn.lease.remaining(c.now()))
 		}
@@ -417,7 +418,7 @@
 				}
 				c.expireLeases()
 			}
-			leaseEnd := onSlowestClock(leaseDuration) + earlierOrderMargin + leaseMargin - ago
+			leaseEnd := monotime.OnSlowestClock(leaseDuration) + earlierOrderMargin + leaseMargin - ago
 			waited := c.now().Sub(takenAt)
 			if most := max(leaseEnd, holdTimeout) + 2*tickInterval; waited < leaseEnd || waited > most {
 				t.Errorf("last orders %s before the takeover: the report was waited for for %s, want %s to %s", ago, waited, leaseEnd, most)
--- a/internal/shard/policy.go
+++ b/internal/shard/policy.go
@@ -6,6 +6,7 @@
 
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/config"
+	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/scheduler"
 )
 
@@ -38,14 +39,11 @@
 	c.schedulingNeeded = true
 }
 
-// minClockRate is the least rate of a worker's clock against the owner's.
-const minClockRate = 0.98
-
 // unreadCapacity returns the capacity on which tasks of an earlier owner may run that this owner doesn't know of: that of the
 // workers whose leases it has not read yet. Leases that the earlier owner can't renew have ended after LeaseTTL.
 func (c *controlLoop) unreadCapacity(now time.Time) cell.Resources {
 	var sum cell.Resources
-	longestLease := time.Duration(float64(c.params.LeaseTTL)/minClockRate) + c.params.ClaimInterval
+	longestLease := monotime.OnSlowestClock(c.params.LeaseTTL) + c.params.ClaimInterval
 	if c.params.Epoch == 1 || now.Sub(c.startedAt) > longestLease {
 		return sum
 	}
