Jobs know their organisation: record, engine input, configuration

Cause: organisations (keys, limits, shares) need to be known from a job's acceptance to the engine's decisions. Change: JobRecord.Organisation (omitted when empty, so earlier records read as before), entry.Config.Organisations, owner.Options.Organisations, and a JobInput in place of six arguments of Engine.AddJob. No behaviour changes. Result: tests of the packages pass.

--- a/internal/dispatch/backlog_test.go
+++ b/internal/dispatch/backlog_test.go
@@ -33,7 +33,7 @@
 		for i := from; i < to; i++ {
 			claim := graph.Resources{MilliCPU: 6000 + rng.Int64N(12000), MemoryMB: 10000 + rng.Int64N(20000)}
 			spec := &graph.Spec{Steps: []graph.Step{{Count: 10, Claim: claim, Estimate: time.Second}}}
-			c.AddJob(graph.JobID(fmt.Sprintf("j%04d", i)), queue, spec, c.virtualTime, nil, false)
+			c.AddJob(JobInput{ID: graph.JobID(fmt.Sprintf("j%04d", i)), Queue: queue, Spec: spec, ArrivedAt: c.virtualTime})
 		}
 	}
 	addJobs(0, 400)
@@ -127,7 +127,7 @@
 	wholeWorker := graph.Step{Count: 1, Gang: true, Claim: graph.Resources{MilliCPU: 1000}}
 	queue := plainQueue
 	queue.Permit = &graph.PermitLatency{Base: 10 * time.Millisecond}
-	c.AddJob("gang", queue, &graph.Spec{Steps: []graph.Step{wholeWorker}}, c.virtualTime, nil, false)
+	c.AddJob(JobInput{ID: "gang", Queue: queue, Spec: &graph.Spec{Steps: []graph.Step{wholeWorker}}, ArrivedAt: c.virtualTime})
 	c.planByKind()
 	c.HandlePermits(StepID{Job: "gang"}, []WorkerID{w}, map[WorkerID]string{w: "t"}, time.Second, true)
 	c.planByKind()
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -97,14 +97,32 @@
 // ReportsComplete reports whether every awaited worker has reported or has been removed.
 func (e *Engine) ReportsComplete() bool { return len(e.awaitedReports) == 0 }
 
-// AddJob adds a job unless the engine knows it. The job's objective counts from arrivedAt, progress is nil if none is recorded,
-// and unconfirmed means that an earlier owner may have started its tasks.
-func (e *Engine) AddJob(id graph.JobID, queue graph.Queue, spec *graph.Spec, arrivedAt monotime.Instant, progress *Progress, unconfirmed bool) {
-	if e.jobs[id] != nil {
+// JobInput is a job to add to the engine.
+type JobInput struct {
+	ID    graph.JobID
+	Queue graph.Queue
+	// Organisation names the organisation that handed the job in; empty for none.
+	Organisation string
+	Spec         *graph.Spec
+	// ArrivedAt is when the job was accepted. Its objective counts from then.
+	ArrivedAt monotime.Instant
+	// Progress is the recorded progress, nil if there is none.
+	Progress *Progress
+	// Unconfirmed means that an earlier owner may have started tasks that no worker has reported yet.
+	Unconfirmed bool
+}
+
+// AddJob adds a job unless the engine knows it.
+func (e *Engine) AddJob(in JobInput) {
+	if e.jobs[in.ID] != nil {
 		return
 	}
-	j := &job{id: id, queue: queue, spec: spec, arrivedAt: arrivedAt, state: graph.Queued, unconfirmed: unconfirmed, objective: queue.Objective(spec)}
-	criticalPaths := spec.CriticalPaths(queue.ExpectedPermitLatency())
+	spec := in.Spec
+	j := &job{
+		id: in.ID, queue: in.Queue, organisation: in.Organisation, spec: spec, arrivedAt: in.ArrivedAt, state: graph.Queued,
+		unconfirmed: in.Unconfirmed, objective: in.Queue.Objective(spec),
+	}
+	criticalPaths := spec.CriticalPaths(in.Queue.ExpectedPermitLatency())
 	for k := range spec.OccurrenceCount() {
 		steps := make([]*step, len(spec.Steps))
 		for i := range spec.Steps {
@@ -114,9 +132,9 @@
 		j.steps = append(j.steps, steps)
 	}
 	j.openSteps = len(j.steps) * len(spec.Steps)
-	e.jobs[id] = j
-	if progress != nil {
-		j.restore(*progress)
+	e.jobs[in.ID] = j
+	if in.Progress != nil {
+		j.restore(*in.Progress)
 	}
 	if j.state.Ended() {
 		return
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -37,7 +37,7 @@
 
 func (c *fixture) addJob(id string, unconfirmed bool, steps ...graph.Step) graph.JobID {
 	j := graph.JobID(id)
-	c.AddJob(j, plainQueue, &graph.Spec{Steps: steps}, c.virtualTime, nil, unconfirmed)
+	c.AddJob(JobInput{ID: j, Queue: plainQueue, Spec: &graph.Spec{Steps: steps}, ArrivedAt: c.virtualTime, Unconfirmed: unconfirmed})
 	return j
 }
 
@@ -227,7 +227,7 @@
 
 	next := newFixture(t, 2)
 	next.addWorker("a", 1000)
-	next.AddJob(j, plainQueue, &graph.Spec{Steps: []graph.Step{plainStep(1)}}, next.virtualTime, &recorded, true)
+	next.AddJob(JobInput{ID: j, Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(1)}}, ArrivedAt: next.virtualTime, Progress: &recorded, Unconfirmed: true})
 	next.HandleReport(a, next.virtualTime, endedReport(1, runKey(j, 0, 0, 1), RunFailed))
 	if state, _ := next.JobState(j); state == graph.Failed {
 		t.Fatal("one failed run counted as two attempts")
@@ -318,7 +318,7 @@
 	c := newFixture(t, 1)
 	c.addWorker("a", 1000)
 	spec := &graph.Spec{Steps: []graph.Step{plainStep(1)}, Occurrences: 2, StartAt: 10 * time.Second, Interval: 5 * time.Second}
-	c.AddJob("j", plainQueue, spec, c.virtualTime, nil, false)
+	c.AddJob(JobInput{ID: "j", Queue: plainQueue, Spec: spec, ArrivedAt: c.virtualTime})
 	for _, step := range []struct {
 		wall time.Duration
 		want int
@@ -340,7 +340,7 @@
 	a, b := c.addWorker("a", 1000), c.addWorker("b", 1000)
 	queue := plainQueue
 	queue.Permit = &graph.PermitLatency{Base: time.Millisecond}
-	c.AddJob("j", queue, &graph.Spec{Steps: []graph.Step{plainStep(3)}}, c.virtualTime, nil, false)
+	c.AddJob(JobInput{ID: "j", Queue: queue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(3)}}, ArrivedAt: c.virtualTime})
 	starts, _, requests := c.planByKind()
 	if len(starts) != 0 || len(requests) != 1 || len(requests[0].Workers) != 2 {
 		t.Fatalf("starts %v, permit requests %v, want one request for both workers", starts, requests)
@@ -422,7 +422,7 @@
 	queue.Permit = &graph.PermitLatency{Base: 500 * time.Millisecond}
 	gang := plainStep(4)
 	gang.Gang = true
-	c.AddJob("gang", queue, &graph.Spec{Steps: []graph.Step{gang}}, c.virtualTime, nil, false)
+	c.AddJob(JobInput{ID: "gang", Queue: queue, Spec: &graph.Spec{Steps: []graph.Step{gang}}, ArrivedAt: c.virtualTime})
 	_, _, requests := c.planByKind()
 	if len(requests) != 1 {
 		t.Fatalf("%d permit requests, want one", len(requests))
@@ -453,7 +453,7 @@
 	c.planByKind()
 	gang := plainStep(maxRequestWorkers)
 	gang.Gang = true
-	c.AddJob("gang", queue, &graph.Spec{Steps: []graph.Step{gang}}, c.virtualTime, nil, false)
+	c.AddJob(JobInput{ID: "gang", Queue: queue, Spec: &graph.Spec{Steps: []graph.Step{gang}}, ArrivedAt: c.virtualTime})
 	_, _, requests := c.planByKind()
 	if len(requests) != 2 {
 		t.Fatalf("%d permit requests, want two: half of the workers are expected to be allowed", len(requests))
@@ -490,7 +490,7 @@
 		c.PutWorker(Worker{ID: w, Pool: "p", Labels: []string{string(w)}, Capacity: graph.Resources{MilliCPU: 300, MemoryMB: 1000}})
 		step := plainStep(tasks)
 		step.Claim.MilliCPU, step.Label, step.Checkpoints = cpu, string(w), true
-		c.AddJob(job, lowPriority, &graph.Spec{Steps: []graph.Step{step}}, c.virtualTime, nil, false)
+		c.AddJob(JobInput{ID: job, Queue: lowPriority, Spec: &graph.Spec{Steps: []graph.Step{step}}, ArrivedAt: c.virtualTime})
 	}
 	fill("small", manySmall, 6, 50)
 	fill("large", oneLarge, 1, 300)
@@ -516,7 +516,7 @@
 	queue.Permit = &graph.PermitLatency{Base: 500 * time.Millisecond}
 	gang := plainStep(2)
 	gang.Gang = true
-	c.AddJob("gang", queue, &graph.Spec{Steps: []graph.Step{gang}}, c.virtualTime, nil, false)
+	c.AddJob(JobInput{ID: "gang", Queue: queue, Spec: &graph.Spec{Steps: []graph.Step{gang}}, ArrivedAt: c.virtualTime})
 	_, _, requests := c.planByKind()
 	c.advance(500 * time.Millisecond)
 	// The permits expire before they can be used.
@@ -548,7 +548,7 @@
 	background.Target = time.Minute
 	checkpointing := plainStep(2)
 	checkpointing.Checkpoints = true
-	c.AddJob("low", background, &graph.Spec{Steps: []graph.Step{checkpointing}}, c.virtualTime, nil, false)
+	c.AddJob(JobInput{ID: "low", Queue: background, Spec: &graph.Spec{Steps: []graph.Step{checkpointing}}, ArrivedAt: c.virtualTime})
 	starts, _, _ := c.planByKind()
 	for _, s := range starts {
 		c.HandleStartOutcome(a, s.RunKey, Started)
@@ -580,7 +580,7 @@
 	background.Target = time.Hour
 	checkpointing := plainStep(1)
 	checkpointing.Checkpoints = true
-	c.AddJob("low", background, &graph.Spec{Steps: []graph.Step{checkpointing}}, c.virtualTime, nil, false)
+	c.AddJob(JobInput{ID: "low", Queue: background, Spec: &graph.Spec{Steps: []graph.Step{checkpointing}}, ArrivedAt: c.virtualTime})
 	sequence := uint64(0)
 	end := func(key RunKey, outcome RunOutcome) {
 		sequence++
@@ -619,7 +619,7 @@
 		background := plainQueue
 		background.Priority = 2
 		background.Target = time.Minute
-		c.AddJob("low", background, &graph.Spec{Steps: []graph.Step{step}}, c.virtualTime, nil, false)
+		c.AddJob(JobInput{ID: "low", Queue: background, Spec: &graph.Spec{Steps: []graph.Step{step}}, ArrivedAt: c.virtualTime})
 		starts, _, _ := c.planByKind()
 		c.HandleStartOutcome(a, starts[0].RunKey, Started)
 		c.advance(10 * time.Millisecond)
--- a/internal/dispatch/explain_test.go
+++ b/internal/dispatch/explain_test.go
@@ -47,7 +47,7 @@
 				queue.Permit = &graph.PermitLatency{Base: time.Millisecond}
 			}
 			c.advance(time.Second)
-			c.AddJob("j", queue, &graph.Spec{Steps: tc.steps}, c.virtualTime, nil, tc.awaited)
+			c.AddJob(JobInput{ID: "j", Queue: queue, Spec: &graph.Spec{Steps: tc.steps}, ArrivedAt: c.virtualTime, Unconfirmed: tc.awaited})
 			starts, _, _ := c.planByKind()
 			for _, start := range starts {
 				c.HandleStartOutcome(start.Worker, start.RunKey, Started)
--- a/internal/dispatch/gang_order_test.go
+++ b/internal/dispatch/gang_order_test.go
@@ -31,7 +31,7 @@
 	queue.Permit, queue.Target = &graph.PermitLatency{Base: 500 * time.Millisecond, PerWorker: 10 * time.Millisecond}, objective
 	step := graph.Step{Count: members, Claim: graph.Resources{MilliCPU: 500, MemoryMB: 10}, Estimate: time.Second, Gang: true}
 	f.allowed[id] = allowed
-	f.AddJob(id, queue, &graph.Spec{Steps: []graph.Step{step}}, f.virtualTime, nil, false)
+	f.AddJob(JobInput{ID: id, Queue: queue, Spec: &graph.Spec{Steps: []graph.Step{step}}, ArrivedAt: f.virtualTime})
 	f.planByKind()
 	if request, ok := f.prepare(id); ok {
 		f.answer(request, 0)
@@ -100,7 +100,7 @@
 		t.Fatalf("requests of both gangs: %v, %v, want both", okFirst, okSecond)
 	}
 	// A task that needs no permit must not take what the gangs keep.
-	f.AddJob("other", plainQueue, &graph.Spec{Steps: []graph.Step{{Count: 1, Claim: graph.Resources{MilliCPU: 500, MemoryMB: 10}}}}, f.virtualTime, nil, false)
+	f.AddJob(JobInput{ID: "other", Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{{Count: 1, Claim: graph.Resources{MilliCPU: 500, MemoryMB: 10}}}}, ArrivedAt: f.virtualTime})
 	if started := f.startedJobs(); len(started) != 0 {
 		t.Errorf("started %v while both gangs ask for their permits", started)
 	}
--- a/internal/dispatch/history_test.go
+++ b/internal/dispatch/history_test.go
@@ -239,7 +239,7 @@
 	if known, ok := h.durable[id]; ok {
 		p = &known
 	}
-	h.engine.AddJob(id, h.queue(), h.specs[id], h.now, p, unconfirmed)
+	h.engine.AddJob(JobInput{ID: id, Queue: h.queue(), Spec: h.specs[id], ArrivedAt: h.now, Progress: p, Unconfirmed: unconfirmed})
 	if h.cancelled[id] {
 		h.engine.Cancel(id)
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -325,10 +325,12 @@
 func (s *step) id() StepID { return StepID{s.job.id, s.occurrence, s.index} }
 
 type job struct {
-	id        graph.JobID
-	queue     graph.Queue
-	spec      *graph.Spec
-	arrivedAt monotime.Instant
+	id    graph.JobID
+	queue graph.Queue
+	// organisation names the organisation that handed the job in; empty for none.
+	organisation string
+	spec         *graph.Spec
+	arrivedAt    monotime.Instant
 	// objective is the time from arrival in which the job should complete.
 	objective time.Duration
 	state     graph.JobState
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -165,7 +165,7 @@
 		if recorded, ok := w.records[id]; ok {
 			p = &recorded
 		}
-		w.engine.AddJob(id, w.queue(), spec, w.now, p, true)
+		w.engine.AddJob(JobInput{ID: id, Queue: w.queue(), Spec: spec, ArrivedAt: w.now, Progress: p, Unconfirmed: true})
 	}
 	for _, id := range w.workerIDs() {
 		w.engine.AwaitReport(id, "p")
@@ -193,7 +193,7 @@
 		spec.Steps = append(spec.Steps, s)
 	}
 	w.specs[id] = spec
-	w.engine.AddJob(id, w.queue(), spec, w.now, nil, false)
+	w.engine.AddJob(JobInput{ID: id, Queue: w.queue(), Spec: spec, ArrivedAt: w.now})
 }
 
 func (w *simulation) endSomeRun() {
--- a/internal/dispatch/run_numbers_test.go
+++ b/internal/dispatch/run_numbers_test.go
@@ -22,7 +22,7 @@
 
 	next := newFixture(t, 2)
 	next.addWorker("a", 1000)
-	next.AddJob(j, plainQueue, &graph.Spec{Steps: []graph.Step{plainStep(1)}}, next.virtualTime, &recorded, true)
+	next.AddJob(JobInput{ID: j, Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(1)}}, ArrivedAt: next.virtualTime, Progress: &recorded, Unconfirmed: true})
 	again, _, _ := next.planByKind()
 	if again[0].Number <= starts[0].Number {
 		t.Errorf("the next owner's first run number is %d, want more than the earlier owner's last one, %d", again[0].Number, starts[0].Number)
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -26,6 +26,8 @@
 	Version uint64
 	Routes  []Route
 	Limits  Limits
+	// Organisations are those that may hand in jobs.
+	Organisations []graph.Organisation
 }
 
 // Match returns the route of host with the longest prefix of path, and the path after that prefix.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -151,6 +151,15 @@
 // Config returns the configuration in force, nil if there is none yet.
 func (s *Service) Config() *Config { return s.config.Load() }
 
+// Organisations returns the configuration's version and its organisations; version 0 if there is none yet.
+func (s *Service) Organisations() (version uint64, organisations []graph.Organisation) {
+	config := s.config.Load()
+	if config == nil {
+		return 0, nil
+	}
+	return config.Version, config.Organisations
+}
+
 // Queue returns the policy of the named queue in the configuration in force.
 func (s *Service) Queue(name string) (graph.Queue, bool) {
 	config := s.config.Load()
@@ -205,7 +214,7 @@
 	if err != nil {
 		return s.recordAnswer(labelSubmit, rest, Answer{Result: Invalid, Detail: err.Error()})
 	}
-	record := ledger.NewJobRecord(route.Queue, spec, time.Now())
+	record := ledger.NewJobRecord(route.Queue, "", spec, time.Now())
 	return s.recordAnswer(labelSubmit, rest, s.accept(ctx, id, record))
 }
 
--- a/internal/graph/graph.go
+++ b/internal/graph/graph.go
@@ -224,6 +224,18 @@
 	Permit *PermitLatency `json:"permit,omitempty"`
 }
 
+// Organisation is an organisation's policy in the configuration in force.
+type Organisation struct {
+	Name string
+	// Weight is the organisation's share when capacity is short, in proportion to the others' weights. It is also the rate of
+	// jobs, in jobs per second, up to which it is entitled to that share.
+	Weight float64
+	// Limit bounds the claims of its runs on all workers together. A resource of 0 is not bounded.
+	Limit Resources
+	// Keys are the keys by which its callers are known.
+	Keys []string
+}
+
 // objectiveWorkers is the number of workers in a permit request that objectives count with, as the users define it.
 const objectiveWorkers = 30
 
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -122,11 +122,12 @@
 		Log:           logger,
 		Metrics:       set,
 		MaxLease:      settings.MaxLease, Retention: settings.Retention,
-		Queue:    d.Service.Queue,
-		StoreUp:  store.Up,
-		StoreAge: store.SinceLastAnswer,
-		Cores:    settings.Cores,
-		Orders:   settings.Orders,
+		Queue:         d.Service.Queue,
+		Organisations: d.Service.Organisations,
+		StoreUp:       store.Up,
+		StoreAge:      store.SinceLastAnswer,
+		Cores:         settings.Cores,
+		Orders:        settings.Orders,
 	})
 	replica.OnJobChange(d.Owner.JobChanged)
 	server.Serve(d)
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -36,7 +36,9 @@
 // JobRecord is the stored record of a job as it was accepted, with its queue's settings at that time.
 type JobRecord struct {
 	Queue graph.Queue `json:"queue"`
-	Spec  *graph.Spec `json:"spec"`
+	// Organisation names the organisation that handed the job in; empty for none.
+	Organisation string      `json:"org,omitempty"`
+	Spec         *graph.Spec `json:"spec"`
 	// AcceptedMS is when the accepting daemon accepted the job by its wall clock, in milliseconds since the Unix epoch.
 	AcceptedMS int64 `json:"at"`
 }
@@ -102,6 +104,6 @@
 }
 
 // NewJobRecord returns the record of a job accepted at the given wall-clock time.
-func NewJobRecord(queue graph.Queue, spec *graph.Spec, wall time.Time) JobRecord {
-	return JobRecord{Queue: queue, Spec: spec, AcceptedMS: wall.UnixMilli()}
+func NewJobRecord(queue graph.Queue, organisation string, spec *graph.Spec, wall time.Time) JobRecord {
+	return JobRecord{Queue: queue, Organisation: organisation, Spec: spec, AcceptedMS: wall.UnixMilli()}
 }
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -158,7 +158,7 @@
 		queue.Pool = j.Queue.Pool // earlier owners ran the job in this pool, and the reports of its workers are awaited
 	}
 	age := max(0, time.Duration(time.Now().UnixMilli()-j.AcceptedMS)*time.Millisecond)
-	c.engine.AddJob(id, queue, j.Spec, c.now().Add(-age), j.Progress, unconfirmed)
+	c.engine.AddJob(dispatch.JobInput{ID: id, Queue: queue, Organisation: j.Organisation, Spec: j.Spec, ArrivedAt: c.now().Add(-age), Progress: j.Progress, Unconfirmed: unconfirmed})
 	if j.Cancelled {
 		c.engine.Cancel(id)
 	}
--- a/internal/owner/cutoff_test.go
+++ b/internal/owner/cutoff_test.go
@@ -122,7 +122,7 @@
 
 func addOneTask(c *controller, id graph.JobID) {
 	spec := &graph.Spec{Steps: []graph.Step{{Count: 1, Claim: graph.Resources{MilliCPU: 1}}}}
-	c.engine.AddJob(id, graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, spec, c.now(), nil, false)
+	c.engine.AddJob(dispatch.JobInput{ID: id, Queue: graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, Spec: spec, ArrivedAt: c.now()})
 }
 
 // newControllerWithRun returns an owner with a job whose only task runs on the worker.
--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -352,7 +352,9 @@
 	s.jobs[id] = j
 	s.results[kind].jobs++
 	s.results[kind].fullValue += j.value
-	s.after(callLatency, func() { s.engine.AddJob(id, k.queue, j.spec, s.now, nil, false) })
+	s.after(callLatency, func() {
+		s.engine.AddJob(dispatch.JobInput{ID: id, Queue: k.queue, Spec: j.spec, ArrivedAt: s.now})
+	})
 }
 
 func (k *loadKind) meanWork() float64 {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -72,6 +72,8 @@
 	Retention time.Duration
 	// Queue returns the current settings of a queue; the second result reports whether there are any.
 	Queue func(name string) (graph.Queue, bool)
+	// Organisations returns the version of the configuration in force and its organisations.
+	Organisations func() (version uint64, organisations []graph.Organisation)
 	// StoreUp reports whether the store answers this daemon.
 	StoreUp func() bool
 	// StoreAge returns how long ago the store last answered this daemon.
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -320,7 +320,7 @@
 		c.engine.PutWorker(w)
 		c.engine.SetReachable("w", true)
 		spec := &graph.Spec{Steps: []graph.Step{{Count: 1, Claim: graph.Resources{MilliCPU: 1}}}}
-		c.engine.AddJob("j", graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, spec, c.now(), nil, false)
+		c.engine.AddJob(dispatch.JobInput{ID: "j", Queue: graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, Spec: spec, ArrivedAt: c.now()})
 		orders := c.engine.Plan(0)
 		if len(orders) != 1 {
 			t.Fatalf("%d orders, want a start", len(orders))
@@ -353,7 +353,7 @@
 		c.addWorkerConn(dispatch.Worker{ID: "w", Pool: "p", Capacity: graph.Resources{MilliCPU: 1000, MemoryMB: 1000}}, false)
 		wc := c.workerConns["w"]
 		c.engine.SetReachable("w", true)
-		c.engine.AddJob("j", graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, &graph.Spec{Steps: []graph.Step{{Count: 1}}}, c.now(), nil, false)
+		c.engine.AddJob(dispatch.JobInput{ID: "j", Queue: graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, Spec: &graph.Spec{Steps: []graph.Step{{Count: 1}}}, ArrivedAt: c.now()})
 		start := c.engine.Plan(0)[0].(dispatch.Start)
 		c.engine.HandleStartOutcome("w", start.RunKey, dispatch.Started)
 		c.engine.Cancel("j")
