--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -61,6 +61,17 @@
 	BalancerDelay time.Duration
 	// Orders bounds the starts and stops that an owner sends to workers.
 	Orders flowcontrol.Options
+	// RequireKeys means that callers must present the key of an organisation, except on public routes.
+	RequireKeys bool
+	// MaxKeyUse is the time from the acknowledgement of a configuration that removes a key within which every daemon must
+	// have stopped to accept it, even one that the store does not answer; 0 if there is no such bound.
+	MaxKeyUse time.Duration
+	// RateWindow is the time over which an organisation's rate of jobs is averaged.
+	RateWindow time.Duration
+	// RefuseOverload means that jobs that can't be completed in time are refused.
+	RefuseOverload bool
+	// RemoteFactor is how many times as long a task takes away from its data or its group; 1 if places make no difference.
+	RemoteFactor float64
 }
 
 // Backends are a platform's implementations of what the daemon depends on. The functions are called with the daemon's
@@ -128,6 +139,10 @@
 		StoreAge:      store.SinceLastAnswer,
 		Cores:         settings.Cores,
 		Orders:        settings.Orders,
+
+		RateWindow:     settings.RateWindow,
+		RefuseOverload: settings.RefuseOverload,
+		RemoteFactor:   settings.RemoteFactor,
 	})
 	replica.OnJobChange(d.Owner.JobChanged)
 	server.Serve(d)
--- a/internal/settings/graphs.go
+++ b/internal/settings/graphs.go
@@ -34,6 +34,11 @@
 	flagOrderRepeats  = "order-repeats"
 	flagRepeatDelay   = "order-repeat-delay"
 	flagOrderTimeout  = "order-timeout"
+	flagRequireKeys   = "require-keys"
+	flagMaxKeyUse     = "max-key-use"
+	flagRateWindow    = "rate-window"
+	flagRefuseLoad    = "refuse-overload"
+	flagRemoteFactor  = "remote-factor"
 )
 
 // GraphSettings are the validated settings of a daemon for graph jobs.
@@ -71,6 +76,11 @@
 		&cli.FloatFlag{Name: flagOrderRepeats, Usage: "`NUMBER` of times that an order without an answer is sent again, in the mean of all orders", Value: flow.RepeatRatio, Sources: env(flagOrderRepeats)},
 		durationFlag(flagRepeatDelay, "least `TIME` after which an order without an answer is sent again", flow.MinRepeatDelay),
 		durationFlag(flagOrderTimeout, "least `TIME` after which an order without an answer is given up", flow.MinTimeout),
+		&cli.BoolFlag{Name: flagRequireKeys, Usage: "require the key of an organisation from callers, except on public queues", Sources: env(flagRequireKeys)},
+		durationFlag(flagMaxKeyUse, "`TIME` from a key's removal after which no daemon accepts it, even one without the store; 0 for no bound", 5*time.Second),
+		durationFlag(flagRateWindow, "`TIME` over which an organisation's rate of jobs is averaged", 5*time.Second),
+		&cli.BoolFlag{Name: flagRefuseLoad, Usage: "refuse jobs that can't be completed in time", Sources: env(flagRefuseLoad)},
+		&cli.FloatFlag{Name: flagRemoteFactor, Usage: "`FACTOR` by which a task takes longer away from its data or its group", Value: 1, Sources: env(flagRemoteFactor)},
 	}
 }
 
@@ -125,6 +135,11 @@
 			MinRepeatDelay: cmd.Duration(flagRepeatDelay),
 			MinTimeout:     cmd.Duration(flagOrderTimeout),
 		},
+		RequireKeys:    cmd.Bool(flagRequireKeys),
+		MaxKeyUse:      cmd.Duration(flagMaxKeyUse),
+		RateWindow:     cmd.Duration(flagRateWindow),
+		RefuseOverload: cmd.Bool(flagRefuseLoad),
+		RemoteFactor:   cmd.Float(flagRemoteFactor),
 	}}
 	var problems []error
 	require := func(ok bool, flag, want string) {
@@ -151,6 +166,9 @@
 	require(s.Orders.RepeatRatio >= 0, flagOrderRepeats, "0 or more")
 	require(s.Orders.MinRepeatDelay > 0, flagRepeatDelay, "a positive time")
 	require(s.Orders.MinTimeout >= s.Orders.MinRepeatDelay, flagOrderTimeout, "at least --"+flagRepeatDelay)
+	require(s.MaxKeyUse == 0 || s.MaxKeyUse > time.Second, flagMaxKeyUse, "0, or more than a second")
+	require(s.RateWindow >= time.Second, flagRateWindow, "a second or more")
+	require(s.RemoteFactor >= 1, flagRemoteFactor, "1 or more")
 	if cmd.NArg() > 0 {
 		problems = append(problems, fmt.Errorf("unexpected argument %q", cmd.Args().First()))
 	}
