Workers that restart under their id, and workers that don't listen

Cause: a worker may start again under its id; its counts start anew. The owner kept the sequence of ends and the lease of the earlier process, so ends of the new one passed for known, and could be forgotten unrecorded. Change: reports carry the start of the worker's process; a change, or two refused connections in a row, ends the runs there. Starts in doubt are stopped on the new process before their tasks start elsewhere; a hold call after a failure confirms no ends; a commit under way doesn't confirm ends of the ended process.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -82,6 +82,41 @@
 	return lost
 }
 
+// HandleRestart processes that a worker's process has ended. Another one may run under the worker's id; it has none of the runs
+// of the ended one. A start without an answer may still reach the new process, so its run is stopped there before the task is
+// started again. HandleRestart returns the runs that have ended.
+func (e *Engine) HandleRestart(id WorkerID) (ended []RunKey) {
+	delete(e.awaitedReports, id)
+	w := e.workers[id]
+	if w == nil {
+		return nil
+	}
+	e.setReachable(w, false)
+	w.lastEndSequence = 0
+	delete(e.unconfirmedEnds, id)
+	for key, r := range w.runs {
+		if r.confirmedAt == 0 {
+			e.stopAfterRestart(r)
+			continue
+		}
+		ended = append(ended, key)
+		e.handleEnd(w, key, RunInterrupted, "")
+	}
+	return ended
+}
+
+// stopAfterRestart stops a run in doubt on the new process of its worker. A stop that the ended process acknowledged does not
+// keep the new one from starting the run.
+func (e *Engine) stopAfterRestart(r *run) {
+	if r.state != runStopping {
+		e.stop(r, "worker restarted before it answered the start")
+		return
+	}
+	r.stopAnsweredAt = 0
+	e.unansweredStops[r] = struct{}{}
+	e.sendStop(r)
+}
+
 func (e *Engine) handleRunningEntry(w *worker, entry RunningEntry) {
 	r := w.runs[entry.RunKey]
 	if r == nil {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -81,6 +81,9 @@
 	Ended   []EndedEntry
 	// Partial means that the worker has more ended runs than the report holds.
 	Partial bool
+	// ProcessStart is when the worker's process started, by its own time of day; 0 if it does not say. A worker whose process
+	// has restarted under its id runs nothing of before, and its counts start anew.
+	ProcessStart time.Duration
 }
 
 // StartOutcome is the outcome of an order to start a run.
--- /dev/null
+++ b/internal/dispatch/restart_test.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// A worker's process crashes and starts again under the worker's id. Its ends count from 1 again: if they passed for known ones,
+// tasks that are done would be run again.
+func TestEndsOfARestartedWorkerAreProcessed(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	w := c.addWorker("w", 100)
+	j := c.addJob("j", false, plainStep(1))
+	c.planByKind()
+	first := runKey(j, 0, 0, 1)
+	c.HandleStartOutcome(w, first, Started)
+	c.HandleReport(w, c.virtualTime, endedReport(7, runKey("other", 0, 0, 1), RunDone))
+	if ended := c.HandleRestart(w); len(ended) != 1 || ended[0] != first {
+		t.Fatalf("runs %v ended with the worker's process, want %v", ended, first)
+	}
+	c.SetReachable(w, true)
+	starts, _, _ := c.planByKind()
+	if len(starts) != 1 || starts[0].Number != 2 {
+		t.Fatalf("starts %v after the restart, want run 2", starts)
+	}
+	c.HandleStartOutcome(w, starts[0].RunKey, Started)
+	c.HandleReport(w, c.virtualTime, endedReport(1, starts[0].RunKey, RunDone))
+	if c.Stats().Done != 1 {
+		t.Errorf("%d runs are done, want that of the restarted worker", c.Stats().Done)
+	}
+}
+
+// A start has no answer when its worker's process ends. The order may still arrive and be carried out by the next process under
+// the same id, so the task must not start elsewhere before that process has acknowledged a stop.
+func TestStartInDoubtIsStoppedOnTheRestartedWorker(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	w := c.addWorker("w", 100)
+	j := c.addJob("j", false, plainStep(1))
+	c.planByKind()
+	c.addWorker("w2", 100)
+	if ended := c.HandleRestart(w); len(ended) != 0 {
+		t.Fatalf("runs %v ended, want none: the start is in doubt", ended)
+	}
+	starts, stops, _ := c.planByKind()
+	if len(starts) != 0 || len(stops) != 1 {
+		t.Fatalf("%d starts and %d stops after the restart, want one stop", len(starts), len(stops))
+	}
+	c.HandleStopAnswer(w, runKey(j, 0, 0, 1), true)
+	// A second restart takes the mark that the stop left, so that the stop is sent again.
+	c.HandleRestart(w)
+	if _, stops, _ := c.planByKind(); len(stops) != 1 {
+		t.Fatalf("%d stops after the second restart, want one", len(stops))
+	}
+	c.HandleStopAnswer(w, runKey(j, 0, 0, 1), true)
+	c.advance(time.Millisecond)
+	c.HandleReport(w, c.virtualTime, Report{})
+	if starts, _, _ := c.planByKind(); len(starts) != 1 || starts[0].Number != 2 {
+		t.Errorf("starts %v once the run is ruled out, want run 2", starts)
+	}
+}
+
+// A worker that an earlier owner used has crashed. Its jobs must not wait for its report.
+func TestRestartedWorkerIsNotAwaited(t *testing.T) {
+	c := newFixture(t, 2)
+	c.AwaitReport("gone", "p")
+	c.addWorker("w", 100)
+	c.addJob("j", true, plainStep(1))
+	if starts, _, _ := c.planByKind(); len(starts) != 0 {
+		t.Fatalf("%d starts while a report is awaited, want none", len(starts))
+	}
+	c.HandleRestart("gone")
+	if starts, _, _ := c.planByKind(); len(starts) != 1 {
+		t.Errorf("%d starts once the awaited worker's process has ended, want one", len(starts))
+	}
+}
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -76,6 +76,10 @@
 func (c *controller) handleCommitResult(batch ledger.Batch, recordedEnds map[dispatch.WorkerID]uint64, sentAt monotime.Instant, err error) {
 	c.committing = false
 	now := c.now()
+	for id := range c.restartedDuringCommit {
+		delete(recordedEnds, id)
+	}
+	clear(c.restartedDuringCommit)
 	if err != nil {
 		c.handleCommitFailure(batch, err)
 		c.nextCommitAt = now.Add(commitRetryDelay)
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -47,6 +47,9 @@
 	registered map[dispatch.WorkerID]dispatch.Worker
 	// pendingWorkerRows are the changes of workers' rows that wait for a commit: the worker to put, or nil to remove its row.
 	pendingWorkerRows map[dispatch.WorkerID]*dispatch.Worker
+	// restartedDuringCommit holds the workers whose process ended while the current commit was under way. The sequences that the
+	// commit records are those of the ended process.
+	restartedDuringCommit map[dispatch.WorkerID]struct{}
 	// endedJobs are jobs whose rows are to be removed, those due first at the front. removalScheduled holds the same jobs;
 	// removableProgress holds those whose progress is to be removed with the next commits.
 	endedJobs         []endedJob
@@ -73,22 +76,24 @@
 func newController(parent context.Context, d *Daemon, ownership *ledger.Ownership, takeoverStartedAt, earlierOrdersUntil monotime.Instant) *controller {
 	ctx, cancel := context.WithCancel(parent)
 	c := &controller{
-		ctx:                ctx,
-		cancel:             cancel,
-		Daemon:             d,
-		ownership:          ownership,
-		events:             make(chan func(), eventQueueSize),
-		gate:               d.newGate(),
-		engine:             dispatch.New(ownership.Epoch()),
-		workerConns:        make(map[dispatch.WorkerID]*workerConn),
-		permits:            newPermitQueue(),
-		registered:         make(map[dispatch.WorkerID]dispatch.Worker),
-		pendingWorkerRows:  make(map[dispatch.WorkerID]*dispatch.Worker),
-		removalScheduled:   make(map[graph.JobID]bool),
-		removableProgress:  make(map[graph.JobID]struct{}),
-		takeoverStartedAt:  takeoverStartedAt,
-		earlierOrdersUntil: earlierOrdersUntil,
-		lastRenewalAt:      ownership.CommitSentAt(),
+		ctx:               ctx,
+		cancel:            cancel,
+		Daemon:            d,
+		ownership:         ownership,
+		events:            make(chan func(), eventQueueSize),
+		gate:              d.newGate(),
+		engine:            dispatch.New(ownership.Epoch()),
+		workerConns:       make(map[dispatch.WorkerID]*workerConn),
+		permits:           newPermitQueue(),
+		registered:        make(map[dispatch.WorkerID]dispatch.Worker),
+		pendingWorkerRows: make(map[dispatch.WorkerID]*dispatch.Worker),
+
+		restartedDuringCommit: make(map[dispatch.WorkerID]struct{}),
+		removalScheduled:      make(map[graph.JobID]bool),
+		removableProgress:     make(map[graph.JobID]struct{}),
+		takeoverStartedAt:     takeoverStartedAt,
+		earlierOrdersUntil:    earlierOrdersUntil,
+		lastRenewalAt:         ownership.CommitSentAt(),
 	}
 	c.validUntil.Store(int64(ownership.CommitSentAt().Add(ownershipValidity)))
 	return c
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -71,7 +71,8 @@
 		c.gate.Leave()
 		return dispatch.StartNotSent, nil
 	}
-	last, attempts := wc.sendOrder(c.ownershipValid, func(ctx context.Context) orderAnswer {
+	mayRepeat := func() bool { return c.ownershipValid() && !wc.replaced.Load() }
+	last, attempts := wc.sendOrder(mayRepeat, func(ctx context.Context) orderAnswer {
 		outcome, err := c.Workers.Start(ctx, wc.worker, call)
 		return orderAnswer{outcome: outcome, err: err, answered: outcome != dispatch.StartInDoubt}
 	})
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -37,10 +37,19 @@
 	worker dispatch.Worker
 	lease  workerLease
 	cancel context.CancelFunc
-	// listing is the worker's last entry in the registry. Only the control loop uses listing, unresponsive and unregistered.
+	// listing is the worker's last entry in the registry. Only the control loop uses listing and the fields down to
+	// unregistered.
 	listing dispatch.Worker
 	// unresponsive means that the last hold call failed.
 	unresponsive bool
+	// mayHaveRuns means that the worker's process has answered, or that an earlier owner may have used it.
+	mayHaveRuns bool
+	// refusals counts the hold calls in a row that found no process listening.
+	refusals int
+	// replaced means that the worker's process has ended and another connection has taken this one's place.
+	replaced atomic.Bool
+	// processStart is that of the first report; only the hold loop uses it.
+	processStart time.Duration
 	// unregistered means that the registry does not list the worker.
 	unregistered bool
 
@@ -59,7 +68,7 @@
 	if c.workerConns[w.ID] != nil {
 		return
 	}
-	wc := &workerConn{controller: c, worker: w, listing: w, recordedAdvanced: make(chan struct{}, 1)}
+	wc := &workerConn{controller: c, worker: w, listing: w, mayHaveRuns: usedBefore, recordedAdvanced: make(chan struct{}, 1)}
 	if usedBefore {
 		wc.lease.extendUntil(c.earlierOrdersUntil.Add(monotime.OnSlowestClock(c.workerLeaseDuration()) + earlierOrderMargin))
 	}
@@ -103,6 +112,10 @@
 	answering := false
 	for ctx.Err() == nil {
 		last, err := wc.hold(ctx, wait, answering)
+		if errors.Is(err, errRestarted) {
+			wc.controller.post(func() { wc.controller.replaceWorkerConn(wc, "its process has restarted") })
+			return
+		}
 		answering = err == nil
 		if ctx.Err() != nil {
 			return
@@ -151,6 +164,10 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+max(holdTimeout, wc.controller.gate.Timeout()))
 	defer cancel()
 	call := HoldCall{Epoch: wc.controller.ownership.Epoch(), Recorded: wc.recorded(), Wait: wait}
+	if !extend {
+		// The process may have restarted since the last answer. Its ends count from 1 again and must not pass for recorded.
+		call.Recorded = 0
+	}
 	sentAt := wc.controller.now()
 	if extend && wc.controller.ownershipValid() && !wc.leaseHeldBack.Load() {
 		if deadline, ok := wc.lease.extend(sentAt, wc.controller.workerLeaseDuration()); ok {
@@ -163,6 +180,10 @@
 		wc.controller.instruments.holdFailures.Inc()
 		return 0, err
 	}
+	if wc.processStart != 0 && report.ProcessStart != 0 && report.ProcessStart != wc.processStart {
+		return 0, errRestarted
+	}
+	wc.processStart = report.ProcessStart
 	wc.lease.observeClock(clock, wc.controller.now())
 	last := call.Recorded
 	for _, e := range report.Ended {
@@ -172,6 +193,9 @@
 	return last, nil
 }
 
+// errRestarted means that the worker's process is not the one that answered before.
+var errRestarted = errors.New("owner: the worker's process has restarted")
+
 // workerLeaseDuration returns the length of the leases that workers get.
 func (c *controller) workerLeaseDuration() time.Duration { return min(leaseDuration, c.MaxLease) }
 
@@ -180,6 +204,7 @@
 	if c.workerConns[wc.worker.ID] != wc {
 		return
 	}
+	wc.mayHaveRuns, wc.refusals = true, 0
 	if wc.unresponsive {
 		wc.unresponsive = false
 		c.Log.Info().Str("worker", string(wc.worker.ID)).Msg("worker answers again")
@@ -212,9 +237,44 @@
 		c.Log.Warn().Str("worker", string(wc.worker.ID)).Err(err).Msg("worker does not answer")
 	}
 	c.engine.SetReachable(wc.worker.ID, false)
-	if errors.Is(err, ErrOtherIncarnation) {
+	switch {
+	case errors.Is(err, ErrOtherIncarnation):
 		c.removeEndedWorker(wc, "another incarnation answers at its address")
+	case !errors.Is(err, ErrNotListening):
+		wc.refusals = 0
+	default:
+		wc.refusals++
+		if wc.refusals >= refusalsUntilEnded && wc.mayHaveRuns {
+			c.replaceWorkerConn(wc, "no process listens at its address")
+		}
+	}
+}
+
+// refusalsUntilEnded is how many hold calls in a row must find no process listening until the worker's process counts as ended. One
+// may hit the moment in which a worker opens its port.
+const refusalsUntilEnded = 2
+
+// replaceWorkerConn gives up the runs of a worker whose process has ended and connects anew: the worker may start again under its
+// id. A worker listens as long as its process lives, and its runs end with the process.
+func (c *controller) replaceWorkerConn(wc *workerConn, why string) {
+	id := wc.worker.ID
+	if c.workerConns[id] != wc {
+		return
+	}
+	c.Log.Info().Str("worker", string(id)).Str("why", why).Dur("lease_left", wc.lease.remaining(c.now())).Msg("worker process ended")
+	wc.replaced.Store(true)
+	wc.cancel()
+	c.logRunsLost(wc, c.engine.HandleRestart(id), why)
+	if c.committing {
+		c.restartedDuringCommit[id] = struct{}{}
+	}
+	next := &workerConn{
+		controller: c, worker: wc.worker, listing: wc.listing, unresponsive: wc.unresponsive, unregistered: wc.unregistered,
+		recordedAdvanced: make(chan struct{}, 1),
 	}
+	next.lease.extendUntil(c.now().Add(wc.lease.remaining(c.now())))
+	c.workerConns[id] = next
+	next.startHoldLoop()
 }
 
 // expireLeases gives up the runs of unresponsive workers whose lease has expired. A missing entry in the registry doesn't prove
