Jobs are stored through any daemon that reaches the store; Retry-After by the job's slack

Cause: a daemon that the store doesn't answer relayed a job to the owner only, and refused it while the owner was lost, cut off or frozen although other daemons reached the store. Callers with a patience of three seconds were told half of an outage's age and came back too late, all at once.

Daemons that know the job accept it while the store is down. Retry-After is 1 s during the first second, then a quarter of the job's slack, at most 1.8 s (a fifth of the age from 9 s on), in whole seconds rounded at random.

--- a/internal/entry/outage.go
+++ b/internal/entry/outage.go
@@ -1,54 +1,86 @@
 package entry
 
 import (
-	"sync"
+	"math"
+	"math/rand/v2"
 	"time"
 
-	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/ledger"
 )
 
-// Timing of outages and of the Retry-After that callers get during one.
+// Retry-After of commands that could not be stored.
 const (
 	// minRetryAfter is the smallest positive value of the Retry-After header, which has whole seconds.
 	minRetryAfter = 1 * time.Second
 	// maxRetryAfter bounds how long a caller still waits after a long outage has ended.
 	maxRetryAfter = 10 * time.Second
-	// quietPeriod is the time without a failure after which an outage counts as ended even if no write has succeeded.
-	quietPeriod = 15 * time.Second
+	// shortOutage is the age of an outage up to which every caller returns after minRetryAfter.
+	shortOutage = 1 * time.Second
+	// usualWait is the mean wait of callers whose jobs have enough slack. Four such waits outlast six seconds with the spread
+	// of wholeSeconds, and a caller that waits three seconds in all still has two or three more tries.
+	usualWait = 1800 * time.Millisecond
+	// ageDivisor makes the waits grow by this fraction of the outage's age (a fifth) once it is older than the usual ones,
+	// which end after nine seconds.
+	ageDivisor = 5
+	// slackTries is the number of tries over which a job's slack is spread: callers have five, the first of which has failed.
+	slackTries = 4
+	// commandSlack is the slack of commands without an objective, such as a cancellation. Callers wait about three seconds
+	// for them.
+	commandSlack = 3 * time.Second
 )
 
-// outage tracks since when nothing can be stored and computes the Retry-After of the commands that fail meanwhile. It
-// is safe for concurrent use.
-//
-// A store outage lasts seconds. Callers have a few tries each, and jobs with objectives of two to fifteen seconds: with
-// a Retry-After of one second a caller would use up its tries within the outage. How long an outage will last is
-// unknown; the longer it has lasted, the longer it is likely to continue. The Retry-After is therefore half of the
-// outage's age: the first callers return soon, and the last ones wait for only a part of its length after its end.
-type outage struct {
-	mu sync.Mutex
-	// since is when the current outage began, 0 if there is none.
-	since       monotime.Instant
-	lastFailure monotime.Instant
+// jobTimes are the times of a job that bound the Retry-After of its submission.
+type jobTimes struct {
+	// slack is how much later than at once the job may start and still complete within its objective.
+	slack time.Duration
+	// lateSlack is the same for three times the objective, after which the job is worthless.
+	lateSlack time.Duration
+}
+
+// lateObjectives is the number of objectives after which a job that has not completed is worthless.
+const lateObjectives = 3
+
+// timesOf returns the times of a job.
+func timesOf(record *ledger.JobRecord) jobTimes {
+	var shortest time.Duration
+	for _, path := range record.Spec.CriticalPaths(record.Queue.ExpectedPermitLatency()) {
+		shortest = max(shortest, path)
+	}
+	objective := record.Queue.Objective(record.Spec)
+	return jobTimes{slack: objective - shortest, lateSlack: lateObjectives*objective - shortest}
 }
 
-// recordSuccess ends the outage after a successful write to the store.
-func (o *outage) recordSuccess() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.since, o.lastFailure = 0, 0
+// timesOfCommand are the times of commands without an objective.
+var timesOfCommand = jobTimes{slack: commandSlack, lateSlack: commandSlack}
+
+// storeUnavailable returns the answer to a command that was certainly not stored.
+func (s *Service) storeUnavailable(times jobTimes) Answer {
+	return Answer{Result: Unavailable, RetryAfter: retryAfter(s.StoreAge(), times, rand.Float64()), Detail: "store unavailable"}
 }
 
-// recordFailure records that nothing could be stored and returns the Retry-After of the command that failed. jitter,
-// from 0 to 1, adds up to a third.
-func (o *outage) recordFailure(now monotime.Instant, jitter float64) time.Duration {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.since == 0 || now.Sub(o.lastFailure) > quietPeriod {
-		o.since = now
+// retryAfter returns how long a caller should wait before it tries again, in whole seconds, if the store has not answered
+// for age. random is from 0 to 1.
+//
+// How long an outage will last is unknown, and a caller has five tries and often waits no longer than three seconds in all.
+// Jobs with a slack of up to four seconds return each second, which loses none of the moments at which they could still be
+// accepted in time. Jobs with more slack spread their tries over it: with one try a second a caller that could wait longer
+// would have used all of its tries after four seconds, and outages last up to nine.
+func retryAfter(age time.Duration, times jobTimes, random float64) time.Duration {
+	if times.lateSlack < minRetryAfter {
+		// The job is worthless at any time that Retry-After can name. The answer is the likely end of the outage, so that
+		// its caller does not return together with those whose jobs can still complete.
+		return wholeSeconds(age, random)
+	}
+	if age < shortOutage {
+		return minRetryAfter
 	}
-	o.lastFailure = now
-	half := now.Sub(o.since) / 2
-	// Jitter keeps callers that failed together from returning together.
-	extra := time.Duration(jitter * float64(half) / 3)
-	return min(max(minRetryAfter, half+extra), maxRetryAfter)
+	wait := min(times.slack/slackTries, max(usualWait, age/ageDivisor))
+	return min(wholeSeconds(wait, random), times.lateSlack.Truncate(time.Second))
+}
+
+// wholeSeconds rounds d up or down to whole seconds within the limits of Retry-After. It rounds at random, in proportion to
+// the fraction, so that callers that failed together don't return together.
+func wholeSeconds(d time.Duration, random float64) time.Duration {
+	seconds := math.Floor(d.Seconds() + random)
+	return min(max(minRetryAfter, time.Duration(seconds)*time.Second), maxRetryAfter)
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -9,7 +9,6 @@
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/peer"
-	"laburnumpoint/internal/rowstore"
 	"laburnumpoint/internal/wire"
 )
 
@@ -34,28 +33,34 @@
 
 // relay asks the owner, which reaches the store for as long as it is the owner, to carry out a command.
 func (s *Service) relay(ctx context.Context, req *wire.IntakeRequest) *wire.IntakeReply {
-	unavailable := &wire.IntakeReply{Result: resultUnavailable}
 	owner := s.Replica.Owner()
 	if owner.Version == 0 || owner.Incarnation == s.Incarnation {
-		return unavailable
+		return &wire.IntakeReply{Result: resultUnavailable}
 	}
+	return s.relayTo(ctx, owner.Address, req)
+}
+
+// relayTo asks the daemon at addr to carry out a command.
+func (s *Service) relayTo(ctx context.Context, addr string, req *wire.IntakeRequest) *wire.IntakeReply {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	req.TimeoutMs = relayTimeout.Milliseconds()
-	reply, err := s.Peers.Call(ctx, owner.Address, &wire.Request{Body: &wire.Request_Intake{Intake: req}})
+	sent := &wire.IntakeRequest{Command: req.Command, Job: req.Job, Record: req.Record, TimeoutMs: relayTimeout.Milliseconds()}
+	reply, err := s.Peers.Call(ctx, addr, &wire.Request{Body: &wire.Request_Intake{Intake: sent}})
 	if err != nil {
-		s.Log.Warn().Str("job", req.Job).Str("command", req.Command).Str("owner", owner.Node).Err(err).Msg("relay failed")
+		if !errors.Is(err, context.Canceled) {
+			s.Log.Warn().Str("job", req.Job).Str("command", req.Command).Str("to", addr).Err(err).Msg("relay failed")
+		}
 		if errors.Is(err, peer.ErrNotSent) {
-			return unavailable
+			return &wire.IntakeReply{Result: resultUnavailable}
 		}
 		return &wire.IntakeReply{Result: resultUncertain}
 	}
 	body := reply.GetIntake()
 	if body == nil {
-		return unavailable
+		return &wire.IntakeReply{Result: resultUnavailable}
 	}
 	if req.Command != commandFind && req.Command != commandPending {
-		s.Log.Info().Str("job", req.Job).Str("command", req.Command).Str("owner", owner.Node).Str("result", body.Result).Msg("relayed")
+		s.Log.Info().Str("job", req.Job).Str("command", req.Command).Str("to", addr).Str("result", body.Result).Msg("relayed")
 	}
 	return body
 }
@@ -106,6 +111,16 @@
 	return &wire.IntakeReply{Result: resultUnavailable}
 }
 
+// mayStoreForOthers reports whether this daemon tries to store a command for another one. Unless it is the owner, whose
+// calls to the store are frequent, it does so only if the store answered the last call: a write at the beginning of an
+// outage would make a certain refusal uncertain.
+func (s *Service) mayStoreForOthers() bool {
+	if s.Replica.Owner().Incarnation == s.Incarnation {
+		return !s.StoreDown()
+	}
+	return s.StoreUp()
+}
+
 func (s *Service) acceptRelayed(ctx context.Context, id graph.JobID, req *wire.IntakeRequest) string {
 	var record ledger.JobRecord
 	if err := json.Unmarshal(req.Record, &record); err != nil || record.Spec == nil {
@@ -115,7 +130,7 @@
 		s.Replica.ObserveAccepted(id, record)
 		return resultOK
 	}
-	if s.StoreDown() {
+	if _, known := s.Replica.Job(id); !known && !s.mayStoreForOthers() {
 		return resultUnavailable
 	}
 	return storeResult(s.Replica.Accept(ctx, id, record))
@@ -126,7 +141,7 @@
 		s.Replica.ObserveCancelled(id)
 		return resultOK
 	}
-	if s.StoreDown() {
+	if j, known := s.Replica.Job(id); !(known && j.Cancelled) && !s.mayStoreForOthers() {
 		return resultUnavailable
 	}
 	return storeResult(s.Replica.Cancel(ctx, id))
@@ -142,14 +157,3 @@
 	}
 	return &wire.IntakeReply{Result: resultOK, State: string(j.State())}
 }
-
-// storeResult returns the relayed result of a write that returned err.
-func storeResult(err error) string {
-	switch {
-	case err == nil:
-		return resultOK
-	case errors.Is(err, rowstore.ErrUnavailable):
-		return resultUnavailable
-	}
-	return resultUncertain
-}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +13,6 @@
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/peer"
-	"laburnumpoint/internal/rowstore"
 	"laburnumpoint/internal/wire"
 )
 
@@ -63,7 +60,7 @@
 const (
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 800 * time.Millisecond
-	// relayTimeout bounds one call to the owner.
+	// relayTimeout bounds one call to another daemon.
 	relayTimeout = 700 * time.Millisecond
 	// ownerStateTimeout bounds a query for a job's state at the owner, which answers from memory.
 	ownerStateTimeout = 250 * time.Millisecond
@@ -90,16 +87,20 @@
 	MaxConfigAge time.Duration
 	// ExplainIfOwner says why a job is in its state if this daemon owns the cell; ok is false otherwise.
 	ExplainIfOwner func(ctx context.Context, id graph.JobID) (reasons []string, ok bool)
-	// StoreDown reports whether the store has stopped answering.
-	StoreDown func() bool
-	Metrics   *metrics.Set
+	// StoreDown reports whether the store has stopped answering, StoreUp whether it answered the last call.
+	StoreDown, StoreUp func() bool
+	// StoreAge returns how long ago the store last answered this daemon.
+	StoreAge func() time.Duration
+	// OtherDaemons returns the addresses of the live daemons apart from this one, with those that the store has lately not
+	// answered last. The caller must not change the list.
+	OtherDaemons func() []string
+	Metrics      *metrics.Set
 }
 
 // Service carries out callers' commands and answers their queries. It is safe for concurrent use.
 type Service struct {
 	Options
 
-	outage outage
 	config atomic.Pointer[Config]
 	// configCurrentAt is the latest time at which config was known to be the newest version, a monotime.Instant.
 	configCurrentAt atomic.Int64
@@ -225,52 +226,7 @@
 	}
 	return s.storeOrRelay(ctx,
 		func(ctx context.Context) error { return s.Replica.Accept(ctx, id, record) },
-		&wire.IntakeRequest{Command: commandAccept, Job: string(id), Record: data})
-}
-
-// storeOrRelay writes a command to the store, or relays it to the owner if the store doesn't answer this daemon. It
-// notifies the owner of a command that it has stored, since the owner reads the store with a delay.
-func (s *Service) storeOrRelay(ctx context.Context, write func(context.Context) error, req *wire.IntakeRequest) Answer {
-	uncertain := false
-	for try := 0; ; try++ {
-		if !s.StoreDown() {
-			err := s.writeToStore(ctx, write)
-			if err == nil {
-				s.outage.recordSuccess()
-				s.notifyOwner(req)
-				return Answer{Result: OK}
-			}
-			uncertain = uncertain || !errors.Is(err, rowstore.ErrUnavailable)
-		}
-		switch s.relay(ctx, req).GetResult() {
-		case resultOK:
-			s.outage.recordSuccess()
-			return Answer{Result: OK}
-		case resultUncertain:
-			uncertain = true
-		}
-		// A command that was certainly not stored is refused at once while the store is down. One that may have been
-		// stored is tried again for as long as the caller waits, because refusing it might be wrong.
-		if ctx.Err() != nil || (!uncertain && (try >= maxTries-1 || s.StoreDown())) {
-			break
-		}
-		monotime.Sleep(ctx, retryInterval)
-	}
-	if uncertain {
-		return Answer{Result: Uncertain, Detail: "the store gave no answer; the command may have been stored"}
-	}
-	return Answer{Result: Unavailable, RetryAfter: s.retryAfter(), Detail: "store unavailable"}
-}
-
-func (s *Service) writeToStore(ctx context.Context, write func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	return write(ctx)
-}
-
-// retryAfter records that a command could not be stored and returns its Retry-After.
-func (s *Service) retryAfter() time.Duration {
-	return s.outage.recordFailure(s.Clock.Now(), rand.Float64())
+		&wire.IntakeRequest{Command: commandAccept, Job: string(id), Record: data}, timesOf(&record))
 }
 
 // withJob calls op with the id of the job that a request names. It counts, logs and times the answer.
@@ -295,7 +251,7 @@
 		}
 		return s.storeOrRelay(ctx,
 			func(ctx context.Context) error { return s.Replica.Cancel(ctx, id) },
-			&wire.IntakeRequest{Command: commandCancel, Job: string(id)})
+			&wire.IntakeRequest{Command: commandCancel, Job: string(id)}, timesOfCommand)
 	})
 }
 
@@ -401,7 +357,7 @@
 		}
 		monotime.Sleep(ctx, retryInterval)
 	}
-	return Answer{Result: Unavailable, RetryAfter: s.retryAfter(), Detail: "store unavailable"}
+	return s.storeUnavailable(timesOfCommand)
 }
 
 func (s *Service) findWithTimeout(ctx context.Context, id graph.JobID) (ledger.Job, bool, error) {
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -117,7 +117,9 @@
 	d := &Daemon{Settings: settings, backends: backends, log: logger, set: set, clock: clock, server: server}
 	d.Service = entry.NewService(entry.Options{
 		Replica: replica, Clock: clock, Log: logger, Peers: peers, Incarnation: incarnation, ExplainIfOwner: d.explain,
-		StoreDown: store.Down, MaxConfigAge: settings.MaxConfigDelay - configMargin, Metrics: set,
+		StoreDown: store.Down, StoreUp: store.Up, StoreAge: store.SinceLastAnswer,
+		OtherDaemons: func() []string { return d.Owner.OtherDaemons() },
+		MaxConfigAge: settings.MaxConfigDelay - configMargin, Metrics: set,
 	})
 	d.Owner = owner.New(owner.Options{
 		Node:          settings.Node,
--- a/internal/owner/hello.go
+++ b/internal/owner/hello.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"laburnumpoint/internal/ledger"
@@ -50,6 +51,16 @@
 	}
 }
 
+// OtherDaemons returns the addresses of the live daemons that the owner last listed, without this one. Those that the store
+// had lately not answered come last. The caller must not change the list.
+func (d *Daemon) OtherDaemons() []string {
+	peers := d.peerAddrs.Load()
+	if peers == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(*peers), func(addr string) bool { return addr == d.PeerAddr })
+}
+
 // askPeerForOwner asks a random other daemon for the ownership row.
 func (d *Daemon) askPeerForOwner(ctx context.Context) {
 	peers := d.peerAddrs.Load()
--- a/internal/owner/permits.go
+++ b/internal/owner/permits.go
@@ -59,7 +59,12 @@
 	h.startedAt = now.Add(-time.Duration(hello.UptimeMs) * time.Millisecond)
 }
 
-// liveAddrs returns the addresses of the other daemons that have sent a hello within helperTimeout.
+// maxReachableStoreAge is the time since the store's last answer to a daemon up to which the store counts as reachable for
+// it. It is longer than the time between two answers to an idle daemon.
+const maxReachableStoreAge = 1200 * time.Millisecond
+
+// liveAddrs returns the addresses of the other daemons that have sent a hello within helperTimeout, with those that the store
+// has lately not answered last.
 func (q *permitQueue) liveAddrs(now monotime.Instant) []string {
 	var addrs []string
 	for addr, h := range q.helpers {
@@ -67,7 +72,13 @@
 			addrs = append(addrs, addr)
 		}
 	}
-	slices.Sort(addrs)
+	unreachable := func(addr string) int {
+		if now.Sub(q.helpers[addr].storeAnsweredAt) > maxReachableStoreAge {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(addrs, func(a, b string) int { return cmp.Or(unreachable(a)-unreachable(b), cmp.Compare(a, b)) })
 	return addrs
 }
 
