Estimate worker speeds from siblings' run times; urgent tasks prefer fast workers

Cause: where a quarter of the workers run at 0.55 times the usual speed, a step of ten tasks nearly always has one on a slow worker, and quick jobs miss an objective of 1.5 times their critical path.

Change: package workerspeed compares the run times of tasks of the same step. Where a pool has workers that count as slow, urgent tasks, gangs and steps with little slack prefer the others, in placement and in permit requests, and wait up to 0.3 s for room there if it is expected; steps with much slack prefer the slow ones. Metric laburnumpoint_workers_slow, log line "worker is slow".

With equal speeds the orders are the same. Tests of dispatch, owner, workerspeed and docs pass.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -76,7 +76,8 @@
 	suspectWeight  = 8.0
 )
 
-// score ranks workers: those that are no suspects first, then those on the rack of the step's data, then the most utilized.
+// score ranks workers: those that are no suspects first, then those on the rack of the step's data, then those of the
+// speed that the step prefers, then the most utilized.
 func (e *Engine) score(s *step, w *worker, planned graph.Resources) float64 {
 	score := 0.0
 	if e.isSuspect(w) {
@@ -85,7 +86,7 @@
 	if s.def.DataRack != "" && w.Rack == s.def.DataRack {
 		score += dataRackWeight
 	}
-	return score + utilization(w.free().Sub(planned).Sub(s.def.Allocation()), w.Capacity)
+	return score + e.speedScore(s, w) + utilization(w.free().Sub(planned).Sub(s.def.Allocation()), w.Capacity)
 }
 
 // utilization returns the share of the worker's scarcest resource that would be in use with the given free resources.
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -6,6 +6,7 @@
 
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/workerspeed"
 )
 
 const (
@@ -46,6 +47,12 @@
 	// verdictCounts counts the policy service's verdicts by queue.
 	verdictCounts map[string]verdictCount
 	stats         Stats
+	// poolSpeeds holds by pool what the speeds of its workers have in common.
+	poolSpeeds        map[string]*workerspeed.Pool
+	speedsRefreshedAt monotime.Instant
+	workerEvents      []WorkerEvent
+	// uniformSpeeds turns the estimation of speeds off. Tests compare decisions with and without it.
+	uniformSpeeds bool
 }
 
 // Stats counts decisions and events since the engine was created.
@@ -69,6 +76,7 @@
 		unansweredStops: make(map[*run]struct{}),
 		unconfirmedEnds: make(map[WorkerID]uint64),
 		verdictCounts:   make(map[string]verdictCount),
+		poolSpeeds:      make(map[string]*workerspeed.Pool),
 	}
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -165,6 +165,9 @@
 		p.capacityGrew(r.worker)
 		if r.state != runStopping {
 			p.recordFreed(r.allocation, e.now)
+			if !r.worker.speed.Slow() {
+				p.fastFreed.add(r.allocation, e.now)
+			}
 		}
 	}
 }
@@ -194,6 +197,9 @@
 // handleEnd processes the end of a run on a worker.
 func (e *Engine) handleEnd(w *worker, key RunKey, outcome RunOutcome, checkpoint string) {
 	if r := w.runs[key]; r != nil {
+		if outcome == RunDone {
+			e.observeSpeed(r)
+		}
 		e.releaseRun(r)
 	}
 	t := e.task(key.Task)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -18,6 +18,7 @@
 
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/workerspeed"
 )
 
 // WorkerID identifies one incarnation of a worker: a worker that restarts gets another ID.
@@ -194,6 +195,9 @@
 	// jobEnded means that the run is stopped because its job has ended, was cancelled or is not known.
 	jobEnded bool
 
+	// fullRun means that the run does all of a task's work, so that its run time tells the worker's speed.
+	fullRun bool
+
 	progress          int
 	progressChangedAt monotime.Instant
 }
@@ -217,6 +221,7 @@
 	reservedFor *step
 	// capacityHolds are the parts of the worker's capacity that are kept for steps, at most one for each.
 	capacityHolds []capacityHold
+	speed         workerspeed.Speed
 }
 
 func (w *worker) free() graph.Resources { return w.Capacity.Sub(w.used) }
@@ -311,6 +316,10 @@
 	verdicts map[WorkerID]bool
 	// reservedWorkers are the workers chosen to be kept free for a gang.
 	reservedWorkers []*worker
+	// siblings are the runs that ended as done, to compare their workers' speeds.
+	siblings workerspeed.Siblings
+	// fastWaitUntil is when the step's wait for fast workers ends; 0 if it has not begun.
+	fastWaitUntil monotime.Instant
 }
 
 // addDetachedRun counts r as a run of one of the step's tasks that is no task's current run.
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -217,12 +217,10 @@
 	if !withVerdict {
 		share = e.verdictCounts[s.job.queue.Name].allowedShare()
 	}
-	first := int(s.scanOffset() % uint64(len(p.workers)))
-	for i := range p.workers {
+	for w := range e.byPreference(s, p) {
 		if len(draft.workers) == maxRequestWorkers || draft.expected >= requestCapacityFactor*float64(open) {
 			return
 		}
-		w := p.workers[(first+i)%len(p.workers)]
 		e.stats.WorkersEvaluated++
 		if _, asked := s.requestedWorkers[w.ID]; asked {
 			continue
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -15,6 +15,7 @@
 	e.activateDue(wall)
 	e.retryStops()
 	e.refreshPools()
+	e.refreshSpeeds()
 	steps := e.byUrgency()
 	for _, p := range e.pools {
 		p.searchInterval = searchInterval(len(steps), len(p.workers))
@@ -164,7 +165,7 @@
 
 // candidateWorkers returns the workers that may have free capacity for a step, and whether these are the whole pool.
 func (e *Engine) candidateWorkers(s *step, p *pool) (workers []*worker, wholePool bool) {
-	if s.lastSearchAt > 0 && e.now.Sub(s.lastSearchAt) < p.searchInterval && s.reservedWorkers == nil {
+	if s.lastSearchAt > 0 && e.now.Sub(s.lastSearchAt) < p.searchInterval && s.reservedWorkers == nil && !e.fastWaitEnded(s) {
 		if grown, ok := p.grownSince(s.blockedAtVersion); ok {
 			return grown, false
 		}
@@ -208,7 +209,7 @@
 	counts := s.runsPerWorker()
 	for i, t := range open {
 		w := e.bestWorker(s, workers, nil, counts)
-		if w == nil {
+		if w == nil || e.waitsForFast(s, w, len(open)-i) {
 			return open[i:]
 		}
 		e.startRun(t, w, e.nextRunNumber(t.lastRunNumber))
@@ -292,7 +293,7 @@
 
 func (e *Engine) startRun(t *task, w *worker, number uint64) {
 	t.lastRunNumber = number
-	r := &run{RunKey: RunKey{t.id(), number}, worker: w, task: t, orderedAt: e.now}
+	r := &run{RunKey: RunKey{t.id(), number}, worker: w, task: t, orderedAt: e.now, fullRun: t.isFullRun()}
 	w.runs[r.RunKey] = r
 	if w.oldestUnansweredStart == 0 {
 		w.oldestUnansweredStart = e.now
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -25,6 +25,12 @@
 	reservedCount int
 	// searchInterval is the time between two searches of the whole pool for a blocked step.
 	searchInterval time.Duration
+	// slowWorkers counts the workers that count as slow.
+	slowWorkers int
+	// fastFreed is what runs on workers that are not slow have freed recently.
+	fastFreed freedCapacity
+	// waitingForFast is the sum of the allocations that wait for fast workers in the current plan.
+	waitingForFast graph.Resources
 	// capacityVersion counts the changes that may unblock a step: removals of runs and rebuilds of the pools.
 	capacityVersion uint64
 	// grownWorkers lists the workers whose free capacity grew, in order; the last entry belongs to the current
@@ -75,7 +81,7 @@
 		e.rebuildPools()
 	}
 	for _, p := range e.pools {
-		p.free, p.blockedDemand, p.reservedCount = graph.Resources{}, graph.Resources{}, 0
+		p.free, p.blockedDemand, p.waitingForFast, p.reservedCount = graph.Resources{}, graph.Resources{}, graph.Resources{}, 0
 		for _, w := range p.workers {
 			w.reservedFor = nil
 			p.free = p.free.Add(w.free())
@@ -96,6 +102,7 @@
 			p = &pool{}
 			if before := old[w.Pool]; before != nil {
 				p.capacityVersion = before.capacityVersion + 1
+				p.slowWorkers, p.fastFreed = before.slowWorkers, before.fastFreed
 				p.recentlyFreed, p.recentlyFreedAt = before.recentlyFreed, before.recentlyFreedAt
 			}
 			e.pools[w.Pool] = p
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -125,5 +125,5 @@
 		elapsedAtChange := r.progressChangedAt.Sub(r.orderedAt)
 		return r.orderedAt.Add(elapsedAtChange * 100 / time.Duration(r.progress))
 	}
-	return e.now.Add(max(0, r.task.step.def.Estimate-elapsed))
+	return e.now.Add(max(0, r.worker.expectedTime(r.task.step.def.Estimate)-elapsed))
 }
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -35,6 +35,7 @@
 	validUntil atomic.Int64
 	// tasksWaiting and permitRequestsWaiting are for the metrics.
 	tasksWaiting, permitRequestsWaiting atomic.Int64
+	workerHealth                        workerHealth
 	events                              chan func()
 	// gate admits the orders to workers.
 	gate *flowcontrol.Gate
@@ -291,6 +292,7 @@
 			c.execute(order)
 		}
 		c.sendPermitRequests()
+		c.recordWorkerHealth()
 		c.tasksWaiting.Store(int64(c.engine.WaitingTasks()))
 		c.permitRequestsWaiting.Store(int64(len(c.permits.waiting)))
 	}
