Tasks wait for room near their data when that ends sooner

Cause: a step's data rack was a fixed bonus in a worker's score. Without room on the rack a task started elsewhere at once, where it takes the remote factor times as long. Permits were requested for workers anywhere in the pool, so that few tasks had a permit for the rack: in the test's cell under a hot rack with a factor of 2 there were 274 runs near and 3,986 away.

Change: internal/dispatch/locality.go compares the expected ends of a start elsewhere and of a wait, by the runs on the rack, their progress and the demand of the steps ahead. A wait has a fixed deadline within its greatest gain, the job's slack and the permit's life, holds no room, and is given up when its reason is gone. A task waits once. Permit requests ask about the rack's workers first, full ones included as far as that costs little. Waits are logged, counted and explained. Nothing changes with a factor of 1.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -46,6 +46,7 @@
 	// verdictCounts counts the policy service's verdicts by queue.
 	verdictCounts map[string]verdictCount
 	stats         Stats
+	locality      localityState
 }
 
 // Stats counts decisions and events since the engine was created.
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -103,7 +103,7 @@
 // start order was executed late. It becomes its task's current run if the task needs one, and is stopped otherwise.
 func (e *Engine) addOrphan(w *worker, entry RunningEntry) *run {
 	e.stats.Orphans++
-	r := &run{RunKey: entry.RunKey, worker: w, state: runRunning, orderedAt: e.now}
+	r := &run{RunKey: entry.RunKey, worker: w, state: runRunning, orderedAt: e.now, orphan: true}
 	w.runs[entry.RunKey] = r
 	t := e.task(entry.Task)
 	if t == nil {
@@ -194,6 +194,7 @@
 // handleEnd processes the end of a run on a worker.
 func (e *Engine) handleEnd(w *worker, key RunKey, outcome RunOutcome, checkpoint string) {
 	if r := w.runs[key]; r != nil {
+		e.observeEnd(r, outcome)
 		e.releaseRun(r)
 	}
 	t := e.task(key.Task)
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -35,6 +35,11 @@
 	if s.unplacedCount() == 0 {
 		return line
 	}
+	if waits, all := e.explainWaits(s); all {
+		return line + ", " + waits
+	} else if waits != "" {
+		line += ", " + waits
+	}
 	return line + ", " + e.waitReason(s, wall)
 }
 
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -179,8 +179,10 @@
 	allocation   graph.Resources
 	// unknownSize means that the allocation is not known, since the run's job is not known.
 	unknownSize bool
-	filler      bool
-	state       runState
+	// orphan means that the engine did not order the run: when it started is not known.
+	orphan bool
+	filler bool
+	state  runState
 	// confirmedAt is when the worker acknowledged the start, or first listed the run; 0 before that.
 	confirmedAt monotime.Instant
 	// orderedAt is when the start was ordered; for a run that the engine did not order, when it was first listed.
@@ -251,6 +253,7 @@
 	surplusRuns int
 	// preemptions counts how often the task was preempted.
 	preemptions int
+	locality    taskLocality
 }
 
 // setRun makes r the task's current run; nil means that the task has none.
@@ -311,6 +314,7 @@
 	verdicts map[WorkerID]bool
 	// reservedWorkers are the workers chosen to be kept free for a gang.
 	reservedWorkers []*worker
+	locality        stepLocality
 }
 
 // addDetachedRun counts r as a run of one of the step's tasks that is no task's current run.
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -131,6 +131,8 @@
 	expected float64
 	// full are the workers with too little free capacity.
 	full []WorkerID
+	// fullNear counts the workers among those to ask about that have too little free capacity and are on the step's rack.
+	fullNear int
 	// useful means that the answer may let tasks start.
 	useful bool
 	// holds is the capacity to hold until the answer comes.
@@ -209,20 +211,17 @@
 	return allowed
 }
 
-// addWorkers adds workers whose verdict is known if withVerdict is set, otherwise those whose verdict is not known. Each step
-// starts at another worker, so that requests spread over a large pool.
+// addWorkers adds workers whose verdict is known if withVerdict is set, otherwise those whose verdict is not known.
 func (e *Engine) addWorkers(draft *permitRequestDraft, s *step, p *pool, open int, withVerdict bool) {
 	running := s.runsPerWorker()
 	share := 1.0
 	if !withVerdict {
 		share = e.verdictCounts[s.job.queue.Name].allowedShare()
 	}
-	first := int(s.scanOffset() % uint64(len(p.workers)))
-	for i := range p.workers {
+	for w := range e.requestOrder(s, p) {
 		if len(draft.workers) == maxRequestWorkers || draft.expected >= requestCapacityFactor*float64(open) {
 			return
 		}
-		w := p.workers[(first+i)%len(p.workers)]
 		e.stats.WorkersEvaluated++
 		if _, asked := s.requestedWorkers[w.ID]; asked {
 			continue
@@ -235,7 +234,9 @@
 			continue
 		}
 		if !e.hasCapacity(s, w, graph.Resources{}, running) {
-			draft.full = append(draft.full, w.ID)
+			if !e.addNearWorker(draft, s, w) {
+				draft.full = append(draft.full, w.ID)
+			}
 			continue
 		}
 		draft.workers = append(draft.workers, w.ID)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -15,6 +15,7 @@
 	e.activateDue(wall)
 	e.retryStops()
 	e.refreshPools()
+	e.reviewWaits()
 	steps := e.byUrgency()
 	for _, p := range e.pools {
 		p.searchInterval = searchInterval(len(steps), len(p.workers))
@@ -124,6 +125,8 @@
 // placeStep starts what tasks of a step it can, preempts others for the rest, and requests permits if they may be what is
 // missing.
 func (e *Engine) placeStep(s *step, p *pool) {
+	e.reviewForecast(s, p)
+	defer e.countDemand(s, p)
 	workers, wholePool := e.candidateWorkers(s, p)
 	if !wholePool {
 		if !e.mayPlaceOn(s, p, workers) {
@@ -144,14 +147,16 @@
 			return
 		}
 	} else {
-		open = e.placeTasks(s, workers, open)
+		open = e.placeTasks(s, p, workers, open)
 	}
-	if len(open) == 0 {
+	if len(open) == 0 && len(s.locality.waits) == 0 {
 		return
 	}
 	s.blockedAtVersion = p.capacityVersion
 	if wholePool {
 		s.lastSearchAt = e.now
+	}
+	if wholePool && len(open) > 0 {
 		p.blockedDemand = p.blockedDemand.Add(s.def.Allocation().Times(len(open)))
 		if s.def.Gang || !p.blockedDemand.Fits(p.expectedFreed(typicalStopTime, e.now)) {
 			e.preempt(s, p, open)
@@ -203,8 +208,11 @@
 	return open
 }
 
-// placeTasks starts what open tasks it can on the workers and returns the others.
-func (e *Engine) placeTasks(s *step, workers []*worker, open []*task) []*task {
+// placeTasks starts what open tasks it can on the workers and returns the others, except those that wait for room on a rack.
+func (e *Engine) placeTasks(s *step, p *pool, workers []*worker, open []*task) []*task {
+	if e.placesMatter(s) {
+		return e.placeNear(s, p, workers, open)
+	}
 	counts := s.runsPerWorker()
 	for i, t := range open {
 		w := e.bestWorker(s, workers, nil, counts)
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -30,6 +30,7 @@
 	// grownWorkers lists the workers whose free capacity grew, in order; the last entry belongs to the current
 	// capacityVersion. Older entries are dropped.
 	grownWorkers []*worker
+	locality     poolLocality
 }
 
 // maxGrownWorkers bounds grownWorkers. It covers what happens between two searches of a whole pool.
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -66,8 +66,10 @@
 	earlierOrdersUntil monotime.Instant
 	// reportsComplete means that all workers of earlier owners have reported their runs or have ended.
 	reportsComplete bool
-	ownershipLost   bool
-	cancel          context.CancelFunc
+	// localityRecorded are the counts of waits for racks that are in the metrics.
+	localityRecorded dispatch.LocalityStats
+	ownershipLost    bool
+	cancel           context.CancelFunc
 }
 
 func newController(parent context.Context, d *Daemon, ownership *ledger.Ownership, takeoverStartedAt, earlierOrdersUntil monotime.Instant) *controller {
@@ -91,6 +93,7 @@
 		lastRenewalAt:      ownership.CommitSentAt(),
 	}
 	c.validUntil.Store(int64(ownership.CommitSentAt().Add(ownershipValidity)))
+	c.engine.SetRemoteFactor(d.RemoteFactor)
 	return c
 }
 
@@ -291,6 +294,7 @@
 			c.execute(order)
 		}
 		c.sendPermitRequests()
+		c.recordLocality()
 		c.tasksWaiting.Store(int64(c.engine.WaitingTasks()))
 		c.permitRequestsWaiting.Store(int64(len(c.permits.waiting)))
 	}
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -13,6 +13,7 @@
 	helloFailures, orderRetries         *metrics.Counter
 	startTime, permitTime, roundTime    *metrics.Histogram
 	takeoverTime                        *metrics.Histogram
+	locality                            localityCounters
 }
 
 // newInstruments registers the daemon's metrics. The gauges are 0 while it does not own the cell.
@@ -38,6 +39,7 @@
 	gateGauge("laburnumpoint_order_answer_seconds", func(s flowcontrol.Stats) float64 { return s.AnswerTime.Seconds() })
 	gateGauge("laburnumpoint_order_retries_withheld", func(s flowcontrol.Stats) float64 { return float64(s.Withheld) })
 	return instruments{
+		locality:       newLocalityCounters(set),
 		takeovers:      set.NewCounter("laburnumpoint_takeovers_total"),
 		commits:        set.NewCounter("laburnumpoint_records_total"),
 		commitFailures: set.NewCounter("laburnumpoint_record_failures_total"),
