--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -53,6 +53,7 @@
 	workerEvents      []WorkerEvent
 	// uniformSpeeds turns the estimation of speeds off. Tests compare decisions with and without it.
 	uniformSpeeds bool
+	locality      localityState
 }
 
 // Stats counts decisions and events since the engine was created.
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -138,7 +138,7 @@
 // start order was executed late. It becomes its task's current run if the task needs one, and is stopped otherwise.
 func (e *Engine) addOrphan(w *worker, entry RunningEntry) *run {
 	e.stats.Orphans++
-	r := &run{RunKey: entry.RunKey, worker: w, state: runRunning, orderedAt: e.now}
+	r := &run{RunKey: entry.RunKey, worker: w, state: runRunning, orderedAt: e.now, orphan: true}
 	w.runs[entry.RunKey] = r
 	t := e.task(entry.Task)
 	if t == nil {
@@ -235,6 +235,7 @@
 		if outcome == RunDone {
 			e.observeSpeed(r)
 		}
+		e.observeEnd(r, outcome)
 		e.releaseRun(r)
 	}
 	t := e.task(key.Task)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -183,8 +183,10 @@
 	allocation   graph.Resources
 	// unknownSize means that the allocation is not known, since the run's job is not known.
 	unknownSize bool
-	filler      bool
-	state       runState
+	// orphan means that the engine did not order the run: when it started is not known.
+	orphan bool
+	filler bool
+	state  runState
 	// confirmedAt is when the worker acknowledged the start, or first listed the run; 0 before that.
 	confirmedAt monotime.Instant
 	// orderedAt is when the start was ordered; for a run that the engine did not order, when it was first listed.
@@ -259,6 +261,7 @@
 	surplusRuns int
 	// preemptions counts how often the task was preempted.
 	preemptions int
+	locality    taskLocality
 }
 
 // setRun makes r the task's current run; nil means that the task has none.
@@ -323,6 +326,7 @@
 	siblings workerspeed.Siblings
 	// fastWaitUntil is when the step's wait for fast workers ends; 0 if it has not begun.
 	fastWaitUntil monotime.Instant
+	locality      stepLocality
 }
 
 // addDetachedRun counts r as a run of one of the step's tasks that is no task's current run.
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -18,6 +18,9 @@
 		return
 	}
 	s := r.task.step
+	if e.placesMatter(s) && !s.isNear(r.worker) {
+		return // the run was slow because of its place, not of its worker
+	}
 	run := workerspeed.Run{Worker: &r.worker.speed, Time: e.now.Sub(r.confirmedAt)}
 	s.siblings.Add(e.poolSpeed(r.worker.Pool), e.now, run, len(s.tasks), s.openTasks-1)
 }
--- a/internal/dispatch/uneven_test.go
+++ b/internal/dispatch/uneven_test.go
@@ -84,8 +84,8 @@
 )
 
 var (
-	quickQueue = graph.Queue{Name: "quick", Pool: "p", MaxAttempts: 4, Stretch: 1.5, Target: 300 * time.Millisecond, Permit: &graph.PermitLatency{Base: 17 * time.Millisecond, PerWorker: 234 * time.Microsecond}}
-	wideQueue  = graph.Queue{Name: "wide", Pool: "p", Priority: 2, MaxAttempts: 4, Stretch: 4, Target: 3 * time.Second, Permit: &graph.PermitLatency{Base: 100 * time.Millisecond, PerWorker: time.Millisecond}}
+	unevenQuickQueue = graph.Queue{Name: "quick", Pool: "p", MaxAttempts: 4, Stretch: 1.5, Target: 300 * time.Millisecond, Permit: &graph.PermitLatency{Base: 17 * time.Millisecond, PerWorker: 234 * time.Microsecond}}
+	unevenWideQueue  = graph.Queue{Name: "wide", Pool: "p", Priority: 2, MaxAttempts: 4, Stretch: 4, Target: 3 * time.Second, Permit: &graph.PermitLatency{Base: 100 * time.Millisecond, PerWorker: time.Millisecond}}
 )
 
 // unevenCell drives an engine with quick and wide jobs on workers of different speed and health, in virtual time.
@@ -175,7 +175,7 @@
 	}
 	wide = func() {
 		if c.now < until {
-			c.addJob("wide", wideQueue, false, false, c.step(20, wideTime, wideCores), c.step(20, wideTime, wideCores, 0))
+			c.addJob("wide", unevenWideQueue, false, false, c.step(20, wideTime, wideCores), c.step(20, wideTime, wideCores, 0))
 			c.after(time.Duration(c.arrivals.ExpFloat64()*float64(wideGap)), wide)
 		}
 	}
@@ -206,7 +206,7 @@
 	if c.arrivals.IntN(2) == 0 {
 		steps = append(steps, c.step(10, quickTime, quickCores, 0))
 	}
-	c.addJob("quick", quickQueue, counts, c.load.speculative, steps...)
+	c.addJob("quick", unevenQuickQueue, counts, c.load.speculative, steps...)
 }
 
 func (c *unevenCell) addJob(kind string, queue graph.Queue, counts, speculative bool, steps ...graph.Step) {
