API keys: unknown keys are refused, jobs know their organisation

Cause: in a cell with keys every call was served, whatever key it came with, and no job had an organisation.

Change: package access (pure) decides for each call: granted, with the organisation; key unknown; or undecided, since the configuration is missing or was not confirmed as the newest lately. A key is granted until half a second before MaxKeyUse after the last confirmation, and called unknown only while the configuration is as recent as for an unknown queue; otherwise the answer is 503 with Retry-After, at once. Package entry asks it for submit, state, cancel, explain and the count of pending jobs, and again before each try of a command, so that a daemon that was frozen after its check stores nothing. Only digests of keys are kept; graph.Organisation.Keys moves to entry.Config.Keys. Without RequireKeys nothing changes.

The test store of package entry that stops answering now also loses the answer of a call that was under way; before, a change written after the cut could still be read.

A daemon whose reads the store does not answer grants a removed key 2.5 s after the removal and refuses it from 5 s on (MaxKeyUse 5 s, virtual time).

--- /dev/null
+++ b/internal/entry/admission_test.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/access"
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/ledger"
+	"laburnumpoint/internal/monotime/monotimetest"
+	"laburnumpoint/internal/rowstore"
+)
+
+const (
+	testMaxKeyUse    = 5 * time.Second
+	testMaxConfigAge = 2900 * time.Millisecond
+	testJob          = "/q/00000000000000aa"
+)
+
+// keyTest is a daemon that reads its configuration from a store which tests can cut off. It runs in virtual time.
+type keyTest struct {
+	*Service
+	store *unreachableStore
+}
+
+func newKeyTest(ctx context.Context, t *testing.T) *keyTest {
+	t.Helper()
+	store := &unreachableStore{MemoryStore: rowstore.NewMemoryStore()}
+	clock := monotimetest.Clock{Start: time.Now()}
+	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	replica := ledger.NewReplica(store, clock, quiet, ledger.DaemonInfo{Incarnation: "a"})
+	go replica.Run(ctx)
+	k := &keyTest{store: store}
+	k.Service = NewService(Options{
+		Replica: replica, Clock: clock, Log: quiet, Incarnation: "a", Metrics: metrics.NewSet(), MaxConfigAge: testMaxConfigAge,
+		RequireKeys: true, MaxKeyUse: testMaxKeyUse,
+		StoreDown:      func() bool { return false },
+		ExplainIfOwner: func(context.Context, graph.JobID) ([]string, bool) { return nil, true },
+	})
+	follower := &rowstore.Follower{Store: store, Clock: clock, Log: quiet, Table: "config", Parts: []string{""}, FeedWait: 700 * time.Millisecond}
+	follower.OnUpdate = func(u rowstore.Update) {
+		for _, change := range u.Changes {
+			config := &Config{Version: change.Version, Routes: []Route{{Prefix: "/q/", Queue: graph.Queue{Name: "q", MaxAttempts: 1}}}}
+			if err := config.Keys.Add("sparks", access.NewKey(string(change.Value))); err != nil {
+				t.Error(err)
+			}
+			k.SetConfig(config)
+		}
+	}
+	follower.OnCurrent = k.MarkConfigCurrent
+	k.putKey(t, "k1")
+	go follower.Run(ctx)
+	time.Sleep(time.Second)
+	return k
+}
+
+// putKey stores a configuration with one key.
+func (k *keyTest) putKey(t *testing.T, key string) {
+	t.Helper()
+	row := rowstore.Row{Key: rowstore.Key{Table: "config", Name: "config"}, Value: []byte(key)}
+	if _, _, err := k.store.Apply(t.Context(), rowstore.Tx{Put: []rowstore.Row{row}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func oneTask() (*graph.Spec, error) { return &graph.Spec{Steps: []graph.Step{{Count: 1}}}, nil }
+
+// callAll makes every kind of call with a key and returns the answers by name.
+func (k *keyTest) callAll(ctx context.Context, key string) map[string]Answer {
+	job, queue := Request{Path: testJob, Key: access.NewKey(key)}, Request{Path: "/q/", Key: access.NewKey(key)}
+	return map[string]Answer{
+		labelSubmit:  k.Submit(ctx, job, oneTask),
+		labelState:   k.State(ctx, job),
+		labelExplain: k.Explain(ctx, job),
+		labelPending: k.State(ctx, queue),
+		labelCancel:  k.Cancel(ctx, job),
+	}
+}
+
+func (k *keyTest) expectAll(t *testing.T, what, key string, want Result) {
+	t.Helper()
+	for name, answer := range k.callAll(t.Context(), key) {
+		if answer.Result != want || (want == Unavailable) != (answer.RetryAfter > 0) {
+			t.Errorf("%s, %s: %s with Retry-After %s, want %s", what, name, answer.Result, answer.RetryAfter, want)
+		}
+	}
+}
+
+// A key is removed while the store does not answer the daemon's reads. The failure is a daemon that accepts the removed key
+// longer than MaxKeyUse, or that calls a key unknown which it has not read yet.
+func TestRemovedKeyWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Second)
+		}()
+		k := newKeyTest(ctx, t)
+		k.expectAll(t, "known key", "k1", OK)
+		k.expectAll(t, "unknown key", "k2", Unauthorized)
+		k.store.unreachable.Store(true)
+		k.putKey(t, "k2")
+		removed := time.Now()
+		time.Sleep(testMaxKeyUse / 2)
+		if a := k.State(ctx, Request{Path: testJob, Key: access.NewKey("k1")}); a.Result != OK {
+			t.Errorf("half of the bound after the removal: %s, want ok", a.Result)
+		}
+		time.Sleep(time.Until(removed.Add(testMaxKeyUse)))
+		for range 20 {
+			k.expectAll(t, fmt.Sprint("removed key after ", time.Since(removed)), "k1", Unavailable)
+			k.expectAll(t, fmt.Sprint("new key after ", time.Since(removed)), "k2", Unavailable)
+			time.Sleep(500 * time.Millisecond)
+		}
+		k.store.unreachable.Store(false)
+		time.Sleep(time.Second)
+		k.expectAll(t, "removed key, store back", "k1", Unauthorized)
+		k.expectAll(t, "new key, store back", "k2", OK)
+	})
+}
+
+// A daemon is frozen between the check of a submission's key and the write to the store. The failure is a job that is accepted
+// with a key which was removed longer ago than MaxKeyUse.
+func TestFreezeBetweenCheckAndWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Second)
+		}()
+		k := newKeyTest(ctx, t)
+		k.store.unreachable.Store(true)
+		frozen := func() (*graph.Spec, error) {
+			time.Sleep(testMaxKeyUse)
+			return oneTask()
+		}
+		if a := k.Submit(ctx, Request{Path: testJob, Key: access.NewKey("k1")}, frozen); a.Result != Unavailable {
+			t.Errorf("submission over a freeze: %s, want unavailable", a.Result)
+		}
+		if _, ok, err := k.Replica.Find(ctx, "00000000000000aa"); ok {
+			t.Errorf("the job is stored, error %v", err)
+		}
+	})
+}
+
+// Answers of more organisations than have a counter. The failure is a number of series that grows with the configuration.
+func TestCountersOfOrganisationsAreBounded(t *testing.T) {
+	set := metrics.NewSet()
+	c := newOrganisationCounters(set)
+	c.count("")
+	c.count("quo\"te\\d\nname")
+	for i := range 3 * maxCountedOrganisations {
+		c.count(fmt.Sprint("organisation-", i))
+	}
+	if n := len(set.ListMetricNames()); n != maxCountedOrganisations+1 {
+		t.Errorf("%d series, want %d", n, maxCountedOrganisations+1)
+	}
+	var served strings.Builder
+	set.WritePrometheus(&served)
+	want := fmt.Sprintf("%s{organisation=\"other\"} %d\n", organisationAnswersMetric, 2*maxCountedOrganisations+1)
+	if !strings.Contains(served.String(), want) {
+		t.Errorf("served without %q:\n%s", want, served.String())
+	}
+}
--- a/internal/entry/pending_test.go
+++ b/internal/entry/pending_test.go
@@ -33,7 +33,11 @@
 	if s.unreachable.Load() {
 		return nil, 0, rowstore.ErrUnavailable
 	}
-	return s.MemoryStore.Feed(ctx, table, after, wait)
+	changes, next, err := s.MemoryStore.Feed(ctx, table, after, wait)
+	if s.unreachable.Load() { // the answer of a call that was under way is lost too
+		return nil, 0, rowstore.ErrUnavailable
+	}
+	return changes, next, err
 }
 
 // A daemon that counts a queue's pending jobs for another daemon doesn't count them in an outdated replica.
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -4,6 +4,7 @@
 import (
 	"strings"
 
+	"laburnumpoint/internal/access"
 	"laburnumpoint/internal/graph"
 )
 
@@ -13,6 +14,8 @@
 	// Prefix is matched against the start of the request's path.
 	Prefix string
 	Queue  graph.Queue
+	// Public means that the route's requests need no key.
+	Public bool
 }
 
 // Limits bounds the size of a caller's request.
@@ -28,6 +31,8 @@
 	Limits  Limits
 	// Organisations are those that may hand in jobs.
 	Organisations []graph.Organisation
+	// Keys are the keys by which their callers are known.
+	Keys access.Keys
 }
 
 // Match returns the route of host with the longest prefix of path, and the path after that prefix.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -36,11 +36,14 @@
 	Unavailable
 	// Uncertain means that the command may or may not take effect.
 	Uncertain
+	// Unauthorized means that the request needs a key and has none that an organisation holds; nothing was stored.
+	Unauthorized
 )
 
 // resultNames are the names of the results in logs and metrics.
 var resultNames = map[Result]string{
 	OK: "ok", NoQueue: "no_queue", NoJob: "no_job", Invalid: "invalid", Unavailable: "unavailable", Uncertain: "uncertain",
+	Unauthorized: "unauthorized",
 }
 
 // String returns the result's name in logs and metrics.
@@ -88,6 +91,9 @@
 	Incarnation string
 	// MaxConfigAge is the age above which the configuration may lack a queue that a newer version has.
 	MaxConfigAge time.Duration
+	// RequireKeys and MaxKeyUse are those of access.Rules.
+	RequireKeys bool
+	MaxKeyUse   time.Duration
 	// ExplainIfOwner says why a job is in its state if this daemon owns the cell; ok is false otherwise.
 	ExplainIfOwner func(ctx context.Context, id graph.JobID) (reasons []string, ok bool)
 	// StoreDown reports whether the store has stopped answering.
@@ -106,6 +112,8 @@
 	answerCounts    map[Result]*metrics.Counter
 	// answerSeconds is the time that commands and queries took, by name.
 	answerSeconds map[string]*metrics.Histogram
+	// organisationAnswers counts the answers of each organisation.
+	organisationAnswers *organisationCounters
 }
 
 // Names of commands and queries in logs and metrics.
@@ -119,7 +127,7 @@
 
 // NewService returns a service without configuration.
 func NewService(o Options) *Service {
-	s := &Service{Options: o}
+	s := &Service{Options: o, organisationAnswers: newOrganisationCounters(o.Metrics)}
 	s.answerCounts = make(map[Result]*metrics.Counter)
 	for r, name := range resultNames {
 		s.answerCounts[r] = o.Metrics.NewCounter(`laburnumpoint_answers_total{result="` + name + `"}`)
@@ -179,60 +187,50 @@
 // Ready reports whether the service can answer callers.
 func (s *Service) Ready() bool { return s.Replica.Ready() && s.config.Load() != nil }
 
-// matchRoute returns the route of a request and the rest of its path, a job's id or nothing. If no route is found it
-// returns the answer for the caller instead.
-func (s *Service) matchRoute(host, path string) (*Route, string, *Answer) {
-	config := s.config.Load()
-	if config == nil {
-		return nil, "", &Answer{Result: Unavailable, RetryAfter: notReadyRetryAfter, Detail: "no configuration is known yet"}
-	}
-	route, rest, ok := config.Match(host, path)
-	if ok {
-		return route, rest, nil
-	}
-	if s.Clock.Now().Sub(monotime.Instant(s.configCurrentAt.Load())) > s.MaxConfigAge {
-		return nil, "", &Answer{Result: Unavailable, RetryAfter: notReadyRetryAfter, Detail: "no such queue in this daemon's configuration, which may be outdated"}
-	}
-	return nil, "", &Answer{Result: NoQueue}
-}
-
 // Submit accepts a job. decode returns the job's description.
-func (s *Service) Submit(ctx context.Context, host, path string, decode func() (*graph.Spec, error)) Answer {
+func (s *Service) Submit(ctx context.Context, req Request, decode func() (*graph.Spec, error)) Answer {
 	defer s.observeDuration(labelSubmit, s.Clock.Now())
-	route, rest, refusal := s.matchRoute(host, path)
+	admitted, refusal := s.admit(req)
 	if refusal != nil {
-		return s.recordAnswer(labelSubmit, rest, *refusal)
+		return s.recordAnswer(labelSubmit, admitted, *refusal)
 	}
-	id, ok := parseJobID(rest)
+	id, ok := parseJobID(admitted.rest)
 	if !ok {
-		return s.recordAnswer(labelSubmit, rest, Answer{Result: Invalid, Detail: "job id is not 16 hexadecimal digits"})
+		return s.recordAnswer(labelSubmit, admitted, Answer{Result: Invalid, Detail: "job id is not 16 hexadecimal digits"})
 	}
 	spec, err := decode()
 	if err == nil {
 		err = spec.Validate()
 	}
 	if err != nil {
-		return s.recordAnswer(labelSubmit, rest, Answer{Result: Invalid, Detail: err.Error()})
+		return s.recordAnswer(labelSubmit, admitted, Answer{Result: Invalid, Detail: err.Error()})
 	}
-	record := ledger.NewJobRecord(route.Queue, "", spec, time.Now())
-	return s.recordAnswer(labelSubmit, rest, s.accept(ctx, id, record))
+	record := ledger.NewJobRecord(admitted.route.Queue, admitted.organisation, spec, time.Now())
+	return s.recordAnswer(labelSubmit, admitted, s.accept(ctx, req, id, record))
 }
 
-func (s *Service) accept(ctx context.Context, id graph.JobID, record ledger.JobRecord) Answer {
+func (s *Service) accept(ctx context.Context, req Request, id graph.JobID, record ledger.JobRecord) Answer {
 	data, err := json.Marshal(record)
 	if err != nil {
 		return Answer{Result: Invalid, Detail: err.Error()}
 	}
-	return s.storeOrRelay(ctx,
+	return s.storeOrRelay(ctx, req,
 		func(ctx context.Context) error { return s.Replica.Accept(ctx, id, record) },
 		&wire.IntakeRequest{Command: commandAccept, Job: string(id), Record: data})
 }
 
 // storeOrRelay writes a command to the store, or relays it to the owner if the store doesn't answer this daemon. It
-// notifies the owner of a command that it has stored, since the owner reads the store with a delay.
-func (s *Service) storeOrRelay(ctx context.Context, write func(context.Context) error, req *wire.IntakeRequest) Answer {
+// notifies the owner of a command that it has stored, since the owner reads the store with a delay. The caller's key is
+// checked before each try: a daemon that was frozen meanwhile must not carry out a command whose key has been removed.
+func (s *Service) storeOrRelay(ctx context.Context, caller Request, write func(context.Context) error, req *wire.IntakeRequest) Answer {
 	uncertain := false
 	for try := 0; ; try++ {
+		if refusal := s.recheckKey(caller); refusal != nil {
+			if uncertain {
+				break
+			}
+			return *refusal
+		}
 		if !s.StoreDown() {
 			err := s.writeToStore(ctx, write)
 			if err == nil {
@@ -274,46 +272,46 @@
 }
 
 // withJob calls op with the id of the job that a request names. It counts, logs and times the answer.
-func (s *Service) withJob(command, host, path string, op func(graph.JobID) Answer) Answer {
+func (s *Service) withJob(command string, req Request, op func(graph.JobID) Answer) Answer {
 	defer s.observeDuration(command, s.Clock.Now())
-	_, rest, refusal := s.matchRoute(host, path)
+	admitted, refusal := s.admit(req)
 	if refusal != nil {
-		return s.recordAnswer(command, rest, *refusal)
+		return s.recordAnswer(command, admitted, *refusal)
 	}
-	id, ok := parseJobID(rest)
+	id, ok := parseJobID(admitted.rest)
 	if !ok {
-		return s.recordAnswer(command, rest, Answer{Result: NoJob})
+		return s.recordAnswer(command, admitted, Answer{Result: NoJob})
 	}
-	return s.recordAnswer(command, rest, op(id))
+	return s.recordAnswer(command, admitted, op(id))
 }
 
 // Cancel cancels a job.
-func (s *Service) Cancel(ctx context.Context, host, path string) Answer {
-	return s.withJob(labelCancel, host, path, func(id graph.JobID) Answer {
+func (s *Service) Cancel(ctx context.Context, req Request) Answer {
+	return s.withJob(labelCancel, req, func(id graph.JobID) Answer {
 		if found := s.findJob(ctx, id); found.Result != OK {
 			return found
 		}
-		return s.storeOrRelay(ctx,
+		return s.storeOrRelay(ctx, req,
 			func(ctx context.Context) error { return s.Replica.Cancel(ctx, id) },
 			&wire.IntakeRequest{Command: commandCancel, Job: string(id)})
 	})
 }
 
-// State returns a job's state, or the number of pending jobs if path names only a queue.
-func (s *Service) State(ctx context.Context, host, path string) Answer {
+// State returns a job's state, or the number of pending jobs if the path names only a queue.
+func (s *Service) State(ctx context.Context, req Request) Answer {
 	defer s.observeDuration(labelState, s.Clock.Now())
-	route, rest, refusal := s.matchRoute(host, path)
+	admitted, refusal := s.admit(req)
 	if refusal != nil {
-		return s.recordAnswer(labelState, rest, *refusal)
+		return s.recordAnswer(labelState, admitted, *refusal)
 	}
-	if rest == "" {
-		return s.countPending(ctx, route)
+	if admitted.rest == "" {
+		return s.countPending(ctx, admitted)
 	}
-	id, ok := parseJobID(rest)
+	id, ok := parseJobID(admitted.rest)
 	if !ok {
-		return s.recordAnswer(labelState, rest, Answer{Result: NoJob})
+		return s.recordAnswer(labelState, admitted, Answer{Result: NoJob})
 	}
-	return s.recordAnswer(labelState, rest, s.currentState(ctx, id))
+	return s.recordAnswer(labelState, admitted, s.currentState(ctx, id))
 }
 
 // currentState returns a job's state as the owner knows it. This daemon's replica lags, which would delay a caller that
@@ -336,8 +334,8 @@
 }
 
 // Explain says why a job is in its state, as the owner knows it.
-func (s *Service) Explain(ctx context.Context, host, path string) Answer {
-	return s.withJob(labelExplain, host, path, func(id graph.JobID) Answer { return s.explainJob(ctx, id) })
+func (s *Service) Explain(ctx context.Context, req Request) Answer {
+	return s.withJob(labelExplain, req, func(id graph.JobID) Answer { return s.explainJob(ctx, id) })
 }
 
 func (s *Service) explainJob(ctx context.Context, id graph.JobID) Answer {
@@ -363,17 +361,16 @@
 }
 
 // countPending counts a queue's jobs that have not started. It asks the owner if this daemon's replica is outdated.
-func (s *Service) countPending(ctx context.Context, route *Route) Answer {
+func (s *Service) countPending(ctx context.Context, admitted admission) Answer {
+	queue := admitted.route.Queue.Name
 	if s.replicaIsCurrent() {
-		s.answerCounts[OK].Inc()
-		return Answer{Result: OK, Pending: s.Replica.PendingJobs(route.Queue.Name)}
+		return s.countAnswer(admitted, Answer{Result: OK, Pending: s.Replica.PendingJobs(queue)})
 	}
-	reply := s.relay(ctx, &wire.IntakeRequest{Command: commandPending, Job: route.Queue.Name})
+	reply := s.relay(ctx, &wire.IntakeRequest{Command: commandPending, Job: queue})
 	if reply.GetResult() == resultOK {
-		s.answerCounts[OK].Inc()
-		return Answer{Result: OK, Pending: int(reply.GetPending())}
+		return s.countAnswer(admitted, Answer{Result: OK, Pending: int(reply.GetPending())})
 	}
-	return s.recordAnswer(labelPending, "", Answer{Result: Unavailable, RetryAfter: notReadyRetryAfter, Detail: "this daemon's replica is outdated and no owner answered"})
+	return s.recordAnswer(labelPending, admitted, Answer{Result: Unavailable, RetryAfter: notReadyRetryAfter, Detail: "this daemon's replica is outdated and no owner answered"})
 }
 
 // findJob looks a job up in the replica, then in the store, then at the owner.
@@ -416,11 +413,20 @@
 }
 
 // recordAnswer counts an answer and logs it, except for the OK answers of State.
-func (s *Service) recordAnswer(command, rest string, a Answer) Answer {
-	s.answerCounts[a.Result].Inc()
+func (s *Service) recordAnswer(command string, admitted admission, a Answer) Answer {
 	if a.Result != OK || command != labelState {
-		s.Log.Info().Str("job", rest).Str("command", command).Str("result", a.Result.String()).Str("detail", a.Detail).Dur("retry_after", a.RetryAfter).Uint64("config", s.configVersion()).Dur("ledger_age", s.Replica.Age()).Msg("answered")
+		line := s.Log.Info().Str("job", admitted.rest).Str("command", command).Str("result", a.Result.String()).Str("detail", a.Detail).Dur("retry_after", a.RetryAfter).Uint64("config", s.configVersion()).Dur("ledger_age", s.Replica.Age())
+		if admitted.organisation != "" {
+			line = line.Str("organisation", admitted.organisation)
+		}
+		line.Msg("answered")
 	}
+	return s.countAnswer(admitted, a)
+}
+
+func (s *Service) countAnswer(admitted admission, a Answer) Answer {
+	s.answerCounts[a.Result].Inc()
+	s.organisationAnswers.count(admitted.organisation)
 	return a
 }
 
--- a/internal/graph/graph.go
+++ b/internal/graph/graph.go
@@ -232,8 +232,6 @@
 	Weight float64
 	// Limit bounds the claims of its runs on all workers together. A resource of 0 is not bounded.
 	Limit Resources
-	// Keys are the keys by which its callers are known.
-	Keys []string
 }
 
 // objectiveWorkers is the number of workers in a permit request that objectives count with, as the users define it.
--- a/internal/graphapi/api.go
+++ b/internal/graphapi/api.go
@@ -17,6 +17,9 @@
 // HeaderTimeout names the header with the time that the caller waits for the answer, as a Go duration.
 const HeaderTimeout = "Laburnumpoint-Timeout"
 
+// HeaderKey names the header with the caller's key. Authorization with a bearer token does as well.
+const HeaderKey = "Laburnumpoint-Key"
+
 // Job is the JSON of a job as callers submit it.
 type Job struct {
 	// Payload is passed to every task.
--- a/internal/graphapi/handler.go
+++ b/internal/graphapi/handler.go
@@ -8,10 +8,12 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 
+	"laburnumpoint/internal/access"
 	"laburnumpoint/internal/entry"
 	"laburnumpoint/internal/graph"
 )
@@ -25,12 +27,13 @@
 )
 
 var httpStatuses = map[entry.Result]int{
-	entry.OK:          http.StatusOK,
-	entry.NoQueue:     http.StatusNotFound,
-	entry.NoJob:       http.StatusNotFound,
-	entry.Invalid:     http.StatusBadRequest,
-	entry.Unavailable: http.StatusServiceUnavailable,
-	entry.Uncertain:   http.StatusGatewayTimeout,
+	entry.OK:           http.StatusOK,
+	entry.NoQueue:      http.StatusNotFound,
+	entry.NoJob:        http.StatusNotFound,
+	entry.Invalid:      http.StatusBadRequest,
+	entry.Unavailable:  http.StatusServiceUnavailable,
+	entry.Uncertain:    http.StatusGatewayTimeout,
+	entry.Unauthorized: http.StatusUnauthorized,
 }
 
 // Handler returns the handler of the callers' HTTP interface.
@@ -47,6 +50,18 @@
 
 type handler struct{ service *entry.Service }
 
+// bearerPrefix precedes the key in the header Authorization.
+const bearerPrefix = "Bearer "
+
+// entryRequest returns the request with its key, which is in HeaderKey or, as a bearer token, in the header Authorization.
+func entryRequest(r *http.Request) entry.Request {
+	key := r.Header.Get(HeaderKey)
+	if token := r.Header.Get("Authorization"); key == "" && len(token) > len(bearerPrefix) && strings.EqualFold(token[:len(bearerPrefix)], bearerPrefix) {
+		key = token[len(bearerPrefix):]
+	}
+	return entry.Request{Path: routePath(r), Key: access.NewKey(key)}
+}
+
 // routePath returns the path of the request's job in the routes of package entry, or that of its queue if the request names
 // no job.
 func routePath(r *http.Request) string {
@@ -62,7 +77,7 @@
 		writeAnswer(w, r, http.StatusRequestEntityTooLarge, entry.Answer{Result: entry.Invalid, Detail: err.Error()})
 		return
 	}
-	answer := h.service.Submit(ctx, "", routePath(r), func() (*graph.Spec, error) { return decodeSpec(body, err) })
+	answer := h.service.Submit(ctx, entryRequest(r), func() (*graph.Spec, error) { return decodeSpec(body, err) })
 	if answer.Result == entry.OK {
 		answer.State = graph.Queued
 	}
@@ -81,17 +96,17 @@
 	return job.Spec(), nil
 }
 
-func (h *handler) query(do func(ctx context.Context, host, path string) entry.Answer) http.HandlerFunc {
+func (h *handler) query(do func(context.Context, entry.Request) entry.Answer) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := requestContext(r)
 		defer cancel()
-		answer := do(ctx, "", routePath(r))
+		answer := do(ctx, entryRequest(r))
 		writeAnswer(w, r, httpStatuses[answer.Result], answer)
 	}
 }
 
 func (h *handler) pending(w http.ResponseWriter, r *http.Request) {
-	answer := h.service.State(r.Context(), "", routePath(r))
+	answer := h.service.State(r.Context(), entryRequest(r))
 	writeAnswer(w, r, httpStatuses[answer.Result], answer)
 }
 
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -118,6 +118,7 @@
 	d.Service = entry.NewService(entry.Options{
 		Replica: replica, Clock: clock, Log: logger, Peers: peers, Incarnation: incarnation, ExplainIfOwner: d.explain,
 		StoreDown: store.Down, MaxConfigAge: settings.MaxConfigDelay - configMargin, Metrics: set,
+		RequireKeys: settings.RequireKeys, MaxKeyUse: settings.MaxKeyUse,
 	})
 	d.Owner = owner.New(owner.Options{
 		Node:          settings.Node,
