--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -39,10 +39,17 @@
 }
 
 // storeOrRelay writes a command to the store, or relays it if the store doesn't answer this daemon: to the owner, then to
-// other daemons. It notifies the owner of a command that is stored, since the owner reads the store with a delay.
-func (s *Service) storeOrRelay(ctx context.Context, write func(context.Context) error, req *wire.IntakeRequest, times jobTimes) Answer {
+// other daemons. It notifies the owner of a command that is stored, since the owner reads the store with a delay. The caller's
+// key is checked before each try: a daemon that was frozen meanwhile must not carry out a command whose key has been removed.
+func (s *Service) storeOrRelay(ctx context.Context, caller Request, write func(context.Context) error, req *wire.IntakeRequest, times jobTimes) Answer {
 	f := &forwarding{Service: s, req: req, write: write}
 	for try := 0; ; try++ {
+		if refusal := s.recheckKey(caller); refusal != nil {
+			if f.uncertain {
+				break
+			}
+			return *refusal
+		}
 		if f.firstOK(ctx, f.attempts()) {
 			return Answer{Result: OK}
 		}
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -218,14 +218,14 @@
 	return &graph.Spec{Steps: []graph.Step{{Count: 10, Claim: graph.Resources{MilliCPU: 1000}, Estimate: 600 * time.Millisecond}}}
 }
 
-const testJob = graph.JobID("00000000000000aa")
+const relayedTestJob = graph.JobID("00000000000000aa")
 
 // submit submits a job to the daemon for a caller that waits for three seconds, and returns the answer and the time it took.
 func (c *testCell) submit(daemon int, id graph.JobID) (Answer, time.Duration) {
 	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
 	defer cancel()
 	start := time.Now()
-	answer := c.daemons[addressOf(daemon)].Submit(ctx, "", "/q/"+string(id), func() (*graph.Spec, error) { return testSpec(), nil })
+	answer := c.daemons[addressOf(daemon)].Submit(ctx, Request{Path: "/q/"+string(id)}, func() (*graph.Spec, error) { return testSpec(), nil })
 	return answer, time.Since(start)
 }
 
@@ -274,9 +274,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				cell := newTestCell(t, 5)
 				c.prepare(cell)
-				answer, took := cell.submit(1, testJob)
-				if answer.Result != OK || !cell.isStored(testJob) || took > c.within {
-					t.Errorf("result %s after %s, stored %t; want ok within %s, stored", answer.Result, took, cell.isStored(testJob), c.within)
+				answer, took := cell.submit(1, relayedTestJob)
+				if answer.Result != OK || !cell.isStored(relayedTestJob) || took > c.within {
+					t.Errorf("result %s after %s, stored %t; want ok within %s, stored", answer.Result, took, cell.isStored(relayedTestJob), c.within)
 				}
 			})
 		})
@@ -295,7 +295,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cell := newTestCell(t, 12)
 		cell.setStores(silent, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)
-		answer, took := cell.submit(1, testJob)
+		answer, took := cell.submit(1, relayedTestJob)
 		if answer.Result != Unavailable || took > 10*time.Millisecond || answer.RetryAfter != time.Second {
 			t.Errorf("result %s after %s, Retry-After %s; want unavailable at once, 1s", answer.Result, took, answer.RetryAfter)
 		}
@@ -303,7 +303,7 @@
 			t.Errorf("relayed %d times, want %d", got, 1+maxRelays)
 		}
 		cell.setStores(answering, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)
-		if cell.isStored(testJob) {
+		if cell.isStored(relayedTestJob) {
 			t.Error("a refused job is stored")
 		}
 	})
@@ -327,7 +327,7 @@
 				t.Fatalf("the store is down for %s, want it neither up nor down", addr)
 			}
 		}
-		answer, _ := cell.submit(1, testJob)
+		answer, _ := cell.submit(1, relayedTestJob)
 		if answer.Result != Unavailable {
 			t.Errorf("result %s, want unavailable", answer.Result)
 		}
@@ -340,7 +340,7 @@
 		cell := newTestCell(t, 3)
 		cell.setStores(refusing, 0, 1, 2)
 		cell.daemons["d2"].losesReplies.Store(true)
-		answer, _ := cell.submit(1, testJob)
+		answer, _ := cell.submit(1, relayedTestJob)
 		if answer.Result != Uncertain {
 			t.Errorf("result %s, want uncertain", answer.Result)
 		}
@@ -377,7 +377,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				cell := newTestCell(t, 3)
 				prepare(cell)
-				answer, took := cell.submit(1, testJob)
+				answer, took := cell.submit(1, relayedTestJob)
 				if answer.Result != OK {
 					t.Errorf("result %s after %s, want ok", answer.Result, took)
 				}
@@ -394,7 +394,7 @@
 		d.store.set(losingAnswers)
 		cell.daemons["d0"].lost.Store(true)
 		time.AfterFunc(300*time.Millisecond, func() { d.store.set(losingWrites) })
-		if answer, took := cell.submit(1, testJob); answer.Result != OK {
+		if answer, took := cell.submit(1, relayedTestJob); answer.Result != OK {
 			t.Errorf("result %s after %s, want ok", answer.Result, took)
 		}
 	})
@@ -406,7 +406,7 @@
 		cell := newTestCell(t, 2)
 		cell.daemons["d0"].lost.Store(true)
 		cell.daemons["d1"].store.set(losingWrites)
-		if answer, _ := cell.submit(1, testJob); answer.Result != Uncertain {
+		if answer, _ := cell.submit(1, relayedTestJob); answer.Result != Uncertain {
 			t.Errorf("result %s, want uncertain", answer.Result)
 		}
 	})
@@ -416,11 +416,11 @@
 func TestResendDuringAnOutageIsAccepted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cell := newTestCell(t, 4)
-		if answer, _ := cell.submit(2, testJob); answer.Result != OK {
+		if answer, _ := cell.submit(2, relayedTestJob); answer.Result != OK {
 			t.Fatalf("result %s, want ok", answer.Result)
 		}
 		cell.setStores(silent, 0, 1, 2, 3)
-		if answer, took := cell.submit(1, testJob); answer.Result != OK || took > 10*time.Millisecond {
+		if answer, took := cell.submit(1, relayedTestJob); answer.Result != OK || took > 10*time.Millisecond {
 			t.Errorf("result %s after %s, want ok at once", answer.Result, took)
 		}
 	})
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -120,6 +120,7 @@
 		StoreDown: store.Down, StoreUp: store.Up, StoreAge: store.SinceLastAnswer,
 		OtherDaemons: func() []string { return d.Owner.OtherDaemons() },
 		MaxConfigAge: settings.MaxConfigDelay - configMargin, Metrics: set,
+		RequireKeys: settings.RequireKeys, MaxKeyUse: settings.MaxKeyUse,
 	})
 	d.Owner = owner.New(owner.Options{
 		Node:          settings.Node,
