Limits and rates of organisations in the engine, with the owner's wiring

Cause: jobs were served in order of arrival whatever their organisation sent or used, and nothing kept an organisation within its limit. Change: the engine counts what each organisation's runs use, in every state, and after a takeover what may be running on workers that have not reported: the claims of the tasks without a known run of its unconfirmed jobs, failed and cancelled ones too, at most the capacity of those workers. Tasks and whole gangs start within the limit; as an exception one task more below half of the limit. Preemptions, reservations, holds and permit requests are not made for what the limit forbids. A step that the limit blocks keeps a part of the limit from later steps of its organisation for a bounded time. Jobs beyond their organisation's rate (token bucket by arrival) go last, don't preempt, reserve nothing, and are preempted by any job within its rate. The owner passes the organisations on when the configuration's version changes, loads jobs in order of arrival and starts no task of an organisation before it has a configuration. Tests: random_test.go's simulation has four hooks for the property test beside it (draws and checks unchanged).

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -45,7 +45,13 @@
 	waitingTasks int
 	// verdictCounts counts the policy service's verdicts by queue.
 	verdictCounts map[string]verdictCount
-	stats         Stats
+	// organisations holds those of the configuration and those that jobs name. hasOrganisations means that the configuration has
+	// any, organisationsPending that it is awaited, lanesAssigned that the jobs added before the first one have their lanes.
+	organisations                                         map[string]*organisation
+	hasOrganisations, organisationsPending, lanesAssigned bool
+	// rateWindow is the time over which an organisation's rate of jobs is averaged.
+	rateWindow time.Duration
+	stats      Stats
 }
 
 // Stats counts decisions and events since the engine was created.
@@ -69,6 +75,7 @@
 		unansweredStops: make(map[*run]struct{}),
 		unconfirmedEnds: make(map[WorkerID]uint64),
 		verdictCounts:   make(map[string]verdictCount),
+		organisations:   make(map[string]*organisation),
 	}
 }
 
@@ -112,14 +119,15 @@
 	Unconfirmed bool
 }
 
-// AddJob adds a job unless the engine knows it.
+// AddJob adds a job unless the engine knows it. Jobs are added in order of arrival: it decides which ones are within their
+// organisation's rate.
 func (e *Engine) AddJob(in JobInput) {
 	if e.jobs[in.ID] != nil {
 		return
 	}
 	spec := in.Spec
 	j := &job{
-		id: in.ID, queue: in.Queue, organisation: in.Organisation, spec: spec, arrivedAt: in.ArrivedAt, state: graph.Queued,
+		id: in.ID, queue: in.Queue, organisation: e.organisation(in.Organisation), spec: spec, arrivedAt: in.ArrivedAt, state: graph.Queued,
 		unconfirmed: in.Unconfirmed, objective: in.Queue.Objective(spec),
 	}
 	criticalPaths := spec.CriticalPaths(in.Queue.ExpectedPermitLatency())
@@ -136,6 +144,8 @@
 	if in.Progress != nil {
 		j.restore(*in.Progress)
 	}
+	e.assignLane(j)
+	j.organisation.addJob(j)
 	if j.state.Ended() {
 		return
 	}
@@ -301,6 +311,7 @@
 		return false
 	}
 	delete(e.jobs, id)
+	j.organisation.removeJob()
 	return true
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -114,7 +114,7 @@
 		e.stop(r, "no such job")
 		return r
 	}
-	e.allocate(r, t.step.def)
+	e.allocate(r, t.step)
 	t.lastRunNumber = max(t.lastRunNumber, entry.Number)
 	if t.done || t.run != nil || t.step.job.state.Ended() {
 		r.surplusOf = t
@@ -132,11 +132,12 @@
 	return r
 }
 
-// allocate takes the run's allocation from its worker's free capacity.
-func (e *Engine) allocate(r *run, def *graph.Step) {
-	r.allocation = def.Allocation()
-	r.filler = def.Filler
+// allocate takes the allocation of a run of the step from its worker's free capacity.
+func (e *Engine) allocate(r *run, s *step) {
+	r.allocation = s.def.Allocation()
+	r.filler = s.def.Filler
 	r.worker.used = r.worker.used.Add(r.allocation)
+	s.job.organisation.countRun(r, s)
 }
 
 // releaseRun removes a run and frees its allocation.
@@ -147,6 +148,7 @@
 	}
 	delete(r.worker.runs, r.RunKey)
 	r.worker.used = r.worker.used.Sub(r.allocation)
+	r.organisation.releaseRun(r)
 	if r.surplusOf != nil {
 		r.surplusOf.surplusRuns--
 	}
@@ -256,6 +258,7 @@
 		t.step.placedTasks--
 	}
 	t.done = true
+	j.organisation.markReported(t)
 	t.step.openTasks--
 	e.markDirty(j)
 	if t.run != nil && !t.step.def.Gang {
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -50,6 +50,8 @@
 		return "waiting for the reports of workers that an earlier owner used"
 	case p == nil || len(p.workers) == 0:
 		return fmt.Sprintf("pool %s has no workers that take new runs", s.job.queue.Pool)
+	case e.organisationsPending && s.job.organisation != nil:
+		return "waiting for the configuration, which holds the organisation's limit"
 	case s.pendingPermitRequests > 0:
 		return "waiting for the policy service"
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -148,7 +148,8 @@
 	Latency  time.Duration
 	Priority int
 	// Demotion orders requests before Priority does: 0 for a job that is served by its priority, 1 for one that can no longer
-	// complete in time, 2 for one that is far beyond its objective.
+	// complete in time, 2 for one that is far beyond its objective, and laneDemotion more for one beyond its organisation's
+	// rate.
 	Demotion int
 	Due      monotime.Instant
 }
@@ -177,6 +178,8 @@
 	// MaxPerWorker until it is removed.
 	detachedFrom *step
 	allocation   graph.Resources
+	// organisation is the one that the allocation counts for; nil for none.
+	organisation *organisation
 	// unknownSize means that the allocation is not known, since the run's job is not known.
 	unknownSize bool
 	filler      bool
@@ -251,6 +254,8 @@
 	surplusRuns int
 	// preemptions counts how often the task was preempted.
 	preemptions int
+	// unreported means that the task is counted in its organisation's unreported tasks.
+	unreported bool
 }
 
 // setRun makes r the task's current run; nil means that the task has none.
@@ -311,6 +316,10 @@
 	verdicts map[WorkerID]bool
 	// reservedWorkers are the workers chosen to be kept free for a gang.
 	reservedWorkers []*worker
+	// limitBlocked means that the organisation's limit allowed no task of the step in the last plan.
+	limitBlocked bool
+	// limitHoldFrom is when the step began to keep a part of the organisation's limit from later steps; 0 if it does not.
+	limitHoldFrom monotime.Instant
 }
 
 // addDetachedRun counts r as a run of one of the step's tasks that is no task's current run.
@@ -327,10 +336,12 @@
 type job struct {
 	id    graph.JobID
 	queue graph.Queue
-	// organisation names the organisation that handed the job in; empty for none.
-	organisation string
-	spec         *graph.Spec
-	arrivedAt    monotime.Instant
+	// organisation is the one that handed the job in; nil for none.
+	organisation *organisation
+	// lane is laneWithinRate or laneBeyondRate.
+	lane      int
+	spec      *graph.Spec
+	arrivedAt monotime.Instant
 	// objective is the time from arrival in which the job should complete.
 	objective time.Duration
 	state     graph.JobState
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -82,7 +82,7 @@
 		Workers:  workers,
 		Latency:  s.job.queue.Permit.For(len(workers)),
 		Priority: s.job.queue.Priority,
-		Demotion: s.demotion(),
+		Demotion: s.demotion() + laneDemotion*s.job.lane,
 		Due:      s.due,
 	}
 }
@@ -99,7 +99,12 @@
 		s.finishPermitRequest(nil)
 		return PermitRequest{}, false
 	}
-	draft := e.draftPermitRequest(s, p, s.unplacedCount())
+	admitted := e.admittedTasks(s, s.unplacedCount(), nil)
+	if admitted == 0 || s.limitBlocked {
+		s.finishPermitRequest(nil)
+		return PermitRequest{}, false
+	}
+	draft := e.draftPermitRequest(s, p, admitted)
 	needsVerdicts := s.def.Gang && s.verdicts == nil && len(draft.workers) > 0
 	if !draft.useful && !needsVerdicts {
 		s.finishPermitRequest(nil)
@@ -116,6 +121,9 @@
 // holdForRenewal sets the draft's capacity holds. Other steps would take that capacity before the answer comes, and the gang would
 // request permits again and again.
 func (e *Engine) holdForRenewal(s *step, draft permitRequestDraft) {
+	if s.job.lane == laneBeyondRate {
+		return
+	}
 	until := e.now.Add(s.job.queue.Permit.For(len(draft.workers)) + renewalHoldMargin)
 	for _, h := range draft.holds {
 		h.worker.hold(capacityHold{s, s.def.Allocation().Times(h.tasks), until}, e.now)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -15,6 +15,7 @@
 	e.activateDue(wall)
 	e.retryStops()
 	e.refreshPools()
+	e.refreshOrganisations()
 	steps := e.byUrgency()
 	for _, p := range e.pools {
 		p.searchInterval = searchInterval(len(steps), len(p.workers))
@@ -29,6 +30,7 @@
 		}
 		if pool := e.pools[s.job.queue.Pool]; pool != nil {
 			e.placeStep(s, pool)
+			pool.noteWaitingPermits(s)
 		}
 	}
 	orders := e.orders
@@ -44,7 +46,7 @@
 	}
 }
 
-// byUrgency returns the active steps with unplaced tasks in the order in which they get capacity: by demotion, then by
+// byUrgency returns the active steps with unplaced tasks in the order in which they get capacity: by lane, then by demotion, then by
 // priority, then those whose jobs can still complete in time before others, then by due time.
 func (e *Engine) byUrgency() []*step {
 	steps := make([]*step, 0, len(e.active))
@@ -53,6 +55,7 @@
 		if s.unplacedCount() > 0 {
 			e.waitingTasks += s.unplacedCount()
 			s.overdueAtPlan, s.missedAtPlan = e.overdue(s), e.missedObjective(s)
+			s.job.organisation.noteWaiting(s)
 			steps = append(steps, s)
 		}
 	}
@@ -61,7 +64,7 @@
 }
 
 func compareUrgency(a, b *step) int {
-	if c := cmp.Or(a.demotion()-b.demotion(), a.job.queue.Priority-b.job.queue.Priority, a.missedAtPlan-b.missedAtPlan); c != 0 {
+	if c := cmp.Or(a.job.lane-b.job.lane, a.demotion()-b.demotion(), a.job.queue.Priority-b.job.queue.Priority, a.missedAtPlan-b.missedAtPlan); c != 0 {
 		return c
 	}
 	if a.due != b.due {
@@ -124,6 +127,10 @@
 // placeStep starts what tasks of a step it can, preempts others for the rest, and requests permits if they may be what is
 // missing.
 func (e *Engine) placeStep(s *step, p *pool) {
+	admitted := p.spareTasks(s, e.admitForPlan(s))
+	if admitted == 0 {
+		return
+	}
 	workers, wholePool := e.candidateWorkers(s, p)
 	if !wholePool {
 		if !e.mayPlaceOn(s, p, workers) {
@@ -135,16 +142,20 @@
 		}
 	}
 	open := s.unplacedTasks()
+	open = open[:min(len(open), admitted)]
 	if s.def.Gang {
 		if len(open) < len(s.tasks) {
 			return // members of the gang's earlier run have not been removed yet
 		}
 		if e.placeGang(s, p, open) {
 			s.reservedWorkers = nil
+			p.notePlaced(s, len(open))
 			return
 		}
 	} else {
+		waiting := len(open)
 		open = e.placeTasks(s, workers, open)
+		p.notePlaced(s, waiting-len(open))
 	}
 	if len(open) == 0 {
 		return
@@ -297,7 +308,7 @@
 	if w.oldestUnansweredStart == 0 {
 		w.oldestUnansweredStart = e.now
 	}
-	e.allocate(r, t.step.def)
+	e.allocate(r, t.step)
 	t.setRun(r)
 	e.stats.Starts++
 	permit := t.step.permits[w.ID]
@@ -308,7 +319,7 @@
 		Permit:      permit.ticket,
 		PermitUntil: permit.validUntil,
 		Checkpoint:  t.checkpoint,
-		Urgent:      t.step.job.queue.Priority == 0,
+		Urgent:      t.step.job.queue.Priority == 0 && t.step.job.lane == laneWithinRate,
 		Gang:        t.step.def.Gang,
 	})
 }
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -21,6 +21,10 @@
 	// as of recentlyFreedAt.
 	recentlyFreed   graph.Resources
 	recentlyFreedAt monotime.Instant
+	// permitDemand is the sum of the allocations of tasks within their organisation's rate that wait for permits in the current
+	// plan. spare is what remains free for tasks beyond the rate; nil until it is needed.
+	permitDemand graph.Resources
+	spare        *graph.Resources
 	// reservedCount counts the workers that the current plan keeps free for gangs.
 	reservedCount int
 	// searchInterval is the time between two searches of the whole pool for a blocked step.
@@ -76,6 +80,7 @@
 	}
 	for _, p := range e.pools {
 		p.free, p.blockedDemand, p.reservedCount = graph.Resources{}, graph.Resources{}, 0
+		p.permitDemand, p.spare = graph.Resources{}, nil
 		for _, w := range p.workers {
 			w.reservedFor = nil
 			p.free = p.free.Add(w.free())
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -34,7 +34,7 @@
 
 // inForce reports whether the hold has not expired and its step still needs it.
 func (h *capacityHold) inForce(now monotime.Instant) bool {
-	return now <= h.until && h.step.active && h.step.unplacedCount() > 0
+	return now <= h.until && h.step.active && h.step.unplacedCount() > 0 && !h.step.limitBlocked
 }
 
 // heldForOthers returns the worker's resources that capacity holds keep for steps other than s.
@@ -62,7 +62,7 @@
 // preempt stops tasks of lower priority to make capacity for the open tasks of s. For a gang it does so only if all of them
 // then fit, for another step if some do.
 func (e *Engine) preempt(s *step, p *pool, open []*task) {
-	if e.now.Sub(s.lastPreemptionAt) < preemptionInterval && s.lastPreemptionAt > 0 {
+	if s.job.lane == laneBeyondRate || (e.now.Sub(s.lastPreemptionAt) < preemptionInterval && s.lastPreemptionAt > 0) {
 		return
 	}
 	plans := e.preemptions(s, p, len(open))
@@ -125,9 +125,9 @@
 			stoppable = append(stoppable, r)
 		}
 	}
-	// The run that started last is stopped first.
+	// The runs of jobs beyond their rate are stopped first, and of these the one that started last.
 	slices.SortFunc(stoppable, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(b.orderedAt, a.orderedAt), cmp.Compare(a.Task.String(), b.Task.String()))
+		return cmp.Or(b.task.step.job.lane-a.task.step.job.lane, cmp.Compare(b.orderedAt, a.orderedAt), cmp.Compare(a.Task.String(), b.Task.String()))
 	})
 	free := w.free()
 	tasks = min(want, s.tasksThatFit(free, running))
@@ -156,7 +156,13 @@
 	if r.task.preemptions >= maxPreemptions {
 		return false
 	}
-	if victim.job.queue.Priority <= s.job.queue.Priority || !def.Checkpoints || def.Gang || def.LongRunning {
+	if !def.Checkpoints || def.Gang || def.LongRunning {
+		return false
+	}
+	if victim.job.lane != s.job.lane {
+		return victim.job.lane > s.job.lane // a job beyond its organisation's rate has no objective to meet
+	}
+	if victim.job.queue.Priority <= s.job.queue.Priority {
 		return false
 	}
 	return victim.due.Sub(e.now) > time.Duration(minVictimSlack*float64(victim.job.objective))
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -28,6 +28,12 @@
 	done       map[graph.TaskID]bool
 	failed     map[graph.TaskID]int
 	jobs       int
+	// organisations holds the organisation of each job that has one. newOrganisation draws that of a new job, configure sets
+	// the organisations of a new engine, and observeStart sees each start before it is carried out; nil for none.
+	organisations   map[graph.JobID]string
+	newOrganisation func() string
+	configure       func()
+	observeStart    func(Start)
 }
 
 type simulatedWorker struct {
@@ -111,6 +117,9 @@
 	for _, order := range w.engine.Plan(0) {
 		switch o := order.(type) {
 		case Start:
+			if w.observeStart != nil {
+				w.observeStart(o)
+			}
 			switch rapid.IntRange(0, 5).Draw(w.t, "start") {
 			case 0: // the answer is lost
 				w.executeStart(o, w.epoch)
@@ -160,12 +169,15 @@
 	w.epoch++
 	w.engine = New(w.epoch)
 	w.engine.SetNow(w.now)
+	if w.configure != nil {
+		w.configure()
+	}
 	for id, spec := range w.specs {
 		var p *Progress
 		if recorded, ok := w.records[id]; ok {
 			p = &recorded
 		}
-		w.engine.AddJob(JobInput{ID: id, Queue: w.queue(), Spec: spec, ArrivedAt: w.now, Progress: p, Unconfirmed: true})
+		w.engine.AddJob(JobInput{ID: id, Queue: w.queue(), Organisation: w.organisations[id], Spec: spec, ArrivedAt: w.now, Progress: p, Unconfirmed: true})
 	}
 	for _, id := range w.workerIDs() {
 		w.engine.AwaitReport(id, "p")
@@ -192,8 +204,11 @@
 		}
 		spec.Steps = append(spec.Steps, s)
 	}
+	if w.newOrganisation != nil {
+		w.organisations[id] = w.newOrganisation()
+	}
 	w.specs[id] = spec
-	w.engine.AddJob(JobInput{ID: id, Queue: w.queue(), Spec: spec, ArrivedAt: w.now})
+	w.engine.AddJob(JobInput{ID: id, Queue: w.queue(), Organisation: w.organisations[id], Spec: spec, ArrivedAt: w.now})
 }
 
 func (w *simulation) endSomeRun() {
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -24,7 +24,7 @@
 func (e *Engine) reserveForGangs(steps []*step) {
 	for _, s := range steps {
 		p := e.pools[s.job.queue.Pool]
-		if !s.def.Gang || p == nil || s.unplacedCount() < len(s.tasks) {
+		if !s.def.Gang || p == nil || s.unplacedCount() < len(s.tasks) || s.job.lane == laneBeyondRate || e.limitForbids(s) {
 			continue
 		}
 		if s.job.queue.Permit != nil && s.verdicts == nil {
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -40,7 +40,10 @@
 	gate *flowcontrol.Gate
 	ctx  context.Context
 
-	engine      *dispatch.Engine
+	engine *dispatch.Engine
+	// organisationsVersion is the version of the configuration whose organisations the engine has; 0 for none yet.
+	organisationsVersion uint64
+
 	workerConns map[dispatch.WorkerID]*workerConn
 	permits     *permitQueue
 	// registered holds the workers that the registry lists.
@@ -90,6 +93,9 @@
 		earlierOrdersUntil: earlierOrdersUntil,
 		lastRenewalAt:      ownership.CommitSentAt(),
 	}
+	if c.Organisations != nil {
+		c.engine.AwaitOrganisations()
+	}
 	c.validUntil.Store(int64(ownership.CommitSentAt().Add(ownershipValidity)))
 	return c
 }
@@ -123,8 +129,11 @@
 		return errNoLedgerCopy
 	}
 	c.engine.SetNow(c.now())
+	c.updateOrganisations()
 	unconfirmed := c.ownership.Epoch() > 1
-	for id, j := range c.Replica.Jobs() {
+	jobs := c.Replica.Jobs()
+	for _, id := range byArrival(jobs) {
+		j := jobs[id]
 		c.addJob(id, j, unconfirmed)
 		if j.State().Ended() {
 			c.scheduleRemoval(id, true)
@@ -190,7 +199,9 @@
 		c.post(func() { c.handleRegistryChange(change) })
 	})
 	// Changes of jobs since the load were not posted to this control loop: handle them now.
-	for id, j := range c.Replica.Jobs() {
+	jobs := c.Replica.Jobs()
+	for _, id := range byArrival(jobs) {
+		j := jobs[id]
 		if state, known := c.engine.JobState(id); !known || (j.Cancelled && !state.Ended()) {
 			c.handleJobChange(id)
 		}
@@ -286,6 +297,7 @@
 
 // runRound lets the engine decide, carries out its orders and commits changes.
 func (c *controller) runRound() {
+	c.updateOrganisations()
 	if c.ownershipValid() {
 		for _, order := range c.engine.Plan(time.Duration(time.Now().UnixNano())) {
 			c.execute(order)
