--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -43,6 +43,9 @@
 		Replica: replica, Clock: clock, Log: quiet, Incarnation: "a", Metrics: metrics.NewSet(), MaxConfigAge: testMaxConfigAge,
 		RequireKeys: true, MaxKeyUse: testMaxKeyUse,
 		StoreDown:      func() bool { return false },
+		StoreUp:        func() bool { return true },
+		StoreAge:       func() time.Duration { return 0 },
+		OtherDaemons:   func() []string { return nil },
 		ExplainIfOwner: func(context.Context, graph.JobID) ([]string, bool) { return nil, true },
 	})
 	follower := &rowstore.Follower{Store: store, Clock: clock, Log: quiet, Table: "config", Parts: []string{""}, FeedWait: 700 * time.Millisecond}
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -225,7 +225,7 @@
 	ctx, cancel := context.WithTimeout(c.t.Context(), 3*time.Second)
 	defer cancel()
 	start := time.Now()
-	answer := c.daemons[addressOf(daemon)].Submit(ctx, Request{Path: "/q/"+string(id)}, func() (*graph.Spec, error) { return testSpec(), nil })
+	answer := c.daemons[addressOf(daemon)].Submit(ctx, Request{Path: "/q/" + string(id)}, func() (*graph.Spec, error) { return testSpec(), nil })
 	return answer, time.Since(start)
 }
 
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -41,7 +41,10 @@
 	gate *flowcontrol.Gate
 	ctx  context.Context
 
-	engine      *dispatch.Engine
+	engine *dispatch.Engine
+	// organisationsVersion is the version of the configuration whose organisations the engine has; 0 for none yet.
+	organisationsVersion uint64
+
 	workerConns map[dispatch.WorkerID]*workerConn
 	permits     *permitQueue
 	// registered holds the workers that the registry lists.
@@ -98,6 +101,9 @@
 		earlierOrdersUntil:    earlierOrdersUntil,
 		lastRenewalAt:         ownership.CommitSentAt(),
 	}
+	if c.Organisations != nil {
+		c.engine.AwaitOrganisations()
+	}
 	c.validUntil.Store(int64(ownership.CommitSentAt().Add(ownershipValidity)))
 	c.engine.SetRemoteFactor(d.RemoteFactor)
 	return c
@@ -132,8 +138,11 @@
 		return errNoLedgerCopy
 	}
 	c.engine.SetNow(c.now())
+	c.updateOrganisations()
 	unconfirmed := c.ownership.Epoch() > 1
-	for id, j := range c.Replica.Jobs() {
+	jobs := c.Replica.Jobs()
+	for _, id := range byArrival(jobs) {
+		j := jobs[id]
 		c.addJob(id, j, unconfirmed)
 		if j.State().Ended() {
 			c.scheduleRemoval(id, true)
@@ -199,7 +208,9 @@
 		c.post(func() { c.handleRegistryChange(change) })
 	})
 	// Changes of jobs since the load were not posted to this control loop: handle them now.
-	for id, j := range c.Replica.Jobs() {
+	jobs := c.Replica.Jobs()
+	for _, id := range byArrival(jobs) {
+		j := jobs[id]
 		if state, known := c.engine.JobState(id); !known || (j.Cancelled && !state.Ended()) {
 			c.handleJobChange(id)
 		}
@@ -295,6 +306,7 @@
 
 // runRound lets the engine decide, carries out its orders and commits changes.
 func (c *controller) runRound() {
+	c.updateOrganisations()
 	if c.ownershipValid() {
 		for _, order := range c.engine.Plan(time.Duration(time.Now().UnixNano())) {
 			c.execute(order)
