Submissions over a slow store: a write that waits is not sent again

Cause: a write had 800 ms, after which it was given up and sent again by the owner and by this daemon. A store sixty times slower than usual applies the writes of a part one after the other: the second write waited behind the first and delayed other jobs.

Change: a write has 1.6 s. The next way to store the command starts only when the store has answered nothing for 600 ms or the write has failed, and a write in doubt is looked up before it is repeated.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -17,6 +17,14 @@
 	// hedgeDelay is the time without an answer after which a command is also sent by another way: to the owner, or to
 	// another daemon. It is longer than a call to a store sixty times slower than usual takes.
 	hedgeDelay = 400 * time.Millisecond
+	// hedgeCheckInterval is how often it is checked after hedgeDelay whether the store has become silent.
+	hedgeCheckInterval = 100 * time.Millisecond
+	// storeSilence is the time since the store's last answer to this daemon after which it counts as silent. With 400 ms, an
+	// idle daemon took a store that is sixty times slower than usual for silent and repeated one write in twelve.
+	storeSilence = 600 * time.Millisecond
+	// writeTimeout bounds one write to the store. A slow store applies the writes of a part one after the other, so that a
+	// write may wait for several others; a second one would only wait behind it.
+	writeTimeout = 1600 * time.Millisecond
 	// maxRelays bounds the daemons other than the owner that one command is relayed to. If the store does not answer a third
 	// of the daemons, all of them are among that third for one command in 27.
 	maxRelays = 3
@@ -63,10 +71,10 @@
 func (f *forwarding) attempts() []attempt {
 	var list []attempt
 	if !f.StoreDown() {
-		list = append(list, f.store)
 		if f.uncertain {
 			list = append(list, f.findStored)
 		}
+		list = append(list, f.store)
 	}
 	list = append(list, f.relayToOwner)
 	for _, addr := range f.chooseRelays() {
@@ -93,7 +101,8 @@
 }
 
 // firstOK reports whether one of the attempts has stored the command. It starts the next attempt when one has failed, or
-// when none has been answered within hedgeDelay.
+// when the last one has not been answered within hedgeDelay and the store has not answered this daemon either. A store that
+// answers is only slow: a second write would wait behind the first one and delay those of other commands.
 func (f *forwarding) firstOK(ctx context.Context, attempts []attempt) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -114,6 +123,10 @@
 	for startNext(); pending > 0; {
 		select {
 		case <-hedge.C:
+			if f.StoreAge() < storeSilence {
+				hedge.Reset(hedgeCheckInterval)
+				continue
+			}
 			startNext()
 		case result := <-results:
 			pending--
@@ -129,7 +142,7 @@
 
 // store writes the command to this daemon's store.
 func (f *forwarding) store(ctx context.Context) string {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	result := storeResult(f.write(ctx))
 	if result == resultOK {
