A write to a store that may have failed follows a read

Followers' calls fail at the outage's start, but the store counts as down only after 0.9 s. Change: unless the store answered the last call, a daemon, and the owner for others, reads the job's row before it writes. Result: TestWriteFollowsAReadWhileTheStoreIsSuspect, which fails with either read taken out; tests of entry pass.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -147,8 +147,17 @@
 	return false
 }
 
-// store writes the command to this daemon's store.
+// store writes the command to this daemon's store. Unless the store answered the last call, it reads the row first: a read that
+// gets no answer leaves nothing in doubt, while a write would make a certain refusal uncertain, after which many callers give up.
 func (f *forwarding) store(ctx context.Context) string {
+	if !f.uncertain && !f.StoreUp() {
+		switch stored, err := f.readCommand(ctx); {
+		case err != nil:
+			return resultUnavailable
+		case stored:
+			return resultOK
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	result := storeResult(f.write(ctx))
@@ -161,13 +170,18 @@
 // findStored looks the command up in the store, which a read reaches sooner than a write that waits for others of the same
 // part. A row that is not there proves nothing: a write may be applied late.
 func (f *forwarding) findStored(ctx context.Context) string {
-	j, found, err := f.findWithTimeout(ctx, graph.JobID(f.req.Job))
-	if err == nil && found && (f.req.Command == commandAccept || j.Cancelled) {
+	if stored, err := f.readCommand(ctx); err == nil && stored {
 		return resultOK
 	}
 	return resultUnavailable
 }
 
+// readCommand reads from the store whether the command is stored. Errors: rowstore.ErrUnavailable.
+func (f *forwarding) readCommand(ctx context.Context) (stored bool, err error) {
+	j, found, err := f.findWithTimeout(ctx, graph.JobID(f.req.Job))
+	return found && (f.req.Command == commandAccept || j.Cancelled), err
+}
+
 func (f *forwarding) relayToOwner(ctx context.Context) string {
 	return f.relay(ctx, f.req).GetResult()
 }
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -32,6 +32,8 @@
 	silent
 	// refusing means that the store refuses each call at once.
 	refusing
+	// resetting means that the store ends each call at once without an answer.
+	resetting
 	// losingAnswers means that the store applies writes but answers no call.
 	losingAnswers
 	// losingWrites means that the store answers reads but no write, which it doesn't apply either.
@@ -55,6 +57,8 @@
 	switch {
 	case mode == refusing:
 		return rowstore.ErrUnavailable
+	case mode == resetting:
+		return rowstore.ErrUncertain
 	case mode == silent || mode == losingAnswers || (mode == losingWrites && write):
 		<-ctx.Done()
 		return fmt.Errorf("%w: %w", rowstore.ErrUncertain, ctx.Err())
@@ -101,6 +105,9 @@
 		return nil, 0, rowstore.ErrUnavailable
 	}
 	changes, version, err := s.MemoryStore.Feed(ctx, table, after, wait)
+	if storeMode(s.mode.Load()) == resetting {
+		return nil, 0, rowstore.ErrUnavailable
+	}
 	if unanswered := s.answer(ctx); unanswered != nil {
 		return nil, 0, unanswered
 	}
@@ -351,6 +358,28 @@
 	})
 }
 
+// In the first second of an outage the store does not count as down yet. Jobs that arrive after a call has failed must be refused as
+// certainly not stored: callers do not repeat what is uncertain by themselves.
+func TestWriteFollowsAReadWhileTheStoreIsSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cell := newTestCell(t, 3)
+		for _, d := range cell.daemons {
+			d.store.set(resetting)
+		}
+		for _, d := range cell.daemons {
+			for d.StoreUp() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if d.StoreDown() {
+				t.Fatal("the store is down, want it neither up nor down")
+			}
+		}
+		if answer, _ := cell.submit(1, relayedTestJob); answer.Result != Unavailable {
+			t.Errorf("result %s, want unavailable", answer.Result)
+		}
+	})
+}
+
 // A command that one daemon may have stored is not refused as certainly not stored, whatever the other tries return.
 func TestLostAnswerOfARelayIsUncertain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -111,14 +111,18 @@
 	return &wire.IntakeReply{Result: resultUnavailable}
 }
 
-// mayStoreForOthers reports whether this daemon tries to store a command for another one. Unless it is the owner, whose
-// calls to the store are frequent, it does so only if the store answered the last call: a write at the beginning of an
-// outage would make a certain refusal uncertain.
-func (s *Service) mayStoreForOthers() bool {
-	if s.Replica.Owner().Incarnation == s.Incarnation {
-		return !s.StoreDown()
+// mayStoreForOthers reports whether this daemon tries to store a command for another one. It does so only if the store answered
+// the last call: a write at the beginning of an outage would make a certain refusal uncertain. The owner, which is asked first,
+// makes that call if need be.
+func (s *Service) mayStoreForOthers(ctx context.Context, id graph.JobID) bool {
+	if s.StoreUp() {
+		return true
 	}
-	return s.StoreUp()
+	if s.StoreDown() || s.Replica.Owner().Incarnation != s.Incarnation {
+		return false
+	}
+	_, _, err := s.findWithTimeout(ctx, id)
+	return err == nil
 }
 
 func (s *Service) acceptRelayed(ctx context.Context, id graph.JobID, req *wire.IntakeRequest) string {
@@ -130,7 +134,7 @@
 		s.Replica.ObserveAccepted(id, record)
 		return resultOK
 	}
-	if _, known := s.Replica.Job(id); !known && !s.mayStoreForOthers() {
+	if _, known := s.Replica.Job(id); !known && !s.mayStoreForOthers(ctx, id) {
 		return resultUnavailable
 	}
 	return storeResult(s.Replica.Accept(ctx, id, record))
@@ -141,7 +145,7 @@
 		s.Replica.ObserveCancelled(id)
 		return resultOK
 	}
-	if j, known := s.Replica.Job(id); !(known && j.Cancelled) && !s.mayStoreForOthers() {
+	if j, known := s.Replica.Job(id); !(known && j.Cancelled) && !s.mayStoreForOthers(ctx, id) {
 		return resultUnavailable
 	}
 	return storeResult(s.Replica.Cancel(ctx, id))
