A step's workers are ranked once for all of its tasks

Cause: the engine evaluated every worker of the pool for every task (bestWorker). On an owner with 3,000 workers that is 142 us a task for steps of thirty in a half-full pool. Change: one evaluation of the pool for a step, kept in a heap; the chosen worker is evaluated again after each task.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -20,25 +20,6 @@
 	return ok && now.Add(permitMargin) < p.validUntil
 }
 
-// bestWorker returns the worker with the highest score for one more task of the step, or nil if none is suitable. planned is
-// capacity already planned for other tasks of the step, running the step's runs by worker.
-func (e *Engine) bestWorker(s *step, workers []*worker, planned map[*worker]graph.Resources, running map[WorkerID]int) *worker {
-	var best *worker
-	var bestScore float64
-	for _, w := range workers {
-		e.stats.WorkersEvaluated++
-		// Capacity is checked first: the check is the cheapest, and most workers of a busy pool fail it.
-		if !e.hasCapacity(s, w, planned[w], running) || !s.eligible(w) || !s.hasPermit(w, e.now) {
-			continue
-		}
-		score := e.score(s, w, planned[w])
-		if best == nil || score > bestScore {
-			best, bestScore = w, score
-		}
-	}
-	return best
-}
-
 // hasCapacity reports whether a task of the step fits on the worker, beside what is planned, held or reserved there.
 func (e *Engine) hasCapacity(s *step, w *worker, planned graph.Resources, running map[WorkerID]int) bool {
 	if w.reservedFor != nil && w.reservedFor != s {
--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -224,8 +224,9 @@
 	}
 	open = slices.DeleteFunc(open, func(t *task) bool { return t.locality.wait != nil })
 	decided := false
+	ranked := e.rank(s, workers, nil, counts)
 	for len(waiting)+len(open) > 0 {
-		w := e.bestWorker(s, workers, nil, counts)
+		w := ranked.best()
 		switch {
 		case w == nil:
 			return open
@@ -246,6 +247,7 @@
 			open = open[1:]
 		}
 		counts[w.ID]++
+		ranked.placed()
 	}
 	return nil
 }
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -225,6 +225,8 @@
 	consecutiveFailures int
 	// runsOfUnknownSize counts the runs whose allocation is not known. While there are any, the worker counts as full.
 	runsOfUnknownSize int
+	// rankedBy is the last ranking that evaluated the worker.
+	rankedBy *ranking
 	// reservedFor is the gang for which the whole worker is kept free in the current plan.
 	reservedFor *step
 	// capacityHolds are the parts of the worker's capacity that are kept for steps, at most one for each.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -226,13 +226,15 @@
 		return e.placeNear(s, p, workers, open)
 	}
 	counts := s.runsPerWorker()
+	ranked := e.rank(s, workers, nil, counts)
 	for i, t := range open {
-		w := e.bestWorker(s, workers, nil, counts)
+		w := ranked.best()
 		if w == nil || e.waitsForFast(s, w, len(open)-i) {
 			return open[i:]
 		}
 		e.startRun(t, w, e.nextRunNumber(t.lastRunNumber))
 		counts[w.ID]++
+		ranked.placed()
 	}
 	return nil
 }
@@ -245,15 +247,17 @@
 		return false
 	}
 	chosen := make([]*worker, 0, len(open))
+	ranked := e.rank(s, p.workers, planned, counts)
 	var last uint64
 	for _, t := range open {
-		w := e.bestWorker(s, p.workers, planned, counts)
+		w := ranked.best()
 		if w == nil {
 			return false
 		}
 		chosen = append(chosen, w)
 		planned[w] = planned[w].Add(s.def.Allocation())
 		counts[w.ID]++
+		ranked.placed()
 		last = max(last, t.lastRunNumber)
 	}
 	checkpoint := gangCheckpoint(s)
