Eject workers whose runs fail or stand still, readmit them by trial runs

Cause: a worker that fails every run is always free and takes the tasks of the whole pool; the rule of two failed runs in a row makes it a suspect for 4 s only, and a worker that fails 40% of its runs is hardly noticed.

Change: evidence against a worker is a cumulative sum relative to its pool's failure rate; runs that make no progress for several times their siblings' run time count as failed. At most a tenth of a pool is ejected. Urgent tasks don't use ejected workers, others use those that fail nearly all runs only for trials. Trials back off from 2 to 30 s. Metrics laburnumpoint_workers_ejected and laburnumpoint_trial_runs, log lines "worker ejected" and "worker readmitted".

With equal, sound workers the orders are the same.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -51,14 +51,21 @@
 	poolSpeeds        map[string]*workerspeed.Pool
 	speedsRefreshedAt monotime.Instant
 	workerEvents      []WorkerEvent
+	// failureRates holds the failure rates of the pools, without their ejected workers.
+	failureRates    map[string]*failureRate
+	stallsCheckedAt monotime.Instant
 	// uniformSpeeds turns the estimation of speeds off. Tests compare decisions with and without it.
 	uniformSpeeds bool
+	// noEjections turns ejections off, likewise.
+	noEjections bool
 }
 
 // Stats counts decisions and events since the engine was created.
 type Stats struct {
 	// Orphans counts reported runs that the engine did not order or no longer knows.
 	Starts, Refused, InDoubt, Done, Failed, Interrupted, PermitRequests, Orphans, Preempted uint64
+	// TrialRuns counts the starts on ejected workers that are to show whether these are sound again.
+	TrialRuns uint64
 	// WorkersEvaluated counts how often a worker was evaluated for a step, which is most of the cost of a decision.
 	WorkersEvaluated uint64
 }
@@ -77,6 +84,7 @@
 		unconfirmedEnds: make(map[WorkerID]uint64),
 		verdictCounts:   make(map[string]verdictCount),
 		poolSpeeds:      make(map[string]*workerspeed.Pool),
+		failureRates:    make(map[string]*failureRate),
 	}
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -22,7 +22,7 @@
 
 // isSuspect reports whether a worker gets new runs only where no other worker has free capacity.
 func (e *Engine) isSuspect(w *worker) bool {
-	return e.now < w.avoidUntil || (w.oldestUnansweredStart > 0 && e.now.Sub(w.oldestUnansweredStart) > startAnswerTimeout)
+	return e.now < w.avoidUntil || e.isEjected(w) || (w.oldestUnansweredStart > 0 && e.now.Sub(w.oldestUnansweredStart) > startAnswerTimeout)
 }
 
 // updateOldestUnansweredStart finds the oldest of the worker's unanswered starts.
@@ -92,6 +92,7 @@
 		r.confirmedAt = e.now
 	}
 	if entry.Progress != r.progress || r.progressChangedAt == 0 {
+		e.noteProgress(r)
 		r.progress, r.progressChangedAt = entry.Progress, e.now
 	}
 	if r.task != nil && entry.Checkpoint != "" {
@@ -196,7 +197,8 @@
 
 // handleEnd processes the end of a run on a worker.
 func (e *Engine) handleEnd(w *worker, key RunKey, outcome RunOutcome, checkpoint string) {
-	if r := w.runs[key]; r != nil {
+	r := w.runs[key]
+	if r != nil {
 		if outcome == RunDone {
 			e.observeSpeed(r)
 		}
@@ -219,10 +221,12 @@
 	case RunDone:
 		e.stats.Done++
 		w.consecutiveFailures = 0
+		e.recordOutcome(w, r, t.step, false)
 		e.handleTaskDone(t)
 	case RunFailed:
 		e.stats.Failed++
 		e.countFailure(w)
+		e.recordOutcome(w, r, t.step, true)
 		e.handleTaskFailure(t, key.Number)
 	case RunInterrupted:
 		e.stats.Interrupted++
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -197,6 +197,10 @@
 
 	// fullRun means that the run does all of a task's work, so that its run time tells the worker's speed.
 	fullRun bool
+	// stalled means that the run made no progress and was counted for its worker's health.
+	stalled bool
+	// stallEvidence is what was added to the evidence against the worker for that.
+	stallEvidence float64
 
 	progress          int
 	progressChangedAt monotime.Instant
@@ -222,6 +226,7 @@
 	// capacityHolds are the parts of the worker's capacity that are kept for steps, at most one for each.
 	capacityHolds []capacityHold
 	speed         workerspeed.Speed
+	health        workerHealth
 }
 
 func (w *worker) free() graph.Resources { return w.Capacity.Sub(w.used) }
@@ -320,6 +325,8 @@
 	siblings workerspeed.Siblings
 	// fastWaitUntil is when the step's wait for fast workers ends; 0 if it has not begun.
 	fastWaitUntil monotime.Instant
+	// failures are the step's runs that failed or stood still, as counted against their workers.
+	failures []countedFailure
 }
 
 // addDetachedRun counts r as a run of one of the step's tasks that is no task's current run.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -16,6 +16,7 @@
 	e.retryStops()
 	e.refreshPools()
 	e.refreshSpeeds()
+	e.findStalledRuns()
 	steps := e.byUrgency()
 	for _, p := range e.pools {
 		p.searchInterval = searchInterval(len(steps), len(p.workers))
@@ -293,6 +294,9 @@
 
 func (e *Engine) startRun(t *task, w *worker, number uint64) {
 	t.lastRunNumber = number
+	if e.onTrial(w) {
+		e.stats.TrialRuns++
+	}
 	r := &run{RunKey: RunKey{t.id(), number}, worker: w, task: t, orderedAt: e.now, fullRun: t.isFullRun()}
 	w.runs[r.RunKey] = r
 	if w.oldestUnansweredStart == 0 {
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -73,7 +73,7 @@
 	}
 	var candidates []candidate
 	for _, w := range p.workers {
-		if w.reservedFor != nil || !s.eligible(w) || (s.job.queue.Permit != nil && !s.verdicts[w.ID]) {
+		if w.reservedFor != nil || w.health.ejected || !s.eligible(w) || (s.job.queue.Permit != nil && !s.verdicts[w.ID]) {
 			continue
 		}
 		capacity, freeAt := e.futureCapacity(w)
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -55,7 +55,7 @@
 			if w.speed.Slow() {
 				p.slowWorkers++
 				if !wasSlow[i] {
-					e.workerEvents = append(e.workerEvents, WorkerEvent{w.ID, WorkerSlow, math.Exp(w.speed.Relative())})
+					e.addWorkerEvent(w, WorkerSlow)
 				}
 			}
 		}
@@ -126,20 +126,15 @@
 // first. Each step starts at another worker, so that requests spread over a large pool.
 func (e *Engine) byPreference(s *step, p *pool) iter.Seq[*worker] {
 	first := int(s.scanOffset() % uint64(len(p.workers)))
-	preference := preferNone
-	if p.slowWorkers > 0 {
-		preference = e.speedPreference(s)
-	}
-	passes := 2
-	if preference == preferNone {
-		passes = 1
+	preference, ranks := preferNone, 1
+	if p.slowWorkers > 0 || p.ejectedWorkers() > 0 {
+		preference, ranks = e.speedPreference(s), requestRanks
 	}
 	return func(yield func(*worker) bool) {
-		for pass := range passes {
+		for rank := range ranks {
 			for i := range p.workers {
 				w := p.workers[(first+i)%len(p.workers)]
-				preferred := preference == preferNone || w.speed.Slow() == (preference == preferSlow)
-				if preferred == (pass == 0) && !yield(w) {
+				if (ranks == 1 || e.requestRank(s, w, preference) == rank) && !yield(w) {
 					return
 				}
 			}
@@ -147,11 +142,35 @@
 	}
 }
 
+// requestRanks is the number of values of requestRank.
+const requestRanks = 4
+
+// requestRank orders the workers of a permit request: those that a trial is due for, those that the step prefers, the others, and
+// ejected ones.
+func (e *Engine) requestRank(s *step, w *worker, preference speedPreference) int {
+	switch {
+	case w.health.ejected && e.isTrialFor(s, w):
+		return 0
+	case w.health.ejected:
+		return 3
+	case preference == preferNone || w.speed.Slow() == (preference == preferSlow):
+		return 1
+	}
+	return 2
+}
+
 // WorkerEventKind is what was found out about a worker.
 type WorkerEventKind string
 
-// WorkerSlow means that the worker now counts as slow.
-const WorkerSlow WorkerEventKind = "slow"
+// The kinds of events.
+const (
+	// WorkerSlow means that the worker now counts as slow.
+	WorkerSlow WorkerEventKind = "slow"
+	// WorkerEjected means that the worker gets no new runs while others have capacity.
+	WorkerEjected WorkerEventKind = "ejected"
+	// WorkerReadmitted means that the worker is no longer ejected.
+	WorkerReadmitted WorkerEventKind = "readmitted"
+)
 
 // WorkerEvent is a change of what the engine thinks of a worker.
 type WorkerEvent struct {
@@ -159,6 +178,12 @@
 	Kind   WorkerEventKind
 	// Speed is the worker's estimated speed as a multiple of the pool's median.
 	Speed float64
+	// FailureRate is the share of the worker's recent runs that failed or stood still.
+	FailureRate float64
+}
+
+func (e *Engine) addWorkerEvent(w *worker, kind WorkerEventKind) {
+	e.workerEvents = append(e.workerEvents, WorkerEvent{w.ID, kind, math.Exp(w.speed.Relative()), w.health.rate.share()})
 }
 
 // TakeWorkerEvents returns the events since the last call.
--- a/internal/dispatch/uneven_test.go
+++ b/internal/dispatch/uneven_test.go
@@ -30,12 +30,13 @@
 }
 
 type unevenRun struct {
-	key     RunKey
-	worker  *unevenWorker
-	started monotime.Instant
-	takes   time.Duration
-	outcome RunOutcome
-	stalled bool
+	key    RunKey
+	worker *unevenWorker
+	// workFrom is when the run began to make progress.
+	workFrom monotime.Instant
+	takes    time.Duration
+	outcome  RunOutcome
+	stalled  bool
 }
 
 // unevenEvent is something that happens at a time in an unevenCell.
@@ -272,16 +273,25 @@
 	if c.rng.Float64() < c.load.longTails {
 		takes *= 7
 	}
-	r := &unevenRun{key: o.RunKey, worker: w, started: c.now, takes: time.Duration(takes), stalled: w.stalled != nil && w.stalled(c.age())}
+	r := &unevenRun{key: o.RunKey, worker: w, takes: time.Duration(takes)}
 	if c.rng.Float64() < c.load.failures+w.failureRate {
 		r.outcome = RunFailed
 		r.takes /= 2
 	}
 	w.running[o.RunKey] = r
 	c.engine.HandleStartOutcome(o.Worker, o.RunKey, Started)
-	if !r.stalled {
-		c.after(r.takes, func() { c.end(r, r.outcome) })
+	c.endLater(r)
+}
+
+// endLater ends a run when it has done its work. A run that stands still starts its work when its worker recovers.
+func (c *unevenCell) endLater(r *unevenRun) {
+	r.stalled = r.worker.stalled != nil && r.worker.stalled(c.age())
+	if r.stalled {
+		c.after(100*time.Millisecond, func() { c.endLater(r) })
+		return
 	}
+	r.workFrom = c.now
+	c.after(r.takes, func() { c.end(r, r.outcome) })
 }
 
 func (c *unevenCell) stop(o Stop) {
@@ -325,7 +335,7 @@
 		for _, key := range slices.SortedFunc(maps.Keys(w.running), compareRuns) {
 			r, progress := w.running[key], 0
 			if !r.stalled {
-				progress = int(100 * c.now.Sub(r.started) / r.takes)
+				progress = int(100 * c.now.Sub(r.workFrom) / r.takes)
 			}
 			report.Running = append(report.Running, RunningEntry{RunKey: r.key, Progress: progress})
 		}
@@ -382,13 +392,13 @@
 	}
 }
 
-// On workers of equal speed, estimates of speeds must not change a single order.
+// On sound workers of equal speed, estimates of speeds and of failures must not change a single order.
 func TestEqualSpeedsChangeNoOrder(t *testing.T) {
 	for _, load := range []unevenLoad{{share: 0.6}, {share: 0.95}, {share: 0.8, wrongEstimates: true, longTails: 0.03}} {
 		traces := map[bool][]string{}
 		for _, uniform := range []bool{true, false} {
 			c := newUnevenCell(t, 5, 40, false, load)
-			c.engine.uniformSpeeds, c.traced = uniform, true
+			c.engine.uniformSpeeds, c.engine.noEjections, c.traced = uniform, uniform, true
 			c.run(0, 30*time.Second)
 			traces[uniform] = c.trace
 		}
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -30,6 +30,8 @@
 	ownerGauge("laburnumpoint_tasks_waiting", func(c *controller) float64 { return float64(c.tasksWaiting.Load()) })
 	ownerGauge("laburnumpoint_permit_questions_waiting", func(c *controller) float64 { return float64(c.permitRequestsWaiting.Load()) })
 	ownerGauge("laburnumpoint_workers_slow", func(c *controller) float64 { return float64(c.workerHealth.slow.Load()) })
+	ownerGauge("laburnumpoint_workers_ejected", func(c *controller) float64 { return float64(c.workerHealth.ejected.Load()) })
+	ownerGauge("laburnumpoint_trial_runs", func(c *controller) float64 { return float64(c.workerHealth.trialRuns.Load()) })
 	gateGauge := func(name string, value func(flowcontrol.Stats) float64) {
 		ownerGauge(name, func(c *controller) float64 { return value(c.gate.Stats()) })
 	}
--- a/internal/owner/worker_health.go
+++ b/internal/owner/worker_health.go
@@ -1,14 +1,27 @@
 package owner
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"laburnumpoint/internal/dispatch"
+)
 
 // workerHealth holds what the metrics show of the workers' health.
-type workerHealth struct{ slow atomic.Int64 }
+type workerHealth struct{ slow, ejected, trialRuns atomic.Int64 }
 
 // recordWorkerHealth logs what the engine found out about workers and updates the metrics.
 func (c *controller) recordWorkerHealth() {
 	for _, e := range c.engine.TakeWorkerEvents() {
-		c.Log.Warn().Str("worker", string(e.Worker)).Float64("speed", e.Speed).Msg("worker is slow")
+		switch e.Kind {
+		case dispatch.WorkerSlow:
+			c.Log.Warn().Str("worker", string(e.Worker)).Float64("speed", e.Speed).Msg("worker is slow")
+		case dispatch.WorkerEjected:
+			c.Log.Warn().Str("worker", string(e.Worker)).Float64("failure_rate", e.FailureRate).Msg("worker ejected")
+		case dispatch.WorkerReadmitted:
+			c.Log.Info().Str("worker", string(e.Worker)).Float64("failure_rate", e.FailureRate).Msg("worker readmitted")
+		}
 	}
+	c.workerHealth.ejected.Store(int64(c.engine.EjectedWorkers()))
+	c.workerHealth.trialRuns.Store(int64(c.engine.Stats().TrialRuns))
 	c.workerHealth.slow.Store(int64(c.engine.SlowWorkers()))
 }
