--- a/demo.sh
+++ b/demo.sh
@@ -194,7 +194,7 @@
 start_graph_vms() {
   local i list=()
   for ((i = 0; i < ENTRY_VMS; i++)); do
-    start "graph$i" bin/laburnumpointd graphs --node "graph$i" --zone "entry-$i" --store "$1" --balancer-delay 500ms --stop-grace 15s
+    start "graph$i" bin/laburnumpointd graphs --node "graph$i" --zone "entry-$i" --store "$1" --balancer-delay 500ms --stop-grace 15s --require-keys
     graph_pids+=("${pids[-1]}")
   done
   for ((i = 0; i < ENTRY_VMS; i++)); do
@@ -225,7 +225,9 @@
   graph_pids=()
   mkdir -p "$dir"
   say "Graph jobs: a store, 8 workers and $ENTRY_VMS entry VMs start"
-  printf '{"version":1,"queues":[{"name":"nightly","pool":"workers","attempts":2,"stretch":2,"target_ms":500}]}' >"$dir/queues.json"
+  printf '{"version":1,"queues":[{"name":"nightly","pool":"workers","attempts":2,"stretch":2,"target_ms":500}],
+    "organisations":[{"name":"sparks","keys":["demo-key"],"weight":10}]}' >"$dir/queues.json"
+  export LABURNUMPOINT_KEY=demo-key
   start site bin/laburnumpoint-standin graphs --listen 127.0.0.1:0 --queues "$dir/queues.json"
   local site=${pids[-1]}
   wait_for "store and workers" has_addr "$dir/site.log"
@@ -254,6 +256,11 @@
     echo "a job for an unknown queue was accepted" >&2
     return 1
   fi
+  say "A call with an unknown key is refused"
+  if graph_tool --key unknown pending --queue nightly; then
+    echo "a call with an unknown key was answered" >&2
+    return 1
+  fi
   say "The store and the workers stop; no task ran twice"
   kill "$site"
   wait "$site"
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -17,19 +17,22 @@
 
 	"laburnumpoint/internal/api"
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/graphapi"
 	"laburnumpoint/internal/history"
 )
 
-// recordingServer keeps the last request and sends the same answer to each.
+// recordingServer keeps the last request and its key, and sends the same answer to each.
 type recordingServer struct {
 	status  int
 	body    string
 	request string
+	key     string
 }
 
 func (s *recordingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	s.request = r.Method + " " + r.URL.RequestURI() + " " + string(body)
+	s.key = r.Header.Get(graphapi.HeaderKey)
 	w.WriteHeader(s.status)
 	fmt.Fprint(w, strings.ReplaceAll(s.body, "ID", r.Header.Get(api.HeaderRequestID)))
 }
--- a/internal/cli/graph.go
+++ b/internal/cli/graph.go
@@ -12,7 +12,10 @@
 	"laburnumpoint/internal/graphapi"
 )
 
-const flagQueue = "queue"
+const (
+	flagQueue = "queue"
+	flagKey   = "key"
+)
 
 // graphPollInterval is the time between two queries of a job while the tool waits for its end.
 const graphPollInterval = 100 * time.Millisecond
@@ -22,6 +25,7 @@
 	return &cli.Command{
 		Name:  "graph",
 		Usage: "submit, follow and cancel graph jobs",
+		Flags: []cli.Flag{keyFlag()},
 		Commands: []*cli.Command{
 			a.graphSubmitCommand(), a.graphStatusCommand(), a.graphCancelCommand(), a.graphPendingCommand(), a.graphWhyCommand(),
 		},
@@ -33,9 +37,18 @@
 	return &cli.StringFlag{Name: flagQueue, Usage: "`NAME` of the queue", Required: true}
 }
 
-// newGraphClient returns a client with the servers and the retry time of the global flags.
+// keyFlag returns the flag for the caller's key.
+func keyFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name:    flagKey,
+		Usage:   "`KEY` of the caller's organisation; the variable keeps it out of the list of processes",
+		Sources: cli.EnvVars("LABURNUMPOINT_KEY"),
+	}
+}
+
+// newGraphClient returns a client with the servers and the retry time of the global flags and the caller's key.
 func newGraphClient(cmd *cli.Command) *graphapi.Client {
-	return &graphapi.Client{Servers: cmd.StringSlice(flagServer), RetryFor: cmd.Duration(flagRetryFor), HTTP: &http.Client{}}
+	return &graphapi.Client{Servers: cmd.StringSlice(flagServer), RetryFor: cmd.Duration(flagRetryFor), Key: cmd.String(flagKey), HTTP: &http.Client{}}
 }
 
 // graphJobAction returns the action of a command that makes one call for one job and prints the answer.
--- a/internal/cli/why.go
+++ b/internal/cli/why.go
@@ -14,7 +14,7 @@
 		Name:      "why",
 		Usage:     "explain why a task, or with --queue a graph job, waits, runs or was refused",
 		ArgsUsage: "TASK",
-		Flags:     []cli.Flag{&cli.StringFlag{Name: flagQueue, Usage: "`NAME` of a graph job's queue; the argument is then the job"}},
+		Flags:     []cli.Flag{&cli.StringFlag{Name: flagQueue, Usage: "`NAME` of a graph job's queue; the argument is then the job"}, keyFlag()},
 		Action:    a.why,
 	}
 }
--- a/internal/graphapi/client.go
+++ b/internal/graphapi/client.go
@@ -58,7 +58,9 @@
 	Servers []string
 	// RetryFor limits the time during which a call is sent again.
 	RetryFor time.Duration
-	HTTP     *http.Client
+	// Key is the caller's key; empty for none.
+	Key  string
+	HTTP *http.Client
 }
 
 // Submit submits a job.
@@ -118,6 +120,9 @@
 		return Answer{}, 0, err
 	}
 	req.Header.Set(HeaderTimeout, tryTimeout.String())
+	if c.Key != "" {
+		req.Header.Set(HeaderKey, c.Key)
+	}
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
 		return Answer{}, defaultRetryPause, err
--- a/internal/graphproto/config.go
+++ b/internal/graphproto/config.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"laburnumpoint/internal/access"
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/entry"
 	"laburnumpoint/internal/graph"
@@ -35,10 +37,11 @@
 	return rowstore.Row{Key: rowstore.Key{Table: workersTable, Name: string(w.ID)}, Value: value}, err
 }
 
-// QueueConfig is one version of the configuration of queues.
+// QueueConfig is one version of the configuration of queues and organisations.
 type QueueConfig struct {
-	Version uint64  `json:"version"`
-	Queues  []Queue `json:"queues"`
+	Version       uint64         `json:"version"`
+	Queues        []Queue        `json:"queues"`
+	Organisations []Organisation `json:"organisations,omitempty"`
 }
 
 // Queue is a queue's policy as operators write it. The fields are those of graph.Queue.
@@ -49,8 +52,33 @@
 	MaxAttempts int     `json:"attempts"`
 	Stretch     float64 `json:"stretch"`
 	TargetMS    int64   `json:"target_ms"`
+	// Public means that callers need no key.
+	Public bool `json:"public,omitempty"`
 }
 
+// Organisation is an organisation's policy as operators write it. The fields are those of graph.Organisation.
+type Organisation struct {
+	Name string `json:"name"`
+	// Keys are the keys by which its callers are known. No two organisations have the same key.
+	Keys   []string `json:"keys"`
+	Weight float64  `json:"weight"`
+	// Limit bounds what the organisation has running; a resource of 0 is not bounded.
+	Limit Limit `json:"limit,omitzero"`
+}
+
+// Limit is a limit in the units of a step's claim.
+type Limit struct {
+	MilliCPU     int64 `json:"milli_cpu,omitempty"`
+	MemoryMB     int64 `json:"memory_mb,omitempty"`
+	Accelerators int64 `json:"accelerators,omitempty"`
+}
+
+// Errors of organisations. They don't contain a key.
+var (
+	errInvalidOrganisation = errors.New("each organisation needs a name of its own, a weight above 0 and limits of 0 or more")
+	errUnusableKey         = errors.New("a key must consist of visible ASCII characters, since it is sent in a header")
+)
+
 var errInvalidQueueConfig = errors.New("queue configuration: the version must be above 0 and each queue needs a name, a pool, at least one attempt, and a stretch and a target of 0 or more")
 
 // Validate returns an error if the configuration can't be put in force.
@@ -63,20 +91,72 @@
 	if c.Version == 0 {
 		return errInvalidQueueConfig
 	}
-	return nil
+	return c.validateOrganisations()
+}
+
+func (c *QueueConfig) validateOrganisations() error {
+	names := make(map[string]bool)
+	for _, o := range c.Organisations {
+		if o.Name == "" || names[o.Name] || o.Weight <= 0 || min(o.Limit.MilliCPU, o.Limit.MemoryMB, o.Limit.Accelerators) < 0 {
+			return fmt.Errorf("organisation %q: %w", o.Name, errInvalidOrganisation)
+		}
+		names[o.Name] = true
+		for _, key := range o.Keys {
+			if strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r > '~' }) {
+				return fmt.Errorf("organisation %q: %w", o.Name, errUnusableKey)
+			}
+		}
+	}
+	_, err := c.keys()
+	return err
+}
+
+// keys returns the keys of all organisations.
+// Errors: those of access.Keys.Add.
+func (c *QueueConfig) keys() (access.Keys, error) {
+	var keys access.Keys
+	for _, o := range c.Organisations {
+		for _, key := range o.Keys {
+			if err := keys.Add(o.Name, access.NewKey(key)); err != nil {
+				return access.Keys{}, fmt.Errorf("organisation %q: %w", o.Name, err)
+			}
+		}
+	}
+	return keys, nil
 }
 
 // EntryConfig returns the configuration of package entry. It routes each path of the form /queue/id to the queue.
-func (c *QueueConfig) EntryConfig() *entry.Config {
-	config := &entry.Config{Version: c.Version}
+// Errors: those of Validate that concern keys.
+func (c *QueueConfig) EntryConfig() (*entry.Config, error) {
+	keys, err := c.keys()
+	if err != nil {
+		return nil, err
+	}
+	config := &entry.Config{Version: c.Version, Keys: keys}
 	for _, queue := range c.Queues {
 		policy := graph.Queue{
 			Name: queue.Name, Pool: queue.Pool, Priority: queue.Priority, MaxAttempts: queue.MaxAttempts,
 			Stretch: queue.Stretch, Target: time.Duration(queue.TargetMS) * time.Millisecond,
 		}
-		config.Routes = append(config.Routes, entry.Route{Prefix: "/" + queue.Name + "/", Queue: policy})
+		config.Routes = append(config.Routes, entry.Route{Prefix: "/" + queue.Name + "/", Queue: policy, Public: queue.Public})
+	}
+	for _, o := range c.Organisations {
+		limit := graph.Resources{MilliCPU: o.Limit.MilliCPU, MemoryMB: o.Limit.MemoryMB, Accelerators: o.Limit.Accelerators}
+		config.Organisations = append(config.Organisations, graph.Organisation{Name: o.Name, Weight: o.Weight, Limit: limit})
+	}
+	return config, nil
+}
+
+// decodeQueueConfig decodes and validates a configuration.
+func decodeQueueConfig(value []byte) (*entry.Config, error) {
+	var config QueueConfig
+	if err := json.Unmarshal(value, &config); err != nil {
+		return nil, err
+	}
+	if err := config.Validate(); err != nil {
+		return nil, err
 	}
-	return config
+	return config.EntryConfig()
 }
 
 // FollowQueueConfig keeps the service's queues current until ctx ends. It skips a version that can't be decoded or is
@@ -85,15 +165,15 @@
 	follower := &rowstore.Follower{Store: store, Clock: clock, Log: logger, Table: queuesTable, Parts: []string{""}, FeedWait: feedWait}
 	follower.OnUpdate = func(u rowstore.Update) {
 		for _, change := range u.Changes {
-			var config QueueConfig
 			if change.Removed || change.Name != queuesRowName {
 				continue
 			}
-			if err := errors.Join(json.Unmarshal(change.Value, &config), config.Validate()); err != nil {
+			config, err := decodeQueueConfig(change.Value)
+			if err != nil {
 				logger.Error().Uint64("version", change.Version).Err(err).Msg("invalid queue configuration skipped, the previous version stays in force")
 				continue
 			}
-			service.SetConfig(config.EntryConfig())
+			service.SetConfig(config)
 		}
 	}
 	follower.OnCurrent = service.MarkConfigCurrent
