Groups of tasks start on one rack or wait for one

Cause: same_rack was stored and not acted upon: the members of a gang spread over racks, where they take the remote factor times as long.

Change: a step that prefers one rack starts on the rack that holds all of its tasks, the one with the most room. If none does, the comparison of expected ends decides between a spread start and a wait for one rack. A gang's forecast also counts the steps behind it, which take room as it becomes free. Later tasks prefer the rack of the earlier ones, also after a takeover; a data rack comes first. Permits are requested for one rack at a time. A gang that waits by choice reserves no workers and preempts nothing.

With a factor of 1 the orders of the same load are those of an engine without a factor.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -76,13 +76,13 @@
 	suspectWeight  = 8.0
 )
 
-// score ranks workers: those that are no suspects first, then those on the rack of the step's data, then the most utilized.
+// score ranks workers: those that are no suspects first, then those on the rack that the step prefers, then the most utilized.
 func (e *Engine) score(s *step, w *worker, planned graph.Resources) float64 {
 	score := 0.0
 	if e.isSuspect(w) {
 		score -= suspectWeight
 	}
-	if s.def.DataRack != "" && w.Rack == s.def.DataRack {
+	if rack := s.nearRack(); rack != "" && w.Rack == rack {
 		score += dataRackWeight
 	}
 	return score + utilization(w.free().Sub(planned).Sub(s.def.Allocation()), w.Capacity)
--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -19,8 +20,7 @@
 const (
 	// minGainShare is the least expected gain of a wait, as a share of the run time. Less is within the error of the forecast.
 	minGainShare = 0.1
-	// waitReviewInterval is the least time between two forecasts for one step's waits. A forecast looks at every run on the rack,
-	// and a round of decisions follows every 2 ms.
+	// waitReviewInterval is the usual reviewInterval. A forecast looks at every run on the rack, and a round of decisions follows every 2 ms.
 	waitReviewInterval = 20 * time.Millisecond
 	// overdueRunShare is the least time that a run without progress is expected to go on, as a share of its expected run time.
 	overdueRunShare = 0.1
@@ -77,9 +77,11 @@
 	factor float64
 	// decide chooses how many tasks wait.
 	decide func(nearChoice) nearDecision
-	waits  map[*nearWait]struct{}
-	events []LocalityEvent
-	stats  LocalityStats
+	// reviewInterval is the least time between two forecasts for one step's waits.
+	reviewInterval time.Duration
+	waits          map[*nearWait]struct{}
+	events         []LocalityEvent
+	stats          LocalityStats
 }
 
 // nearWait is a wait of some tasks of a step for room on a rack.
@@ -95,8 +97,13 @@
 
 // stepLocality is a step's part of delay scheduling.
 type stepLocality struct {
-	waits    []*nearWait
+	// rack is the one chosen for a step whose tasks prefer one rack; empty if none is chosen, or for a step with a data rack.
+	rack  string
+	waits []*nearWait
+	// reviewAt is when the forecast for the waits, or the choice of the rack, is due again.
 	reviewAt monotime.Instant
+	// countedBefore means that the plan before has counted the step's demand.
+	countedBefore bool
 	// observed is the sum of the run times of the tasks that are done, as they would have been near; observations counts them.
 	observed     time.Duration
 	observations int
@@ -118,6 +125,7 @@
 	e.locality.factor = factor
 	if e.locality.decide == nil {
 		e.locality.decide = nearChoice.byExpectedEnds
+		e.locality.reviewInterval = waitReviewInterval
 	}
 }
 
@@ -142,10 +150,21 @@
 }
 
 // placesMatter reports whether it makes a difference where the step's tasks run.
-func (e *Engine) placesMatter(s *step) bool { return e.locality.factor > 1 && s.def.DataRack != "" }
+func (e *Engine) placesMatter(s *step) bool {
+	return e.locality.factor > 1 && (s.def.DataRack != "" || s.def.SameRack)
+}
+
+// nearRack returns the rack that the step prefers: that of its data, or else the one chosen for its tasks. It is empty if there is
+// none.
+func (s *step) nearRack() string {
+	if s.def.DataRack != "" {
+		return s.def.DataRack
+	}
+	return s.locality.rack
+}
 
-// isNear reports whether the worker is on the rack that the step prefers, or the step prefers none.
-func (s *step) isNear(w *worker) bool { return s.def.DataRack == "" || w.Rack == s.def.DataRack }
+// isNear reports whether the worker is on the rack that the step prefers.
+func (s *step) isNear(w *worker) bool { return w.Rack == s.nearRack() }
 
 // nearChoice is what the choice between a start elsewhere and a wait depends on. All ends are expected ones.
 type nearChoice struct {
@@ -164,9 +183,8 @@
 	nearStarts []monotime.Instant
 	// tasks is how many tasks may wait.
 	tasks int
-	// blocked is how many tasks of other steps the pool has no room for, in tasks of this size, as a share of those that fit into
-	// the pool.
-	blocked float64
+	// backlog is what the pool had no room for in the plan before, as a share of its capacity.
+	backlog float64
 }
 
 // nearDecision is how many tasks wait, until when at the latest, and what they gain on average.
@@ -215,6 +233,7 @@
 // placeNear starts what open tasks it can, on the rack that the step prefers first, and returns the others. Tasks that wait are
 // not among these: nothing has to be done for them.
 func (e *Engine) placeNear(s *step, p *pool, workers []*worker, open []*task) []*task {
+	e.chooseRack(s, p, len(open))
 	counts := s.runsPerWorker()
 	var waiting []*task
 	for _, t := range open {
@@ -222,7 +241,7 @@
 			waiting = append(waiting, t)
 		}
 	}
-	open = slices.DeleteFunc(open, func(t *task) bool { return t.locality.wait != nil })
+	open = notWaiting(open)
 	decided := false
 	for len(waiting)+len(open) > 0 {
 		w := e.bestWorker(s, workers, nil, counts)
@@ -242,7 +261,11 @@
 			waiting = append(waiting, begun...)
 			continue
 		default:
+			if s.nearRack() == "" {
+				s.locality.rack = w.Rack
+			}
 			e.startRun(open[0], w, e.nextRunNumber(open[0].lastRunNumber))
+			open[0].run.away = !s.isNear(w)
 			open = open[1:]
 		}
 		counts[w.ID]++
@@ -250,6 +273,11 @@
 	return nil
 }
 
+// notWaiting returns the tasks that do not wait for room on a rack.
+func notWaiting(tasks []*task) []*task {
+	return slices.DeleteFunc(tasks, func(t *task) bool { return t.locality.wait != nil })
+}
+
 // beginWait lets those of the open tasks wait that are expected to end sooner on the step's rack than on the given worker
 // elsewhere. alreadyWaiting tasks of the step come before them.
 func (e *Engine) beginWait(s *step, p *pool, elsewhere *worker, open []*task, alreadyWaiting int) (begun, others []*task) {
@@ -273,7 +301,7 @@
 	if s.job.queue.Permit != nil {
 		c.permitsEnd = s.permits[elsewhere.ID].validUntil.Add(-permitMargin)
 	}
-	c.nearStarts = e.nearStarts(s, p, c.deadline())
+	c.nearStarts = e.nearStarts(s, p, s.nearRack(), c.deadline())
 	c.nearStarts = c.nearStarts[min(alreadyWaiting, len(c.nearStarts)):]
 	d := e.locality.decide(c)
 	if d.tasks == 0 {
@@ -281,10 +309,16 @@
 	}
 	split := len(candidates) - d.tasks
 	begun, others = candidates[split:], append(others, candidates[:split]...)
+	e.addWait(s, s.nearRack(), begun, d)
+	return begun, others
+}
+
+// addWait lets the tasks wait for room on the rack.
+func (e *Engine) addWait(s *step, rack string, tasks []*task, d nearDecision) {
 	wait := &nearWait{
-		step: s, rack: s.def.DataRack, begunAt: e.now, deadline: d.deadline, tasks: slices.Clone(begun), begun: len(begun), gain: d.gain,
+		step: s, rack: rack, begunAt: e.now, deadline: d.deadline, tasks: slices.Clone(tasks), begun: len(tasks), gain: d.gain,
 	}
-	for _, t := range begun {
+	for _, t := range tasks {
 		t.locality.wait, t.locality.waited = wait, true
 	}
 	if e.locality.waits == nil {
@@ -292,10 +326,223 @@
 	}
 	e.locality.waits[wait] = struct{}{}
 	s.locality.waits = append(s.locality.waits, wait)
-	s.locality.reviewAt = e.now.Add(waitReviewInterval)
-	e.locality.stats.Begun += uint64(len(begun))
+	s.locality.reviewAt = e.now.Add(e.locality.reviewInterval)
+	e.locality.stats.Begun += uint64(len(tasks))
 	e.addLocalityEvent(wait, WaitBegun)
-	return begun, others
+}
+
+// chooseRack chooses the rack for the open tasks of a step that prefers one for all of its tasks. Tasks that run already decide it.
+// Otherwise it is the rack where the most of the open tasks find room before a start elsewhere would gain, the soonest first, and of
+// those the one with the most room.
+func (e *Engine) chooseRack(s *step, p *pool, open int) {
+	if s.def.DataRack != "" || len(s.locality.waits) > 0 {
+		return
+	}
+	if s.placedTasks > 0 || s.openTasks < len(s.tasks) {
+		if s.locality.rack == "" {
+			s.locality.rack = s.rackOfRuns()
+		}
+		if s.locality.rack != "" {
+			return
+		}
+	}
+	if s.locality.rack != "" && e.now < s.locality.reviewAt {
+		return
+	}
+	s.locality.reviewAt = e.now.Add(e.locality.reviewInterval)
+	s.locality.rack, _, _ = e.bestRack(s, p, open)
+}
+
+// rackOfRuns returns the rack with the most runs of the step's tasks; empty if there are none.
+func (s *step) rackOfRuns() string {
+	counts := make(map[string]int)
+	best := ""
+	for _, t := range s.tasks {
+		if t.run == nil {
+			continue
+		}
+		rack := t.run.worker.Rack
+		counts[rack]++
+		if counts[rack] > counts[best] {
+			best = rack
+		}
+	}
+	return best
+}
+
+// bestRack returns the rack where the most of the given number of the step's tasks are expected to find room in time, the number of
+// those, and when the last of them does. Among equals it is the rack with the most room.
+func (e *Engine) bestRack(s *step, p *pool, tasks int) (best string, fitting int, last monotime.Instant) {
+	until := e.nearChoice(s, p, s.expectedRunTime()).deadline()
+	most := 0
+	for _, rack := range p.rackNames() {
+		starts := e.nearStarts(s, p, rack, until)
+		n := min(tasks, len(starts))
+		if n == 0 {
+			continue
+		}
+		end, room := starts[n-1], len(starts)
+		if n > fitting || (n == fitting && (end < last || (end == last && room > most))) {
+			best, fitting, last, most = rack, n, end, room
+		}
+	}
+	return best, fitting, last
+}
+
+// gangWorkers returns the workers among which a gang for which places matter is placed: those of one rack if all members fit there, or
+// those of the pool if they don't and a wait would not gain. It returns nil while the gang waits.
+func (e *Engine) gangWorkers(s *step, p *pool, open []*task) []*worker {
+	counts := s.runsPerWorker()
+	if rack := e.rackWithRoom(s, p, len(open), counts); rack != "" {
+		for _, t := range open {
+			if t.locality.wait != nil {
+				e.endTaskWait(t, WaitKept)
+			}
+		}
+		return p.onRack(rack)
+	}
+	if len(s.locality.waits) > 0 {
+		return nil
+	}
+	runTime := s.expectedRunTime()
+	if runTime == 0 || s.def.LongRunning || open[0].locality.waited || !e.gangFits(s, p.workers, len(open), counts) {
+		return p.workers
+	}
+	c := e.nearChoice(s, p, runTime)
+	c.tasks = 1
+	if s.job.queue.Permit != nil {
+		c.permitsEnd = s.earliestPermitEnd(e.now)
+	}
+	rack, fitting, last := s.def.DataRack, 0, monotime.Instant(0)
+	if rack == "" {
+		rack, fitting, last = e.bestRack(s, p, len(open))
+	} else if starts := e.nearStarts(s, p, rack, c.deadline()); len(starts) >= len(open) {
+		fitting, last = len(open), starts[len(open)-1]
+	}
+	if fitting < len(open) {
+		return p.workers
+	}
+	c.nearStarts = []monotime.Instant{last}
+	d := e.locality.decide(c)
+	if d.tasks == 0 {
+		return p.workers
+	}
+	s.locality.rack = rack
+	e.addWait(s, rack, open, d)
+	return nil
+}
+
+// earliestPermitEnd returns when the first of the step's valid permits can't be used any more.
+func (s *step) earliestPermitEnd(now monotime.Instant) monotime.Instant {
+	var earliest monotime.Instant
+	for _, p := range s.permits {
+		if end := p.validUntil.Add(-permitMargin); end > now && (earliest == 0 || end < earliest) {
+			earliest = end
+		}
+	}
+	return earliest
+}
+
+// rackWithRoom returns the rack on which the given number of the step's tasks fit now, the one with the most room if there are several:
+// that of its data if it has one. It is empty if they fit on none.
+func (e *Engine) rackWithRoom(s *step, p *pool, tasks int, running map[WorkerID]int) string {
+	racks := p.rackNames()
+	if s.def.DataRack != "" {
+		racks = []string{s.def.DataRack}
+	}
+	best, most := "", tasks-1
+	for _, rack := range racks {
+		if room := e.roomOn(s, p.onRack(rack), running); room > most {
+			best, most = rack, room
+		}
+	}
+	return best
+}
+
+// roomOn returns how many of the step's tasks fit on the workers now.
+func (e *Engine) roomOn(s *step, workers []*worker, running map[WorkerID]int) int {
+	room := 0
+	for _, w := range workers {
+		e.stats.WorkersEvaluated++
+		if e.hasCapacity(s, w, graph.Resources{}, running) && s.eligible(w) && s.hasPermit(w, e.now) {
+			room += s.tasksThatFit(w.free().Sub(w.heldForOthers(s, e.now)), running[w.ID])
+		}
+	}
+	return room
+}
+
+// noteGang notes on which rack the members of a gang run.
+func (e *Engine) noteGang(s *step) {
+	if !e.placesMatter(s) {
+		return
+	}
+	spread := false
+	for _, t := range s.tasks {
+		spread = spread || (t.run != nil && t.run.worker.Rack != s.tasks[0].run.worker.Rack)
+	}
+	if spread || s.def.DataRack != "" && s.tasks[0].run.worker.Rack != s.def.DataRack {
+		for _, t := range s.tasks {
+			t.run.away = true
+		}
+	}
+	s.locality.rack = ""
+}
+
+// rackNames returns the names of the racks of the pool's workers, sorted.
+func (p *pool) rackNames() []string {
+	p.onRack("")
+	if p.locality.rackNames == nil {
+		p.locality.rackNames = slices.Sorted(maps.Keys(p.locality.racks))
+	}
+	return p.locality.rackNames
+}
+
+// requestRack returns the rack for which permits are requested first: the one that the step prefers, or, before one is chosen, the one
+// that has the most free capacity for its tasks. It is empty where places make no difference.
+func (e *Engine) requestRack(s *step, p *pool) string {
+	if !e.placesMatter(s) {
+		return ""
+	}
+	if rack := s.nearRack(); rack != "" {
+		return rack
+	}
+	best, most := "", -1
+	for _, rack := range p.rackNames() {
+		room := 0
+		for _, w := range p.onRack(rack) {
+			if s.eligible(w) && !s.deniedBy(w) {
+				room += s.tasksThatFit(w.free(), 0)
+			}
+		}
+		if room > most {
+			best, most = rack, room
+		}
+	}
+	return best
+}
+
+// deniedBy reports whether the policy service is known not to allow the worker.
+func (s *step) deniedBy(w *worker) bool {
+	allowed, known := s.verdicts[w.ID]
+	return known && !allowed
+}
+
+// sortByRack puts the capacity on the rack that the gang prefers first, or, before one is chosen, that on the racks which have the most of
+// it.
+func (e *Engine) sortByRack(s *step, allowed []plannedHold) {
+	if !e.placesMatter(s) {
+		return
+	}
+	room := make(map[string]int)
+	for _, h := range allowed {
+		room[h.worker.Rack] += h.tasks
+	}
+	if rack := s.nearRack(); rack != "" {
+		room = map[string]int{rack: 1}
+	}
+	slices.SortStableFunc(allowed, func(a, b plannedHold) int {
+		return cmp.Or(cmp.Compare(room[b.worker.Rack], room[a.worker.Rack]), cmp.Compare(a.worker.Rack, b.worker.Rack))
+	})
 }
 
 // nearChoice returns what a choice for the step depends on, without what depends on the tasks.
@@ -304,7 +551,7 @@
 	return nearChoice{
 		now: e.now, runTime: runTime, factor: e.locality.factor,
 		lastNearStart: s.due.Add(-s.remainingPath), lastRemoteStart: s.due.Add(-s.remainingPath - longer),
-		blocked: float64(s.tasksIn(p.blockedDemand)) / float64(max(1, s.tasksIn(p.capacity))),
+		backlog: p.backlog(s),
 	}
 }
 
@@ -328,23 +575,23 @@
 	}
 	s := r.task.step
 	total := s.expectedRunTime()
-	if e.placesMatter(s) && !s.isNear(r.worker) {
+	if r.away {
 		total = time.Duration(float64(total) * e.locality.factor)
 	}
 	left := total - e.now.Sub(r.orderedAt)
 	return e.now.Add(max(left, -left, time.Duration(overdueRunShare*float64(total))))
 }
 
-// nearStarts returns the times up to the given one at which tasks of the step are expected to find room on its rack, the soonest
+// nearStarts returns the times up to the given one at which tasks of the step are expected to find room on the rack, the soonest
 // first, without those that the demand of the steps ahead takes.
-func (e *Engine) nearStarts(s *step, p *pool, until monotime.Instant) []monotime.Instant {
+func (e *Engine) nearStarts(s *step, p *pool, rack string, until monotime.Instant) []monotime.Instant {
 	type slot struct {
 		at     monotime.Instant
 		chance float64
 	}
 	var slots []slot
 	counts := s.runsPerWorker()
-	for _, w := range p.onRack(s.def.DataRack) {
+	for _, w := range p.onRack(rack) {
 		e.stats.WorkersEvaluated++
 		if (w.reservedFor != nil && w.reservedFor != s) || e.isSuspect(w) || !s.eligible(w) || w.conflictsWith(s.def) {
 			continue
@@ -371,14 +618,18 @@
 	}
 	slices.SortFunc(slots, func(a, b slot) int { return cmp.Compare(a.at, b.at) })
 	var starts []monotime.Instant
-	expected := 0.0
+	expected, free := 0.0, 0
 	for _, slot := range slots {
-		if expected += slot.chance; expected >= 1 {
+		if expected += slot.chance; expected > 0.5 { // rounded to the nearest number of tasks
 			expected--
 			starts = append(starts, slot.at)
+			if slot.at <= e.now {
+				free++
+			}
 		}
 	}
-	return starts[min(len(starts), s.tasksIn(p.demandAhead(s.def.DataRack))):]
+	// The steps ahead could not use what is free now.
+	return slices.Delete(starts, free, min(len(starts), free+s.tasksIn(e.demandAhead(s, p, rack))))
 }
 
 // runEnd is the expected end of a run, which frees its allocation.
@@ -428,10 +679,10 @@
 // permit request.
 const maxNearRequestShare = 0.1
 
-// addNearWorker adds a worker with too little free capacity to a permit request if it is on the step's rack, so that a task may wait
+// addNearWorker adds a worker with too little free capacity to a permit request if it is on the given rack, so that a task may wait
 // for room there. It reports whether it did.
-func (e *Engine) addNearWorker(draft *permitRequestDraft, s *step, w *worker) bool {
-	if !e.placesMatter(s) || !s.isNear(w) {
+func (e *Engine) addNearWorker(draft *permitRequestDraft, s *step, w *worker, rack string) bool {
+	if rack == "" || w.Rack != rack {
 		return false
 	}
 	gain := float64(s.expectedRunTime()) * (e.locality.factor - 1)
@@ -444,13 +695,13 @@
 }
 
 // requestOrder yields the pool's workers in the order in which permits are requested for them. Each step starts at another worker, so
-// that requests spread over a large pool; those on the rack that it prefers come first.
-func (e *Engine) requestOrder(s *step, p *pool) iter.Seq[*worker] {
+// that requests spread over a large pool; those on the given rack come first.
+func (s *step) requestOrder(p *pool, rack string) iter.Seq[*worker] {
 	first := int(s.scanOffset() % uint64(len(p.workers)))
 	return func(yield func(*worker) bool) {
 		var near []*worker
-		if e.placesMatter(s) {
-			near = p.onRack(s.def.DataRack)
+		if rack != "" {
+			near = p.onRack(rack)
 		}
 		for i := range near {
 			if !yield(near[(first+i)%len(near)]) {
@@ -459,7 +710,7 @@
 		}
 		for i := range p.workers {
 			w := p.workers[(first+i)%len(p.workers)]
-			if len(near) > 0 && s.isNear(w) {
+			if len(near) > 0 && w.Rack == rack {
 				continue
 			}
 			if !yield(w) {
@@ -485,9 +736,13 @@
 type poolLocality struct {
 	// racks holds the pool's workers by rack, nil until it is needed.
 	racks map[string][]*worker
+	// rackNames are the keys of racks, sorted; nil until they are needed.
+	rackNames []string
 	// demandByRack is what the steps that the current plan has gone through still need, by the rack that they prefer; that of
 	// steps which prefer none is under "".
 	demandByRack map[string]graph.Resources
+	// demandBefore is demandByRack at the end of the plan before.
+	demandBefore map[string]graph.Resources
 }
 
 // onRack returns the pool's workers on the rack.
@@ -509,21 +764,44 @@
 	if p.locality.demandByRack == nil {
 		p.locality.demandByRack = make(map[string]graph.Resources)
 	}
-	rack := s.def.DataRack
+	rack := s.nearRack()
+	s.locality.countedBefore = true
 	p.locality.demandByRack[rack] = p.locality.demandByRack[rack].Add(s.def.Allocation().Times(s.unplacedCount()))
 }
 
-// demandAhead returns what the steps ahead need on the rack: all that those need which prefer it, and the rack's share, by workers,
-// of what those need which prefer none.
-func (p *pool) demandAhead(rack string) graph.Resources {
+// demandAhead returns what the steps ahead of s need on the rack: all that those need which prefer it, and the rack's share, by
+// workers, of what those need which prefer none. For a gang it also counts what the steps behind need: they take room as it becomes
+// free, while the gang still lacks some.
+func (e *Engine) demandAhead(s *step, p *pool, rack string) graph.Resources {
 	share := float64(len(p.onRack(rack))) / float64(max(1, len(p.workers)))
-	return p.locality.demandByRack[rack].Add(p.locality.demandByRack[""].Scale(share))
+	ahead := p.locality.demandByRack[rack].Add(p.locality.demandByRack[""].Scale(share))
+	if !s.def.Gang {
+		return ahead
+	}
+	all := p.locality.demandBefore[rack].Add(p.locality.demandBefore[""].Scale(share))
+	if s.locality.countedBefore {
+		own := s.def.Allocation().Times(s.unplacedCount())
+		if s.nearRack() == "" {
+			own = own.Scale(share)
+		}
+		all = all.Sub(own)
+	}
+	return graph.Resources{MilliCPU: max(all.MilliCPU, ahead.MilliCPU), MemoryMB: max(all.MemoryMB, ahead.MemoryMB), Accelerators: max(all.Accelerators, ahead.Accelerators)}
+}
+
+// backlog returns what the pool had no room for in the plan before, as a share of its capacity, by what the step's tasks need.
+func (p *pool) backlog(s *step) float64 {
+	var waiting graph.Resources
+	for _, demand := range p.locality.demandBefore {
+		waiting = waiting.Add(demand)
+	}
+	return float64(s.tasksIn(waiting)) / float64(max(1, s.tasksIn(p.capacity)))
 }
 
 // reviewWaits prepares delay scheduling for a plan: it ends the waits whose deadline has passed and those that are not needed.
 func (e *Engine) reviewWaits() {
 	for _, p := range e.pools {
-		clear(p.locality.demandByRack)
+		p.locality.demandBefore, p.locality.demandByRack = p.locality.demandByRack, nil
 	}
 	for wait := range e.locality.waits {
 		s := wait.step
@@ -554,9 +832,12 @@
 	if e.now < s.locality.reviewAt {
 		return
 	}
-	s.locality.reviewAt = e.now.Add(waitReviewInterval)
+	s.locality.reviewAt = e.now.Add(e.locality.reviewInterval)
 	for _, wait := range slices.Clone(s.locality.waits) {
-		starts := e.nearStarts(s, p, wait.deadline)
+		starts := e.nearStarts(s, p, wait.rack, wait.deadline)
+		if s.def.Gang && len(starts) < len(wait.tasks) {
+			starts = nil
+		}
 		for _, t := range slices.Clone(wait.tasks[min(len(wait.tasks), len(starts)):]) {
 			e.endTaskWait(t, WaitRoomTaken)
 		}
@@ -565,7 +846,7 @@
 
 // rackUsable reports whether a worker on the step's rack may yet take one of its tasks.
 func (e *Engine) rackUsable(s *step, p *pool) bool {
-	for _, w := range p.onRack(s.def.DataRack) {
+	for _, w := range p.onRack(s.nearRack()) {
 		if _, _, chance := e.permitWindow(s, w); chance > 0 && s.eligible(w) {
 			return true
 		}
@@ -609,7 +890,7 @@
 		return
 	}
 	near := e.now.Sub(r.confirmedAt)
-	if e.placesMatter(t.step) && !t.step.isNear(r.worker) {
+	if r.away {
 		near = time.Duration(float64(near) / e.locality.factor)
 	}
 	if !r.orphan {
@@ -639,6 +920,6 @@
 		longest = max(longest, wait.deadline.Sub(e.now))
 	}
 	description = fmt.Sprintf("%d tasks wait for room on rack %s for at most %s more: they take %.3g times as long elsewhere, and are expected to end %s sooner than that",
-		n, s.def.DataRack, roundToMS(longest), e.locality.factor, roundToMS(gain))
+		n, s.nearRack(), roundToMS(longest), e.locality.factor, roundToMS(gain))
 	return description, n == s.unplacedCount()
 }
--- a/internal/dispatch/locality_test.go
+++ b/internal/dispatch/locality_test.go
@@ -330,7 +330,7 @@
 // In cells where places make no difference, the orders must be those of an engine that knows no factor.
 func TestOrdersWithoutRemoteFactor(t *testing.T) {
 	orders := func(set func(*placesWorld)) []string {
-		l := localityLoad{background: 0.85, hot: 0.6, rate: 34, factor: 1, drains: true}
+		l := localityLoad{background: 0.7, hot: 0.6, rate: 34, gangs: 3, factor: 1, drains: true}
 		return l.run(t, 1, set, 4*time.Second).orders
 	}
 	want := orders(func(w *placesWorld) { w.locality = localityState{} })
--- a/internal/dispatch/locality_weigh_test.go
+++ b/internal/dispatch/locality_weigh_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -26,6 +27,8 @@
 	// drains means that the hot rack drains for a while.
 	drains bool
 	factor float64
+	// gangs is the number of gangs a second whose members want one rack.
+	gangs float64
 }
 
 func (l localityLoad) run(t testing.TB, seed uint64, set func(*placesWorld), d time.Duration) *placesWorld {
@@ -46,7 +49,7 @@
 		}
 		return n
 	}
-	due := 0.0
+	due, gangsDue := 0.0, 0.0
 	w.runFor(d, func() {
 		for running() < backgroundTasks {
 			est := time.Second + time.Duration(w.rng.Int64N(int64(4*time.Second)))
@@ -74,6 +77,11 @@
 			}
 			w.add("quick", quickQueue, truth, steps...)
 		}
+		for gangsDue += l.gangs * worldTick.Seconds(); gangsDue >= 1; gangsDue-- {
+			est := 3*time.Second + time.Duration(w.rng.Int64N(int64(1500*time.Millisecond)))
+			claim := graph.Resources{MilliCPU: 31000, MemoryMB: 20000, Accelerators: 2 + 2*w.rng.Int64N(4)}
+			w.add("gang", gangQueue, 0.9+0.2*w.rng.Float64(), graph.Step{Count: 4 + w.rng.IntN(2), Claim: claim, Estimate: est, Gang: true, SameRack: true})
+		}
 		if l.drains {
 			switch w.now.Add(-worldTick) / 1e9 * 1e9 {
 			case 4e9:
@@ -94,3 +102,113 @@
 	}
 	return x
 }
+
+// fixedDelay returns a way to decide that lets every task wait for the given share of its run time, whatever the forecast, within the
+// bounds of every wait.
+func fixedDelay(share float64) func(*placesWorld) {
+	return func(w *placesWorld) {
+		w.locality.reviewInterval = time.Hour // the forecast ends no wait
+		w.locality.decide = func(c nearChoice) nearDecision {
+			deadline := min(c.deadline(), c.now.Add(time.Duration(share*float64(c.runTime))))
+			if deadline <= c.now {
+				return nearDecision{}
+			}
+			return nearDecision{tasks: c.tasks, deadline: deadline}
+		}
+	}
+}
+
+// backlogCost returns a way to decide that adds to the cost of a start elsewhere what its longer run takes from others: the longer run
+// time times the backlog as a share of the pool, times the weight.
+func backlogCost(weight float64) func(*placesWorld) {
+	return func(w *placesWorld) {
+		w.locality.decide = func(c nearChoice) nearDecision {
+			longer := float64(c.runTime) * (c.factor - 1)
+			longest := c.now.Add(time.Duration(longer * (1 + weight*min(1, c.backlog))))
+			d := nearDecision{deadline: longest}
+			switch {
+			case c.lastRemoteStart > c.now:
+				d.deadline = min(d.deadline, c.lastRemoteStart)
+			case c.lastNearStart > c.now:
+				d.deadline = min(d.deadline, c.lastNearStart)
+			}
+			if c.permitsEnd > 0 {
+				d.deadline = min(d.deadline, c.permitsEnd)
+			}
+			for _, start := range c.nearStarts[:min(c.tasks, len(c.nearStarts))] {
+				if start > d.deadline || start.Add(time.Duration(minGainShare*float64(c.runTime))) > longest {
+					break
+				}
+				d.tasks++
+			}
+			return d
+		}
+	}
+}
+
+var weighAll = flag.Bool("weigh-all", false, "weigh the ways to decide about waits under all loads and factors, for docs/design/placement-near-data.md")
+
+// The ways to decide about waits are weighed under loads of a cell. The one that is kept must leave fewer quick jobs late than a cell
+// without waits, and than the other ways over all loads together, and must make gangs and wide jobs no later.
+func TestWeighWaysToWait(t *testing.T) {
+	ways := []struct {
+		name string
+		set  func(*placesWorld)
+	}{
+		{"before", func(w *placesWorld) { w.SetRemoteFactor(1) }},
+		{"no waits", never},
+		{"fixed 0.25", fixedDelay(0.25)},
+		{"fixed 0.5", fixedDelay(0.5)},
+		{"fixed 1", fixedDelay(1)},
+		{"backlog 1", backlogCost(1)},
+		{"backlog 3", backlogCost(3)},
+		{"expected ends", nil},
+	}
+	loads := []struct {
+		name string
+		load localityLoad
+	}{
+		{"60% full", localityLoad{background: 0.25, hot: 0.6, rate: 34, gangs: 3}},
+		{"90% full", localityLoad{background: 0.5, hot: 0.6, rate: 34, gangs: 3}},
+		{"100% full", localityLoad{background: 0.62, hot: 0.6, rate: 34, gangs: 3}},
+		{"drained rack", localityLoad{background: 0.25, hot: 0.6, rate: 34, gangs: 3, drains: true}},
+		{"wrong estimates", localityLoad{background: 0.5, hot: 0.6, rate: 34, gangs: 3, wrong: true}},
+		{"no hot rack", localityLoad{background: 0.5, rate: 34, gangs: 3}},
+	}
+	factors, seeds, length := []float64{1.5, 2, 3}, uint64(2), 12*time.Second
+	if !*weighAll {
+		loads, factors, seeds, length = loads[1:2], []float64{1.5, 3}, 1, 6*time.Second
+	}
+	late := make(map[string]int)
+	othersLate := make(map[string]int)
+	for _, factor := range factors {
+		for _, l := range loads {
+			l.load.factor = factor
+			for _, way := range ways {
+				var jobs, lateHere, veryLate, others, won, lost int
+				var p50, p99 time.Duration
+				for seed := uint64(1); seed <= seeds; seed++ {
+					w := l.load.run(t, seed, way.set, length)
+					q := w.result("quick")
+					jobs, lateHere, veryLate = jobs+q.jobs, lateHere+q.late, veryLate+q.veryLate
+					others += w.result("gang").late + w.result("wide").late
+					won, lost = won+int(w.LocalityStats().Won), lost+int(w.LocalityStats().Lost)
+					p50, p99 = p50+q.p50/time.Duration(seeds), p99+q.p99/time.Duration(seeds)
+				}
+				late[way.name] += lateHere
+				othersLate[way.name] += others
+				t.Logf("factor %.1f | %-15s | %-13s | %3d quick jobs, %3d late, %3d very late, p50 %s, p99 %s | %2d others late | won %4d, lost %4d", factor, l.name, way.name, jobs, lateHere, veryLate, p50, p99, others, won, lost)
+			}
+		}
+	}
+	t.Logf("late quick jobs: %v; late others: %v", late, othersLate)
+	kept := late["expected ends"]
+	for _, way := range ways[:len(ways)-1] {
+		if margin := kept / 20; kept > late[way.name]+margin {
+			t.Errorf("%d quick jobs are late, %d with %s", kept, late[way.name], way.name)
+		}
+	}
+	if othersLate["expected ends"] > othersLate["no waits"] {
+		t.Errorf("%d other jobs are late, %d without waits", othersLate["expected ends"], othersLate["no waits"])
+	}
+}
--- a/internal/dispatch/locality_world_test.go
+++ b/internal/dispatch/locality_world_test.go
@@ -24,11 +24,13 @@
 	sequences map[WorkerID]uint64
 	running   []worldRun
 	ended     map[graph.TaskID]bool
-	permits   []worldPermit
-	jobs      []*worldJob
-	open      []*worldJob
-	byID      map[graph.JobID]*worldJob
-	orders    []string
+	// groupRacks are the racks on which the first task of each step that prefers one rack ran.
+	groupRacks map[StepID]string
+	permits    []worldPermit
+	jobs       []*worldJob
+	open       []*worldJob
+	byID       map[graph.JobID]*worldJob
+	orders     []string
 	// permitted is the share of workers that the policy service allows.
 	permitted float64
 	nearRuns  int
@@ -66,13 +68,14 @@
 var (
 	worldCapacity = graph.Resources{MilliCPU: 64000, MemoryMB: 131072, Accelerators: 8}
 	quickQueue    = graph.Queue{Name: "quick", Pool: "p", MaxAttempts: 3, Stretch: 1.5, Target: 275 * time.Millisecond, Permit: &graph.PermitLatency{Base: 20 * time.Millisecond, PerWorker: 300 * time.Microsecond}}
+	gangQueue     = graph.Queue{Name: "gang", Pool: "p", Priority: 1, MaxAttempts: 3, Stretch: 2.2, Target: time.Second, Permit: &graph.PermitLatency{Base: 20 * time.Millisecond, PerWorker: 300 * time.Microsecond}}
 	wideQueue     = graph.Queue{Name: "wide", Pool: "p", Priority: 2, MaxAttempts: 3, Stretch: 4, Target: 3 * time.Second}
 )
 
 func newPlacesWorld(t testing.TB, seed uint64, factor float64, racks, perRack int) *placesWorld {
 	w := &placesWorld{
 		Engine: New(1), t: t, now: 1, rng: rand.New(rand.NewPCG(seed, seed)), factor: factor, racks: make(map[WorkerID]string),
-		sequences: make(map[WorkerID]uint64), byID: make(map[graph.JobID]*worldJob), ended: make(map[graph.TaskID]bool), permitted: 0.5,
+		sequences: make(map[WorkerID]uint64), byID: make(map[graph.JobID]*worldJob), ended: make(map[graph.TaskID]bool), groupRacks: make(map[StepID]string), permitted: 0.5,
 	}
 	w.SetRemoteFactor(factor)
 	w.SetNow(w.now)
@@ -201,8 +204,8 @@
 		step := &j.spec.Steps[o.Task.Step]
 		w.checkStart(o, step)
 		length := time.Duration(float64(step.Estimate) * j.truth)
-		if step.DataRack != "" {
-			if w.racks[o.Worker] == step.DataRack {
+		if rack := w.nearRackOf(o, step); rack != "" {
+			if w.racks[o.Worker] == rack {
 				w.nearRuns++
 			} else {
 				w.awayRuns++
@@ -210,6 +213,9 @@
 			}
 		}
 		w.running = append(w.running, worldRun{o.RunKey, o.Worker, w.now, w.now.Add(length)})
+		if step.Gang {
+			w.endGangTogether(o)
+		}
 		w.HandleStartOutcome(o.Worker, o.RunKey, Started)
 	case Stop:
 		w.orders = append(w.orders, fmt.Sprint(w.now, "stop", o.RunKey, o.Worker))
@@ -225,6 +231,34 @@
 	}
 }
 
+// nearRackOf returns the rack on which the task runs at full speed: that of its data, or that on which the first of its step's tasks
+// ran. It is empty if there is none.
+func (w *placesWorld) nearRackOf(o Start, step *graph.Step) string {
+	if step.DataRack != "" || !step.SameRack {
+		return step.DataRack
+	}
+	id := StepID{o.Task.Job, o.Task.Occurrence, o.Task.Step}
+	if _, ok := w.groupRacks[id]; !ok {
+		w.groupRacks[id] = w.racks[o.Worker]
+	}
+	return w.groupRacks[id]
+}
+
+// endGangTogether gives all members of a gang that run the latest of their ends.
+func (w *placesWorld) endGangTogether(o Start) {
+	var latest monotime.Instant
+	for pass := range 2 {
+		for i := range w.running {
+			if key := w.running[i].key; key.Task.Job == o.Task.Job && key.Task.Step == o.Task.Step {
+				latest = max(latest, w.running[i].end)
+				if pass == 1 {
+					w.running[i].end = latest
+				}
+			}
+		}
+	}
+}
+
 // checkStart checks that the task has no other run, is not done and fits on the worker.
 func (w *placesWorld) checkStart(o Start, step *graph.Step) {
 	used := step.Allocation()
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -181,6 +181,8 @@
 	unknownSize bool
 	// orphan means that the engine did not order the run: when it started is not known.
 	orphan bool
+	// away means that the run takes longer than on the rack that its step prefers.
+	away   bool
 	filler bool
 	state  runState
 	// confirmedAt is when the worker acknowledged the start, or first listed the run; 0 before that.
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -208,6 +208,7 @@
 		allowed = append(allowed, plannedHold{w, s.tasksThatFit(w.free().Sub(w.heldForOthers(s, e.now)), running[w.ID])})
 	}
 	slices.SortStableFunc(allowed, func(a, b plannedHold) int { return cmp.Compare(b.tasks, a.tasks) })
+	e.sortByRack(s, allowed)
 	return allowed
 }
 
@@ -218,7 +219,8 @@
 	if !withVerdict {
 		share = e.verdictCounts[s.job.queue.Name].allowedShare()
 	}
-	for w := range e.requestOrder(s, p) {
+	rack := e.requestRack(s, p)
+	for w := range s.requestOrder(p, rack) {
 		if len(draft.workers) == maxRequestWorkers || draft.expected >= requestCapacityFactor*float64(open) {
 			return
 		}
@@ -234,7 +236,7 @@
 			continue
 		}
 		if !e.hasCapacity(s, w, graph.Resources{}, running) {
-			if !e.addNearWorker(draft, s, w) {
+			if !e.addNearWorker(draft, s, w, rack) {
 				draft.full = append(draft.full, w.ID)
 			}
 			continue
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -146,6 +146,7 @@
 			s.reservedWorkers = nil
 			return
 		}
+		open = notWaiting(open)
 	} else {
 		open = e.placeTasks(s, p, workers, open)
 	}
@@ -229,13 +230,17 @@
 func (e *Engine) placeGang(s *step, p *pool, open []*task) bool {
 	planned := make(map[*worker]graph.Resources)
 	counts := s.runsPerWorker()
-	if !e.gangFits(s, p, len(open), counts) {
+	workers := p.workers
+	if e.placesMatter(s) {
+		workers = e.gangWorkers(s, p, open)
+	}
+	if !e.gangFits(s, workers, len(open), counts) {
 		return false
 	}
 	chosen := make([]*worker, 0, len(open))
 	var last uint64
 	for _, t := range open {
-		w := e.bestWorker(s, p.workers, planned, counts)
+		w := e.bestWorker(s, workers, planned, counts)
 		if w == nil {
 			return false
 		}
@@ -250,13 +255,14 @@
 		t.checkpoint = checkpoint
 		e.startRun(t, chosen[i], number)
 	}
+	e.noteGang(s)
 	return true
 }
 
 // gangFits reports whether the given number of tasks fits, evaluating each worker once: in a busy pool, most attempts to place
 // a gang fail.
-func (e *Engine) gangFits(s *step, p *pool, tasks int, running map[WorkerID]int) bool {
-	for _, w := range p.workers {
+func (e *Engine) gangFits(s *step, workers []*worker, tasks int, running map[WorkerID]int) bool {
+	for _, w := range workers {
 		e.stats.WorkersEvaluated++
 		if !e.hasCapacity(s, w, graph.Resources{}, running) || !s.eligible(w) || !s.hasPermit(w, e.now) {
 			continue
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -24,7 +24,7 @@
 func (e *Engine) reserveForGangs(steps []*step) {
 	for _, s := range steps {
 		p := e.pools[s.job.queue.Pool]
-		if !s.def.Gang || p == nil || s.unplacedCount() < len(s.tasks) {
+		if !s.def.Gang || p == nil || len(s.locality.waits) > 0 || s.unplacedCount() < len(s.tasks) {
 			continue
 		}
 		if s.job.queue.Permit != nil && s.verdicts == nil {
