--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -157,6 +157,7 @@
 			p.notePlaced(s, len(open))
 			return
 		}
+		open = notWaiting(open)
 	} else {
 		waiting := len(open)
 		open = e.placeTasks(s, p, workers, open)
@@ -244,11 +245,15 @@
 func (e *Engine) placeGang(s *step, p *pool, open []*task) bool {
 	planned := make(map[*worker]graph.Resources)
 	counts := s.runsPerWorker()
-	if !e.gangFits(s, p, len(open), counts) {
+	workers := p.workers
+	if e.placesMatter(s) {
+		workers = e.gangWorkers(s, p, open)
+	}
+	if !e.gangFits(s, workers, len(open), counts) {
 		return false
 	}
 	chosen := make([]*worker, 0, len(open))
-	ranked := e.rank(s, p.workers, planned, counts)
+	ranked := e.rank(s, workers, planned, counts)
 	var last uint64
 	for _, t := range open {
 		w := ranked.best()
@@ -267,13 +272,14 @@
 		t.checkpoint = checkpoint
 		e.startRun(t, chosen[i], number)
 	}
+	e.noteGang(s)
 	return true
 }
 
 // gangFits reports whether the given number of tasks fits, evaluating each worker once: in a busy pool, most attempts to place
 // a gang fail.
-func (e *Engine) gangFits(s *step, p *pool, tasks int, running map[WorkerID]int) bool {
-	for _, w := range p.workers {
+func (e *Engine) gangFits(s *step, workers []*worker, tasks int, running map[WorkerID]int) bool {
+	for _, w := range workers {
 		e.stats.WorkersEvaluated++
 		if !e.hasCapacity(s, w, graph.Resources{}, running) || !s.eligible(w) || !s.hasPermit(w, e.now) {
 			continue
