Log whether a queued job arrived beyond its organisation's rate

Cause: whether an organisation's job waits for its rate can't be told from the logs after the fact. Change: the line 'job queued' names the organisation and beyond_rate.

--- a/internal/dispatch/lanes.go
+++ b/internal/dispatch/lanes.go
@@ -25,6 +25,12 @@
 	}
 }
 
+// BeyondRate reports whether a job arrived beyond its organisation's rate.
+func (e *Engine) BeyondRate(id graph.JobID) bool {
+	j := e.jobs[id]
+	return j != nil && j.lane == laneBeyondRate
+}
+
 // assignLanes decides the lanes of all jobs anew in order of arrival, when the first configuration with organisations arrives.
 func (e *Engine) assignLanes() {
 	e.lanesAssigned = true
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -191,7 +191,11 @@
 	state, known := c.engine.JobState(id)
 	if !known {
 		c.addJob(id, j, false)
-		c.Log.Info().Str("job", string(id)).Str("queue", j.Queue.Name).Msg("job queued")
+		entry := c.Log.Info().Str("job", string(id)).Str("queue", j.Queue.Name)
+		if j.Organisation != "" {
+			entry.Str("organisation", j.Organisation).Bool("beyond_rate", c.engine.BeyondRate(id))
+		}
+		entry.Msg("job queued")
 		return
 	}
 	if j.Cancelled && !state.Ended() {
