Hold calls are short while answers of many workers get lost

A hold call whose answer is lost hides all ends on its worker until it times out, 2 s after it was sent; the shorter wait after a loss helps only the worker that just lost one. Change: the owner follows the share of hold calls without an answer over all workers. While it is 1% or more, calls to workers with runs wait 0.3 s (more on large fleets, 1,200 calls a second at most) and are given up 0.25 s after that.

--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -39,7 +39,12 @@
 	events                              chan func()
 	// gate admits the orders to workers.
 	gate *flowcontrol.Gate
-	ctx  context.Context
+	// holdLosses follows how many hold calls get no answer; workersInUse is the number of workerConns.
+	holdLosses   flowcontrol.Losses
+	workersInUse atomic.Int64
+	// lossesLogged means that the last log line about lost answers said that they are likely.
+	lossesLogged bool
+	ctx          context.Context
 
 	engine *dispatch.Engine
 	// organisationsVersion is the version of the configuration whose organisations the engine has; 0 for none yet.
@@ -231,6 +236,8 @@
 			c.handleQueuedEvents()
 		case <-ticker.C:
 			c.engine.SetNow(c.now())
+			c.workersInUse.Store(int64(len(c.workerConns)))
+			c.logLosses()
 			c.expireLeases()
 			c.holdBackLeases()
 			c.resignIfNeeded()
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -21,6 +21,7 @@
 // newStartCall returns the call for a start order. Its lease deadline is set when the control loop decides: the control loop gives
 // up the run when that lease has expired, and a call that is delayed until then does nothing.
 func (wc *workerConn) newStartCall(order dispatch.Start) StartCall {
+	wc.starts.Add(1)
 	call := StartCall{Start: order, Epoch: wc.controller.ownership.Epoch()}
 	if !wc.leaseHeldBack.Load() {
 		call.Deadline, _ = wc.lease.extend(wc.controller.now(), wc.controller.workerLeaseDuration()) // 0 while the worker's clock is not known
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,11 @@
 	lossPeriod = 4 * time.Second
 	// holdTimeout bounds a hold call beyond its wait while answers come fast.
 	holdTimeout = 800 * time.Millisecond
+	// lossyHoldTimeout is used instead while answers of many workers get lost.
+	lossyHoldTimeout = 250 * time.Millisecond
+	// maxLossyHolds bounds the hold calls of all workers, per second, while answers get lost: half of what an owner with most
+	// of a core sends in all.
+	maxLossyHolds = 1200
 	// holdRetryDelay is the delay after a hold call without an answer.
 	holdRetryDelay = 150 * time.Millisecond
 	// commitWait is how long the hold loop waits until the reported ends are recorded in the ledger. After that it sends the
@@ -59,6 +65,10 @@
 	recordedAdvanced chan struct{}
 	// leaseHeldBack means that the lease must not be extended.
 	leaseHeldBack atomic.Bool
+	// starts counts the starts ordered. idle means that the last report listed no run and that none was ordered since its call;
+	// only the hold loop uses idle.
+	starts atomic.Uint64
+	idle   bool
 	// answerTime follows the worker's answers to orders.
 	answerTime flowcontrol.AnswerTime
 }
@@ -123,23 +133,48 @@
 		if err != nil {
 			lostAt = wc.controller.now()
 			wc.controller.post(func() { wc.controller.handleHoldFailure(wc, err) })
-			monotime.Sleep(ctx, holdRetryDelay)
+			if !errors.Is(err, errAnswerLost) {
+				monotime.Sleep(ctx, holdRetryDelay)
+			}
 			wait = 0
 			continue
 		}
-		wait = nextHoldWait(lostAt, wc.controller.now())
+		wait = wc.nextHoldWait(lostAt, wc.controller.now())
 		if !wc.awaitRecorded(ctx, last) {
 			wait = 0
 		}
 	}
 }
 
-// nextHoldWait returns the wait of the next hold call. lostAt is when the last answer was lost, 0 for never.
-func nextHoldWait(lostAt, now monotime.Instant) time.Duration {
+// nextHoldWait returns the wait of the next hold call. lostAt is when the last answer of the worker was lost, 0 for never. A hold
+// call whose answer gets lost hides the ends of all runs on its worker until the next one. While answers of many workers get lost,
+// the calls to those with runs are therefore short.
+func (wc *workerConn) nextHoldWait(lostAt, now monotime.Instant) time.Duration {
 	if lostAt > 0 && now.Sub(lostAt) < lossPeriod {
 		return holdWaitAfterLoss
 	}
-	return holdWait
+	c := wc.controller
+	if wc.idle || !c.holdLosses.Likely(now) {
+		return holdWait
+	}
+	workers := time.Duration(c.workersInUse.Load())
+	return min(holdWait, max(holdWaitAfterLoss, workers*time.Second/maxLossyHolds))
+}
+
+// logLosses logs when answers of many workers begin to get lost and when they no longer do.
+func (c *controller) logLosses() {
+	if likely := c.holdLosses.Likely(c.now()); likely != c.lossesLogged {
+		c.lossesLogged = likely
+		c.Log.Warn().Bool("likely", likely).Msg("lost answers of workers")
+	}
+}
+
+// holdTimeout returns how long a hold call may take beyond its wait.
+func (c *controller) holdTimeout(now monotime.Instant) time.Duration {
+	if c.holdLosses.Likely(now) {
+		return max(lossyHoldTimeout, c.gate.RepeatDelay(0, 0))
+	}
+	return max(holdTimeout, c.gate.Timeout())
 }
 
 // awaitRecorded waits for commitWait at most until the ends up to last are recorded, and reports whether they are.
@@ -161,14 +196,16 @@
 // hold sends one hold call, which extends the worker's lease if extend is set, and returns the sequence of the last end that the
 // worker has reported.
 func (wc *workerConn) hold(ctx context.Context, wait time.Duration, extend bool) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+max(holdTimeout, wc.controller.gate.Timeout()))
+	sentAt := wc.controller.now()
+	timeout := wait + wc.controller.holdTimeout(sentAt)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	startsBefore := wc.starts.Load()
 	call := HoldCall{Epoch: wc.controller.ownership.Epoch(), Recorded: wc.recorded(), Wait: wait}
 	if !extend {
 		// The process may have restarted since the last answer. Its ends count from 1 again and must not pass for recorded.
 		call.Recorded = 0
 	}
-	sentAt := wc.controller.now()
 	if extend && wc.controller.ownershipValid() && !wc.leaseHeldBack.Load() {
 		if deadline, ok := wc.lease.extend(sentAt, wc.controller.workerLeaseDuration()); ok {
 			call.Deadline = deadline
@@ -176,15 +213,24 @@
 	}
 	wc.controller.instruments.holds.Inc()
 	report, clock, err := wc.controller.Workers.Hold(ctx, wc.worker, call)
+	answeredAt := wc.controller.now()
+	lost := err != nil && answeredAt.Sub(sentAt) >= timeout
+	if extend {
+		wc.controller.holdLosses.Observe(answeredAt, lost)
+	}
 	if err != nil {
 		wc.controller.instruments.holdFailures.Inc()
+		if lost && extend && wc.controller.holdLosses.Likely(answeredAt) {
+			return 0, fmt.Errorf("%w: %w", errAnswerLost, err)
+		}
 		return 0, err
 	}
+	wc.idle = len(report.Running) == 0 && wc.starts.Load() == startsBefore
 	if wc.processStart != 0 && report.ProcessStart != 0 && report.ProcessStart != wc.processStart {
 		return 0, errRestarted
 	}
 	wc.processStart = report.ProcessStart
-	wc.lease.observeClock(clock, wc.controller.now())
+	wc.lease.observeClock(clock, answeredAt)
 	last := call.Recorded
 	for _, e := range report.Ended {
 		last = max(last, e.Sequence)
@@ -193,6 +239,9 @@
 	return last, nil
 }
 
+// errAnswerLost means that a worker that had answered before gave no answer while those of many workers get lost.
+var errAnswerLost = errors.New("owner: answer lost")
+
 // errRestarted means that the worker's process is not the one that answered before.
 var errRestarted = errors.New("owner: the worker's process has restarted")
 
