Fair shares of a full cell, reasons and metrics by organisation

Cause: within their rates, organisations with wide or many jobs took a full cell in order of due time, and neither `graph why` nor the metrics told that a limit, a rate or a share held jobs back. Change: within a lane and a priority, organisations go by virtual time over weighted dominant shares, in bands of half a second with a lead of at most 15 s; the permit queue follows. A gang of an organisation below its share has workers reserved in a pool that another one fills. Explain names the limit (used, limit, claim), the rate or the share. The owner has gauges by organisation, 32 at most and the sum of the others. load_test.go's simulation takes organisations; its existing scenarios draw as before. Ruled out, by trials on the backlog model (docs/design/organisations.md): dominant shares now or averaged, deficit round robin.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -51,6 +51,7 @@
 	hasOrganisations, organisationsPending, lanesAssigned bool
 	// rateWindow is the time over which an organisation's rate of jobs is averaged.
 	rateWindow time.Duration
+	shares     fairShares
 	stats      Stats
 }
 
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -14,7 +14,7 @@
 	if j == nil {
 		return nil
 	}
-	lines := []string{fmt.Sprintf("%s, arrived %s ago, objective %s", j.state, roundToMS(e.now.Sub(j.arrivedAt)), roundToMS(j.objective))}
+	lines := []string{fmt.Sprintf("%s, arrived %s ago, objective %s", j.state, roundToMS(e.now.Sub(j.arrivedAt)), roundToMS(j.objective)) + e.explainOrganisation(j)}
 	if j.state.Ended() {
 		return lines
 	}
@@ -52,10 +52,14 @@
 		return fmt.Sprintf("pool %s has no workers that take new runs", s.job.queue.Pool)
 	case e.organisationsPending && s.job.organisation != nil:
 		return "waiting for the configuration, which holds the organisation's limit"
-	case s.pendingPermitRequests > 0:
+	}
+	if reason := e.explainLimit(s); reason != "" {
+		return reason
+	}
+	if s.pendingPermitRequests > 0 {
 		return "waiting for the policy service"
 	}
-	return e.explainCapacity(s, p)
+	return e.explainCapacity(s, p) + e.explainOrder(s.job)
 }
 
 // explainCapacity describes how many of the pool's workers remain after each requirement of the step.
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -151,7 +151,9 @@
 	// complete in time, 2 for one that is far beyond its objective, and laneDemotion more for one beyond its organisation's
 	// rate.
 	Demotion int
-	Due      monotime.Instant
+	// Band orders requests of one demotion and priority before Due does: organisations that are further ahead of others go last.
+	Band int
+	Due  monotime.Instant
 }
 
 func (Start) order()         {}
--- a/internal/dispatch/organisation.go
+++ b/internal/dispatch/organisation.go
@@ -31,6 +31,13 @@
 	head *step
 	// waitingTasks counts its unplaced tasks of active steps at the start of the last plan.
 	waitingTasks int
+	// wasWaiting means that it had waiting tasks in the last plan.
+	wasWaiting bool
+	// share is the used share of the cell in the resource where it is largest. lead is how far the organisation is ahead of the one
+	// that has used least, in time of a fair share of the cell; band is the lead in bands.
+	share float64
+	lead  time.Duration
+	band  int
 }
 
 // defaultWeight is the weight of an organisation that the configuration doesn't name.
@@ -44,6 +51,9 @@
 	e.hasOrganisations = len(list) > 0
 	for _, o := range e.organisations {
 		o.configured, o.weight, o.limit = false, defaultWeight, graph.Resources{}
+		if !e.hasOrganisations {
+			o.lead, o.band = 0, 0
+		}
 	}
 	for i := range list {
 		o := e.organisation(list[i].Name)
@@ -358,6 +368,8 @@
 	Used, Limit graph.Resources
 	// LimitShare is the used share of the limit in the resource where it is largest; 0 without a limit.
 	LimitShare float64
+	// CellShare is the used share of the cell in the resource where it is largest, as of the last plan.
+	CellShare float64
 	// WaitingTasks counts the tasks that wait to be started.
 	WaitingTasks int
 }
@@ -366,7 +378,7 @@
 func (e *Engine) OrganisationUsages() []OrganisationUsage {
 	usages := make([]OrganisationUsage, 0, len(e.organisations))
 	for _, o := range e.organisations {
-		u := OrganisationUsage{Name: o.name, Used: o.usage(), Limit: o.limit, WaitingTasks: o.waitingTasks}
+		u := OrganisationUsage{Name: o.name, Used: o.usage(), Limit: o.limit, CellShare: o.share, WaitingTasks: o.waitingTasks}
 		limit, used := amounts(o.limit), amounts(u.Used)
 		for i := range limit {
 			if limit[i] > 0 {
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -83,6 +83,7 @@
 		Latency:  s.job.queue.Permit.For(len(workers)),
 		Priority: s.job.queue.Priority,
 		Demotion: s.demotion() + laneDemotion*s.job.lane,
+		Band:     s.job.band(),
 		Due:      s.due,
 	}
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -47,7 +47,7 @@
 }
 
 // byUrgency returns the active steps with unplaced tasks in the order in which they get capacity: by lane, then by demotion, then by
-// priority, then those whose jobs can still complete in time before others, then by due time.
+// priority, then by their organisation's band, then those whose jobs can still complete in time before others, then by due time.
 func (e *Engine) byUrgency() []*step {
 	steps := make([]*step, 0, len(e.active))
 	e.waitingTasks = 0
@@ -59,12 +59,21 @@
 			steps = append(steps, s)
 		}
 	}
+	e.updateShares()
 	slices.SortFunc(steps, compareUrgency)
 	return steps
 }
 
 func compareUrgency(a, b *step) int {
-	if c := cmp.Or(a.job.lane-b.job.lane, a.demotion()-b.demotion(), a.job.queue.Priority-b.job.queue.Priority, a.missedAtPlan-b.missedAtPlan); c != 0 {
+	if c := cmp.Or(a.job.lane-b.job.lane, a.demotion()-b.demotion(), a.job.queue.Priority-b.job.queue.Priority); c != 0 {
+		return c
+	}
+	if a.job.organisation != b.job.organisation {
+		if c := a.job.band() - b.job.band(); c != 0 {
+			return c
+		}
+	}
+	if c := a.missedAtPlan - b.missedAtPlan; c != 0 {
 		return c
 	}
 	if a.due != b.due {
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -27,6 +27,8 @@
 	spare        *graph.Resources
 	// reservedCount counts the workers that the current plan keeps free for gangs.
 	reservedCount int
+	// reservedForShare means that the current plan keeps workers free for a gang of an organisation with a small share.
+	reservedForShare bool
 	// searchInterval is the time between two searches of the whole pool for a blocked step.
 	searchInterval time.Duration
 	// capacityVersion counts the changes that may unblock a step: removals of runs and rebuilds of the pools.
@@ -80,7 +82,7 @@
 	}
 	for _, p := range e.pools {
 		p.free, p.blockedDemand, p.reservedCount = graph.Resources{}, graph.Resources{}, 0
-		p.permitDemand, p.spare = graph.Resources{}, nil
+		p.permitDemand, p.spare, p.reservedForShare = graph.Resources{}, nil, false
 		for _, w := range p.workers {
 			w.reservedFor = nil
 			p.free = p.free.Add(w.free())
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -20,7 +20,8 @@
 	minIdleShare = 0.5
 )
 
-// reserveForGangs reserves workers for the gangs that don't fit although their pool has enough free capacity.
+// reserveForGangs reserves workers for the gangs that don't fit although their pool has enough free capacity, or although their
+// organisation uses less than its share.
 func (e *Engine) reserveForGangs(steps []*step) {
 	for _, s := range steps {
 		p := e.pools[s.job.queue.Pool]
@@ -32,7 +33,8 @@
 		}
 		total := s.def.Allocation().Times(len(s.tasks))
 		idle := p.capacity.Fits(p.free.Times(int(1 / minIdleShare)))
-		if total.Times(reservationCapacityFactor).Fits(p.free) && (idle || e.overdue(s) > 0) {
+		fits := total.Times(reservationCapacityFactor).Fits(p.free) && (idle || e.overdue(s) > 0)
+		if fits || e.reservesForSmallShare(s, p) {
 			e.reserveWorkers(s, p)
 		}
 	}
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -35,6 +35,7 @@
 	validUntil atomic.Int64
 	// tasksWaiting and permitRequestsWaiting are for the metrics.
 	tasksWaiting, permitRequestsWaiting atomic.Int64
+	organisationUsages                  atomic.Pointer[[]dispatch.OrganisationUsage]
 	events                              chan func()
 	// gate admits the orders to workers.
 	gate *flowcontrol.Gate
@@ -223,6 +224,7 @@
 			c.resignIfNeeded()
 			c.ownership.SetStandbys(c.permits.countStandbys(c.now(), c.Cores))
 			c.removeEndedJobs()
+			c.publishOrganisationUsages()
 		}
 		c.handleEventsUntilRound()
 		roundStartedAt := c.now()
--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -38,6 +38,10 @@
 	allowedShare float64
 	// value is the value of a job with mean work.
 	value float64
+	// organisation is that of the jobs; empty for none.
+	organisation string
+	// from and to bound the time in which the jobs arrive; 0 for the whole time.
+	from, to time.Duration
 }
 
 // loadPool is a pool of equal workers.
@@ -56,6 +60,9 @@
 	arrivalDuration time.Duration
 	// outageFrom and outageTo bound a time without an owner: jobs arrive, but nothing is scheduled.
 	outageFrom, outageTo time.Duration
+	// organisations are those of the configuration, rateWindow the time over which their rates are averaged.
+	organisations []graph.Organisation
+	rateWindow    time.Duration
 }
 
 func (o *loadScenario) jobArrivalDuration() time.Duration {
@@ -212,6 +219,8 @@
 	gangs map[string]int
 	// allowedWorkers holds, for each step, the workers that may run it.
 	allowedWorkers map[dispatch.StepID]map[dispatch.WorkerID]bool
+	// observe is called after each round unless it is nil.
+	observe func()
 }
 
 const (
@@ -240,6 +249,9 @@
 		size: map[dispatch.WorkerID]graph.Resources{}, runs: map[dispatch.RunKey]dispatch.WorkerID{}, runStartedAt: map[dispatch.RunKey]monotime.Instant{}, gangs: map[string]int{},
 		allowedWorkers: map[dispatch.StepID]map[dispatch.WorkerID]bool{},
 	}
+	if len(scenario.organisations) > 0 {
+		s.engine.SetOrganisations(scenario.organisations, scenario.rateWindow)
+	}
 	for _, p := range scenario.pools {
 		for i := range p.workers {
 			id := dispatch.WorkerID(fmt.Sprintf("%s-%02d", p.name, i))
@@ -262,6 +274,9 @@
 		s.engine.SetNow(s.now)
 		e.f()
 		s.round()
+		if s.observe != nil {
+			s.observe()
+		}
 		if s.now > monotime.Instant(2*s.scenario.jobArrivalDuration()) {
 			break
 		}
@@ -297,7 +312,9 @@
 		if s.now > monotime.Instant(s.scenario.jobArrivalDuration()) {
 			return
 		}
-		s.submit(kind)
+		if k := &s.scenario.kinds[kind]; k.to == 0 || (s.now >= monotime.Instant(k.from) && s.now < monotime.Instant(k.to)) {
+			s.submit(kind)
+		}
 		s.scheduleArrival(kind)
 	})
 }
@@ -353,7 +370,7 @@
 	s.results[kind].jobs++
 	s.results[kind].fullValue += j.value
 	s.after(callLatency, func() {
-		s.engine.AddJob(dispatch.JobInput{ID: id, Queue: k.queue, Spec: j.spec, ArrivedAt: s.now})
+		s.engine.AddJob(dispatch.JobInput{ID: id, Queue: k.queue, Organisation: k.organisation, Spec: j.spec, ArrivedAt: s.now})
 	})
 }
 
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -29,6 +29,7 @@
 	ownerGauge("laburnumpoint_events_waiting", func(c *controller) float64 { return float64(len(c.events)) })
 	ownerGauge("laburnumpoint_tasks_waiting", func(c *controller) float64 { return float64(c.tasksWaiting.Load()) })
 	ownerGauge("laburnumpoint_permit_questions_waiting", func(c *controller) float64 { return float64(c.permitRequestsWaiting.Load()) })
+	set.RegisterMetricsWriter(d.writeOrganisationMetrics)
 	gateGauge := func(name string, value func(flowcontrol.Stats) float64) {
 		ownerGauge(name, func(c *controller) float64 { return value(c.gate.Stats()) })
 	}
--- a/internal/owner/organisations_test.go
+++ b/internal/owner/organisations_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,3 +55,48 @@
 		}
 	}
 }
+
+// The metrics by organisation must not grow with the number of organisations: the largest have their own, the others are added up.
+func TestOrganisationMetricsAreBounded(t *testing.T) {
+	d := newTestController(t.Context(), &fakeClient{startedAt: time.Now()}).Daemon
+	c := newController(t.Context(), d, &ledger.Ownership{}, d.Clock.Now(), d.Clock.Now())
+	var list []graph.Organisation
+	for i := range maxOrganisationMetrics + 8 {
+		list = append(list, graph.Organisation{Name: fmt.Sprintf("o%02d", i), Weight: 1000, Limit: graph.Resources{MilliCPU: 100}})
+	}
+	c.engine.SetOrganisations(list, time.Second)
+	c.engine.PutWorker(dispatch.Worker{ID: "w", Pool: "p", Capacity: graph.Resources{MilliCPU: 10_000}})
+	c.engine.SetReachable("w", true)
+	for i, o := range list {
+		spec := &graph.Spec{Steps: []graph.Step{{Count: 5 + i, Claim: graph.Resources{MilliCPU: 25}}}}
+		c.engine.AddJob(dispatch.JobInput{ID: graph.JobID(o.Name), Queue: graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, Organisation: o.Name, Spec: spec, ArrivedAt: c.now()})
+	}
+	c.engine.Plan(0)
+	c.engine.Plan(0)
+	c.publishOrganisationUsages()
+	var out strings.Builder
+	d.Metrics.WritePrometheus(&out)
+	if strings.Contains(out.String(), "laburnumpoint_organisation") {
+		t.Error("a daemon that doesn't own the cell has metrics by organisation")
+	}
+	d.controller.Store(c)
+	out.Reset()
+	d.Metrics.WritePrometheus(&out)
+	if n := strings.Count(out.String(), "laburnumpoint_organisation_limit_used{"); n != maxOrganisationMetrics+1 {
+		t.Errorf("%d organisations in the metrics, want %d and the sum of the others", n, maxOrganisationMetrics)
+	}
+	waiting := 0
+	for i := range 8 {
+		waiting += i + 1
+	}
+	for _, want := range []string{
+		`laburnumpoint_organisation_limit_used{organisation="o39"} 1`,
+		`laburnumpoint_organisation_cell_used{organisation="o39"} 0.01`,
+		`laburnumpoint_organisation_tasks_waiting{organisation="o39"} 40`,
+		fmt.Sprintf(`laburnumpoint_organisation_tasks_waiting{organisation="(others)"} %d`, waiting),
+	} {
+		if !strings.Contains(out.String(), want+"\n") {
+			t.Errorf("no %s in the metrics:\n%s", want, out.String())
+		}
+	}
+}
--- a/internal/owner/permits.go
+++ b/internal/owner/permits.go
@@ -127,7 +127,7 @@
 		return dispatch.PermitRequest{}, nil, false
 	}
 	slices.SortStableFunc(q.waiting, func(a, b dispatch.PermitRequest) int {
-		return cmp.Or(a.Demotion-b.Demotion, a.Priority-b.Priority, cmp.Compare(a.Due, b.Due))
+		return cmp.Or(a.Demotion-b.Demotion, a.Priority-b.Priority, a.Band-b.Band, cmp.Compare(a.Due, b.Due))
 	})
 	slowAllowed := slow < maxSlowRequests(live)
 	for i, request := range q.waiting {
