Limits: copies and ended jobs after a takeover, lost workers in the property test

Cause: after a takeover a task that may be copied counted once, though its copy may run on a worker that has not reported. Change: such a task counts for two unreported runs, one if it is done. How many tasks fit is computed, not counted one by one, since a step may have 10,000 tasks. The property test replaces workers, with 6,000 histories in place of 3,000; its simulation drops stops for workers that are gone, as the owner does (TestRandomHistories loses no worker, so that it is unchanged). Tables for both cases.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -258,7 +258,9 @@
 		t.step.placedTasks--
 	}
 	t.done = true
-	j.organisation.markReported(t)
+	if !t.step.def.Speculative {
+		j.organisation.markReported(t)
+	}
 	t.step.openTasks--
 	e.markDirty(j)
 	if t.run != nil && !t.step.def.Gang {
--- a/internal/dispatch/lanes.go
+++ b/internal/dispatch/lanes.go
@@ -68,14 +68,7 @@
 		}
 		return 0
 	}
-	left := *p.spare
-	for n := range open {
-		if !unit.Fits(left) {
-			return n
-		}
-		left = left.Sub(unit)
-	}
-	return open
+	return tasksWithin(*p.spare, unit, unit, open)
 }
 
 // notePlaced notes that tasks of a step have been placed.
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -256,8 +256,8 @@
 	surplusRuns int
 	// preemptions counts how often the task was preempted.
 	preemptions int
-	// unreported means that the task is counted in its organisation's unreported tasks.
-	unreported bool
+	// unreported is how many runs of the task are counted among its organisation's unreported ones.
+	unreported int
 }
 
 // setRun makes r the task's current run; nil means that the task has none.
--- a/internal/dispatch/organisation.go
+++ b/internal/dispatch/organisation.go
@@ -119,7 +119,7 @@
 		return
 	}
 	o.jobs++
-	if !j.unconfirmed || j.state == graph.Completed {
+	if !j.unconfirmed {
 		return
 	}
 	pool := j.queue.Pool
@@ -127,10 +127,8 @@
 		o.unreported = make(map[string]graph.Resources)
 	}
 	j.eachTask(func(t *task) {
-		if !t.done {
-			t.unreported = true
-			o.unreported[pool] = o.unreported[pool].Add(t.step.def.Allocation())
-		}
+		t.unreported = t.possibleRuns()
+		o.unreported[pool] = o.unreported[pool].Add(t.step.def.Allocation().Times(t.unreported))
 	})
 }
 
@@ -141,12 +139,25 @@
 	}
 }
 
-// markReported notes that a task has no run that is not known: a task has one run at a time.
+// possibleRuns returns how many runs of a task an earlier owner may have left. A task has one run at a time, and none when it is done;
+// one that may be copied has one more.
+func (t *task) possibleRuns() int {
+	runs := 0
+	if !t.done && t.step.job.state != graph.Completed {
+		runs++
+	}
+	if t.step.def.Speculative {
+		runs++
+	}
+	return runs
+}
+
+// markReported notes that a run of the task is known now.
 func (o *organisation) markReported(t *task) {
-	if o == nil || !t.unreported {
+	if o == nil || t.unreported == 0 {
 		return
 	}
-	t.unreported = false
+	t.unreported--
 	pool := t.step.job.queue.Pool
 	if amount, ok := o.unreported[pool]; ok {
 		o.unreported[pool] = amount.Sub(t.step.def.Allocation())
@@ -286,13 +297,33 @@
 		}
 		return 0
 	}
-	for n := range open {
-		if !o.admits(used, unit, one) || e.keptForHead(head, s, used, unit) {
+	// After a task that fits, no exception is left: more than half of the limit is used, or the next task fits as well.
+	admitted := tasksWithin(o.limit.Sub(used), one, o.limit, open)
+	if admitted == 0 && open > 0 && o.admits(used, unit, one) {
+		admitted = 1
+	}
+	if head == nil {
+		return admitted
+	}
+	for n := range admitted {
+		if e.keptForHead(head, s, used, unit) {
 			return n
 		}
 		used = used.Add(one)
 	}
-	return open
+	return admitted
+}
+
+// tasksWithin returns how many of the given number of tasks fit into the room. Resources for which bounded is 0 don't count.
+func tasksWithin(room, one, bounded graph.Resources, open int) int {
+	r, t, b := amounts(room), amounts(one), amounts(bounded)
+	n := int64(open)
+	for i := range t {
+		if t[i] > 0 && b[i] > 0 {
+			n = min(n, max(0, r[i])/t[i])
+		}
+	}
+	return int(n)
 }
 
 // A step that its organisation's limit blocks keeps a part of the limit from the organisation's later steps. Otherwise small tasks
--- a/internal/dispatch/organisation_random_test.go
+++ b/internal/dispatch/organisation_random_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,7 +19,8 @@
 	limits    map[string]int64
 	cancelled map[graph.JobID]bool
 	// gangStart is what the organisation used when the first member of a gang's run was ordered.
-	gangStart map[string]int64
+	gangStart    map[string]int64
+	workersAdded int
 }
 
 var limitedOrganisations = []string{"a", "b"}
@@ -123,10 +125,10 @@
 }
 
 // An organisation has no more running than its limit, whatever the order of starts, ends, cancellations, lost answers, late starts,
-// takeovers and changes of the configuration: a run that is being stopped, may have been started or may be running on a worker that
+// lost workers, takeovers and changes of the configuration: a run that is being stopped, may have been started or may be running on a worker that
 // has not reported to a new owner must not be left out.
 func TestNoStartExceedsTheLimitOfItsOrganisation(t *testing.T) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "6000"} {
 		if err := flag.Set(name, value); err != nil {
 			t.Fatal(err)
 		}
@@ -142,11 +144,8 @@
 		}
 		w.newOrganisation = func() string { return rapid.SampledFrom(limitedOrganisations).Draw(t, "organisation") }
 		w.configure, w.observeStart = w.setLimits, w.checkStart
-		for i := range 4 {
-			id := WorkerID(fmt.Sprint("w", i))
-			w.workers[id] = &simulatedWorker{capacity: graph.Resources{MilliCPU: 100}, running: make(map[RunKey]bool), stopped: make(map[graph.TaskID]uint64)}
-			w.engine.PutWorker(Worker{ID: id, Pool: "p", Capacity: w.workers[id].capacity})
-			w.engine.SetReachable(id, true)
+		for range 4 {
+			w.addWorker()
 		}
 		drawLimits := func() {
 			name := rapid.SampledFrom(limitedOrganisations).Draw(t, "limited")
@@ -161,7 +160,7 @@
 		for range rapid.IntRange(10, 80).Draw(t, "events") {
 			w.now = w.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
 			w.engine.SetNow(w.now)
-			switch rapid.IntRange(0, 13).Draw(t, "event") {
+			switch rapid.IntRange(0, 14).Draw(t, "event") {
 			case 0, 1:
 				w.addJob()
 			case 2:
@@ -189,12 +188,35 @@
 					w.cancelled[id] = true
 					w.engine.Cancel(id)
 				}
+			case 14:
+				w.replaceWorker(rapid.SampledFrom(w.workerIDs()).Draw(t, "lost worker"))
 			}
 			w.executePlan()
 		}
 	})
 }
 
+// replaceWorker ends a worker with all its runs and adds another one. Ends that the worker still lists are recorded before: a task
+// whose end is lost with its worker rightly starts again.
+func (w *limitSimulation) replaceWorker(lost WorkerID) {
+	if len(w.workers[lost].ended) > 0 {
+		w.report(lost)
+		w.recordProgress()
+	}
+	delete(w.workers, lost)
+	w.lateStarts = slices.DeleteFunc(w.lateStarts, func(s Start) bool { return s.Worker == lost })
+	w.engine.RemoveWorker(lost)
+	w.addWorker()
+}
+
+func (w *limitSimulation) addWorker() {
+	id := WorkerID(fmt.Sprintf("w%03d", w.workersAdded))
+	w.workersAdded++
+	w.workers[id] = &simulatedWorker{capacity: graph.Resources{MilliCPU: 100}, running: make(map[RunKey]bool), stopped: make(map[graph.TaskID]uint64)}
+	w.engine.PutWorker(Worker{ID: id, Pool: "p", Capacity: w.workers[id].capacity})
+	w.engine.SetReachable(id, true)
+}
+
 // endSomePlainRun ends a run of a task that is no member of a gang.
 func (w *limitSimulation) endSomePlainRun() {
 	for _, id := range w.workerIDs() {
--- a/internal/dispatch/organisation_test.go
+++ b/internal/dispatch/organisation_test.go
@@ -275,6 +275,42 @@
 	}
 }
 
+// The runs of a job that was cancelled or failed just before a takeover may not have been stopped yet. Those of a completed job have
+// ended.
+func TestRunsOfEndedJobsCountAfterTakeover(t *testing.T) {
+	for state, starts := range map[graph.JobState]int{graph.Cancelled: 2, graph.Failed: 2, graph.Completed: 5} {
+		f := &organisationFixture{newFixture(t, 2)}
+		f.advance(time.Second)
+		f.SetOrganisations([]graph.Organisation{limited("a", 500)}, time.Second)
+		f.AwaitReport(f.addWorker("w0", 1000), "p")
+		f.addWorker("w1", 1000)
+		f.AddJob(JobInput{ID: "old", Queue: plainQueue, Organisation: "a", Spec: &graph.Spec{Steps: []graph.Step{withCPU(3, 100)}}, Progress: &Progress{State: state, Started: true}, Unconfirmed: true})
+		f.submit("new", "a", plainQueue, withCPU(9, 100))
+		expectStarts(t, f.startsByJob(), map[graph.JobID]int{"new": starts})
+		f.HandleReport("w0", f.virtualTime, Report{})
+		if total := f.startsByJob()["new"] + starts; total != 5 {
+			t.Errorf("%d starts beside a %s job once all have reported, want 5", total, state)
+		}
+	}
+}
+
+// A task that may be copied can have a second run on a worker that has not reported.
+func TestCopiesMayRunAfterTakeover(t *testing.T) {
+	f := &organisationFixture{newFixture(t, 2)}
+	f.advance(time.Second)
+	f.SetOrganisations([]graph.Organisation{limited("a", 500)}, time.Second)
+	f.AwaitReport(f.addWorker("w0", 1000), "p")
+	f.AwaitReport(f.addWorker("w1", 1000), "p")
+	copied := withCPU(1, 200)
+	copied.Speculative = true
+	f.AddJob(JobInput{ID: "old", Queue: plainQueue, Organisation: "a", Spec: &graph.Spec{Steps: []graph.Step{copied}}, ArrivedAt: f.virtualTime, Unconfirmed: true})
+	f.submit("new", "a", plainQueue, withCPU(3, 100))
+	f.HandleReport("w0", f.virtualTime, runningReport(runKey("old", 0, 0, 1)))
+	expectStarts(t, f.startsByJob(), map[graph.JobID]int{"new": 1})
+	f.HandleReport("w1", f.virtualTime, Report{})
+	expectStarts(t, f.startsByJob(), map[graph.JobID]int{"new": 2})
+}
+
 // A new owner without a configuration doesn't know the limits: it must not start what may exceed them.
 func TestJobsOfOrganisationsWaitForTheConfiguration(t *testing.T) {
 	f := &organisationFixture{newFixture(t, 1)}
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -131,6 +131,9 @@
 				w.engine.HandleStartOutcome(o.Worker, o.RunKey, w.executeStart(o, w.epoch))
 			}
 		case Stop:
+			if w.workers[o.Worker] == nil {
+				continue // the worker has ended, and the owner drops the order
+			}
 			if rapid.Bool().Draw(w.t, "stop answered") {
 				worker := w.workers[o.Worker]
 				worker.stopped[o.Task] = max(worker.stopped[o.Task], o.Number)
