--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -155,7 +155,9 @@
 	// complete in time, 2 for one that is far beyond its objective, and laneDemotion more for one beyond its organisation's
 	// rate.
 	Demotion int
-	Due      monotime.Instant
+	// Band orders requests of one demotion and priority before Due does: organisations that are further ahead of others go last.
+	Band int
+	Due  monotime.Instant
 }
 
 func (Start) order()         {}
@@ -274,8 +276,8 @@
 	// preemptions counts how often the task was preempted.
 	preemptions int
 	locality    taskLocality
-	// unreported means that the task is counted in its organisation's unreported tasks.
-	unreported bool
+	// unreported is how many runs of the task are counted among its organisation's unreported ones.
+	unreported int
 }
 
 // setRun makes r the task's current run; nil means that the task has none.
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -36,6 +36,7 @@
 	// tasksWaiting and permitRequestsWaiting are for the metrics.
 	tasksWaiting, permitRequestsWaiting atomic.Int64
 	workerHealth                        workerHealth
+	organisationUsages                  atomic.Pointer[[]dispatch.OrganisationUsage]
 	events                              chan func()
 	// gate admits the orders to workers.
 	gate *flowcontrol.Gate
@@ -243,6 +244,7 @@
 			c.resignIfNeeded()
 			c.ownership.SetStandbys(c.permits.countStandbys(c.now(), c.Cores))
 			c.removeEndedJobs()
+			c.publishOrganisationUsages()
 		}
 		c.handleEventsUntilRound()
 		roundStartedAt := c.now()
