A call that a key let through ends at the bound on the key's use

Cause: a command that was let through just before the daemon stops to accept keys could wait for a silent store beyond the bound: in virtual time, with a bound of 5 s, a submission begun 4.3 s after the removal was answered 5.22 s after it.

Change: a granted decision carries the time left until MaxKeyUse, and the call's context ends then; the half second of margin is the least that a call has left. The tests of package entry read the configuration every 10 ms, so that its age is 0 when they cut the store off and keys are granted as long as possible. In the test of headers the other scheme has as many letters as Bearer: before, the case passed with the check of the scheme removed.

Result: the same submission is answered by 5 s with uncertain.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -69,8 +69,8 @@
 	return name, known
 }
 
-// keyUseMargin is how long before MaxKeyUse a daemon stops to accept keys. A command that was let through takes effect
-// later, by the time of its write to the store, on VMs that have as little as a seventh of a core.
+// keyUseMargin is how long before MaxKeyUse a daemon stops to accept keys. It is the least time that a call which was let
+// through has until its answer, on VMs that have as little as a seventh of a core.
 const keyUseMargin = 500 * time.Millisecond
 
 // Rules are the settings that decisions depend on.
@@ -107,10 +107,13 @@
 	UnknownKey
 )
 
-// Decision is a result with the organisation of a granted call; empty if it has none.
+// Decision is a result with what is known of a granted call.
 type Decision struct {
-	Result       Result
+	Result Result
+	// Organisation is the one that the key belongs to; empty if the call is granted without a key.
 	Organisation string
+	// TimeLeft is the time until MaxKeyUse is over, within which the call must be answered; 0 if there is no such bound.
+	TimeLeft time.Duration
 }
 
 // Decide decides whether a call may be served.
@@ -125,7 +128,11 @@
 	organisation, known := c.Keys.organisation(c.Key)
 	switch {
 	case known && !outdated:
-		return Decision{Result: Granted, Organisation: organisation}
+		decision := Decision{Result: Granted, Organisation: organisation}
+		if r.MaxKeyUse > 0 && !c.Public {
+			decision.TimeLeft = r.MaxKeyUse - c.ConfigAge
+		}
+		return decision
 	case c.Public:
 		return Decision{Result: Granted}
 	case outdated, c.ConfigAge > r.MaxConfigAge:
--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -23,7 +23,8 @@
 	bounded := Rules{RequireKeys: true, MaxKeyUse: 5 * time.Second, MaxConfigAge: 2900 * time.Millisecond}
 	unbounded := Rules{RequireKeys: true, MaxConfigAge: 2900 * time.Millisecond}
 	const fresh, outdated, lastGranted, firstRefused = 300 * time.Millisecond, 4 * time.Second, 4499 * time.Millisecond, 4500 * time.Millisecond
-	granted := func(organisation string) Decision { return Decision{Granted, organisation} }
+	granted := func(organisation string) Decision { return Decision{Result: Granted, Organisation: organisation} }
+	grantedFor := func(organisation string, left time.Duration) Decision { return Decision{Granted, organisation, left} }
 	unknown, undecided := Decision{Result: UnknownKey}, Decision{Result: Undecided}
 	for _, c := range []struct {
 		// guards names the failure that the case guards against.
@@ -32,15 +33,15 @@
 		call         Call
 		want         Decision
 	}{
-		{"fresh, known key", "a valid key is refused", bounded, Call{Key: NewKey("k1"), Keys: keys, ConfigAge: fresh}, granted("sparks")},
-		{"fresh, second key", "only an organisation's first key is accepted", bounded, Call{Key: NewKey("k2"), Keys: keys, ConfigAge: fresh}, granted("sparks")},
-		{"fresh, other organisation", "a job is counted for the wrong organisation", bounded, Call{Key: NewKey("k3"), Keys: keys, ConfigAge: fresh}, granted("costumes")},
+		{"fresh, known key", "a valid key is refused", bounded, Call{Key: NewKey("k1"), Keys: keys, ConfigAge: fresh}, grantedFor("sparks", 5*time.Second-fresh)},
+		{"fresh, second key", "only an organisation's first key is accepted", bounded, Call{Key: NewKey("k2"), Keys: keys, ConfigAge: fresh}, grantedFor("sparks", 5*time.Second-fresh)},
+		{"fresh, other organisation", "a job is counted for the wrong organisation", bounded, Call{Key: NewKey("k3"), Keys: keys, ConfigAge: fresh}, grantedFor("costumes", 5*time.Second-fresh)},
 		{"fresh, unknown key", "a stranger is served", bounded, Call{Key: NewKey("x"), Keys: keys, ConfigAge: fresh}, unknown},
 		{"fresh, no key", "a call without a key is served", bounded, Call{Keys: keys, ConfigAge: fresh}, unknown},
 		{"fresh, configuration without keys", "a configuration without organisations opens the cell", bounded, Call{Key: NewKey("k1"), Keys: &Keys{}, ConfigAge: fresh}, unknown},
-		{"outdated within the bound, known key", "a slow store makes daemons refuse valid keys", bounded, Call{Key: NewKey("k1"), Keys: keys, ConfigAge: outdated}, granted("sparks")},
+		{"outdated within the bound, known key", "a slow store makes daemons refuse valid keys", bounded, Call{Key: NewKey("k1"), Keys: keys, ConfigAge: outdated}, grantedFor("sparks", 5*time.Second-outdated)},
 		{"outdated within the bound, unknown key", "a new key is called unknown by a daemon that has not read it", bounded, Call{Key: NewKey("x"), Keys: keys, ConfigAge: outdated}, undecided},
-		{"last moment of the bound", "keys are refused sooner than needed", bounded, Call{Key: NewKey("k1"), Keys: keys, ConfigAge: lastGranted}, granted("sparks")},
+		{"last moment of the bound", "keys are refused sooner than needed", bounded, Call{Key: NewKey("k1"), Keys: keys, ConfigAge: lastGranted}, grantedFor("sparks", 5*time.Second-lastGranted)},
 		{"end of the bound", "a removed key is accepted after the bound", bounded, Call{Key: NewKey("k1"), Keys: keys, ConfigAge: firstRefused}, undecided},
 		{"cut off, known key", "a daemon cut off from the store accepts a removed key forever", bounded, Call{Key: NewKey("k1"), Keys: keys, ConfigAge: 20 * time.Second}, undecided},
 		{"cut off, unknown key", "a daemon cut off from the store calls a new key unknown", bounded, Call{Key: NewKey("x"), Keys: keys, ConfigAge: 20 * time.Second}, undecided},
@@ -81,7 +82,7 @@
 		}
 	}
 	rules := Rules{RequireKeys: true, MaxConfigAge: time.Second}
-	for key, want := range map[string]Decision{"k1": {Granted, "sparks"}, "k2": {Result: UnknownKey}, "": {Result: UnknownKey}} {
+	for key, want := range map[string]Decision{"k1": {Result: Granted, Organisation: "sparks"}, "k2": {Result: UnknownKey}, "": {Result: UnknownKey}} {
 		if got := rules.Decide(Call{Key: NewKey(key), Keys: keys}); got != want {
 			t.Errorf("key %q: %+v, want %+v", key, got, want)
 		}
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +25,16 @@
 	rest string
 	// organisation is the one that the request's key belongs to; empty if there is none.
 	organisation string
+	// timeLeft is the time within which the request must be answered, for the sake of its key; 0 if there is no such bound.
+	timeLeft time.Duration
+}
+
+// bound returns a context that ends when the request must be answered.
+func (a admission) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	if a.timeLeft <= 0 {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, a.timeLeft)
 }
 
 // admit returns the route of a request and the organisation of its key. If there is no such route or the key doesn't let the
@@ -39,7 +50,7 @@
 	route, rest, found := config.Match(req.Host, req.Path)
 	configAge := s.Clock.Now().Sub(confirmedAt)
 	decision := s.accessRules().Decide(access.Call{Key: req.Key, Public: found && route.Public, Keys: &config.Keys, ConfigAge: configAge})
-	admitted := admission{route: route, rest: rest, organisation: decision.Organisation}
+	admitted := admission{route: route, rest: rest, organisation: decision.Organisation, timeLeft: decision.TimeLeft}
 	switch decision.Result {
 	case access.UnknownKey:
 		return admitted, &Answer{Result: Unauthorized, Detail: "the key is unknown or missing"}
--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -45,7 +45,8 @@
 		StoreDown:      func() bool { return false },
 		ExplainIfOwner: func(context.Context, graph.JobID) ([]string, bool) { return nil, true },
 	})
-	follower := &rowstore.Follower{Store: store, Clock: clock, Log: quiet, Table: "config", Parts: []string{""}, FeedWait: 700 * time.Millisecond}
+	// The short wait makes the configuration's age 0 when a test cuts the store off, so that keys are granted as long as possible.
+	follower := &rowstore.Follower{Store: store, Clock: clock, Log: quiet, Table: "config", Parts: []string{""}, FeedWait: 10 * time.Millisecond}
 	follower.OnUpdate = func(u rowstore.Update) {
 		for _, change := range u.Changes {
 			config := &Config{Version: change.Version, Routes: []Route{{Prefix: "/q/", Queue: graph.Queue{Name: "q", MaxAttempts: 1}}}}
@@ -150,6 +151,32 @@
 	})
 }
 
+// The store falls silent while a command is written. The failures are a command that is let through shortly before the bound
+// and takes effect after it, for as long as its caller waits, and one that is called refused though it may be stored.
+func TestCommandEndsWithinTheBound(t *testing.T) {
+	for _, delay := range []time.Duration{0, time.Second, 3 * time.Second, 4 * time.Second, 4300 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer func() {
+				cancel()
+				time.Sleep(time.Second)
+			}()
+			k := newKeyTest(ctx, t)
+			// The key may be removed now, and not earlier: the store answers no read from now on.
+			k.store.unreachable.Store(true)
+			removed := time.Now()
+			time.Sleep(delay)
+			k.store.silent.Store(true)
+			caller, cancelCaller := context.WithTimeout(ctx, time.Minute)
+			defer cancelCaller()
+			answer := k.Submit(caller, Request{Path: testJob, Key: access.NewKey("k1")}, oneTask)
+			if took := time.Since(removed); took > testMaxKeyUse || answer.Result != Uncertain {
+				t.Errorf("submission %s after the removal: answered with %s after %s, want uncertain after %s at most", delay, answer.Result, took, testMaxKeyUse)
+			}
+		})
+	}
+}
+
 // Answers of more organisations than have a counter. The failure is a number of series that grows with the configuration.
 func TestCountersOfOrganisationsAreBounded(t *testing.T) {
 	set := metrics.NewSet()
--- a/internal/entry/pending_test.go
+++ b/internal/entry/pending_test.go
@@ -16,10 +16,18 @@
 	"laburnumpoint/internal/wire"
 )
 
-// unreachableStore answers no reads while unreachable is set.
+// unreachableStore answers no reads while unreachable is set, and no writes while silent is set.
 type unreachableStore struct {
 	*rowstore.MemoryStore
-	unreachable atomic.Bool
+	unreachable, silent atomic.Bool
+}
+
+func (s *unreachableStore) Apply(ctx context.Context, tx rowstore.Tx) (uint64, []rowstore.Row, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return 0, nil, rowstore.ErrUncertain
+	}
+	return s.MemoryStore.Apply(ctx, tx)
 }
 
 func (s *unreachableStore) Range(ctx context.Context, table, part, from, to string) ([]rowstore.Row, string, uint64, error) {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -194,6 +194,8 @@
 	if refusal != nil {
 		return s.recordAnswer(labelSubmit, admitted, *refusal)
 	}
+	ctx, cancel := admitted.bound(ctx)
+	defer cancel()
 	id, ok := parseJobID(admitted.rest)
 	if !ok {
 		return s.recordAnswer(labelSubmit, admitted, Answer{Result: Invalid, Detail: "job id is not 16 hexadecimal digits"})
@@ -272,7 +274,7 @@
 }
 
 // withJob calls op with the id of the job that a request names. It counts, logs and times the answer.
-func (s *Service) withJob(command string, req Request, op func(graph.JobID) Answer) Answer {
+func (s *Service) withJob(ctx context.Context, command string, req Request, op func(context.Context, graph.JobID) Answer) Answer {
 	defer s.observeDuration(command, s.Clock.Now())
 	admitted, refusal := s.admit(req)
 	if refusal != nil {
@@ -282,12 +284,14 @@
 	if !ok {
 		return s.recordAnswer(command, admitted, Answer{Result: NoJob})
 	}
-	return s.recordAnswer(command, admitted, op(id))
+	ctx, cancel := admitted.bound(ctx)
+	defer cancel()
+	return s.recordAnswer(command, admitted, op(ctx, id))
 }
 
 // Cancel cancels a job.
 func (s *Service) Cancel(ctx context.Context, req Request) Answer {
-	return s.withJob(labelCancel, req, func(id graph.JobID) Answer {
+	return s.withJob(ctx, labelCancel, req, func(ctx context.Context, id graph.JobID) Answer {
 		if found := s.findJob(ctx, id); found.Result != OK {
 			return found
 		}
@@ -304,6 +308,8 @@
 	if refusal != nil {
 		return s.recordAnswer(labelState, admitted, *refusal)
 	}
+	ctx, cancel := admitted.bound(ctx)
+	defer cancel()
 	if admitted.rest == "" {
 		return s.countPending(ctx, admitted)
 	}
@@ -335,7 +341,7 @@
 
 // Explain says why a job is in its state, as the owner knows it.
 func (s *Service) Explain(ctx context.Context, req Request) Answer {
-	return s.withJob(labelExplain, req, func(id graph.JobID) Answer { return s.explainJob(ctx, id) })
+	return s.withJob(ctx, labelExplain, req, s.explainJob)
 }
 
 func (s *Service) explainJob(ctx context.Context, id graph.JobID) Answer {
--- a/internal/graphapi/handler_test.go
+++ b/internal/graphapi/handler_test.go
@@ -58,7 +58,7 @@
 		{"unknown bearer token", "Authorization", "Bearer k2", http.MethodPut, job, http.StatusUnauthorized},
 		{"known bearer token", "Authorization", "Bearer k1", http.MethodPut, job, http.StatusOK},
 		{"scheme in lower case", "Authorization", "bearer k1", http.MethodPut, job, http.StatusOK},
-		{"another scheme", "Authorization", "Basic k1", http.MethodPut, job, http.StatusUnauthorized},
+		{"another scheme", "Authorization", "Digest k1", http.MethodPut, job, http.StatusUnauthorized},
 		{"empty bearer token", "Authorization", "Bearer ", http.MethodPut, job, http.StatusUnauthorized},
 		{"public queue", "", "", http.MethodPut, public, http.StatusOK},
 		{"state", HeaderKey, "k2", http.MethodGet, job, http.StatusUnauthorized},
