Copies of stragglers in speculative steps

Cause: single tasks take several times as long as their siblings, and a job is as late as its last task. Speculative was stored and not acted upon.

Change: a run of a Speculative step that lags behind its siblings gets a second run on another worker, if the job would else miss its objective or a quarter of the pool is free. Copies use at most 3% of a pool's capacity, start on no worker where a waiting task would fit, and never risk the task's last attempt. The first run that is done counts. After a takeover both reported runs are kept. Metrics laburnumpoint_copies and laburnumpoint_copies_won, log field copy.

Tests: TestRandomHistories and the histories of history_test.go run as before for steps that are not Speculative, with one further check: no start is ordered for a task that the engine knows to be done. New variants have Speculative steps. They allow a second run of such a task only, on another worker and under a higher number, and the start of a copy whose order was under way when the original was done. Seen to fail without each of: the other worker, the count for MaxPerWorker, the condition Speculative, one copy a task. The tests of copies_test.go were seen to fail without: the attempt that is left, the stop of both runs, the copy in the original's place, the third run's stop, the budget, the room of waiting tasks.

Tests of dispatch, owner, workerspeed, docs and standin pass.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -51,6 +51,13 @@
 	poolSpeeds        map[string]*workerspeed.Pool
 	speedsRefreshedAt monotime.Instant
 	workerEvents      []WorkerEvent
+	// copiesUsed holds by pool the allocations of copies, until they are removed or take their originals' places.
+	copiesUsed      map[string]graph.Resources
+	copiesCheckedAt monotime.Instant
+	// maxCopyShare is the share of a pool's capacity that copies may take.
+	maxCopyShare float64
+	// copyEagerly makes every run of a Speculative step a straggler. Tests of the life cycle of copies set it.
+	copyEagerly bool
 	// failureRates holds the failure rates of the pools, without their ejected workers.
 	failureRates    map[string]*failureRate
 	stallsCheckedAt monotime.Instant
@@ -64,6 +71,8 @@
 type Stats struct {
 	// Orphans counts reported runs that the engine did not order or no longer knows.
 	Starts, Refused, InDoubt, Done, Failed, Interrupted, PermitRequests, Orphans, Preempted uint64
+	// Copies counts the starts of copies, CopiesWon those that were done before their originals.
+	Copies, CopiesWon uint64
 	// TrialRuns counts the starts on ejected workers that are to show whether these are sound again.
 	TrialRuns uint64
 	// WorkersEvaluated counts how often a worker was evaluated for a step, which is most of the cost of a decision.
@@ -84,6 +93,8 @@
 		unconfirmedEnds: make(map[WorkerID]uint64),
 		verdictCounts:   make(map[string]verdictCount),
 		poolSpeeds:      make(map[string]*workerspeed.Pool),
+		copiesUsed:      make(map[string]graph.Resources),
+		maxCopyShare:    defaultCopyShare,
 		failureRates:    make(map[string]*failureRate),
 	}
 }
@@ -238,10 +249,12 @@
 		}
 	}
 	j.eachTask(func(t *task) {
-		if t.run != nil {
-			t.run.jobEnded = true
-			e.detachAndStop(t.run, reason)
+		for _, r := range []*run{t.run, t.copy} {
+			if r != nil {
+				r.jobEnded = true
+			}
 		}
+		e.stopTaskRuns(t, reason)
 	})
 }
 
@@ -249,7 +262,7 @@
 func (e *Engine) detachAndStop(r *run, reason string) {
 	if r.task != nil {
 		r.task.step.addDetachedRun(r)
-		r.task.setRun(nil)
+		e.removeTaskRun(r)
 		r.task = nil
 	}
 	e.stop(r, reason)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -117,6 +117,11 @@
 	}
 	e.allocate(r, t.step.def)
 	t.lastRunNumber = max(t.lastRunNumber, entry.Number)
+	if e.keepAsCopy(t) {
+		r.task = t
+		e.setCopy(t, r)
+		return r
+	}
 	if t.done || t.run != nil || t.step.job.state.Ended() {
 		r.surplusOf = t
 		t.surplusRuns++
@@ -158,8 +163,9 @@
 		r.worker.runsOfUnknownSize--
 		e.poolsStale = true
 	}
-	if r.task != nil && r.task.run == r {
-		r.task.setRun(nil)
+	e.stopCountingCopy(r)
+	if r.task != nil {
+		e.removeTaskRun(r)
 	}
 	r.task = nil
 	if p := e.pools[r.worker.Pool]; p != nil {
@@ -201,6 +207,9 @@
 	if r != nil {
 		if outcome == RunDone {
 			e.observeSpeed(r)
+			if r.isCopy() {
+				e.stats.CopiesWon++
+			}
 		}
 		e.releaseRun(r)
 	}
@@ -268,8 +277,8 @@
 	t.done = true
 	t.step.openTasks--
 	e.markDirty(j)
-	if t.run != nil && !t.step.def.Gang {
-		e.detachAndStop(t.run, "task is done")
+	if !t.step.def.Gang {
+		e.stopTaskRuns(t, "task is done")
 	}
 	if t.step.openTasks > 0 {
 		return
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -131,6 +131,8 @@
 	Checkpoint  string
 	// Urgent means that the job's callers wait for it: its priority is the highest. Gang means that the other members wait.
 	Urgent, Gang bool
+	// Copy means that the task has another run. Workers don't know it.
+	Copy bool `json:"-"`
 }
 
 // Stop orders a worker to end a run, or not to start it if the start order has not arrived yet.
@@ -169,7 +171,7 @@
 type run struct {
 	RunKey
 	worker *worker
-	// task is the task whose current run this is; nil if it is no task's current run and being stopped.
+	// task is the task whose current run, or copy of that, this is; nil if it is no task's current run and being stopped.
 	task *task
 	// surplusOf is the task that already had a run, or needed none, when a worker reported this one. The task is not started
 	// again until this run is removed.
@@ -195,6 +197,8 @@
 	// jobEnded means that the run is stopped because its job has ended, was cancelled or is not known.
 	jobEnded bool
 
+	// countsAsCopy means that the allocation counts towards what copies may use.
+	countsAsCopy bool
 	// fullRun means that the run does all of a task's work, so that its run time tells the worker's speed.
 	fullRun bool
 	// stalled means that the run made no progress and was counted for its worker's health.
@@ -257,6 +261,8 @@
 	lastRunNumber uint64
 	checkpoint    string
 	run           *run
+	// copy is a second run of the task that started later; nil unless the step is Speculative and run is set.
+	copy *run
 	// surplusRuns counts the task's runs with surplusOf set.
 	surplusRuns int
 	// preemptions counts how often the task was preempted.
@@ -325,6 +331,8 @@
 	siblings workerspeed.Siblings
 	// fastWaitUntil is when the step's wait for fast workers ends; 0 if it has not begun.
 	fastWaitUntil monotime.Instant
+	// wantedCopies counts the copies that lack only a permit.
+	wantedCopies int
 	// failures are the step's runs that failed or stood still, as counted against their workers.
 	failures []countedFailure
 }
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -95,11 +95,11 @@
 		return PermitRequest{}, false
 	}
 	p := e.pools[s.job.queue.Pool]
-	if !s.active || s.unplacedCount() == 0 || p == nil || len(p.workers) == 0 {
+	if !s.active || s.permitDemand() == 0 || p == nil || len(p.workers) == 0 {
 		s.finishPermitRequest(nil)
 		return PermitRequest{}, false
 	}
-	draft := e.draftPermitRequest(s, p, s.unplacedCount())
+	draft := e.draftPermitRequest(s, p, s.permitDemand())
 	needsVerdicts := s.def.Gang && s.verdicts == nil && len(draft.workers) > 0
 	if !draft.useful && !needsVerdicts {
 		s.finishPermitRequest(nil)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -33,6 +33,7 @@
 			e.placeStep(s, pool)
 		}
 	}
+	e.startCopies()
 	orders := e.orders
 	e.orders = nil
 	return orders
@@ -284,6 +285,9 @@
 		if t.run != nil {
 			counts[t.run.worker.ID]++
 		}
+		if t.copy != nil {
+			counts[t.copy.worker.ID]++
+		}
 	}
 	return counts
 }
@@ -303,7 +307,12 @@
 		w.oldestUnansweredStart = e.now
 	}
 	e.allocate(r, t.step.def)
-	t.setRun(r)
+	isCopy := t.run != nil
+	if isCopy {
+		e.setCopy(t, r)
+	} else {
+		t.setRun(r)
+	}
 	e.stats.Starts++
 	permit := t.step.permits[w.ID]
 	e.orders = append(e.orders, Start{
@@ -315,6 +324,7 @@
 		Checkpoint:  t.checkpoint,
 		Urgent:      t.step.job.queue.Priority == 0,
 		Gang:        t.step.def.Gang,
+		Copy:        isCopy,
 	})
 }
 
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -32,6 +32,8 @@
 	ownerGauge("laburnumpoint_workers_slow", func(c *controller) float64 { return float64(c.workerHealth.slow.Load()) })
 	ownerGauge("laburnumpoint_workers_ejected", func(c *controller) float64 { return float64(c.workerHealth.ejected.Load()) })
 	ownerGauge("laburnumpoint_trial_runs", func(c *controller) float64 { return float64(c.workerHealth.trialRuns.Load()) })
+	ownerGauge("laburnumpoint_copies", func(c *controller) float64 { return float64(c.workerHealth.copies.Load()) })
+	ownerGauge("laburnumpoint_copies_won", func(c *controller) float64 { return float64(c.workerHealth.copiesWon.Load()) })
 	gateGauge := func(name string, value func(flowcontrol.Stats) float64) {
 		ownerGauge(name, func(c *controller) float64 { return value(c.gate.Stats()) })
 	}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -42,7 +42,7 @@
 	if outcome != dispatch.Started {
 		entry = c.Log.Warn()
 	}
-	entry.Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Uint64("epoch", c.ownership.Epoch()).Str("worker", string(order.Worker)).Str("outcome", outcome.String()).Dur("took", took).Err(err).Msg("run start")
+	entry.Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Uint64("epoch", c.ownership.Epoch()).Str("worker", string(order.Worker)).Bool("copy", order.Copy).Str("outcome", outcome.String()).Dur("took", took).Err(err).Msg("run start")
 	c.post(func() {
 		c.engine.HandleStartOutcome(wc.worker.ID, order.RunKey, outcome)
 		c.handleOrderFailure(wc, err)
--- a/internal/owner/worker_health.go
+++ b/internal/owner/worker_health.go
@@ -6,8 +6,8 @@
 	"laburnumpoint/internal/dispatch"
 )
 
-// workerHealth holds what the metrics show of the workers' health.
-type workerHealth struct{ slow, ejected, trialRuns atomic.Int64 }
+// workerHealth holds what the metrics show of the workers' health and of the copies of stragglers.
+type workerHealth struct{ slow, ejected, trialRuns, copies, copiesWon atomic.Int64 }
 
 // recordWorkerHealth logs what the engine found out about workers and updates the metrics.
 func (c *controller) recordWorkerHealth() {
@@ -22,6 +22,9 @@
 		}
 	}
 	c.workerHealth.ejected.Store(int64(c.engine.EjectedWorkers()))
-	c.workerHealth.trialRuns.Store(int64(c.engine.Stats().TrialRuns))
+	stats := c.engine.Stats()
+	c.workerHealth.trialRuns.Store(int64(stats.TrialRuns))
+	c.workerHealth.copies.Store(int64(stats.Copies))
+	c.workerHealth.copiesWon.Store(int64(stats.CopiesWon))
 	c.workerHealth.slow.Store(int64(c.engine.SlowWorkers()))
 }
