--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -134,6 +134,8 @@
 	Checkpoint  string
 	// Urgent means that the job's callers wait for it: its priority is the highest. Gang means that the other members wait.
 	Urgent, Gang bool
+	// Copy means that the task has another run. Workers don't know it.
+	Copy bool `json:"-"`
 }
 
 // Stop orders a worker to end a run, or not to start it if the start order has not arrived yet.
@@ -175,7 +177,7 @@
 type run struct {
 	RunKey
 	worker *worker
-	// task is the task whose current run this is; nil if it is no task's current run and being stopped.
+	// task is the task whose current run, or copy of that, this is; nil if it is no task's current run and being stopped.
 	task *task
 	// surplusOf is the task that already had a run, or needed none, when a worker reported this one. The task is not started
 	// again until this run is removed.
@@ -207,6 +209,8 @@
 	// jobEnded means that the run is stopped because its job has ended, was cancelled or is not known.
 	jobEnded bool
 
+	// countsAsCopy means that the allocation counts towards what copies may use.
+	countsAsCopy bool
 	// fullRun means that the run does all of a task's work, so that its run time tells the worker's speed.
 	fullRun bool
 	// stalled means that the run made no progress and was counted for its worker's health.
@@ -271,6 +275,8 @@
 	lastRunNumber uint64
 	checkpoint    string
 	run           *run
+	// copy is a second run of the task that started later; nil unless the step is Speculative and run is set.
+	copy *run
 	// surplusRuns counts the task's runs with surplusOf set.
 	surplusRuns int
 	// preemptions counts how often the task was preempted.
@@ -347,6 +353,8 @@
 	limitBlocked bool
 	// limitHoldFrom is when the step began to keep a part of the organisation's limit from later steps; 0 if it does not.
 	limitHoldFrom monotime.Instant
+	// wantedCopies counts the copies that lack only a permit.
+	wantedCopies int
 	// failures are the step's runs that failed or stood still, as counted against their workers.
 	failures []countedFailure
 }
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -96,11 +96,11 @@
 		return PermitRequest{}, false
 	}
 	p := e.pools[s.job.queue.Pool]
-	if !s.active || s.unplacedCount() == 0 || p == nil || len(p.workers) == 0 {
+	if !s.active || s.permitDemand() == 0 || p == nil || len(p.workers) == 0 {
 		s.finishPermitRequest(nil)
 		return PermitRequest{}, false
 	}
-	admitted := e.admittedTasks(s, s.unplacedCount(), nil)
+	admitted := e.admittedTasks(s, s.permitDemand(), nil)
 	if admitted == 0 || s.limitBlocked {
 		s.finishPermitRequest(nil)
 		return PermitRequest{}, false
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -36,6 +36,7 @@
 			pool.noteWaitingPermits(s)
 		}
 	}
+	e.startCopies()
 	orders := e.orders
 	e.orders = nil
 	return orders
@@ -322,6 +323,9 @@
 		if t.run != nil {
 			counts[t.run.worker.ID]++
 		}
+		if t.copy != nil {
+			counts[t.copy.worker.ID]++
+		}
 	}
 	return counts
 }
@@ -341,7 +345,12 @@
 		w.oldestUnansweredStart = e.now
 	}
 	e.allocate(r, t.step)
-	t.setRun(r)
+	isCopy := t.run != nil
+	if isCopy {
+		e.setCopy(t, r)
+	} else {
+		t.setRun(r)
+	}
 	e.stats.Starts++
 	permit := t.step.permits[w.ID]
 	e.orders = append(e.orders, Start{
@@ -353,6 +362,7 @@
 		Checkpoint:  t.checkpoint,
 		Urgent:      t.step.job.queue.Priority == 0 && t.step.job.lane == laneWithinRate,
 		Gang:        t.step.def.Gang,
+		Copy:        isCopy,
 	})
 }
 
