graph explain tells where a job would go, before it is submitted

Cause: `graph why` explains jobs that are submitted. Whether a job would find room, near its data or at all, could only be tried.

Change: Engine.Preview makes the choices for a job that is not added, by the functions that Plan uses, with planned capacity in place of starts. It says which workers get tasks and why, which would wait for a rack, when tasks without room may start, and counts the other workers by the first reason against them.

--- a/internal/cli/graph.go
+++ b/internal/cli/graph.go
@@ -24,6 +24,7 @@
 		Usage: "submit, follow and cancel graph jobs",
 		Commands: []*cli.Command{
 			a.graphSubmitCommand(), a.graphStatusCommand(), a.graphCancelCommand(), a.graphPendingCommand(), a.graphWhyCommand(),
+			a.graphExplainCommand(),
 		},
 	}
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -118,21 +118,7 @@
 	if e.jobs[in.ID] != nil {
 		return
 	}
-	spec := in.Spec
-	j := &job{
-		id: in.ID, queue: in.Queue, organisation: in.Organisation, spec: spec, arrivedAt: in.ArrivedAt, state: graph.Queued,
-		unconfirmed: in.Unconfirmed, objective: in.Queue.Objective(spec),
-	}
-	criticalPaths := spec.CriticalPaths(in.Queue.ExpectedPermitLatency())
-	for k := range spec.OccurrenceCount() {
-		steps := make([]*step, len(spec.Steps))
-		for i := range spec.Steps {
-			steps[i] = newStep(j, k, i)
-			steps[i].remainingPath = criticalPaths[i]
-		}
-		j.steps = append(j.steps, steps)
-	}
-	j.openSteps = len(j.steps) * len(spec.Steps)
+	j := newJob(in)
 	e.jobs[in.ID] = j
 	if in.Progress != nil {
 		j.restore(*in.Progress)
@@ -152,6 +138,26 @@
 	}
 }
 
+// newJob returns a job without progress.
+func newJob(in JobInput) *job {
+	spec := in.Spec
+	j := &job{
+		id: in.ID, queue: in.Queue, organisation: in.Organisation, spec: spec, arrivedAt: in.ArrivedAt, state: graph.Queued,
+		unconfirmed: in.Unconfirmed, objective: in.Queue.Objective(spec),
+	}
+	criticalPaths := spec.CriticalPaths(in.Queue.ExpectedPermitLatency())
+	for k := range spec.OccurrenceCount() {
+		steps := make([]*step, len(spec.Steps))
+		for i := range spec.Steps {
+			steps[i] = newStep(j, k, i)
+			steps[i].remainingPath = criticalPaths[i]
+		}
+		j.steps = append(j.steps, steps)
+	}
+	j.openSteps = len(j.steps) * len(spec.Steps)
+	return j
+}
+
 func newStep(j *job, occurrence, index int) *step {
 	def := &j.spec.Steps[index]
 	s := &step{job: j, occurrence: occurrence, index: index, def: def, openTasks: def.Count}
--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -233,6 +233,28 @@
 // placeNear starts what open tasks it can, on the rack that the step prefers first, and returns the others. Tasks that wait are
 // not among these: nothing has to be done for them.
 func (e *Engine) placeNear(s *step, p *pool, workers []*worker, open []*task) []*task {
+	return e.choosePlaces(s, p, workers, open, places{
+		start: func(t *task, w *worker) {
+			if t.locality.wait != nil {
+				e.endTaskWait(t, WaitKept)
+			}
+			e.startRun(t, w, e.nextRunNumber(t.lastRunNumber))
+			t.run.away = !s.isNear(w)
+		},
+		wait: func(tasks []*task, d nearDecision) { e.addWait(s, s.nearRack(), tasks, d) },
+	})
+}
+
+// places is what becomes of the choices for a step's tasks: they are carried out, or noted.
+type places struct {
+	// planned is capacity that choices which are not carried out have taken.
+	planned map[*worker]graph.Resources
+	start   func(t *task, w *worker)
+	wait    func(tasks []*task, d nearDecision)
+}
+
+// choosePlaces chooses for each open task a worker, a wait or neither, and returns the tasks with neither.
+func (e *Engine) choosePlaces(s *step, p *pool, workers []*worker, open []*task, to places) []*task {
 	e.chooseRack(s, p, len(open))
 	counts := s.runsPerWorker()
 	var waiting []*task
@@ -244,28 +266,29 @@
 	open = notWaiting(open)
 	decided := false
 	for len(waiting)+len(open) > 0 {
-		w := e.bestWorker(s, workers, nil, counts)
+		w := e.bestWorker(s, workers, to.planned, counts)
 		switch {
 		case w == nil:
 			return open
 		case s.isNear(w) && len(waiting) > 0:
-			e.endTaskWait(waiting[0], WaitKept)
-			e.startRun(waiting[0], w, e.nextRunNumber(waiting[0].lastRunNumber))
+			to.start(waiting[0], w)
 			waiting = waiting[1:]
 		case len(open) == 0:
 			return nil
 		case !s.isNear(w) && !decided:
 			decided = true
 			var begun []*task
-			begun, open = e.beginWait(s, p, w, open, len(waiting))
-			waiting = append(waiting, begun...)
+			var d nearDecision
+			if begun, open, d = e.chooseWaits(s, p, w, open, len(waiting), taken{to.planned, counts}); len(begun) > 0 {
+				to.wait(begun, d)
+				waiting = append(waiting, begun...)
+			}
 			continue
 		default:
 			if s.nearRack() == "" {
 				s.locality.rack = w.Rack
 			}
-			e.startRun(open[0], w, e.nextRunNumber(open[0].lastRunNumber))
-			open[0].run.away = !s.isNear(w)
+			to.start(open[0], w)
 			open = open[1:]
 		}
 		counts[w.ID]++
@@ -278,12 +301,12 @@
 	return slices.DeleteFunc(tasks, func(t *task) bool { return t.locality.wait != nil })
 }
 
-// beginWait lets those of the open tasks wait that are expected to end sooner on the step's rack than on the given worker
-// elsewhere. alreadyWaiting tasks of the step come before them.
-func (e *Engine) beginWait(s *step, p *pool, elsewhere *worker, open []*task, alreadyWaiting int) (begun, others []*task) {
+// chooseWaits chooses those of the open tasks that wait, since they are expected to end sooner on the step's rack than on the given
+// worker elsewhere. alreadyWaiting tasks of the step come before them.
+func (e *Engine) chooseWaits(s *step, p *pool, elsewhere *worker, open []*task, alreadyWaiting int, taken taken) (begun, others []*task, d nearDecision) {
 	runTime := s.expectedRunTime()
 	if runTime == 0 || s.def.LongRunning {
-		return nil, open
+		return nil, open, d
 	}
 	var candidates []*task
 	for _, t := range open {
@@ -294,23 +317,19 @@
 		}
 	}
 	if len(candidates) == 0 {
-		return nil, open
+		return nil, open, d
 	}
 	c := e.nearChoice(s, p, runTime)
 	c.tasks = len(candidates)
 	if s.job.queue.Permit != nil {
 		c.permitsEnd = s.permits[elsewhere.ID].validUntil.Add(-permitMargin)
 	}
-	c.nearStarts = e.nearStarts(s, p, s.nearRack(), c.deadline())
+	rack := s.nearRack()
+	c.nearStarts = e.expectedStarts(s, p.onRack(rack), s.tasksIn(e.demandAhead(s, p, rack)), c.deadline(), taken)
 	c.nearStarts = c.nearStarts[min(alreadyWaiting, len(c.nearStarts)):]
-	d := e.locality.decide(c)
-	if d.tasks == 0 {
-		return nil, open
-	}
+	d = e.locality.decide(c)
 	split := len(candidates) - d.tasks
-	begun, others = candidates[split:], append(others, candidates[:split]...)
-	e.addWait(s, s.nearRack(), begun, d)
-	return begun, others
+	return candidates[split:], append(others, candidates[:split]...), d
 }
 
 // addWait lets the tasks wait for room on the rack.
@@ -389,24 +408,36 @@
 	return best, fitting, last
 }
 
-// gangWorkers returns the workers among which a gang for which places matter is placed: those of one rack if all members fit there, or
-// those of the pool if they don't and a wait would not gain. It returns nil while the gang waits.
+// gangWorkers returns the workers among which a gang for which places matter is placed, and nil while the gang waits.
 func (e *Engine) gangWorkers(s *step, p *pool, open []*task) []*worker {
-	counts := s.runsPerWorker()
-	if rack := e.rackWithRoom(s, p, len(open), counts); rack != "" {
+	workers, rack, d := e.chooseGangWorkers(s, p, open)
+	switch {
+	case d.tasks > 0:
+		s.locality.rack = rack
+		e.addWait(s, rack, open, d)
+	case workers != nil && rack != "":
 		for _, t := range open {
 			if t.locality.wait != nil {
 				e.endTaskWait(t, WaitKept)
 			}
 		}
-		return p.onRack(rack)
+	}
+	return workers
+}
+
+// chooseGangWorkers chooses the workers for a gang: those of one rack if all members fit there, or those of the pool if they don't and a
+// wait would not gain. It returns none while the gang waits, or if it is to begin a wait for the rack; d then says until when.
+func (e *Engine) chooseGangWorkers(s *step, p *pool, open []*task) (workers []*worker, rack string, d nearDecision) {
+	counts := s.runsPerWorker()
+	if rack := e.rackWithRoom(s, p, len(open), counts); rack != "" {
+		return p.onRack(rack), rack, d
 	}
 	if len(s.locality.waits) > 0 {
-		return nil
+		return nil, "", d
 	}
 	runTime := s.expectedRunTime()
 	if runTime == 0 || s.def.LongRunning || open[0].locality.waited || !e.gangFits(s, p.workers, len(open), counts) {
-		return p.workers
+		return p.workers, "", d
 	}
 	c := e.nearChoice(s, p, runTime)
 	c.tasks = 1
@@ -420,16 +451,13 @@
 		fitting, last = len(open), starts[len(open)-1]
 	}
 	if fitting < len(open) {
-		return p.workers
+		return p.workers, "", d
 	}
 	c.nearStarts = []monotime.Instant{last}
-	d := e.locality.decide(c)
-	if d.tasks == 0 {
-		return p.workers
+	if d = e.locality.decide(c); d.tasks == 0 {
+		return p.workers, "", d
 	}
-	s.locality.rack = rack
-	e.addWait(s, rack, open, d)
-	return nil
+	return nil, rack, d
 }
 
 // earliestPermitEnd returns when the first of the step's valid permits can't be used any more.
@@ -585,13 +613,24 @@
 // nearStarts returns the times up to the given one at which tasks of the step are expected to find room on the rack, the soonest
 // first, without those that the demand of the steps ahead takes.
 func (e *Engine) nearStarts(s *step, p *pool, rack string, until monotime.Instant) []monotime.Instant {
+	return e.expectedStarts(s, p.onRack(rack), s.tasksIn(e.demandAhead(s, p, rack)), until, taken{running: s.runsPerWorker()})
+}
+
+// taken is what tasks of a step have on workers: capacity that is planned for them, and the runs and planned tasks of the step by worker.
+type taken struct {
+	planned map[*worker]graph.Resources
+	running map[WorkerID]int
+}
+
+// expectedStarts returns the times up to the given one at which tasks of the step are expected to find room on the workers, the soonest
+// first. Of the room that is yet to become free, it leaves out what the given number of tasks takes that come before.
+func (e *Engine) expectedStarts(s *step, workers []*worker, before int, until monotime.Instant, taken taken) []monotime.Instant {
 	type slot struct {
 		at     monotime.Instant
 		chance float64
 	}
 	var slots []slot
-	counts := s.runsPerWorker()
-	for _, w := range p.onRack(rack) {
+	for _, w := range workers {
 		e.stats.WorkersEvaluated++
 		if (w.reservedFor != nil && w.reservedFor != s) || e.isSuspect(w) || !s.eligible(w) || w.conflictsWith(s.def) {
 			continue
@@ -600,10 +639,10 @@
 		if chance == 0 {
 			continue
 		}
-		free := w.free().Sub(w.heldForOthers(s, e.now))
+		free := w.free().Sub(taken.planned[w]).Sub(w.heldForOthers(s, e.now))
 		fit := 0
 		addSlots := func(at monotime.Instant) {
-			n := s.tasksThatFit(free, counts[w.ID])
+			n := s.tasksThatFit(free, taken.running[w.ID])
 			for ; fit < n; fit++ {
 				if at = max(at, from); at <= min(to, until) {
 					slots = append(slots, slot{at, chance})
@@ -629,7 +668,7 @@
 		}
 	}
 	// The steps ahead could not use what is free now.
-	return slices.Delete(starts, free, min(len(starts), free+s.tasksIn(e.demandAhead(s, p, rack))))
+	return slices.Delete(starts, free, min(len(starts), free+before))
 }
 
 // runEnd is the expected end of a run, which frees its allocation.
@@ -761,11 +800,16 @@
 	if e.locality.factor <= 1 || s.unplacedCount() == 0 {
 		return
 	}
+	s.locality.countedBefore = true
+	p.addDemand(s)
+}
+
+// addDemand adds what the step still needs to demandByRack.
+func (p *pool) addDemand(s *step) {
 	if p.locality.demandByRack == nil {
 		p.locality.demandByRack = make(map[string]graph.Resources)
 	}
 	rack := s.nearRack()
-	s.locality.countedBefore = true
 	p.locality.demandByRack[rack] = p.locality.demandByRack[rack].Add(s.def.Allocation().Times(s.unplacedCount()))
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -228,25 +228,16 @@
 
 // placeGang starts all members of a gang or none, and reports whether it did.
 func (e *Engine) placeGang(s *step, p *pool, open []*task) bool {
-	planned := make(map[*worker]graph.Resources)
-	counts := s.runsPerWorker()
 	workers := p.workers
 	if e.placesMatter(s) {
 		workers = e.gangWorkers(s, p, open)
 	}
-	if !e.gangFits(s, workers, len(open), counts) {
+	chosen := e.chooseForGang(s, workers, len(open))
+	if chosen == nil {
 		return false
 	}
-	chosen := make([]*worker, 0, len(open))
 	var last uint64
 	for _, t := range open {
-		w := e.bestWorker(s, workers, planned, counts)
-		if w == nil {
-			return false
-		}
-		chosen = append(chosen, w)
-		planned[w] = planned[w].Add(s.def.Allocation())
-		counts[w.ID]++
 		last = max(last, t.lastRunNumber)
 	}
 	checkpoint := gangCheckpoint(s)
@@ -259,6 +250,26 @@
 	return true
 }
 
+// chooseForGang chooses a worker for each of the given number of tasks; it returns nil if they don't all fit.
+func (e *Engine) chooseForGang(s *step, workers []*worker, tasks int) []*worker {
+	planned := make(map[*worker]graph.Resources)
+	counts := s.runsPerWorker()
+	if !e.gangFits(s, workers, tasks, counts) {
+		return nil
+	}
+	chosen := make([]*worker, 0, tasks)
+	for range tasks {
+		w := e.bestWorker(s, workers, planned, counts)
+		if w == nil {
+			return nil
+		}
+		chosen = append(chosen, w)
+		planned[w] = planned[w].Add(s.def.Allocation())
+		counts[w.ID]++
+	}
+	return chosen
+}
+
 // gangFits reports whether the given number of tasks fits, evaluating each worker once: in a busy pool, most attempts to place
 // a gang fail.
 func (e *Engine) gangFits(s *step, workers []*worker, tasks int, running map[WorkerID]int) bool {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -98,6 +98,8 @@
 		if reasons, ok := s.ExplainIfOwner(ctx, id); ok {
 			return &wire.IntakeReply{Result: resultOK, Detail: reasons}
 		}
+	case commandPreview:
+		return s.previewRelayed(ctx, req)
 	case commandPending:
 		if s.replicaIsCurrent() {
 			return &wire.IntakeReply{Result: resultOK, Pending: uint32(s.Replica.PendingJobs(req.Job))}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -90,6 +90,8 @@
 	MaxConfigAge time.Duration
 	// ExplainIfOwner says why a job is in its state if this daemon owns the cell; ok is false otherwise.
 	ExplainIfOwner func(ctx context.Context, id graph.JobID) (reasons []string, ok bool)
+	// PreviewIfOwner says where a job's tasks would go if this daemon owns the cell; ok is false otherwise.
+	PreviewIfOwner func(ctx context.Context, queue graph.Queue, organisation string, spec *graph.Spec) (outcome PreviewOutcome, ok bool)
 	// StoreDown reports whether the store has stopped answering.
 	StoreDown func() bool
 	Metrics   *metrics.Set
@@ -125,7 +127,7 @@
 		s.answerCounts[r] = o.Metrics.NewCounter(`laburnumpoint_answers_total{result="` + name + `"}`)
 	}
 	s.answerSeconds = make(map[string]*metrics.Histogram)
-	for _, name := range []string{labelSubmit, labelCancel, labelState, labelExplain} {
+	for _, name := range []string{labelSubmit, labelCancel, labelState, labelExplain, labelPreview} {
 		s.answerSeconds[name] = o.Metrics.NewHistogram(`laburnumpoint_answer_seconds{command="` + name + `"}`)
 	}
 	return s
--- a/internal/graphapi/api.go
+++ b/internal/graphapi/api.go
@@ -5,6 +5,7 @@
 //	GET    /v1/queues/{queue}/jobs/{id}      get the job's state
 //	GET    /v1/queues/{queue}/jobs/{id}/why  get the job's state and the reasons for it
 //	DELETE /v1/queues/{queue}/jobs/{id}      cancel the job
+//	POST   /v1/queues/{queue}/explain        ask where a job's tasks would go now, without submitting it
 //	GET    /v1/queues/{queue}                get the number of jobs of which no task has started
 package graphapi
 
--- a/internal/graphapi/client.go
+++ b/internal/graphapi/client.go
@@ -91,13 +91,18 @@
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body any) (Answer, error) {
+	return c.callInto(ctx, method, path, body, nil)
+}
+
+// callInto is call with a pointer to which the JSON of an answer with status 200 is also decoded, unless it is nil.
+func (c *Client) callInto(ctx context.Context, method, path string, body, into any) (Answer, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return Answer{}, err
 	}
 	deadline := time.Now().Add(c.RetryFor)
 	for tries := 0; ; tries++ {
-		answer, pause, err := c.callOnce(ctx, c.Servers[tries%len(c.Servers)], method, path, data)
+		answer, pause, err := c.callOnce(ctx, c.Servers[tries%len(c.Servers)], method, path, data, into)
 		if pause == 0 || time.Now().Add(pause).After(deadline) {
 			return answer, err
 		}
@@ -110,7 +115,7 @@
 }
 
 // callOnce makes one try of a call. pause is the time until the next try, 0 if another try would not help.
-func (c *Client) callOnce(ctx context.Context, server, method, path string, body []byte) (answer Answer, pause time.Duration, err error) {
+func (c *Client) callOnce(ctx context.Context, server, method, path string, body []byte, into any) (answer Answer, pause time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+server+path, bytes.NewReader(body))
@@ -123,7 +128,14 @@
 		return Answer{}, defaultRetryPause, err
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&answer); err != nil {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err == nil {
+		err = json.Unmarshal(data, &answer)
+	}
+	if err == nil && into != nil && resp.StatusCode == http.StatusOK {
+		err = json.Unmarshal(data, into)
+	}
+	if err != nil {
 		return Answer{}, defaultRetryPause, fmt.Errorf("decode the answer of %s with status %s: %w", server, resp.Status, err)
 	}
 	if resp.StatusCode == http.StatusOK {
--- a/internal/graphapi/handler.go
+++ b/internal/graphapi/handler.go
@@ -41,6 +41,7 @@
 	r.Put("/v1/queues/{queue}/jobs/{id}", h.submit)
 	r.Get("/v1/queues/{queue}/jobs/{id}", h.query(service.State))
 	r.Get("/v1/queues/{queue}/jobs/{id}/why", h.query(service.Explain))
+	r.Post("/v1/queues/{queue}/explain", h.preview)
 	r.Delete("/v1/queues/{queue}/jobs/{id}", h.query(service.Cancel))
 	return r
 }
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -116,7 +116,7 @@
 	replica := ledger.NewReplica(store, clock, logger, ledger.DaemonInfo{Incarnation: incarnation, Cores: settings.Cores, Weak: settings.Cores < owner.RecommendedOwnerCores})
 	d := &Daemon{Settings: settings, backends: backends, log: logger, set: set, clock: clock, server: server}
 	d.Service = entry.NewService(entry.Options{
-		Replica: replica, Clock: clock, Log: logger, Peers: peers, Incarnation: incarnation, ExplainIfOwner: d.explain,
+		Replica: replica, Clock: clock, Log: logger, Peers: peers, Incarnation: incarnation, ExplainIfOwner: d.explain, PreviewIfOwner: d.preview,
 		StoreDown: store.Down, MaxConfigAge: settings.MaxConfigDelay - configMargin, Metrics: set,
 	})
 	d.Owner = owner.New(owner.Options{
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -68,6 +68,7 @@
 	reportsComplete bool
 	// localityRecorded are the counts of waits for racks that are in the metrics.
 	localityRecorded dispatch.LocalityStats
+	previews         previewLimiter
 	ownershipLost    bool
 	cancel           context.CancelFunc
 }
