Work that could run anywhere leaves a rack alone that others wait for

Cause: packing puts tasks on the fullest worker that fits. In a busy pool they took the room that became free on a hot rack, and the tasks whose data are there ran elsewhere.

Change: a worker's score is lowered by 0.3 on a rack for which tasks that prefer it found too little room in the plan before. Only with a remote factor above 1.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -76,7 +76,7 @@
 	suspectWeight  = 8.0
 )
 
-// score ranks workers: those that are no suspects first, then those on the rack that the step prefers, then the most utilized.
+// score ranks workers: those that are no suspects first, then those on the rack that the step prefers, those on racks that others don't wait for, then the most utilized.
 func (e *Engine) score(s *step, w *worker, planned graph.Resources) float64 {
 	score := 0.0
 	if e.isSuspect(w) {
@@ -84,6 +84,8 @@
 	}
 	if rack := s.nearRack(); rack != "" && w.Rack == rack {
 		score += dataRackWeight
+	} else if e.isWantedRack(w) {
+		score -= wantedRackWeight
 	}
 	return score + utilization(w.free().Sub(planned).Sub(s.def.Allocation()), w.Capacity)
 }
--- a/internal/dispatch/locality.go
+++ b/internal/dispatch/locality.go
@@ -24,6 +24,9 @@
 	waitReviewInterval = 20 * time.Millisecond
 	// overdueRunShare is the least time that a run without progress is expected to go on, as a share of its expected run time.
 	overdueRunShare = 0.1
+	// wantedRackWeight lowers a worker's score if tasks that prefer its rack find too little room, so that others take room elsewhere. It
+	// is less than packing counts for between an empty and a full worker. With 1, gains are the same.
+	wantedRackWeight = 0.3
 	// maxLocalityEvents bounds the events of waits that are kept for TakeLocalityEvents.
 	maxLocalityEvents = 1024
 )
@@ -842,11 +845,24 @@
 	return float64(s.tasksIn(waiting)) / float64(max(1, s.tasksIn(p.capacity)))
 }
 
-// reviewWaits prepares delay scheduling for a plan: it ends the waits whose deadline has passed and those that are not needed.
-func (e *Engine) reviewWaits() {
+// isWantedRack reports whether tasks that prefer the worker's rack found too little room in the plan before.
+func (e *Engine) isWantedRack(w *worker) bool {
+	if e.locality.factor <= 1 || w.Rack == "" {
+		return false
+	}
+	p := e.pools[w.Pool]
+	return p != nil && p.locality.demandBefore[w.Rack] != graph.Resources{}
+}
+
+// keepDemand keeps the demand that the plan has found for the next one.
+func (e *Engine) keepDemand() {
 	for _, p := range e.pools {
 		p.locality.demandBefore, p.locality.demandByRack = p.locality.demandByRack, nil
 	}
+}
+
+// reviewWaits prepares delay scheduling for a plan: it ends the waits whose deadline has passed and those that are not needed.
+func (e *Engine) reviewWaits() {
 	for wait := range e.locality.waits {
 		s := wait.step
 		for _, t := range slices.Clone(wait.tasks) {
--- a/internal/dispatch/locality_test.go
+++ b/internal/dispatch/locality_test.go
@@ -344,6 +344,43 @@
 	}
 }
 
+// Tasks wait for a rack. Others that could run anywhere must not take the room that becomes free there, as packing alone would have them do.
+func TestOthersLeaveAWantedRackAlone(t *testing.T) {
+	for name, tc := range map[string]struct {
+		factor float64
+		want   WorkerID
+	}{"places matter": {2, "away"}, "places make no difference": {1, "near"}} {
+		t.Run(name, func(t *testing.T) {
+			c := newFixture(t, 1)
+			c.SetRemoteFactor(tc.factor)
+			c.advance(time.Second)
+			c.addRackWorker("near", "r1", 10)
+			filler := plainStep(9)
+			filler.Estimate = 300 * time.Millisecond
+			c.addJob("filler", false, filler)
+			c.startAll()
+			away := c.workers[c.addRackWorker("away", "r2", 20)].Worker
+			away.Labels = []string{"away"}
+			c.PutWorker(away)
+			filler.Label, filler.Count = "away", 17
+			c.addJob("other filler", false, filler)
+			c.startAll()
+			large := dataStep(1, time.Second)
+			large.Claim.MilliCPU = 500
+			if tc.factor == 1 {
+				large.Claim.MilliCPU = 2000 // fits nowhere
+			}
+			c.addJob("waits", false, large)
+			c.startAll()
+			c.advance(5 * time.Millisecond)
+			c.addJob("other", false, plainStep(1))
+			if starts := c.startAll(); len(starts) != 1 || starts[0].Worker != tc.want {
+				t.Errorf("started %v, want a start on %s", starts, tc.want)
+			}
+		})
+	}
+}
+
 // Most quick jobs want one rack, which has room for half of their tasks: waits must make fewer of them late, and most waits must be
 // worth it.
 func TestHotRack(t *testing.T) {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -32,6 +32,7 @@
 			e.placeStep(s, pool)
 		}
 	}
+	e.keepDemand()
 	orders := e.orders
 	e.orders = nil
 	return orders
--- a/internal/dispatch/preview.go
+++ b/internal/dispatch/preview.go
@@ -172,7 +172,6 @@
 	for _, w := range p.workers {
 		p.free = p.free.Add(w.free())
 	}
-	p.locality.demandBefore, p.locality.demandByRack = p.locality.demandByRack, nil
 	first := j.steps[0][0]
 	first.due = e.now.Add(j.objective)
 	first.overdueAtPlan, first.missedAtPlan = e.overdue(first), e.missedObjective(first)
