--- a/internal/cli/graph.go
+++ b/internal/cli/graph.go
@@ -28,6 +28,7 @@
 		Flags: []cli.Flag{keyFlag()},
 		Commands: []*cli.Command{
 			a.graphSubmitCommand(), a.graphStatusCommand(), a.graphCancelCommand(), a.graphPendingCommand(), a.graphWhyCommand(),
+			a.graphExplainCommand(),
 		},
 	}
 }
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -57,8 +57,8 @@
 	suspectWeight  = 8.0
 )
 
-// score ranks workers: those that are no suspects first, then those on the rack that the step prefers, then those of the
-// speed that the step prefers, then the most utilized.
+// score ranks workers: those that are no suspects first, then those on the rack that the step prefers, those on racks that
+// others don't wait for, those of the speed that the step prefers, then the most utilized.
 func (e *Engine) score(s *step, w *worker, planned graph.Resources) float64 {
 	score := 0.0
 	if e.isSuspect(w) {
@@ -66,6 +66,8 @@
 	}
 	if rack := s.nearRack(); rack != "" && w.Rack == rack {
 		score += dataRackWeight
+	} else if e.isWantedRack(w) {
+		score -= wantedRackWeight
 	}
 	return score + e.speedScore(s, w) + e.healthScore(s, w) + utilization(w.free().Sub(planned).Sub(s.def.Allocation()), w.Capacity)
 }
--- a/internal/graphapi/handler_test.go
+++ b/internal/graphapi/handler_test.go
@@ -29,6 +29,9 @@
 	service := entry.NewService(entry.Options{
 		Replica: replica, Clock: clock, Log: quiet, Incarnation: "a", Metrics: metrics.NewSet(), MaxConfigAge: time.Minute, RequireKeys: true,
 		StoreDown:      func() bool { return false },
+		StoreUp:        func() bool { return true },
+		StoreAge:       func() time.Duration { return 0 },
+		OtherDaemons:   func() []string { return nil },
 		ExplainIfOwner: func(context.Context, graph.JobID) ([]string, bool) { return nil, true },
 	})
 	policy := graph.Queue{Name: "q", MaxAttempts: 1}
