Load test of three hot organisations compares the value earned

Change: the value share of the well-behaved organisations must rise, and the share in time reach the users' target.

--- a/internal/owner/organisation_load_test.go
+++ b/internal/owner/organisation_load_test.go
@@ -58,14 +58,13 @@
 
 func organisationName(i int) string { return fmt.Sprint("organisation-", i) }
 
-// inTimeShares runs a scenario with several seeds and returns the share of the jobs that meet their objective, of the first hot
-// organisations and of the others.
-func inTimeShares(t *testing.T, name string, scenario loadScenario, hot int) (calmShare, hotShare float64) {
+// resultsBeside runs a scenario with several seeds and returns the results of the well-behaved organisations' jobs, and of those of
+// the first hot organisations.
+func resultsBeside(t *testing.T, name string, scenario loadScenario, hot int) (calm, beyond loadResult) {
 	isHot := make(map[string]bool)
 	for i := range hot {
 		isHot[organisationName(i)] = true
 	}
-	var calm, beyond loadResult
 	for seed := range uint64(organisationSeeds) {
 		for k, r := range runScenario(t, scenario, seed+1) {
 			sum := &calm
@@ -78,12 +77,13 @@
 			sum.fullValue += r.fullValue
 		}
 	}
-	share := func(r loadResult) float64 { return float64(r.inTime) / float64(r.jobs) }
 	t.Logf("%-36s %d jobs of well-behaved organisations: %.3f in time, value share %.3f; %d of hot ones: %.3f, %.3f",
-		name, calm.jobs, share(calm), calm.valueShare(), beyond.jobs, share(beyond), beyond.valueShare())
-	return share(calm), share(beyond)
+		name, calm.jobs, calm.inTimeShare(), calm.valueShare(), beyond.jobs, beyond.inTimeShare(), beyond.valueShare())
+	return calm, beyond
 }
 
+func (r loadResult) inTimeShare() float64 { return float64(r.inTime) / float64(r.jobs) }
+
 const organisationSeeds = 4
 
 // One organisation sends five times its usual load into a cell that is nearly full. The jobs of the others must meet their objectives
@@ -92,11 +92,11 @@
 	for _, workers := range []int{46, 39} {
 		unordered := contendedScenario(workers, 6, 1, 5, 0)
 		unordered.organisations = nil
-		before, _ := inTimeShares(t, fmt.Sprintf("%d workers, no organisations", workers), unordered, 1)
-		byRate, _ := inTimeShares(t, fmt.Sprintf("%d workers, rates and shares", workers), contendedScenario(workers, 6, 1, 5, 5*time.Second), 1)
-		byShare, _ := inTimeShares(t, fmt.Sprintf("%d workers, shares alone", workers), contendedScenario(workers, 6, 1, 5, unmeteredWindow), 1)
-		if byRate <= before || byShare <= before {
-			t.Errorf("%d workers: %.3f in time by rate, %.3f by share, want more than %.3f without organisations", workers, byRate, byShare, before)
+		before, _ := resultsBeside(t, fmt.Sprintf("%d workers, no organisations", workers), unordered, 1)
+		byRate, _ := resultsBeside(t, fmt.Sprintf("%d workers, rates and shares", workers), contendedScenario(workers, 6, 1, 5, 5*time.Second), 1)
+		byShare, _ := resultsBeside(t, fmt.Sprintf("%d workers, shares alone", workers), contendedScenario(workers, 6, 1, 5, unmeteredWindow), 1)
+		if byRate.inTimeShare() <= before.inTimeShare() || byShare.inTimeShare() <= before.inTimeShare() {
+			t.Errorf("%d workers: %.3f in time by rate, %.3f by share, want more than %.3f without organisations", workers, byRate.inTimeShare(), byShare.inTimeShare(), before.inTimeShare())
 		}
 	}
 }
@@ -106,16 +106,16 @@
 func TestThreeHotOrganisations(t *testing.T) {
 	unordered := contendedScenario(60, 10, 3, 5, 0)
 	unordered.organisations = nil
-	before, _ := inTimeShares(t, "three hot, no organisations", unordered, 3)
+	before, _ := resultsBeside(t, "three hot, no organisations", unordered, 3)
 	scenario := contendedScenario(60, 10, 3, 5, 5*time.Second)
 	for i := range 3 {
 		scenario.organisations[i].Limit = graph.Resources{MilliCPU: 960_000, MemoryMB: 1_900_000}
 	}
-	calm, hot := inTimeShares(t, "three hot, rates, shares and limits", scenario, 3)
-	if calm <= before || calm < targetValueShare {
-		t.Errorf("%.3f of the well-behaved organisations' jobs in time, want %.2f and more than %.3f without organisations", calm, targetValueShare, before)
+	calm, hot := resultsBeside(t, "three hot, rates, shares and limits", scenario, 3)
+	if calm.valueShare() <= before.valueShare() || calm.inTimeShare() < targetValueShare {
+		t.Errorf("well-behaved organisations: value share %.3f, want more than %.3f without organisations; %.3f in time, want %.2f", calm.valueShare(), before.valueShare(), calm.inTimeShare(), targetValueShare)
 	}
-	if hot == 0 {
+	if hot.inTime == 0 {
 		t.Error("no job of a hot organisation is in time, want those within its rate served")
 	}
 
