Gangs ask for slow workers last; evaluating a worker reads one flag

Cause: a gang that knows its allowed workers asked for the largest first, slow or not, and its slowest member holds the others up.

Change: the allowed capacity of a gang is ordered by slowness, then by size. Speed and health are apart from the worker, and a flag tells whether they matter. Tests that a slow worker is used when others are full, that tasks with slack prefer it and that the wait for a fast one is bounded.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -41,7 +41,7 @@
 
 // hasCapacity reports whether a task of the step fits on the worker, beside what is planned, held or reserved there.
 func (e *Engine) hasCapacity(s *step, w *worker, planned graph.Resources, running map[WorkerID]int) bool {
-	if (w.reservedFor != nil && w.reservedFor != s) || e.isExcluded(s, w) {
+	if (w.reservedFor != nil && w.reservedFor != s) || (w.impaired && e.isExcluded(s, w)) {
 		return false
 	}
 	if s.def.MaxPerWorker > 0 && running[w.ID] >= s.def.MaxPerWorker {
@@ -86,7 +86,10 @@
 	if s.def.DataRack != "" && w.Rack == s.def.DataRack {
 		score += dataRackWeight
 	}
-	return score + e.speedScore(s, w) + e.healthScore(s, w) + utilization(w.free().Sub(planned).Sub(s.def.Allocation()), w.Capacity)
+	if w.impaired {
+		score += e.speedScore(s, w) + e.healthScore(s, w)
+	}
+	return score + utilization(w.free().Sub(planned).Sub(s.def.Allocation()), w.Capacity)
 }
 
 // utilization returns the share of the worker's scarcest resource that would be in use with the given free resources.
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -180,6 +180,7 @@
 func (e *Engine) readmit(w *worker) {
 	h := &w.health
 	h.ejected, h.useless, h.evidence, h.readmittedAt = false, false, min(h.evidence, readmissionEvidence), e.now
+	w.updateImpaired()
 	e.addWorkerEvent(w, WorkerReadmitted)
 }
 
@@ -245,6 +246,7 @@
 		e.addWorkerEvent(w, WorkerEjected)
 	}
 	h.ejected, h.trialsDone = true, 0
+	w.updateImpaired()
 	h.useless = h.useless || h.rate.done+h.rate.failed >= minRunsForUselessness && h.rate.share() >= uselessFailureRate
 	h.trialAt = e.now.Add(min(maxTrialDelay, minTrialDelay<<min(h.ejections, 10)))
 	h.ejections++
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -374,7 +374,7 @@
 func (e *Engine) PutWorker(registered Worker) {
 	w := e.workers[registered.ID]
 	if w == nil {
-		w = &worker{runs: make(map[RunKey]*run)}
+		w = &worker{runs: make(map[RunKey]*run), workerCondition: &workerCondition{}}
 		e.workers[registered.ID] = w
 	}
 	w.Worker = registered
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -22,7 +22,7 @@
 
 // isSuspect reports whether a worker gets new runs only where no other worker has free capacity.
 func (e *Engine) isSuspect(w *worker) bool {
-	return e.now < w.avoidUntil || e.isEjected(w) || (w.oldestUnansweredStart > 0 && e.now.Sub(w.oldestUnansweredStart) > startAnswerTimeout)
+	return e.now < w.avoidUntil || (w.impaired && e.isEjected(w)) || (w.oldestUnansweredStart > 0 && e.now.Sub(w.oldestUnansweredStart) > startAnswerTimeout)
 }
 
 // updateOldestUnansweredStart finds the oldest of the worker's unanswered starts.
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -213,7 +213,9 @@
 type worker struct {
 	Worker
 	used graph.Resources
-	runs map[RunKey]*run
+	// impaired means that the worker is slow or ejected. Evaluating a worker for a step reads only this unless it is set.
+	impaired bool
+	runs     map[RunKey]*run
 	// lastEndSequence is the sequence number of the last ended run that the engine has processed.
 	lastEndSequence uint64
 	reachable       bool
@@ -229,8 +231,14 @@
 	reservedFor *step
 	// capacityHolds are the parts of the worker's capacity that are kept for steps, at most one for each.
 	capacityHolds []capacityHold
-	speed         workerspeed.Speed
-	health        workerHealth
+	*workerCondition
+}
+
+// workerCondition is what the engine has learned of a worker from its runs. It is apart from the worker to keep that small: evaluating
+// a worker for a step is most of the cost of a decision.
+type workerCondition struct {
+	speed  workerspeed.Speed
+	health workerHealth
 }
 
 func (w *worker) free() graph.Resources { return w.Capacity.Sub(w.used) }
--- a/internal/dispatch/permits.go
+++ b/internal/dispatch/permits.go
@@ -193,8 +193,8 @@
 	return draft
 }
 
-// allowedCapacity returns the capacity for a gang's members on the workers that it knows to be allowed, the largest first: the
-// policy service takes time for each worker in a request.
+// allowedCapacity returns the capacity for a gang's members on the workers that it knows to be allowed: that of slow workers last, since
+// the slowest member holds the others up, and else the largest first, since the policy service takes time for each worker in a request.
 func (e *Engine) allowedCapacity(s *step, p *pool) []plannedHold {
 	running := s.runsPerWorker()
 	var allowed []plannedHold
@@ -205,7 +205,9 @@
 		}
 		allowed = append(allowed, plannedHold{w, s.tasksThatFit(w.free().Sub(w.heldForOthers(s, e.now)), running[w.ID])})
 	}
-	slices.SortStableFunc(allowed, func(a, b plannedHold) int { return cmp.Compare(b.tasks, a.tasks) })
+	slices.SortStableFunc(allowed, func(a, b plannedHold) int {
+		return cmp.Or(compareSlowness(a.worker, b.worker), cmp.Compare(b.tasks, a.tasks))
+	})
 	return allowed
 }
 
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -52,6 +52,7 @@
 		e.poolSpeed(name).Refresh(e.now, speeds)
 		p.slowWorkers = 0
 		for i, w := range p.workers {
+			w.updateImpaired()
 			if w.speed.Slow() {
 				p.slowWorkers++
 				if !wasSlow[i] {
@@ -62,6 +63,9 @@
 	}
 }
 
+// updateImpaired brings impaired up to date.
+func (w *worker) updateImpaired() { w.impaired = w.speed.Slow() || w.health.ejected }
+
 // speedPreference is which workers of a pool with slow ones a step's tasks prefer.
 type speedPreference int
 
@@ -100,6 +104,17 @@
 // slowWeight is what a worker's slowness counts in its score: more than packing, less than the rack of the data.
 const slowWeight = 2.0
 
+// compareSlowness orders slow workers after others.
+func compareSlowness(a, b *worker) int {
+	switch {
+	case a.speed.Slow() == b.speed.Slow():
+		return 0
+	case a.speed.Slow():
+		return 1
+	}
+	return -1
+}
+
 // speedScore is the part of a worker's score that its speed adds. It is 0 unless the worker counts as slow.
 func (e *Engine) speedScore(s *step, w *worker) float64 {
 	if !w.speed.Slow() {
--- a/internal/dispatch/uneven_test.go
+++ b/internal/dispatch/uneven_test.go
@@ -14,6 +14,7 @@
 
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/workerspeed"
 )
 
 // unevenWorker is a worker of an unevenCell.
@@ -468,3 +469,99 @@
 }
 
 func (w *unevenWorker) slowIn(e *Engine) bool { return e.workers[w.id].speed.Slow() }
+
+// slowWorker makes a worker count as slow.
+func (c *fixture) slowWorker(id WorkerID) {
+	pool := c.poolSpeed("p")
+	for range 10 {
+		var siblings workerspeed.Siblings
+		open := len(c.workers)
+		for name, w := range c.workers {
+			takes := time.Second
+			if name == id {
+				takes = 2 * time.Second
+			}
+			siblings.Add(pool, c.now, workerspeed.Run{Worker: &w.speed, Time: takes}, len(c.workers), open-1)
+			open--
+		}
+	}
+	c.speedsRefreshedAt = 0
+	c.planByKind()
+	if !c.workers[id].speed.Slow() {
+		c.t.Fatalf("worker %s does not count as slow", id)
+	}
+}
+
+// The slowest member of a gang holds the others up: a gang asks for its permits on, and starts on, slow workers last.
+func TestGangAvoidsSlowWorker(t *testing.T) {
+	f := newGangFixture(t, 4)
+	f.slowWorker("w0")
+	workers := []string{"w0", "w1", "w2", "w3"}
+	f.addGang("g", 6, time.Minute, workers...)
+	f.advance(searchTime)
+	f.planByKind()
+	request, ok := f.prepare("g")
+	if !ok || len(request.Workers) != 3 || slices.Contains(request.Workers, "w0") {
+		t.Fatalf("request %v for workers %v, want the three that are not slow", ok, request.Workers)
+	}
+	f.answer(request, 2*time.Second)
+	starts, _, _ := f.planByKind()
+	for _, s := range starts {
+		if s.Worker == "w0" {
+			t.Errorf("a member starts on the slow worker")
+		}
+	}
+	if len(starts) != 6 {
+		t.Errorf("%d starts, want all six members", len(starts))
+	}
+}
+
+// A slow worker is used when no other has capacity.
+func TestSlowWorkerIsUsedWhenOthersAreFull(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	for i := range 4 {
+		c.addWorker(fmt.Sprint("w", i), 100)
+	}
+	c.slowWorker("w0")
+	if on := c.startWorkers("a", plainStep(3), 0); len(on) != 3 || slices.Contains(on, "w0") {
+		t.Errorf("starts on %v, want the three workers that are not slow", on)
+	}
+	if on := c.startWorkers("b", plainStep(1), 0); len(on) != 1 || on[0] != "w0" {
+		t.Errorf("starts on %v, want the slow worker", on)
+	}
+}
+
+// Tasks with much slack leave the fast workers free.
+func TestTaskWithSlackPrefersSlowWorker(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	for i := range 4 {
+		c.addWorker(fmt.Sprint("w", i), 1000)
+	}
+	c.slowWorker("w3")
+	if on := c.startWorkers("a", plainStep(5), 2); len(on) != 5 || slices.ContainsFunc(on, func(w WorkerID) bool { return w != "w3" }) {
+		t.Errorf("starts on %v, want all on the slow worker", on)
+	}
+}
+
+// An urgent task waits for a fast worker while runs there end at a high rate, but no longer than its bound, and then uses the slow
+// one.
+func TestUrgentTaskWaitsForFastWorkerWithinBound(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	for i := range 4 {
+		c.addWorker(fmt.Sprint("w", i), 100)
+	}
+	c.slowWorker("w0")
+	c.startWorkers("full", plainStep(3), 0)
+	c.pools["p"].fastFreed.add(graph.Resources{MilliCPU: 10_000, MemoryMB: 10_000}, c.now)
+	if on := c.startWorkers("urgent", plainStep(1), 0); len(on) != 0 {
+		t.Fatalf("starts on %v, want a wait", on)
+	}
+	c.advance(maxFastWait)
+	starts, _, _ := c.planByKind()
+	if len(starts) != 1 || starts[0].Worker != "w0" {
+		t.Errorf("starts %v after the bound, want one on the slow worker", starts)
+	}
+}
