A run that a copy overtakes without progress speaks against its worker

Cause: the stop of overtaken runs makes room on workers that stand still, which then take new runs again and again. They were stopped before they counted as standing still.

--- a/internal/dispatch/copies_test.go
+++ b/internal/dispatch/copies_test.go
@@ -277,3 +277,63 @@
 		c.t.Fatalf("copies use %d milli-CPU, want at most %d", counted.MilliCPU, limit)
 	}
 }
+
+// A tenth of the workers stand still for 20 s. Each run there that a copy overtakes is stopped and makes room for the next one,
+// unless its worker is ejected for it.
+func TestCopiesOnWorkersThatStandStill(t *testing.T) {
+	met := map[string]int{}
+	quick := 0
+	for seed := range uint64(4) {
+		for _, mode := range []string{"neither", "copies", "both"} {
+			c := newUnevenCell(t, seed, 100, false, unevenLoad{share: 0.9, failures: 0.02, speculative: true})
+			if mode == "neither" {
+				c.engine.maxCopyShare = 0
+			}
+			c.engine.noEjections = mode != "both"
+			c.badWorkers(10, func(w *unevenWorker) {
+				w.stalled = func(age time.Duration) bool { return age > 10*time.Second && age < 30*time.Second }
+			})
+			c.run(5*time.Second, 40*time.Second)
+			met[mode] += c.met
+			if mode == "both" {
+				quick += c.quick
+			}
+		}
+	}
+	t.Logf("of %d quick jobs in time: %v", quick, met)
+	if met["both"] <= met["copies"] || float64(met["both"]) < float64(met["neither"])-0.02*float64(quick) {
+		t.Errorf("of %d quick jobs in time: %v, want more with copies and ejections than with copies, and hardly fewer than with neither", quick, met)
+	}
+}
+
+// A copy overtakes a run. Its worker is a suspect if it has listed the run without progress for long or not at all, but not if the
+// run was only slow.
+func TestOvertakenRunSpeaksAgainstItsWorker(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		listed               bool
+		progress             int
+		suspect, hasEvidence bool
+	}{
+		{"stands still", true, 0, true, true},
+		{"not listed", false, 0, true, false},
+		{"slow", true, 20, false, false},
+	} {
+		f := newCopyFixture(t, true, 3)
+		f.advance(500 * time.Millisecond)
+		if c.listed {
+			report := runningReport(f.straggler.RunKey)
+			report.Running[0].Progress, report.Partial = c.progress, true
+			f.HandleReport(f.straggler.Worker, f.virtualTime, report)
+		}
+		s, ok := f.copyAfter(10 * time.Millisecond)
+		if !ok {
+			t.Fatalf("%s: no copy", c.name)
+		}
+		f.end(s, RunDone)
+		w := f.workers[f.straggler.Worker]
+		if f.isSuspect(w) != c.suspect || (w.health.evidence > 0) != c.hasEvidence {
+			t.Errorf("%s: suspect %v, evidence %.1f, want %v, %v", c.name, f.isSuspect(w), w.health.evidence, c.suspect, c.hasEvidence)
+		}
+	}
+}
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -52,6 +52,12 @@
 	stallCheckInterval = 500 * time.Millisecond
 	// stallFactor is for how many times its siblings' run time a run has to make no progress.
 	stallFactor = 3
+	// overtakenStallFactor is the same for a run that its copy has overtaken: one that takes seven times as long as its siblings
+	// makes a tenth of its progress in this time.
+	overtakenStallFactor = 0.7
+	// unknownProgressDuration is how long a worker is a suspect after a copy has overtaken a run there whose progress is not
+	// known yet: until the next report.
+	unknownProgressDuration = 1 * time.Second
 	// minStallTime is the least time without progress. Workers report about every second.
 	minStallTime = 3 * time.Second
 )
@@ -263,9 +269,7 @@
 		for _, w := range p.workers {
 			for _, r := range w.runs {
 				if e.isStalled(r) {
-					before := w.health.evidence
-					e.recordOutcome(w, r, r.task.step, true)
-					r.stalled, r.stallEvidence = true, w.health.evidence-before
+					e.recordStall(r)
 				}
 			}
 		}
@@ -287,6 +291,35 @@
 	}
 }
 
+// recordStall counts a run that stands still as one that failed.
+func (e *Engine) recordStall(r *run) {
+	before := r.worker.health.evidence
+	e.recordOutcome(r.worker, r, r.task.step, true)
+	r.stalled, r.stallEvidence = true, r.worker.health.evidence-before
+}
+
+// noteOvertaken counts the task's run, which its copy has overtaken, as one that stands still if its worker has listed it without
+// progress for long enough that even a run many times slower than its siblings would have made some. The stop of such runs makes
+// room on their worker, which would take new runs again and again: it is a suspect besides.
+func (e *Engine) noteOvertaken(t *task) {
+	r := t.run
+	typical, ok := t.step.siblings.TypicalTime()
+	if !ok || r.stalled || r.state != runRunning {
+		return
+	}
+	progressAt := r.confirmedAt
+	if r.progress > 0 {
+		progressAt = max(progressAt, r.progressChangedAt)
+	}
+	switch {
+	case r.listedAt.Sub(progressAt) >= time.Duration(overtakenStallFactor*float64(typical)):
+		e.recordStall(r)
+		r.worker.avoidUntil = max(r.worker.avoidUntil, e.now.Add(suspectDuration))
+	case r.progress == 0:
+		r.worker.avoidUntil = max(r.worker.avoidUntil, e.now.Add(unknownProgressDuration))
+	}
+}
+
 // isStalled reports whether a run, not known to be stalled, has made no progress for several times its siblings' run time.
 func (e *Engine) isStalled(r *run) bool {
 	if r.stalled || r.state != runRunning || r.task == nil || r.confirmedAt == 0 {
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -91,6 +91,7 @@
 	if r.confirmedAt == 0 {
 		r.confirmedAt = e.now
 	}
+	r.listedAt = e.now
 	if entry.Progress != r.progress || r.progressChangedAt == 0 {
 		e.noteProgress(r)
 		r.progress, r.progressChangedAt = entry.Progress, e.now
@@ -209,6 +210,7 @@
 			e.observeSpeed(r)
 			if r.isCopy() {
 				e.stats.CopiesWon++
+				e.noteOvertaken(r.task)
 			}
 		}
 		e.releaseRun(r)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -208,6 +208,8 @@
 
 	progress          int
 	progressChangedAt monotime.Instant
+	// listedAt is when the worker last listed the run as running.
+	listedAt monotime.Instant
 }
 
 type worker struct {
