--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -22,7 +22,7 @@
 
 // isSuspect reports whether a worker gets new runs only where no other worker has free capacity.
 func (e *Engine) isSuspect(w *worker) bool {
-	return e.now < w.avoidUntil || e.isEjected(w) || (w.oldestUnansweredStart > 0 && e.now.Sub(w.oldestUnansweredStart) > startAnswerTimeout)
+	return e.now < w.avoidUntil || (w.impaired && e.isEjected(w)) || (w.oldestUnansweredStart > 0 && e.now.Sub(w.oldestUnansweredStart) > startAnswerTimeout)
 }
 
 // updateOldestUnansweredStart finds the oldest of the worker's unanswered starts.
@@ -126,6 +126,7 @@
 	if r.confirmedAt == 0 {
 		r.confirmedAt = e.now
 	}
+	r.listedAt = e.now
 	if entry.Progress != r.progress || r.progressChangedAt == 0 {
 		e.noteProgress(r)
 		r.progress, r.progressChangedAt = entry.Progress, e.now
@@ -246,6 +247,7 @@
 			e.observeSpeed(r)
 			if r.isCopy() {
 				e.stats.CopiesWon++
+				e.noteOvertaken(r.task)
 			}
 		}
 		e.observeEnd(r, outcome)
