Daemons that the store alone turns away keep their configuration current by the owner's word

Change: in a cell with keys the owner's answer to hello tells its configuration's version and age, and its document to a daemon with an older one that the store does not answer. A daemon that must refuse all keys is not ready.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -83,6 +83,11 @@
 	MaxConfigAge time.Duration
 }
 
+// RefusesAllKeys reports whether no key is accepted, since the configuration was known to be the newest too long ago.
+func (r Rules) RefusesAllKeys(configAge time.Duration) bool {
+	return r.RequireKeys && r.MaxKeyUse > 0 && configAge >= r.MaxKeyUse-keyUseMargin
+}
+
 // Call is a call to decide upon, with the configuration in force.
 type Call struct {
 	Key Key
@@ -124,7 +129,7 @@
 	if c.Keys == nil {
 		return Decision{Result: Undecided}
 	}
-	outdated := r.MaxKeyUse > 0 && c.ConfigAge >= r.MaxKeyUse-keyUseMargin
+	outdated := r.RefusesAllKeys(c.ConfigAge)
 	organisation, known := c.Keys.organisation(c.Key)
 	switch {
 	case known && !outdated:
--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -199,3 +199,43 @@
 		t.Errorf("served without %q:\n%s", want, served.String())
 	}
 }
+
+// The store turns a daemon away and serves the others. What the owner knows of the configuration keeps the daemon from refusing all
+// keys, and a key that is removed meanwhile stops being accepted. A word of an older version, or an older word, confirms nothing.
+func TestConfigurationIsConfirmedByAnotherDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Second)
+		}()
+		k := newKeyTest(ctx, t)
+		k.DecodeConfig = func(document []byte) (*Config, error) {
+			config := &Config{Version: 1000, Routes: []Route{{Prefix: "/q/", Queue: graph.Queue{Name: "q", MaxAttempts: 1}}}, Document: document}
+			return config, config.Keys.Add("sparks", access.NewKey(string(document)))
+		}
+		version, _, _ := k.ConfigState()
+		k.store.unreachable.Store(true)
+		accepts := func(key string) bool {
+			_, refusal := k.admit(Request{Path: testJob, Key: access.NewKey(key)})
+			return refusal == nil
+		}
+		for range 20 {
+			time.Sleep(time.Second)
+			k.ObserveConfig(version, nil, k.Clock.Now().Add(-time.Second))
+			if !accepts("k1") || !k.Ready() {
+				t.Fatal("the key is refused, or the daemon is not ready, though the owner confirms the configuration")
+			}
+		}
+		k.ObserveConfig(1000, []byte("k2"), k.Clock.Now())
+		if accepts("k1") || !accepts("k2") {
+			t.Error("the newer configuration is not in force")
+		}
+		k.ObserveConfig(version, nil, k.Clock.Now().Add(time.Minute))
+		k.ObserveConfig(1000, nil, k.Clock.Now().Add(-time.Minute))
+		time.Sleep(testMaxKeyUse)
+		if accepts("k2") || k.Ready() {
+			t.Error("the configuration counts as confirmed by words that are old or of an older version")
+		}
+	})
+}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -27,7 +27,9 @@
 // Config is one version of the configuration. It is immutable.
 type Config struct {
 	Version uint64
-	Routes  []Route
+	// Document is the configuration as it is stored, for daemons that the store does not answer.
+	Document []byte
+	Routes   []Route
 	Limits  Limits
 	// Organisations are those that may hand in jobs.
 	Organisations []graph.Organisation
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -88,6 +88,8 @@
 	Incarnation string
 	// MaxConfigAge is the age above which the configuration may lack a queue that a newer version has.
 	MaxConfigAge time.Duration
+	// DecodeConfig decodes the document of a configuration.
+	DecodeConfig func(document []byte) (*Config, error)
 	// RequireKeys and MaxKeyUse are those of access.Rules.
 	RequireKeys bool
 	MaxKeyUse   time.Duration
@@ -157,7 +159,42 @@
 }
 
 // MarkConfigCurrent records that the configuration in force was the newest version at the given time.
-func (s *Service) MarkConfigCurrent(at monotime.Instant) { s.configCurrentAt.Store(int64(at)) }
+func (s *Service) MarkConfigCurrent(at monotime.Instant) {
+	for {
+		known := s.configCurrentAt.Load()
+		if int64(at) <= known || s.configCurrentAt.CompareAndSwap(known, int64(at)) {
+			return
+		}
+	}
+}
+
+// ConfigState returns the version and the document of the configuration in force, and the time since it was known to be the newest;
+// version 0 if there is none.
+func (s *Service) ConfigState() (version uint64, document []byte, age time.Duration) {
+	confirmedAt := monotime.Instant(s.configCurrentAt.Load()) // read first, as in admit
+	config := s.config.Load()
+	if config == nil {
+		return 0, nil, 0
+	}
+	return config.Version, config.Document, s.Clock.Now().Sub(confirmedAt)
+}
+
+// ObserveConfig takes in what another daemon knows of the configuration: its version, which was the newest at the given time, and its
+// document if it is newer than this daemon's. The other daemon's word suffices, since daemons trust each other; without it a daemon
+// that the store alone does not answer would soon refuse all callers.
+func (s *Service) ObserveConfig(version uint64, document []byte, newestAt monotime.Instant) {
+	if len(document) > 0 && version > s.configVersion() {
+		config, err := s.DecodeConfig(document)
+		if err != nil || config.Version != version {
+			s.Log.Error().Uint64("version", version).Err(err).Msg("invalid configuration from another daemon skipped, the previous version stays in force")
+			return
+		}
+		s.SetConfig(config)
+	}
+	if version == s.configVersion() {
+		s.MarkConfigCurrent(newestAt)
+	}
+}
 
 // Config returns the configuration in force, nil if there is none yet.
 func (s *Service) Config() *Config { return s.config.Load() }
@@ -187,8 +224,15 @@
 	return 0
 }
 
-// Ready reports whether the service can answer callers.
-func (s *Service) Ready() bool { return s.Replica.Ready() && s.config.Load() != nil }
+// Ready reports whether the service can answer callers. One that must refuse all keys is not ready, so that new connections go to other
+// daemons.
+func (s *Service) Ready() bool {
+	if !s.Replica.Ready() || s.config.Load() == nil {
+		return false
+	}
+	age := s.Clock.Now().Sub(monotime.Instant(s.configCurrentAt.Load()))
+	return !s.accessRules().RefusesAllKeys(age)
+}
 
 // Submit accepts a job. decode returns the job's description.
 func (s *Service) Submit(ctx context.Context, req Request, decode func() (*graph.Spec, error)) Answer {
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -84,6 +84,8 @@
 	NewRegistry func(store rowstore.Store, clock monotime.Clock, logger *log.Logger) owner.WorkerRegistry
 	// FollowConfig keeps the service's configuration current until ctx ends.
 	FollowConfig func(ctx context.Context, store rowstore.Store, clock monotime.Clock, logger *log.Logger, service *entry.Service)
+	// DecodeConfig decodes the document of a configuration.
+	DecodeConfig func(document []byte, logger *log.Logger) (*entry.Config, error)
 	// NewCallerHandler returns the handler of callers' requests.
 	NewCallerHandler func(*entry.Service) http.Handler
 }
@@ -121,8 +123,9 @@
 		OtherDaemons: func() []string { return d.Owner.OtherDaemons() },
 		MaxConfigAge: settings.MaxConfigDelay - configMargin, Metrics: set,
 		RequireKeys: settings.RequireKeys, MaxKeyUse: settings.MaxKeyUse,
+		DecodeConfig: func(document []byte) (*entry.Config, error) { return backends.DecodeConfig(document, logger) },
 	})
-	d.Owner = owner.New(owner.Options{
+	ownerOptions := owner.Options{
 		Node:          settings.Node,
 		Incarnation:   incarnation,
 		PeerAddr:      settings.PeerAddr,
@@ -146,7 +149,11 @@
 		RateWindow:     settings.RateWindow,
 		RefuseOverload: settings.RefuseOverload,
 		RemoteFactor:   settings.RemoteFactor,
-	})
+	}
+	if settings.RequireKeys {
+		ownerOptions.ConfigState, ownerOptions.ObserveConfig = d.Service.ConfigState, d.Service.ObserveConfig
+	}
+	d.Owner = owner.New(ownerOptions)
 	replica.OnJobChange(d.Owner.JobChanged)
 	server.Serve(d)
 	return d, nil
--- a/internal/graphd/product.go
+++ b/internal/graphd/product.go
@@ -24,7 +24,10 @@
 		NewRegistry: func(store rowstore.Store, clock monotime.Clock, logger *log.Logger) owner.WorkerRegistry {
 			return &graphproto.WorkerRegistry{Store: store, Clock: clock, Log: logger}
 		},
-		FollowConfig:     graphproto.FollowQueueConfig,
+		FollowConfig: graphproto.FollowQueueConfig,
+		DecodeConfig: func(document []byte, _ *log.Logger) (*entry.Config, error) {
+			return graphproto.DecodeQueueConfig(document)
+		},
 		NewCallerHandler: func(service *entry.Service) http.Handler { return graphapi.Handler(service) },
 	}
 }
--- a/internal/graphproto/config.go
+++ b/internal/graphproto/config.go
@@ -147,8 +147,8 @@
 	return config, nil
 }
 
-// decodeQueueConfig decodes and validates a configuration.
-func decodeQueueConfig(value []byte) (*entry.Config, error) {
+// DecodeQueueConfig decodes and validates a configuration.
+func DecodeQueueConfig(value []byte) (*entry.Config, error) {
 	var config QueueConfig
 	if err := json.Unmarshal(value, &config); err != nil {
 		return nil, err
@@ -156,7 +156,12 @@
 	if err := config.Validate(); err != nil {
 		return nil, err
 	}
-	return config.EntryConfig()
+	decoded, err := config.EntryConfig()
+	if err != nil {
+		return nil, err
+	}
+	decoded.Document = value
+	return decoded, nil
 }
 
 // FollowQueueConfig keeps the service's queues current until ctx ends. It skips a version that can't be decoded or is
@@ -168,7 +173,7 @@
 			if change.Removed || change.Name != queuesRowName {
 				continue
 			}
-			config, err := decodeQueueConfig(change.Value)
+			config, err := DecodeQueueConfig(change.Value)
 			if err != nil {
 				logger.Error().Uint64("version", change.Version).Err(err).Msg("invalid queue configuration skipped, the previous version stays in force")
 				continue
--- a/internal/graphproto/config_test.go
+++ b/internal/graphproto/config_test.go
@@ -11,7 +11,7 @@
 
 // A configuration with organisations and a public queue. The failure is a part of it that does not come into force.
 func TestOrganisationsComeIntoForce(t *testing.T) {
-	config, err := decodeQueueConfig([]byte(`{"version":3,
+	config, err := DecodeQueueConfig([]byte(`{"version":3,
 		"queues":[{"name":"q","pool":"p","attempts":1},{"name":"open","pool":"p","attempts":1,"public":true}],
 		"organisations":[{"name":"sparks","keys":["k1","k2"],"weight":2.5,"limit":{"milli_cpu":1000,"memory_mb":5,"accelerators":3}},{"name":"costumes","keys":["k3"],"weight":1}]}`))
 	if err != nil {
@@ -48,7 +48,7 @@
 		"key not a string":  `{"name":"a","keys":[{"secret":1}],"weight":1}`,
 		"weight not number": `{"name":"a","keys":["secret"],"weight":"secret"}`,
 	} {
-		_, err := decodeQueueConfig([]byte(`{"version":3,"queues":[],"organisations":[` + organisations + `]}`))
+		_, err := DecodeQueueConfig([]byte(`{"version":3,"queues":[],"organisations":[` + organisations + `]}`))
 		if err == nil || strings.Contains(err.Error(), "secret") {
 			t.Errorf("%s: error %v, want one without the key", name, err)
 		}
--- a/internal/owner/hello.go
+++ b/internal/owner/hello.go
@@ -40,11 +40,20 @@
 	ctx, cancel := context.WithTimeout(ctx, helloInterval)
 	defer cancel()
 	body := &wire.Hello{Node: d.Node, Addr: d.PeerAddr, Zone: d.Zone, StoreAgeMs: d.ownershipViewAge().Milliseconds(), MilliCores: uint32(d.Cores * 1000), UptimeMs: d.Clock.Now().Sub(d.startedAt).Milliseconds()}
+	if d.ConfigState != nil {
+		body.ConfigVersion, _, _ = d.ConfigState()
+		body.WantsConfig = !d.StoreUp()
+	}
+	sentAt := d.Clock.Now()
 	reply, err := d.Peers.Call(ctx, addr, &wire.Request{Body: &wire.Request_Hello{Hello: body}})
 	if err != nil {
 		d.instruments.helloFailures.Inc()
 		return
 	}
+	if hello := reply.GetHello(); hello.GetConfigVersion() > 0 && d.ObserveConfig != nil {
+		// The owner knew the version to be the newest at most this long before it answered, which was after the sending.
+		d.ObserveConfig(hello.ConfigVersion, hello.Config, sentAt.Add(-time.Duration(hello.ConfigAgeMs)*time.Millisecond))
+	}
 	if peers := reply.GetHello().GetPeers(); len(peers) > 0 {
 		d.peerAddrs.Store(&peers)
 		d.Replica.SetDaemonCount(len(peers) + 1)
@@ -110,6 +119,13 @@
 		d.peerAddrs.Store(&peers)
 	})
 	body := &wire.HelloReply{}
+	if d.ConfigState != nil {
+		version, document, age := d.ConfigState()
+		body.ConfigVersion, body.ConfigAgeMs = version, age.Milliseconds()+1
+		if hello.WantsConfig && hello.ConfigVersion < version {
+			body.Config = document
+		}
+	}
 	if peers := d.peerAddrs.Load(); peers != nil {
 		body.Peers = *peers
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -74,6 +74,11 @@
 	Queue func(name string) (graph.Queue, bool)
 	// Organisations returns the version of the configuration in force and its organisations.
 	Organisations func() (version uint64, organisations []graph.Organisation)
+	// ConfigState and ObserveConfig exchange the configuration between daemons; nil if they don't. ConfigState returns the version
+	// and the document of the one in force, and the time since it was known to be the newest. ObserveConfig takes in a version
+	// that was the newest at the given time, and its document if it was asked for.
+	ConfigState   func() (version uint64, document []byte, age time.Duration)
+	ObserveConfig func(version uint64, document []byte, newestAt monotime.Instant)
 	// StoreUp reports whether the store answers this daemon.
 	StoreUp func() bool
 	// StoreAge returns how long ago the store last answered this daemon.
