An organisation's rate counts jobs over a sliding window, with the deployment's overage and slack

A bucket of weight x window also admits twice as many in one window. Change: in any window weight x window jobs are within the rate, more by overage and slack; settings and flags for both. Tests: the lanes after a takeover follow the window; the load test uses the users' settings. Result: tests of dispatch (lanes, limits, shares), owner (organisations), settings and docs pass.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -67,10 +67,10 @@
 	// any, organisationsPending that it is awaited, lanesAssigned that the jobs added before the first one have their lanes.
 	organisations                                         map[string]*organisation
 	hasOrganisations, organisationsPending, lanesAssigned bool
-	// rateWindow is the time over which an organisation's rate of jobs is averaged.
-	rateWindow time.Duration
-	shares     fairShares
-	stats      Stats
+	// rateOptions say how the organisations' rates of jobs are measured.
+	rateOptions RateOptions
+	shares      fairShares
+	stats       Stats
 	// noEjections turns ejections off, likewise.
 	noEjections bool
 }
--- a/internal/dispatch/lanes.go
+++ b/internal/dispatch/lanes.go
@@ -20,7 +20,7 @@
 // assignLane decides the lane of a job as it arrives. Jobs without an organisation are within any rate.
 func (e *Engine) assignLane(j *job) {
 	j.lane = laneWithinRate
-	if e.hasOrganisations && j.organisation != nil && !j.organisation.rate.take(j.arrivedAt, j.organisation.weight, e.rateWindow) {
+	if e.hasOrganisations && j.organisation != nil && !j.organisation.rate.admit(j.arrivedAt, e.rateOptions.Window, e.rateOptions.jobsPerWindow(j.organisation.weight)) {
 		j.lane = laneBeyondRate
 	}
 }
--- a/internal/dispatch/organisation.go
+++ b/internal/dispatch/organisation.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"laburnumpoint/internal/graph"
-	"laburnumpoint/internal/monotime"
 )
 
 // organisation is what the engine knows of an organisation: its settings, what its runs use and the rate of its jobs. It is nil
@@ -26,7 +25,7 @@
 	mayUse graph.Resources
 	// jobs and runs count what refers to the organisation.
 	jobs, runs int
-	rate       tokenBucket
+	rate       rateMeter
 	// head is the step for which the current plan keeps a part of the limit from later steps; nil for none.
 	head *step
 	// waitingTasks counts its unplaced tasks of active steps at the start of the last plan.
@@ -43,11 +42,11 @@
 // defaultWeight is the weight of an organisation that the configuration doesn't name.
 const defaultWeight = 1.0
 
-// SetOrganisations sets the organisations of the configuration in force, and the time over which their rates of jobs are averaged.
+// SetOrganisations sets the organisations of the configuration in force, and how their rates of jobs are measured.
 // An organisation that is not listed has no limit and the default weight. Nothing is stopped when a limit becomes lower.
-func (e *Engine) SetOrganisations(list []graph.Organisation, rateWindow time.Duration) {
+func (e *Engine) SetOrganisations(list []graph.Organisation, rate RateOptions) {
 	e.organisationsPending = false
-	e.rateWindow = rateWindow
+	e.rateOptions = rate
 	e.hasOrganisations = len(list) > 0
 	for _, o := range e.organisations {
 		o.configured, o.weight, o.limit = false, defaultWeight, graph.Resources{}
@@ -421,30 +420,3 @@
 	slices.SortFunc(usages, func(a, b OrganisationUsage) int { return cmp.Compare(a.Name, b.Name) })
 	return usages
 }
-
-// tokenBucket meters the jobs of an organisation by their arrival.
-type tokenBucket struct {
-	// tokens are those left at the time of the last refill. started means that there was a first job.
-	tokens     float64
-	refilledAt monotime.Instant
-	started    bool
-}
-
-// take takes a token at the given time and reports whether there was one. The bucket gains weight tokens a second and holds weight
-// times the window, at least one.
-func (b *tokenBucket) take(at monotime.Instant, weight float64, window time.Duration) bool {
-	depth := max(1, weight*window.Seconds())
-	switch {
-	case !b.started:
-		b.started, b.tokens, b.refilledAt = true, depth, at
-	case at > b.refilledAt:
-		b.tokens += weight * at.Sub(b.refilledAt).Seconds()
-		b.refilledAt = at
-	}
-	b.tokens = min(b.tokens, depth)
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -30,7 +30,7 @@
 	// Document is the configuration as it is stored, for daemons that the store does not answer.
 	Document []byte
 	Routes   []Route
-	Limits  Limits
+	Limits   Limits
 	// Organisations are those that may hand in jobs.
 	Organisations []graph.Organisation
 	// Keys are the keys by which their callers are known.
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
+	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/entry"
 	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/graph"
@@ -66,8 +67,8 @@
 	// MaxKeyUse is the time from the acknowledgement of a configuration that removes a key within which every daemon must
 	// have stopped to accept it, even one that the store does not answer; 0 if there is no such bound.
 	MaxKeyUse time.Duration
-	// RateWindow is the time over which an organisation's rate of jobs is averaged.
-	RateWindow time.Duration
+	// Rates say how organisations' rates of jobs are measured.
+	Rates dispatch.RateOptions
 	// RefuseOverload means that jobs that can't be completed in time are refused.
 	RefuseOverload bool
 	// RemoteFactor is how many times as long a task takes away from its data or its group; 1 if places make no difference.
@@ -146,7 +147,7 @@
 		Cores:         settings.Cores,
 		Orders:        settings.Orders,
 
-		RateWindow:     settings.RateWindow,
+		Rates:          settings.Rates,
 		RefuseOverload: settings.RefuseOverload,
 		RemoteFactor:   settings.RemoteFactor,
 	}
--- a/internal/owner/organisations.go
+++ b/internal/owner/organisations.go
@@ -21,7 +21,7 @@
 		return
 	}
 	c.organisationsVersion = version
-	c.engine.SetOrganisations(organisations, c.RateWindow)
+	c.engine.SetOrganisations(organisations, c.Rates)
 	if len(organisations) > 0 {
 		c.Log.Info().Uint64("config", version).Int("organisations", len(organisations)).Msg("organisations in force")
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -87,8 +87,8 @@
 	Cores float64
 	// Orders bounds the starts and stops that are sent to workers.
 	Orders flowcontrol.Options
-	// RateWindow is the time over which an organisation's rate of jobs is averaged.
-	RateWindow time.Duration
+	// Rates say how organisations' rates of jobs are measured.
+	Rates dispatch.RateOptions
 	// RefuseOverload means that the daemons refuse jobs that can't be completed in time.
 	RefuseOverload bool
 	// RemoteFactor is how many times as long a task takes away from its data or its group.
--- a/internal/settings/graphs.go
+++ b/internal/settings/graphs.go
@@ -10,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/graphd"
 )
@@ -37,6 +38,8 @@
 	flagRequireKeys   = "require-keys"
 	flagMaxKeyUse     = "max-key-use"
 	flagRateWindow    = "rate-window"
+	flagRateOverage   = "rate-overage"
+	flagRateSlack     = "rate-slack"
 	flagRefuseLoad    = "refuse-overload"
 	flagRemoteFactor  = "remote-factor"
 )
@@ -78,7 +81,9 @@
 		durationFlag(flagOrderTimeout, "least `TIME` after which an order without an answer is given up", flow.MinTimeout),
 		&cli.BoolFlag{Name: flagRequireKeys, Usage: "require the key of an organisation from callers, except on public queues", Sources: env(flagRequireKeys)},
 		durationFlag(flagMaxKeyUse, "`TIME` from a key's removal after which no daemon accepts it, even one without the store; 0 for no bound", 5*time.Second),
-		durationFlag(flagRateWindow, "`TIME` over which an organisation's rate of jobs is averaged", 5*time.Second),
+		durationFlag(flagRateWindow, "`TIME` over which an organisation's jobs are counted", 5*time.Second),
+		&cli.FloatFlag{Name: flagRateOverage, Usage: "`SHARE` by which an organisation may exceed its rate of jobs in that time", Value: 0, Sources: env(flagRateOverage)},
+		&cli.IntFlag{Name: flagRateSlack, Usage: "`NUMBER` of jobs by which an organisation may exceed its rate in that time besides", Value: 0, Sources: env(flagRateSlack)},
 		&cli.BoolFlag{Name: flagRefuseLoad, Usage: "refuse jobs that can't be completed in time", Sources: env(flagRefuseLoad)},
 		&cli.FloatFlag{Name: flagRemoteFactor, Usage: "`FACTOR` by which a task takes longer away from its data or its group", Value: 1, Sources: env(flagRemoteFactor)},
 	}
@@ -135,9 +140,11 @@
 			MinRepeatDelay: cmd.Duration(flagRepeatDelay),
 			MinTimeout:     cmd.Duration(flagOrderTimeout),
 		},
-		RequireKeys:    cmd.Bool(flagRequireKeys),
-		MaxKeyUse:      cmd.Duration(flagMaxKeyUse),
-		RateWindow:     cmd.Duration(flagRateWindow),
+		RequireKeys: cmd.Bool(flagRequireKeys),
+		MaxKeyUse:   cmd.Duration(flagMaxKeyUse),
+		Rates: dispatch.RateOptions{
+			Window: cmd.Duration(flagRateWindow), Overage: cmd.Float(flagRateOverage), Slack: cmd.Int(flagRateSlack),
+		},
 		RefuseOverload: cmd.Bool(flagRefuseLoad),
 		RemoteFactor:   cmd.Float(flagRemoteFactor),
 	}}
@@ -167,7 +174,9 @@
 	require(s.Orders.MinRepeatDelay > 0, flagRepeatDelay, "a positive time")
 	require(s.Orders.MinTimeout >= s.Orders.MinRepeatDelay, flagOrderTimeout, "at least --"+flagRepeatDelay)
 	require(s.MaxKeyUse == 0 || s.MaxKeyUse > time.Second, flagMaxKeyUse, "0, or more than a second")
-	require(s.RateWindow >= time.Second, flagRateWindow, "a second or more")
+	require(s.Rates.Window >= time.Second, flagRateWindow, "a second or more")
+	require(s.Rates.Overage >= 0, flagRateOverage, "0 or more")
+	require(s.Rates.Slack >= 0, flagRateSlack, "0 or more")
 	require(s.RemoteFactor >= 1, flagRemoteFactor, "1 or more")
 	if cmd.NArg() > 0 {
 		problems = append(problems, fmt.Errorf("unexpected argument %q", cmd.Args().First()))
