Jobs that can't be completed in time may be refused with 429

Cause: in overload every job was accepted, also one that certain work ahead of it would make worthless.

Change: with RefuseOverload the owner summarises its backlog by pool, priority, lane and due time; the daemons fetch the summary with each hello and refuse a job (result overloaded, 429, Retry-After) if even the low end of the prediction is beyond three times its objective. The low end counts only work that the engine surely serves first and only until it expires, and corrects estimates by observed run times and their errors. A job that is stored, or may yet be, is not refused: its row is read first, and nothing is refused while the store is slow, has failed within 8 s, or has not answered some daemon. Scheduled and long-running jobs never are. Callers' clients come back after a 429 like after a 503. All jobs are in lane 0 until jobs beyond their rate are told apart.

The load simulation of package owner gets bursts, rounds at an interval, wrong estimates and refusals; its runs are indexed by worker.

Its other cases are unchanged.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -6,6 +6,7 @@
 
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/overload"
 )
 
 const (
@@ -45,6 +46,8 @@
 	waitingTasks int
 	// verdictCounts counts the policy service's verdicts by queue.
 	verdictCounts map[string]verdictCount
+	// runTimeRatios holds the ratios of run times to estimates by queue.
+	runTimeRatios map[string]*overload.Ratios
 	stats         Stats
 }
 
@@ -69,6 +72,7 @@
 		unansweredStops: make(map[*run]struct{}),
 		unconfirmedEnds: make(map[WorkerID]uint64),
 		verdictCounts:   make(map[string]verdictCount),
+		runTimeRatios:   make(map[string]*overload.Ratios),
 	}
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -194,6 +194,7 @@
 // handleEnd processes the end of a run on a worker.
 func (e *Engine) handleEnd(w *worker, key RunKey, outcome RunOutcome, checkpoint string) {
 	if r := w.runs[key]; r != nil {
+		e.observeRunTime(r, outcome)
 		e.releaseRun(r)
 	}
 	t := e.task(key.Task)
@@ -264,6 +265,7 @@
 	if t.step.openTasks > 0 {
 		return
 	}
+	e.recordRunTimes(t.step)
 	delete(e.active, t.step)
 	t.step.active = false
 	j.openSteps--
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -311,6 +311,7 @@
 	verdicts map[WorkerID]bool
 	// reservedWorkers are the workers chosen to be kept free for a gang.
 	reservedWorkers []*worker
+	runTimes        stepRunTimes
 }
 
 // addDetachedRun counts r as a run of one of the step's tasks that is no task's current run.
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -187,7 +187,7 @@
 		replica := ledger.NewReplica(monitored, clock, quiet, ledger.DaemonInfo{Incarnation: addr, Cores: 1})
 		d.Service = NewService(Options{
 			Replica: replica, Clock: clock, Log: quiet, Peers: &testSender{c}, Incarnation: addr, Metrics: set,
-			StoreDown: monitored.Down, StoreUp: monitored.Up, StoreAge: monitored.SinceLastAnswer,
+			SinceStoreFailure: monitored.SinceLastFailure, StoreDown: monitored.Down, StoreUp: monitored.Up, StoreAge: monitored.SinceLastAnswer,
 			OtherDaemons: func() []string {
 				return slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == addr || a == addresses[0] })
 			},
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -12,6 +12,7 @@
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/overload"
 	"laburnumpoint/internal/peer"
 	"laburnumpoint/internal/wire"
 )
@@ -33,11 +34,14 @@
 	Unavailable
 	// Uncertain means that the command may or may not take effect.
 	Uncertain
+	// Overloaded means that the job could not be completed in time; nothing was stored and nothing will be.
+	Overloaded
 )
 
 // resultNames are the names of the results in logs and metrics.
 var resultNames = map[Result]string{
 	OK: "ok", NoQueue: "no_queue", NoJob: "no_job", Invalid: "invalid", Unavailable: "unavailable", Uncertain: "uncertain",
+	Overloaded: "overloaded",
 }
 
 // String returns the result's name in logs and metrics.
@@ -50,7 +54,7 @@
 	Pending int
 	// Reasons say why a job is in its state.
 	Reasons []string
-	// RetryAfter is how long the caller should wait before it tries again. Set with Unavailable.
+	// RetryAfter is how long the caller should wait before it tries again. Set with Unavailable and Overloaded.
 	RetryAfter time.Duration
 	// Detail says why the result is not OK.
 	Detail string
@@ -75,7 +79,7 @@
 	maxReplicaAge = 2500 * time.Millisecond
 )
 
-// Options holds the dependencies of a service. All fields are required.
+// Options holds the dependencies of a service. All fields but Backlog are required.
 type Options struct {
 	Replica *ledger.Replica
 	Clock   monotime.Clock
@@ -94,7 +98,12 @@
 	// OtherDaemons returns the addresses of the live daemons apart from this one, with those that the store has lately not
 	// answered last. The caller must not change the list.
 	OtherDaemons func() []string
-	Metrics      *metrics.Set
+	// SinceStoreFailure returns how long ago the store last failed a call of this daemon; ever is false if it has not.
+	SinceStoreFailure func() (age time.Duration, ever bool)
+	// Backlog returns a recent summary of the owner's backlog; ok is false if there is none. It is nil if no job is refused for
+	// overload.
+	Backlog func() (summary *overload.Summary, ok bool)
+	Metrics *metrics.Set
 }
 
 // Service carries out callers' commands and answers their queries. It is safe for concurrent use.
@@ -140,6 +149,7 @@
 			return
 		}
 		if s.config.CompareAndSwap(current, config) {
+			s.registerPoolMetrics(config)
 			s.Log.Info().Uint64("version", config.Version).Int("routes", len(config.Routes)).Msg("configuration in force")
 			return
 		}
@@ -220,6 +230,9 @@
 }
 
 func (s *Service) accept(ctx context.Context, id graph.JobID, record ledger.JobRecord) Answer {
+	if refusal := s.refuseOverload(ctx, id, &record); refusal != nil {
+		return *refusal
+	}
 	data, err := json.Marshal(record)
 	if err != nil {
 		return Answer{Result: Invalid, Detail: err.Error()}
--- a/internal/graphapi/client.go
+++ b/internal/graphapi/client.go
@@ -130,7 +130,7 @@
 		return answer, 0, nil
 	}
 	refused := &RefusedError{resp.StatusCode, answer}
-	if resp.StatusCode < http.StatusInternalServerError {
+	if resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests {
 		return answer, 0, refused
 	}
 	pause = defaultRetryPause
--- a/internal/graphapi/handler.go
+++ b/internal/graphapi/handler.go
@@ -31,6 +31,7 @@
 	entry.Invalid:     http.StatusBadRequest,
 	entry.Unavailable: http.StatusServiceUnavailable,
 	entry.Uncertain:   http.StatusGatewayTimeout,
+	entry.Overloaded:  http.StatusTooManyRequests,
 }
 
 // Handler returns the handler of the callers' HTTP interface.
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -19,6 +19,7 @@
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/overload"
 	"laburnumpoint/internal/owner"
 	"laburnumpoint/internal/peer"
 	"laburnumpoint/internal/rowstore"
@@ -115,9 +116,14 @@
 	incarnation := uuid.NewString()
 	replica := ledger.NewReplica(store, clock, logger, ledger.DaemonInfo{Incarnation: incarnation, Cores: settings.Cores, Weak: settings.Cores < owner.RecommendedOwnerCores})
 	d := &Daemon{Settings: settings, backends: backends, log: logger, set: set, clock: clock, server: server}
+	var backlog func() (*overload.Summary, bool)
+	if settings.RefuseOverload {
+		backlog = func() (*overload.Summary, bool) { return d.Owner.Backlog() }
+	}
 	d.Service = entry.NewService(entry.Options{
 		Replica: replica, Clock: clock, Log: logger, Peers: peers, Incarnation: incarnation, ExplainIfOwner: d.explain,
 		StoreDown: store.Down, StoreUp: store.Up, StoreAge: store.SinceLastAnswer,
+		SinceStoreFailure: store.SinceLastFailure, Backlog: backlog,
 		OtherDaemons: func() []string { return d.Owner.OtherDaemons() },
 		MaxConfigAge: settings.MaxConfigDelay - configMargin, Metrics: set,
 	})
@@ -168,6 +174,9 @@
 	case *wire.Request_Resign:
 		return d.Owner.HandleResign(ctx, body.Resign)
 	case *wire.Request_Intake:
+		if body.Intake.Command == owner.CommandBacklog {
+			return d.Owner.HandleBacklog()
+		}
 		return d.Service.HandleIntake(ctx, body.Intake)
 	}
 	return &wire.Reply{Body: &wire.Reply_Refused{Refused: &wire.Reason{Code: "unknown_request"}}}
--- a/internal/graphd/graphd_test.go
+++ b/internal/graphd/graphd_test.go
@@ -36,8 +36,11 @@
 	cluster *graphwork.Cluster
 	daemons []*testDaemon
 	caller  *graphapi.Client
-	// retention is the daemons' setting Retention.
-	retention time.Duration
+	// retention and refuseOverload are the daemons' settings Retention and RefuseOverload.
+	retention      time.Duration
+	refuseOverload bool
+	// otherQueues are queues beside the one of most tests.
+	otherQueues []graphproto.Queue
 }
 
 type testDaemon struct {
@@ -49,19 +52,27 @@
 func newCell(t *testing.T, daemons int) *testCell { return newCellWithRetention(t, daemons, time.Hour) }
 
 func newCellWithRetention(t *testing.T, daemons int, retention time.Duration) *testCell {
+	t.Helper()
+	c := &testCell{T: t, retention: retention}
+	c.startCluster()
+	for i := range daemons {
+		c.startDaemon(fmt.Sprint("vm-", i))
+	}
+	return c
+}
+
+func (c *testCell) startCluster() {
+	t := c.T
 	t.Helper()
 	pools := []graphwork.Pool{{Name: "sheets", Workers: 4, Capacity: graph.Resources{MilliCPU: 4000, MemoryMB: 4000}, Labels: []string{"fast"}}}
 	queues := graphproto.QueueConfig{Version: 1, Queues: []graphproto.Queue{{Name: queue, Pool: "sheets", MaxAttempts: 2, Stretch: 2, TargetMS: 500}}}
+	queues.Queues = append(queues.Queues, c.otherQueues...)
 	cluster, err := graphwork.NewCluster(t.Context(), "127.0.0.1:0", pools, queues)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = cluster.Close() })
-	c := &testCell{T: t, cluster: cluster, caller: &graphapi.Client{RetryFor: testTimeout, HTTP: &http.Client{}}, retention: retention}
-	for i := range daemons {
-		c.startDaemon(fmt.Sprint("vm-", i))
-	}
-	return c
+	c.cluster, c.caller = cluster, &graphapi.Client{RetryFor: testTimeout, HTTP: &http.Client{}}
 }
 
 func (c *testCell) startDaemon(node string) {
@@ -69,7 +80,7 @@
 	settings := Settings{
 		Node: node, Zone: "z", CallerAddr: c.freeAddr(), ReadyAddr: c.freeAddr(), MetricsAddr: c.freeAddr(), PeerAddr: "127.0.0.1:0",
 		Cores: 1, MaxLease: 10 * time.Second, MaxConfigDelay: 2 * time.Second, StopGrace: 3 * time.Second, Retention: c.retention, BalancerDelay: 100 * time.Millisecond,
-		Orders: flowcontrol.DefaultOptions(),
+		Orders: flowcontrol.DefaultOptions(), RefuseOverload: c.refuseOverload,
 	}
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	d, err := New(settings, NativeBackends(c.cluster.StoreAddr), logger, metrics.NewSet())
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -67,7 +67,9 @@
 	// reportsComplete means that all workers of earlier owners have reported their runs or have ended.
 	reportsComplete bool
 	ownershipLost   bool
-	cancel          context.CancelFunc
+	// backlogAt is when the backlog was last summarised; storeTroubleUntil is described at overload.Summary.
+	backlogAt, storeTroubleUntil monotime.Instant
+	cancel                       context.CancelFunc
 }
 
 func newController(parent context.Context, d *Daemon, ownership *ledger.Ownership, takeoverStartedAt, earlierOrdersUntil monotime.Instant) *controller {
@@ -212,6 +214,7 @@
 			c.resignIfNeeded()
 			c.ownership.SetStandbys(c.permits.countStandbys(c.now(), c.Cores))
 			c.removeEndedJobs()
+			c.publishBacklog()
 		}
 		c.handleEventsUntilRound()
 		roundStartedAt := c.now()
--- a/internal/owner/hello.go
+++ b/internal/owner/hello.go
@@ -18,6 +18,9 @@
 		owner := d.Replica.Owner()
 		if owner.Version > 0 && !owner.Released && owner.Incarnation != d.Incarnation {
 			d.sendHello(ctx, owner.Address)
+			if d.RefuseOverload {
+				go d.fetchBacklog(ctx, owner.Address)
+			}
 		}
 		if !d.StoreUp() && !d.IsOwner() {
 			d.askPeerForOwner(ctx)
--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -56,6 +56,15 @@
 	arrivalDuration time.Duration
 	// outageFrom and outageTo bound a time without an owner: jobs arrive, but nothing is scheduled.
 	outageFrom, outageTo time.Duration
+	// roundInterval is the time between two rounds of decisions; 0 means a round after each event.
+	roundInterval time.Duration
+	// From burstFrom to burstTo, burstFactor times as many jobs arrive.
+	burstFrom, burstTo time.Duration
+	burstFactor        float64
+	// goodEstimates means that the estimate of a step is the run time of its longest task.
+	goodEstimates bool
+	// estimateError draws the factor by which all estimates of a job are wrong; nil means that they are not.
+	estimateError func(*rand.Rand) float64
 }
 
 func (o *loadScenario) jobArrivalDuration() time.Duration {
@@ -163,6 +172,9 @@
 	runTimes   [][]time.Duration
 	spec       *graph.Spec
 	done       bool
+	refused    bool
+	// took is the time from arrival to the end, once the job is done.
+	took time.Duration
 }
 
 type loadEvent struct {
@@ -200,8 +212,9 @@
 	// used is what the runs on each worker claim, size its capacity.
 	used map[dispatch.WorkerID]graph.Resources
 	size map[dispatch.WorkerID]graph.Resources
-	// runs holds the worker of each run, runStartedAt its start.
+	// runs holds the worker of each run, workerRuns the runs of each worker, runStartedAt the start of each run.
 	runs         map[dispatch.RunKey]dispatch.WorkerID
+	workerRuns   map[dispatch.WorkerID]map[dispatch.RunKey]struct{}
 	runStartedAt map[dispatch.RunKey]monotime.Instant
 	jobCount     int
 	// inUse is the sum over all samples of the share of the workers' processor time in use. Samples are taken from
@@ -212,6 +225,8 @@
 	gangs map[string]int
 	// allowedWorkers holds, for each step, the workers that may run it.
 	allowedWorkers map[dispatch.StepID]map[dispatch.WorkerID]bool
+	// refuses reports whether a submitted job is refused; nil refuses none.
+	refuses func(id graph.JobID, j *loadJob) bool
 }
 
 const (
@@ -238,7 +253,7 @@
 		now: 1, jobs: map[graph.JobID]*loadJob{}, results: make([]loadResult, len(scenario.kinds)),
 		sequences: map[dispatch.WorkerID]uint64{}, used: map[dispatch.WorkerID]graph.Resources{},
 		size: map[dispatch.WorkerID]graph.Resources{}, runs: map[dispatch.RunKey]dispatch.WorkerID{}, runStartedAt: map[dispatch.RunKey]monotime.Instant{}, gangs: map[string]int{},
-		allowedWorkers: map[dispatch.StepID]map[dispatch.WorkerID]bool{},
+		allowedWorkers: map[dispatch.StepID]map[dispatch.WorkerID]bool{}, workerRuns: map[dispatch.WorkerID]map[dispatch.RunKey]struct{}{},
 	}
 	for _, p := range scenario.pools {
 		for i := range p.workers {
@@ -246,6 +261,7 @@
 			s.engine.PutWorker(dispatch.Worker{ID: id, Pool: p.name, Capacity: p.size})
 			s.engine.SetReachable(id, true)
 			s.size[id] = p.size
+			s.workerRuns[id] = map[dispatch.RunKey]struct{}{}
 		}
 	}
 	return s
@@ -256,12 +272,17 @@
 		s.scheduleArrival(k)
 	}
 	s.sampleUsage()
+	if s.scenario.roundInterval > 0 {
+		s.runRounds()
+	}
 	for s.events.Len() > 0 {
 		e := heap.Pop(&s.events).(loadEvent)
 		s.now = max(s.now, e.at)
 		s.engine.SetNow(s.now)
 		e.f()
-		s.round()
+		if s.scenario.roundInterval == 0 {
+			s.round()
+		}
 		if s.now > monotime.Instant(2*s.scenario.jobArrivalDuration()) {
 			break
 		}
@@ -273,6 +294,12 @@
 	heap.Push(&s.events, loadEvent{s.now.Add(d), s.nextSequence, f})
 }
 
+// runRounds decides every roundInterval.
+func (s *loadSim) runRounds() {
+	s.after(s.scenario.roundInterval, s.runRounds)
+	s.round()
+}
+
 func (s *loadSim) sampleUsage() {
 	s.after(tickInterval, s.sampleUsage)
 	if to := s.scenario.outageTo; to > 0 && s.now > monotime.Instant(to+backlogSettleTime) && s.now < monotime.Instant(s.scenario.jobArrivalDuration()) {
@@ -292,7 +319,11 @@
 }
 
 func (s *loadSim) scheduleArrival(kind int) {
-	gap := time.Duration(s.rng.ExpFloat64() / s.scenario.kinds[kind].perSecond * float64(time.Second))
+	perSecond := s.scenario.kinds[kind].perSecond
+	if s.now >= monotime.Instant(s.scenario.burstFrom) && s.now < monotime.Instant(s.scenario.burstTo) {
+		perSecond *= s.scenario.burstFactor
+	}
+	gap := time.Duration(s.rng.ExpFloat64() / perSecond * float64(time.Second))
 	s.after(gap, func() {
 		if s.now > monotime.Instant(s.scenario.jobArrivalDuration()) {
 			return
@@ -317,6 +348,10 @@
 	if s.rng.Float64() < k.extraStepShare {
 		steps++
 	}
+	estimateError := 1.0
+	if s.scenario.estimateError != nil {
+		estimateError = s.scenario.estimateError(s.rng)
+	}
 	for i := range steps {
 		step := graph.Step{Count: max(1, int(s.logNormal(k.width, 0.7, 6)+0.5)), Claim: k.claim, Gang: k.gang, Checkpoints: k.checkpoints}
 		if len(k.accelerators) > 0 {
@@ -342,16 +377,23 @@
 			longest = max(longest, d)
 			work += d.Seconds() * (float64(step.Claim.MilliCPU)/1000 + 8*float64(step.Claim.Accelerators))
 		}
-		step.Estimate = time.Duration(float64(k.work) * math.Exp(s.rng.NormFloat64()*0.5))
+		step.Estimate = time.Duration(float64(k.work) * math.Exp(s.rng.NormFloat64()*0.5) * estimateError)
+		if s.scenario.goodEstimates {
+			step.Estimate = time.Duration(float64(longest) * estimateError)
+		}
 		j.runTimes = append(j.runTimes, actual)
 		j.spec.Steps = append(j.spec.Steps, step)
-		chain += longest + k.queue.Permit.For(30)
+		chain += longest + k.queue.ExpectedPermitLatency()
 	}
 	j.targetTime = time.Duration(k.queue.Stretch*float64(chain)) + k.queue.Target
 	j.value = k.value * min(4, 0.3+0.7*work/k.meanWork())
 	s.jobs[id] = j
 	s.results[kind].jobs++
 	s.results[kind].fullValue += j.value
+	if s.refuses != nil && s.refuses(id, j) {
+		j.refused = true
+		return
+	}
 	s.after(callLatency, func() {
 		s.engine.AddJob(dispatch.JobInput{ID: id, Queue: k.queue, Spec: j.spec, ArrivedAt: s.now})
 	})
@@ -438,6 +480,7 @@
 		s.t.Fatalf("worker %s is filled beyond its capacity: %v", o.Worker, s.used[o.Worker])
 	}
 	s.runs[o.RunKey] = o.Worker
+	s.workerRuns[o.Worker][o.RunKey] = struct{}{}
 	s.runStartedAt[o.RunKey] = s.now
 	s.after(callLatency, func() { s.engine.HandleStartOutcome(o.Worker, o.RunKey, dispatch.Started) })
 	s.after(callLatency+j.runTimes[o.Task.Step][o.Task.Index], func() { s.end(o.Worker, o.RunKey, dispatch.RunDone) })
@@ -448,6 +491,7 @@
 		return
 	}
 	delete(s.runs, key)
+	delete(s.workerRuns[w], key)
 	j := s.jobs[key.Task.Job]
 	if how == dispatch.RunInterrupted && j.spec.Steps[key.Task.Step].Checkpoints {
 		left := &j.runTimes[key.Task.Step][key.Task.Index]
@@ -456,12 +500,10 @@
 	s.used[w] = s.used[w].Sub(j.spec.Steps[key.Task.Step].Claim)
 	s.sequences[w]++
 	report := dispatch.Report{Ended: []dispatch.EndedEntry{{Sequence: s.sequences[w], RunKey: key, End: how}}}
-	for k, on := range s.runs {
-		if on == w {
-			total := s.jobs[k.Task.Job].runTimes[k.Task.Step][k.Task.Index]
-			progress := int(100 * s.now.Sub(s.runStartedAt[k]) / total)
-			report.Running = append(report.Running, dispatch.RunningEntry{RunKey: k, Progress: progress})
-		}
+	for k := range s.workerRuns[w] {
+		total := s.jobs[k.Task.Job].runTimes[k.Task.Step][k.Task.Index]
+		progress := int(100 * s.now.Sub(s.runStartedAt[k]) / total)
+		report.Running = append(report.Running, dispatch.RunningEntry{RunKey: k, Progress: progress})
 	}
 	s.engine.HandleReport(w, s.now, report)
 	if state, _ := s.engine.JobState(key.Task.Job); state == graph.Completed && !j.done {
@@ -473,6 +515,7 @@
 func (s *loadSim) recordResult(j *loadJob) {
 	r := &s.results[j.kind]
 	took := s.now.Sub(j.arrived)
+	j.took = took
 	switch {
 	case took <= j.targetTime:
 		r.inTime++
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -103,6 +103,8 @@
 	invitedEpoch atomic.Uint64
 	// peerAddrs are the addresses of the daemons that the owner last listed.
 	peerAddrs atomic.Pointer[[]string]
+	// backlog is the latest summary of the owner's backlog, nil before the first.
+	backlog atomic.Pointer[backlogView]
 }
 
 // New returns a daemon that does nothing until Run is called.
--- a/internal/rowstore/monitor.go
+++ b/internal/rowstore/monitor.go
@@ -86,6 +86,13 @@
 	return m.clock.Now().Sub(m.lastAnswer)
 }
 
+// SinceLastFailure returns how long ago a call last failed; ever is false if none has.
+func (m *MonitoredStore) SinceLastFailure() (age time.Duration, ever bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.clock.Now().Sub(m.lastFailure), m.lastFailure > 0
+}
+
 // withDownTimeout returns a context with a short timeout if the store is down, and ctx otherwise.
 func (m *MonitoredStore) withDownTimeout(ctx context.Context) (bounded context.Context, cancel context.CancelFunc, down bool) {
 	if !m.Down() {
