--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -6,6 +6,7 @@
 
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/overload"
 	"laburnumpoint/internal/workerspeed"
 )
 
@@ -70,9 +71,11 @@
 	// rateOptions say how the organisations' rates of jobs are measured.
 	rateOptions RateOptions
 	shares      fairShares
-	stats       Stats
 	// noEjections turns ejections off, likewise.
 	noEjections bool
+	// runTimeRatios holds the ratios of run times to estimates by queue.
+	runTimeRatios map[string]*overload.Ratios
+	stats         Stats
 }
 
 // Stats counts decisions and events since the engine was created.
@@ -105,6 +108,7 @@
 		copiesUsed:      make(map[string]graph.Resources),
 		maxCopyShare:    defaultCopyShare,
 		failureRates:    make(map[string]*failureRate),
+		runTimeRatios:   make(map[string]*overload.Ratios),
 	}
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -251,6 +251,7 @@
 			}
 		}
 		e.observeEnd(r, outcome)
+		e.observeRunTime(r, outcome)
 		e.releaseRun(r)
 	}
 	t := e.task(key.Task)
@@ -326,6 +327,7 @@
 	if t.step.openTasks > 0 {
 		return
 	}
+	e.recordRunTimes(t.step)
 	delete(e.active, t.step)
 	t.step.active = false
 	j.openSteps--
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -367,6 +367,7 @@
 	wantedCopies int
 	// failures are the step's runs that failed or stood still, as counted against their workers.
 	failures []countedFailure
+	runTimes stepRunTimes
 }
 
 // addDetachedRun counts r as a run of one of the step's tasks that is no task's current run.
--- a/internal/graphapi/handler.go
+++ b/internal/graphapi/handler.go
@@ -34,6 +34,7 @@
 	entry.Unavailable:  http.StatusServiceUnavailable,
 	entry.Uncertain:    http.StatusGatewayTimeout,
 	entry.Unauthorized: http.StatusUnauthorized,
+	entry.Overloaded:   http.StatusTooManyRequests,
 }
 
 // Handler returns the handler of the callers' HTTP interface.
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -83,7 +83,9 @@
 	localityRecorded dispatch.LocalityStats
 	previews         previewLimiter
 	ownershipLost    bool
-	cancel           context.CancelFunc
+	// backlogAt is when the backlog was last summarised; storeTroubleUntil is described at overload.Summary.
+	backlogAt, storeTroubleUntil monotime.Instant
+	cancel                       context.CancelFunc
 }
 
 func newController(parent context.Context, d *Daemon, ownership *ledger.Ownership, takeoverStartedAt, earlierOrdersUntil monotime.Instant) *controller {
@@ -246,6 +248,7 @@
 			c.ownership.SetStandbys(c.permits.countStandbys(c.now(), c.Cores))
 			c.removeEndedJobs()
 			c.publishOrganisationUsages()
+			c.publishBacklog()
 		}
 		c.handleEventsUntilRound()
 		roundStartedAt := c.now()
