--- a/internal/dispatch/locality_weigh_test.go
+++ b/internal/dispatch/locality_weigh_test.go
@@ -118,13 +118,23 @@
 	}
 }
 
+// backlog returns what the pool had no room for in the plan before, as a share of its processors.
+func (w *placesWorld) backlog() float64 {
+	p := w.pools["p"]
+	waiting := 0.0
+	for _, demand := range p.locality.demandBefore {
+		waiting += float64(demand.MilliCPU)
+	}
+	return waiting / float64(p.capacity.MilliCPU)
+}
+
 // backlogCost returns a way to decide that adds to the cost of a start elsewhere what its longer run takes from others: the longer run
 // time times the backlog as a share of the pool, times the weight.
 func backlogCost(weight float64) func(*placesWorld) {
 	return func(w *placesWorld) {
 		w.locality.decide = func(c nearChoice) nearDecision {
 			longer := float64(c.runTime) * (c.factor - 1)
-			longest := c.now.Add(time.Duration(longer * (1 + weight*min(1, c.backlog))))
+			longest := c.now.Add(time.Duration(longer * (1 + weight*min(1, w.backlog()))))
 			d := nearDecision{deadline: longest}
 			switch {
 			case c.lastRemoteStart > c.now:
