--- a/internal/cli/graph_explain.go
+++ b/internal/cli/graph_explain.go
@@ -22,18 +22,10 @@
 }
 
 func (a *app) graphExplain(ctx context.Context, cmd *cli.Command) error {
-	path, err := oneArg(cmd, "file")
+	job, err := a.readGraphJob(cmd)
 	if err != nil {
 		return err
 	}
-	data, err := a.readFile(path, maxPayloadBytes)
-	if err != nil {
-		return err
-	}
-	job, err := graphapi.ParseJob(data)
-	if err != nil {
-		return fmt.Errorf("%s: %w", path, err)
-	}
 	answer, err := newGraphClient(cmd).Preview(ctx, cmd.String(flagQueue), job)
 	if err != nil {
 		return graphCallError(err)
--- a/internal/cli/graph_submit.go
+++ b/internal/cli/graph_submit.go
@@ -25,18 +25,10 @@
 }
 
 func (a *app) graphSubmit(ctx context.Context, cmd *cli.Command) error {
-	path, err := oneArg(cmd, "file")
-	if err != nil {
-		return err
-	}
-	data, err := a.readFile(path, maxPayloadBytes)
+	job, err := a.readGraphJob(cmd)
 	if err != nil {
 		return err
 	}
-	job, err := graphapi.ParseJob(data)
-	if err != nil {
-		return fmt.Errorf("%s: %w", path, err)
-	}
 	id := cmd.String(flagID)
 	if id == "" {
 		id = fmt.Sprintf("%016x", rand.Uint64())
@@ -47,3 +39,20 @@
 	}
 	return a.printGraphAnswer(cmd, answer)
 }
+
+// readGraphJob reads a job from the file that is the command's argument.
+func (a *app) readGraphJob(cmd *cli.Command) (*graphapi.Job, error) {
+	path, err := oneArg(cmd, "file")
+	if err != nil {
+		return nil, err
+	}
+	data, err := a.readFile(path, maxPayloadBytes)
+	if err != nil {
+		return nil, err
+	}
+	job, err := graphapi.ParseJob(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return job, nil
+}
--- a/internal/graphapi/handler.go
+++ b/internal/graphapi/handler.go
@@ -73,19 +73,29 @@
 func (h *handler) submit(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := requestContext(r)
 	defer cancel()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		writeAnswer(w, r, http.StatusRequestEntityTooLarge, entry.Answer{Result: entry.Invalid, Detail: err.Error()})
+	decode, ok := readSpec(w, r)
+	if !ok {
 		return
 	}
-	answer := h.service.Submit(ctx, entryRequest(r), func() (*graph.Spec, error) { return decodeSpec(body, err) })
+	answer := h.service.Submit(ctx, entryRequest(r), decode)
 	if answer.Result == entry.OK {
 		answer.State = graph.Queued
 	}
 	writeAnswer(w, r, httpStatuses[answer.Result], answer)
 }
 
+// readSpec reads the body of a request and returns the function that decodes the job in it; ok is false if the body is too large and the
+// request has been answered.
+func readSpec(w http.ResponseWriter, r *http.Request) (decode func() (*graph.Spec, error), ok bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		writeAnswer(w, r, http.StatusRequestEntityTooLarge, entry.Answer{Result: entry.Invalid, Detail: err.Error()})
+		return nil, false
+	}
+	return func() (*graph.Spec, error) { return decodeSpec(body, err) }, true
+}
+
 // decodeSpec parses a job. Unknown fields are errors, so that none is silently ignored.
 func decodeSpec(body []byte, readErr error) (*graph.Spec, error) {
 	if readErr != nil {
--- a/internal/graphapi/preview.go
+++ b/internal/graphapi/preview.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"net/url"
 
@@ -12,7 +10,6 @@
 
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/entry"
-	"laburnumpoint/internal/graph"
 )
 
 // PreviewAnswer is the JSON of the answer to the question where the tasks of a job would go now.
@@ -25,13 +22,11 @@
 func (h *handler) preview(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := requestContext(r)
 	defer cancel()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		writeAnswer(w, r, http.StatusRequestEntityTooLarge, entry.Answer{Result: entry.Invalid, Detail: err.Error()})
+	decode, ok := readSpec(w, r)
+	if !ok {
 		return
 	}
-	answer, preview := h.service.Preview(ctx, entryRequest(r), func() (*graph.Spec, error) { return decodeSpec(body, err) })
+	answer, preview := h.service.Preview(ctx, entryRequest(r), decode)
 	if answer.Result != entry.OK {
 		writeAnswer(w, r, httpStatuses[answer.Result], answer)
 		return
