--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -91,24 +91,23 @@
 func newController(parent context.Context, d *Daemon, ownership *ledger.Ownership, takeoverStartedAt, earlierOrdersUntil monotime.Instant) *controller {
 	ctx, cancel := context.WithCancel(parent)
 	c := &controller{
-		ctx:               ctx,
-		cancel:            cancel,
-		Daemon:            d,
-		ownership:         ownership,
-		events:            make(chan func(), eventQueueSize),
-		gate:              d.newGate(),
-		engine:            dispatch.New(ownership.Epoch()),
-		workerConns:       make(map[dispatch.WorkerID]*workerConn),
-		permits:           newPermitQueue(),
-		registered:        make(map[dispatch.WorkerID]dispatch.Worker),
-		pendingWorkerRows: make(map[dispatch.WorkerID]*dispatch.Worker),
-
-		restartedDuringCommit: make(map[dispatch.WorkerID]struct{}),
+		ctx:                   ctx,
+		cancel:                cancel,
+		Daemon:                d,
+		ownership:             ownership,
+		events:                make(chan func(), eventQueueSize),
+		gate:                  d.newGate(),
+		engine:                dispatch.New(ownership.Epoch()),
+		workerConns:           make(map[dispatch.WorkerID]*workerConn),
+		permits:               newPermitQueue(),
+		registered:            make(map[dispatch.WorkerID]dispatch.Worker),
+		pendingWorkerRows:     make(map[dispatch.WorkerID]*dispatch.Worker),
 		removalScheduled:      make(map[graph.JobID]bool),
 		removableProgress:     make(map[graph.JobID]struct{}),
 		takeoverStartedAt:     takeoverStartedAt,
 		earlierOrdersUntil:    earlierOrdersUntil,
 		lastRenewalAt:         ownership.CommitSentAt(),
+		restartedDuringCommit: make(map[dispatch.WorkerID]struct{}),
 	}
 	if c.Organisations != nil {
 		c.engine.AwaitOrganisations()
