Close the gaps a review of the scheduler found

Cause: a review with trial tests found a gang that never started because an ejected worker could have no trial, long-running tasks used as trials that report nothing, a restart of a worker that missed runs whose start order was still under way, copies that took the room below an organisation's limit, and failures of a step kept without bound.

Change: gangs may use an ejected worker after the trial delay; long-running tasks are no trials; a reservation drops ejected workers; only admitted tasks hold permits in their lane; a restart stops every run whose start order has not been answered by the new process; copies wait while the organisation is at its limit; runs away from their rack are no stragglers; a step keeps at most 64 counted failures and takes a stall back once.

--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -103,10 +103,10 @@
 		return
 	}
 	slices.SortFunc(stragglers, compareStragglers)
-	waiting := e.waitingSteps()
+	room := unclaimedRoom{waiting: e.waitingSteps(), claimed: make(map[*worker]bool)}
 	for _, g := range stragglers {
 		if p := e.pools[g.task.step.job.queue.Pool]; p != nil {
-			e.startCopy(g, p, waiting)
+			e.startCopy(g, p, room)
 		}
 	}
 }
@@ -135,8 +135,8 @@
 	fresh := typical + copyStartTime
 	afterwards := max(0, s.remainingPath-s.def.Estimate)
 	for _, t := range s.tasks {
-		if !t.mayHaveCopy() {
-			continue
+		if !t.mayHaveCopy() || t.run.away {
+			continue // away from its data a copy would be as slow
 		}
 		remaining := e.remainingTime(t.run, typical)
 		if float64(remaining) <= copyGain*float64(fresh) && !e.copyEagerly {
@@ -175,10 +175,10 @@
 }
 
 // startCopy starts a copy of a straggler's run if the budget and a worker allow it. If only a permit is missing, one is requested.
-func (e *Engine) startCopy(g straggler, p *pool, waiting map[string][]*step) {
+func (e *Engine) startCopy(g straggler, p *pool, room unclaimedRoom) {
 	t := g.task
 	s := t.step
-	if s.job.lane == laneBeyondRate || e.limitForbids(s) {
+	if s.job.lane == laneBeyondRate || e.limitForbids(s) || s.job.organisation.wantsLimit() {
 		return
 	}
 	if !g.late && !p.capacity.Scale(idleCopyShare).Fits(p.free) {
@@ -190,7 +190,7 @@
 	var workers []*worker
 	for _, w := range p.workers {
 		e.stats.WorkersEvaluated++
-		if e.mayHoldCopy(w, t, waiting[s.job.queue.Pool]) {
+		if e.mayHoldCopy(w, t, room) {
 			workers = append(workers, w)
 		}
 	}
@@ -211,14 +211,31 @@
 
 // mayHoldCopy reports whether a copy of the task's run may start on the worker: it is sound, has capacity, does not have the
 // original, and no waiting task could use the capacity.
-func (e *Engine) mayHoldCopy(w *worker, t *task, waiting []*step) bool {
+func (e *Engine) mayHoldCopy(w *worker, t *task, room unclaimedRoom) bool {
 	if w == t.run.worker || w.speed.Slow() || w.health.ejected || e.isSuspect(w) || !t.step.def.Allocation().Fits(w.free()) {
 		return false
 	}
-	return !slices.ContainsFunc(waiting, func(s *step) bool {
-		allowed, known := s.verdicts[w.ID]
-		return s.eligible(w) && (allowed || !known) && s.def.Allocation().Fits(w.free())
-	})
+	return !room.isClaimed(w)
+}
+
+// unclaimedRoom tells on which workers waiting tasks could use the room. It is valid for one search for copies.
+type unclaimedRoom struct {
+	// waiting holds the steps with tasks that wait, by pool; claimed what is known already.
+	waiting map[string][]*step
+	claimed map[*worker]bool
+}
+
+// isClaimed reports whether a waiting task could use the worker's room.
+func (u unclaimedRoom) isClaimed(w *worker) bool {
+	claimed, known := u.claimed[w]
+	if !known {
+		claimed = slices.ContainsFunc(u.waiting[w.Pool], func(s *step) bool {
+			allowed, known := s.verdicts[w.ID]
+			return s.eligible(w) && (allowed || !known) && s.def.Allocation().Fits(w.free())
+		})
+		u.claimed[w] = claimed
+	}
+	return claimed
 }
 
 // setCopy makes r the copy of the task's current run.
--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -45,6 +45,8 @@
 	// commonFaultWorkers is on how many other workers runs of a step have failed when a further failure says nothing about its
 	// worker.
 	commonFaultWorkers = 2
+	// maxCountedFailures bounds the failures of a step that are kept. A long-running step may fail any number of times.
+	maxCountedFailures = 64
 )
 
 // Bounds of runs that stand still. Such a run counts like one that failed, and is not stopped.
@@ -108,21 +110,22 @@
 func (e *Engine) onTrial(w *worker) bool { return w.health.ejected && e.now >= w.health.trialAt }
 
 // isExcluded reports whether the worker gets no task of the step, whether or not others have capacity: an ejected worker that
-// fails nearly all its runs, or one with a trial run. Where a step needs a label, the worker may be the only one that has it.
+// fails nearly all its runs, or one with a trial run. Where a step needs a label, the worker may be the only one that has it; long-running
+// tasks, which nothing else may keep waiting, use it as the last one. A gang may need the worker too, but leaves the trials to others at first.
 func (e *Engine) isExcluded(s *step, w *worker) bool {
-	if !w.health.ejected || s.def.Label != "" {
+	if !w.health.ejected || s.def.Label != "" || s.def.LongRunning {
 		return false
 	}
 	if e.onTrial(w) {
-		return s.def.Gang || w.hasTrialRun()
+		return w.hasTrialRun() || (s.def.Gang && e.now.Sub(w.health.trialAt) < urgentTrialDelay)
 	}
 	return w.health.useless || e.speedPreference(s) == preferFast
 }
 
-// hasTrialRun reports whether a trial run is on the worker.
+// hasTrialRun reports whether a trial run is on the worker. Long-running tasks are no trials, since they don't end.
 func (w *worker) hasTrialRun() bool {
 	for _, r := range w.runs {
-		if r.orderedAt >= w.health.trialAt {
+		if r.orderedAt >= w.health.trialAt && !(r.task != nil && r.task.step.def.LongRunning) {
 			return true
 		}
 	}
@@ -142,7 +145,7 @@
 
 // isTrialFor reports whether a task of the step may be the trial run of an ejected worker.
 func (e *Engine) isTrialFor(s *step, w *worker) bool {
-	return e.onTrial(w) && (e.speedPreference(s) != preferFast || e.now.Sub(w.health.trialAt) >= urgentTrialDelay)
+	return e.onTrial(w) && !s.def.LongRunning && (e.speedPreference(s) != preferFast || e.now.Sub(w.health.trialAt) >= urgentTrialDelay)
 }
 
 // recordOutcome counts a run that was done, failed or stands still for its worker's health.
@@ -160,7 +163,9 @@
 	if failed {
 		before := h.evidence
 		h.evidence = min(2*ejectionEvidence, before+math.Log(badFailureRate/usual))
-		s.failures = append(s.failures, countedFailure{w, h.evidence - before})
+		if len(s.failures) < maxCountedFailures {
+			s.failures = append(s.failures, &countedFailure{w, h.evidence - before})
+		}
 	} else {
 		h.evidence = max(0, h.evidence+math.Log((1-badFailureRate)/(1-usual)))
 	}
@@ -201,7 +206,7 @@
 func (s *step) isCommonFault(w *worker) bool {
 	others := 0
 	for i, f := range s.failures {
-		if f.worker != w && !slices.ContainsFunc(s.failures[:i], func(g countedFailure) bool { return g.worker == f.worker }) {
+		if f.worker != w && !slices.ContainsFunc(s.failures[:i], func(g *countedFailure) bool { return g.worker == f.worker }) {
 			others++
 		}
 	}
@@ -283,9 +288,10 @@
 		return
 	}
 	r.stalled = false
+	if r.stallFailure != nil {
+		r.stallFailure.takeBack()
+	}
 	h := &r.worker.health
-	h.rate.failed = max(0, h.rate.failed-1)
-	h.evidence = max(0, h.evidence-r.stallEvidence)
 	if h.ejected && h.evidence <= readmissionEvidence {
 		e.readmit(r.worker)
 	}
@@ -293,9 +299,13 @@
 
 // recordStall counts a run that stands still as one that failed.
 func (e *Engine) recordStall(r *run) {
-	before := r.worker.health.evidence
-	e.recordOutcome(r.worker, r, r.task.step, true)
-	r.stalled, r.stallEvidence = true, r.worker.health.evidence-before
+	s := r.task.step
+	before := len(s.failures)
+	e.recordOutcome(r.worker, r, s, true)
+	r.stalled, r.stallFailure = true, nil
+	if len(s.failures) > before {
+		r.stallFailure = s.failures[before]
+	}
 }
 
 // noteOvertaken counts the task's run, which its copy has overtaken, as one that stands still if its worker has listed it without
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -95,7 +95,7 @@
 	w.lastEndSequence = 0
 	delete(e.unconfirmedEnds, id)
 	for key, r := range w.runs {
-		if r.confirmedAt == 0 {
+		if r.confirmedAt == 0 || !r.startAnswered {
 			e.stopAfterRestart(r)
 			continue
 		}
@@ -140,7 +140,7 @@
 // start order was executed late. It becomes its task's current run if the task needs one, and is stopped otherwise.
 func (e *Engine) addOrphan(w *worker, entry RunningEntry) *run {
 	e.stats.Orphans++
-	r := &run{RunKey: entry.RunKey, worker: w, state: runRunning, orderedAt: e.now, orphan: true}
+	r := &run{RunKey: entry.RunKey, worker: w, state: runRunning, startAnswered: true, orderedAt: e.now, orphan: true}
 	w.runs[entry.RunKey] = r
 	t := e.task(entry.Task)
 	if t == nil {
@@ -377,11 +377,12 @@
 	if w == nil {
 		return
 	}
+	defer w.updateOldestUnansweredStart()
 	r := w.runs[key]
 	if r == nil {
-		return
+		return // the run's end was processed before the answer
 	}
-	defer w.updateOldestUnansweredStart()
+	r.startAnswered = outcome != StartInDoubt
 	switch outcome {
 	case Started:
 		e.confirmRunning(r)
--- a/internal/dispatch/fair_order.go
+++ b/internal/dispatch/fair_order.go
@@ -106,7 +106,6 @@
 	}
 	for _, other := range e.organisations {
 		if other.runs > 0 && other.band > 0 {
-			p.reservedForShare = true
 			return true
 		}
 	}
--- a/internal/dispatch/lanes.go
+++ b/internal/dispatch/lanes.go
@@ -47,9 +47,9 @@
 }
 
 // noteWaitingPermits notes that a step within its organisation's rate may take room of the pool once its permits come.
-func (p *pool) noteWaitingPermits(s *step) {
+func (e *Engine) noteWaitingPermits(s *step, p *pool) {
 	if s.job.lane == laneWithinRate && s.pendingPermitRequests > 0 {
-		p.permitDemand = p.permitDemand.Add(s.def.Allocation().Times(s.unplacedCount()))
+		p.permitDemand = p.permitDemand.Add(s.def.Allocation().Times(e.admittedTasks(s, s.unplacedCount(), nil)))
 	}
 }
 
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -215,8 +215,11 @@
 	fullRun bool
 	// stalled means that the run made no progress and was counted for its worker's health.
 	stalled bool
-	// stallEvidence is what was added to the evidence against the worker for that.
-	stallEvidence float64
+	// stallFailure is how that was counted; nil if it was not.
+	stallFailure *countedFailure
+	// startAnswered means that the start order has ended, or that the engine did not order the run. Until then the order may be carried
+	// out, also again.
+	startAnswered bool
 
 	progress          int
 	progressChangedAt monotime.Instant
@@ -366,7 +369,7 @@
 	// wantedCopies counts the copies that lack only a permit.
 	wantedCopies int
 	// failures are the step's runs that failed or stood still, as counted against their workers.
-	failures []countedFailure
+	failures []*countedFailure
 	runTimes stepRunTimes
 }
 
--- a/internal/dispatch/organisation.go
+++ b/internal/dispatch/organisation.go
@@ -385,6 +385,11 @@
 	return admitted
 }
 
+// wantsLimit reports whether tasks of the organisation wait and may need what is left of its limit.
+func (o *organisation) wantsLimit() bool {
+	return o != nil && o.limit != (graph.Resources{}) && o.waitingTasks > 0
+}
+
 // noteWaiting counts the step's unplaced tasks.
 func (o *organisation) noteWaiting(s *step) {
 	if o != nil {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -34,7 +34,7 @@
 		}
 		if pool := e.pools[s.job.queue.Pool]; pool != nil {
 			e.placeStep(s, pool)
-			pool.noteWaitingPermits(s)
+			e.noteWaitingPermits(s, pool)
 		}
 	}
 	e.keepDemand()
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -37,8 +37,12 @@
 		total := s.def.Allocation().Times(len(s.tasks))
 		idle := p.capacity.Fits(p.free.Times(int(1 / minIdleShare)))
 		fits := total.Times(reservationCapacityFactor).Fits(p.free) && (idle || e.overdue(s) > 0)
-		if fits || e.reservesForSmallShare(s, p) {
+		switch {
+		case fits:
 			e.reserveWorkers(s, p)
+		case e.reservesForSmallShare(s, p):
+			e.reserveWorkers(s, p)
+			p.reservedForShare = len(s.reservedWorkers) > 0
 		}
 	}
 }
@@ -61,7 +65,7 @@
 // canKeepReserved reports whether the workers chosen by an earlier plan can still be reserved.
 func (s *step) canKeepReserved(p *pool) bool {
 	for _, w := range s.reservedWorkers {
-		if w.reservedFor != nil || !slices.Contains(p.workers, w) {
+		if w.reservedFor != nil || w.health.ejected || !slices.Contains(p.workers, w) {
 			return false
 		}
 	}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -109,7 +109,8 @@
 	err := wc.sendStop(order.RunKey)
 	c.Log.Info().Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Str("worker", string(order.Worker)).Str("why", order.Reason).Err(err).Msg("run stop")
 	c.post(func() {
-		c.engine.HandleStopAnswer(wc.worker.ID, order.RunKey, err == nil)
+		// What an ended process acknowledged does not bind the next one.
+		c.engine.HandleStopAnswer(wc.worker.ID, order.RunKey, err == nil && !wc.replaced.Load())
 		c.handleOrderFailure(wc, err)
 	})
 }
