Test of waiting permits above a limit fails on the code it guards against

Cause: with a rate window of 5 s the test passed also before the fix. Change: a window of 1 s, in which two of the three tasks are beyond the rate.

--- a/internal/dispatch/part_interaction_test.go
+++ b/internal/dispatch/part_interaction_test.go
@@ -77,7 +77,8 @@
 // an organisation with a long backlog that keeps the others from a free cell.
 func TestPermitsOfTasksAboveTheLimitHoldNoRoom(t *testing.T) {
 	for _, tasks := range []int{1, 500} {
-		c := newOrganisationFixture(t, 20, 100, graph.Organisation{Name: "a", Weight: 10, Limit: graph.Resources{MilliCPU: 20}}, graph.Organisation{Name: "b", Weight: 1})
+		c := newOrganisationFixture(t, 20, 100)
+		c.SetOrganisations([]graph.Organisation{{Name: "a", Weight: 10, Limit: graph.Resources{MilliCPU: 20}}, {Name: "b", Weight: 1}}, RateOptions{Window: time.Second})
 		queue := plainQueue
 		queue.Permit = &graph.PermitLatency{Base: time.Second}
 		c.submit("a", "a", queue, withCPU(tasks, 10))
