graph explain names ejected workers; one constant for jobs that are worthless

Cause: explain gave 'sharing' as the reason for an ejected worker, since the reason was added to the placement and not to the explanation. The number of objectives after which a job is worthless stood in two packages.

Result: the preview's new test and the tests of entry pass.

--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -110,8 +110,9 @@
 func (e *Engine) onTrial(w *worker) bool { return w.health.ejected && e.now >= w.health.trialAt }
 
 // isExcluded reports whether the worker gets no task of the step, whether or not others have capacity: an ejected worker that
-// fails nearly all its runs, or one with a trial run. Where a step needs a label, the worker may be the only one that has it; long-running
-// tasks, which nothing else may keep waiting, use it as the last one. A gang may need the worker too, but leaves the trials to others at first.
+// fails nearly all its runs, or one with a trial run. Where a step needs a label, the worker may be the only one that has it;
+// long-running tasks, which nothing else may keep waiting, use it as the last one. A gang may need the worker too, but leaves the
+// trials to other steps at first.
 func (e *Engine) isExcluded(s *step, w *worker) bool {
 	if !w.health.ejected || s.def.Label != "" || s.def.LongRunning {
 		return false
--- a/internal/dispatch/preview.go
+++ b/internal/dispatch/preview.go
@@ -120,15 +120,18 @@
 	RefusedPermit RefusalReason = "permit"
 	// RefusedReserved means that the worker, or its free capacity, is kept for other tasks.
 	RefusedReserved RefusalReason = "reserved"
-	RefusedRoom     RefusalReason = "room"
-	// RefusedSharing means that the tasks must not share the worker with a run that is there.
+	// RefusedEjected means that runs on the worker failed, or stood still, too often.
+	RefusedEjected RefusalReason = "ejected"
+	RefusedRoom    RefusalReason = "room"
+	// RefusedSharing means that the tasks must not share the worker with a run that is there, or that the step has as many tasks
+	// there as it may.
 	RefusedSharing RefusalReason = "sharing"
 	// RefusedNotNeeded means that the worker fits, and others were preferred.
 	RefusedNotNeeded RefusalReason = "not_needed"
 )
 
 // refusalOrder lists the reasons as they are checked.
-var refusalOrder = []RefusalReason{RefusedUnavailable, RefusedLabel, RefusedPermit, RefusedReserved, RefusedRoom, RefusedSharing, RefusedNotNeeded}
+var refusalOrder = []RefusalReason{RefusedUnavailable, RefusedLabel, RefusedPermit, RefusedReserved, RefusedEjected, RefusedRoom, RefusedSharing, RefusedNotNeeded}
 
 // PreviewTooLargeError means that a preview would keep the owner from its work.
 type PreviewTooLargeError struct{ Tasks, MaxTasks int }
@@ -386,6 +389,8 @@
 		return RefusedPermit
 	case w.reservedFor != nil:
 		return RefusedReserved
+	case e.isExcluded(s, w):
+		return RefusedEjected
 	case !s.def.Allocation().Fits(w.free()):
 		return RefusedRoom
 	case !s.def.Allocation().Fits(w.free().Sub(w.heldForOthers(s, e.now))):
--- a/internal/dispatch/preview_test.go
+++ b/internal/dispatch/preview_test.go
@@ -218,3 +218,17 @@
 		t.Errorf("preview %+v, error %v, want no room for any task", preview, err)
 	}
 }
+
+// A worker that fails its runs is named as such. The failure is an explanation by another reason, such as room, which sends an
+// operator to look for the wrong fault.
+func TestPreviewNamesEjectedWorkers(t *testing.T) {
+	c, _ := ejectedFixture(t)
+	preview, err := c.Preview(JobInput{Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(9)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []RefusedPreview{{RefusedEjected, 1, 0}}
+	if got := preview.Steps[0].Refused; !slices.Equal(got, want) {
+		t.Errorf("refused %+v, want %+v", got, want)
+	}
+}
--- a/internal/entry/outage.go
+++ b/internal/entry/outage.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumpoint/internal/ledger"
+	"laburnumpoint/internal/overload"
 )
 
 // Retry-After of commands that could not be stored.
@@ -37,9 +38,6 @@
 	lateSlack time.Duration
 }
 
-// lateObjectives is the number of objectives after which a job that has not completed is worthless.
-const lateObjectives = 3
-
 // timesOf returns the times of a job.
 func timesOf(record *ledger.JobRecord) jobTimes {
 	var shortest time.Duration
@@ -47,7 +45,7 @@
 		shortest = max(shortest, path)
 	}
 	objective := record.Queue.Objective(record.Spec)
-	return jobTimes{slack: objective - shortest, lateSlack: lateObjectives*objective - shortest}
+	return jobTimes{slack: objective - shortest, lateSlack: overload.LateObjectives*objective - shortest}
 }
 
 // timesOfCommand are the times of commands without an objective.
--- a/internal/entry/outage_test.go
+++ b/internal/entry/outage_test.go
@@ -8,6 +8,7 @@
 
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
+	"laburnumpoint/internal/overload"
 )
 
 const (
@@ -50,7 +51,7 @@
 
 // chosenPolicy is the policy in use.
 func chosenPolicy(age, slack time.Duration, random float64) time.Duration {
-	return retryAfter(age, jobTimes{slack: slack, lateSlack: lateObjectives * (slack + time.Second)}, random)
+	return retryAfter(age, jobTimes{slack: slack, lateSlack: overload.LateObjectives * (slack + time.Second)}, random)
 }
 
 var outageLengths = []time.Duration{1500 * time.Millisecond, 3 * time.Second, 4500 * time.Millisecond, 6 * time.Second, 7500 * time.Millisecond, 9 * time.Second}
