Engine: the switches of tests stand together

Cause: a field's comment referred to one that stood elsewhere. Change: both fields under one comment. Result: the build passes; no behaviour changes.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -61,9 +61,9 @@
 	// failureRates holds the failure rates of the pools, without their ejected workers.
 	failureRates    map[string]*failureRate
 	stallsCheckedAt monotime.Instant
-	// uniformSpeeds turns the estimation of speeds off. Tests compare decisions with and without it.
-	uniformSpeeds bool
-	locality      localityState
+	// uniformSpeeds turns the estimation of speeds off, noEjections ejections. Tests compare decisions with and without them.
+	uniformSpeeds, noEjections bool
+	locality                   localityState
 	// organisations holds those of the configuration and those that jobs name. hasOrganisations means that the configuration has
 	// any, organisationsPending that it is awaited, lanesAssigned that the jobs added before the first one have their lanes.
 	organisations                                         map[string]*organisation
@@ -71,8 +71,6 @@
 	// rateOptions say how the organisations' rates of jobs are measured.
 	rateOptions RateOptions
 	shares      fairShares
-	// noEjections turns ejections off, likewise.
-	noEjections bool
 	// runTimeRatios holds the ratios of run times to estimates by queue.
 	runTimeRatios map[string]*overload.Ratios
 	stats         Stats
