--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -89,6 +89,18 @@
 	}
 }
 
+// runKeyTest runs a test in virtual time with a context that ends with it.
+func runKeyTest(t *testing.T, test func(ctx context.Context, t *testing.T, k *keyTest)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Second) // the calls under way end
+		}()
+		test(ctx, t, newKeyTest(ctx, t))
+	})
+}
+
 func (k *keyTest) expectAll(t *testing.T, what, key string, want Result) {
 	t.Helper()
 	for name, answer := range k.callAll(t.Context(), key) {
@@ -101,13 +113,7 @@
 // A key is removed while the store does not answer the daemon's reads. The failure is a daemon that accepts the removed key
 // longer than MaxKeyUse, or that calls a key unknown which it has not read yet.
 func TestRemovedKeyWithoutTheStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer func() {
-			cancel()
-			time.Sleep(time.Second)
-		}()
-		k := newKeyTest(ctx, t)
+	runKeyTest(t, func(ctx context.Context, t *testing.T, k *keyTest) {
 		k.expectAll(t, "known key", "k1", OK)
 		k.expectAll(t, "unknown key", "k2", Unauthorized)
 		k.store.unreachable.Store(true)
@@ -133,13 +139,7 @@
 // A daemon is frozen between the check of a submission's key and the write to the store. The failure is a job that is accepted
 // with a key which was removed longer ago than MaxKeyUse.
 func TestFreezeBetweenCheckAndWrite(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer func() {
-			cancel()
-			time.Sleep(time.Second)
-		}()
-		k := newKeyTest(ctx, t)
+	runKeyTest(t, func(ctx context.Context, t *testing.T, k *keyTest) {
 		k.store.unreachable.Store(true)
 		frozen := func() (*graph.Spec, error) {
 			time.Sleep(testMaxKeyUse)
@@ -158,13 +158,7 @@
 // and takes effect after it, for as long as its caller waits, and one that is called refused though it may be stored.
 func TestCommandEndsWithinTheBound(t *testing.T) {
 	for _, delay := range []time.Duration{0, time.Second, 3 * time.Second, 4 * time.Second, 4300 * time.Millisecond} {
-		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(t.Context())
-			defer func() {
-				cancel()
-				time.Sleep(time.Second)
-			}()
-			k := newKeyTest(ctx, t)
+		runKeyTest(t, func(ctx context.Context, t *testing.T, k *keyTest) {
 			// The key may be removed now, and not earlier: the store answers no read from now on.
 			k.store.unreachable.Store(true)
 			removed := time.Now()
@@ -203,13 +197,7 @@
 // The store turns a daemon away and serves the others. What the owner knows of the configuration keeps the daemon from refusing all
 // keys, and a key that is removed meanwhile stops being accepted. A word of an older version, or an older word, confirms nothing.
 func TestConfigurationIsConfirmedByAnotherDaemon(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer func() {
-			cancel()
-			time.Sleep(time.Second)
-		}()
-		k := newKeyTest(ctx, t)
+	runKeyTest(t, func(ctx context.Context, t *testing.T, k *keyTest) {
 		k.DecodeConfig = func(document []byte) (*Config, error) {
 			config := &Config{Version: 1000, Routes: []Route{{Prefix: "/q/", Queue: graph.Queue{Name: "q", MaxAttempts: 1}}}, Document: document}
 			return config, config.Keys.Add("sparks", access.NewKey(string(document)))
--- a/internal/owner/hold_losses_test.go
+++ b/internal/owner/hold_losses_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"laburnumpoint/internal/dispatch"
@@ -75,12 +74,7 @@
 		// mostHolds bounds the calls a second in calm times: an end and a repeated wait for each worker.
 		mostHolds = 2.5 * workers
 	)
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer func() {
-			cancel()
-			time.Sleep(2 * holdWait)
-		}()
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
 		client := &lossyHoldsClient{
 			begun: time.Now(), lossesFrom: calmTime, lossShare: 0.04, rng: rand.New(rand.NewPCG(1, 1)), nextEnd: map[dispatch.WorkerID]time.Duration{},
 		}
--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -47,6 +47,18 @@
 	return dispatch.Report{ProcessStart: f.processStart, Ended: slices.Clone(f.ended)}, time.Minute, nil
 }
 
+// runHoldTest runs a test of hold calls in virtual time, with a context that ends with it.
+func runHoldTest(t *testing.T, test func(ctx context.Context, t *testing.T)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(2 * holdWait) // the last hold call ends
+		}()
+		test(ctx, t)
+	})
+}
+
 func newRestartFixture(ctx context.Context, client *restartingClient) *controller {
 	c := newTestController(ctx, client)
 	c.validUntil.Store(int64(c.now().Add(time.Hour)))
@@ -59,12 +71,7 @@
 // A worker restarts under its id between two hold calls. The recorded sequence of its earlier process must not let the new one
 // forget ends that nobody has recorded, also not by way of a commit that was under way.
 func TestRecordedSequenceEndsWithTheProcess(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer func() {
-			cancel()
-			time.Sleep(2 * holdWait) // the last hold call ends
-		}()
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
 		client := &restartingClient{processStart: time.Second, listening: true}
 		c := newRestartFixture(ctx, client)
 		c.setRecorded(map[dispatch.WorkerID]uint64{testWorker.ID: 40})
@@ -85,12 +92,7 @@
 
 // A hold call that follows a failed one may meet a new process. It must not confirm ends of the earlier one.
 func TestHoldAfterAFailureConfirmsNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer func() {
-			cancel()
-			time.Sleep(2 * holdWait) // the last hold call ends
-		}()
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
 		client := &restartingClient{processStart: time.Second, listening: true}
 		c := newRestartFixture(ctx, client)
 		c.setRecorded(map[dispatch.WorkerID]uint64{testWorker.ID: 40})
@@ -109,12 +111,7 @@
 // An owner was lost together with workers that it used. Nothing listens at their addresses, so jobs of the earlier owner must not
 // wait for their leases to end.
 func TestJobsDoNotWaitForAWorkerThatDoesNotListen(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer func() {
-			cancel()
-			time.Sleep(2 * holdWait) // the last hold call ends
-		}()
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
 		client := &restartingClient{listening: false}
 		c := newTestController(ctx, client)
 		c.validUntil.Store(int64(c.now().Add(time.Hour)))
