--- a/internal/dispatch/part_interaction_test.go
+++ b/internal/dispatch/part_interaction_test.go
@@ -217,3 +217,51 @@
 		t.Errorf("copy %+v of a run away from its rack", s)
 	}
 }
+
+// A run may end before the answer to its start arrives. The failure is a worker that counts as one that does not answer for good.
+func TestAnswerAfterTheRunsEndClearsSuspicion(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	w := c.addWorker("w", 100)
+	c.addJob("j", false, plainStep(1))
+	starts, _, _ := c.planByKind()
+	c.HandleReport(w, c.virtualTime, endedReport(1, starts[0].RunKey, RunDone))
+	c.HandleStartOutcome(w, starts[0].RunKey, Started)
+	c.advance(time.Hour)
+	if c.isSuspect(c.workers[w]) {
+		t.Error("suspect an hour after its only start was answered")
+	}
+}
+
+// Only one gang of a pool at a time has workers reserved for its organisation's share. The failure is a gang that no worker can
+// run and that keeps the others from a reservation.
+func TestGangWithoutWorkersBlocksNoReservation(t *testing.T) {
+	c := newOrganisationFixture(t, 10, 100)
+	c.SetOrganisations([]graph.Organisation{{Name: "big", Weight: 100}, {Name: "small", Weight: 100}, {Name: "third", Weight: 100}}, RateOptions{Window: time.Second})
+	queue := plainQueue
+	queue.Stretch = 3
+	c.submit("long", "big", queue, withCPU(10, 60))
+	c.startsByJob()
+	big := c.organisation("big")
+	big.lead, big.band = 5*time.Second, 10
+	impossible := gangOf(2, 100)
+	impossible.Label = "none"
+	c.submit("a", "third", queue, impossible)
+	c.submit("b", "small", queue, gangOf(2, 100))
+	s := c.step(StepID{"b", 0, 0})
+	most := 0
+	for range 40 { // up to its objective
+		c.advance(100 * time.Millisecond)
+		c.planByKind()
+		reserved := 0
+		for _, w := range c.workers {
+			if w.reservedFor == s {
+				reserved++
+			}
+		}
+		most = max(most, reserved)
+	}
+	if most != 2 {
+		t.Errorf("at most %d workers reserved within the objective, want two for the gang", most)
+	}
+}
