Metrics of ended worker processes and of lost runs

Change: laburnumpoint_worker_processes_ended_total and laburnumpoint_runs_lost_total, on the operations page. No decision has changed.

--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -11,6 +11,7 @@
 	takeovers, commits, commitFailures  *metrics.Counter
 	holds, holdFailures, permitFailures *metrics.Counter
 	helloFailures, orderRetries         *metrics.Counter
+	processesEnded, runsLost            *metrics.Counter
 	startTime, permitTime, roundTime    *metrics.Histogram
 	takeoverTime                        *metrics.Histogram
 	locality                            localityCounters
@@ -54,6 +55,8 @@
 		permitFailures: set.NewCounter("laburnumpoint_permit_failures_total"),
 		helloFailures:  set.NewCounter("laburnumpoint_hello_failures_total"),
 		orderRetries:   set.NewCounter("laburnumpoint_order_retries_total"),
+		processesEnded: set.NewCounter("laburnumpoint_worker_processes_ended_total"),
+		runsLost:       set.NewCounter("laburnumpoint_runs_lost_total"),
 		takeoverTime:   set.NewHistogram("laburnumpoint_takeover_seconds"),
 		startTime:      set.NewHistogram("laburnumpoint_start_seconds"),
 		roundTime:      set.NewHistogram("laburnumpoint_round_seconds"),
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -267,6 +267,7 @@
 // logRunsLost logs runs that the owner counts as lost because their worker has not reported an end of them.
 func (c *controller) logRunsLost(wc *workerConn, runs []dispatch.RunKey, why string) {
 	left := wc.lease.remaining(c.now())
+	c.instruments.runsLost.Add(len(runs))
 	for _, run := range runs {
 		c.Log.Warn().Str("job", string(run.Task.Job)).Str("task", run.Task.String()).Uint64("run", run.Number).Str("worker", string(wc.worker.ID)).Str("why", why).Dur("lease_left", left).Msg("run lost")
 	}
@@ -288,6 +289,7 @@
 	c.engine.SetReachable(wc.worker.ID, false)
 	switch {
 	case errors.Is(err, ErrOtherIncarnation):
+		c.instruments.processesEnded.Inc()
 		c.removeEndedWorker(wc, "another incarnation answers at its address")
 	case !errors.Is(err, ErrNotListening):
 		wc.refusals = 0
@@ -313,6 +315,7 @@
 	c.Log.Info().Str("worker", string(id)).Str("why", why).Dur("lease_left", wc.lease.remaining(c.now())).Msg("worker process ended")
 	wc.replaced.Store(true)
 	wc.cancel()
+	c.instruments.processesEnded.Inc()
 	c.logRunsLost(wc, c.engine.HandleRestart(id), why)
 	if c.committing {
 		c.restartedDuringCommit[id] = struct{}{}
