A blocked step is no longer placed on a worker whose process has ended

Cause: a blocked step looks only at the workers whose free capacity has grown. The end of a process frees its runs' capacity, so that the ended worker was on that list although it had left its pool.

Change: only a worker that takes new runs enters the list.

Measured: TestBlockedStepIsNotPlacedOnAnEndedWorker fails without the change ({blocked/0/0/0 1} is started on a worker whose process has ended) and passes with it; the other tests of the package pass but the known red one.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -206,7 +206,7 @@
 		e.removeTaskRun(r)
 	}
 	r.task = nil
-	if p := e.pools[r.worker.Pool]; p != nil {
+	if p := e.pools[r.worker.Pool]; p != nil && r.worker.takesNewRuns() {
 		p.capacityGrew(r.worker)
 		if r.state != runStopping {
 			p.recordFreed(r.allocation, e.now)
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -48,7 +48,12 @@
 // maxGrownWorkers bounds grownWorkers. It covers what happens between two searches of a whole pool.
 const maxGrownWorkers = 1024
 
-// capacityGrew notes that w has more free capacity than before.
+// takesNewRuns reports whether the worker belongs to its pool.
+func (w *worker) takesNewRuns() bool {
+	return !w.Draining && w.reachable && w.runsOfUnknownSize == 0
+}
+
+// capacityGrew notes that w, which takes new runs, has more free capacity than before.
 func (p *pool) capacityGrew(w *worker) {
 	if len(p.grownWorkers) == maxGrownWorkers {
 		p.grownWorkers = append(p.grownWorkers[:0], p.grownWorkers[maxGrownWorkers/2:]...)
@@ -102,7 +107,7 @@
 	old := e.pools
 	e.pools = make(map[string]*pool, len(old))
 	for _, w := range e.workers {
-		if w.Draining || !w.reachable || w.runsOfUnknownSize > 0 {
+		if !w.takesNewRuns() {
 			continue
 		}
 		p := e.pools[w.Pool]
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -75,3 +75,26 @@
 		t.Errorf("%d starts once the awaited worker's process has ended, want one", len(starts))
 	}
 }
+
+// Guards against a blocked step being placed on a worker whose process has just ended: the end of its runs frees capacity that nobody
+// can use.
+func TestBlockedStepIsNotPlacedOnAnEndedWorker(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	w := c.addWorker("w", 100)
+	c.addWorker("full", 50)
+	j := c.addJob("j", false, plainStep(1))
+	c.planByKind()
+	c.HandleStartOutcome(w, runKey(j, 0, 0, 1), Started)
+	c.addJob("blocked", false, plainStep(1))
+	c.planByKind()
+	c.SetReachable(w, false)
+	c.planByKind()
+	c.HandleRestart(w)
+	for range 3 {
+		c.advance(2 * time.Millisecond)
+		if starts, _, _ := c.planByKind(); len(starts) != 0 {
+			t.Fatalf("%v is started on a worker whose process has ended", starts[0].RunKey)
+		}
+	}
+}
