A task that crashes the workers that run it is given up

Cause: a run that ends with its worker's process counts as interrupted, which is no attempt, so that the task starts again, without bound. Evidence: in the logs one task reaches run 281 under one owner; no line ends its job (hypothesis 1). Not lost at a takeover (2), since there was none, and not started late by the next process (3): the refused orders were never sent.

Change: the engine counts per task the crashes of the workers that ran it, records them with the job's progress, and gives the task up, with its job, after two crashes of which it was a likely cause (started last, shortly before) or after four of any kind, silent workers and unlisted runs included. The next run of a likely cause begins with a probation, so that a second crash tells which task it was; tasks that only ran beside it are exonerated. No copies of such tasks. Announced departures don't count, nor do crashes before a stable minute of a long-running task.

--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -61,10 +61,11 @@
 // isCopy reports whether r is the copy of its task's current run.
 func (r *run) isCopy() bool { return r.task != nil && r.task.copy == r }
 
-// mayHaveCopy reports whether a copy of the task's current run may be started. A copy that fails must leave the original an attempt.
+// mayHaveCopy reports whether a copy of the task's current run may be started. A copy that fails must leave the original an attempt,
+// and one of a task that may crash its workers would crash another.
 func (t *task) mayHaveCopy() bool {
 	return t.run != nil && t.copy == nil && t.surplusRuns == 0 && !t.done && t.run.state == runRunning && t.run.confirmedAt > 0 &&
-		len(t.failedRuns)+1 < t.step.job.queue.MaxAttempts
+		len(t.crashes) == 0 && len(t.failedRuns)+1 < t.step.job.queue.MaxAttempts
 }
 
 // mayHaveCopies reports whether copies of the step's tasks may run.
--- /dev/null
+++ b/internal/dispatch/crash.go
@@ -0,0 +1,284 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime"
+)
+
+// A task may crash each worker that starts it, together with all other runs there. The engine counts for each task the crashes of
+// workers that ran it, across owners. A run is a likely cause if the crash came soon after its start and no other was started after it;
+// a task that was that twice is given up, which fails its job, and its crashes no longer count against the other tasks that ran beside
+// it. The next run of a likely cause begins with a probation, in which no other job's task is started on its worker, so that a second
+// crash tells which task it was. A crash that comes later, or a worker that fell silent, only counts towards a bound on all crashes.
+const (
+	// maxLikelyCrashes is how often a task may be the likely cause of a crash until it is given up.
+	maxLikelyCrashes = 2
+	// DefaultMaxCrashes is the usual bound on the crashes of a task's workers, whatever their likely cause.
+	DefaultMaxCrashes = 4
+	// MinMaxCrashes is the least such bound.
+	MinMaxCrashes = 2
+	// startSpread is how far apart runs of one worker may be started to count as started together.
+	startSpread = 100 * time.Millisecond
+	// promptCrashTime is how long after a run's start its worker's crash may be noticed for the run to be a likely cause.
+	promptCrashTime = 3 * time.Second
+	// probationTime is how long the start of a likely cause keeps tasks of other jobs from its worker.
+	probationTime = 250 * time.Millisecond
+	// stableRunTime is how long a run of a long-running task has to last for earlier crashes to be forgotten: a service that runs for
+	// months loses its worker now and then.
+	stableRunTime = 60 * time.Second
+	// crashedAddressTime is how long likely causes avoid the address of a worker that has crashed, which may be at fault itself.
+	crashedAddressTime = 10 * time.Second
+)
+
+// WorkerEnd is why a worker's runs are given up.
+type WorkerEnd int
+
+// The ways in which a worker ends.
+const (
+	// WorkerLeft means that the worker had announced that it leaves.
+	WorkerLeft WorkerEnd = iota
+	// WorkerCrashed means that the worker's process has ended without notice.
+	WorkerCrashed
+	// WorkerSilent means that the worker has not answered for longer than its lease: it has crashed or is cut off.
+	WorkerSilent
+)
+
+// String returns the name of the end in logs.
+func (e WorkerEnd) String() string { return [...]string{"left", "crashed", "silent"}[e] }
+
+// crash is the end of a worker that had runs.
+type crash struct {
+	// tasks are those of the runs that count it.
+	tasks  []*task
+	report CrashReport
+}
+
+// taskCrash is a crash as one of its tasks counts it.
+type taskCrash struct {
+	// run is the number of the task's run on the worker.
+	run    uint64
+	likely bool
+	// crash is nil for one that an earlier owner recorded.
+	crash *crash
+}
+
+// CrashReport describes the end of a worker that had runs, for the log.
+type CrashReport struct {
+	Worker WorkerID
+	End    WorkerEnd
+	// Runs is how many runs ended with the worker; Likely are the tasks that may have caused it.
+	Runs   int
+	Likely []graph.TaskID
+	// GivenUp is the task that was given up for it, nil for none; Crashes is how many crashes were counted for it.
+	GivenUp *graph.TaskID
+	Crashes int
+}
+
+// SetMaxCrashes sets after how many crashes of its workers a task is given up, whatever their likely cause.
+func (e *Engine) SetMaxCrashes(n int) { e.maxCrashes = n }
+
+// TakeCrashReports returns the reports since the last call.
+func (e *Engine) TakeCrashReports() []CrashReport {
+	reports := e.crashReports
+	e.crashReports = nil
+	return reports
+}
+
+// recordCrash counts the end of a worker for the tasks that it runs, or may run. It returns nil if there are none.
+func (e *Engine) recordCrash(w *worker, end WorkerEnd) *crash {
+	if end == WorkerLeft || len(w.runs) == 0 {
+		return nil
+	}
+	var lastStart monotime.Instant
+	for _, r := range w.runs {
+		lastStart = max(lastStart, r.orderedAt)
+	}
+	c := &crash{report: CrashReport{Worker: w.ID, End: end, Runs: len(w.runs)}}
+	for key, r := range w.runs {
+		together := !r.orphan && lastStart.Sub(r.orderedAt) <= startSpread
+		likely := end == WorkerCrashed && together && e.now.Sub(r.orderedAt) <= promptCrashTime
+		t := e.task(key.Task)
+		if t != nil && t.addCrash(e.now, r, taskCrash{key.Number, likely, c}) {
+			c.tasks = append(c.tasks, t)
+			e.markDirty(t.step.job)
+			if likely {
+				c.report.Likely = append(c.report.Likely, key.Task)
+			}
+		}
+	}
+	if end == WorkerCrashed {
+		e.crashedAddresses[w.Address] = e.now
+	}
+	return c
+}
+
+// addCrash counts a crash that ended a run of the task, unless it has been counted or the task needs no more runs.
+func (t *task) addCrash(now monotime.Instant, r *run, c taskCrash) bool {
+	counted := slices.ContainsFunc(t.crashes, func(other taskCrash) bool { return other.run == c.run })
+	if counted || t.done || t.step.job.state.Ended() {
+		return false
+	}
+	if t.step.def.LongRunning && r.confirmedAt > 0 && now.Sub(r.confirmedAt) >= stableRunTime {
+		t.crashes = nil
+	}
+	t.crashes = append(t.crashes, c)
+	t.step.countSuspects()
+	return true
+}
+
+// recordLostRun counts a run whose worker answers and no longer knows it like one on a worker that fell silent.
+func (e *Engine) recordLostRun(r *run) {
+	t := e.task(r.Task)
+	if t == nil {
+		return
+	}
+	c := &crash{tasks: []*task{t}, report: CrashReport{Worker: r.worker.ID, End: WorkerSilent, Runs: 1}}
+	if t.addCrash(e.now, r, taskCrash{r.Number, false, c}) {
+		e.markDirty(t.step.job)
+		e.giveUpCause(c)
+	}
+}
+
+// giveUpCause gives up the task that a crash, which has been counted, shows to be its cause, if any.
+func (e *Engine) giveUpCause(c *crash) {
+	if c == nil {
+		return
+	}
+	if len(c.tasks) > 0 {
+		defer func() { e.crashReports = append(e.crashReports, c.report) }()
+	}
+	var cause *task
+	for _, t := range c.tasks {
+		if e.mustGiveUp(t) && (cause == nil || compareBlame(t, cause) > 0) {
+			cause = t
+		}
+	}
+	if cause == nil {
+		return
+	}
+	crashes := cause.crashes
+	j, id := cause.step.job, cause.id()
+	c.report.GivenUp, c.report.Crashes = &id, len(crashes)
+	j.failure = fmt.Sprintf("task %s was given up after %d crashes of its workers", id, len(crashes))
+	e.stats.GivenUp++
+	e.endJob(j, graph.Failed, "a task of the job crashes its workers")
+	for _, tc := range crashes {
+		e.exonerate(tc.crash)
+	}
+}
+
+// mustGiveUp reports whether the crashes that count for a task suffice to give it up.
+func (e *Engine) mustGiveUp(t *task) bool {
+	return !t.step.job.state.Ended() && (t.likelyCrashes() >= maxLikelyCrashes || len(t.crashes) >= e.maxCrashes)
+}
+
+// compareBlame orders tasks by how likely they are to crash their workers.
+func compareBlame(a, b *task) int {
+	return cmp.Or(a.likelyCrashes()-b.likelyCrashes(), len(a.crashes)-len(b.crashes), strings.Compare(b.id().String(), a.id().String()))
+}
+
+// exonerate takes a crash whose cause is known off the counts of all tasks.
+func (e *Engine) exonerate(c *crash) {
+	if c == nil {
+		return
+	}
+	for _, t := range c.tasks {
+		t.crashes = slices.DeleteFunc(t.crashes, func(tc taskCrash) bool { return tc.crash == c })
+		t.step.countSuspects()
+		e.markDirty(t.step.job)
+	}
+}
+
+// likelyCrashes counts the crashes of which the task is a likely cause.
+func (t *task) likelyCrashes() int {
+	n := 0
+	for _, c := range t.crashes {
+		if c.likely {
+			n++
+		}
+	}
+	return n
+}
+
+// countSuspects counts the step's open tasks that are likely causes of a crash.
+func (s *step) countSuspects() {
+	s.suspects = 0
+	for _, t := range s.tasks {
+		if !t.done && t.likelyCrashes() > 0 {
+			s.suspects++
+		}
+	}
+}
+
+// probation keeps tasks of other jobs from a worker while it starts a likely cause of a crash.
+type probation struct {
+	job   *job
+	until monotime.Instant
+}
+
+// noteStart notes that a run of the task is started on the worker.
+func (e *Engine) noteStart(w *worker, t *task) {
+	w.lastStartAt, w.lastStartJob = e.now, t.step.job
+	if t.step.suspects > 0 && t.likelyCrashes() > 0 {
+		w.probation = probation{t.step.job, e.now.Add(probationTime)}
+		w.updateImpaired()
+	}
+}
+
+// isOnProbation reports whether the worker must not start tasks of the step's job.
+func (e *Engine) isOnProbation(w *worker, s *step) bool {
+	if w.probation.job == nil {
+		return false
+	}
+	if e.now >= w.probation.until {
+		w.probation = probation{}
+		w.updateImpaired()
+		return false
+	}
+	return w.probation.job != s.job
+}
+
+// crashScore is the part of a worker's score that counts for a step with a likely cause of a crash: a second crash tells most on a worker
+// that has not crashed lately and on which no other job's task was just started.
+func (e *Engine) crashScore(s *step, w *worker) float64 {
+	score := 0.0
+	if at, ok := e.crashedAddresses[w.Address]; ok && e.now.Sub(at) < crashedAddressTime {
+		score -= suspectWeight
+	}
+	if w.lastStartJob != s.job && w.lastStartAt > 0 && e.now.Sub(w.lastStartAt) <= startSpread {
+		score -= suspectWeight
+	}
+	return score
+}
+
+// forgetCrashedAddresses drops the addresses that likely causes no longer avoid.
+func (e *Engine) forgetCrashedAddresses() {
+	for address, at := range e.crashedAddresses {
+		if e.now.Sub(at) >= crashedAddressTime {
+			delete(e.crashedAddresses, address)
+		}
+	}
+}
+
+// recordedCrashes returns the crashes of the task as they are recorded.
+func (t *task) recordedCrashes() []CrashProgress {
+	var recorded []CrashProgress
+	for _, c := range t.crashes {
+		recorded = append(recorded, CrashProgress{c.run, c.likely})
+	}
+	return recorded
+}
+
+// restoreCrashes applies the recorded crashes of a task.
+func (t *task) restoreCrashes(recorded []CrashProgress) {
+	t.crashes = nil
+	for _, c := range recorded {
+		t.crashes = append(t.crashes, taskCrash{run: c.Run, likely: c.Likely})
+	}
+}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -12,7 +12,7 @@
 func (c *fixture) crashOne(s Start) {
 	c.HandleStartOutcome(s.Worker, s.RunKey, Started)
 	c.advance(10 * time.Millisecond)
-	c.HandleRestart(s.Worker)
+	c.HandleRestart(s.Worker, WorkerCrashed)
 	c.advance(time.Second)
 }
 
@@ -74,3 +74,137 @@
 		c.HandleReport(id, c.virtualTime, report)
 	}
 }
+
+// crash plays the end of a worker's process after all starts on it were acknowledged.
+func (c *fixture) crash(id WorkerID) {
+	for key := range c.workers[id].runs {
+		c.HandleStartOutcome(id, key, Started)
+	}
+	c.HandleRestart(id, WorkerCrashed)
+	c.advance(time.Second)
+}
+
+// startOn plans until the task has a run and returns its worker.
+func (c *fixture) startOn(task graph.TaskID) WorkerID {
+	c.t.Helper()
+	for range 100 {
+		c.planByKind()
+		if r := c.task(task).run; r != nil {
+			return r.worker.ID
+		}
+		c.advance(10 * time.Millisecond)
+	}
+	c.t.Fatalf("%v was not started", task)
+	return ""
+}
+
+func (c *fixture) wantState(j graph.JobID, want graph.JobState) {
+	c.t.Helper()
+	if state, _ := c.JobState(j); state != want {
+		c.t.Errorf("job %s is %s, want %s", j, state, want)
+	}
+}
+
+// Guards against tasks being given up that only ran beside one that crashes its workers: each time it takes down others with it, and
+// the same one twice.
+func TestTaskBesideACrashingOneIsNotGivenUp(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	for i := range 4 {
+		c.addWorker(fmt.Sprintf("w%d", i), 200)
+	}
+	crashing := c.addJob("a", false, plainStep(1))
+	beside := c.addJob("b", false, plainStep(1))
+	for range maxLikelyCrashes {
+		w := c.startOn(runKey(crashing, 0, 0, 0).Task)
+		c.startOn(runKey(beside, 0, 0, 0).Task)
+		c.crash(w)
+		c.settle()
+	}
+	c.wantState(crashing, graph.Failed)
+	c.wantState(beside, graph.Running)
+	if n := len(c.task(runKey(beside, 0, 0, 0).Task).crashes); n != 0 {
+		t.Errorf("%d crashes count for the task beside the one that was given up, want none", n)
+	}
+}
+
+// Guards against the crashes of a task being forgotten when another daemon takes over.
+func TestCrashesCountAcrossTakeovers(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	c.addWorker("w1", 100)
+	j := c.addJob("j", false, plainStep(1))
+	c.crash(c.startOn(runKey(j, 0, 0, 0).Task))
+	progress := c.TakeDirty(10)[j]
+	next := newFixture(t, 2)
+	next.advance(time.Second)
+	next.addWorker("w2", 100)
+	next.AddJob(JobInput{ID: j, Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(1)}}, ArrivedAt: next.virtualTime, Progress: &progress})
+	next.crash(next.startOn(runKey(j, 0, 0, 0).Task))
+	next.wantState(j, graph.Failed)
+	if got := next.TakeDirty(10)[j]; got.State != graph.Failed {
+		t.Errorf("recorded state is %s, want failed", got.State)
+	}
+}
+
+// Guards against a task being restarted without end whose workers crash late in its runs or fall silent under them: no such crash tells
+// that the task is its cause.
+func TestTaskOfManyLostRunsIsGivenUp(t *testing.T) {
+	for _, end := range []WorkerEnd{WorkerCrashed, WorkerSilent} {
+		t.Run(end.String(), func(t *testing.T) {
+			c := newFixture(t, 1)
+			c.advance(time.Second)
+			j := c.addJob("j", false, plainStep(1))
+			for i := range DefaultMaxCrashes {
+				c.wantState(j, []graph.JobState{graph.Queued, graph.Running}[min(i, 1)])
+				w := c.addWorker(fmt.Sprintf("w%d", i), 100)
+				c.startOn(runKey(j, 0, 0, 0).Task)
+				c.HandleStartOutcome(w, RunKey{runKey(j, 0, 0, 0).Task, uint64(i) + 1}, Started)
+				c.advance(2 * promptCrashTime)
+				c.RemoveWorker(w, end)
+			}
+			c.wantState(j, graph.Failed)
+		})
+	}
+}
+
+// Guards against services being given up for crashes that lie far apart, and against planned departures counting as crashes.
+func TestRareCrashesAndDeparturesDoNotCount(t *testing.T) {
+	for _, end := range []WorkerEnd{WorkerCrashed, WorkerLeft} {
+		t.Run(end.String(), func(t *testing.T) {
+			c := newFixture(t, 1)
+			c.advance(time.Second)
+			s := plainStep(1)
+			s.LongRunning = true
+			j := c.addJob("j", false, s)
+			for i := range 3 * DefaultMaxCrashes {
+				w := c.addWorker(fmt.Sprintf("w%d", i), 100)
+				c.startOn(runKey(j, 0, 0, 0).Task)
+				c.HandleStartOutcome(w, RunKey{runKey(j, 0, 0, 0).Task, uint64(i) + 1}, Started)
+				if end == WorkerCrashed {
+					c.advance(stableRunTime)
+				}
+				c.RemoveWorker(w, end)
+			}
+			c.wantState(j, graph.Running)
+		})
+	}
+}
+
+// Guards against another job's task starting beside a likely cause of a crash, which would hide whose fault the next crash is.
+func TestProbationKeepsOtherJobsFromTheWorker(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	c.addWorker("w1", 100)
+	suspect := c.addJob("a", false, plainStep(1))
+	c.crash(c.startOn(runKey(suspect, 0, 0, 0).Task))
+	c.RemoveWorker("w1", WorkerCrashed)
+	c.addWorker("w2", 200)
+	c.startOn(runKey(suspect, 0, 0, 0).Task)
+	other := c.addJob("b", false, plainStep(1))
+	if starts, _, _ := c.planByKind(); len(starts) != 0 {
+		t.Errorf("%v is started during the probation", starts[0].RunKey)
+	}
+	c.advance(probationTime)
+	c.startOn(runKey(other, 0, 0, 0).Task)
+}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -73,7 +73,11 @@
 	shares      fairShares
 	// runTimeRatios holds the ratios of run times to estimates by queue.
 	runTimeRatios map[string]*overload.Ratios
-	stats         Stats
+	// maxCrashes is after how many crashes of its workers a task is given up; crashedAddresses holds when workers crashed, by address.
+	maxCrashes       int
+	crashedAddresses map[string]monotime.Instant
+	crashReports     []CrashReport
+	stats            Stats
 }
 
 // Stats counts decisions and events since the engine was created.
@@ -84,6 +88,8 @@
 	Copies, CopiesWon uint64
 	// TrialRuns counts the starts on ejected workers that are to show whether these are sound again.
 	TrialRuns uint64
+	// GivenUp counts the tasks that were given up since they crash their workers.
+	GivenUp uint64
 	// WorkersEvaluated counts how often a worker was evaluated for a step, which is most of the cost of a decision.
 	WorkersEvaluated uint64
 }
@@ -107,6 +113,9 @@
 		maxCopyShare:    defaultCopyShare,
 		failureRates:    make(map[string]*failureRate),
 		runTimeRatios:   make(map[string]*overload.Ratios),
+
+		maxCrashes:       DefaultMaxCrashes,
+		crashedAddresses: make(map[string]monotime.Instant),
 	}
 }
 
@@ -417,8 +426,8 @@
 	}
 }
 
-// RemoveWorker removes a worker that has certainly ended, and all its runs with it. It returns these runs.
-func (e *Engine) RemoveWorker(id WorkerID) (ended []RunKey) {
+// RemoveWorker removes a worker whose runs have certainly ended, with these. It returns them.
+func (e *Engine) RemoveWorker(id WorkerID, end WorkerEnd) (ended []RunKey) {
 	delete(e.awaitedReports, id)
 	w := e.workers[id]
 	if w == nil {
@@ -427,10 +436,12 @@
 	delete(e.workers, id)
 	delete(e.unconfirmedEnds, id)
 	e.poolsStale = true
+	crashed := e.recordCrash(w, end)
 	for _, r := range w.runs {
 		ended = append(ended, r.RunKey)
 		e.handleEnd(w, r.RunKey, RunInterrupted, "")
 	}
+	e.giveUpCause(crashed)
 	return ended
 }
 
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -125,7 +125,7 @@
 	if len(starts) != 1 || starts[0].Task.Job != "new" {
 		t.Fatalf("starts %v, want only the job that no earlier owner knew", starts)
 	}
-	c.RemoveWorker(b)
+	c.RemoveWorker(b, WorkerSilent)
 	if starts, _, _ = c.planByKind(); len(starts) != 1 || starts[0].Number <= runNumbersPerEpoch {
 		t.Errorf("starts %v, want the old job under a number above the earlier owner's", starts)
 	}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -76,6 +76,7 @@
 			e.handleEnd(w, key, RunInterrupted, "")
 		}
 		if missing {
+			e.recordLostRun(r)
 			lost = append(lost, key)
 		}
 	}
@@ -85,7 +86,7 @@
 // HandleRestart processes that a worker's process has ended. Another one may run under the worker's id; it has none of the runs
 // of the ended one. A start without an answer may still reach the new process, so its run is stopped there before the task is
 // started again. HandleRestart returns the runs that have ended.
-func (e *Engine) HandleRestart(id WorkerID) (ended []RunKey) {
+func (e *Engine) HandleRestart(id WorkerID, end WorkerEnd) (ended []RunKey) {
 	delete(e.awaitedReports, id)
 	w := e.workers[id]
 	if w == nil {
@@ -94,6 +95,7 @@
 	e.setReachable(w, false)
 	w.lastEndSequence = 0
 	delete(e.unconfirmedEnds, id)
+	crashed := e.recordCrash(w, end)
 	for key, r := range w.runs {
 		if r.confirmedAt == 0 || !r.startAnswered {
 			e.stopAfterRestart(r)
@@ -102,6 +104,7 @@
 		ended = append(ended, key)
 		e.handleEnd(w, key, RunInterrupted, "")
 	}
+	e.giveUpCause(crashed)
 	return ended
 }
 
@@ -316,6 +319,10 @@
 		t.step.placedTasks--
 	}
 	t.done = true
+	if len(t.crashes) > 0 {
+		t.crashes = nil
+		t.step.countSuspects()
+	}
 	if !t.step.def.Speculative {
 		j.organisation.markReported(t)
 	}
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -16,6 +16,9 @@
 	}
 	lines := []string{fmt.Sprintf("%s, arrived %s ago, objective %s", j.state, roundToMS(e.now.Sub(j.arrivedAt)), roundToMS(j.objective)) + e.explainOrganisation(j)}
 	if j.state.Ended() {
+		if j.failure != "" {
+			lines = append(lines, j.failure)
+		}
 		return lines
 	}
 	for _, occurrence := range j.steps {
@@ -32,6 +35,9 @@
 
 func (e *Engine) explainStep(s *step, wall time.Duration) string {
 	line := fmt.Sprintf("step %d of occurrence %d: %d of %d tasks done, %d placed", s.index, s.occurrence, len(s.tasks)-s.openTasks, len(s.tasks), s.placedTasks)
+	if s.suspects > 0 {
+		line += fmt.Sprintf(", %d may have crashed their worker", s.suspects)
+	}
 	if s.unplacedCount() == 0 {
 		return line
 	}
--- a/internal/dispatch/history_test.go
+++ b/internal/dispatch/history_test.go
@@ -659,7 +659,7 @@
 	if c.otherIncarnation && h.workerViews[c.worker] == c.view {
 		h.log("%s has ended", c.worker)
 		delete(h.workerViews, c.worker)
-		h.engine.RemoveWorker(c.worker)
+		h.engine.RemoveWorker(c.worker, WorkerSilent)
 		h.oldWorkers[c.worker] = true
 	}
 }
@@ -727,7 +727,7 @@
 		view := h.workerViews[id]
 		if view.unresponsive && h.now > view.leaseEndsBy.Add(historyMargin) && (h.engine.HasRuns(id) || !h.engine.ReportsComplete()) {
 			h.log("runs on unresponsive %s are given up", id)
-			h.engine.RemoveWorker(id)
+			h.engine.RemoveWorker(id, WorkerSilent)
 			h.putWorker(id)
 		}
 	}
--- a/internal/dispatch/max_per_worker_test.go
+++ b/internal/dispatch/max_per_worker_test.go
@@ -15,7 +15,7 @@
 	j := c.addJob("j", false, onePerWorker)
 	c.planByKind()
 	c.HandleStartOutcome(a, runKey(j, 0, 0, 1), Started)
-	c.RemoveWorker(a)
+	c.RemoveWorker(a, WorkerSilent)
 	b := c.addWorker("b", 1000)
 	c.planByKind()
 	c.HandleStartOutcome(b, runKey(j, 0, 0, 2), Started)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -230,7 +230,8 @@
 type worker struct {
 	Worker
 	used graph.Resources
-	// impaired means that the worker is slow or ejected. Evaluating a worker for a step reads only this unless it is set.
+	// impaired means that the worker is slow, ejected or on probation. Evaluating a worker for a step reads only this unless it is
+	// set.
 	impaired bool
 	runs     map[RunKey]*run
 	// lastEndSequence is the sequence number of the last ended run that the engine has processed.
@@ -256,8 +257,12 @@
 // workerCondition is what the engine has learned of a worker from its runs. It is apart from the worker to keep that small: evaluating
 // a worker for a step is most of the cost of a decision.
 type workerCondition struct {
-	speed  workerspeed.Speed
-	health workerHealth
+	speed     workerspeed.Speed
+	health    workerHealth
+	probation probation
+	// lastStartAt is when a run was last started on the worker, for lastStartJob.
+	lastStartAt  monotime.Instant
+	lastStartJob *job
 }
 
 func (w *worker) free() graph.Resources { return w.Capacity.Sub(w.used) }
@@ -284,7 +289,9 @@
 	index int
 	done  bool
 	// failedRuns are the numbers of the runs that failed.
-	failedRuns    runNumbers
+	failedRuns runNumbers
+	// crashes are the crashes of the task's workers that count for it.
+	crashes       []taskCrash
 	lastRunNumber uint64
 	checkpoint    string
 	run           *run
@@ -368,6 +375,8 @@
 	limitHoldFrom monotime.Instant
 	// wantedCopies counts the copies that lack only a permit.
 	wantedCopies int
+	// suspects counts the open tasks that are likely causes of a crash.
+	suspects int
 	// failures are the step's runs that failed or stood still, as counted against their workers.
 	failures []*countedFailure
 	runTimes stepRunTimes
@@ -403,6 +412,8 @@
 	// openSteps counts the steps with open tasks over all occurrences.
 	openSteps int
 	dirty     bool
+	// failure is why the job has failed, for operators; empty if this owner doesn't know.
+	failure string
 }
 
 func (j *job) eachTask(visit func(*task)) {
--- a/internal/dispatch/organisation_random_test.go
+++ b/internal/dispatch/organisation_random_test.go
@@ -273,7 +273,7 @@
 	}
 	delete(w.workers, lost)
 	w.lateStarts = slices.DeleteFunc(w.lateStarts, func(s Start) bool { return s.Worker == lost })
-	w.engine.RemoveWorker(lost)
+	w.engine.RemoveWorker(lost, WorkerSilent)
 	w.addWorker()
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -20,6 +20,7 @@
 	e.reviewWaits()
 	e.refreshOrganisations()
 	e.findStalledRuns()
+	e.forgetCrashedAddresses()
 	steps := e.byUrgency()
 	for _, p := range e.pools {
 		p.searchInterval = searchInterval(len(steps), len(p.workers))
@@ -364,6 +365,7 @@
 		w.oldestUnansweredStart = e.now
 	}
 	e.allocate(r, t.step)
+	e.noteStart(w, t)
 	isCopy := t.run != nil
 	if isCopy {
 		e.setCopy(t, r)
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -26,6 +26,15 @@
 	Index      int      `json:"i,omitempty"`
 	FailedRuns []uint64 `json:"f,omitempty"`
 	Checkpoint string   `json:"c,omitempty"`
+	// Crashes are the crashes of the task's workers that count for it.
+	Crashes []CrashProgress `json:"x,omitempty"`
+}
+
+// CrashProgress is a crash of the worker that had a run of the task.
+type CrashProgress struct {
+	// Run is the run's number; Likely means that it is a likely cause.
+	Run    uint64 `json:"r"`
+	Likely bool   `json:"l,omitempty"`
 }
 
 // progress returns the job's progress to record.
@@ -59,9 +68,9 @@
 		switch {
 		case t.done:
 			p.Done[t.index/8] |= 1 << (t.index % 8)
-		case len(t.failedRuns) > 0 || t.checkpoint != "":
+		case len(t.failedRuns) > 0 || t.checkpoint != "" || len(t.crashes) > 0:
 			hasProgress = true
-			p.Tasks = append(p.Tasks, TaskProgress{t.index, t.failedRuns, t.checkpoint})
+			p.Tasks = append(p.Tasks, TaskProgress{t.index, t.failedRuns, t.checkpoint, t.recordedCrashes()})
 		}
 	}
 	return p, hasProgress
@@ -93,7 +102,9 @@
 		}
 		t := s.tasks[tp.Index]
 		t.failedRuns, t.checkpoint = tp.FailedRuns, tp.Checkpoint
+		t.restoreCrashes(tp.Crashes)
 	}
+	s.countSuspects()
 	if s.openTasks == 0 {
 		s.job.openSteps--
 	}
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -67,7 +67,9 @@
 }
 
 // updateImpaired brings impaired up to date.
-func (w *worker) updateImpaired() { w.impaired = w.speed.Slow() || w.health.ejected }
+func (w *worker) updateImpaired() {
+	w.impaired = w.speed.Slow() || w.health.ejected || w.probation.job != nil
+}
 
 // speedPreference is which workers of a pool with slow ones a step's tasks prefer.
 type speedPreference int
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -74,6 +74,9 @@
 	RefuseOverload bool
 	// RemoteFactor is how many times as long a task takes away from its data or its group; 1 if places make no difference.
 	RemoteFactor float64
+	// MaxCrashes is after how many crashes of its workers a task is given up, whatever their likely cause; 0 for
+	// dispatch.DefaultMaxCrashes.
+	MaxCrashes int
 }
 
 // Backends are a platform's implementations of what the daemon depends on. The functions are called with the daemon's
@@ -156,6 +159,7 @@
 		Rates:          settings.Rates,
 		RefuseOverload: settings.RefuseOverload,
 		RemoteFactor:   settings.RemoteFactor,
+		MaxCrashes:     settings.MaxCrashes,
 	}
 	if settings.RequireKeys {
 		ownerOptions.ConfigState, ownerOptions.ObserveConfig = d.Service.ConfigState, d.Service.ObserveConfig
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -114,6 +114,9 @@
 	}
 	c.validUntil.Store(int64(ownership.CommitSentAt().Add(ownershipValidity)))
 	c.engine.SetRemoteFactor(d.RemoteFactor)
+	if d.MaxCrashes > 0 {
+		c.engine.SetMaxCrashes(d.MaxCrashes)
+	}
 	return c
 }
 
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -12,6 +12,7 @@
 	holds, holdFailures, permitFailures *metrics.Counter
 	helloFailures, orderRetries         *metrics.Counter
 	processesEnded, runsLost            *metrics.Counter
+	workerCrashes, tasksGivenUp         *metrics.Counter
 	startTime, permitTime, roundTime    *metrics.Histogram
 	takeoverTime                        *metrics.Histogram
 	locality                            localityCounters
@@ -56,6 +57,8 @@
 		helloFailures:  set.NewCounter("laburnumpoint_hello_failures_total"),
 		orderRetries:   set.NewCounter("laburnumpoint_order_retries_total"),
 		processesEnded: set.NewCounter("laburnumpoint_worker_processes_ended_total"),
+		workerCrashes:  set.NewCounter("laburnumpoint_worker_crashes_total"),
+		tasksGivenUp:   set.NewCounter("laburnumpoint_tasks_given_up_total"),
 		runsLost:       set.NewCounter("laburnumpoint_runs_lost_total"),
 		takeoverTime:   set.NewHistogram("laburnumpoint_takeover_seconds"),
 		startTime:      set.NewHistogram("laburnumpoint_start_seconds"),
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -124,6 +124,6 @@
 	case errors.Is(err, ErrSuperseded):
 		c.loseOwnership("worker has seen a higher epoch")
 	case errors.Is(err, ErrOtherIncarnation):
-		c.removeEndedWorker(wc, "another incarnation answers at its address")
+		c.removeEndedWorker(wc, wc.processEnd(), "another incarnation answers at its address")
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -93,6 +93,9 @@
 	RefuseOverload bool
 	// RemoteFactor is how many times as long a task takes away from its data or its group.
 	RemoteFactor float64
+	// MaxCrashes is after how many crashes of its workers a task is given up, whatever their likely cause; 0 for
+	// dispatch.DefaultMaxCrashes.
+	MaxCrashes int
 }
 
 // Daemon takes part in the election of the owner: it owns the cell, or helps the daemon that does.
--- a/internal/owner/ownership_test.go
+++ b/internal/owner/ownership_test.go
@@ -103,7 +103,7 @@
 		w := dispatch.Worker{ID: "w", Pool: "p"}
 		c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{w}})
 		commit()
-		c.removeEndedWorker(c.workerConns["w"], "lease expired, worker not registered")
+		c.removeEndedWorker(c.workerConns["w"], dispatch.WorkerSilent, "lease expired, worker not registered")
 		store.unavailable.Store(true)
 		time.Sleep(commitRetryDelay)
 		c.commitChanges()
--- a/internal/owner/worker_health.go
+++ b/internal/owner/worker_health.go
@@ -21,6 +21,7 @@
 			c.Log.Info().Str("worker", string(e.Worker)).Float64("failure_rate", e.FailureRate).Msg("worker readmitted")
 		}
 	}
+	c.recordCrashes()
 	c.workerHealth.ejected.Store(int64(c.engine.EjectedWorkers()))
 	stats := c.engine.Stats()
 	c.workerHealth.trialRuns.Store(int64(stats.TrialRuns))
@@ -28,3 +29,19 @@
 	c.workerHealth.copiesWon.Store(int64(stats.CopiesWon))
 	c.workerHealth.slow.Store(int64(c.engine.SlowWorkers()))
 }
+
+// recordCrashes logs and counts the workers that ended with runs, and the tasks that were given up for it.
+func (c *controller) recordCrashes() {
+	for _, r := range c.engine.TakeCrashReports() {
+		suspects := make([]string, len(r.Likely))
+		for i, id := range r.Likely {
+			suspects[i] = id.String()
+		}
+		c.instruments.workerCrashes.Inc()
+		c.Log.Warn().Str("worker", string(r.Worker)).Str("end", r.End.String()).Int("runs", r.Runs).Strs("suspects", suspects).Msg("worker ended with runs")
+		if r.GivenUp != nil {
+			c.instruments.tasksGivenUp.Inc()
+			c.Log.Warn().Str("job", string(r.GivenUp.Job)).Str("task", r.GivenUp.String()).Int("crashes", r.Crashes).Msg("task given up, it crashes its workers")
+		}
+	}
+}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -290,7 +290,7 @@
 	switch {
 	case errors.Is(err, ErrOtherIncarnation):
 		c.instruments.processesEnded.Inc()
-		c.removeEndedWorker(wc, "another incarnation answers at its address")
+		c.removeEndedWorker(wc, wc.processEnd(), "another incarnation answers at its address")
 	case !errors.Is(err, ErrNotListening):
 		wc.refusals = 0
 	default:
@@ -316,7 +316,7 @@
 	wc.replaced.Store(true)
 	wc.cancel()
 	c.instruments.processesEnded.Inc()
-	c.logRunsLost(wc, c.engine.HandleRestart(id), why)
+	c.logRunsLost(wc, c.engine.HandleRestart(id, wc.processEnd()), why)
 	if c.committing {
 		c.restartedDuringCommit[id] = struct{}{}
 	}
@@ -338,12 +338,12 @@
 			continue
 		}
 		if _, listed := c.registered[wc.worker.ID]; !listed {
-			c.removeEndedWorker(wc, "lease expired, worker not registered")
+			c.removeEndedWorker(wc, wc.silenceEnd(), "lease expired, worker not registered")
 			continue
 		}
 		if c.engine.HasRuns(wc.worker.ID) || !c.engine.ReportsComplete() {
 			c.Log.Warn().Str("worker", string(wc.worker.ID)).Msg("lease of unresponsive worker expired, its runs are given up")
-			c.logRunsLost(wc, c.engine.RemoveWorker(wc.worker.ID), "lease expired")
+			c.logRunsLost(wc, c.engine.RemoveWorker(wc.worker.ID, dispatch.WorkerSilent), "lease expired")
 			c.engine.PutWorker(wc.listing)
 		}
 	}
@@ -361,15 +361,31 @@
 	}
 }
 
+// processEnd returns how a worker's process ended that is known to have ended.
+func (wc *workerConn) processEnd() dispatch.WorkerEnd {
+	if wc.listing.Draining {
+		return dispatch.WorkerLeft
+	}
+	return dispatch.WorkerCrashed
+}
+
+// silenceEnd returns how a worker ended that does not answer and is no longer registered.
+func (wc *workerConn) silenceEnd() dispatch.WorkerEnd {
+	if wc.listing.Draining {
+		return dispatch.WorkerLeft
+	}
+	return dispatch.WorkerSilent
+}
+
 // removeEndedWorker removes a worker that has certainly ended, and its row from the ledger.
-func (c *controller) removeEndedWorker(wc *workerConn, why string) {
+func (c *controller) removeEndedWorker(wc *workerConn, end dispatch.WorkerEnd, why string) {
 	id := wc.worker.ID
 	c.Log.Info().Str("worker", string(id)).Str("why", why).Dur("lease_left", wc.lease.remaining(c.now())).Msg("worker gone")
 	if wc.cancel != nil {
 		wc.cancel()
 	}
 	delete(c.workerConns, id)
-	c.logRunsLost(wc, c.engine.RemoveWorker(id), why)
+	c.logRunsLost(wc, c.engine.RemoveWorker(id, end), why)
 	c.pendingWorkerRows[id] = nil
 }
 
--- a/internal/settings/graphs.go
+++ b/internal/settings/graphs.go
@@ -42,6 +42,7 @@
 	flagRateSlack     = "rate-slack"
 	flagRefuseLoad    = "refuse-overload"
 	flagRemoteFactor  = "remote-factor"
+	flagMaxCrashes    = "max-worker-crashes"
 )
 
 // GraphSettings are the validated settings of a daemon for graph jobs.
@@ -86,6 +87,7 @@
 		&cli.IntFlag{Name: flagRateSlack, Usage: "`NUMBER` of jobs by which an organisation may exceed its rate in that time besides", Value: 0, Sources: env(flagRateSlack)},
 		&cli.BoolFlag{Name: flagRefuseLoad, Usage: "refuse jobs that can't be completed in time", Sources: env(flagRefuseLoad)},
 		&cli.FloatFlag{Name: flagRemoteFactor, Usage: "`FACTOR` by which a task takes longer away from its data or its group", Value: 1, Sources: env(flagRemoteFactor)},
+		&cli.IntFlag{Name: flagMaxCrashes, Usage: "`NUMBER` of workers that may crash or fall silent under a task until it is given up", Value: dispatch.DefaultMaxCrashes, Sources: env(flagMaxCrashes)},
 	}
 }
 
@@ -147,6 +149,7 @@
 		},
 		RefuseOverload: cmd.Bool(flagRefuseLoad),
 		RemoteFactor:   cmd.Float(flagRemoteFactor),
+		MaxCrashes:     cmd.Int(flagMaxCrashes),
 	}}
 	var problems []error
 	require := func(ok bool, flag, want string) {
@@ -178,6 +181,7 @@
 	require(s.Rates.Overage >= 0, flagRateOverage, "0 or more")
 	require(s.Rates.Slack >= 0, flagRateSlack, "0 or more")
 	require(s.RemoteFactor >= 1, flagRemoteFactor, "1 or more")
+	require(s.MaxCrashes >= dispatch.MinMaxCrashes, flagMaxCrashes, fmt.Sprintf("%d or more", dispatch.MinMaxCrashes))
 	if cmd.NArg() > 0 {
 		problems = append(problems, fmt.Errorf("unexpected argument %q", cmd.Args().First()))
 	}
