The product's own interface gives up tasks whose workers end under them

An attempt that ends with its worker counts nowhere: a shard's owner starts the task again until its caller's deadline, and the controller of a job submits it again every second without end.

Change: an owner gives a task up after three attempts that ended with their workers (unknown, given_up, no Retry-After); the controller of a job's part counts them over submissions and owners, in the part's row. A replica of a service counts only those that follow each other within the minute after which its restart delay starts anew.

Measured: TestTaskThatCrashesItsWorkersIsGivenUp of package shard fails without the change (204 starts in ten minutes, want 3). Tests of shard, job, proof, docs pass.

--- a/internal/cell/outcome.go
+++ b/internal/cell/outcome.go
@@ -29,6 +29,8 @@
 	Worker     WorkerID      `json:"worker,omitempty"`
 	// Waited is the time from the request's arrival to its start.
 	Waited time.Duration `json:"waited,omitempty"`
+	// LostAttempts counts the attempts that ended with their workers. Only the shard's owner knows it.
+	LostAttempts int `json:"-"`
 }
 
 // NotRun returns the outcome of a request that did not run.
@@ -64,6 +66,7 @@
 	ReasonConfigStale      ReasonCode = "config_stale"      // the configuration version in force could not be confirmed
 	ReasonDraining         ReasonCode = "draining"          // the entry VM or worker is shutting down
 	ReasonWorkerLost       ReasonCode = "worker_lost"       // the worker can't be reached or is gone
+	ReasonGivenUp          ReasonCode = "given_up"          // several workers ended while they ran the task
 	ReasonTaskFailed       ReasonCode = "task_failed"       // the runner reported failure
 	ReasonRetryBudget      ReasonCode = "retry_budget"      // retries exceed their allowed share of first attempts
 	ReasonInDoubt          ReasonCode = "in_doubt"          // an earlier attempt may have run or may still run
--- a/internal/job/controller.go
+++ b/internal/job/controller.go
@@ -27,6 +27,9 @@
 	minRestartDelay        = time.Second
 	maxRestartDelay        = time.Minute
 	restartDelayResetAfter = time.Minute
+	// maxLostAttempts is after how many attempts that ended with their workers a task is not submitted again. For a replica of a
+	// service only those count that follow each other within restartDelayResetAfter.
+	maxLostAttempts = 3
 	// maxOutstandingTasks bounds the submitted tasks of one part, except for a gang.
 	maxOutstandingTasks = 2_000
 )
--- a/internal/job/controller_test.go
+++ b/internal/job/controller_test.go
@@ -285,3 +285,45 @@
 		}
 	}
 }
+
+// Guards against a job's task that ends its workers being submitted again without end, also by the next owner of the part.
+func TestTaskThatEndsItsWorkersIsNotSubmittedForEver(t *testing.T) {
+	lost := cell.Unknown(cell.Reason{Code: cell.ReasonRetryBudget}, 0)
+	lost.LostAttempts = 1
+	for _, kind := range []cell.TaskKind{cell.KindBatch, cell.KindService} {
+		t.Run(string(kind), func(t *testing.T) {
+			p := newPartState(testRecord(kind, 1), Part{Shard: testShard, To: 1}, PartRow{})
+			now := time.Now()
+			for n := 1; ; n++ {
+				p.takeNext()
+				_, again := p.recordOutcome(0, lost, now)
+				if again != (n < maxLostAttempts) {
+					t.Fatalf("submitted again after %d lost attempts: %t", n, again)
+				}
+				if !again {
+					break
+				}
+				p.markResubmitted()
+				p = newPartState(p.record, p.bounds, p.snapshot())
+			}
+			if !p.finished() {
+				t.Error("the part is open although its only task was given up")
+			}
+		})
+	}
+}
+
+// Guards against a service being given up for crashes that lie far apart.
+func TestReplicaWithRareCrashesIsRestarted(t *testing.T) {
+	lost := cell.Outcome{Result: cell.ResultFailed, Reason: cell.Reason{Code: cell.ReasonWorkerLost}, LostAttempts: 1}
+	p := newPartState(testRecord(cell.KindService, 1), Part{Shard: testShard, To: 1}, PartRow{})
+	p.takeNext()
+	now := time.Now()
+	for range 3 * maxLostAttempts {
+		if _, again := p.recordOutcome(0, lost, now); !again {
+			t.Fatal("the replica is not restarted")
+		}
+		p.markResubmitted()
+		now = now.Add(time.Hour)
+	}
+}
--- a/internal/job/flush.go
+++ b/internal/job/flush.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"laburnumpoint/internal/cell"
@@ -160,5 +161,6 @@
 func (p *partState) snapshot() PartRow {
 	row := p.row
 	row.Progress.Done = bytes.Clone(row.Progress.Done)
+	row.Progress.LostAttempts = maps.Clone(row.Progress.LostAttempts)
 	return row
 }
--- a/internal/job/part.go
+++ b/internal/job/part.go
@@ -28,6 +28,8 @@
 	// lastReason is the reason of the latest outcome.
 	lastReason      cell.Reason
 	restartBackoffs map[int]restartBackoff
+	// openedAt is when this controller began to run the part.
+	openedAt time.Time
 }
 
 // restartBackoff is the back-off state of one replica of a service: the latest delay before a restart and when the run
@@ -44,6 +46,7 @@
 		row:             row,
 		nextIndex:       bounds.From,
 		restartBackoffs: make(map[int]restartBackoff),
+		openedAt:        time.Now(),
 	}
 }
 
@@ -79,14 +82,21 @@
 	if p.record.Cancelled {
 		return 0, false
 	}
+	lost := p.countLostAttempts(i, o)
 	if p.isService() {
-		p.delayed++
-		return p.nextRestartDelay(i, now), true
+		if p.ranForLong(i, now) {
+			lost = p.resetLostAttempts(i, o)
+		}
+		delay := p.nextRestartDelay(i, now)
+		if lost < maxLostAttempts {
+			p.delayed++
+			return delay, true
+		}
 	}
 	switch {
 	case o.Result == cell.ResultCompleted:
 		p.row.Progress.Counts.Succeeded++
-	case shouldResubmit(o, p.record.Spec.Template.Idempotent):
+	case lost < maxLostAttempts && shouldResubmit(o, p.record.Spec.Template.Idempotent):
 		p.delayed++
 		return max(o.RetryAfter, resubmitDelay), true
 	case o.Result == cell.ResultUnknown:
@@ -94,11 +104,30 @@
 	default:
 		p.row.Progress.Counts.Failed++
 	}
+	delete(p.row.Progress.LostAttempts, i-p.bounds.From)
 	p.row.Progress.Done.set(i - p.bounds.From)
 	p.dirty = true
 	return 0, false
 }
 
+// countLostAttempts counts the attempts of an outcome that ended with their workers, and returns how many the task has had.
+func (p *partState) countLostAttempts(i int, o cell.Outcome) int {
+	if o.LostAttempts > 0 {
+		if p.row.Progress.LostAttempts == nil {
+			p.row.Progress.LostAttempts = make(map[int]int)
+		}
+		p.row.Progress.LostAttempts[i-p.bounds.From] += o.LostAttempts
+		p.dirty = true
+	}
+	return p.row.Progress.LostAttempts[i-p.bounds.From]
+}
+
+// resetLostAttempts forgets the attempts before those of an outcome, and returns how many the outcome has.
+func (p *partState) resetLostAttempts(i int, o cell.Outcome) int {
+	delete(p.row.Progress.LostAttempts, i-p.bounds.From)
+	return p.countLostAttempts(i, o)
+}
+
 // shouldResubmit reports whether a task that did not complete is to be submitted again.
 func shouldResubmit(o cell.Outcome, idempotent bool) bool {
 	switch o.Result {
@@ -118,13 +147,22 @@
 func (p *partState) nextRestartDelay(i int, now time.Time) time.Duration {
 	last, seen := p.restartBackoffs[i]
 	delay := minRestartDelay
-	if seen && now.Sub(last.endedAt) < restartDelayResetAfter+last.delay {
+	if seen && !p.ranForLong(i, now) {
 		delay = min(2*last.delay, maxRestartDelay)
 	}
 	p.restartBackoffs[i] = restartBackoff{delay: delay, endedAt: now}
 	return delay
 }
 
+// ranForLong reports whether the run of a service's replica that ends now has lasted for restartDelayResetAfter.
+func (p *partState) ranForLong(i int, now time.Time) bool {
+	startedAt := p.openedAt
+	if last, seen := p.restartBackoffs[i]; seen {
+		startedAt = last.endedAt.Add(last.delay)
+	}
+	return now.Sub(startedAt) >= restartDelayResetAfter
+}
+
 // markResubmitted counts a delayed task as outstanding.
 func (p *partState) markResubmitted() {
 	p.delayed--
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -108,4 +108,6 @@
 	Counts ResultCounts `json:"counts"`
 	// Done has the bit i set if the part's task i, counted from the part's first, has ended.
 	Done bitmap `json:"done,omitempty"`
+	// LostAttempts counts, by the part's task, the attempts that ended with their workers.
+	LostAttempts map[int]int `json:"lost,omitempty"`
 }
--- a/internal/shard/attempt.go
+++ b/internal/shard/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -10,7 +11,8 @@
 	"laburnumpoint/internal/scheduler"
 )
 
-// poisonThreshold is the number of failed attempts after which a task is not tried again.
+// poisonThreshold is the number of failed attempts after which a task is not tried again; attempts that ended with their workers
+// count by themselves.
 const poisonThreshold = 3
 
 // dispatch starts e on the worker that the scheduler chose.
@@ -181,7 +183,8 @@
 
 // mayRunAgain reports whether a task may have another attempt after one that ran.
 func (c *controlLoop) mayRunAgain(e *taskEntry) bool {
-	return e.task.Idempotent && e.task.Kind != cell.KindService && (!e.stopping || e.requeueAfterStop) && len(e.failedOn) < poisonThreshold
+	return e.task.Idempotent && e.task.Kind != cell.KindService && (!e.stopping || e.requeueAfterStop) && len(e.failedOn) < poisonThreshold &&
+		e.lostAttempts < poisonThreshold
 }
 
 // startRefused handles a start that did not happen.
@@ -210,7 +213,14 @@
 // attemptLost handles an attempt that has ended without an answer.
 func (c *controlLoop) attemptLost(e *taskEntry, detail string) {
 	e.maybeRan = true
+	if !e.stopConfirmed {
+		e.lostAttempts++
+	}
 	out := e.unknownOutcome(cell.ReasonWorkerLost, detail)
+	if e.lostAttempts >= poisonThreshold {
+		out.Reason = cell.Reason{Code: cell.ReasonGivenUp, Detail: fmt.Sprintf("%d workers ended while they ran it", e.lostAttempts)}
+		out.RetryAfter = 0
+	}
 	switch {
 	case len(e.waiters) == 0:
 		c.removeEntry(e)
--- a/internal/shard/entry.go
+++ b/internal/shard/entry.go
@@ -109,6 +109,8 @@
 	retries int
 	// failedOn names the worker of each failed attempt.
 	failedOn []cell.WorkerID
+	// lostAttempts counts the attempts that ended with their workers.
+	lostAttempts int
 	// avoid names workers and racks that the scheduler should avoid if there are others.
 	avoid []cell.WorkerID
 	// lastFailure is the outcome of the last attempt that failed.
@@ -150,7 +152,7 @@
 	}
 	if e.maybeEarlierAttempt || e.maybeRan || e.intentExisted {
 		out := cell.Unknown(cell.Reason{Code: code, Detail: "an earlier attempt may have run"}, retryAfter)
-		out.Attempt, out.Worker = e.attempt, e.worker
+		out.Attempt, out.Worker, out.LostAttempts = e.attempt, e.worker, e.lostAttempts
 		return out
 	}
 	return cell.NotRun(cell.Reason{Code: code}, retryAfter)
@@ -159,7 +161,7 @@
 // unknownOutcome returns the outcome of an entry whose attempt may have run.
 func (e *taskEntry) unknownOutcome(code cell.ReasonCode, detail string) cell.Outcome {
 	out := cell.Unknown(cell.Reason{Code: code, Detail: detail}, longRetryAfter)
-	out.Attempt, out.Worker, out.Waited = e.attempt, e.worker, e.waited
+	out.Attempt, out.Worker, out.Waited, out.LostAttempts = e.attempt, e.worker, e.waited, e.lostAttempts
 	return out
 }
 
--- a/internal/shard/faults_test.go
+++ b/internal/shard/faults_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -328,3 +330,32 @@
 		r.expectStarts("a", 1)
 	})
 }
+
+// Guards against a task that crashes each worker that starts it being started again without end.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	runWithFakeClock(t, 4, time.Minute, func(t *testing.T, r *fixture) {
+		o := r.startOwner(1)
+		var answered atomic.Bool
+		var rebooting sync.WaitGroup
+		rebooting.Go(func() {
+			for boot := 2; !answered.Load(); boot++ {
+				time.Sleep(500 * time.Millisecond)
+				for _, w := range r.workers {
+					if r.runner.running(w.ID) > 0 {
+						r.runner.reboot(w.ID, fmt.Sprint("b", boot))
+					}
+				}
+			}
+		})
+		long := request("a")
+		long.Deadline = time.Now().Add(10 * time.Minute)
+		out := o.Run(t.Context(), long)
+		answered.Store(true)
+		rebooting.Wait()
+		expectOutcome(t, out, cell.ResultUnknown, cell.ReasonGivenUp)
+		if out.RetryAfter != 0 {
+			t.Errorf("the caller is told to come back after %s, want never", out.RetryAfter)
+		}
+		r.expectStarts("a", poisonThreshold)
+	})
+}
