A new owner waits for the registry before it uses a recorded worker

Cause: an owner took a worker's capacity, labels and readiness from the ledger, as they were at the worker's first use, until it had read the registry. A worker whose capacity has shrunk since would be filled beyond it, one that drains would get new runs.

Change: a recorded worker gets no new runs until the registry lists it. The sum of a pool's free capacity no longer subtracts what a shrunk worker lacks.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -646,3 +646,30 @@
 	fmt.Println(runKey("0123456789abcdef", 1, 2, 3).Task)
 	// Output: 0123456789abcdef/0/1/2
 }
+
+// Guards against starts beyond the capacity of a worker that has shrunk, and against its missing capacity hiding what others have free.
+func TestWorkerWhoseCapacityShrinksAndGrows(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	w := c.addWorker("w", 400)
+	c.addJob("j", false, plainStep(6))
+	if starts, _, _ := c.planByKind(); len(starts) != 4 {
+		t.Fatalf("%d starts, want 4", len(starts))
+	}
+	c.addWorker("w", 200)
+	c.advance(time.Second)
+	c.HandleReport(w, c.virtualTime, endedReport(1, runKey("j", 0, 0, 1), RunDone))
+	if starts, _, _ := c.planByKind(); len(starts) != 0 {
+		t.Fatalf("%d starts on a worker with three runs and room for two", len(starts))
+	}
+	c.addWorker("other", 50)
+	c.planByKind()
+	if free := c.pools["p"].free.MilliCPU; free != 50 {
+		t.Errorf("the pool has %d free, want the 50 of the other worker", free)
+	}
+	c.addWorker("w", 400)
+	c.advance(time.Second)
+	if starts, _, _ := c.planByKind(); len(starts) != 1 {
+		t.Errorf("%d starts after the capacity has grown, want 1", len(starts))
+	}
+}
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -97,7 +97,7 @@
 		p.permitDemand, p.spare, p.reservedForShare = graph.Resources{}, nil, false
 		for _, w := range p.workers {
 			w.reservedFor = nil
-			p.free = p.free.Add(w.free())
+			p.free = p.free.Add(w.free().AtLeastZero())
 		}
 	}
 }
--- a/internal/graph/graph.go
+++ b/internal/graph/graph.go
@@ -46,6 +46,11 @@
 	return Resources{r.MilliCPU - other.MilliCPU, r.MemoryMB - other.MemoryMB, r.Accelerators - other.Accelerators}
 }
 
+// AtLeastZero returns r with 0 in place of negative amounts.
+func (r Resources) AtLeastZero() Resources {
+	return Resources{max(0, r.MilliCPU), max(0, r.MemoryMB), max(0, r.Accelerators)}
+}
+
 // Times returns r multiplied by n.
 func (r Resources) Times(n int) Resources {
 	k := int64(n)
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -56,7 +56,7 @@
 	replaced atomic.Bool
 	// processStart is that of the first report; only the hold loop uses it.
 	processStart time.Duration
-	// unregistered means that the registry does not list the worker.
+	// unregistered means that the registry does not list the worker, or has not been read yet.
 	unregistered bool
 
 	mu sync.Mutex
@@ -73,17 +73,21 @@
 	answerTime flowcontrol.AnswerTime
 }
 
-// addWorkerConn starts to use a worker. usedBefore means that an earlier owner may have started tasks on it.
+// addWorkerConn starts to use a worker. usedBefore means that an earlier owner may have started tasks on it; w is then what that owner
+// recorded, and the worker gets no new runs until the registry tells its capacity and whether it drains.
 func (c *controller) addWorkerConn(w dispatch.Worker, usedBefore bool) {
 	if c.workerConns[w.ID] != nil {
 		return
 	}
 	wc := &workerConn{controller: c, worker: w, listing: w, mayHaveRuns: usedBefore, recordedAdvanced: make(chan struct{}, 1)}
+	c.workerConns[w.ID] = wc
 	if usedBefore {
 		wc.lease.extendUntil(c.earlierOrdersUntil.Add(monotime.OnSlowestClock(c.workerLeaseDuration()) + earlierOrderMargin))
+		wc.unregistered = true
+		c.putWithoutNewRuns(w)
+	} else {
+		c.engine.PutWorker(w)
 	}
-	c.workerConns[w.ID] = wc
-	c.engine.PutWorker(w)
 	wc.startHoldLoop()
 }
 
@@ -444,7 +448,11 @@
 	}
 	wc.unregistered = true
 	c.Log.Info().Str("worker", string(id)).Msg("worker no longer registered")
-	w := wc.listing
+	c.putWithoutNewRuns(wc.listing)
+}
+
+// putWithoutNewRuns adds or updates a worker in the engine that the registry does not list.
+func (c *controller) putWithoutNewRuns(w dispatch.Worker) {
 	w.Draining = true
 	c.engine.PutWorker(w)
 }
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -428,3 +428,29 @@
 		})
 	}
 }
+
+// Guards against a new owner filling a worker by the capacity that an earlier owner recorded, or starting tasks on one that drains by
+// now: the record is as old as the worker's first use.
+func TestRecordedWorkerTakesNoRunsUntilTheRegistryListsIt(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		recorded := testWorker
+		recorded.Capacity = graph.Resources{MilliCPU: 2000, MemoryMB: 100}
+		listed := recorded
+		listed.Capacity.MilliCPU = 1000
+		client := &restartingClient{processStart: time.Second, listening: true}
+		c := newTestController(ctx, client)
+		c.validUntil.Store(int64(c.now().Add(time.Hour)))
+		c.addWorkerConn(recorded, true)
+		spec := &graph.Spec{Steps: []graph.Step{{Count: 2, Claim: graph.Resources{MilliCPU: 1000}, Estimate: time.Second}}}
+		c.engine.AddJob(dispatch.JobInput{ID: "j", Queue: graph.Queue{Name: "q", Pool: testWorker.Pool, MaxAttempts: 2}, Spec: spec, ArrivedAt: c.now()})
+		runLoop(c, 3*time.Second, func() { c.engine.Plan(0) })
+		if n := c.engine.Stats().Starts; n != 0 {
+			t.Fatalf("%d starts before the registry lists the worker, want none", n)
+		}
+		c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{listed}})
+		c.engine.Plan(0)
+		if n := c.engine.Stats().Starts; n != 1 {
+			t.Errorf("%d starts on a worker with room for one task", n)
+		}
+	})
+}
