A crash counts fully only where the task is known to have run there

Cause: a start in doubt counted like a run; the time of a crash was taken from its detection, up to 1.5 s later; crashes of many workers at once counted for the tasks.

Crashes without proof need one more than the bound.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -12,10 +12,11 @@
 )
 
 // A task may crash each worker that starts it, together with all other runs there. The engine counts for each task the crashes of
-// workers that ran it, across owners. A run is a likely cause if the crash came soon after its start and no other was started after it;
-// a task that was that twice is given up, which fails its job, and its crashes no longer count against the other tasks that ran beside
-// it. The next run of a likely cause begins with a probation, in which no other job's task is started on its worker, so that a second
-// crash tells which task it was. A crash that comes later, or a worker that fell silent, only counts towards a bound on all crashes.
+// workers that ran it, across owners. A run is a likely cause if the crash came soon after its start, no other was started after it and
+// few other workers ended at that moment; a task that was that twice is given up, which fails its job, and its crashes no longer count
+// against the other tasks that ran beside it. The next run of a likely cause begins with a probation, in which no other job's task is
+// started on its worker, so that a second crash tells which task it was. A crash that comes later, a worker that fell silent and a start
+// in doubt on a worker that crashed only count towards a bound on all crashes.
 const (
 	// maxLikelyCrashes is how often a task may be the likely cause of a crash until it is given up.
 	maxLikelyCrashes = 2
@@ -25,8 +26,11 @@
 	MinMaxCrashes = 2
 	// startSpread is how far apart runs of one worker may be started to count as started together.
 	startSpread = 100 * time.Millisecond
-	// promptCrashTime is how long after a run's start its worker's crash may be noticed for the run to be a likely cause.
-	promptCrashTime = 3 * time.Second
+	// promptCrashTime is how long after a run's start its worker may stop answering for the run to be a likely cause.
+	promptCrashTime = 1 * time.Second
+	// commonCrashWorkers is how many other workers that stop answering within commonCrashTime show that no task is the cause.
+	commonCrashWorkers = 4
+	commonCrashTime    = 30 * time.Millisecond
 	// probationTime is how long the start of a likely cause keeps tasks of other jobs from its worker.
 	probationTime = 250 * time.Millisecond
 	// stableRunTime is how long a run of a long-running task has to last for earlier crashes to be forgotten: a service that runs for
@@ -62,8 +66,9 @@
 // taskCrash is a crash as one of its tasks counts it.
 type taskCrash struct {
 	// run is the number of the task's run on the worker.
-	run    uint64
-	likely bool
+	run uint64
+	// proven means that the worker's process has certainly ended and had the run.
+	proven, likely bool
 	// crash is nil for one that an earlier owner recorded.
 	crash *crash
 }
@@ -99,12 +104,14 @@
 	for _, r := range w.runs {
 		lastStart = max(lastStart, r.orderedAt)
 	}
+	prompt := end == WorkerCrashed && !e.isCommonCrash(w)
 	c := &crash{report: CrashReport{Worker: w.ID, End: end, Runs: len(w.runs)}}
 	for key, r := range w.runs {
 		together := !r.orphan && lastStart.Sub(r.orderedAt) <= startSpread
-		likely := end == WorkerCrashed && together && e.now.Sub(r.orderedAt) <= promptCrashTime
+		proven := end == WorkerCrashed && r.confirmedAt > 0
+		likely := proven && prompt && together && w.unansweredFrom(e.now).Sub(r.orderedAt) <= promptCrashTime
 		t := e.task(key.Task)
-		if t != nil && t.addCrash(e.now, r, taskCrash{key.Number, likely, c}) {
+		if t != nil && t.addCrash(e.now, r, taskCrash{run: key.Number, proven: proven, likely: likely, crash: c}) {
 			c.tasks = append(c.tasks, t)
 			e.markDirty(t.step.job)
 			if likely {
@@ -118,6 +125,25 @@
 	return c
 }
 
+// unansweredFrom returns when the worker stopped to answer, now if that is not known.
+func (w *worker) unansweredFrom(now monotime.Instant) monotime.Instant {
+	if w.unreachableSince > 0 {
+		return w.unreachableSince
+	}
+	return now
+}
+
+// isCommonCrash reports whether the worker stopped to answer together with several others.
+func (e *Engine) isCommonCrash(w *worker) bool {
+	others := 0
+	for _, at := range e.silences {
+		if d := at.Sub(w.unansweredFrom(e.now)); -commonCrashTime <= d && d <= commonCrashTime {
+			others++
+		}
+	}
+	return others > commonCrashWorkers // the worker itself is one of them
+}
+
 // addCrash counts a crash that ended a run of the task, unless it has been counted or the task needs no more runs.
 func (t *task) addCrash(now monotime.Instant, r *run, c taskCrash) bool {
 	counted := slices.ContainsFunc(t.crashes, func(other taskCrash) bool { return other.run == c.run })
@@ -139,7 +165,7 @@
 		return
 	}
 	c := &crash{tasks: []*task{t}, report: CrashReport{Worker: r.worker.ID, End: WorkerSilent, Runs: 1}}
-	if t.addCrash(e.now, r, taskCrash{r.Number, false, c}) {
+	if t.addCrash(e.now, r, taskCrash{run: r.Number, crash: c}) {
 		e.markDirty(t.step.job)
 		e.giveUpCause(c)
 	}
@@ -173,9 +199,16 @@
 	}
 }
 
-// mustGiveUp reports whether the crashes that count for a task suffice to give it up.
+// mustGiveUp reports whether the crashes that count for a task suffice to give it up. Where hardly any is proven, one more is needed.
 func (e *Engine) mustGiveUp(t *task) bool {
-	return !t.step.job.state.Ended() && (t.likelyCrashes() >= maxLikelyCrashes || len(t.crashes) >= e.maxCrashes)
+	proven := 0
+	for _, c := range t.crashes {
+		if c.proven {
+			proven++
+		}
+	}
+	enough := len(t.crashes) > e.maxCrashes || (len(t.crashes) == e.maxCrashes && proven >= MinMaxCrashes)
+	return !t.step.job.state.Ended() && (t.likelyCrashes() >= maxLikelyCrashes || enough)
 }
 
 // compareBlame orders tasks by how likely they are to crash their workers.
@@ -257,8 +290,11 @@
 	return score
 }
 
-// forgetCrashedAddresses drops the addresses that likely causes no longer avoid.
-func (e *Engine) forgetCrashedAddresses() {
+// forgetCrashes drops the addresses that likely causes no longer avoid, and the times of old silences.
+func (e *Engine) forgetCrashes() {
+	for len(e.silences) > 0 && e.now.Sub(e.silences[0]) >= crashedAddressTime {
+		e.silences = e.silences[1:]
+	}
 	for address, at := range e.crashedAddresses {
 		if e.now.Sub(at) >= crashedAddressTime {
 			delete(e.crashedAddresses, address)
@@ -270,7 +306,7 @@
 func (t *task) recordedCrashes() []CrashProgress {
 	var recorded []CrashProgress
 	for _, c := range t.crashes {
-		recorded = append(recorded, CrashProgress{c.run, c.likely})
+		recorded = append(recorded, CrashProgress{c.run, c.proven, c.likely})
 	}
 	return recorded
 }
@@ -279,6 +315,6 @@
 func (t *task) restoreCrashes(recorded []CrashProgress) {
 	t.crashes = nil
 	for _, c := range recorded {
-		t.crashes = append(t.crashes, taskCrash{run: c.Run, likely: c.Likely})
+		t.crashes = append(t.crashes, taskCrash{run: c.Run, proven: c.Proven, likely: c.Likely})
 	}
 }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -155,7 +155,8 @@
 			c := newFixture(t, 1)
 			c.advance(time.Second)
 			j := c.addJob("j", false, plainStep(1))
-			for i := range DefaultMaxCrashes {
+			bound := map[WorkerEnd]int{WorkerCrashed: DefaultMaxCrashes, WorkerSilent: DefaultMaxCrashes + 1}[end]
+			for i := range bound {
 				c.wantState(j, []graph.JobState{graph.Queued, graph.Running}[min(i, 1)])
 				w := c.addWorker(fmt.Sprintf("w%d", i), 100)
 				c.startOn(runKey(j, 0, 0, 0).Task)
@@ -208,3 +209,47 @@
 	c.advance(probationTime)
 	c.startOn(runKey(other, 0, 0, 0).Task)
 }
+
+// Guards against a job being failed for crashes of workers that may never have had its task: a start without an answer is no proof.
+func TestStartsInDoubtAreNoProofOfACrash(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	j := c.addJob("j", false, plainStep(1))
+	for i := range DefaultMaxCrashes {
+		w := c.addWorker(fmt.Sprintf("w%d", i), 100)
+		c.startOn(runKey(j, 0, 0, 0).Task)
+		c.RemoveWorker(w, WorkerCrashed)
+	}
+	c.wantState(j, graph.Queued)
+}
+
+// Guards against jobs being failed for workers that fail together, for which no task can be the cause.
+func TestCommonCrashHasNoLikelyCause(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	var jobs []graph.JobID
+	for i := range commonCrashWorkers + 1 {
+		jobs = append(jobs, c.addJob(fmt.Sprint("j", i), false, plainStep(1)))
+	}
+	for range maxLikelyCrashes {
+		for i := range jobs {
+			c.addWorker(fmt.Sprint("w", i), 100)
+		}
+		for _, j := range jobs {
+			c.startOn(runKey(j, 0, 0, 0).Task)
+		}
+		for id, w := range c.workers {
+			for key := range w.runs {
+				c.HandleStartOutcome(id, key, Started)
+			}
+			c.SetReachable(id, false)
+		}
+		c.advance(300 * time.Millisecond)
+		for i := range jobs {
+			c.RemoveWorker(WorkerID(fmt.Sprint("w", i)), WorkerCrashed)
+		}
+	}
+	for _, j := range jobs {
+		c.wantState(j, graph.Running)
+	}
+}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -77,7 +77,9 @@
 	maxCrashes       int
 	crashedAddresses map[string]monotime.Instant
 	crashReports     []CrashReport
-	stats            Stats
+	// silences holds when workers stopped to answer, in order.
+	silences []monotime.Instant
+	stats    Stats
 }
 
 // Stats counts decisions and events since the engine was created.
@@ -423,6 +425,11 @@
 	if w.reachable != reachable {
 		w.reachable = reachable
 		e.poolsStale = true
+		w.unreachableSince = 0
+		if !reachable {
+			w.unreachableSince = e.now
+			e.silences = append(e.silences, e.now)
+		}
 	}
 }
 
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -260,6 +260,8 @@
 	speed     workerspeed.Speed
 	health    workerHealth
 	probation probation
+	// unreachableSince is when the worker stopped to answer; 0 while it answers.
+	unreachableSince monotime.Instant
 	// lastStartAt is when a run was last started on the worker, for lastStartJob.
 	lastStartAt  monotime.Instant
 	lastStartJob *job
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -20,7 +20,7 @@
 	e.reviewWaits()
 	e.refreshOrganisations()
 	e.findStalledRuns()
-	e.forgetCrashedAddresses()
+	e.forgetCrashes()
 	steps := e.byUrgency()
 	for _, p := range e.pools {
 		p.searchInterval = searchInterval(len(steps), len(p.workers))
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -32,8 +32,10 @@
 
 // CrashProgress is a crash of the worker that had a run of the task.
 type CrashProgress struct {
-	// Run is the run's number; Likely means that it is a likely cause.
+	// Run is the run's number; Proven means that the worker had it and that its process has ended, Likely that the run is a likely
+	// cause of that.
 	Run    uint64 `json:"r"`
+	Proven bool   `json:"p,omitempty"`
 	Likely bool   `json:"l,omitempty"`
 }
 
