--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -394,6 +394,14 @@
 // ConfirmEnds has not been called with it.
 func (e *Engine) LastEndSequences() map[WorkerID]uint64 { return maps.Clone(e.unconfirmedEnds) }
 
+// LastEndSequence returns the sequence number of the last processed end of a worker's process, 0 if there is none.
+func (e *Engine) LastEndSequence(id WorkerID) uint64 {
+	if w := e.workers[id]; w != nil {
+		return w.lastEndSequence
+	}
+	return 0
+}
+
 // ConfirmEnds notes that workers were told that their ends are recorded, up to the given sequence numbers.
 func (e *Engine) ConfirmEnds(sequences map[WorkerID]uint64) {
 	for id, sequence := range sequences {
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -271,9 +271,10 @@
 // logRunsLost logs runs that the owner counts as lost because their worker has not reported an end of them.
 func (c *controller) logRunsLost(wc *workerConn, runs []dispatch.RunKey, why string) {
 	left := wc.lease.remaining(c.now())
+	heard := c.engine.LastEndSequence(wc.worker.ID)
 	c.instruments.runsLost.Add(len(runs))
 	for _, run := range runs {
-		c.Log.Warn().Str("job", string(run.Task.Job)).Str("task", run.Task.String()).Uint64("run", run.Number).Str("worker", string(wc.worker.ID)).Str("why", why).Dur("lease_left", left).Msg("run lost")
+		c.Log.Warn().Str("job", string(run.Task.Job)).Str("task", run.Task.String()).Uint64("run", run.Number).Str("worker", string(wc.worker.ID)).Str("why", why).Dur("lease_left", left).Uint64("recorded", wc.recorded()).Uint64("heard", heard).Msg("run lost")
 	}
 }
 
