Failing test: a late hold call of before a restart hides the end of a run

Cause (hypothesis 1): two processes under one id share address and fencing token, so that a call of before the restart is carried out by the next process.

--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -124,3 +124,122 @@
 		}
 	})
 }
+
+// rebornWorker is the client of one worker that keeps the contract of fencing and of confirmed ends, and whose process restarts under
+// the worker's id. A confirmed sequence also covers ends that are yet to come.
+type rebornWorker struct {
+	WorkerClient
+	mu           sync.Mutex
+	processStart time.Duration
+	down         bool
+	token        uint64
+	confirmed    uint64
+	running      map[dispatch.RunKey]bool
+	ended        []dispatch.EndedEntry
+	lastHold     HoldCall
+	starts       []StartCall
+}
+
+// restart ends the process and starts the next one.
+func (w *rebornWorker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.processStart += time.Minute
+	w.token, w.confirmed, w.running, w.ended = 0, 0, make(map[dispatch.RunKey]bool), nil
+}
+
+func (w *rebornWorker) setDown(down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = down
+}
+
+// endRun ends a run as done.
+func (w *rebornWorker) endRun(key dispatch.RunKey) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.running, key)
+	w.ended = append(w.ended, dispatch.EndedEntry{Sequence: uint64(len(w.ended)) + 1, RunKey: key, End: dispatch.RunDone})
+}
+
+// accept applies the fencing token of a call; false means that the call is refused.
+func (w *rebornWorker) accept(token uint64) bool {
+	if token < w.token {
+		return false
+	}
+	w.token = token
+	return true
+}
+
+func (w *rebornWorker) Hold(_ context.Context, _ dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error) {
+	time.Sleep(max(call.Wait, time.Millisecond))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down {
+		return dispatch.Report{}, 0, ErrNoAnswer
+	}
+	if !w.accept(call.Epoch) {
+		return dispatch.Report{}, 0, ErrSuperseded
+	}
+	w.lastHold = call
+	w.confirmed = max(w.confirmed, call.Recorded)
+	report := dispatch.Report{ProcessStart: w.processStart}
+	for key := range w.running {
+		report.Running = append(report.Running, dispatch.RunningEntry{RunKey: key})
+	}
+	for _, e := range w.ended {
+		if e.Sequence > w.confirmed {
+			report.Ended = append(report.Ended, e)
+		}
+	}
+	return report, time.Minute, nil
+}
+
+func (w *rebornWorker) Start(_ context.Context, _ dispatch.Worker, call StartCall) (dispatch.StartOutcome, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.accept(call.Epoch) {
+		return dispatch.StartRefused, ErrSuperseded
+	}
+	w.running[call.RunKey] = true
+	w.starts = append(w.starts, call)
+	return dispatch.Started, nil
+}
+
+func (w *rebornWorker) Stop(context.Context, dispatch.Worker, dispatch.RunKey, uint64) error {
+	return nil
+}
+
+// Guards against a task that is done being run again: a hold call of before a worker's restart, carried out late by the next process
+// under its id, made that forget its own first ends.
+func TestHoldOfBeforeARestartConfirmsNothingLater(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		worker := &rebornWorker{processStart: time.Minute, running: make(map[dispatch.RunKey]bool)}
+		c := newTestController(ctx, worker)
+		c.validUntil.Store(int64(c.now().Add(time.Hour)))
+		c.addWorkerConn(testWorker, true)
+		c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{testWorker}})
+		runLoop(c, 3*time.Second, func() {})
+		c.setRecorded(map[dispatch.WorkerID]uint64{testWorker.ID: 40})
+		runLoop(c, 3*time.Second, func() {})
+		held := worker.lastHold
+		if held.Recorded != 40 {
+			t.Fatalf("the worker was told of %d recorded ends, want 40", held.Recorded)
+		}
+		worker.setDown(true)
+		runLoop(c, 3*time.Second, func() {})
+		worker.restart()
+		worker.setDown(false)
+		addOneTask(c, "j")
+		runLoop(c, 3*time.Second, func() {})
+		if len(worker.starts) != 1 {
+			t.Fatalf("%d starts on the restarted worker, want 1", len(worker.starts))
+		}
+		_, _, _ = worker.Hold(ctx, testWorker, held)
+		worker.endRun(worker.starts[0].RunKey)
+		runLoop(c, 5*time.Second, func() {})
+		if stats := c.engine.Stats(); stats.Done != 1 || stats.Starts != 1 {
+			t.Errorf("%d runs heard to be done, %d starts, want 1 each", stats.Done, stats.Starts)
+		}
+	})
+}
