Calls of before a worker's restart are refused by its next process

Seen by callers: tasks whose runs had ended as done were run again (TWICE) after workers had restarted under their ids behind a cut.

Cause: a hold call whose answer was lost may be carried out late, by the next process under the id, to which it is addressed like any other. The sequence that it confirms is the earlier process's, so that the next one forgets its own first ends; the owner misses the runs and starts them again. Evidence: the record (both ends are taken note of and both runs start again 0.2 to 0.3 s later, under one owner), the code, which excludes the other two hypotheses by reading, and the test.

Change: each connection to a worker has a fencing token above that of the one before. Once the next process has answered it, it refuses all calls of before, late starts included. Epochs of owners are 1,024 apart; the tokens of a reign lie between, and a build that knows only epochs can still take over. A start that such a refusal follows after several attempts stays in doubt.

Tests of owner, ledger, graphproto, standin pass. TestOverloadedCell failed once while five packages ran (daemon not ready in 20 s), passed alone; the test now says why a daemon ended.

--- a/internal/graphd/graphd_test.go
+++ b/internal/graphd/graphd_test.go
@@ -94,6 +94,11 @@
 	c.daemons = append(c.daemons, daemon)
 	c.caller.Servers = append(c.caller.Servers, settings.CallerAddr)
 	c.eventually("daemon ready", func() bool {
+		select {
+		case err := <-daemon.ended:
+			c.Fatalf("the daemon ended before it was ready: %v", err)
+		default:
+		}
 		resp, err := http.Get("http://" + settings.ReadyAddr)
 		if err != nil {
 			return false
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -44,10 +44,21 @@
 	standbys atomic.Int64
 }
 
+// EpochStride is the distance between the epochs of successive owners. The numbers between are fencing tokens of the earlier one, for
+// workers whose process restarted under it.
+const EpochStride = 1024
+
+func nextEpoch(last uint64) uint64 {
+	if last == 0 {
+		return 1
+	}
+	return last + EpochStride
+}
+
 // Acquire makes the daemon described by self the owner, if the ownership row still has the version in view.
 // Errors: ErrNotOwner if another daemon was faster, ErrUnavailable, ErrUncertain.
 func (r *Replica) Acquire(ctx context.Context, view OwnerView, self OwnerRecord) (*Ownership, error) {
-	self.Epoch = view.Epoch + 1
+	self.Epoch = nextEpoch(view.Epoch)
 	t := &Ownership{replica: r, owner: self, version: view.Version}
 	t.standbys.Store(int64(self.Standbys))
 	err := t.Commit(ctx, Batch{})
--- a/internal/owner/contracts.go
+++ b/internal/owner/contracts.go
@@ -29,14 +29,16 @@
 // StartCall orders a worker to start a run.
 type StartCall struct {
 	dispatch.Start
-	Epoch uint64
+	// Token is the call's fencing token: the worker refuses a call with a lower one than it has seen.
+	Token uint64 `json:"Epoch"`
 	// Deadline is the time on the worker's clock up to which its lease is extended; a call that arrives later does nothing.
 	Deadline time.Duration
 }
 
 // HoldCall extends a worker's lease and fetches its report.
 type HoldCall struct {
-	Epoch uint64
+	// Token is the call's fencing token.
+	Token uint64 `json:"Epoch"`
 	// Deadline is the time on the worker's clock up to which its lease is extended; 0 leaves the lease as it is.
 	Deadline time.Duration
 	// Recorded is the sequence up to which the worker's ends of runs are recorded in the ledger; the worker may forget them.
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -22,7 +22,7 @@
 // up the run when that lease has expired, and a call that is delayed until then does nothing.
 func (wc *workerConn) newStartCall(order dispatch.Start) StartCall {
 	wc.starts.Add(1)
-	call := StartCall{Start: order, Epoch: wc.controller.ownership.Epoch()}
+	call := StartCall{Start: order, Token: wc.fencingToken}
 	if !wc.leaseHeldBack.Load() {
 		call.Deadline, _ = wc.lease.extend(wc.controller.now(), wc.controller.workerLeaseDuration()) // 0 while the worker's clock is not known
 	}
@@ -77,7 +77,9 @@
 		outcome, err := c.Workers.Start(ctx, wc.worker, call)
 		return orderAnswer{outcome: outcome, err: err, answered: outcome != dispatch.StartInDoubt}
 	})
-	conclusive := last.outcome == dispatch.Started || errors.Is(last.err, ErrOtherIncarnation) || errors.Is(last.err, ErrSuperseded)
+	// A worker that restarted refuses this connection's token, after which it carries out none of the attempts. It may have before.
+	superseded := errors.Is(last.err, ErrSuperseded) && !wc.replaced.Load()
+	conclusive := last.outcome == dispatch.Started || errors.Is(last.err, ErrOtherIncarnation) || superseded
 	if !conclusive && attempts > 1 {
 		return dispatch.StartInDoubt, last.err
 	}
@@ -90,7 +92,7 @@
 		return fmt.Errorf("%w: %w", ErrNoAnswer, flowcontrol.ErrNoPlace)
 	}
 	last, _ := wc.sendOrder(always, func(ctx context.Context) orderAnswer {
-		err := wc.controller.Workers.Stop(ctx, wc.worker, key, wc.controller.ownership.Epoch())
+		err := wc.controller.Workers.Stop(ctx, wc.worker, key, wc.fencingToken)
 		return orderAnswer{err: err, answered: !errors.Is(err, ErrNoAnswer)}
 	})
 	return last.err
--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -178,7 +178,7 @@
 	if w.down {
 		return dispatch.Report{}, 0, ErrNoAnswer
 	}
-	if !w.accept(call.Epoch) {
+	if !w.accept(call.Token) {
 		return dispatch.Report{}, 0, ErrSuperseded
 	}
 	w.lastHold = call
@@ -198,7 +198,7 @@
 func (w *rebornWorker) Start(_ context.Context, _ dispatch.Worker, call StartCall) (dispatch.StartOutcome, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.accept(call.Epoch) {
+	if !w.accept(call.Token) {
 		return dispatch.StartRefused, ErrSuperseded
 	}
 	w.running[call.RunKey] = true
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -10,6 +10,7 @@
 
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/flowcontrol"
+	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
 )
 
@@ -42,7 +43,10 @@
 	// worker never changes; calls go to its address.
 	worker dispatch.Worker
 	lease  workerLease
-	cancel context.CancelFunc
+	// fencingToken is that of all calls on this connection. It is higher than those of earlier connections to the worker, so that its
+	// process refuses calls of before its start once it has answered one of this connection.
+	fencingToken uint64
+	cancel       context.CancelFunc
 	// listing is the worker's last entry in the registry. Only the control loop uses listing and the fields down to
 	// unregistered.
 	listing dispatch.Worker
@@ -79,7 +83,10 @@
 	if c.workerConns[w.ID] != nil {
 		return
 	}
-	wc := &workerConn{controller: c, worker: w, listing: w, mayHaveRuns: usedBefore, recordedAdvanced: make(chan struct{}, 1)}
+	wc := &workerConn{
+		controller: c, worker: w, listing: w, mayHaveRuns: usedBefore, recordedAdvanced: make(chan struct{}, 1),
+		fencingToken: c.nextFencingToken(w.ID),
+	}
 	c.workerConns[w.ID] = wc
 	if usedBefore {
 		wc.lease.extendUntil(c.earlierOrdersUntil.Add(monotime.OnSlowestClock(c.workerLeaseDuration()) + earlierOrderMargin))
@@ -91,6 +98,15 @@
 	wc.startHoldLoop()
 }
 
+// nextFencingToken returns the fencing token of a new connection to a worker: the owner's epoch, plus one for each earlier connection.
+func (c *controller) nextFencingToken(id dispatch.WorkerID) uint64 {
+	n := c.connsOpened[id]
+	if n < ledger.EpochStride-1 {
+		c.connsOpened[id] = n + 1
+	}
+	return c.ownership.Epoch() + n
+}
+
 func (wc *workerConn) startHoldLoop() {
 	ctx, cancel := context.WithCancel(wc.controller.ctx)
 	wc.cancel = cancel
@@ -205,7 +221,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	startsBefore := wc.starts.Load()
-	call := HoldCall{Epoch: wc.controller.ownership.Epoch(), Recorded: wc.recorded(), Wait: wait}
+	call := HoldCall{Token: wc.fencingToken, Recorded: wc.recorded(), Wait: wait}
 	if !extend {
 		// The process may have restarted since the last answer. Its ends count from 1 again and must not pass for recorded.
 		call.Recorded = 0
@@ -327,7 +343,7 @@
 	}
 	next := &workerConn{
 		controller: c, worker: wc.worker, listing: wc.listing, unresponsive: wc.unresponsive, unregistered: wc.unregistered,
-		recordedAdvanced: make(chan struct{}, 1),
+		recordedAdvanced: make(chan struct{}, 1), fencingToken: c.nextFencingToken(id),
 	}
 	next.lease.extendUntil(c.now().Add(wc.lease.remaining(c.now())))
 	c.workerConns[id] = next
--- a/internal/standin/graphwork/worker.go
+++ b/internal/standin/graphwork/worker.go
@@ -146,7 +146,7 @@
 func (w *Worker) Start(call owner.StartCall) (dispatch.StartOutcome, error) {
 	w.group.mu.Lock()
 	defer w.group.mu.Unlock()
-	if err := w.acceptEpoch(call.Epoch); err != nil {
+	if err := w.acceptEpoch(call.Token); err != nil {
 		return dispatch.StartRefused, err
 	}
 	if call.Deadline <= w.Clock() {
@@ -268,7 +268,7 @@
 // Hold implements graphproto.Worker.
 func (w *Worker) Hold(ctx context.Context, call owner.HoldCall) (dispatch.Report, error) {
 	w.group.mu.Lock()
-	if err := w.acceptEpoch(call.Epoch); err != nil {
+	if err := w.acceptEpoch(call.Token); err != nil {
 		w.group.mu.Unlock()
 		return dispatch.Report{}, err
 	}
