The registry's entry of an earlier process no longer speaks for the present one

After a restart under its id a worker was filled by the capacity, labels and readiness that its earlier process had registered, until the registry told otherwise; and an owner that could not reach a worker waited for the end of its lease although the registry already listed a later process.

Change: entries carry the start of the process that wrote them. One that is older than the process which answers gives no new runs; one that is later than it ends its runs.

Measured: TestEntryOfAnEarlierProcessGivesNoCapacity and TestLaterStartInTheRegistryEndsTheRuns pass; without the change the fields don't exist.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -35,6 +35,8 @@
 	Capacity graph.Resources
 	// Draining means that the worker leaves soon and gets no new runs.
 	Draining bool
+	// ProcessStart is when the worker's process that wrote the entry started, as in Report; 0 if it does not say.
+	ProcessStart time.Duration `json:",omitempty"`
 }
 
 // RunOutcome is how a run ended.
--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -243,3 +243,53 @@
 		}
 	})
 }
+
+// Guards against a restarted worker being filled by the capacity of its earlier process: another kind of worker may run under its id.
+func TestEntryOfAnEarlierProcessGivesNoCapacity(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		worker := &rebornWorker{processStart: time.Minute, running: make(map[dispatch.RunKey]bool)}
+		c := newTestController(ctx, worker)
+		c.validUntil.Store(int64(c.now().Add(time.Hour)))
+		c.addWorkerConn(testWorker, true)
+		listed := testWorker
+		listed.ProcessStart = worker.processStart
+		c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{listed}})
+		runLoop(c, 3*time.Second, func() {})
+		worker.restart()
+		runLoop(c, 3*time.Second, func() {})
+		addOneTask(c, "j")
+		runLoop(c, 3*time.Second, func() {})
+		if len(worker.starts) != 0 {
+			t.Fatalf("%d starts by the entry of the earlier process, want none", len(worker.starts))
+		}
+		listed.ProcessStart = worker.processStart
+		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{listed}})
+		runLoop(c, time.Second, func() {})
+		if len(worker.starts) != 1 {
+			t.Errorf("%d starts once the present process is listed, want 1", len(worker.starts))
+		}
+	})
+}
+
+// Guards against runs of a process that the registry shows to have ended being waited for while its worker can't be reached.
+func TestLaterStartInTheRegistryEndsTheRuns(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		worker := &rebornWorker{processStart: time.Minute, running: make(map[dispatch.RunKey]bool)}
+		c := newTestController(ctx, worker)
+		c.validUntil.Store(int64(c.now().Add(time.Hour)))
+		c.addWorkerConn(testWorker, true)
+		listed := testWorker
+		listed.ProcessStart = worker.processStart
+		c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{listed}})
+		addOneTask(c, "j")
+		runLoop(c, 3*time.Second, func() {})
+		worker.setDown(true)
+		runLoop(c, 100*time.Millisecond, func() {})
+		worker.restart()
+		listed.ProcessStart = worker.processStart
+		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{listed}})
+		if c.engine.HasRuns(testWorker.ID) {
+			t.Error("the run of the ended process is still counted")
+		}
+	})
+}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -58,8 +58,8 @@
 	refusals int
 	// replaced means that the worker's process has ended and another connection has taken this one's place.
 	replaced atomic.Bool
-	// processStart is that of the first report; only the hold loop uses it.
-	processStart time.Duration
+	// processStart is that of the first report; only the hold loop uses it. reportedStart is the same for the control loop.
+	processStart, reportedStart time.Duration
 	// unregistered means that the registry does not list the worker, or has not been read yet.
 	unregistered bool
 
@@ -274,6 +274,10 @@
 		return
 	}
 	wc.mayHaveRuns, wc.refusals = true, 0
+	if wc.reportedStart != report.ProcessStart {
+		wc.reportedStart = report.ProcessStart
+		c.putListing(wc)
+	}
 	if wc.unresponsive {
 		wc.unresponsive = false
 		c.Log.Info().Str("worker", string(wc.worker.ID)).Msg("worker answers again")
@@ -451,7 +455,22 @@
 	}
 	wc.listing = w
 	wc.unregistered = false
-	c.engine.PutWorker(w)
+	if wc.reportedStart != 0 && w.ProcessStart > wc.reportedStart {
+		c.replaceWorkerConn(wc, "the registry lists a later start of its process")
+		wc = c.workerConns[w.ID]
+	}
+	c.putListing(wc)
+}
+
+// putListing updates a worker in the engine by its entry in the registry. An entry that an earlier process wrote says nothing of the
+// capacity and the labels that the worker has now: it gets no new runs until its present process has written one.
+func (c *controller) putListing(wc *workerConn) {
+	outdated := wc.listing.ProcessStart != 0 && wc.listing.ProcessStart < wc.reportedStart
+	if wc.unregistered || outdated {
+		c.putWithoutNewRuns(wc.listing)
+		return
+	}
+	c.engine.PutWorker(wc.listing)
 }
 
 // handleUnregistered keeps new runs from a worker that the registry no longer lists.
