A restart ends what was known of the worker's process

Permits and verdicts of the policy service, speed, ejection and suspicion stayed with the id although they are those of the ended process; a permit of it is refused once for each start.

Change: a restart drops the permits, the verdicts and what the runs told of the worker; with starts in doubt the worker counts as running them for the longest lease.

Measured: TestRestartForgetsPermitsAndHealth and TestStartInDoubtIsWaitedForAfterARestart fail without the change and pass with it.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -5,6 +5,7 @@
 
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/workerspeed"
 )
 
 // Bounds for suspect workers. A suspect gets new runs only where no other worker has free capacity.
@@ -95,6 +96,7 @@
 	e.setReachable(w, false)
 	w.lastEndSequence = 0
 	delete(e.unconfirmedEnds, id)
+	e.forgetProcess(w)
 	crashed := e.recordCrash(w, end)
 	for key, r := range w.runs {
 		if r.confirmedAt == 0 || !r.startAnswered {
@@ -108,6 +110,18 @@
 	return ended
 }
 
+// forgetProcess drops what the engine has learned of the worker's process: how its runs went, and the permits and verdicts for it.
+func (e *Engine) forgetProcess(w *worker) {
+	w.speed, w.health = workerspeed.Speed{}, workerHealth{}
+	w.consecutiveFailures, w.avoidUntil = 0, 0
+	w.updateImpaired()
+	for s := range e.active {
+		delete(s.permits, w.ID)
+		delete(s.verdicts, w.ID)
+		s.lastSearchAt = 0
+	}
+}
+
 // stopAfterRestart stops a run in doubt on the new process of its worker. A stop that the ended process acknowledged does not
 // keep the new one from starting the run.
 func (e *Engine) stopAfterRestart(r *run) {
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"laburnumpoint/internal/graph"
 )
 
 // A worker's process crashes and starts again under the worker's id. Its ends count from 1 again: if they passed for known ones,
@@ -98,3 +100,29 @@
 		}
 	}
 }
+
+// Guards against starts with a permit of a worker's earlier process, which the next one refuses, and against the next one being avoided
+// for what the earlier one did.
+func TestRestartForgetsPermitsAndHealth(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	w := c.addWorker("w", 100)
+	queue := plainQueue
+	queue.Permit = &graph.PermitLatency{}
+	c.AddJob(JobInput{ID: "j", Queue: queue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(1)}}, ArrivedAt: c.virtualTime})
+	if _, _, requests := c.planByKind(); len(requests) != 1 {
+		t.Fatalf("%d permit requests, want 1", len(requests))
+	}
+	c.HandlePermits(StepID{Job: "j"}, []WorkerID{w}, map[WorkerID]string{w: "ticket"}, time.Minute, true)
+	c.workers[w].health.ejected, c.workers[w].avoidUntil = true, c.now.Add(time.Minute)
+	c.HandleRestart(w, WorkerCrashed)
+	c.SetReachable(w, true)
+	c.advance(time.Second)
+	starts, _, requests := c.planByKind()
+	if len(starts) != 0 || len(requests) != 1 {
+		t.Errorf("%d starts and %d permit requests after the restart, want one request", len(starts), len(requests))
+	}
+	if c.isSuspect(c.workers[w]) {
+		t.Error("the restarted worker is avoided for what its earlier process did")
+	}
+}
--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -293,3 +293,21 @@
 		}
 	})
 }
+
+// Guards against a task running in two places: a start in doubt that the next process of its worker carries out late has a deadline on
+// the clock of the ended one, which may lie far ahead on the new clock.
+func TestStartInDoubtIsWaitedForAfterARestart(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		c := newTestController(ctx, &rebornWorker{processStart: time.Minute, running: make(map[dispatch.RunKey]bool)})
+		c.validUntil.Store(int64(c.now().Add(time.Hour)))
+		c.addWorkerConn(testWorker, false)
+		c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{testWorker}})
+		c.engine.SetReachable(testWorker.ID, true)
+		addOneTask(c, "j")
+		c.engine.Plan(0)
+		c.replaceWorkerConn(c.workerConns[testWorker.ID], "its process has restarted")
+		if left := c.workerConns[testWorker.ID].lease.remaining(c.now()); left < c.MaxLease {
+			t.Errorf("the start in doubt is waited for %s, want at least the longest lease, %s", left, c.MaxLease)
+		}
+	})
+}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -350,6 +350,10 @@
 		recordedAdvanced: make(chan struct{}, 1), fencingToken: c.nextFencingToken(id),
 	}
 	next.lease.extendUntil(c.now().Add(wc.lease.remaining(c.now())))
+	if c.engine.HasRuns(id) {
+		// A start in doubt may yet be carried out. Its deadline is on the clock of the ended process and may mean the longest lease.
+		next.lease.extendUntil(c.now().Add(monotime.OnSlowestClock(c.MaxLease)))
+	}
 	c.workerConns[id] = next
 	next.startHoldLoop()
 }
