--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -125,19 +126,20 @@
 	})
 }
 
-// rebornWorker is the client of one worker that keeps the contract of fencing and of confirmed ends, and whose process restarts under
-// the worker's id. A confirmed sequence also covers ends that are yet to come.
+// rebornWorker is the client of testWorker, which keeps the contract of fencing and of confirmed ends and whose process restarts under the
+// worker's id, and of other workers, which start everything and end nothing. A confirmed sequence also covers ends that are yet to come.
 type rebornWorker struct {
 	WorkerClient
 	mu           sync.Mutex
 	processStart time.Duration
-	down         bool
-	token        uint64
-	confirmed    uint64
-	running      map[dispatch.RunKey]bool
-	ended        []dispatch.EndedEntry
-	lastHold     HoldCall
-	starts       []StartCall
+	// down leaves all calls unanswered, hanging only hold calls.
+	down, hanging bool
+	token         uint64
+	confirmed     uint64
+	running       map[dispatch.RunKey]bool
+	ended         []dispatch.EndedEntry
+	lastHold      HoldCall
+	starts        []StartCall
 }
 
 // restart ends the process and starts the next one.
@@ -154,6 +156,12 @@
 	w.down = down
 }
 
+func (w *rebornWorker) setHanging(hanging bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hanging = hanging
+}
+
 // endRun ends a run as done.
 func (w *rebornWorker) endRun(key dispatch.RunKey) {
 	w.mu.Lock()
@@ -171,9 +179,17 @@
 	return true
 }
 
-func (w *rebornWorker) Hold(_ context.Context, _ dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error) {
+func (w *rebornWorker) Hold(ctx context.Context, called dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error) {
 	time.Sleep(max(call.Wait, time.Millisecond))
+	if called.ID != testWorker.ID {
+		return dispatch.Report{}, time.Minute, nil
+	}
 	w.mu.Lock()
+	if w.hanging {
+		w.mu.Unlock()
+		<-ctx.Done()
+		return dispatch.Report{}, 0, ErrNoAnswer
+	}
 	defer w.mu.Unlock()
 	if w.down {
 		return dispatch.Report{}, 0, ErrNoAnswer
@@ -195,7 +211,10 @@
 	return report, time.Minute, nil
 }
 
-func (w *rebornWorker) Start(_ context.Context, _ dispatch.Worker, call StartCall) (dispatch.StartOutcome, error) {
+func (w *rebornWorker) Start(_ context.Context, called dispatch.Worker, call StartCall) (dispatch.StartOutcome, error) {
+	if called.ID != testWorker.ID {
+		return dispatch.Started, nil
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.accept(call.Token) {
@@ -311,3 +330,40 @@
 		}
 	})
 }
+
+// Guards against a task that is done being run again: its run was started on the next process of a worker, before the owner noticed the
+// restart by the end of a hold call on a connection that had gone silent.
+func TestRunsOfTheNextProcessOutliveTheRestart(t *testing.T) {
+	for _, ended := range []bool{true, false} {
+		t.Run(fmt.Sprint("ended ", ended), func(t *testing.T) {
+			runHoldTest(t, func(ctx context.Context, t *testing.T) {
+				worker := &rebornWorker{processStart: time.Minute, running: make(map[dispatch.RunKey]bool)}
+				c := newTestController(ctx, worker)
+				c.validUntil.Store(int64(c.now().Add(time.Hour)))
+				c.addWorkerConn(testWorker, true)
+				c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{testWorker}})
+				runLoop(c, 3*time.Second, func() {})
+				worker.setHanging(true)
+				worker.restart()
+				addOneTask(c, "j")
+				runLoop(c, 200*time.Millisecond, func() {})
+				if len(worker.starts) != 1 {
+					t.Fatalf("%d starts before the restart is noticed, want 1", len(worker.starts))
+				}
+				other := testWorker
+				other.ID = "other"
+				c.addWorkerConn(other, false)
+				if ended {
+					worker.endRun(worker.starts[0].RunKey)
+				}
+				runLoop(c, 4*time.Second, func() {})
+				worker.setHanging(false)
+				runLoop(c, 4*time.Second, func() {})
+				stats := c.engine.Stats()
+				if stats.Starts != 1 || stats.Done != map[bool]uint64{true: 1}[ended] || c.engine.HasRuns(testWorker.ID) == ended {
+					t.Errorf("%d starts, %d runs heard to be done, want one start", stats.Starts, stats.Done)
+				}
+			})
+		})
+	}
+}
