Runs that a worker's next process was given outlive the restart

Cause: a worker restarts under its id behind a cut; the owner's hold call hangs on the silent connection for up to 2.0 s, while starts over new connections are answered, by the next process. When the restart shows at last, the owner gave up every confirmed run of the worker as ended with the old process.

Change: a run that was confirmed after the last hold call that the old process answered is kept until the next process reports: listed runs go on, listed ends count, what is missing ended with the old process. That report is conclusive, since the next process refuses older calls once it has answered. Crashes count for such runs then.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -61,6 +61,8 @@
 	// tasks are those of the runs that count it.
 	tasks  []*task
 	report CrashReport
+	// reported means that the report has been made.
+	reported bool
 }
 
 // taskCrash is a crash as one of its tasks counts it.
@@ -95,8 +97,9 @@
 	return reports
 }
 
-// recordCrash counts the end of a worker for the tasks that it runs, or may run. It returns nil if there are none.
-func (e *Engine) recordCrash(w *worker, end WorkerEnd) *crash {
+// recordCrash counts the end of a worker for the tasks that it runs, or may run. Runs that the next process may have are counted once its
+// report lacks them. It returns nil if the worker has no runs.
+func (e *Engine) recordCrash(w *worker, end WorkerEnd, maybeNext func(*run) bool) *crash {
 	if end == WorkerLeft || len(w.runs) == 0 {
 		return nil
 	}
@@ -110,14 +113,12 @@
 		together := !r.orphan && lastStart.Sub(r.orderedAt) <= startSpread
 		proven := end == WorkerCrashed && r.confirmedAt > 0
 		likely := proven && prompt && together && w.unansweredFrom(e.now).Sub(r.orderedAt) <= promptCrashTime
-		t := e.task(key.Task)
-		if t != nil && t.addCrash(e.now, r, taskCrash{run: key.Number, proven: proven, likely: likely, crash: c}) {
-			c.tasks = append(c.tasks, t)
-			e.markDirty(t.step.job)
-			if likely {
-				c.report.Likely = append(c.report.Likely, key.Task)
-			}
+		tc := taskCrash{run: key.Number, proven: proven, likely: likely, crash: c}
+		if maybeNext(r) {
+			r.pendingCrash = &tc
+			continue
 		}
+		e.countCrash(r, tc)
 	}
 	if end == WorkerCrashed {
 		e.crashedAddresses[w.Address] = e.now
@@ -125,6 +126,22 @@
 	return c
 }
 
+// noRun is the condition of runs of which the next process has none.
+func noRun(*run) bool { return false }
+
+// countCrash counts a crash for the task of a run that ended with its worker.
+func (e *Engine) countCrash(r *run, tc taskCrash) {
+	t := e.task(r.Task)
+	if t == nil || !t.addCrash(e.now, r, tc) {
+		return
+	}
+	e.markDirty(t.step.job)
+	tc.crash.tasks = append(tc.crash.tasks, t)
+	if tc.likely {
+		tc.crash.report.Likely = append(tc.crash.report.Likely, r.Task)
+	}
+}
+
 // unansweredFrom returns when the worker stopped to answer, now if that is not known.
 func (w *worker) unansweredFrom(now monotime.Instant) monotime.Instant {
 	if w.unreachableSince > 0 {
@@ -158,15 +175,22 @@
 	return true
 }
 
-// recordLostRun counts a run whose worker answers and no longer knows it like one on a worker that fell silent.
-func (e *Engine) recordLostRun(r *run) {
-	t := e.task(r.Task)
-	if t == nil {
-		return
+// recordLostRuns counts runs whose worker answers and no longer knows them: those of a process that crashed before, and others like those
+// on a worker that fell silent.
+func (e *Engine) recordLostRuns(w *worker, runs []*run) {
+	silent := &crash{report: CrashReport{Worker: w.ID, End: WorkerSilent, Runs: len(runs)}}
+	crashes := []*crash{silent}
+	for _, r := range runs {
+		tc := taskCrash{run: r.Number, crash: silent}
+		if r.pendingCrash != nil {
+			tc = *r.pendingCrash
+			if !slices.Contains(crashes, tc.crash) {
+				crashes = append(crashes, tc.crash)
+			}
+		}
+		e.countCrash(r, tc)
 	}
-	c := &crash{tasks: []*task{t}, report: CrashReport{Worker: r.worker.ID, End: WorkerSilent, Runs: 1}}
-	if t.addCrash(e.now, r, taskCrash{run: r.Number, crash: c}) {
-		e.markDirty(t.step.job)
+	for _, c := range crashes {
 		e.giveUpCause(c)
 	}
 }
@@ -176,9 +200,7 @@
 	if c == nil {
 		return
 	}
-	if len(c.tasks) > 0 {
-		defer func() { e.crashReports = append(e.crashReports, c.report) }()
-	}
+	defer e.reportCrash(c)
 	var cause *task
 	for _, t := range c.tasks {
 		if e.mustGiveUp(t) && (cause == nil || compareBlame(t, cause) > 0) {
@@ -199,6 +221,14 @@
 	}
 }
 
+// reportCrash makes the report of a crash that counts for a task, once, and again if a task is given up for it later.
+func (e *Engine) reportCrash(c *crash) {
+	if len(c.tasks) > 0 && (!c.reported || c.report.GivenUp != nil) {
+		c.reported = true
+		e.crashReports = append(e.crashReports, c.report)
+	}
+}
+
 // mustGiveUp reports whether the crashes that count for a task suffice to give it up. Where hardly any is proven, one more is needed.
 func (e *Engine) mustGiveUp(t *task) bool {
 	proven := 0
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -12,7 +12,7 @@
 func (c *fixture) crashOne(s Start) {
 	c.HandleStartOutcome(s.Worker, s.RunKey, Started)
 	c.advance(10 * time.Millisecond)
-	c.HandleRestart(s.Worker, WorkerCrashed)
+	c.HandleRestart(s.Worker, WorkerCrashed, c.virtualTime)
 	c.advance(time.Second)
 }
 
@@ -80,7 +80,7 @@
 	for key := range c.workers[id].runs {
 		c.HandleStartOutcome(id, key, Started)
 	}
-	c.HandleRestart(id, WorkerCrashed)
+	c.HandleRestart(id, WorkerCrashed, c.virtualTime)
 	c.advance(time.Second)
 }
 
@@ -253,3 +253,27 @@
 		c.wantState(j, graph.Running)
 	}
 }
+
+// Guards against crashes that count for no task: a worker may be back so soon that the owner can't tell at first which process has the
+// runs that were started last.
+func TestCrashOfAQuicklyRestartedWorkerCounts(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	j := c.addJob("j", false, plainStep(1))
+	for range maxLikelyCrashes {
+		w := c.addWorker("w", 100)
+		aliveAt := c.virtualTime
+		c.advance(10 * time.Millisecond)
+		c.startOn(runKey(j, 0, 0, 0).Task)
+		for key := range c.workers[w].runs {
+			c.HandleStartOutcome(w, key, Started)
+		}
+		c.advance(10 * time.Millisecond)
+		if ended := c.HandleRestart(w, WorkerCrashed, aliveAt); len(ended) != 0 {
+			t.Fatalf("%v ended, want the report of the next process awaited", ended)
+		}
+		c.advance(10 * time.Millisecond)
+		c.HandleReport(w, c.virtualTime, Report{})
+	}
+	c.wantState(j, graph.Failed)
+}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -67,8 +67,10 @@
 // endUnlistedRuns ends the runs that a complete report should have listed and did not. It returns those that the worker had
 // confirmed.
 func (e *Engine) endUnlistedRuns(w *worker, sent monotime.Instant, listed map[RunKey]struct{}) (lost []RunKey) {
+	var lostRuns []*run
 	for key, r := range w.runs {
 		if _, ok := listed[key]; ok {
+			r.pendingCrash = nil
 			continue
 		}
 		missing := r.state == runRunning && r.confirmedAt < sent
@@ -77,17 +79,21 @@
 			e.handleEnd(w, key, RunInterrupted, "")
 		}
 		if missing {
-			e.recordLostRun(r)
 			lost = append(lost, key)
+			lostRuns = append(lostRuns, r)
 		}
 	}
+	if len(lostRuns) > 0 {
+		e.recordLostRuns(w, lostRuns)
+	}
 	return lost
 }
 
-// HandleRestart processes that a worker's process has ended. Another one may run under the worker's id; it has none of the runs
-// of the ended one. A start without an answer may still reach the new process, so its run is stopped there before the task is
-// started again. HandleRestart returns the runs that have ended.
-func (e *Engine) HandleRestart(id WorkerID, end WorkerEnd) (ended []RunKey) {
+// HandleRestart processes that a worker's process has ended, which was last known to live at aliveAt. Another one may run under the
+// worker's id; it has none of the runs of the ended one. A run that was confirmed since aliveAt may be one of the next process: its report
+// tells. A start without an answer may still reach the next process, so its run is stopped there before the task is started again.
+// HandleRestart returns the runs that have ended.
+func (e *Engine) HandleRestart(id WorkerID, end WorkerEnd, aliveAt monotime.Instant) (ended []RunKey) {
 	delete(e.awaitedReports, id)
 	w := e.workers[id]
 	if w == nil {
@@ -97,8 +103,12 @@
 	w.lastEndSequence = 0
 	delete(e.unconfirmedEnds, id)
 	e.forgetProcess(w)
-	crashed := e.recordCrash(w, end)
+	maybeNext := func(r *run) bool { return r.confirmedAt > aliveAt && r.startAnswered && r.state == runRunning }
+	crashed := e.recordCrash(w, end, maybeNext)
 	for key, r := range w.runs {
+		if maybeNext(r) {
+			continue
+		}
 		if r.confirmedAt == 0 || !r.startAnswered {
 			e.stopAfterRestart(r)
 			continue
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -219,6 +219,8 @@
 	stalled bool
 	// stallFailure is how that was counted; nil if it was not.
 	stallFailure *countedFailure
+	// pendingCrash is a crash of the worker that the task counts unless the worker's next process lists the run; nil for none.
+	pendingCrash *taskCrash
 	// startAnswered means that the start order has ended, or that the engine did not order the run. Until then the order may be carried
 	// out, also again.
 	startAnswered bool
--- a/internal/dispatch/part_interaction_test.go
+++ b/internal/dispatch/part_interaction_test.go
@@ -112,7 +112,7 @@
 	c.addWorker("other", 100)
 	key := runKey(job, 0, 0, 1)
 	c.HandleReport(w, c.virtualTime, runningReport(key))
-	ended := c.HandleRestart(w, WorkerCrashed)
+	ended := c.HandleRestart(w, WorkerCrashed, c.virtualTime)
 	starts, stops, _ := c.planByKind()
 	if len(ended) != 0 || len(starts) != 0 || len(stops) != 1 {
 		t.Errorf("ended %v, starts %v, stops %v, want only a stop of the run", ended, starts, stops)
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -18,7 +18,7 @@
 	first := runKey(j, 0, 0, 1)
 	c.HandleStartOutcome(w, first, Started)
 	c.HandleReport(w, c.virtualTime, endedReport(7, runKey("other", 0, 0, 1), RunDone))
-	if ended := c.HandleRestart(w, WorkerCrashed); len(ended) != 1 || ended[0] != first {
+	if ended := c.HandleRestart(w, WorkerCrashed, c.virtualTime); len(ended) != 1 || ended[0] != first {
 		t.Fatalf("runs %v ended with the worker's process, want %v", ended, first)
 	}
 	c.SetReachable(w, true)
@@ -42,7 +42,7 @@
 	j := c.addJob("j", false, plainStep(1))
 	c.planByKind()
 	c.addWorker("w2", 100)
-	if ended := c.HandleRestart(w, WorkerCrashed); len(ended) != 0 {
+	if ended := c.HandleRestart(w, WorkerCrashed, c.virtualTime); len(ended) != 0 {
 		t.Fatalf("runs %v ended, want none: the start is in doubt", ended)
 	}
 	starts, stops, _ := c.planByKind()
@@ -51,7 +51,7 @@
 	}
 	c.HandleStopAnswer(w, runKey(j, 0, 0, 1), true)
 	// A second restart takes the mark that the stop left, so that the stop is sent again.
-	c.HandleRestart(w, WorkerCrashed)
+	c.HandleRestart(w, WorkerCrashed, c.virtualTime)
 	if _, stops, _ := c.planByKind(); len(stops) != 1 {
 		t.Fatalf("%d stops after the second restart, want one", len(stops))
 	}
@@ -72,7 +72,7 @@
 	if starts, _, _ := c.planByKind(); len(starts) != 0 {
 		t.Fatalf("%d starts while a report is awaited, want none", len(starts))
 	}
-	c.HandleRestart("gone", WorkerCrashed)
+	c.HandleRestart("gone", WorkerCrashed, c.virtualTime)
 	if starts, _, _ := c.planByKind(); len(starts) != 1 {
 		t.Errorf("%d starts once the awaited worker's process has ended, want one", len(starts))
 	}
@@ -92,7 +92,7 @@
 	c.planByKind()
 	c.SetReachable(w, false)
 	c.planByKind()
-	c.HandleRestart(w, WorkerCrashed)
+	c.HandleRestart(w, WorkerCrashed, c.virtualTime)
 	for range 3 {
 		c.advance(2 * time.Millisecond)
 		if starts, _, _ := c.planByKind(); len(starts) != 0 {
@@ -115,7 +115,7 @@
 	}
 	c.HandlePermits(StepID{Job: "j"}, []WorkerID{w}, map[WorkerID]string{w: "ticket"}, time.Minute, true)
 	c.workers[w].health.ejected, c.workers[w].avoidUntil = true, c.now.Add(time.Minute)
-	c.HandleRestart(w, WorkerCrashed)
+	c.HandleRestart(w, WorkerCrashed, c.virtualTime)
 	c.SetReachable(w, true)
 	c.advance(time.Second)
 	starts, _, requests := c.planByKind()
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -58,8 +58,10 @@
 	refusals int
 	// replaced means that the worker's process has ended and another connection has taken this one's place.
 	replaced atomic.Bool
-	// processStart is that of the first report; only the hold loop uses it. reportedStart is the same for the control loop.
+	// processStart is that of the first report; only the hold loop uses it. reportedStart is the same for the control loop; aliveAt is
+	// when the last hold call was sent that the process answered.
 	processStart, reportedStart time.Duration
+	aliveAt                     monotime.Instant
 	// unregistered means that the registry does not list the worker, or has not been read yet.
 	unregistered bool
 
@@ -143,7 +145,7 @@
 	for ctx.Err() == nil {
 		last, err := wc.hold(ctx, wait, answering)
 		if errors.Is(err, errRestarted) {
-			wc.controller.post(func() { wc.controller.replaceWorkerConn(wc, "its process has restarted") })
+			wc.controller.post(func() { wc.controller.replaceWorkerConn(wc, wc.aliveAt, "its process has restarted") })
 			return
 		}
 		answering = err == nil
@@ -273,7 +275,7 @@
 	if c.workerConns[wc.worker.ID] != wc {
 		return
 	}
-	wc.mayHaveRuns, wc.refusals = true, 0
+	wc.mayHaveRuns, wc.refusals, wc.aliveAt = true, 0, sentAt
 	if wc.reportedStart != report.ProcessStart {
 		wc.reportedStart = report.ProcessStart
 		c.putListing(wc)
@@ -321,7 +323,7 @@
 	default:
 		wc.refusals++
 		if wc.refusals >= refusalsUntilEnded && wc.mayHaveRuns {
-			c.replaceWorkerConn(wc, "no process listens at its address")
+			c.replaceWorkerConn(wc, c.now(), "no process listens at its address")
 		}
 	}
 }
@@ -330,9 +332,9 @@
 // may hit the moment in which a worker opens its port.
 const refusalsUntilEnded = 2
 
-// replaceWorkerConn gives up the runs of a worker whose process has ended and connects anew: the worker may start again under its
-// id. A worker listens as long as its process lives, and its runs end with the process.
-func (c *controller) replaceWorkerConn(wc *workerConn, why string) {
+// replaceWorkerConn gives up the runs of a worker whose process, last known to live at aliveAt, has ended, and connects anew: the worker
+// may start again under its id. A worker listens as long as its process lives, and its runs end with the process.
+func (c *controller) replaceWorkerConn(wc *workerConn, aliveAt monotime.Instant, why string) {
 	id := wc.worker.ID
 	if c.workerConns[id] != wc {
 		return
@@ -341,7 +343,7 @@
 	wc.replaced.Store(true)
 	wc.cancel()
 	c.instruments.processesEnded.Inc()
-	c.logRunsLost(wc, c.engine.HandleRestart(id, wc.processEnd()), why)
+	c.logRunsLost(wc, c.engine.HandleRestart(id, wc.processEnd(), aliveAt), why)
 	if c.committing {
 		c.restartedDuringCommit[id] = struct{}{}
 	}
@@ -460,7 +462,7 @@
 	wc.listing = w
 	wc.unregistered = false
 	if wc.reportedStart != 0 && w.ProcessStart > wc.reportedStart {
-		c.replaceWorkerConn(wc, "the registry lists a later start of its process")
+		c.replaceWorkerConn(wc, wc.aliveAt, "the registry lists a later start of its process")
 		wc = c.workerConns[w.ID]
 	}
 	c.putListing(wc)
