Stand-in of graph jobs: crashing tasks, restarts under an id, capacities

Change: a payload may end its worker's process, which restarts under its id and says when it started; a worker's capacity in the registry can change.

Measured: TestCrashingTaskFailsItsJobAndNoOther and TestCapacityOfAWorkerShrinksAndGrows of graphd pass.

--- a/internal/graphd/graphd_test.go
+++ b/internal/graphd/graphd_test.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/graphapi"
@@ -30,6 +31,12 @@
 	idB   = "00000000000000bb"
 )
 
+// poolWorkers is the number of workers of the tests' pool.
+const poolWorkers = 4
+
+// poolCapacity is the usual capacity of each.
+var poolCapacity = graph.Resources{MilliCPU: 4000, MemoryMB: 4000}
+
 // testCell is a simulated cluster with daemons and a client.
 type testCell struct {
 	*testing.T
@@ -64,7 +71,7 @@
 func (c *testCell) startCluster() {
 	t := c.T
 	t.Helper()
-	pools := []graphwork.Pool{{Name: "sheets", Workers: 4, Capacity: graph.Resources{MilliCPU: 4000, MemoryMB: 4000}, Labels: []string{"fast"}}}
+	pools := []graphwork.Pool{{Name: "sheets", Workers: poolWorkers, Capacity: poolCapacity, Labels: []string{"fast"}}}
 	queues := graphproto.QueueConfig{Version: 1, Queues: []graphproto.Queue{{Name: queue, Pool: "sheets", MaxAttempts: 2, Stretch: 2, TargetMS: 500}}}
 	queues.Queues = append(queues.Queues, c.otherQueues...)
 	cluster, err := graphwork.NewCluster(t.Context(), "127.0.0.1:0", pools, queues)
@@ -186,6 +193,56 @@
 	}
 }
 
+// Guards against a task that crashes its workers being started without end through the product's own interface, and against other jobs
+// failing with it. The workers restart under their ids.
+func TestCrashingTaskFailsItsJobAndNoOther(t *testing.T) {
+	const maxStarts = 5 // three crashes and two more starts
+	c := newCell(t, 2)
+	c.submit(idA, &graphapi.Job{Payload: `{"run_ms":30,"crash_ms":5}`, Steps: []graphapi.Step{step(1)}})
+	c.submit(idB, &graphapi.Job{Payload: `{"run_ms":30}`, Steps: []graphapi.Step{step(3)}})
+	c.waitForState(idA, graph.Failed)
+	c.waitForState(idB, graph.Completed)
+	c.checkRuns(idB, 3)
+	starts := 0
+	for _, r := range c.cluster.Workers.Runs() {
+		if string(r.Key.Task.Job) == idA {
+			starts++
+		}
+	}
+	if starts > maxStarts {
+		t.Errorf("the task was started %d times, want at most %d", starts, maxStarts)
+	}
+}
+
+// Guards against starts beyond the capacity of a worker that has shrunk, and against the capacity being lost when it grows again.
+func TestCapacityOfAWorkerShrinksAndGrows(t *testing.T) {
+	c := newCell(t, 1)
+	setCPU := func(milliCPU int64) {
+		capacity := poolCapacity
+		capacity.MilliCPU = milliCPU
+		for i := range poolWorkers {
+			if err := c.cluster.SetCapacity(dispatch.WorkerID(fmt.Sprintf("sheets-%d", i)), capacity); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	setCPU(500)
+	time.Sleep(500 * time.Millisecond) // the owner hears of it
+	c.submit(idA, &graphapi.Job{Payload: `{"run_ms":300}`, Steps: []graphapi.Step{step(2 * poolWorkers)}})
+	c.waitForState(idA, graph.Completed)
+	c.checkRuns(idA, 2*poolWorkers)
+	running := map[dispatch.WorkerID]time.Time{}
+	for _, r := range c.cluster.Workers.Runs() {
+		if r.StartedAt.Before(running[r.Worker]) {
+			t.Errorf("two runs at a time on %s, which has room for one", r.Worker)
+		}
+		running[r.Worker] = r.EndedAt
+	}
+	setCPU(poolCapacity.MilliCPU)
+	c.submit(idB, &graphapi.Job{Payload: `{"run_ms":30}`, Steps: []graphapi.Step{{Count: 1, MilliCPU: 4000, MemoryMB: 100, EstimateMS: 30}}})
+	c.waitForState(idB, graph.Completed)
+}
+
 func TestCancelStopsWhatRuns(t *testing.T) {
 	c := newCell(t, 2)
 	c.submit(idA, &graphapi.Job{Payload: `{"forever":true}`, Steps: []graphapi.Step{{Count: 3, MilliCPU: 100, LongRunning: true}}})
--- a/internal/standin/graphwork/cluster.go
+++ b/internal/standin/graphwork/cluster.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"laburnumpoint/internal/dispatch"
@@ -33,6 +34,9 @@
 	StoreAddr string
 
 	ip       string
+	ctx      context.Context
+	mu       sync.Mutex
+	workers  map[dispatch.WorkerID]*clusterWorker
 	servers  []*http.Server
 	serveErr chan error
 }
@@ -43,7 +47,10 @@
 // NewCluster serves a row store at addr and the pools' workers at free ports of the same IP address. It writes the
 // workers' entries of the worker registry and the configuration of queues to the store.
 func NewCluster(ctx context.Context, addr string, pools []Pool, queues graphproto.QueueConfig) (*Cluster, error) {
-	c := &Cluster{Store: rowstore.NewMemoryStore(), Workers: NewWorkerGroup(), serveErr: make(chan error, 1)}
+	c := &Cluster{
+		Store: rowstore.NewMemoryStore(), Workers: NewWorkerGroup(), serveErr: make(chan error, 1),
+		ctx: ctx, workers: make(map[dispatch.WorkerID]*clusterWorker),
+	}
 	if err := queues.Validate(); err != nil {
 		return nil, err
 	}
@@ -54,7 +61,7 @@
 	c.ip, _, _ = net.SplitHostPort(c.StoreAddr) // the address of a TCP listener always has a port
 	for _, pool := range pools {
 		for i := range pool.Workers {
-			if err := c.addWorker(ctx, pool, i); err != nil {
+			if err := c.addWorker(pool, i); err != nil {
 				return nil, errors.Join(err, c.Close())
 			}
 		}
@@ -80,9 +87,10 @@
 	return listener.Addr().String(), nil
 }
 
-func (c *Cluster) addWorker(ctx context.Context, pool Pool, i int) error {
+func (c *Cluster) addWorker(pool Pool, i int) error {
 	id := dispatch.WorkerID(fmt.Sprintf("%s-%d", pool.Name, i))
-	addr, err := c.serve(net.JoinHostPort(c.ip, "0"), graphproto.WorkerHandler(NewWorker(c.Workers, id)))
+	process := NewWorker(c.Workers, id)
+	addr, err := c.serve(net.JoinHostPort(c.ip, "0"), graphproto.WorkerHandler(process))
 	if err != nil {
 		return err
 	}
@@ -90,11 +98,38 @@
 	if i%2 == 0 {
 		w.Labels = pool.Labels
 	}
-	row, err := graphproto.WorkerRow(w)
+	process.onRestart = func() { _ = c.register(id) } // the store is in memory and fails only once ctx has ended
+	c.mu.Lock()
+	c.workers[id] = &clusterWorker{process, w}
+	c.mu.Unlock()
+	return c.register(id)
+}
+
+// clusterWorker is a worker with its entry in the worker registry.
+type clusterWorker struct {
+	process *Worker
+	entry   dispatch.Worker
+}
+
+// register writes a worker's entry to the worker registry.
+func (c *Cluster) register(id dispatch.WorkerID) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workers[id]
+	w.entry.ProcessStart = w.process.processStart()
+	row, err := graphproto.WorkerRow(w.entry)
 	if err != nil {
 		return err
 	}
-	return c.putRow(ctx, row)
+	return c.putRow(c.ctx, row)
+}
+
+// SetCapacity changes the capacity that a worker has in the worker registry.
+func (c *Cluster) SetCapacity(id dispatch.WorkerID, capacity graph.Resources) error {
+	c.mu.Lock()
+	c.workers[id].entry.Capacity = capacity
+	c.mu.Unlock()
+	return c.register(id)
 }
 
 func (c *Cluster) putQueueConfig(ctx context.Context, queues graphproto.QueueConfig) error {
--- a/internal/standin/graphwork/worker.go
+++ b/internal/standin/graphwork/worker.go
@@ -23,6 +23,8 @@
 	RunMS int64 `json:"run_ms"`
 	// Fail makes every run of the task fail at its end.
 	Fail bool `json:"fail,omitempty"`
+	// CrashMS ends the process of the run's worker that long after the run's start, in milliseconds; 0 does not.
+	CrashMS int64 `json:"crash_ms,omitempty"`
 	// Gangs holds the gang size of each step that is a gang, by the step's index.
 	Gangs map[int]int `json:"gangs,omitempty"`
 	// Forever makes every task run until it is stopped.
@@ -35,7 +37,7 @@
 	Key       dispatch.RunKey
 	StartedAt time.Time
 	EndedAt   time.Time
-	// Outcome is the text of a dispatch.RunOutcome; empty while the run lasts.
+	// Outcome is the text of a dispatch.RunOutcome, or lostOutcome; empty while the run lasts.
 	Outcome string
 }
 
@@ -66,7 +68,10 @@
 	return out
 }
 
-// Worker is one incarnation of a worker. The group's mutex guards all its fields, since gangs span workers.
+// lostOutcome is the outcome of a run that ended with its worker's process.
+const lostOutcome = "lost"
+
+// Worker is a worker whose process may restart under its id. The group's mutex guards all its fields, since gangs span workers.
 type Worker struct {
 	group       *WorkerGroup
 	incarnation dispatch.WorkerID
@@ -81,6 +86,8 @@
 	ended          []dispatch.EndedEntry
 	lastSequence   uint64
 	runEnded       chan struct{} // closed and replaced when a run ends
+	// onRestart is called after each restart; nil for none.
+	onRestart func()
 }
 
 type run struct {
@@ -97,12 +104,52 @@
 
 // NewWorker returns a worker that has just started.
 func NewWorker(group *WorkerGroup, incarnation dispatch.WorkerID) *Worker {
-	return &Worker{
-		group: group, incarnation: incarnation, started: time.Now(), running: make(map[graph.TaskID]*run),
-		highestStopped: make(map[graph.TaskID]uint64), runEnded: make(chan struct{}),
+	w := &Worker{group: group, incarnation: incarnation, runEnded: make(chan struct{})}
+	w.startProcess()
+	return w
+}
+
+// startProcess begins a process that knows nothing of an earlier one. The caller holds the group's mutex, or has the only reference.
+func (w *Worker) startProcess() {
+	w.started = time.Now()
+	w.epoch, w.leaseDeadline, w.lastSequence = 0, 0, 0
+	w.running, w.highestStopped, w.ended = make(map[graph.TaskID]*run), make(map[graph.TaskID]uint64), nil
+}
+
+// Restart ends the worker's process with all its runs, and starts another one under the worker's id. Ends that were not confirmed are
+// lost with it.
+func (w *Worker) Restart() {
+	w.group.mu.Lock()
+	if w.expiryTimer != nil {
+		w.expiryTimer.Stop()
+	}
+	for _, r := range w.running {
+		if r.endTimer != nil {
+			r.endTimer.Stop()
+		}
+		r.record.EndedAt, r.record.Outcome = time.Now(), lostOutcome
+	}
+	for _, e := range w.ended {
+		for _, recorded := range w.group.runs {
+			if recorded.Worker == w.incarnation && recorded.Key == e.RunKey {
+				recorded.Outcome = lostOutcome
+			}
+		}
+	}
+	w.startProcess()
+	w.group.mu.Unlock()
+	if w.onRestart != nil {
+		w.onRestart()
 	}
 }
 
+// processStart returns when the worker's process started, by the time of day since the Unix epoch.
+func (w *Worker) processStart() time.Duration {
+	w.group.mu.Lock()
+	defer w.group.mu.Unlock()
+	return time.Duration(w.started.UnixNano())
+}
+
 // Incarnation implements graphproto.Worker.
 func (w *Worker) Incarnation() dispatch.WorkerID { return w.incarnation }
 
@@ -168,10 +215,23 @@
 	}
 	w.running[call.Task] = r
 	w.group.runs = append(w.group.runs, r.record)
+	if r.payload.CrashMS > 0 {
+		time.AfterFunc(time.Duration(r.payload.CrashMS)*time.Millisecond, func() { r.crashWorker() })
+	}
 	r.startWithGang()
 	return dispatch.Started, nil
 }
 
+// crashWorker ends the process of the run's worker, unless the run has ended.
+func (r *run) crashWorker() {
+	r.worker.group.mu.Lock()
+	running := r.worker.running[r.key.Task] == r
+	r.worker.group.mu.Unlock()
+	if running {
+		r.worker.Restart()
+	}
+}
+
 // startWithGang starts the run's work. The work of a gang's members starts once every member was started.
 // The caller holds the group's mutex.
 func (r *run) startWithGang() {
@@ -285,7 +345,7 @@
 	}
 	w.group.mu.Lock()
 	defer w.group.mu.Unlock()
-	report := dispatch.Report{Ended: slices.Clone(w.ended)}
+	report := dispatch.Report{Ended: slices.Clone(w.ended), ProcessStart: time.Duration(w.started.UnixNano())}
 	for _, r := range w.running {
 		report.Running = append(report.Running, r.runningEntry())
 	}
