--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -514,3 +514,22 @@
 	f.Release("running")
 	f.expect(f.schedule(0), "place last w0")
 }
+
+// Guards against starts beyond the capacity of a worker that has shrunk, and against its capacity being lost when it grows again.
+func TestWorkerWhoseCapacityShrinksAndGrows(t *testing.T) {
+	f := newFixture(t, 1)
+	f.enqueue(task("r0", cell.ClassNormal, 2), task("r1", cell.ClassNormal, 2))
+	f.expect(f.schedule(0), "place r0 w0, place r1 w0")
+	resize := func(cores int64) {
+		w := cell.Worker{ID: "w0", Zone: "z", Rack: "rack-w0", Pool: "x", State: cell.WorkerLive}
+		w.Capacity = cell.Resources{MilliCPU: 1000 * cores, MemoryMiB: 8192, Slots: 8}
+		f.UpsertWorker(w, true)
+	}
+	resize(3)
+	f.enqueue(task("r2", cell.ClassNormal, 2))
+	f.expect(f.schedule(time.Second), "")
+	f.Release("r0")
+	f.expect(f.schedule(time.Second), "")
+	resize(8)
+	f.expect(f.schedule(time.Second), "place r2 w0")
+}
