A run that is being stopped may be one of a worker's next process too

Cause: found while reading the diff: of the runs confirmed since the ended process last answered, only running ones waited for the next process's report; one that was being stopped was given up, and its task could start beside it. And the wait for the longest lease also held starts in doubt on workers that are simply gone.

Change: such runs are stopped on the next process like starts in doubt. The longest lease is waited for only where the next process is known to run.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -31,13 +31,9 @@
 	// commonCrashWorkers is how many other workers that stop answering within commonCrashTime show that no task is the cause.
 	commonCrashWorkers = 4
 	commonCrashTime    = 30 * time.Millisecond
-	// probationTime is how long the start of a likely cause keeps tasks of other jobs from its worker.
-	probationTime = 250 * time.Millisecond
 	// stableRunTime is how long a run of a long-running task has to last for earlier crashes to be forgotten: a service that runs for
 	// months loses its worker now and then.
 	stableRunTime = 60 * time.Second
-	// crashedAddressTime is how long likely causes avoid the address of a worker that has crashed, which may be at fault itself.
-	crashedAddressTime = 10 * time.Second
 )
 
 // WorkerEnd is why a worker's runs are given up.
@@ -97,9 +93,9 @@
 	return reports
 }
 
-// recordCrash counts the end of a worker for the tasks that it runs, or may run. Runs that the next process may have are counted once its
-// report lacks them. It returns nil if the worker has no runs.
-func (e *Engine) recordCrash(w *worker, end WorkerEnd, maybeNext func(*run) bool) *crash {
+// recordCrash counts the end of a worker, last known to live at aliveAt, for the tasks that it runs, or may run. Runs that the next process
+// may have are counted once its report lacks them. It returns nil if the worker has no runs.
+func (e *Engine) recordCrash(w *worker, end WorkerEnd, aliveAt monotime.Instant) *crash {
 	if end == WorkerLeft || len(w.runs) == 0 {
 		return nil
 	}
@@ -114,7 +110,7 @@
 		proven := end == WorkerCrashed && r.confirmedAt > 0
 		likely := proven && prompt && together && w.unansweredFrom(e.now).Sub(r.orderedAt) <= promptCrashTime
 		tc := taskCrash{run: key.Number, proven: proven, likely: likely, crash: c}
-		if maybeNext(r) {
+		if r.maybeOfNextProcess(aliveAt) {
 			r.pendingCrash = &tc
 			continue
 		}
@@ -126,9 +122,6 @@
 	return c
 }
 
-// noRun is the condition of runs of which the next process has none.
-func noRun(*run) bool { return false }
-
 // countCrash counts a crash for the task of a run that ended with its worker.
 func (e *Engine) countCrash(r *run, tc taskCrash) {
 	t := e.task(r.Task)
@@ -279,59 +272,6 @@
 	}
 }
 
-// probation keeps tasks of other jobs from a worker while it starts a likely cause of a crash.
-type probation struct {
-	job   *job
-	until monotime.Instant
-}
-
-// noteStart notes that a run of the task is started on the worker.
-func (e *Engine) noteStart(w *worker, t *task) {
-	w.lastStartAt, w.lastStartJob = e.now, t.step.job
-	if t.step.suspects > 0 && t.likelyCrashes() > 0 {
-		w.probation = probation{t.step.job, e.now.Add(probationTime)}
-		w.updateImpaired()
-	}
-}
-
-// isOnProbation reports whether the worker must not start tasks of the step's job.
-func (e *Engine) isOnProbation(w *worker, s *step) bool {
-	if w.probation.job == nil {
-		return false
-	}
-	if e.now >= w.probation.until {
-		w.probation = probation{}
-		w.updateImpaired()
-		return false
-	}
-	return w.probation.job != s.job
-}
-
-// crashScore is the part of a worker's score that counts for a step with a likely cause of a crash: a second crash tells most on a worker
-// that has not crashed lately and on which no other job's task was just started.
-func (e *Engine) crashScore(s *step, w *worker) float64 {
-	score := 0.0
-	if at, ok := e.crashedAddresses[w.Address]; ok && e.now.Sub(at) < crashedAddressTime {
-		score -= suspectWeight
-	}
-	if w.lastStartJob != s.job && w.lastStartAt > 0 && e.now.Sub(w.lastStartAt) <= startSpread {
-		score -= suspectWeight
-	}
-	return score
-}
-
-// forgetCrashes drops the addresses that likely causes no longer avoid, and the times of old silences.
-func (e *Engine) forgetCrashes() {
-	for len(e.silences) > 0 && e.now.Sub(e.silences[0]) >= crashedAddressTime {
-		e.silences = e.silences[1:]
-	}
-	for address, at := range e.crashedAddresses {
-		if e.now.Sub(at) >= crashedAddressTime {
-			delete(e.crashedAddresses, address)
-		}
-	}
-}
-
 // recordedCrashes returns the crashes of the task as they are recorded.
 func (t *task) recordedCrashes() []CrashProgress {
 	var recorded []CrashProgress
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -451,7 +451,7 @@
 	delete(e.workers, id)
 	delete(e.unconfirmedEnds, id)
 	e.poolsStale = true
-	crashed := e.recordCrash(w, end, noRun)
+	crashed := e.recordCrash(w, end, e.now)
 	for _, r := range w.runs {
 		ended = append(ended, r.RunKey)
 		e.handleEnd(w, r.RunKey, RunInterrupted, "")
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -103,13 +103,12 @@
 	w.lastEndSequence = 0
 	delete(e.unconfirmedEnds, id)
 	e.forgetProcess(w)
-	maybeNext := func(r *run) bool { return r.confirmedAt > aliveAt && r.startAnswered && r.state == runRunning }
-	crashed := e.recordCrash(w, end, maybeNext)
+	crashed := e.recordCrash(w, end, aliveAt)
 	for key, r := range w.runs {
-		if maybeNext(r) {
+		if r.maybeOfNextProcess(aliveAt) {
 			continue
 		}
-		if r.confirmedAt == 0 || !r.startAnswered {
+		if r.confirmedAt == 0 || !r.startAnswered || r.confirmedAt > aliveAt {
 			e.stopAfterRestart(r)
 			continue
 		}
@@ -120,6 +119,12 @@
 	return ended
 }
 
+// maybeOfNextProcess reports whether a run may be one of the worker's next process, and goes on if that lists it. aliveAt is when the
+// process that has ended was last known to live.
+func (r *run) maybeOfNextProcess(aliveAt monotime.Instant) bool {
+	return r.confirmedAt > aliveAt && r.startAnswered && r.state == runRunning
+}
+
 // forgetProcess drops what the engine has learned of the worker's process: how its runs went, and the permits and verdicts for it.
 func (e *Engine) forgetProcess(w *worker) {
 	w.speed, w.health = workerspeed.Speed{}, workerHealth{}
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -126,3 +126,24 @@
 		t.Error("the restarted worker is avoided for what its earlier process did")
 	}
 }
+
+// Guards against a task running in two places: its run is being stopped, and the next process of its worker may have it.
+func TestStoppedRunOfTheNextProcessIsNotGivenUp(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	w := c.addWorker("w", 100)
+	j := c.addJob("j", false, plainStep(1))
+	c.planByKind()
+	c.addWorker("w2", 100)
+	aliveAt := c.virtualTime
+	c.advance(time.Millisecond)
+	first := runKey(j, 0, 0, 1)
+	c.HandleStartOutcome(w, first, Started)
+	c.stop(c.workers[w].runs[first], "preempted")
+	if ended := c.HandleRestart(w, WorkerCrashed, aliveAt); len(ended) != 0 {
+		t.Fatalf("runs %v ended, want none", ended)
+	}
+	if starts, _, _ := c.planByKind(); len(starts) != 0 {
+		t.Errorf("%v is started while its earlier run may go on", starts[0].RunKey)
+	}
+}
--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -324,7 +324,7 @@
 		c.engine.SetReachable(testWorker.ID, true)
 		addOneTask(c, "j")
 		c.engine.Plan(0)
-		c.replaceWorkerConn(c.workerConns[testWorker.ID], c.now(), "its process has restarted")
+		c.replaceWorkerConn(c.workerConns[testWorker.ID], 0, "its process has restarted")
 		if left := c.workerConns[testWorker.ID].lease.remaining(c.now()); left < c.MaxLease {
 			t.Errorf("the start in doubt is waited for %s, want at least the longest lease, %s", left, c.MaxLease)
 		}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -352,8 +352,9 @@
 		recordedAdvanced: make(chan struct{}, 1), fencingToken: c.nextFencingToken(id),
 	}
 	next.lease.extendUntil(c.now().Add(wc.lease.remaining(c.now())))
-	if c.engine.HasRuns(id) {
-		// A start in doubt may yet be carried out. Its deadline is on the clock of the ended process and may mean the longest lease.
+	if aliveAt < c.now() && c.engine.HasRuns(id) {
+		// The next process runs already, and may carry out a start in doubt late. The start's deadline is on the clock of the ended
+		// process and may mean the longest lease.
 		next.lease.extendUntil(c.now().Add(monotime.OnSlowestClock(c.MaxLease)))
 	}
 	c.workerConns[id] = next
