One function each for how a worker ended and for its entry in the registry

Cause: read in the diff: a worker whose lease expired was put back by its entry even if an earlier process had written it; ended processes were counted in two of three places.

Change: putListing decides in both places; endUnlessDraining replaces two functions that said the same; removals count ended processes.

Measured: tests of restarts, leases and starts in doubt of package owner pass.

--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -126,6 +126,6 @@
 	case errors.Is(err, ErrSuperseded):
 		c.loseOwnership("worker has seen a higher epoch")
 	case errors.Is(err, ErrOtherIncarnation):
-		c.removeEndedWorker(wc, wc.processEnd(), "another incarnation answers at its address")
+		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), "another incarnation answers at its address")
 	}
 }
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -316,8 +316,7 @@
 	c.engine.SetReachable(wc.worker.ID, false)
 	switch {
 	case errors.Is(err, ErrOtherIncarnation):
-		c.instruments.processesEnded.Inc()
-		c.removeEndedWorker(wc, wc.processEnd(), "another incarnation answers at its address")
+		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), "another incarnation answers at its address")
 	case !errors.Is(err, ErrNotListening):
 		wc.refusals = 0
 	default:
@@ -343,7 +342,7 @@
 	wc.replaced.Store(true)
 	wc.cancel()
 	c.instruments.processesEnded.Inc()
-	c.logRunsLost(wc, c.engine.HandleRestart(id, wc.processEnd(), aliveAt), why)
+	c.logRunsLost(wc, c.engine.HandleRestart(id, wc.endUnlessDraining(dispatch.WorkerCrashed), aliveAt), why)
 	if c.committing {
 		c.restartedDuringCommit[id] = struct{}{}
 	}
@@ -370,13 +369,13 @@
 			continue
 		}
 		if _, listed := c.registered[wc.worker.ID]; !listed {
-			c.removeEndedWorker(wc, wc.silenceEnd(), "lease expired, worker not registered")
+			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), "lease expired, worker not registered")
 			continue
 		}
 		if c.engine.HasRuns(wc.worker.ID) || !c.engine.ReportsComplete() {
 			c.Log.Warn().Str("worker", string(wc.worker.ID)).Msg("lease of unresponsive worker expired, its runs are given up")
-			c.logRunsLost(wc, c.engine.RemoveWorker(wc.worker.ID, dispatch.WorkerSilent), "lease expired")
-			c.engine.PutWorker(wc.listing)
+			c.logRunsLost(wc, c.engine.RemoveWorker(wc.worker.ID, wc.endUnlessDraining(dispatch.WorkerSilent)), "lease expired")
+			c.putListing(wc)
 		}
 	}
 }
@@ -393,20 +392,12 @@
 	}
 }
 
-// processEnd returns how a worker's process ended that is known to have ended.
-func (wc *workerConn) processEnd() dispatch.WorkerEnd {
-	if wc.listing.Draining {
-		return dispatch.WorkerLeft
-	}
-	return dispatch.WorkerCrashed
-}
-
-// silenceEnd returns how a worker ended that does not answer and is no longer registered.
-func (wc *workerConn) silenceEnd() dispatch.WorkerEnd {
+// endUnlessDraining returns how a worker has ended: as planned if it had said that it leaves, else as given.
+func (wc *workerConn) endUnlessDraining(end dispatch.WorkerEnd) dispatch.WorkerEnd {
 	if wc.listing.Draining {
 		return dispatch.WorkerLeft
 	}
-	return dispatch.WorkerSilent
+	return end
 }
 
 // removeEndedWorker removes a worker that has certainly ended, and its row from the ledger.
@@ -417,6 +408,9 @@
 		wc.cancel()
 	}
 	delete(c.workerConns, id)
+	if end != dispatch.WorkerSilent {
+		c.instruments.processesEnded.Inc()
+	}
 	c.logRunsLost(wc, c.engine.RemoveWorker(id, end), why)
 	c.pendingWorkerRows[id] = nil
 }
