Tests of restarts share a fixture

Cause: four tests set the same owner and worker up line by line.

Change: newRebornFixture; the worker's entry in the registry says which process wrote it.

--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -142,6 +142,23 @@
 	starts        []StartCall
 }
 
+// newRebornFixture returns an owner with the worker, whose present process the registry lists.
+func newRebornFixture(ctx context.Context) (*controller, *rebornWorker) {
+	worker := &rebornWorker{processStart: time.Minute, running: make(map[dispatch.RunKey]bool)}
+	c := newTestController(ctx, worker)
+	c.validUntil.Store(int64(c.now().Add(time.Hour)))
+	c.addWorkerConn(testWorker, true)
+	c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{worker.entry()}})
+	return c, worker
+}
+
+// entry returns the worker's entry in the registry as its present process writes it.
+func (w *rebornWorker) entry() dispatch.Worker {
+	entry := testWorker
+	entry.ProcessStart = w.processStart
+	return entry
+}
+
 // restart ends the process and starts the next one.
 func (w *rebornWorker) restart() {
 	w.mu.Lock()
@@ -233,11 +250,7 @@
 // under its id, made that forget its own first ends.
 func TestHoldOfBeforeARestartConfirmsNothingLater(t *testing.T) {
 	runHoldTest(t, func(ctx context.Context, t *testing.T) {
-		worker := &rebornWorker{processStart: time.Minute, running: make(map[dispatch.RunKey]bool)}
-		c := newTestController(ctx, worker)
-		c.validUntil.Store(int64(c.now().Add(time.Hour)))
-		c.addWorkerConn(testWorker, true)
-		c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{testWorker}})
+		c, worker := newRebornFixture(ctx)
 		runLoop(c, 3*time.Second, func() {})
 		c.setRecorded(map[dispatch.WorkerID]uint64{testWorker.ID: 40})
 		runLoop(c, 3*time.Second, func() {})
@@ -249,6 +262,7 @@
 		runLoop(c, 3*time.Second, func() {})
 		worker.restart()
 		worker.setDown(false)
+		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{worker.entry()}})
 		addOneTask(c, "j")
 		runLoop(c, 3*time.Second, func() {})
 		if len(worker.starts) != 1 {
@@ -266,13 +280,7 @@
 // Guards against a restarted worker being filled by the capacity of its earlier process: another kind of worker may run under its id.
 func TestEntryOfAnEarlierProcessGivesNoCapacity(t *testing.T) {
 	runHoldTest(t, func(ctx context.Context, t *testing.T) {
-		worker := &rebornWorker{processStart: time.Minute, running: make(map[dispatch.RunKey]bool)}
-		c := newTestController(ctx, worker)
-		c.validUntil.Store(int64(c.now().Add(time.Hour)))
-		c.addWorkerConn(testWorker, true)
-		listed := testWorker
-		listed.ProcessStart = worker.processStart
-		c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{listed}})
+		c, worker := newRebornFixture(ctx)
 		runLoop(c, 3*time.Second, func() {})
 		worker.restart()
 		runLoop(c, 3*time.Second, func() {})
@@ -281,8 +289,7 @@
 		if len(worker.starts) != 0 {
 			t.Fatalf("%d starts by the entry of the earlier process, want none", len(worker.starts))
 		}
-		listed.ProcessStart = worker.processStart
-		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{listed}})
+		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{worker.entry()}})
 		runLoop(c, time.Second, func() {})
 		if len(worker.starts) != 1 {
 			t.Errorf("%d starts once the present process is listed, want 1", len(worker.starts))
@@ -293,20 +300,13 @@
 // Guards against runs of a process that the registry shows to have ended being waited for while its worker can't be reached.
 func TestLaterStartInTheRegistryEndsTheRuns(t *testing.T) {
 	runHoldTest(t, func(ctx context.Context, t *testing.T) {
-		worker := &rebornWorker{processStart: time.Minute, running: make(map[dispatch.RunKey]bool)}
-		c := newTestController(ctx, worker)
-		c.validUntil.Store(int64(c.now().Add(time.Hour)))
-		c.addWorkerConn(testWorker, true)
-		listed := testWorker
-		listed.ProcessStart = worker.processStart
-		c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{listed}})
+		c, worker := newRebornFixture(ctx)
 		addOneTask(c, "j")
 		runLoop(c, 3*time.Second, func() {})
 		worker.setDown(true)
 		runLoop(c, 100*time.Millisecond, func() {})
 		worker.restart()
-		listed.ProcessStart = worker.processStart
-		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{listed}})
+		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{worker.entry()}})
 		if c.engine.HasRuns(testWorker.ID) {
 			t.Error("the run of the ended process is still counted")
 		}
@@ -337,11 +337,7 @@
 	for _, ended := range []bool{true, false} {
 		t.Run(fmt.Sprint("ended ", ended), func(t *testing.T) {
 			runHoldTest(t, func(ctx context.Context, t *testing.T) {
-				worker := &rebornWorker{processStart: time.Minute, running: make(map[dispatch.RunKey]bool)}
-				c := newTestController(ctx, worker)
-				c.validUntil.Store(int64(c.now().Add(time.Hour)))
-				c.addWorkerConn(testWorker, true)
-				c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{testWorker}})
+				c, worker := newRebornFixture(ctx)
 				runLoop(c, 3*time.Second, func() {})
 				worker.setHanging(true)
 				worker.restart()
