--- a/internal/standin/graphwork/cluster.go
+++ b/internal/standin/graphwork/cluster.go
@@ -90,7 +90,7 @@
 func (c *Cluster) addWorker(pool Pool, i int) error {
 	id := dispatch.WorkerID(fmt.Sprintf("%s-%d", pool.Name, i))
 	process := NewWorker(c.Workers, id)
-	addr, err := c.serve(net.JoinHostPort(c.ip, "0"), graphproto.WorkerHandler(process))
+	addr, err := c.serve(net.JoinHostPort(c.ip, "0"), whileUp(process, graphproto.WorkerHandler(process)))
 	if err != nil {
 		return err
 	}
@@ -105,6 +105,16 @@
 	return c.register(id)
 }
 
+// whileUp passes calls on to a worker's process, and breaks those off that come while none answers.
+func whileUp(process *Worker, handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if process.isDown() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(rw, r)
+	})
+}
+
 // clusterWorker is a worker with its entry in the worker registry.
 type clusterWorker struct {
 	process *Worker
--- a/internal/standin/graphwork/worker.go
+++ b/internal/standin/graphwork/worker.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"slices"
 	"strconv"
 	"sync"
@@ -76,6 +77,8 @@
 	group       *WorkerGroup
 	incarnation dispatch.WorkerID
 	started     time.Time
+	// downUntil is when the present process begins to answer.
+	downUntil time.Time
 
 	epoch         uint64
 	leaseDeadline time.Duration
@@ -137,12 +140,23 @@
 		}
 	}
 	w.startProcess()
+	w.downUntil = w.started.Add(restartTime)
 	w.group.mu.Unlock()
 	if w.onRestart != nil {
 		w.onRestart()
 	}
 }
 
+// restartTime is how long no process answers when a worker restarts.
+const restartTime = 600 * time.Millisecond
+
+// isDown reports whether no process answers.
+func (w *Worker) isDown() bool {
+	w.group.mu.Lock()
+	defer w.group.mu.Unlock()
+	return time.Now().Before(w.downUntil)
+}
+
 // processStart returns when the worker's process started, by the time of day since the Unix epoch.
 func (w *Worker) processStart() time.Duration {
 	w.group.mu.Lock()
@@ -334,7 +348,7 @@
 	}
 	w.extendLease(call.Deadline)
 	w.ended = slices.DeleteFunc(w.ended, func(e dispatch.EndedEntry) bool { return e.Sequence <= call.Recorded })
-	runEnded, endedCount := w.runEnded, len(w.ended)
+	runEnded, endedCount, process := w.runEnded, len(w.ended), w.started
 	w.group.mu.Unlock()
 	if endedCount == 0 {
 		select {
@@ -345,6 +359,9 @@
 	}
 	w.group.mu.Lock()
 	defer w.group.mu.Unlock()
+	if w.started != process {
+		panic(http.ErrAbortHandler) // the process that was called has ended
+	}
 	report := dispatch.Report{Ended: slices.Clone(w.ended), ProcessStart: time.Duration(w.started.UnixNano())}
 	for _, r := range w.running {
 		report.Running = append(report.Running, r.runningEntry())
