A task is not given up while another job's task is as likely a cause

Three of four workers were cut off; on the last one its task was started beside two different crashing tasks, within a tenth of a second of each.

Cause: a likely cause twice was enough, although in both crashes another job's run was as likely. The probation keeps later starts away, not one of the same moment.

Change: at least one of the crashes must have no other job's run among its likely causes.

Measured: TestCrashWithTwoLikelyJobsFailsNeither fails without the change (checked by taking the condition out); tests of crashes and restarts pass.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -13,8 +13,8 @@
 
 // A task may crash each worker that starts it, together with all other runs there. The engine counts for each task the crashes of
 // workers that ran it, across owners. A run is a likely cause if the crash came soon after its start, no other was started after it and
-// few other workers ended at that moment; a task that was that twice is given up, which fails its job, and its crashes no longer count
-// against the other tasks that ran beside it. The next run of a likely cause begins with a probation, in which no other job's task is
+// few other workers ended at that moment; a task that was that twice, once with no other job's run as likely, is given up, which fails its
+// job, and its crashes no longer count against the other tasks that ran beside it. The next run of a likely cause begins with a probation, in which no other job's task is
 // started on its worker, so that a second crash tells which task it was. A crash that comes later, a worker that fell silent and a start
 // in doubt on a worker that crashed only count towards a bound on all crashes.
 const (
@@ -65,8 +65,8 @@
 type taskCrash struct {
 	// run is the number of the task's run on the worker.
 	run uint64
-	// proven means that the worker's process has certainly ended and had the run.
-	proven, likely bool
+	// proven means that the worker's process has certainly ended and had the run; sole that only runs of the job are likely causes.
+	proven, likely, sole bool
 	// crash is nil for one that an earlier owner recorded.
 	crash *crash
 }
@@ -99,17 +99,12 @@
 	if end == WorkerLeft || len(w.runs) == 0 {
 		return nil
 	}
-	var lastStart monotime.Instant
-	for _, r := range w.runs {
-		lastStart = max(lastStart, r.orderedAt)
-	}
-	prompt := end == WorkerCrashed && !e.isCommonCrash(w)
+	likely := e.likelyCauses(w, end)
 	c := &crash{report: CrashReport{Worker: w.ID, End: end, Runs: len(w.runs)}}
 	for key, r := range w.runs {
-		together := !r.orphan && lastStart.Sub(r.orderedAt) <= startSpread
-		proven := end == WorkerCrashed && r.confirmedAt > 0
-		likely := proven && prompt && together && w.unansweredFrom(e.now).Sub(r.orderedAt) <= promptCrashTime
-		tc := taskCrash{run: key.Number, proven: proven, likely: likely, crash: c}
+		tc := taskCrash{run: key.Number, proven: end == WorkerCrashed && r.confirmedAt > 0, crash: c}
+		tc.likely = slices.Contains(likely, r)
+		tc.sole = tc.likely && !slices.ContainsFunc(likely, func(other *run) bool { return other.Task.Job != r.Task.Job })
 		if r.maybeOfNextProcess(aliveAt) {
 			r.pendingCrash = &tc
 			continue
@@ -122,6 +117,25 @@
 	return c
 }
 
+// likelyCauses returns the runs that are likely causes of their worker's end.
+func (e *Engine) likelyCauses(w *worker, end WorkerEnd) []*run {
+	if end != WorkerCrashed || e.isCommonCrash(w) {
+		return nil
+	}
+	var lastStart monotime.Instant
+	for _, r := range w.runs {
+		lastStart = max(lastStart, r.orderedAt)
+	}
+	var likely []*run
+	for _, r := range w.runs {
+		together := !r.orphan && lastStart.Sub(r.orderedAt) <= startSpread
+		if r.confirmedAt > 0 && together && w.unansweredFrom(e.now).Sub(r.orderedAt) <= promptCrashTime {
+			likely = append(likely, r)
+		}
+	}
+	return likely
+}
+
 // countCrash counts a crash for the task of a run that ended with its worker.
 func (e *Engine) countCrash(r *run, tc taskCrash) {
 	t := e.task(r.Task)
@@ -224,14 +238,17 @@
 
 // mustGiveUp reports whether the crashes that count for a task suffice to give it up. Where hardly any is proven, one more is needed.
 func (e *Engine) mustGiveUp(t *task) bool {
-	proven := 0
+	proven, sole := 0, 0
 	for _, c := range t.crashes {
 		if c.proven {
 			proven++
 		}
+		if c.sole {
+			sole++
+		}
 	}
 	enough := len(t.crashes) > e.maxCrashes || (len(t.crashes) == e.maxCrashes && proven >= MinMaxCrashes)
-	return !t.step.job.state.Ended() && (t.likelyCrashes() >= maxLikelyCrashes || enough)
+	return !t.step.job.state.Ended() && ((t.likelyCrashes() >= maxLikelyCrashes && sole > 0) || enough)
 }
 
 // compareBlame orders tasks by how likely they are to crash their workers.
@@ -276,7 +293,7 @@
 func (t *task) recordedCrashes() []CrashProgress {
 	var recorded []CrashProgress
 	for _, c := range t.crashes {
-		recorded = append(recorded, CrashProgress{c.run, c.proven, c.likely})
+		recorded = append(recorded, CrashProgress{c.run, c.proven, c.likely, c.sole})
 	}
 	return recorded
 }
@@ -285,6 +302,6 @@
 func (t *task) restoreCrashes(recorded []CrashProgress) {
 	t.crashes = nil
 	for _, c := range recorded {
-		t.crashes = append(t.crashes, taskCrash{run: c.Run, proven: c.Proven, likely: c.Likely})
+		t.crashes = append(t.crashes, taskCrash{run: c.Run, proven: c.Proven, likely: c.Likely, sole: c.Sole})
 	}
 }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -277,3 +277,29 @@
 	}
 	c.wantState(j, graph.Failed)
 }
+
+// Guards against a job being failed for another one's task that was started on the same worker at the same moment, twice: where there is
+// one worker, nothing keeps them apart.
+func TestCrashWithTwoLikelyJobsFailsNeither(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	var jobs []graph.JobID
+	for _, id := range []string{"a", "b"} {
+		jobs = append(jobs, c.addJob(id, false, plainStep(1)))
+	}
+	for i := range maxLikelyCrashes {
+		w := c.addWorker(fmt.Sprint("w", i), 200)
+		for _, j := range jobs {
+			task := c.task(runKey(j, 0, 0, 0).Task)
+			e := c.Engine
+			e.startRun(task, c.workers[w], e.nextRunNumber(task.lastRunNumber))
+		}
+		for key := range c.workers[w].runs {
+			c.HandleStartOutcome(w, key, Started)
+		}
+		c.RemoveWorker(w, WorkerCrashed)
+	}
+	for _, j := range jobs {
+		c.wantState(j, graph.Running)
+	}
+}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -33,10 +33,11 @@
 // CrashProgress is a crash of the worker that had a run of the task.
 type CrashProgress struct {
 	// Run is the run's number; Proven means that the worker had it and that its process has ended, Likely that the run is a likely
-	// cause of that.
+	// cause of that, Sole that no other job's run is.
 	Run    uint64 `json:"r"`
 	Proven bool   `json:"p,omitempty"`
 	Likely bool   `json:"l,omitempty"`
+	Sole   bool   `json:"s,omitempty"`
 }
 
 // progress returns the job's progress to record.
