A step avoids the workers on which its runs have failed

Cause: a worker on which a run fails has room again at once and is the most utilized one that fits, so that the next attempt goes there 40 ms later.

Change: for two seconds after a failure the worker comes last for the step. If the failure was early (a tenth of the estimate) or the worker's second in a row, it gets none of the step's tasks while there is another worker that may run them; permits for others are asked for at once.

Kept: strictly only where the worker is likely at fault.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -31,6 +31,9 @@
 	if !s.def.Allocation().Fits(w.free().Sub(planned).Sub(w.heldForOthers(s, e.now))) {
 		return false
 	}
+	if len(s.avoidances) > 0 && e.avoidsStrictly(s, w) {
+		return false
+	}
 	return !w.conflictsWith(s.def)
 }
 
@@ -69,6 +72,9 @@
 	} else if e.isWantedRack(w) {
 		score -= wantedRackWeight
 	}
+	if len(s.avoidances) > 0 && e.avoids(s, w) {
+		score -= suspectWeight
+	}
 	if w.impaired {
 		score += e.speedScore(s, w) + e.healthScore(s, w)
 	}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -133,6 +133,7 @@
 	for s := range e.active {
 		delete(s.permits, w.ID)
 		delete(s.verdicts, w.ID)
+		delete(s.avoidances, w)
 		s.lastSearchAt = 0
 	}
 }
@@ -309,6 +310,7 @@
 		e.stats.Failed++
 		e.countFailure(w)
 		e.recordOutcome(w, r, t.step, true)
+		e.avoidAfterFailure(t.step, w, r)
 		e.handleTaskFailure(t, key.Number)
 	case RunInterrupted:
 		e.stats.Interrupted++
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -383,6 +383,8 @@
 	wantedCopies int
 	// suspects counts the open tasks that are likely causes of a crash.
 	suspects int
+	// avoidances holds the workers on which runs of the step have failed lately.
+	avoidances map[*worker]avoidance
 	// failures are the step's runs that failed or stood still, as counted against their workers.
 	failures []*countedFailure
 	runTimes stepRunTimes
