An ejected worker that failed its last runs gets no more tasks

Cause: a worker counts as useless by its share of failed runs over 20 s.

Change: three failed runs in a row mean the same.

--- a/internal/dispatch/ejection.go
+++ b/internal/dispatch/ejection.go
@@ -25,7 +25,8 @@
 	// uselessFailureRate is the share of failed runs from which an ejected worker gets no runs even where no other worker has
 	// capacity: each would cost its task one of its attempts.
 	uselessFailureRate = 0.7
-	// minRunsForUselessness is the least number of runs that this share is computed from.
+	// minRunsForUselessness is the least number of runs that this share is computed from, and the number of failed runs in a row that
+	// mean the same.
 	minRunsForUselessness = 3
 	// maxEjectedShare is the share of a pool's workers that may be ejected at the same time.
 	maxEjectedShare = 0.1
@@ -92,7 +93,7 @@
 	rate     failureRate
 	evidence float64
 	ejected  bool
-	// useless means that the worker failed nearly all its runs before it was ejected.
+	// useless means that the worker failed nearly all its runs, or all its last ones, before it was ejected.
 	useless bool
 	// trialAt is from when an ejected worker gets trial runs.
 	trialAt monotime.Instant
@@ -259,11 +260,19 @@
 	}
 	h.ejected, h.trialsDone = true, 0
 	w.updateImpaired()
-	h.useless = h.useless || h.rate.done+h.rate.failed >= minRunsForUselessness && h.rate.share() >= uselessFailureRate
+	h.useless = h.useless || w.failsNearlyAll()
 	h.trialAt = e.now.Add(min(maxTrialDelay, minTrialDelay<<min(h.ejections, 10)))
 	h.ejections++
 }
 
+// failsNearlyAll reports whether the worker has lately failed nearly all its runs. A worker that turned bad a moment ago has failed all
+// its last ones, after many that were done.
+func (w *worker) failsNearlyAll() bool {
+	rate := w.health.rate
+	return w.consecutiveFailures >= minRunsForUselessness ||
+		(rate.done+rate.failed >= minRunsForUselessness && rate.share() >= uselessFailureRate)
+}
+
 // findStalledRuns counts the runs that make no progress, while their siblings on other workers were done, as failures of their
 // workers.
 func (e *Engine) findStalledRuns() {
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -1,11 +1,47 @@
 package dispatch
 
 import (
+	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"laburnumpoint/internal/graph"
 )
 
+// Guards against jobs that use up their attempts on a few workers that fail whatever they start: six of 252 do so within 10 ms for six
+// seconds, beside wide jobs of three attempts and quick ones, at loads from moderate to nearly full.
+func TestFewFailingWorkersFailHardlyAnyJob(t *testing.T) {
+	const (
+		maxFailedShare = 0.01
+		// maxRepeatedShare bounds the failed runs that were started on the worker on which their task had failed before.
+		maxRepeatedShare = 0.01
+	)
+	wideJobs, failedJobs, failedRuns, repeated := 0, 0, 0, 0
+	for _, share := range []float64{0.6, 0.8, 0.95} {
+		for seed := range uint64(4) {
+			c := newUnevenCell(t, seed, 252, false, unevenLoad{share: share, failures: 0.01, wideWidth: 50, wideAttempts: 3})
+			c.badWorkers(6, func(w *unevenWorker) {
+				w.failing = func(age time.Duration) bool { return age > 10*time.Second && age < 16*time.Second }
+			})
+			c.run(0, 22*time.Second)
+			wideJobs += c.jobs - c.quick
+			failedJobs += c.failedJobs
+			repeated += c.failedAgain
+			for _, n := range c.failedOn {
+				failedRuns += n
+			}
+		}
+	}
+	t.Logf("%d of %d wide jobs failed, %d of %d failed runs on the worker of the last attempt", failedJobs, wideJobs, repeated, failedRuns)
+	if float64(failedJobs) > maxFailedShare*float64(wideJobs) {
+		t.Errorf("%d of %d wide jobs failed, want at most a share of %.2f", failedJobs, wideJobs, maxFailedShare)
+	}
+	if float64(repeated) > maxRepeatedShare*float64(failedRuns) {
+		t.Errorf("%d of %d failed runs were on the worker of the last attempt, want at most a share of %.2f", repeated, failedRuns, maxRepeatedShare)
+	}
+}
+
 // failRun reports that a run has failed.
 func (c *fixture) failRun(s Start, sequence uint64) {
 	c.HandleStartOutcome(s.Worker, s.RunKey, Started)
@@ -89,3 +125,24 @@
 		t.Errorf("started again on %s while it is avoided", starts[0].Worker)
 	}
 }
+
+// Guards against an ejected worker that still takes tasks in a full pool, since its failures are few beside the runs it had done before.
+func TestWorkerThatTurnedBadGetsNoTasksOnceEjected(t *testing.T) {
+	c := newFixture(t, 1)
+	for i := range 10 {
+		c.addWorker(fmt.Sprint("w", i), 100)
+	}
+	c.planByKind()
+	w := c.workers["w0"]
+	for range 20 {
+		w.health.rate.add(c.now, false)
+	}
+	for range 3 {
+		w.health.rate.add(c.now, true)
+		c.countFailure(w)
+	}
+	c.eject(w)
+	if on := c.startWorkers("full", plainStep(10), 2); len(on) != 9 || slices.Contains(on, w.ID) {
+		t.Errorf("starts on %v, want one on each worker but the ejected one", on)
+	}
+}
--- a/internal/dispatch/uneven_test.go
+++ b/internal/dispatch/uneven_test.go
@@ -24,6 +24,8 @@
 	speed func(time.Duration) float64
 	// failureRate is the share of its runs that the worker fails by its own fault.
 	failureRate float64
+	// failing means that runs fail soon after they start.
+	failing func(time.Duration) bool
 	// stalled means that runs neither progress nor end.
 	stalled  func(time.Duration) bool
 	sequence uint64
@@ -74,6 +76,8 @@
 	failures float64
 	// speculative sets Speculative for the steps of quick jobs.
 	speculative bool
+	// wideWidth is the number of tasks in each step of wide jobs, wideAttempts how often they may fail; 0 for the usual ones.
+	wideWidth, wideAttempts int
 }
 
 const (
@@ -83,6 +87,7 @@
 	wideTime        = 4600 * time.Millisecond
 	wideCores       = 18_000
 	unevenOrderTime = 5 * time.Millisecond
+	unevenFailTime  = 10 * time.Millisecond
 )
 
 var (
@@ -115,6 +120,9 @@
 	met, quick         int
 	wideStarts         int
 	failedJobs         int
+	// lastFailedOn holds by task the worker of the last run that failed, failedAgain counts those that failed there again.
+	lastFailedOn map[graph.TaskID]WorkerID
+	failedAgain  int
 }
 
 func constantSpeed(s float64) func(time.Duration) float64 {
@@ -127,7 +135,7 @@
 	c := &unevenCell{
 		t: t, engine: New(1), arrivals: rand.New(rand.NewPCG(seed, 3)), rng: rand.New(rand.NewPCG(seed, 7)), now: monotime.Instant(time.Second), load: load,
 		byID: map[WorkerID]*unevenWorker{}, due: map[graph.JobID]monotime.Instant{}, open: map[graph.JobID]bool{},
-		startsOn: map[WorkerID]int{}, failedOn: map[WorkerID]int{},
+		startsOn: map[WorkerID]int{}, failedOn: map[WorkerID]int{}, lastFailedOn: map[graph.TaskID]WorkerID{},
 	}
 	c.begin = c.now
 	c.engine.SetNow(c.now)
@@ -159,9 +167,13 @@
 func (c *unevenCell) run(warmup, length time.Duration) {
 	const (
 		quickWork   = 1.5 * 10 * float64(quickTime) * quickCores
-		wideWork    = 2 * 20 * float64(wideTime) * wideCores
 		quickPerOne = 14.0 // quick jobs for each wide one
 	)
+	width, wideQueue := 20, unevenWideQueue
+	if c.load.wideWidth > 0 {
+		width, wideQueue.MaxAttempts = c.load.wideWidth, c.load.wideAttempts
+	}
+	wideWork := 2 * float64(width) * float64(wideTime) * wideCores
 	speeds := 0.0
 	for _, w := range c.workers {
 		speeds += w.speed(0)
@@ -177,7 +189,7 @@
 	}
 	wide = func() {
 		if c.now < until {
-			c.addJob("wide", unevenWideQueue, false, false, c.step(20, wideTime, wideCores), c.step(20, wideTime, wideCores, 0))
+			c.addJob("wide", wideQueue, false, false, c.step(width, wideTime, wideCores), c.step(width, wideTime, wideCores, 0))
 			c.after(time.Duration(c.arrivals.ExpFloat64()*float64(wideGap)), wide)
 		}
 	}
@@ -279,6 +291,9 @@
 		r.outcome = RunFailed
 		r.takes /= 2
 	}
+	if w.failing != nil && w.failing(c.age()) {
+		r.outcome, r.takes = RunFailed, unevenFailTime
+	}
 	w.running[o.RunKey] = r
 	c.engine.HandleStartOutcome(o.Worker, o.RunKey, Started)
 	c.endLater(r)
@@ -310,6 +325,10 @@
 	delete(w.running, r.key)
 	if outcome == RunFailed {
 		c.failedOn[w.id]++
+		if c.lastFailedOn[r.key.Task] == w.id {
+			c.failedAgain++
+		}
+		c.lastFailedOn[r.key.Task] = w.id
 	}
 	w.sequence++
 	report := endedReport(w.sequence, r.key, outcome)
