An ended job is recorded once

Cause: each end of a run of an ended job marked the job's progress as changed, though the record of an ended job holds its state only.

Change: once TakeDirty has returned the final progress, or it was read from the store, only a failed commit makes it due again.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -344,7 +344,11 @@
 	return overdue
 }
 
+// markDirty notes that the job's progress has to be recorded. The record of an ended job holds its state only, and is final.
 func (e *Engine) markDirty(j *job) {
+	if j.endTaken {
+		return
+	}
 	j.dirty = true
 	e.dirty[j] = struct{}{}
 }
@@ -374,7 +378,7 @@
 			break
 		}
 		delete(e.dirty, j)
-		j.dirty = false
+		j.dirty, j.endTaken = false, j.state.Ended()
 		changed[j.id] = j.progress()
 	}
 	return changed
@@ -386,6 +390,7 @@
 // MarkDirty makes TakeDirty return a job's progress again, after a write whose outcome is not known.
 func (e *Engine) MarkDirty(id graph.JobID) {
 	if j := e.jobs[id]; j != nil {
+		j.endTaken = false
 		e.markDirty(j)
 	}
 }
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -420,6 +420,8 @@
 	// openSteps counts the steps with open tasks over all occurrences.
 	openSteps int
 	dirty     bool
+	// endTaken means that TakeDirty has returned the job's final progress, or that it is recorded already.
+	endTaken bool
 	// failure is why the job has failed, for operators; empty if this owner doesn't know.
 	failure string
 }
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -81,7 +81,7 @@
 
 // restore applies recorded progress. Entries that don't match the job's spec are ignored.
 func (j *job) restore(p Progress) {
-	j.state = p.State
+	j.state, j.endTaken = p.State, p.State.Ended()
 	j.started = p.Started
 	for _, sp := range p.Steps {
 		if sp.Occurrence < 0 || sp.Occurrence >= len(j.steps) || sp.Step < 0 || sp.Step >= len(j.steps[0]) {
