A worker that left without runs is removed at once

Cause: a worker that has drained and left stays recorded until its longest possible lease has expired. If the owner is lost meanwhile, its successor awaits the worker's report for another five seconds, and starts no task of earlier jobs of the pool.

Ruled out: the takeover itself (catch-up 15 ms), silent workers with runs.

Change: a worker that neither answers nor is registered, and that certainly has no run, not even one in doubt, is removed without waiting for its lease. One whose report is awaited counts as having runs.

Tests: fails before (one worker recorded); one that left with runs stays.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -467,6 +467,9 @@
 
 // HasRuns reports whether the worker has, or may have, any runs.
 func (e *Engine) HasRuns(id WorkerID) bool {
+	if _, awaited := e.awaitedReports[id]; awaited {
+		return true
+	}
 	w := e.workers[id]
 	return w != nil && len(w.runs) > 0
 }
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -361,11 +361,19 @@
 }
 
 // expireLeases gives up the runs of unresponsive workers whose lease has expired. A missing entry in the registry doesn't prove
-// that a worker has ended: the registry also drops workers whose heartbeats don't reach it, and those may run on.
+// that a worker has ended: the registry also drops workers whose heartbeats don't reach it, and those may run on. One without runs is
+// removed without a wait, since a later owner would await its report until the longest lease has expired.
 func (c *controller) expireLeases() {
 	now := c.now()
 	for _, wc := range c.workerConns {
-		if !wc.unresponsive || !wc.lease.expired(now) {
+		if !wc.unresponsive {
+			continue
+		}
+		if wc.unregistered && !c.engine.HasRuns(wc.worker.ID) {
+			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), "not registered and without runs")
+			continue
+		}
+		if !wc.lease.expired(now) {
 			continue
 		}
 		if _, listed := c.registered[wc.worker.ID]; !listed {
