An owner with slow renewals doesn't hand over while they succeed

Cause: the owner resigns 0.7 s after its last successful renewal was sent, if another call to the store has failed.

Change: the time of the last commit is added.

Test: not resigned with a renewal of 600 ms under way for 1.2 s, resigned at 1.4 s, and as before on a usual store. TestOwnershipCountsFromItsTransaction's store now fails reads while its first answer is late, as for a paused VM, since the claim would else be read back before; what it wants is the same.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -86,7 +86,7 @@
 		return
 	}
 	c.instruments.commits.Inc()
-	c.lastRenewalAt = sentAt
+	c.lastRenewalAt, c.commitTime = sentAt, now.Sub(sentAt)
 	c.nextCommitAt = sentAt.Add(commitDelay)
 	c.renewalDueAt = sentAt.Add(renewInterval)
 	if !c.ownershipLost {
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -75,7 +75,9 @@
 	nextRoundAt  monotime.Instant
 	renewalDueAt monotime.Instant
 	// lastRenewalAt is when the last successful commit was sent.
-	lastRenewalAt     monotime.Instant
+	lastRenewalAt monotime.Instant
+	// commitTime is how long the last successful commit took.
+	commitTime        time.Duration
 	takeoverStartedAt monotime.Instant
 	// earlierOrdersUntil is the latest time at which an earlier owner may have given orders.
 	earlierOrdersUntil monotime.Instant
--- a/internal/owner/ownership_test.go
+++ b/internal/owner/ownership_test.go
@@ -18,13 +18,21 @@
 	"laburnumpoint/internal/rowstore"
 )
 
-// failingStore applies its first transaction and answers it after firstAnswerDelay. It fails transactions while it is unavailable,
-// as it is after a delayed first answer.
+// failingStore applies its first transaction and answers it after firstAnswerDelay; reads fail meanwhile. It fails transactions while
+// it is unavailable, as it is after a delayed first answer.
 type failingStore struct {
 	*rowstore.MemoryStore
 	firstAnswerDelay time.Duration
 	writes           atomic.Int64
 	unavailable      atomic.Bool
+	answering        atomic.Bool
+}
+
+func (s *failingStore) Range(ctx context.Context, table, part, from, to string) ([]rowstore.Row, string, uint64, error) {
+	if s.answering.Load() {
+		return nil, "", 0, rowstore.ErrUnavailable
+	}
+	return s.MemoryStore.Range(ctx, table, part, from, to)
 }
 
 func (s *failingStore) Apply(ctx context.Context, tx rowstore.Tx) (uint64, []rowstore.Row, error) {
@@ -34,7 +42,9 @@
 	}
 	version, rows, err := s.MemoryStore.Apply(ctx, tx)
 	if s.writes.Add(1) == 1 {
+		s.answering.Store(true)
 		time.Sleep(s.firstAnswerDelay)
+		s.answering.Store(false)
 		s.unavailable.Store(s.firstAnswerDelay > 0)
 	}
 	return version, rows, err
--- a/internal/owner/resign.go
+++ b/internal/owner/resign.go
@@ -10,7 +10,7 @@
 // Conditions of resigning. If the store answers other daemons but not the owner, the ownership would expire; the owner hands over
 // before that, so that work goes on. An owner on a weak VM hands over because it decides late.
 const (
-	// resignAfter is how long renewals must have failed.
+	// resignAfter is how long renewals must have failed, beside the time that one takes.
 	resignAfter = 700 * time.Millisecond
 	// maxSuccessorHelloAge is the longest time since a successor's last hello.
 	maxSuccessorHelloAge = 600 * time.Millisecond
@@ -29,7 +29,8 @@
 func (c *controller) resignIfNeeded() {
 	now := c.now()
 	sinceRenewal := now.Sub(c.lastRenewalAt)
-	if sinceRenewal >= resignAfter && !c.StoreUp() {
+	// Where each renewal takes long, the next one is still under way at resignAfter, and a successor's would take as long.
+	if sinceRenewal >= resignAfter+c.commitTime && !c.StoreUp() {
 		// An outage of the store begins at the same time for all daemons. The store answers another daemon only if it has
 		// done so after the time when a renewal from here should have been answered.
 		if successor := c.permits.strongestSuccessor(now, c.lastRenewalAt.Add(renewInterval+storeAnswerMargin)); successor != nil {
--- a/internal/owner/resign_test.go
+++ b/internal/owner/resign_test.go
@@ -1,10 +1,14 @@
 package owner
 
 import (
+	"context"
+	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/rowstore"
 	"laburnumpoint/internal/wire"
 )
 
@@ -71,3 +75,42 @@
 		t.Errorf("successor %+v, want the healthy one", h)
 	}
 }
+
+// Guards against an owner that hands over while each of its renewals succeeds, but takes long, and its successor's take as long.
+func TestOwnerKeepsTheCellWhileRenewalsAreSlow(t *testing.T) {
+	for name, c := range map[string]struct {
+		commitTime   time.Duration
+		sinceRenewal time.Duration
+		resigns      bool
+	}{
+		"slow store, renewal under way":  {600 * time.Millisecond, 1200 * time.Millisecond, false},
+		"slow store, renewals fail":      {600 * time.Millisecond, 1400 * time.Millisecond, true},
+		"usual store, renewals fail":     {5 * time.Millisecond, 750 * time.Millisecond, true},
+		"usual store, renewal under way": {5 * time.Millisecond, 650 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				owner, _ := newCommitController(ctx, t, rowstore.NewMemoryStore())
+				owner.StoreUp = func() bool { return false }
+				owner.Peers = deafPeers{}
+				owner.commitTime, owner.lastRenewalAt = c.commitTime, owner.now()
+				time.Sleep(c.sinceRenewal)
+				owner.permits.handleHello(&wire.Hello{Addr: "b", MilliCores: 1000}, owner.now())
+				owner.resignIfNeeded()
+				if owner.ownershipLost != c.resigns {
+					t.Errorf("resigned %v, want %v", owner.ownershipLost, c.resigns)
+				}
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+// deafPeers are daemons that don't answer.
+type deafPeers struct{}
+
+func (deafPeers) Call(context.Context, string, *wire.Request) (*wire.Reply, error) {
+	return nil, errors.New("no answer")
+}
