Jobs of after a worker's drain don't await its report after a takeover

Cause: a new owner starts no task of earlier jobs in a pool until each worker that earlier owners used has reported or its longest lease has expired, 5.7 s for one that is gone.

Change: the ledger records that a worker drains. No owner starts anything there after that, so that only jobs recorded before that version may have tasks there; later ones go on at once. A worker that no longer drains gets new runs only once a row that says so is committed.

Why it holds: an owner stops starting tasks on the worker before it sends the row, and knows each job that it starts from a record with a lower version; an earlier owner's orders precede the takeover, which precedes the row.

Tests: jobs recorded before, after and at an unknown version; no start on a worker that the ledger has as draining.

--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -96,7 +96,7 @@
 	var stragglers []straggler
 	for s := range e.active {
 		s.wantedCopies = 0
-		if s.mayHaveCopies() && !(s.job.unconfirmed && e.awaitsReports(s.job.queue.Pool)) {
+		if s.mayHaveCopies() && !(s.job.unconfirmed && e.awaitsReports(s.job)) {
 			stragglers = e.appendStragglers(stragglers, s)
 		}
 	}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"laburnumpoint/internal/graph"
@@ -33,8 +34,8 @@
 	dirty map[*job]struct{}
 	// orders are those that the next Plan returns.
 	orders []Order
-	// awaitedReports maps workers that may run tasks of earlier owners and have not reported yet to their pools.
-	awaitedReports map[WorkerID]string
+	// awaitedReports holds the workers that may run tasks of earlier owners and have not reported yet.
+	awaitedReports map[WorkerID]awaitedReport
 	// unansweredStops holds the runs whose stop is sent again until the worker acknowledges it.
 	unansweredStops map[*run]struct{}
 	// unconfirmedEnds holds the sequence number of the last processed end of each worker that has not been told that it is
@@ -105,7 +106,7 @@
 		active:          make(map[*step]struct{}),
 		scheduled:       make(map[*step]struct{}),
 		dirty:           make(map[*job]struct{}),
-		awaitedReports:  make(map[WorkerID]string),
+		awaitedReports:  make(map[WorkerID]awaitedReport),
 		unansweredStops: make(map[*run]struct{}),
 		unconfirmedEnds: make(map[WorkerID]uint64),
 		verdictCounts:   make(map[string]verdictCount),
@@ -130,13 +131,28 @@
 // WaitingTasks returns how many tasks were to be placed when the last plan began.
 func (e *Engine) WaitingTasks() int { return e.waitingTasks }
 
+// awaitedReport is the report of a worker that earlier owners used.
+type awaitedReport struct {
+	pool string
+	// drainedAt is the version at which the ledger recorded that the worker drains: no owner has started a task of a later job there.
+	// It is the highest version if the worker does not drain.
+	drainedAt uint64
+}
+
 // AwaitReport keeps the pool's unconfirmed jobs from starting tasks until the worker has reported or is removed.
-func (e *Engine) AwaitReport(id WorkerID, pool string) { e.awaitedReports[id] = pool }
+func (e *Engine) AwaitReport(id WorkerID, pool string) {
+	e.awaitedReports[id] = awaitedReport{pool, math.MaxUint64}
+}
+
+// AwaitDrainingReport does so for the jobs that were recorded before the version at which the worker was recorded as draining.
+func (e *Engine) AwaitDrainingReport(id WorkerID, pool string, drainedAt uint64) {
+	e.awaitedReports[id] = awaitedReport{pool, drainedAt}
+}
 
-// awaitsReports reports whether the report of one of the pool's workers is awaited.
-func (e *Engine) awaitsReports(pool string) bool {
-	for _, p := range e.awaitedReports {
-		if p == pool {
+// awaitsReports reports whether the report of a worker is awaited that may run tasks of the unconfirmed job.
+func (e *Engine) awaitsReports(j *job) bool {
+	for _, awaited := range e.awaitedReports {
+		if awaited.pool == j.queue.Pool && j.recordedAt < awaited.drainedAt {
 			return true
 		}
 	}
@@ -159,6 +175,8 @@
 	Progress *Progress
 	// Unconfirmed means that an earlier owner may have started tasks that no worker has reported yet.
 	Unconfirmed bool
+	// RecordedAt is the version of the ledger in which the job was recorded; 0 if that is not known.
+	RecordedAt uint64
 }
 
 // AddJob adds a job unless the engine knows it. Jobs are added in order of arrival: it decides which ones are within their
@@ -195,7 +213,7 @@
 	spec := in.Spec
 	j := &job{
 		id: in.ID, queue: in.Queue, spec: spec, arrivedAt: in.ArrivedAt, state: graph.Queued,
-		unconfirmed: in.Unconfirmed, objective: in.Queue.Objective(spec),
+		unconfirmed: in.Unconfirmed, recordedAt: in.RecordedAt, objective: in.Queue.Objective(spec),
 	}
 	criticalPaths := spec.CriticalPaths(in.Queue.ExpectedPermitLatency())
 	for k := range spec.OccurrenceCount() {
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -142,6 +142,24 @@
 	}
 }
 
+// Guards against jobs that wait for seconds after a takeover for the report of a worker that had drained before they were accepted.
+func TestJobOfAfterTheDrainDoesNotAwaitTheWorker(t *testing.T) {
+	c := newFixture(t, 2)
+	c.addWorker("a", 1000)
+	c.AwaitDrainingReport("gone", "p", 10)
+	for id, recordedAt := range map[graph.JobID]uint64{"unknown": 0, "before": 9, "after": 11} {
+		c.AddJob(JobInput{ID: id, Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(1)}}, ArrivedAt: c.virtualTime, Unconfirmed: true, RecordedAt: recordedAt})
+	}
+	starts, _, _ := c.planByKind()
+	if len(starts) != 1 || starts[0].Task.Job != "after" {
+		t.Errorf("starts %v, want one of the job of after the drain", starts)
+	}
+	c.RemoveWorker("gone", WorkerLeft)
+	if starts, _, _ := c.planByKind(); len(starts) != 2 {
+		t.Errorf("%d starts once the worker is removed, want 2", len(starts))
+	}
+}
+
 func TestStartInDoubtIsResolvedBeforeTheNext(t *testing.T) {
 	c := newFixture(t, 1)
 	a := c.addWorker("a", 1000)
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -57,7 +57,7 @@
 		return fmt.Sprintf("waiting for %d earlier steps", s.unfinishedDependencies)
 	case !s.active:
 		return fmt.Sprintf("due in %s", roundToMS(s.job.spec.DueAt(s.occurrence)-wall))
-	case s.job.unconfirmed && e.awaitsReports(s.job.queue.Pool):
+	case s.job.unconfirmed && e.awaitsReports(s.job):
 		return "waiting for the reports of workers that an earlier owner used"
 	case p == nil || len(p.workers) == 0:
 		return fmt.Sprintf("pool %s has no workers that take new runs", s.job.queue.Pool)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -416,7 +416,9 @@
 	started   bool
 	// unconfirmed means that an earlier owner may have started tasks that no worker has reported yet.
 	unconfirmed bool
-	steps       [][]*step
+	// recordedAt is the version of the ledger in which the job was recorded; 0 if that is not known.
+	recordedAt uint64
+	steps      [][]*step
 	// openSteps counts the steps with open tasks over all occurrences.
 	openSteps int
 	dirty     bool
--- a/internal/dispatch/organisation.go
+++ b/internal/dispatch/organisation.go
@@ -195,12 +195,12 @@
 	}
 	unbounded := graph.Resources{MilliCPU: graph.MaxClaim * graph.MaxTasks, MemoryMB: graph.MaxClaim * graph.MaxTasks, Accelerators: graph.MaxClaim * graph.MaxTasks}
 	capacities := make(map[string]graph.Resources)
-	for id, pool := range e.awaitedReports {
+	for id, awaited := range e.awaitedReports {
 		capacity := unbounded
 		if w := e.workers[id]; w != nil {
 			capacity = w.Capacity
 		}
-		capacities[pool] = capacities[pool].Add(capacity)
+		capacities[awaited.pool] = capacities[awaited.pool].Add(capacity)
 	}
 	return capacities
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -28,7 +28,7 @@
 	e.reserveForGangs(steps)
 	for _, s := range steps {
 		if s.job.unconfirmed {
-			if e.awaitsReports(s.job.queue.Pool) {
+			if e.awaitsReports(s.job) {
 				continue
 			}
 			s.job.unconfirmed = false
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,12 +58,15 @@
 	progressRemoved bool
 }
 
-// workerRow is a worker with the version of its row.
-type workerRow struct {
+// RecordedWorker is a worker with the version at which it was recorded.
+type RecordedWorker struct {
 	dispatch.Worker
-	version uint64
+	Version uint64
 }
 
+// RecordedAt returns the version at which the job was recorded.
+func (j *Job) RecordedAt() uint64 { return j.recordVersion }
+
 // State returns the job's state as reported to callers.
 func (j *Job) State() graph.JobState {
 	switch {
@@ -97,7 +102,7 @@
 
 	mu      sync.RWMutex
 	jobs    map[graph.JobID]*Job
-	workers map[dispatch.WorkerID]workerRow
+	workers map[dispatch.WorkerID]RecordedWorker
 	owner   OwnerRecord
 	// ownerVersion is the version of the ownership row, 0 if there is none; ownerChangedAt is when the row was last seen to
 	// change.
@@ -118,7 +123,7 @@
 		clock:          clock,
 		log:            logger,
 		jobs:           make(map[graph.JobID]*Job),
-		workers:        make(map[dispatch.WorkerID]workerRow),
+		workers:        make(map[dispatch.WorkerID]RecordedWorker),
 		ownerChangedAt: clock.Now(),
 		onJobChange:    func(graph.JobID) {},
 	}
@@ -219,7 +224,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.jobs = make(map[graph.JobID]*Job)
-	r.workers = make(map[dispatch.WorkerID]workerRow)
+	r.workers = make(map[dispatch.WorkerID]RecordedWorker)
 	r.ownerReadAt = r.clock.Now()
 }
 
@@ -317,7 +322,7 @@
 			}
 		}
 		for id, w := range r.workers {
-			if removed(workerPrefix+string(id), w.version) {
+			if removed(workerPrefix+string(id), w.Version) {
 				delete(r.workers, id)
 			}
 		}
@@ -448,7 +453,7 @@
 }
 
 func (r *Replica) applyWorker(id dispatch.WorkerID, change rowstore.Change) error {
-	if change.Version < r.workers[id].version {
+	if change.Version < r.workers[id].Version {
 		return nil
 	}
 	if change.Removed {
@@ -460,7 +465,7 @@
 		return err
 	}
 	record.ID = id
-	r.workers[id] = workerRow{record.Worker, change.Version}
+	r.workers[id] = RecordedWorker{record.Worker, change.Version}
 	return nil
 }
 
@@ -529,14 +534,10 @@
 }
 
 // Workers returns the workers that owners have recorded.
-func (r *Replica) Workers() []dispatch.Worker {
+func (r *Replica) Workers() []RecordedWorker {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	out := make([]dispatch.Worker, 0, len(r.workers))
-	for _, w := range r.workers {
-		out = append(out, w.Worker)
-	}
-	return out
+	return slices.Collect(maps.Values(r.workers))
 }
 
 // OwnerView is the ownership row as a daemon last saw it.
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -111,6 +111,7 @@
 		return // the worker has ended, and a later commit removes its row
 	}
 	c.addWorkerConn(w, false)
+	c.workerConns[w.ID].recordedDraining = w.Draining
 	if listed, ok := c.registered[w.ID]; ok {
 		c.handleRegistered(listed)
 	} else {
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -168,8 +168,12 @@
 		c.scheduleRemoval(id, false)
 	}
 	for _, w := range c.Replica.Workers() {
-		c.engine.AwaitReport(w.ID, w.Pool)
-		c.addWorkerConn(w, true)
+		if w.Draining {
+			c.engine.AwaitDrainingReport(w.ID, w.Pool, w.Version)
+		} else {
+			c.engine.AwaitReport(w.ID, w.Pool)
+		}
+		c.addWorkerConn(w.Worker, true)
 	}
 	if c.engine.ReportsComplete() {
 		c.markReportsComplete()
@@ -192,7 +196,7 @@
 		queue.Pool = j.Queue.Pool // earlier owners ran the job in this pool, and the reports of its workers are awaited
 	}
 	age := max(0, time.Duration(time.Now().UnixMilli()-j.AcceptedMS)*time.Millisecond)
-	c.engine.AddJob(dispatch.JobInput{ID: id, Queue: queue, Organisation: j.Organisation, Spec: j.Spec, ArrivedAt: c.now().Add(-age), Progress: j.Progress, Unconfirmed: unconfirmed})
+	c.engine.AddJob(dispatch.JobInput{ID: id, Queue: queue, Organisation: j.Organisation, Spec: j.Spec, ArrivedAt: c.now().Add(-age), Progress: j.Progress, Unconfirmed: unconfirmed, RecordedAt: j.RecordedAt()})
 	if j.Cancelled {
 		c.engine.Cancel(id)
 	}
--- a/internal/owner/leaving_test.go
+++ b/internal/owner/leaving_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/rowstore"
 )
 
@@ -90,3 +91,63 @@
 		time.Sleep(3 * time.Second)
 	})
 }
+
+// Guards against a worker that is recorded as draining and gets new runs nevertheless: a later owner does not await its report for them.
+func TestDrainingWorkerIsRecordedBeforeItIsUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &slowStore{MemoryStore: rowstore.NewMemoryStore()}
+		c, awaitCommit := newCommitController(ctx, t, store)
+		commit := func() {
+			time.Sleep(commitDelay)
+			c.commitChanges()
+			awaitCommit()
+		}
+		mayStart := func() bool {
+			c.engine.SetNow(c.now())
+			for _, order := range c.engine.Plan(0) {
+				if start, ok := order.(dispatch.Start); ok {
+					c.engine.HandleStartOutcome(start.Worker, start.RunKey, dispatch.StartNotSent)
+					return true
+				}
+			}
+			return false
+		}
+		time.Sleep(commitRetryDelay)
+		c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{testWorker}})
+		commit()
+		awaitReports(c, c.Workers.(*fakeClient), 2)
+		addOneTask(c, "j")
+		if !mayStart() {
+			t.Fatal("no start on the worker")
+		}
+		draining := testWorker
+		draining.Draining = true
+		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{draining}})
+		commit()
+		if recorded := recordedWorker(t, c); !recorded.Draining {
+			t.Error("not recorded as draining")
+		}
+		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{testWorker}})
+		if mayStart() {
+			t.Error("a start while the ledger has the worker as draining")
+		}
+		commit()
+		if recorded := recordedWorker(t, c); recorded.Draining || !mayStart() {
+			t.Errorf("recorded as draining %v, want a worker in use", recorded.Draining)
+		}
+		cancel()
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// recordedWorker returns the only worker in the ledger.
+func recordedWorker(t *testing.T, c *controller) ledger.RecordedWorker {
+	t.Helper()
+	workers := c.Replica.Workers()
+	if len(workers) != 1 {
+		t.Fatalf("%d workers recorded, want 1", len(workers))
+	}
+	return workers[0]
+}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -64,6 +64,9 @@
 	aliveAt                     monotime.Instant
 	// unregistered means that the registry does not list the worker, or has not been read yet.
 	unregistered bool
+	// recordedDraining means that the ledger records the worker as draining, or may soon: it gets no new runs until a row that does
+	// not is committed, since a later owner relies on it.
+	recordedDraining bool
 
 	mu sync.Mutex
 	// recordedSequence is the sequence up to which the worker's ends are recorded; recordedAdvanced signals that it grew.
@@ -87,7 +90,7 @@
 	}
 	wc := &workerConn{
 		controller: c, worker: w, listing: w, mayHaveRuns: usedBefore, recordedAdvanced: make(chan struct{}, 1),
-		fencingToken: c.nextFencingToken(w.ID),
+		fencingToken: c.nextFencingToken(w.ID), recordedDraining: w.Draining,
 	}
 	c.workerConns[w.ID] = wc
 	if usedBefore {
@@ -348,7 +351,7 @@
 	}
 	next := &workerConn{
 		controller: c, worker: wc.worker, listing: wc.listing, unresponsive: wc.unresponsive, unregistered: wc.unregistered,
-		recordedAdvanced: make(chan struct{}, 1), fencingToken: c.nextFencingToken(id),
+		recordedAdvanced: make(chan struct{}, 1), fencingToken: c.nextFencingToken(id), recordedDraining: wc.recordedDraining,
 	}
 	next.lease.extendUntil(c.now().Add(wc.lease.remaining(c.now())))
 	if aliveAt < c.now() && c.engine.HasRuns(id) {
@@ -464,6 +467,10 @@
 	}
 	wc.listing = w
 	wc.unregistered = false
+	if w.Draining != wc.recordedDraining {
+		wc.recordedDraining = true
+		c.pendingWorkerRows[w.ID] = &w
+	}
 	if wc.reportedStart != 0 && w.ProcessStart > wc.reportedStart {
 		c.replaceWorkerConn(wc, wc.aliveAt, "the registry lists a later start of its process")
 		wc = c.workerConns[w.ID]
@@ -475,7 +482,7 @@
 // capacity and the labels that the worker has now: it gets no new runs until its present process has written one.
 func (c *controller) putListing(wc *workerConn) {
 	outdated := wc.listing.ProcessStart != 0 && wc.listing.ProcessStart < wc.reportedStart
-	if wc.unregistered || outdated {
+	if wc.unregistered || outdated || wc.recordedDraining {
 		c.putWithoutNewRuns(wc.listing)
 		return
 	}
