--- a/internal/dispatch/history_test.go
+++ b/internal/dispatch/history_test.go
@@ -58,6 +58,7 @@
 	lastSequence  uint64
 	unresponsive  bool
 	removed       bool
+	draining      bool
 }
 
 func (w *historyWorker) clock(now monotime.Instant) time.Duration {
@@ -122,6 +123,7 @@
 	endSequences map[WorkerID]uint64
 	newWorkers   []WorkerID
 	oldWorkers   []WorkerID
+	draining     []WorkerID
 	sent         monotime.Instant
 	applied      bool
 }
@@ -137,15 +139,22 @@
 	onePerWorker bool
 	// speculative makes some steps Speculative.
 	speculative bool
+	// drains lets workers begin to drain.
+	drains bool
 
 	specs     map[graph.JobID]*graph.Spec
 	cancelled map[graph.JobID]bool
 	// undelivered are the stored jobs that the owner doesn't know yet.
 	undelivered map[graph.JobID]bool
 	// checkpoints are those that runs of a task, or of its gang, have saved.
-	checkpoints         map[graph.TaskID]map[string]bool
-	durable             map[graph.JobID]Progress
-	recorded            map[WorkerID]bool
+	checkpoints map[graph.TaskID]map[string]bool
+	durable     map[graph.JobID]Progress
+	recorded    map[WorkerID]bool
+	// storeVersion counts the writes to the store. recordedAt holds the versions at which jobs were recorded, drainedAt those at which
+	// workers were recorded as draining.
+	storeVersion        uint64
+	recordedAt          map[graph.JobID]uint64
+	drainedAt           map[WorkerID]uint64
 	workers             map[WorkerID]*historyWorker
 	incarnations        int
 	ends                []*historyEnd
@@ -163,7 +172,9 @@
 	record      *historyRecord
 	newWorkers  map[WorkerID]bool
 	oldWorkers  map[WorkerID]bool
-	validUntil  monotime.Instant
+	// knownDraining are the draining workers that the owner knows of, newDraining those of which it has to record it.
+	knownDraining, newDraining map[WorkerID]bool
+	validUntil                 monotime.Instant
 }
 
 func (h *history) log(format string, args ...any) {
@@ -183,7 +194,7 @@
 	h := &history{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: monotime.Instant(time.Second), reportLimit: reportLimit, onePerWorker: onePerWorker, speculative: speculative,
 		specs: make(map[graph.JobID]*graph.Spec), cancelled: make(map[graph.JobID]bool), checkpoints: make(map[graph.TaskID]map[string]bool), durable: make(map[graph.JobID]Progress),
-		recorded: make(map[WorkerID]bool), workers: make(map[WorkerID]*historyWorker),
+		recorded: make(map[WorkerID]bool), workers: make(map[WorkerID]*historyWorker), recordedAt: make(map[graph.JobID]uint64), drainedAt: make(map[WorkerID]uint64),
 	}
 	for range 3 {
 		h.addWorker()
@@ -226,13 +237,19 @@
 	h.engine.SetNow(h.now)
 	h.workerViews = make(map[WorkerID]*historyWorkerView)
 	h.newWorkers, h.oldWorkers = make(map[WorkerID]bool), make(map[WorkerID]bool)
+	h.knownDraining, h.newDraining = make(map[WorkerID]bool), make(map[WorkerID]bool)
 	h.validUntil = h.now.Add(historyOwnershipTTL)
 	h.undelivered = make(map[graph.JobID]bool)
 	for _, id := range sortedKeys(h.specs) {
 		h.deliverJob(id, h.epoch > 1)
 	}
 	for _, id := range sortedKeys(h.recorded) {
-		h.engine.AwaitReport(id, "p")
+		if version, drained := h.drainedAt[id]; drained {
+			h.knownDraining[id] = true
+			h.engine.AwaitDrainingReport(id, "p", version)
+		} else {
+			h.engine.AwaitReport(id, "p")
+		}
 		h.addWorkerView(id, true)
 	}
 	for _, id := range sortedKeys(h.workers) {
@@ -247,7 +264,7 @@
 	if known, ok := h.durable[id]; ok {
 		p = &known
 	}
-	h.engine.AddJob(JobInput{ID: id, Queue: h.queue(), Spec: h.specs[id], ArrivedAt: h.now, Progress: p, Unconfirmed: unconfirmed})
+	h.engine.AddJob(JobInput{ID: id, Queue: h.queue(), Spec: h.specs[id], ArrivedAt: h.now, Progress: p, Unconfirmed: unconfirmed, RecordedAt: h.recordedAt[id]})
 	if h.cancelled[id] {
 		h.engine.Cancel(id)
 	}
@@ -266,7 +283,27 @@
 }
 
 func (h *history) putWorker(id WorkerID) {
-	h.engine.PutWorker(Worker{ID: id, Pool: "p", Capacity: h.workers[id].capacity})
+	h.engine.PutWorker(Worker{ID: id, Pool: "p", Capacity: h.workers[id].capacity, Draining: h.knownDraining[id]})
+}
+
+// drainWorker lets a worker begin to drain, in whose place another one comes.
+func (h *history) drainWorker() {
+	w := h.workers[sortedKeys(h.workers)[h.rnd.IntN(len(h.workers))]]
+	if !w.removed && !w.draining {
+		w.draining = true
+		h.log("%s drains", w.id)
+		h.addWorker()
+	}
+}
+
+// learnDrains lets the owner know of the draining workers that it uses.
+func (h *history) learnDrains() {
+	for _, id := range sortedKeys(h.workerViews) {
+		if h.workers[id].draining && !h.knownDraining[id] {
+			h.knownDraining[id], h.newDraining[id] = true, true
+			h.putWorker(id)
+		}
+	}
 }
 
 func (h *history) addJob() {
@@ -295,6 +332,8 @@
 		spec.Steps = append(spec.Steps, s)
 	}
 	h.specs[id] = spec
+	h.storeVersion++
+	h.recordedAt[id] = h.storeVersion
 	h.log("job %s: %+v", id, spec.Steps)
 	if h.chance(50) {
 		h.undelivered[id] = true
@@ -742,7 +781,8 @@
 	for id := range h.oldWorkers {
 		r.oldWorkers = append(r.oldWorkers, id)
 	}
-	h.newWorkers, h.oldWorkers = make(map[WorkerID]bool), make(map[WorkerID]bool)
+	r.draining = sortedKeys(h.newDraining)
+	h.newWorkers, h.oldWorkers, h.newDraining = make(map[WorkerID]bool), make(map[WorkerID]bool), make(map[WorkerID]bool)
 	if !h.engine.HasDirty() {
 		r.endSequences = h.engine.LastEndSequences()
 	}
@@ -752,6 +792,10 @@
 func (h *history) applyRecord() {
 	r := h.record
 	r.applied = true
+	h.storeVersion++
+	for _, id := range r.draining {
+		h.drainedAt[id] = h.storeVersion
+	}
 	for id, p := range r.progress {
 		h.durable[id] = p
 	}
@@ -777,6 +821,9 @@
 		for _, id := range r.oldWorkers {
 			h.oldWorkers[id] = true
 		}
+		for _, id := range r.draining {
+			h.newDraining[id] = true
+		}
 		return
 	}
 	h.validUntil = r.sent.Add(historyOwnershipTTL)
@@ -904,6 +951,11 @@
 	default:
 		h.injectFault()
 	}
+	if h.drains && h.chance(4) {
+		h.drainWorker()
+	} else if h.drains && h.chance(20) {
+		h.learnDrains()
+	}
 	h.plan()
 	if h.record == nil && !h.engine.HasDirty() {
 		h.confirmSequences(h.engine.LastEndSequences())
@@ -911,10 +963,13 @@
 }
 
 // runHistories simulates histories of 600 events, one for each seed from 1 to seeds.
-func runHistories(t *testing.T, seeds, reportLimit int, onePerWorker, speculative bool) (copies uint64) {
+func runHistories(t *testing.T, seeds, reportLimit int, onePerWorker, speculative bool, options ...func(*history)) (copies uint64) {
 	starts, takeovers := 0, 0
 	for seed := range uint64(seeds) {
 		h := newHistory(t, seed+1, reportLimit, onePerWorker, speculative)
+		for _, option := range options {
+			option(h)
+		}
 		h.log("seed %d", seed+1)
 		for range 600 {
 			h.step()
@@ -949,3 +1004,8 @@
 		}
 	}
 }
+
+// As above, with workers that drain: a job that was recorded after the drain does not await the worker's report.
+func TestHistoriesWithDrainingWorkersRunNoTaskTwice(t *testing.T) {
+	runHistories(t, 2000, 500, false, false, func(h *history) { h.drains = true })
+}
