--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -492,7 +492,7 @@
 // handleUnregistered keeps new runs from a worker that the registry no longer lists.
 func (c *controller) handleUnregistered(id dispatch.WorkerID) {
 	if c.pendingWorkerRows[id] != nil {
-		delete(c.pendingWorkerRows, id) // the worker is not in use yet
+		delete(c.pendingWorkerRows, id) // the worker is not in use yet, or was to be recorded as draining
 	}
 	wc := c.workerConns[id]
 	if wc == nil || wc.unregistered {
