--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -7,11 +7,11 @@
 
 // cases are the script cases by name.
 var cases = map[string]func(*cell){
-	"wide-job":     playWideJob,
-	"calendar-job": playCalendarJob,
-	"crashes":      playCrashes,
-	"reset-cut":    playResetCut,
-	"fillers":      playFillers,
+	"wide-job":      playWideJob,
+	"calendar-jobs": playCalendarJobs,
+	"crashes":       playCrashes,
+	"reset-cut":     playResetCut,
+	"fillers":       playFillers,
 }
 
 // Times of the cases with traffic.
@@ -37,17 +37,22 @@
 	c.judgeLost()
 }
 
-// playCalendarJob hands in one scheduled job with many occurrences. None is due while the case runs.
-func playCalendarJob(c *cell) {
+// calendarJobs is how many hourly jobs playCalendarJobs hands in.
+const calendarJobs = 160
+
+// playCalendarJobs hands in hourly jobs, each for a thousand times. None is due while the case runs.
+func playCalendarJobs(c *cell) {
 	c.start(3, 7)
-	calendar := &job{id: "000000000ca1e0da", body: jobBody{
-		Spec:  specOf(work{MS: 1000}),
-		Steps: []step{{Count: 1000, CPU: 100, MemMB: 32, EstimateMS: 1000}, {Count: 1000, CPU: 100, MemMB: 32, EstimateMS: 1000}},
-		Times: 1000, StartAtMS: time.Now().Add(time.Hour).UnixMilli(), IntervalMS: time.Hour.Milliseconds(),
-	}}
 	c.trafficWith(func() {
-		if !c.clients.submit(calendar) {
-			c.record.line("the calendar job was not accepted")
+		for n := range calendarJobs {
+			c.clients.submit(&job{id: fmt.Sprintf("%08x%08x", 0xca1e, n), body: jobBody{
+				Spec: specOf(work{MS: 600}),
+				Steps: []step{
+					{Count: 6, CPU: 6000, MemMB: 11000, EstimateMS: 600},
+					{Count: 6, CPU: 6000, MemMB: 11000, EstimateMS: 600, After: []int{0}},
+				},
+				Times: 1000, StartAtMS: time.Now().Add(time.Hour).UnixMilli(), IntervalMS: time.Hour.Milliseconds(),
+			}})
 		}
 	})
 	c.judgeLost()
