--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -123,6 +123,19 @@
 	return false
 }
 
+// cancel cancels a job and reports whether that was acknowledged.
+func (c *clients) cancel(j *job) bool {
+	for try := range attempts {
+		status, _, wait := c.send(http.MethodDelete, queuePrefix+j.id, nil)
+		c.record.line("DELETE %s try %d: %d", j.id, try+1, status)
+		if status == http.StatusGone || (status >= 200 && status < 300) {
+			return true
+		}
+		time.Sleep(max(wait, 200*time.Millisecond))
+	}
+	return false
+}
+
 // ask asks for a job's state until there is an answer or the time is over. It returns "" for none, and "gone" for 410.
 func (c *clients) ask(j *job, within time.Duration) string {
 	for begin := time.Now(); ; {
