--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -257,7 +257,7 @@
 	cancelTime = 3 * time.Second
 	stopGrace  = 400 * time.Millisecond
 	// cancelledTasks is the size of the job that is cancelled, calmCancelledTasks that without the trouble.
-	cancelledTasks     = 1000
+	cancelledTasks     = 2000
 	calmCancelledTasks = 100
 )
 
@@ -270,7 +270,7 @@
 	}
 	wide := &job{id: "00000000000b19ad", body: jobBody{
 		Spec:  specOf(work{MS: 100000}),
-		Steps: []step{{Count: count, CPU: 200, MemMB: 64, EstimateMS: 100000}},
+		Steps: []step{{Count: count, CPU: 100, MemMB: 64, EstimateMS: 100000}},
 	}}
 	c.record.quiet[wide.id] = true
 	lasting := &job{id: "00000000005e71ce", body: jobBody{
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -27,10 +27,9 @@
 	mu   sync.Mutex
 	file *os.File
 	out  *bufio.Writer
-	// running holds the runs by task, done the tasks with a run that ended as done, failed how many runs of a task ended as failed.
+	// running holds the runs by task, done the tasks with a run that ended as done.
 	running map[string][]runKey
 	done    map[string]bool
-	failed  map[string]int
 	// starts, ends and noted count starts, ends and the ends that were taken note of; notedInTime those of the last that were within
 	// ackTime.
 	starts, ends, noted, notedInTime int
@@ -47,7 +46,7 @@
 	}
 	return &record{
 		started: time.Now(), file: file, out: bufio.NewWriter(file), running: make(map[string][]runKey), done: make(map[string]bool),
-		failed: make(map[string]int), quiet: make(map[string]bool),
+		quiet: make(map[string]bool),
 	}
 }
 
@@ -90,11 +89,8 @@
 		r.write("end   %s run %d on %s: %s", task, number, runner, how)
 	}
 	r.running[task] = slices.DeleteFunc(r.running[task], func(k runKey) bool { return k == runKey{task, number, runner} })
-	switch how {
-	case "done":
+	if how == "done" {
 		r.done[task] = true
-	case "failed":
-		r.failed[task]++
 	}
 }
 
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -64,7 +64,7 @@
 	lasts     bool
 }
 
-// runnerLife is one life of a runner's process: what it runs ends with it.
+// runnerLife is the life of a runner's process: what it runs and what it has seen.
 type runnerLife struct {
 	id       string
 	started  time.Time
@@ -75,7 +75,6 @@
 	fence    uint64
 	sequence uint64
 	deadline time.Duration
-	dead     bool
 	wake     chan struct{}
 }
 
@@ -85,7 +84,7 @@
 	at       time.Time
 }
 
-// runner is a runner at one address. It has one life after the other.
+// runner is a runner at one address. No case ends its process.
 type runner struct {
 	name   string
 	rack   string
@@ -95,7 +94,6 @@
 
 	mu       sync.Mutex
 	life     *runnerLife
-	lives    int
 	server   *http.Server
 	listener net.Listener
 }
@@ -140,9 +138,8 @@
 
 func (r *runner) beginLife() {
 	r.mu.Lock()
-	r.lives++
 	r.life = &runnerLife{
-		id: fmt.Sprintf("i-%s-%d", r.name, r.lives), started: time.Now(), running: make(map[string]*activeRun),
+		id: "i-" + r.name, started: time.Now(), running: make(map[string]*activeRun),
 		highest: make(map[string]uint64), wake: make(chan struct{}),
 	}
 	life := r.life
@@ -160,12 +157,8 @@
 func (r *runner) beat() {
 	r.mu.Lock()
 	life := r.life
-	dead := life.dead
 	seq := int(time.Since(life.started) / heartbeat)
 	r.mu.Unlock()
-	if dead {
-		return
-	}
 	r.store.put("servers", life.id, map[string]any{
 		"service": pool, "address": r.addr, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq": seq,
 		"capacity": map[string]int{"cpu": runnerCPU, "mem_mb": runnerMemMB, "gpu": 0}, "labels": []string{"a", r.rack}, "machine": "m-" + r.name,
@@ -181,10 +174,6 @@
 func (r *runner) watchLease(life *runnerLife) {
 	for range time.Tick(expiredCheck) {
 		r.mu.Lock()
-		if life.dead {
-			r.mu.Unlock()
-			return
-		}
 		var lapsed []*activeRun
 		if life.clock() > life.deadline {
 			for _, run := range life.running {
@@ -259,7 +248,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if life.dead || time.Duration(b.DeadlineMS)*time.Millisecond <= life.clock() {
+	if time.Duration(b.DeadlineMS)*time.Millisecond <= life.clock() {
 		return "late"
 	}
 	if present := life.running[b.Task]; present != nil && present.number == b.Run {
