A refused connection no longer ends a worker's runs

Cause: two hold calls in a row that end with ECONNREFUSED counted as proof that the worker's process has ended (refusalsUntilEnded). Evidence: the log line `worker process ended`, `why` "no process listens at its address", with 4.2 s to 5 s of the lease left, then `run lost` for each run. Ruled out: a lease that is measured wrongly; nothing waited for it.

Change: only another incarnation at the address, a later start of the process in a report or in the registry, or the end of the lease ends a run. ErrNotListening is gone. A refused connection still shows that a start was not sent, which is certain.

--- a/internal/owner/contracts.go
+++ b/internal/owner/contracts.go
@@ -20,8 +20,6 @@
 	ErrSuperseded = errors.New("worker: epoch superseded")
 	// ErrOtherIncarnation means that another incarnation of the worker answers at the address: the one called has ended.
 	ErrOtherIncarnation = errors.New("worker: another incarnation answers at its address")
-	// ErrNotListening means that no process listens at the worker's address; the call did nothing.
-	ErrNotListening = errors.New("worker: no process listens at its address")
 	// ErrNoAnswer means that no answer came; the call may have been carried out, or may yet be.
 	ErrNoAnswer = errors.New("worker: no answer to the call")
 )
@@ -53,7 +51,7 @@
 	Start(ctx context.Context, w dispatch.Worker, call StartCall) (dispatch.StartOutcome, error)
 	// Stop ends a run, or keeps it from ever starting. Errors: ErrSuperseded, ErrOtherIncarnation, ErrNoAnswer.
 	Stop(ctx context.Context, w dispatch.Worker, key dispatch.RunKey, epoch uint64) error
-	// Hold returns the worker's report and its clock. Errors: ErrSuperseded, ErrOtherIncarnation, ErrNotListening, ErrNoAnswer.
+	// Hold returns the worker's report and its clock. Errors: ErrSuperseded, ErrOtherIncarnation, ErrNoAnswer.
 	Hold(ctx context.Context, w dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error)
 }
 
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -52,10 +52,6 @@
 	listing dispatch.Worker
 	// unresponsive means that the last hold call failed.
 	unresponsive bool
-	// mayHaveRuns means that the worker's process has answered, or that an earlier owner may have used it.
-	mayHaveRuns bool
-	// refusals counts the hold calls in a row that found no process listening.
-	refusals int
 	// replaced means that the worker's process has ended and another connection has taken this one's place.
 	replaced atomic.Bool
 	// processStart is that of the first report; only the hold loop uses it. reportedStart is the same for the control loop; aliveAt is
@@ -89,7 +85,7 @@
 		return
 	}
 	wc := &workerConn{
-		controller: c, worker: w, listing: w, mayHaveRuns: usedBefore, recordedAdvanced: make(chan struct{}, 1),
+		controller: c, worker: w, listing: w, recordedAdvanced: make(chan struct{}, 1),
 		fencingToken: c.nextFencingToken(w.ID), recordedDraining: w.Draining,
 	}
 	c.workerConns[w.ID] = wc
@@ -278,7 +274,7 @@
 	if c.workerConns[wc.worker.ID] != wc {
 		return
 	}
-	wc.mayHaveRuns, wc.refusals, wc.aliveAt = true, 0, sentAt
+	wc.aliveAt = sentAt
 	if wc.reportedStart != report.ProcessStart {
 		wc.reportedStart = report.ProcessStart
 		c.putListing(wc)
@@ -317,25 +313,14 @@
 		c.Log.Warn().Str("worker", string(wc.worker.ID)).Err(err).Msg("worker does not answer")
 	}
 	c.engine.SetReachable(wc.worker.ID, false)
-	switch {
-	case errors.Is(err, ErrOtherIncarnation):
+	if errors.Is(err, ErrOtherIncarnation) {
 		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), "another incarnation answers at its address")
-	case !errors.Is(err, ErrNotListening):
-		wc.refusals = 0
-	default:
-		wc.refusals++
-		if wc.refusals >= refusalsUntilEnded && wc.mayHaveRuns {
-			c.replaceWorkerConn(wc, c.now(), "no process listens at its address")
-		}
 	}
 }
 
-// refusalsUntilEnded is how many hold calls in a row must find no process listening until the worker's process counts as ended. One
-// may hit the moment in which a worker opens its port.
-const refusalsUntilEnded = 2
-
-// replaceWorkerConn gives up the runs of a worker whose process, last known to live at aliveAt, has ended, and connects anew: the worker
-// may start again under its id. A worker listens as long as its process lives, and its runs end with the process.
+// replaceWorkerConn gives up the runs of a worker whose process, last known to live at aliveAt, has certainly ended, and connects anew: its
+// next process runs under its id. Only a later start of the process proves that. Connections that are refused or reset don't: a firewall
+// refuses them too, while the worker runs on.
 func (c *controller) replaceWorkerConn(wc *workerConn, aliveAt monotime.Instant, why string) {
 	id := wc.worker.ID
 	if c.workerConns[id] != wc {
