The progress of a wide job no longer stops the cell

Cause: the job's progress was one row of 85 to 112 KB. The store refuses it (413), the refusal passed for an unavailable store, and the batch, with the progress of all other jobs and the renewal of the ownership, was sent again every 0.1 s. Evidence: `commit failed, trying again` with `status 413`. Ruled out: the size of the batch as a whole, a slow link.

Change: progress that exceeds a row is split. The progress row keeps the state and the tasks that are done; detail rows, each for up to 256 tasks, hold failed runs, crashes and checkpoints, and only those that changed are written. A transaction that the store never takes is told apart (ErrRejected): the batch is halved until the row is known, which then fails its job alone. Ends are acknowledged once the progress that waited at that time is recorded, not only when nothing is left. A submitted job whose record exceeds a row gets 400 instead of 503 again and again. The memory store keeps the store's limits.

The packages' tests pass.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -30,8 +30,8 @@
 	active map[*step]struct{}
 	// scheduled holds the steps that wait only for their time of day.
 	scheduled map[*step]struct{}
-	// dirty holds the jobs whose progress has to be recorded.
-	dirty map[*job]struct{}
+	// dirty holds the jobs whose progress has to be recorded, in the order in which they became so.
+	dirty []*job
 	// orders are those that the next Plan returns.
 	orders []Order
 	// awaitedReports holds the workers that may run tasks of earlier owners and have not reported yet.
@@ -105,7 +105,6 @@
 		workers:         make(map[WorkerID]*worker),
 		active:          make(map[*step]struct{}),
 		scheduled:       make(map[*step]struct{}),
-		dirty:           make(map[*job]struct{}),
 		awaitedReports:  make(map[WorkerID]awaitedReport),
 		unansweredStops: make(map[*run]struct{}),
 		unconfirmedEnds: make(map[WorkerID]uint64),
@@ -364,11 +363,11 @@
 
 // markDirty notes that the job's progress has to be recorded. The record of an ended job holds its state only, and is final.
 func (e *Engine) markDirty(j *job) {
-	if j.endTaken {
+	if j.endTaken || j.dirty {
 		return
 	}
 	j.dirty = true
-	e.dirty[j] = struct{}{}
+	e.dirty = append(e.dirty, j)
 }
 
 // Forget removes a job that has ended and reports whether the engine no longer knows it. A job stays while progress has to be
@@ -388,20 +387,38 @@
 	return true
 }
 
-// TakeDirty returns the progress of up to limit jobs that has to be recorded. These jobs are no longer dirty.
+// TakeDirty returns the progress that has to be recorded of the jobs that wait for it longest, as much as takes about limit rows but at
+// least one job's if limit is positive. These jobs are no longer dirty.
 func (e *Engine) TakeDirty(limit int) map[graph.JobID]Progress {
-	changed := make(map[graph.JobID]Progress, min(limit, len(e.dirty)))
-	for j := range e.dirty {
-		if len(changed) == limit {
-			break
-		}
-		delete(e.dirty, j)
+	changed := make(map[graph.JobID]Progress, min(max(0, limit), len(e.dirty)))
+	for rows := 0; len(e.dirty) > 0 && rows < limit; {
+		j := e.dirty[0]
+		e.dirty[0] = nil
+		e.dirty = e.dirty[1:]
+		rows += j.progressRows()
 		j.dirty, j.endTaken = false, j.state.Ended()
 		changed[j.id] = j.progress()
 	}
 	return changed
 }
 
+// DirtyJobs returns the jobs whose progress has to be recorded.
+func (e *Engine) DirtyJobs() []graph.JobID {
+	ids := make([]graph.JobID, len(e.dirty))
+	for i, j := range e.dirty {
+		ids[i] = j.id
+	}
+	return ids
+}
+
+// Fail ends a job as failed. reason is for operators.
+func (e *Engine) Fail(id graph.JobID, reason string) {
+	if j := e.jobs[id]; j != nil && !j.state.Ended() {
+		j.failure = reason
+		e.endJob(j, graph.Failed, reason)
+	}
+}
+
 // HasDirty reports whether the progress of any job has to be recorded.
 func (e *Engine) HasDirty() bool { return len(e.dirty) > 0 }
 
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -40,6 +40,20 @@
 	Sole   bool   `json:"s,omitempty"`
 }
 
+// tasksPerRow is how many tasks' progress takes about a row of the ledger.
+const tasksPerRow = 256
+
+// progressRows returns about how many rows the job's progress takes.
+func (j *job) progressRows() int {
+	rows := 1
+	if !j.state.Ended() {
+		for _, s := range j.spec.Steps {
+			rows += s.Count / tasksPerRow
+		}
+	}
+	return rows
+}
+
 // progress returns the job's progress to record.
 func (j *job) progress() Progress {
 	p := Progress{State: j.state, Started: j.started}
--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -227,3 +227,17 @@
 		}
 	})
 }
+
+// Guards against a caller that waits and tries again for ever: a job whose record exceeds a row of the store can never be accepted.
+func TestJobWhoseRecordExceedsARowIsRefused(t *testing.T) {
+	runKeyTest(t, func(ctx context.Context, t *testing.T, k *keyTest) {
+		spec := &graph.Spec{}
+		for range graph.MaxSteps {
+			spec.Steps = append(spec.Steps, graph.Step{Count: 1, Label: strings.Repeat("x", 2000)})
+		}
+		answer := k.Submit(ctx, Request{Path: testJob, Key: access.NewKey("k1")}, func() (*graph.Spec, error) { return spec, nil })
+		if answer.Result != Invalid {
+			t.Errorf("%s, want invalid", answer.Result)
+		}
+	})
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -276,6 +277,9 @@
 	if err != nil {
 		return Answer{Result: Invalid, Detail: err.Error()}
 	}
+	if most := s.Replica.MaxRowBytes(); len(data) > most {
+		return Answer{Result: Invalid, Detail: fmt.Sprintf("the job's record takes %d bytes, want at most %d", len(data), most)}
+	}
 	return s.storeOrRelay(ctx, req,
 		func(ctx context.Context) error { return s.Replica.Accept(ctx, id, record) },
 		&wire.IntakeRequest{Command: commandAccept, Job: string(id), Record: data}, timesOf(&record))
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -57,6 +57,8 @@
 	MaxConfigDelay time.Duration
 	// StopGrace is the time from the request to stop the daemon until its process is killed.
 	StopGrace time.Duration
+	// MaxRowBytes bounds the value of a row in the store; 0 for rowstore.MaxRowBytes.
+	MaxRowBytes int
 	// Retention is how long the state of an ended job can be queried.
 	Retention time.Duration
 	// BalancerDelay is how long the balancer may still send connections after the daemon stops being ready.
@@ -121,6 +123,9 @@
 	settings.PeerAddr = server.Addr()
 	incarnation := uuid.NewString()
 	replica := ledger.NewReplica(store, clock, logger, ledger.DaemonInfo{Incarnation: incarnation, Cores: settings.Cores, Weak: settings.Cores < owner.RecommendedOwnerCores})
+	if settings.MaxRowBytes > 0 {
+		replica.SetMaxRowBytes(settings.MaxRowBytes)
+	}
 	d := &Daemon{Settings: settings, backends: backends, log: logger, set: set, clock: clock, server: server}
 	var backlog func() (*overload.Summary, bool)
 	if settings.RefuseOverload {
--- a/internal/graphproto/rows.go
+++ b/internal/graphproto/rows.go
@@ -23,6 +23,7 @@
 const (
 	errorConflict    = "conflict"
 	errorUnavailable = "unavailable"
+	errorRejected    = "rejected"
 	errorUncertain   = "uncertain"
 	errorHistoryLost = "history_lost"
 )
@@ -30,6 +31,7 @@
 var rowErrors = map[string]error{
 	errorConflict:    rowstore.ErrConflict,
 	errorUnavailable: rowstore.ErrUnavailable,
+	errorRejected:    rowstore.ErrRejected,
 	errorUncertain:   rowstore.ErrUncertain,
 	errorHistoryLost: rowstore.ErrHistoryLost,
 }
@@ -53,6 +55,9 @@
 // errorName returns the name of a store's error in answers; "" if err is nil. An unknown error may have come after the
 // transaction took effect and therefore counts as uncertain.
 func errorName(err error) string {
+	if errors.Is(err, rowstore.ErrRejected) {
+		return errorRejected // it is an ErrUnavailable as well
+	}
 	for name, known := range rowErrors {
 		if errors.Is(err, known) {
 			return name
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -27,7 +27,7 @@
 	slowReadTime = 100 * time.Millisecond
 )
 
-// Batch is the changes that an owner commits in one transaction.
+// Batch is the changes that an owner commits together.
 type Batch struct {
 	Progress       map[graph.JobID]dispatch.Progress
 	Workers        []dispatch.Worker
@@ -36,7 +36,7 @@
 	RemovedJobs []graph.JobID
 }
 
-// RowCount returns the number of rows that the batch writes.
+// RowCount returns the number of rows that the batch writes, without detail rows.
 func (b *Batch) RowCount() int {
 	return len(b.Progress) + len(b.Workers) + len(b.RemovedWorkers) + len(b.RemovedJobs)
 }
@@ -48,6 +48,10 @@
 	version uint64
 	// sentAt is when the last commit was sent. Other daemons can't have seen the ownership row change before that.
 	sentAt monotime.Instant
+	// rewrite holds the jobs whose detail rows may differ from those that the replica has, since a commit of them failed.
+	rewrite map[graph.JobID]struct{}
+	// onRenewal is called with the time of sending of each transaction that was applied; nil for none.
+	onRenewal func(sentAt monotime.Instant)
 	// standbys is the number that the next commit writes to the ownership row.
 	standbys atomic.Int64
 }
@@ -67,7 +71,7 @@
 // Errors: ErrNotOwner if another daemon was faster, ErrUnavailable, ErrUncertain.
 func (r *Replica) Acquire(ctx context.Context, view OwnerView, self OwnerRecord) (*Ownership, error) {
 	self.Epoch = nextEpoch(view.Epoch)
-	t := &Ownership{replica: r, owner: self, version: view.Version}
+	t := &Ownership{replica: r, owner: self, version: view.Version, rewrite: make(map[graph.JobID]struct{})}
 	t.standbys.Store(int64(self.Standbys))
 	err := t.Commit(ctx, Batch{})
 	for tries := 1; errors.Is(err, rowstore.ErrUncertain) && tries < maxAcquireAttempts; tries++ {
@@ -99,13 +103,39 @@
 // this daemon the owner. Errors: ErrUnavailable.
 func (t *Ownership) CatchUp(ctx context.Context) error { return t.replica.CatchUp(ctx, t.version) }
 
-// Commit writes a batch and renews the ownership. After ErrUncertain the batch must be committed again.
-// Errors: ErrNotOwner, ErrUnavailable, ErrUncertain.
+// OnRenewal sets the function that is called with the time of sending of each transaction that has renewed the ownership.
+func (t *Ownership) OnRenewal(f func(sentAt monotime.Instant)) { t.onRenewal = f }
+
+// Commit writes a batch and renews the ownership, in as many transactions as the batch needs. After an error other than ErrNotOwner the
+// batch must be committed again; some of it may have been written.
+// Errors: ErrNotOwner, ErrUnavailable, ErrRejected, ErrUncertain.
 func (t *Ownership) Commit(ctx context.Context, b Batch) error {
+	changes := t.changes(b)
+	for {
+		if err := t.commitNext(ctx, changes); err != nil {
+			for id := range b.Progress {
+				t.rewrite[id] = struct{}{}
+			}
+			return err
+		}
+		if changes.empty() {
+			break
+		}
+	}
+	for id := range b.Progress {
+		delete(t.rewrite, id)
+	}
+	return nil
+}
+
+// commitNext renews the ownership and writes what of the changes fits into one transaction.
+func (t *Ownership) commitNext(ctx context.Context, changes *rowChanges) error {
 	t.sentAt = t.replica.clock.Now()
 	t.owner.Renewals++
 	t.owner.Standbys = int(t.standbys.Load())
-	tx := t.transaction(b)
+	tx := rowstore.Tx{Expect: []rowstore.Condition{{Key: ownerKey(), Version: t.version}}}
+	tx.Put = append(tx.Put, rowstore.Row{Key: ownerKey(), Value: encode(t.owner)})
+	changes.take(&tx)
 	version, current, err := t.applyOrReadBack(ctx, tx)
 	if errors.Is(err, rowstore.ErrConflict) {
 		return t.resolveConflict(current)
@@ -121,6 +151,9 @@
 	for _, key := range tx.Delete {
 		t.replica.apply(rowstore.Change{Row: rowstore.Row{Key: key, Version: version}, Removed: true})
 	}
+	if t.onRenewal != nil {
+		t.onRenewal(t.sentAt)
+	}
 	return nil
 }
 
@@ -177,22 +210,26 @@
 	return decodeOwner(row.Value, &owner) && owner.Incarnation == t.owner.Incarnation && owner.Epoch == t.owner.Epoch && owner.Renewals == t.owner.Renewals
 }
 
-func (t *Ownership) transaction(b Batch) rowstore.Tx {
-	tx := rowstore.Tx{Expect: []rowstore.Condition{{Key: ownerKey(), Version: t.version}}}
-	tx.Put = append(tx.Put, rowstore.Row{Key: ownerKey(), Value: encode(t.owner)})
-	for id, p := range b.Progress {
-		tx.Put = append(tx.Put, rowstore.Row{Key: progressKey(id), Value: encode(p)})
-	}
+// changes returns the rows that the batch writes and removes.
+func (t *Ownership) changes(b Batch) *rowChanges {
+	changes := &rowChanges{}
 	for _, w := range b.Workers {
-		tx.Put = append(tx.Put, rowstore.Row{Key: workerKey(w.ID), Value: encode(WorkerRecord{w})})
+		changes.put(workerKey(w.ID), encode(WorkerRecord{w}))
+	}
+	for id, p := range b.Progress {
+		_, rewrite := t.rewrite[id]
+		t.replica.progressChanges(id, p, rewrite, changes)
 	}
 	for _, id := range b.RemovedWorkers {
-		tx.Delete = append(tx.Delete, workerKey(id))
+		changes.delete(workerKey(id))
 	}
 	for _, id := range b.RemovedJobs {
-		tx.Delete = append(tx.Delete, progressKey(id))
+		changes.delete(progressKey(id))
+		for name := range t.replica.details(id) {
+			changes.delete(detailKey(name))
+		}
 	}
-	return tx
+	return changes
 }
 
 // resolveConflict returns ErrUncertain if an earlier commit of this ownership was applied although its answer was lost, and
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -24,6 +24,7 @@
 	jobPrefix      = "job/"
 	cancelPrefix   = "cancel/"
 	progressPrefix = "progress/"
+	detailPrefix   = "detail/"
 	workerPrefix   = "worker/"
 	ownerRowName   = "owner"
 
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -6,6 +6,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,9 @@
 	Cancelled bool
 	Progress  *dispatch.Progress
 
+	// details are the rows with details of the job's tasks, by name. A change replaces the map.
+	details map[string]detailRow
+
 	hasRecord       bool
 	recordVersion   uint64
 	progressVersion uint64
@@ -97,6 +101,8 @@
 	dropMu sync.Mutex
 	// following means that the replica has a copy of the ledger or is loading one.
 	following atomic.Bool
+	// maxRowBytes bounds the value of a row in the store.
+	maxRowBytes int
 	// daemonCount is how many daemons follow the store; 0 while that is not known.
 	daemonCount atomic.Int64
 
@@ -126,6 +132,7 @@
 		workers:        make(map[dispatch.WorkerID]RecordedWorker),
 		ownerChangedAt: clock.Now(),
 		onJobChange:    func(graph.JobID) {},
+		maxRowBytes:    rowstore.MaxRowBytes,
 	}
 	parts := make([]string, intakeParts)
 	for n := range parts {
@@ -162,6 +169,12 @@
 // SetDaemonCount sets how many daemons follow the store.
 func (r *Replica) SetDaemonCount(n int) { r.daemonCount.Store(int64(n)) }
 
+// SetMaxRowBytes sets the bound on the value of a row in the store. It is called before Run.
+func (r *Replica) SetMaxRowBytes(n int) { r.maxRowBytes = n }
+
+// MaxRowBytes returns the bound on the value of a row in the store.
+func (r *Replica) MaxRowBytes() int { return r.maxRowBytes }
+
 // OnJobChange sets the function that is called for each job that is new or newly cancelled. The function must not block.
 func (r *Replica) OnJobChange(f func(graph.JobID)) {
 	r.mu.Lock()
@@ -317,6 +330,11 @@
 		}
 	case progressTable:
 		for id, j := range r.jobs {
+			for name, d := range j.details {
+				if removed(name, d.version) {
+					r.applyDetail(strings.TrimPrefix(name, detailPrefix), rowstore.Change{Row: rowstore.Row{Key: detailKey(name), Version: u.Version}, Removed: true})
+				}
+			}
 			if j.Progress != nil && removed(progressPrefix+string(id), j.progressVersion) {
 				r.dropProgress(id)
 			}
@@ -356,6 +374,10 @@
 	if id, ok := jobIDFromRowName(change.Name, progressPrefix); ok && change.Table == progressTable {
 		return "", r.applyProgress(id, change)
 	}
+	if name, ok := strings.CutPrefix(change.Name, detailPrefix); ok && change.Table == progressTable {
+		r.applyDetail(name, change)
+		return "", nil
+	}
 	if id, ok := jobIDFromRowName(change.Name, workerPrefix); ok && change.Table == progressTable {
 		return "", r.applyWorker(dispatch.WorkerID(id), change)
 	}
@@ -507,13 +529,15 @@
 	return out
 }
 
-// OrphanedProgress returns the ended jobs of which only the progress is left, because their records have been removed.
+// OrphanedProgress returns the ended jobs of which only the progress is left, because their records have been removed, and those of which
+// only detail rows are.
 func (r *Replica) OrphanedProgress() []graph.JobID {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	var out []graph.JobID
 	for id, j := range r.jobs {
-		if !j.hasRecord && j.Progress != nil && j.Progress.State.Ended() {
+		ended := j.Progress != nil && j.Progress.State.Ended()
+		if !j.hasRecord && (ended || (j.Progress == nil && len(j.details) > 0)) {
 			out = append(out, id)
 		}
 	}
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/rowstore"
 )
 
 // Timing and size of commits.
@@ -34,8 +36,11 @@
 	batch := c.takeBatch()
 	// If the batch leaves no progress for a later commit, it covers all ends that the workers have reported.
 	recordedEnds := map[dispatch.WorkerID]uint64(nil)
-	if !c.engine.HasDirty() {
+	switch {
+	case !c.engine.HasDirty():
 		recordedEnds = c.engine.LastEndSequences()
+	case c.endsBarrier == nil:
+		c.endsBarrier = newEndsBarrier(c.engine, batch)
 	}
 	c.committing = true
 	sentAt := now
@@ -45,12 +50,52 @@
 	}()
 }
 
-// takeBatch takes up to maxCommitRows of the changes that wait for a commit.
+// endsBarrier are ends that are recorded once the progress of all jobs that waited for a commit at that time is. Without it workers could
+// not forget any end as long as each commit leaves some progress.
+type endsBarrier struct {
+	// sequences are those of the last end of each worker that the progress covers.
+	sequences map[dispatch.WorkerID]uint64
+	waiting   map[graph.JobID]struct{}
+}
+
+// newEndsBarrier returns a barrier for the jobs in the batch and those that are left for later ones.
+func newEndsBarrier(engine *dispatch.Engine, batch ledger.Batch) *endsBarrier {
+	b := &endsBarrier{sequences: engine.LastEndSequences(), waiting: make(map[graph.JobID]struct{})}
+	for id := range batch.Progress {
+		b.waiting[id] = struct{}{}
+	}
+	for _, id := range engine.DirtyJobs() {
+		b.waiting[id] = struct{}{}
+	}
+	return b
+}
+
+// noteRecorded notes a batch that has been committed, and confirms the barrier's ends if no job is left. recordedEnds covers all ends
+// if it is set.
+func (c *controller) noteRecorded(batch ledger.Batch, recordedEnds map[dispatch.WorkerID]uint64) {
+	b := c.endsBarrier
+	switch {
+	case b == nil:
+	case recordedEnds != nil:
+		c.endsBarrier = nil
+	default:
+		for id := range batch.Progress {
+			delete(b.waiting, id)
+		}
+		if len(b.waiting) == 0 {
+			recordedEnds, c.endsBarrier = b.sequences, nil
+		}
+	}
+	c.setRecorded(recordedEnds)
+}
+
+// takeBatch takes up to maxBatchRows of the changes that wait for a commit.
 func (c *controller) takeBatch() ledger.Batch {
 	batch := ledger.Batch{}
+	limit := c.maxBatchRows
 	// Workers come first, since progress alone may fill one commit after the other.
 	for id, w := range c.pendingWorkerRows {
-		if batch.RowCount() >= maxCommitRows/2 {
+		if batch.RowCount() >= (limit+1)/2 {
 			break
 		}
 		if w != nil {
@@ -60,9 +105,9 @@
 		}
 		delete(c.pendingWorkerRows, id)
 	}
-	batch.Progress = c.engine.TakeDirty(maxCommitRows - batch.RowCount())
+	batch.Progress = c.engine.TakeDirty(limit - batch.RowCount())
 	for id := range c.removableProgress {
-		if batch.RowCount() >= maxCommitRows {
+		if batch.RowCount() >= limit {
 			break
 		}
 		batch.RemovedJobs = append(batch.RemovedJobs, id)
@@ -89,9 +134,8 @@
 	c.lastRenewalAt, c.commitTime = sentAt, now.Sub(sentAt)
 	c.nextCommitAt = sentAt.Add(commitDelay)
 	c.renewalDueAt = sentAt.Add(renewInterval)
-	if !c.ownershipLost {
-		c.validUntil.Store(int64(sentAt.Add(ownershipValidity)))
-	}
+	c.extendValidity(sentAt)
+	c.maxBatchRows = min(maxCommitRows, 2*c.maxBatchRows)
 	for _, w := range batch.Workers {
 		c.startUsingWorker(w)
 	}
@@ -101,7 +145,7 @@
 			c.scheduleRemoval(id, true)
 		}
 	}
-	c.setRecorded(recordedEnds)
+	c.noteRecorded(batch, recordedEnds)
 }
 
 // startUsingWorker starts to use a worker whose row has been committed, with its current entry in the registry: it may have begun
@@ -127,6 +171,13 @@
 		return
 	}
 	c.Log.Warn().Uint64("epoch", c.ownership.Epoch()).Int("rows", batch.RowCount()).Err(err).Msg("commit failed, trying again")
+	if errors.Is(err, rowstore.ErrRejected) {
+		if batch.RowCount() == 1 {
+			c.dropRejected(batch)
+			return
+		}
+		c.maxBatchRows = max(1, min(c.maxBatchRows, batch.RowCount())/2)
+	}
 	for id := range batch.Progress {
 		c.engine.MarkDirty(id)
 	}
@@ -141,6 +192,19 @@
 	}
 }
 
+// dropRejected drops the only change of a batch, which the store never accepts: repeated, it would keep all others from being recorded. A
+// job whose progress can't be recorded fails.
+func (c *controller) dropRejected(batch ledger.Batch) {
+	for id := range batch.Progress {
+		c.Log.Error().Str("job", string(id)).Msg("the store rejects the job's progress, the job fails")
+		c.engine.MarkDirty(id)
+		c.engine.Fail(id, "the store rejects the job's progress")
+	}
+	for _, w := range batch.Workers {
+		c.Log.Error().Str("worker", string(w.ID)).Msg("the store rejects the worker's row, the worker is not used")
+	}
+}
+
 // requeueWorkerRow queues a worker's row again that was not committed, unless a newer change of it is queued.
 func (c *controller) requeueWorkerRow(id dispatch.WorkerID, w *dispatch.Worker) {
 	if _, newer := c.pendingWorkerRows[id]; !newer {
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -59,6 +59,10 @@
 	registered map[dispatch.WorkerID]dispatch.Worker
 	// pendingWorkerRows are the changes of workers' rows that wait for a commit: the worker to put, or nil to remove its row.
 	pendingWorkerRows map[dispatch.WorkerID]*dispatch.Worker
+	// endsBarrier is set while progress is left after each commit.
+	endsBarrier *endsBarrier
+	// maxBatchRows bounds the rows of the next commit. It is below maxCommitRows after the store has rejected one.
+	maxBatchRows int
 	// restartedDuringCommit holds the workers whose process ended while the current commit was under way. The sequences that the
 	// commit records are those of the ended process.
 	restartedDuringCommit map[dispatch.WorkerID]struct{}
@@ -113,11 +117,13 @@
 		earlierOrdersUntil:    earlierOrdersUntil,
 		lastRenewalAt:         ownership.CommitSentAt(),
 		restartedDuringCommit: make(map[dispatch.WorkerID]struct{}),
+		maxBatchRows:          maxCommitRows,
 	}
 	if c.Organisations != nil {
 		c.engine.AwaitOrganisations()
 	}
 	c.validUntil.Store(int64(ownership.CommitSentAt().Add(ownershipValidity)))
+	ownership.OnRenewal(c.extendValidity)
 	c.engine.SetRemoteFactor(d.RemoteFactor)
 	if d.MaxCrashes > 0 {
 		c.engine.SetMaxCrashes(d.MaxCrashes)
@@ -130,6 +136,21 @@
 // ownershipValid reports whether this daemon may still give orders: no other daemon can own the cell yet.
 func (c *controller) ownershipValid() bool { return int64(c.now()) < c.validUntil.Load() }
 
+// extendValidity extends the time up to which orders may be given after a renewal that was sent at the given time, unless the ownership
+// is lost. It is safe for concurrent use.
+func (c *controller) extendValidity(sentAt monotime.Instant) {
+	until := int64(sentAt.Add(ownershipValidity))
+	for {
+		current := c.validUntil.Load()
+		if current == ownershipEnded || current >= until || c.validUntil.CompareAndSwap(current, until) {
+			return
+		}
+	}
+}
+
+// ownershipEnded is the value of validUntil once the ownership is lost.
+const ownershipEnded = 0
+
 // post queues an event for the control loop. It blocks while the queue is full, unless the ownership has ended.
 func (c *controller) post(f func()) {
 	select {
@@ -195,8 +216,12 @@
 		queue = current
 		queue.Pool = j.Queue.Pool // earlier owners ran the job in this pool, and the reports of its workers are awaited
 	}
+	progress, err := j.FullProgress()
+	if err != nil {
+		c.Log.Error().Str("job", string(id)).Err(err).Msg("details of a job's progress could not be decoded, skipped")
+	}
 	age := max(0, time.Duration(time.Now().UnixMilli()-j.AcceptedMS)*time.Millisecond)
-	c.engine.AddJob(dispatch.JobInput{ID: id, Queue: queue, Organisation: j.Organisation, Spec: j.Spec, ArrivedAt: c.now().Add(-age), Progress: j.Progress, Unconfirmed: unconfirmed, RecordedAt: j.RecordedAt()})
+	c.engine.AddJob(dispatch.JobInput{ID: id, Queue: queue, Organisation: j.Organisation, Spec: j.Spec, ArrivedAt: c.now().Add(-age), Progress: progress, Unconfirmed: unconfirmed, RecordedAt: j.RecordedAt()})
 	if j.Cancelled {
 		c.engine.Cancel(id)
 	}
@@ -375,7 +400,7 @@
 		return
 	}
 	c.ownershipLost = true
-	c.validUntil.Store(0)
+	c.validUntil.Store(ownershipEnded)
 	c.Log.Warn().Uint64("epoch", c.ownership.Epoch()).Str("why", why).Msg("ownership lost")
 	c.cancel()
 }
--- /dev/null
+++ b/internal/owner/rejected_commit_test.go
@@ -0,0 +1,105 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/rowstore"
+)
+
+// rejectingStore rejects transactions that write a row of the job, unless it says that the job has failed.
+type rejectingStore struct {
+	*rowstore.MemoryStore
+	job string
+}
+
+func (s *rejectingStore) Apply(ctx context.Context, tx rowstore.Tx) (uint64, []rowstore.Row, error) {
+	for _, row := range tx.Put {
+		if strings.HasSuffix(row.Name, "/"+s.job) && !strings.Contains(string(row.Value), `"failed"`) {
+			return 0, nil, rowstore.ErrRejected
+		}
+	}
+	return s.MemoryStore.Apply(ctx, tx)
+}
+
+// progressRows returns the recorded progress of all jobs.
+func progressRows(t *testing.T, store rowstore.Store) map[string]string {
+	t.Helper()
+	rows, _, _, err := store.Range(t.Context(), "laburnumpoint-progress", "", "progress/", "progress0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := make(map[string]string)
+	for _, row := range rows {
+		out[strings.TrimPrefix(row.Name, "progress/")] = string(row.Value)
+	}
+	return out
+}
+
+// Guards against a cell that stops: one row that the store rejects kept the progress of all other jobs and the renewal of the ownership
+// from being written, again and again.
+func TestRejectedRowDoesNotHoldBackOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		const jobs = 50
+		store := &rejectingStore{rowstore.NewMemoryStore(), "17"}
+		c, awaitCommit := newCommitController(ctx, t, store)
+		for n := range jobs {
+			addOneTask(c, graph.JobID(fmt.Sprint(n)))
+			c.engine.MarkDirty(graph.JobID(fmt.Sprint(n)))
+		}
+		for range 20 {
+			time.Sleep(commitRetryDelay)
+			c.commitChanges()
+			awaitCommit()
+		}
+		recorded := progressRows(t, store)
+		if len(recorded) != jobs {
+			t.Errorf("the progress of %d of %d jobs is recorded", len(recorded), jobs)
+		}
+		if state, _ := c.engine.JobState("17"); state != graph.Failed {
+			t.Errorf("the job whose progress can't be recorded is %s, want failed", state)
+		}
+	})
+}
+
+// Guards against workers that can't forget ends, and so list only the first of them: in a busy cell each commit left some progress for the
+// next one.
+func TestEndsAreConfirmedWhileProgressIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c, awaitCommit := newCommitController(ctx, t, &failingStore{MemoryStore: rowstore.NewMemoryStore()})
+		for n := range 2 * maxCommitRows {
+			addOneTask(c, graph.JobID(fmt.Sprint(n)))
+		}
+		c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{testWorker}})
+		c.commitChanges()
+		awaitCommit()
+		end := dispatch.EndedEntry{Sequence: 1, RunKey: dispatch.RunKey{Task: graph.TaskID{Job: "0"}, Number: 1}, End: dispatch.RunDone}
+		c.engine.HandleReport("w", c.now(), dispatch.Report{Ended: []dispatch.EndedEntry{end}})
+		for range 10 {
+			for n := 1; n < 2*maxCommitRows; n++ {
+				c.engine.MarkDirty(graph.JobID(fmt.Sprint(n)))
+			}
+			time.Sleep(commitDelay)
+			c.commitChanges()
+			awaitCommit()
+		}
+		if recorded := c.workerConns["w"].recorded(); recorded != 1 {
+			t.Errorf("ends up to %d count as recorded after ten commits, want 1", recorded)
+		}
+		if !strings.Contains(progressRows(t, c.Replica.Store())["0"], string(graph.Completed)) {
+			t.Error("the end that counts as recorded is not")
+		}
+		cancel()
+		time.Sleep(3 * time.Second)
+	})
+}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -334,6 +334,9 @@
 	if c.committing {
 		c.restartedDuringCommit[id] = struct{}{}
 	}
+	if c.endsBarrier != nil {
+		delete(c.endsBarrier.sequences, id)
+	}
 	next := &workerConn{
 		controller: c, worker: wc.worker, listing: wc.listing, unresponsive: wc.unresponsive, unregistered: wc.unregistered,
 		recordedAdvanced: make(chan struct{}, 1), fencingToken: c.nextFencingToken(id), recordedDraining: wc.recordedDraining,
--- a/internal/rowstore/memory.go
+++ b/internal/rowstore/memory.go
@@ -33,6 +33,9 @@
 
 // Apply implements Store.
 func (m *MemoryStore) Apply(_ context.Context, tx Tx) (uint64, []Row, error) {
+	if !tx.withinLimits() {
+		return 0, nil, ErrRejected
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var current []Row
--- a/internal/rowstore/monitor.go
+++ b/internal/rowstore/monitor.go
@@ -108,7 +108,7 @@
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	switch {
-	case err == nil, errors.Is(err, ErrConflict), errors.Is(err, ErrHistoryLost):
+	case err == nil, errors.Is(err, ErrConflict), errors.Is(err, ErrRejected), errors.Is(err, ErrHistoryLost):
 		m.lastAnswer = now
 		if histogram := m.durations[call]; histogram != nil {
 			histogram.Update(now.Sub(sent).Seconds())
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -14,6 +16,8 @@
 	ErrConflict = errors.New("store: condition failed")
 	// ErrUnavailable means that the operation was certainly not applied.
 	ErrUnavailable = errors.New("store: unavailable")
+	// ErrRejected is an ErrUnavailable that lasts: the store never applies the transaction as it is, for example since a row is too large.
+	ErrRejected = fmt.Errorf("%w: transaction rejected", ErrUnavailable)
 	// ErrUncertain means that the operation may have been applied, or may be applied later while its conditions hold.
 	ErrUncertain = errors.New("store: outcome uncertain")
 	// ErrHistoryLost means that the feed can't be continued; the table must be read again.
@@ -49,12 +53,33 @@
 	Delete []Key
 }
 
-// Limits of one transaction.
+// Limits of one transaction. MaxTxBytes bounds it as it is sent; MaxRowBytes is the usual bound on the value of a row, MinRowBytes the
+// least that jobs' records need.
 const (
 	MaxTxEntries = 100
 	MaxTxBytes   = 1 << 20
+	MaxRowBytes  = 64 << 10
+	MinRowBytes  = 16 << 10
 )
 
+// rowOverheadBytes is about what a row takes in a transaction beside its value.
+const rowOverheadBytes = 200
+
+// TxBytes returns about how many bytes of a transaction a row takes, whose value is sent as base64.
+func (r *Row) TxBytes() int { return rowOverheadBytes + base64.StdEncoding.EncodedLen(len(r.Value)) }
+
+// withinLimits reports whether a store may apply the transaction.
+func (tx *Tx) withinLimits() bool {
+	size := 0
+	for i := range tx.Put {
+		if len(tx.Put[i].Value) > MaxRowBytes {
+			return false
+		}
+		size += tx.Put[i].TxBytes()
+	}
+	return size <= MaxTxBytes && len(tx.Expect)+len(tx.Put)+len(tx.Delete) <= MaxTxEntries
+}
+
 // FeedBatchSize is the number of changes after which an answer of the feed ends, once the last change's transaction is
 // complete.
 const FeedBatchSize = 500
@@ -68,7 +93,7 @@
 // Store is a linearizable store of rows.
 type Store interface {
 	// Apply executes tx and returns its version. On ErrConflict it returns the current rows of the keys in Expect.
-	// Errors: ErrConflict, ErrUnavailable, ErrUncertain.
+	// Errors: ErrConflict, ErrUnavailable, ErrRejected, ErrUncertain.
 	Apply(ctx context.Context, tx Tx) (version uint64, current []Row, err error)
 	// Range returns one page of the rows of a table's part with from <= name < to (empty: no bound), in order of their names
 	// and as of one version. next is the name from which the next page starts, empty after the last page.
--- a/internal/settings/graphs.go
+++ b/internal/settings/graphs.go
@@ -13,6 +13,7 @@
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/graphd"
+	"laburnumpoint/internal/rowstore"
 )
 
 // GraphsCommand is the first argument with which laburnumpointd runs the daemon for graph jobs.
@@ -43,6 +44,7 @@
 	flagRefuseLoad    = "refuse-overload"
 	flagRemoteFactor  = "remote-factor"
 	flagMaxCrashes    = "max-worker-crashes"
+	flagRowBytes      = "store-row-bytes"
 )
 
 // GraphSettings are the validated settings of a daemon for graph jobs.
@@ -88,6 +90,7 @@
 		&cli.BoolFlag{Name: flagRefuseLoad, Usage: "refuse jobs that can't be completed in time", Sources: env(flagRefuseLoad)},
 		&cli.FloatFlag{Name: flagRemoteFactor, Usage: "`FACTOR` by which a task takes longer away from its data or its group", Value: 1, Sources: env(flagRemoteFactor)},
 		&cli.IntFlag{Name: flagMaxCrashes, Usage: "`NUMBER` of workers that may crash or fall silent under a task until it is given up", Value: dispatch.DefaultMaxCrashes, Sources: env(flagMaxCrashes)},
+		&cli.IntFlag{Name: flagRowBytes, Usage: "greatest size in `BYTES` of the value of a row in the store", Value: rowstore.MaxRowBytes, Sources: env(flagRowBytes)},
 	}
 }
 
@@ -150,6 +153,7 @@
 		RefuseOverload: cmd.Bool(flagRefuseLoad),
 		RemoteFactor:   cmd.Float(flagRemoteFactor),
 		MaxCrashes:     cmd.Int(flagMaxCrashes),
+		MaxRowBytes:    cmd.Int(flagRowBytes),
 	}}
 	var problems []error
 	require := func(ok bool, flag, want string) {
@@ -181,6 +185,7 @@
 	require(s.Rates.Overage >= 0, flagRateOverage, "0 or more")
 	require(s.Rates.Slack >= 0, flagRateSlack, "0 or more")
 	require(s.RemoteFactor >= 1, flagRemoteFactor, "1 or more")
+	require(s.MaxRowBytes >= rowstore.MinRowBytes, flagRowBytes, fmt.Sprintf("%d or more", rowstore.MinRowBytes))
 	require(s.MaxCrashes >= dispatch.MinMaxCrashes, flagMaxCrashes, fmt.Sprintf("%d or more", dispatch.MinMaxCrashes))
 	if cmd.NArg() > 0 {
 		problems = append(problems, fmt.Errorf("unexpected argument %q", cmd.Args().First()))
