The answer to a start no longer goes through all runs of its worker

Cause: HandleStartOutcome looked for the oldest unanswered start among all runs of the worker, so that n starts on one worker cost n squared. Found by a test of a long schedule, in which 20,000 tasks start on one worker.

Change: the worker keeps the runs that were started last, in order, and looks at the first that is unanswered.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -26,13 +26,17 @@
 	return e.now < w.avoidUntil || (w.impaired && e.isEjected(w)) || (w.oldestUnansweredStart > 0 && e.now.Sub(w.oldestUnansweredStart) > startAnswerTimeout)
 }
 
-// updateOldestUnansweredStart finds the oldest of the worker's unanswered starts.
+// updateOldestUnansweredStart finds the oldest of the worker's unanswered starts. A worker may have thousands of runs, so that only the
+// first of those that were started last is looked at.
 func (w *worker) updateOldestUnansweredStart() {
 	w.oldestUnansweredStart = 0
-	for _, r := range w.runs {
-		if r.state == runStarting && (w.oldestUnansweredStart == 0 || r.orderedAt < w.oldestUnansweredStart) {
+	for len(w.lastStarted) > 0 {
+		if r := w.lastStarted[0]; r.state == runStarting && w.runs[r.RunKey] == r {
 			w.oldestUnansweredStart = r.orderedAt
+			return
 		}
+		w.lastStarted[0] = nil
+		w.lastStarted = w.lastStarted[1:]
 	}
 }
 
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -243,8 +243,10 @@
 	reachable       bool
 	// avoidUntil makes the worker a suspect until then, after a refusal, a start in doubt or repeated failures.
 	avoidUntil monotime.Instant
-	// oldestUnansweredStart is when the oldest of the unanswered starts was ordered; 0 if all are answered.
+	// oldestUnansweredStart is when the oldest of the unanswered starts was ordered; 0 if all are answered. lastStarted are the runs that
+	// the engine has started, from that one on, in order.
 	oldestUnansweredStart monotime.Instant
+	lastStarted           []*run
 	// consecutiveFailures counts the runs that failed since the last one that was done.
 	consecutiveFailures int
 	// runsOfUnknownSize counts the runs whose allocation is not known. While there are any, the worker counts as full.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -361,6 +361,7 @@
 	}
 	r := &run{RunKey: RunKey{t.id(), number}, worker: w, task: t, orderedAt: e.now, fullRun: t.isFullRun()}
 	w.runs[r.RunKey] = r
+	w.lastStarted = append(w.lastStarted, r)
 	if w.oldestUnansweredStart == 0 {
 		w.oldestUnansweredStart = e.now
 	}
