Occurrences that are not due take no memory

Cause: the engine made the steps and tasks of all occurrences when a job was added, 1,920,000 tasks. Evidence: a test of the engine alone counts them; daemons that don't own the cell hold the same ledger in 21 MB. Ruled out: the copy of the ledger.

Change: the steps and tasks of an occurrence exist from its time until it is done. Scheduled jobs are ordered by their next time; each plan went through all waiting steps before. Occurrences that are due at once exist a few at a time, 20,000 tasks a job. Beyond 500 finished steps the progress holds ranges of occurrences, since it grew by 28 bytes a step without a bound. A run of an occurrence that does not exist is known by its job: it is stopped, or kept if the occurrence is still to come.

Tests that looked into the engine use the new fields, with the same checks.

The tests of dispatch, owner, graphd and ledger pass.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -28,8 +28,11 @@
 	workers       map[WorkerID]*worker
 	// active holds the steps that have open tasks and whose dependencies are met.
 	active map[*step]struct{}
-	// scheduled holds the steps that wait only for their time of day.
-	scheduled map[*step]struct{}
+	// calendar holds the scheduled jobs whose next occurrences wait for their time of day; retired are the occurrences that need not exist
+	// once they have no runs.
+	calendar         calendar
+	retired          []*occurrence
+	retiredCheckedAt monotime.Instant
 	// dirty holds the jobs whose progress has to be recorded, in the order in which they became so.
 	dirty []*job
 	// orders are those that the next Plan returns.
@@ -104,7 +107,6 @@
 		jobs:            make(map[graph.JobID]*job),
 		workers:         make(map[WorkerID]*worker),
 		active:          make(map[*step]struct{}),
-		scheduled:       make(map[*step]struct{}),
 		awaitedReports:  make(map[WorkerID]awaitedReport),
 		unansweredStops: make(map[*run]struct{}),
 		unconfirmedEnds: make(map[WorkerID]uint64),
@@ -195,16 +197,13 @@
 	if j.state.Ended() {
 		return
 	}
-	for _, occurrence := range j.steps {
-		for _, s := range occurrence {
+	for _, o := range j.openOccurrences() {
+		for _, s := range o.steps {
 			e.countUnfinishedDependencies(s)
-		}
-	}
-	for _, occurrence := range j.steps {
-		for _, s := range occurrence {
 			e.activateIfReady(s)
 		}
 	}
+	e.addToCalendar(j)
 }
 
 // newJob returns a job without progress.
@@ -213,23 +212,18 @@
 	j := &job{
 		id: in.ID, queue: in.Queue, spec: spec, arrivedAt: in.ArrivedAt, state: graph.Queued,
 		unconfirmed: in.Unconfirmed, recordedAt: in.RecordedAt, objective: in.Queue.Objective(spec),
+		criticalPaths: spec.CriticalPaths(in.Queue.ExpectedPermitLatency()),
+		occurrences:   make(map[int]*occurrence), calendarIndex: notInCalendar,
 	}
-	criticalPaths := spec.CriticalPaths(in.Queue.ExpectedPermitLatency())
-	for k := range spec.OccurrenceCount() {
-		steps := make([]*step, len(spec.Steps))
-		for i := range spec.Steps {
-			steps[i] = newStep(j, k, i)
-			steps[i].remainingPath = criticalPaths[i]
-		}
-		j.steps = append(j.steps, steps)
+	if spec.Occurrences == 0 {
+		j.occurrence(0)
 	}
-	j.openSteps = len(j.steps) * len(spec.Steps)
 	return j
 }
 
-func newStep(j *job, occurrence, index int) *step {
-	def := &j.spec.Steps[index]
-	s := &step{job: j, occurrence: occurrence, index: index, def: def, openTasks: def.Count}
+func newStep(o *occurrence, index int) *step {
+	def := &o.job.spec.Steps[index]
+	s := &step{job: o.job, within: o, occurrence: o.index, index: index, def: def, openTasks: def.Count}
 	for i := range def.Count {
 		s.tasks = append(s.tasks, &task{step: s, index: i})
 	}
@@ -240,20 +234,19 @@
 func (e *Engine) countUnfinishedDependencies(s *step) {
 	s.unfinishedDependencies = 0
 	for _, dependency := range s.def.After {
-		if s.job.steps[s.occurrence][dependency].openTasks > 0 {
+		if s.within.steps[dependency].openTasks > 0 {
 			s.unfinishedDependencies++
 		}
 	}
 }
 
-// activateIfReady makes a step active if it has open tasks and its dependencies are met. The first steps of a scheduled job
-// wait for their time of day.
+// activateIfReady makes a step active if it has open tasks and its dependencies are met. The first steps of an occurrence wait until it
+// is due.
 func (e *Engine) activateIfReady(s *step) {
 	if s.unfinishedDependencies > 0 || s.openTasks == 0 || s.active || s.job.state.Ended() {
 		return
 	}
-	if s.job.spec.Occurrences > 0 && len(s.def.After) == 0 {
-		e.scheduled[s] = struct{}{}
+	if len(s.def.After) == 0 && !s.within.due {
 		return
 	}
 	e.setActive(s)
@@ -267,19 +260,6 @@
 	e.active[s] = struct{}{}
 }
 
-// activateDue activates the scheduled steps whose time of day has come. wall is the time of day since the Unix epoch.
-func (e *Engine) activateDue(wall time.Duration) {
-	for s := range e.scheduled {
-		if late := wall - s.job.spec.DueAt(s.occurrence); late >= 0 {
-			delete(e.scheduled, s)
-			for _, other := range s.job.steps[s.occurrence] {
-				other.due = e.now.Add(s.job.objective - late)
-			}
-			e.setActive(s)
-		}
-	}
-}
-
 // Cancel ends a job as cancelled and stops its runs.
 func (e *Engine) Cancel(id graph.JobID) {
 	if j := e.jobs[id]; j != nil && !j.state.Ended() {
@@ -290,12 +270,13 @@
 func (e *Engine) endJob(j *job, state graph.JobState, reason string) {
 	j.state = state
 	e.markDirty(j)
-	for _, occurrence := range j.steps {
-		for _, s := range occurrence {
+	e.removeFromCalendar(j)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
 			delete(e.active, s)
-			delete(e.scheduled, s)
 			s.active = false
 		}
+		e.retire(o)
 	}
 	j.eachTask(func(t *task) {
 		for _, r := range []*run{t.run, t.copy} {
@@ -510,23 +491,32 @@
 }
 
 func (e *Engine) task(id graph.TaskID) *task {
-	s := e.step(StepID{id.Job, id.Occurrence, id.Step})
-	if s == nil || id.Index < 0 || id.Index >= len(s.tasks) {
+	j := e.jobs[id.Job]
+	if !j.hasStep(id.Occurrence, id.Step) || id.Index < 0 || id.Index >= j.spec.Steps[id.Step].Count {
 		return nil
 	}
-	return s.tasks[id.Index]
+	o := j.occurrences[id.Occurrence]
+	if o == nil { // a worker has, or had, a run of an occurrence that is not due yet or that is done
+		o = j.occurrence(id.Occurrence)
+		if o.openSteps == 0 || j.state.Ended() {
+			e.retire(o)
+		}
+	}
+	return o.steps[id.Step].tasks[id.Index]
 }
 
+// step returns a step of an occurrence that exists, nil if there is none.
 func (e *Engine) step(id StepID) *step {
 	j := e.jobs[id.Job]
-	if j == nil || id.Occurrence < 0 || id.Occurrence >= len(j.steps) {
+	if !j.hasStep(id.Occurrence, id.Step) || j.occurrences[id.Occurrence] == nil {
 		return nil
 	}
-	steps := j.steps[id.Occurrence]
-	if id.Step < 0 || id.Step >= len(steps) {
-		return nil
-	}
-	return steps[id.Step]
+	return j.occurrences[id.Occurrence].steps[id.Step]
+}
+
+// hasStep reports whether the job has a step; a job that is nil has none.
+func (j *job) hasStep(occurrence, step int) bool {
+	return j != nil && occurrence >= 0 && occurrence < j.spec.OccurrenceCount() && step >= 0 && step < len(j.spec.Steps)
 }
 
 // JobState returns a job's state, and whether the engine knows the job.
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -372,15 +372,16 @@
 	e.recordRunTimes(t.step)
 	delete(e.active, t.step)
 	t.step.active = false
-	j.openSteps--
+	o := t.step.within
+	o.openSteps--
 	if j.state.Ended() {
 		return
 	}
-	if j.openSteps == 0 {
-		j.state = graph.Completed
+	if o.openSteps == 0 {
+		e.completeOccurrence(o)
 		return
 	}
-	for _, next := range j.steps[t.step.occurrence] {
+	for _, next := range o.steps {
 		e.countUnfinishedDependencies(next)
 		e.activateIfReady(next)
 	}
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -21,16 +21,32 @@
 		}
 		return lines
 	}
-	for _, occurrence := range j.steps {
-		for _, s := range occurrence {
+	for _, o := range j.openOccurrences() {
+		for _, s := range o.steps {
 			if s.openTasks > 0 {
 				lines = append(lines, e.explainStep(s, wall))
 			}
 		}
 	}
+	if line := j.explainCalendar(wall); line != "" {
+		lines = append(lines, line)
+	}
 	return lines
 }
 
+// explainCalendar describes what the occurrences wait for that are not due yet; empty if there are none.
+func (j *job) explainCalendar(wall time.Duration) string {
+	left := j.spec.Occurrences - j.nextDue
+	switch late := wall - j.nextDueAt(); {
+	case left <= 0:
+		return ""
+	case late < 0:
+		return fmt.Sprintf("%d of %d occurrences not due, the next one in %s", left, j.spec.Occurrences, roundToMS(-late))
+	default:
+		return fmt.Sprintf("%d of %d occurrences left, the next one waits for earlier ones", left, j.spec.Occurrences)
+	}
+}
+
 func roundToMS(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
 
 func (e *Engine) explainStep(s *step, wall time.Duration) string {
--- a/internal/dispatch/gang_order_test.go
+++ b/internal/dispatch/gang_order_test.go
@@ -133,7 +133,7 @@
 func TestGangAsksAboutFurtherWorkers(t *testing.T) {
 	f := newGangFixture(t, 40)
 	f.addGang("g", 2, time.Second) // none of the workers in the first request is allowed
-	asked := len(f.jobs["g"].steps[0][0].verdicts)
+	asked := len(f.jobs["g"].occurrence(0).steps[0].verdicts)
 	f.advance(searchTime)
 	f.planByKind()
 	request, ok := f.prepare("g")
@@ -141,7 +141,7 @@
 		t.Fatalf("no request after one for %d workers, none of them allowed", asked)
 	}
 	for _, w := range request.Workers {
-		if _, known := f.jobs["g"].steps[0][0].verdicts[w]; known {
+		if _, known := f.jobs["g"].occurrence(0).steps[0].verdicts[w]; known {
 			t.Errorf("worker %s is asked about again", w)
 		}
 	}
--- a/internal/dispatch/locality_test.go
+++ b/internal/dispatch/locality_test.go
@@ -296,7 +296,7 @@
 	next.advance(200 * time.Millisecond)
 	next.HandleReport("near", next.virtualTime, endedReport(1, occupant, RunDone))
 	next.startAll()
-	if got := next.jobs[j].steps[0][0].tasks[0].run; got == nil || got.worker.ID != "near" {
+	if got := next.jobs[j].occurrence(0).steps[0].tasks[0].run; got == nil || got.worker.ID != "near" {
 		t.Errorf("run %+v, want one on the rack", got)
 	}
 	if len(next.locality.waits) != 0 {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -332,7 +332,9 @@
 }
 
 type step struct {
-	job        *job
+	job *job
+	// within is the occurrence that the step is part of, occurrence its index.
+	within     *occurrence
 	occurrence int
 	index      int
 	def        *graph.Step
@@ -420,10 +422,18 @@
 	unconfirmed bool
 	// recordedAt is the version of the ledger in which the job was recorded; 0 if that is not known.
 	recordedAt uint64
-	steps      [][]*step
-	// openSteps counts the steps with open tasks over all occurrences.
-	openSteps int
-	dirty     bool
+	// occurrences are those that exist, by index.
+	occurrences map[int]*occurrence
+	// doneOccurrences tells for each occurrence whether all its tasks are done, nil if none is; doneCount counts them.
+	doneOccurrences []bool
+	doneCount       int
+	// nextDue is the first occurrence of a schedule whose time has not come. calendarIndex is the job's place in the calendar.
+	nextDue, calendarIndex int
+	// criticalPaths are those of the spec, by step.
+	criticalPaths []time.Duration
+	// countsUnreported means that the runs that an earlier owner may have left count for the organisation until they are reported.
+	countsUnreported bool
+	dirty            bool
 	// endTaken means that TakeDirty has returned the job's final progress, or that it is recorded already.
 	endTaken bool
 	// failure is why the job has failed, for operators; empty if this owner doesn't know.
@@ -431,11 +441,15 @@
 }
 
 func (j *job) eachTask(visit func(*task)) {
-	for _, occurrence := range j.steps {
-		for _, s := range occurrence {
-			for _, t := range s.tasks {
-				visit(t)
-			}
+	for _, o := range j.openOccurrences() {
+		o.eachTask(visit)
+	}
+}
+
+func (o *occurrence) eachTask(visit func(*task)) {
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			visit(t)
 		}
 	}
 }
--- a/internal/dispatch/organisation.go
+++ b/internal/dispatch/organisation.go
@@ -126,9 +126,23 @@
 		o.unreported = make(map[string]graph.Resources)
 	}
 	j.eachTask(func(t *task) {
-		t.unreported = t.possibleRuns()
-		o.unreported[pool] = o.unreported[pool].Add(t.step.def.Allocation().Times(t.unreported))
+		o.unreported[pool] = o.unreported[pool].Add(t.step.def.Allocation().Times(t.possibleRuns()))
 	})
+	for _, open := range j.openOccurrences() {
+		open.countUnreported()
+	}
+	absent := j.spec.OccurrenceCount() - len(j.occurrences) - j.doneCount
+	for i := range j.spec.Steps {
+		def := &j.spec.Steps[i]
+		runs := absent*possibleRuns(def, j.state == graph.Completed) + j.doneCount*possibleRuns(def, true)
+		o.unreported[pool] = o.unreported[pool].Add(def.Allocation().Times(def.Count * runs))
+	}
+	j.countsUnreported = true
+}
+
+// countUnreported sets for each task of an occurrence how many runs of it an earlier owner may have left.
+func (o *occurrence) countUnreported() {
+	o.eachTask(func(t *task) { t.unreported = t.possibleRuns() })
 }
 
 // removeJob notes that the engine no longer knows a job of the organisation.
@@ -141,11 +155,16 @@
 // possibleRuns returns how many runs of a task an earlier owner may have left. A task has one run at a time, and none when it is done;
 // one that may be copied has one more.
 func (t *task) possibleRuns() int {
+	return possibleRuns(t.step.def, t.done || t.step.job.state == graph.Completed)
+}
+
+// possibleRuns returns the same for a task of a step.
+func possibleRuns(def *graph.Step, done bool) int {
 	runs := 0
-	if !t.done && t.step.job.state != graph.Completed {
+	if !done {
 		runs++
 	}
-	if t.step.def.Speculative {
+	if def.Speculative {
 		runs++
 	}
 	return runs
--- a/internal/dispatch/organisation_random_test.go
+++ b/internal/dispatch/organisation_random_test.go
@@ -260,7 +260,7 @@
 
 // mustEnd reports whether a job has not ended although its organisation's limit admits it.
 func (w *limitSimulation) mustEnd(j *job) bool {
-	s := j.steps[0][0]
+	s := j.occurrence(0).steps[0]
 	return !j.state.Ended() && !j.organisation.neverAdmits(s.limitUnit(), s.def.Allocation())
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -13,6 +13,7 @@
 // Plan places what tasks it can and returns the resulting orders, together with those from events since the last call. wall is
 // the time of day since the Unix epoch.
 func (e *Engine) Plan(wall time.Duration) []Order {
+	e.dropRetired()
 	e.activateDue(wall)
 	e.retryStops()
 	e.refreshPools()
--- a/internal/dispatch/preview.go
+++ b/internal/dispatch/preview.go
@@ -154,14 +154,15 @@
 	j.organisation = e.organisations[in.Organisation]
 	p := e.previewPool(j)
 	tasks := 0
-	for _, s := range j.steps[0] {
+	steps := j.occurrence(0).steps
+	for _, s := range steps {
 		tasks += len(s.tasks)
 	}
 	if most := maxPreviewEvaluations / max(1, len(p.workers)); tasks > most {
 		return Preview{}, &PreviewTooLargeError{tasks, most}
 	}
 	preview := Preview{ObjectiveMS: j.objective.Milliseconds()}
-	for _, s := range j.steps[0] {
+	for _, s := range steps {
 		s.active, s.due = true, e.now.Add(j.objective)
 		preview.Steps = append(preview.Steps, e.previewStep(s, p))
 	}
@@ -178,7 +179,7 @@
 	for _, w := range p.workers {
 		p.free = p.free.Add(w.free())
 	}
-	first := j.steps[0][0]
+	first := j.occurrence(0).steps[0]
 	first.due = e.now.Add(j.objective)
 	first.overdueAtPlan, first.missedAtPlan = e.overdue(first), e.missedObjective(first)
 	for s := range e.active {
--- a/internal/dispatch/preview_test.go
+++ b/internal/dispatch/preview_test.go
@@ -86,7 +86,7 @@
 		}
 		w.execute(order)
 	}
-	for _, task := range w.Engine.jobs[j.id].steps[0][0].tasks {
+	for _, task := range w.Engine.jobs[j.id].occurrence(0).steps[0].tasks {
 		if task.locality.wait != nil {
 			waiting++
 		}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -7,6 +7,14 @@
 	State   graph.JobState `json:"state"`
 	Started bool           `json:"started,omitempty"`
 	Steps   []StepProgress `json:"steps,omitempty"`
+	// Done are occurrences whose tasks are all done, beside those whose steps are listed as such.
+	Done []OccurrenceRange `json:"done,omitempty"`
+}
+
+// OccurrenceRange is the occurrences from From up to and not including To.
+type OccurrenceRange struct {
+	From int `json:"k"`
+	To   int `json:"to"`
 }
 
 // StepProgress is the progress of one step of one occurrence. A step without progress is left out.
@@ -60,8 +68,16 @@
 	if j.state.Ended() {
 		return p
 	}
-	for _, occurrence := range j.steps {
-		for _, s := range occurrence {
+	if j.doneCount*len(j.spec.Steps) > maxListedSteps {
+		p.Done = j.doneRanges()
+	} else {
+		p.Steps = j.doneSteps()
+	}
+	for _, o := range j.openOccurrences() {
+		if j.isDone(o.index) {
+			continue
+		}
+		for _, s := range o.steps {
 			if sp, hasProgress := s.progress(); hasProgress {
 				p.Steps = append(p.Steps, sp)
 			}
@@ -70,6 +86,19 @@
 	return p
 }
 
+// doneSteps returns the progress of the steps of the occurrences that are done.
+func (j *job) doneSteps() []StepProgress {
+	var steps []StepProgress
+	for index, done := range j.doneOccurrences {
+		for i := range j.spec.Steps {
+			if done {
+				steps = append(steps, StepProgress{Occurrence: index, Step: i, AllDone: true})
+			}
+		}
+	}
+	return steps
+}
+
 func (s *step) progress() (StepProgress, bool) {
 	p := StepProgress{Occurrence: s.occurrence, Step: s.index, FailedRuns: s.failedRuns}
 	if s.openTasks == 0 {
@@ -97,12 +126,44 @@
 func (j *job) restore(p Progress) {
 	j.state, j.endTaken = p.State, p.State.Ended()
 	j.started = p.Started
+	for _, r := range p.Done {
+		for index := max(0, r.From); index < min(r.To, j.spec.OccurrenceCount()); index++ {
+			j.markOccurrenceDone(index)
+		}
+	}
+	for index, steps := range j.recordedSteps(p) {
+		if j.spec.Occurrences > 0 && len(steps) == len(j.spec.Steps) && allDone(steps) {
+			j.markOccurrenceDone(index)
+			continue
+		}
+		for _, sp := range steps {
+			j.occurrence(index).steps[sp.Step].restore(sp)
+		}
+	}
+}
+
+// recordedSteps returns the recorded progress by occurrence and step, without what does not match the job's spec.
+func (j *job) recordedSteps(p Progress) map[int]map[int]StepProgress {
+	byOccurrence := make(map[int]map[int]StepProgress)
 	for _, sp := range p.Steps {
-		if sp.Occurrence < 0 || sp.Occurrence >= len(j.steps) || sp.Step < 0 || sp.Step >= len(j.steps[0]) {
+		if !j.hasStep(sp.Occurrence, sp.Step) {
 			continue
 		}
-		j.steps[sp.Occurrence][sp.Step].restore(sp)
+		if byOccurrence[sp.Occurrence] == nil {
+			byOccurrence[sp.Occurrence] = make(map[int]StepProgress)
+		}
+		byOccurrence[sp.Occurrence][sp.Step] = sp
+	}
+	return byOccurrence
+}
+
+func allDone(steps map[int]StepProgress) bool {
+	for _, sp := range steps {
+		if !sp.AllDone {
+			return false
+		}
 	}
+	return true
 }
 
 func (s *step) restore(p StepProgress) {
@@ -123,6 +184,6 @@
 	}
 	s.countSuspects()
 	if s.openTasks == 0 {
-		s.job.openSteps--
+		s.within.openSteps--
 	}
 }
