A task with a latency target no longer waits for fillers

Cause: a task with a target and a filler never share a worker, and nothing made the filler leave; no permit was requested for such workers either. Evidence: the engine alone plans neither a start nor a stop on one worker and on six. Ruled out: the fillers' CPU, which is not counted.

Change: a task with a target starts, and the fillers there are stopped; workers without fillers come first, and a step of fillers misses no more tasks than it may. The other way round a filler that has waited a second without a run starts beside tasks whose reported tails are at most half of their targets, and is stopped when one reaches four fifths; then no filler starts there for 10 s, twice as long each time. The adapter reads the tails that workers report, which TestWorkerAnswer checks as well now.

TestTaskWithATargetMakesFillersLeave fails before: no start, no stop.

The tests of dispatch, owner and docs pass.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -34,24 +34,7 @@
 	if len(s.avoidances) > 0 && e.avoidsStrictly(s, w) {
 		return false
 	}
-	return !w.conflictsWith(s.def)
-}
-
-// conflictsWith reports whether the worker has runs that tasks of the step must not share it with. Filler tasks would slow
-// tasks that have a tail latency target.
-func (w *worker) conflictsWith(def *graph.Step) bool {
-	if !def.Filler && def.TailTarget == 0 {
-		return false
-	}
-	for _, r := range w.runs {
-		if def.Filler && r.task != nil && r.task.step.def.TailTarget > 0 {
-			return true
-		}
-		if def.TailTarget > 0 && r.filler {
-			return true
-		}
-	}
-	return false
+	return !e.conflicts(s, w)
 }
 
 // Weights of a worker's score: data locality and health count more than packing.
@@ -60,7 +43,8 @@
 	suspectWeight  = 8.0
 )
 
-// score ranks workers: those that are no suspects first, then those on the rack that the step prefers, those on racks that
+// score ranks workers: those that are no suspects first, then those that fillers and tasks with a latency target don't share, then those on
+// the rack that the step prefers, those on racks that
 // others don't wait for, those of the speed that the step prefers, then the most utilized.
 func (e *Engine) score(s *step, w *worker, planned graph.Resources) float64 {
 	score := 0.0
@@ -75,6 +59,9 @@
 	if len(s.avoidances) > 0 && e.avoids(s, w) {
 		score -= suspectWeight
 	}
+	if s.shares(w) {
+		score -= sharingWeight
+	}
 	if w.impaired {
 		score += e.speedScore(s, w) + e.healthScore(s, w)
 	}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -253,7 +253,7 @@
 }
 
 func (e *Engine) setActive(s *step) {
-	s.active = true
+	s.active, s.activeSince = true, e.now
 	if s.due == 0 {
 		s.due = s.job.arrivedAt.Add(s.job.objective)
 	}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -164,6 +164,7 @@
 		r.confirmedAt = e.now
 	}
 	r.listedAt = e.now
+	e.observeTail(r, entry)
 	if entry.Progress != r.progress || r.progressChangedAt == 0 {
 		e.noteProgress(r)
 		r.progress, r.progressChangedAt = entry.Progress, e.now
--- a/internal/dispatch/locality_forecast.go
+++ b/internal/dispatch/locality_forecast.go
@@ -68,7 +68,7 @@
 	var slots []slot
 	for _, w := range workers {
 		e.stats.WorkersEvaluated++
-		if (w.reservedFor != nil && w.reservedFor != s) || e.isSuspect(w) || !s.eligible(w) || w.conflictsWith(s.def) {
+		if (w.reservedFor != nil && w.reservedFor != s) || e.isSuspect(w) || !s.eligible(w) || e.conflicts(s, w) {
 			continue
 		}
 		from, to, chance := e.permitWindow(s, w)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -67,6 +67,10 @@
 	Checkpoint string
 	// Progress is the percentage of the work that is done; 100 for a long-running task that is serving.
 	Progress int
+	// Measure is a rough figure of the last half second: of a task with a tail latency target its tail latency in milliseconds, of any
+	// other the CPU in use. Measured is false if the worker gives none.
+	Measure  float64 `json:",omitempty"`
+	Measured bool    `json:",omitempty"`
 }
 
 // EndedEntry is a run that has ended. The worker lists it until the owner confirms that the end is recorded.
@@ -227,6 +231,8 @@
 
 	progress          int
 	progressChangedAt monotime.Instant
+	// tail is what the worker reported of a task with a tail latency target.
+	tail tailLatency
 	// listedAt is when the worker last listed the run as running.
 	listedAt monotime.Instant
 }
@@ -266,6 +272,8 @@
 	speed     workerspeed.Speed
 	health    workerHealth
 	probation probation
+	// fillers keeps fillers from the worker after some were stopped there.
+	fillers fillerPause
 	// unreachableSince is when the worker stopped to answer; 0 while it answers.
 	unreachableSince monotime.Instant
 	// lastStartAt is when a run was last started on the worker, for lastStartJob.
@@ -364,6 +372,8 @@
 	// lastPreemptionAt is when tasks were last stopped for this step.
 	lastPreemptionAt monotime.Instant
 	active           bool
+	// activeSince is when the step became active.
+	activeSince monotime.Instant
 	// pendingPermitRequests counts the permit requests for the step that have no answer yet.
 	pendingPermitRequests int
 	// requestedWorkers are the workers in pending permit requests.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -256,6 +256,10 @@
 		}
 		e.startRun(t, w, e.nextRunNumber(t.lastRunNumber))
 		counts[w.ID]++
+		if s.def.TailTarget > 0 {
+			ranked = e.rank(s, workers, nil, counts) // fillers that were stopped count for those of other workers
+			continue
+		}
 		ranked.placed()
 	}
 	return nil
@@ -368,6 +372,9 @@
 	}
 	e.allocate(r, t.step)
 	e.noteStart(w, t)
+	if t.step.def.TailTarget > 0 && w.mayStopFillers() {
+		e.stopFillers(w, "makes way for job "+string(t.step.job.id))
+	}
 	isCopy := t.run != nil
 	if isCopy {
 		e.setCopy(t, r)
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -103,7 +103,7 @@
 	var plans []preemption
 	for _, w := range p.workers {
 		e.stats.WorkersEvaluated++
-		if !s.eligible(w) || !s.hasPermit(w, e.now) || w.reservedFor != nil || w.conflictsWith(s.def) || w.hasCapacityHold(e.now) || w.health.ejected || e.avoidsStrictly(s, w) {
+		if !s.eligible(w) || !s.hasPermit(w, e.now) || w.reservedFor != nil || e.conflicts(s, w) || w.hasCapacityHold(e.now) || w.health.ejected || e.avoidsStrictly(s, w) {
 			continue
 		}
 		if victims, tasks := e.victims(s, w, want, counts[w.ID]); tasks > 0 {
