Calls beyond the connections to a worker wait

Cause: a call beyond the 24 connections to a worker failed at once and counted as a stop without an answer, a refused start or a silent worker. Evidence: `run stop` with `no free connections`. Ruled out: the bound on orders under way.

A start that got none is not sent, which says nothing about its worker. Repeats of an order that is answered meanwhile are not sent.

TestCallsBeyondTheConnectionsWait fails before: 216 of 240 calls.

The tests of owner, dispatch, platform and docs pass.

--- a/internal/owner/order_attempts.go
+++ b/internal/owner/order_attempts.go
@@ -24,6 +24,8 @@
 
 // orderAttempts are the attempts of one order.
 type orderAttempts struct {
+	// ctx ends once the order is answered or given up: attempts that have not been sent by then are not.
+	ctx  context.Context
 	wc   *workerConn
 	send func(context.Context) orderAnswer
 	// mayRepeat reports whether the order may still be sent.
@@ -46,8 +48,10 @@
 func (wc *workerConn) sendOrder(mayRepeat func() bool, send func(context.Context) orderAnswer) (orderAnswer, int) {
 	c := wc.controller
 	timeout := c.gate.Timeout()
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
 	o := &orderAttempts{
-		wc: wc, send: send, mayRepeat: mayRepeat, answers: make(chan orderAnswer, maxAttempts),
+		ctx: ctx, wc: wc, send: send, mayRepeat: mayRepeat, answers: make(chan orderAnswer, maxAttempts),
 		sentAt: c.now(), deadline: time.Now().Add(timeout),
 	}
 	giveUp := time.NewTimer(timeout)
@@ -101,11 +105,11 @@
 	o.pending++
 	o.leave = sync.OnceFunc(c.gate.Leave)
 	go func() {
-		ctx, cancel := context.WithDeadline(c.ctx, o.deadline)
+		ctx, cancel := context.WithDeadline(o.ctx, o.deadline)
 		defer cancel()
 		sentAt := c.now()
 		answer := o.send(ctx)
-		if c.ctx.Err() == nil {
+		if c.ctx.Err() == nil && answer.outcome != dispatch.StartNotSent {
 			o.wc.observeAnswer(c.now().Sub(sentAt), answer.answered, time.Now().Before(o.deadline))
 		}
 		o.answers <- answer
