Occurrences that an earlier owner has begun go on after a takeover

Cause, found by reading: an occurrence with recorded progress waited to be activated in the order of the schedule. If an earlier owner, of a build without a bound on them, had begun more than may exist at the same time, and an earlier one had no progress, none went on.

Change: an occurrence with progress counts as due when it is restored.

TestOccurrencesThatWereBegunGoOn fails before: no run of 29,971.

--- a/internal/dispatch/calendar_test.go
+++ b/internal/dispatch/calendar_test.go
@@ -182,3 +182,30 @@
 		}
 	}
 }
+
+// Guards against a schedule that stands still after a takeover: the earlier owner, of a build without a bound, had begun more occurrences
+// than may exist at the same time, and the first one that has no progress kept the others from going on.
+func TestOccurrencesThatWereBegunGoOn(t *testing.T) {
+	c := newFixture(t, 2)
+	w := c.addWorker("a", 500_000)
+	begun := &Progress{State: graph.Running, Started: true}
+	for k := 1; k < 30; k++ {
+		begun.Steps = append(begun.Steps, StepProgress{Occurrence: k, Done: []byte{1}})
+	}
+	spec := &graph.Spec{Steps: []graph.Step{{Count: 1000}}, Occurrences: 30}
+	c.AddJob(JobInput{ID: "j", Queue: plainQueue, Spec: spec, ArrivedAt: c.virtualTime, Progress: begun})
+	sequence := uint64(0)
+	for range 10 {
+		var report Report
+		for _, s := range c.planAt(time.Hour) {
+			c.HandleStartOutcome(w, s.RunKey, Started)
+			sequence++
+			report.Ended = append(report.Ended, EndedEntry{Sequence: sequence, RunKey: s.RunKey})
+		}
+		c.advance(2 * dropInterval)
+		c.HandleReport(w, c.virtualTime, report)
+	}
+	if state, _ := c.JobState("j"); state != graph.Completed || sequence != 29*999+1000 {
+		t.Errorf("the job is %s after %d runs, want it completed after %d", state, sequence, 29*999+1000)
+	}
+}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -136,8 +136,10 @@
 			j.markOccurrenceDone(index)
 			continue
 		}
+		o := j.occurrence(index)
+		o.due = true // an earlier owner has begun it
 		for _, sp := range steps {
-			j.occurrence(index).steps[sp.Step].restore(sp)
+			o.steps[sp.Step].restore(sp)
 		}
 	}
 }
