Ledger: the progress of a wide job is encoded once, not twice

Cause: whether progress fits a row was found by encoding all of it, also where the number of tasks alone shows that it does not.

--- a/internal/ledger/progress_rows.go
+++ b/internal/ledger/progress_rows.go
@@ -17,8 +17,12 @@
 // checkpoints and crashes. These go into detail rows, each for a range of a step's tasks. Each detail row is valid by itself, so that they
 // need not be written in the transaction of the job's progress row.
 
-// tasksPerDetailRow is the range of tasks of a detail row, unless their details exceed a row.
-const tasksPerDetailRow = 256
+const (
+	// tasksPerDetailRow is the range of tasks of a detail row, unless their details exceed a row.
+	tasksPerDetailRow = 256
+	// minTaskBytes is the least that the details of a task take.
+	minTaskBytes = len(`{"i":9,"c":"x"},`)
+)
 
 // detailRow is a row with details of a job's tasks. The value is decoded when the job is loaded.
 type detailRow struct {
@@ -35,9 +39,14 @@
 
 // encodeProgress returns the rows of a job's progress, each with a value of at most maxRow bytes where that is possible.
 func encodeProgress(id graph.JobID, p dispatch.Progress, maxRow int) encodedProgress {
-	whole := encode(p)
-	if len(whole) <= maxRow {
-		return encodedProgress{progress: whole}
+	tasks := 0
+	for _, s := range p.Steps {
+		tasks += len(s.Tasks)
+	}
+	if tasks*minTaskBytes <= maxRow {
+		if whole := encode(p); len(whole) <= maxRow {
+			return encodedProgress{progress: whole}
+		}
 	}
 	out := encodedProgress{details: make(map[string][]byte)}
 	steps := p.Steps
