Repeats of an order are sent as before, also once it is answered

A repeat whose order is answered before it is sent came back at once, and counted as an answer within no time.

--- a/internal/owner/order_attempts.go
+++ b/internal/owner/order_attempts.go
@@ -24,8 +24,6 @@
 
 // orderAttempts are the attempts of one order.
 type orderAttempts struct {
-	// ctx ends once the order is answered or given up: attempts that have not been sent by then are not.
-	ctx  context.Context
 	wc   *workerConn
 	send func(context.Context) orderAnswer
 	// mayRepeat reports whether the order may still be sent.
@@ -48,10 +46,8 @@
 func (wc *workerConn) sendOrder(mayRepeat func() bool, send func(context.Context) orderAnswer) (orderAnswer, int) {
 	c := wc.controller
 	timeout := c.gate.Timeout()
-	ctx, cancel := context.WithCancel(c.ctx)
-	defer cancel()
 	o := &orderAttempts{
-		ctx: ctx, wc: wc, send: send, mayRepeat: mayRepeat, answers: make(chan orderAnswer, maxAttempts),
+		wc: wc, send: send, mayRepeat: mayRepeat, answers: make(chan orderAnswer, maxAttempts),
 		sentAt: c.now(), deadline: time.Now().Add(timeout),
 	}
 	giveUp := time.NewTimer(timeout)
@@ -105,7 +101,7 @@
 	o.pending++
 	o.leave = sync.OnceFunc(c.gate.Leave)
 	go func() {
-		ctx, cancel := context.WithDeadline(o.ctx, o.deadline)
+		ctx, cancel := context.WithDeadline(c.ctx, o.deadline)
 		defer cancel()
 		sentAt := c.now()
 		answer := o.send(ctx)
