--- a/internal/owner/order_attempts.go
+++ b/internal/owner/order_attempts.go
@@ -105,7 +105,7 @@
 		defer cancel()
 		sentAt := c.now()
 		answer := o.send(ctx)
-		if c.ctx.Err() == nil && answer.outcome != dispatch.StartNotSent {
+		if c.ctx.Err() == nil {
 			o.wc.observeAnswer(c.now().Sub(sentAt), answer.answered, time.Now().Before(o.deadline))
 		}
 		o.answers <- answer
