--- a/test.sh
+++ b/test.sh
@@ -22,6 +22,10 @@
 for entry in "${red[@]}"; do
   echo "known red: $entry"
   read -r package test _ <<<"$entry"
+  if [[ $package == ./review/* ]]; then
+    echo "not run here, a script beside the build of the deploy file: $package/$test"
+    continue
+  fi
   if go test -count=1 -timeout "$LIMIT" -run "^$test\$" "$package" "$@" 2>&1 | sed 's/^/  | /'; then
     echo "no longer red, take it off the list: $test"
   else
