Orders wait in line for their worker

Gangs with over 24 members on a worker never came to work.

Cause: a start or stop beyond the 24 connections to a worker failed at once. The stop counted as unanswered: it spent the budget of repeats, and after two seconds the lease of its worker, and with it other jobs' tasks, was held back. The start counted as refused. Evidence: `run stop` with `no free connections`, in bursts 1.2 s apart.

Change: the gate of all orders also bounds those under way to each worker, at 20. Further ones wait in the order of the engine's decisions: stops, then urgent starts, then others; a worker whose places are taken holds up no other. What is queued is checked when it gets its places: a start is withdrawn if its run is stopped, and not sent if its permit, the ownership or the extension of the lease has ended; a stop is withdrawn if its run has ended. A stop that waits is not overdue, is not repeated and costs no lease. Calls beyond the connections of the client, which is above that bound, wait in order too, and say nothing about the worker if they get none. Waits are in no answer time. `run start` and `run stop` have `waited`; metrics count the orders and calls that waited.

The tests of owner, flowcontrol, dispatch (stops) and settings pass.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -305,23 +305,26 @@
 	}
 	r.state = runStopping
 	r.stopReason = reason
-	r.stopOrderedAt = e.now
 	e.unansweredStops[r] = struct{}{}
 	e.sendStop(r)
 }
 
 func (e *Engine) sendStop(r *run) {
 	r.stopRetryAt = e.now.Add(maxStopTime)
+	r.firstStop = !r.stopSent
+	if r.firstStop {
+		r.stopSent, r.stopSentAt = true, e.now // unless HandleStopWaiting says that it waits
+	}
 	e.orders = append(e.orders, Stop{RunKey: r.RunKey, Worker: r.worker.ID, Reason: r.stopReason})
 }
 
 const (
 	// stopRetryDelay is the time from the end of a stop order without an answer to the next one.
 	stopRetryDelay = 500 * time.Millisecond
-	// maxStopTime is the time after which a stop is sent again although its order has not ended. It is longer than any order
-	// takes.
+	// maxStopTime is the time after which a stop that was sent is sent again although its order has not ended. It is longer than any
+	// order takes.
 	maxStopTime = 4 * time.Second
-	// stopOverdueAfter is how long the stop of a run whose job has ended may go without an answer. After that the run is ended
+	// stopOverdueAfter is how long the stop of a run whose job has ended may go without an answer once it was sent. After that the run is ended
 	// by the end of its worker's lease.
 	stopOverdueAfter = 2 * time.Second
 )
@@ -331,7 +334,7 @@
 func (e *Engine) WorkersWithOverdueStops() map[WorkerID]struct{} {
 	var overdue map[WorkerID]struct{}
 	for r := range e.unansweredStops {
-		if !r.jobEnded || e.now.Sub(r.stopOrderedAt) < stopOverdueAfter {
+		if !r.jobEnded || !r.stopSent || e.now.Sub(r.stopSentAt) < stopOverdueAfter {
 			continue
 		}
 		if overdue == nil {
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"laburnumpoint/internal/graph"
@@ -482,6 +483,44 @@
 	r.stopRetryAt = e.now.Add(stopRetryDelay)
 }
 
+// HandleStopWaiting notes that the last stop order of a run waits to be sent. It is not repeated before HandleStopSent, and its worker
+// can't be late with an answer.
+func (e *Engine) HandleStopWaiting(id WorkerID, key RunKey) {
+	if r := e.unansweredStop(id, key); r != nil {
+		r.stopRetryAt = math.MaxInt64
+		r.stopSent = r.stopSent && !r.firstStop
+	}
+}
+
+// HandleStopSent notes that a stop order that waited has been sent.
+func (e *Engine) HandleStopSent(id WorkerID, key RunKey) {
+	if r := e.unansweredStop(id, key); r != nil {
+		r.stopRetryAt = e.now.Add(maxStopTime)
+		if !r.stopSent {
+			r.stopSent, r.stopSentAt = true, e.now
+		}
+	}
+}
+
+// HandleStopNotSent notes that a stop order ended without being sent. It is sent again.
+func (e *Engine) HandleStopNotSent(id WorkerID, key RunKey) {
+	e.HandleStopWaiting(id, key)
+	e.HandleStopAnswer(id, key, false)
+}
+
+// unansweredStop returns the run if its worker has not acknowledged its stop, and nil otherwise.
+func (e *Engine) unansweredStop(id WorkerID, key RunKey) *run {
+	w := e.workers[id]
+	if w == nil {
+		return nil
+	}
+	r := w.runs[key]
+	if _, unanswered := e.unansweredStops[r]; !unanswered {
+		return nil
+	}
+	return r
+}
+
 // permitRetryInterval is how long a step waits after a permit request without an answer.
 const permitRetryInterval = 200 * time.Millisecond
 
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -208,10 +208,11 @@
 	orderedAt monotime.Instant
 	// stopAnsweredAt is when the worker acknowledged the stop; 0 before that.
 	stopAnsweredAt monotime.Instant
-	// stopOrderedAt is when the stop was first ordered.
-	stopOrderedAt monotime.Instant
-	stopRetryAt   monotime.Instant
-	stopReason    string
+	// stopSent means that a stop has been sent, at stopSentAt for the first time. firstStop means that it was the last order.
+	stopSent, firstStop bool
+	stopSentAt          monotime.Instant
+	stopRetryAt         monotime.Instant
+	stopReason          string
 	// jobEnded means that the run is stopped because its job has ended, was cancelled or is not known.
 	jobEnded bool
 
--- a/internal/dispatch/start_outcome_test.go
+++ b/internal/dispatch/start_outcome_test.go
@@ -106,3 +106,63 @@
 		}
 	}
 }
+
+// Guards against leases that are held back for stops that were never sent: a stop that waits to be sent is neither overdue nor repeated.
+func TestStopThatWaitsIsNotOverdue(t *testing.T) {
+	c := newFixture(t, 1)
+	a := c.addWorker("a", 1000)
+	j := c.addJob("j", false, plainStep(1))
+	starts, _, _ := c.planByKind()
+	key := starts[0].RunKey
+	c.HandleStartOutcome(a, key, Started)
+	c.Cancel(j)
+	overdue := func() bool { return len(c.WorkersWithOverdueStops()) > 0 }
+	stops := func() int { _, stops, _ := c.planByKind(); return len(stops) }
+	if n := stops(); n != 1 {
+		t.Fatalf("%d stops, want one", n)
+	}
+	c.HandleStopWaiting(a, key)
+	c.advance(time.Minute)
+	if n := stops(); n > 0 || overdue() {
+		t.Errorf("%d further stops while the first waits, overdue %v", n, overdue())
+	}
+	c.HandleStopSent(a, key)
+	c.advance(stopOverdueAfter - time.Millisecond)
+	if overdue() {
+		t.Error("the stop is overdue by the time that it waited")
+	}
+	c.advance(time.Millisecond)
+	if !overdue() {
+		t.Error("the stop is not overdue although it was sent")
+	}
+	c.HandleStopAnswer(a, key, false)
+	c.advance(stopRetryDelay)
+	if n := stops(); n != 1 {
+		t.Fatalf("%d stops after the first got no answer, want one", n)
+	}
+	c.HandleStopWaiting(a, key)
+	if !overdue() {
+		t.Error("the stop is no longer overdue while its repeat waits")
+	}
+}
+
+// Guards against stops that are given up: one that ended without being sent is sent again, and is not overdue for it.
+func TestStopThatWasNotSentIsSentAgain(t *testing.T) {
+	c := newFixture(t, 1)
+	a := c.addWorker("a", 1000)
+	j := c.addJob("j", false, plainStep(1))
+	starts, _, _ := c.planByKind()
+	key := starts[0].RunKey
+	c.HandleStartOutcome(a, key, Started)
+	c.Cancel(j)
+	for range 8 {
+		if _, stops, _ := c.planByKind(); len(stops) != 1 {
+			t.Fatalf("stops %v, want one", stops)
+		}
+		c.HandleStopNotSent(a, key)
+		c.advance(stopRetryDelay)
+	}
+	if len(c.WorkersWithOverdueStops()) > 0 {
+		t.Error("a stop that was never sent is overdue")
+	}
+}
--- a/internal/flowcontrol/gate.go
+++ b/internal/flowcontrol/gate.go
@@ -3,14 +3,16 @@
 //
 // A call passes through these states:
 //
-//	waiting ──place free──▶ under way ──answer──▶ (done)
-//	   │                       │
-//	   │ waited too long       │ repeat delay over: the place is freed, the call goes on
-//	   ▼                       ▼
-//	(not sent)              unanswered ──answer, or given up──▶ (done)
+//	waiting ──places free──▶ under way ──answer──▶ (done)
+//	   │                        │
+//	   │ waited too long        │ repeat delay over: the gate's place is freed, the call goes on
+//	   ▼                        ▼
+//	(not sent)               unanswered ──answer, or given up──▶ (done)
 //
-// The bound on calls under way falls while answers take long and rises while calls wait for a place. Repeats take from a budget
-// that first calls fill, and never wait for a place.
+// A call needs a place of the gate and one of its server. The bound on the gate's places falls while answers take long and rises
+// while calls wait for it. A server's places are as many as the connections that it may get, so a call keeps its place until it ends.
+// Calls whose server has no free place don't hold up those to other servers. Repeats take from a budget that first calls fill, and never
+// wait for a place.
 package flowcontrol
 
 import (
@@ -40,6 +42,8 @@
 const (
 	DefaultMinUnderWay = 32
 	DefaultMaxUnderWay = 1024
+	// DefaultMaxPerServer leaves some of the connections to a server for calls that no gate admits.
+	DefaultMaxPerServer = 20
 	// DefaultRepeatRatio lets every call be repeated once on average, which suffices while half of the answers get lost.
 	DefaultRepeatRatio = 1.0
 	// DefaultMinRepeatDelay is several times what a healthy server takes.
@@ -52,6 +56,8 @@
 type Options struct {
 	// MinUnderWay and MaxUnderWay limit the bound on calls under way.
 	MinUnderWay, MaxUnderWay int
+	// MaxPerServer limits the calls under way to one server.
+	MaxPerServer int
 	// RepeatRatio is the number of repeats for each first call in the long run.
 	RepeatRatio float64
 	// MinRepeatDelay is the least time without an answer after which a call is repeated.
@@ -62,7 +68,7 @@
 
 // DefaultOptions returns the default options.
 func DefaultOptions() Options {
-	return Options{DefaultMinUnderWay, DefaultMaxUnderWay, DefaultRepeatRatio, DefaultMinRepeatDelay, DefaultMinTimeout}
+	return Options{DefaultMinUnderWay, DefaultMaxUnderWay, DefaultMaxPerServer, DefaultRepeatRatio, DefaultMinRepeatDelay, DefaultMinTimeout}
 }
 
 // Limits derived from the typical answer time.
@@ -106,15 +112,30 @@
 	adjustedAt monotime.Instant
 	peak       int
 	underWay   int
-	waiting    [classes][]*waiter
-	stats      Stats
+	// waiting holds the calls that wait for a place of the gate. Their servers had a free one when they came here.
+	waiting waitList
+	// waitingForServers counts the calls in the lists of servers.
+	waitingForServers int
+	lastSequence      uint64
+	stats             Stats
 }
 
-type waiter struct{ admitted chan struct{} }
+// Server is one of the servers that a gate's calls go to. Its gate guards its fields.
+type Server struct {
+	underWay int
+	// inGate counts the calls in the gate's list, waiting holds those that wait for a place of this server.
+	inGate  int
+	waiting waitList
+}
+
+// NewServer returns a server without calls.
+func NewServer() *Server { return &Server{} }
 
 // Stats are the current state of a gate.
 type Stats struct {
 	Bound, UnderWay, Waiting int
+	// WaitingForServers is the number of calls that wait for a place of their server. Waiting doesn't include them.
+	WaitingForServers int
 	// AnswerTime is the typical answer time.
 	AnswerTime time.Duration
 	// Repeats counts the calls that were sent again, Withheld those that were not for lack of budget or of a place.
@@ -131,57 +152,106 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	stats := g.stats
-	stats.Bound, stats.UnderWay, stats.Waiting, stats.AnswerTime = g.bound, g.underWay, g.countWaiting(), g.typical.value
+	stats.Bound, stats.UnderWay, stats.Waiting, stats.AnswerTime = g.bound, g.underWay, g.waiting.count(), g.typical.value
+	stats.WaitingForServers = g.waitingForServers
 	return stats
 }
 
 // ErrNoPlace means that no place became free in time.
 var ErrNoPlace = errors.New("too many calls under way")
 
-// Enter takes a place for a first call, and waits for one until ctx ends. Each place is freed by Leave.
-// Errors: ErrNoPlace; the call must not be sent.
-func (g *Gate) Enter(ctx context.Context, class Class) error {
+// Call is a first call that has places, or waits for them.
+type Call struct {
+	gate     *Gate
+	class    Class
+	server   *Server
+	sequence uint64
+	// waitedForServer means that the server had no free place at some time.
+	waitedForServer bool
+	// admitted is closed once the call has its places; nil if it had them at once.
+	admitted chan struct{}
+}
+
+// Join takes the places for a first call to the server if they are free. Otherwise the call waits in line from now on: behind those of
+// lower classes and those of its own that came earlier. The places are freed by Leave and LeaveServer.
+func (g *Gate) Join(class Class, server *Server) *Call {
 	g.mu.Lock()
-	if g.underWay < g.bound && g.firstWaiting() < 0 {
-		g.admit()
-		g.mu.Unlock()
+	defer g.mu.Unlock()
+	g.lastSequence++
+	call := &Call{gate: g, class: class, server: server, sequence: g.lastSequence}
+	// While the gate has a free place, no call waits for it alone.
+	if g.underWay < g.bound && g.hasPlace(server) && server.waiting.first() < 0 {
+		g.admit(server)
+		return call
+	}
+	call.admitted = make(chan struct{})
+	if first := server.waiting.first(); !g.hasPlace(server) || (first >= 0 && first <= class) {
+		call.waitedForServer = true
+		server.waiting.add(call)
+		g.waitingForServers++
+	} else {
+		server.inGate++
+		g.waiting.add(call)
+		g.admitWaiting()
+	}
+	return call
+}
+
+// Waits reports whether the call has to wait for its places.
+func (c *Call) Waits() bool {
+	if c.admitted == nil {
+		return false
+	}
+	select {
+	case <-c.admitted:
+		return false
+	default:
+		return true
+	}
+}
+
+// Waited reports whether the call did not have its places at once.
+func (c *Call) Waited() bool { return c.admitted != nil }
+
+// WaitedForServer reports whether the call had to wait for a place of its server. It is called after Wait.
+func (c *Call) WaitedForServer() bool { return c.waitedForServer }
+
+// Wait waits until the call has its places or ctx ends.
+// Errors: ErrNoPlace; the call must not be sent.
+func (c *Call) Wait(ctx context.Context) error {
+	if c.admitted == nil {
 		return nil
 	}
-	w := &waiter{make(chan struct{})}
-	g.waiting[class] = append(g.waiting[class], w)
-	g.mu.Unlock()
 	select {
-	case <-w.admitted:
+	case <-c.admitted:
 		return nil
 	case <-ctx.Done():
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	select {
-	case <-w.admitted: // admitted just before ctx ended
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if !c.Waits() { // admitted just before ctx ended
 		return nil
-	default:
 	}
-	g.removeWaiter(class, w)
+	c.gate.remove(c)
 	return ErrNoPlace
 }
 
-// EnterRepeat takes a place for sending a call again and reports whether it did: there must be a free place that no call waits
+// EnterRepeat takes the places for sending a call to the server again and reports whether it did: there must be places that no call waits
 // for, and budget.
-func (g *Gate) EnterRepeat() bool {
+func (g *Gate) EnterRepeat(server *Server) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.budget < 1 || g.underWay >= g.bound {
+	if g.budget < 1 || g.underWay >= g.bound || !g.hasPlace(server) || server.waiting.first() >= 0 {
 		g.stats.Withheld++
 		return false
 	}
 	g.budget--
 	g.stats.Repeats++
-	g.take()
+	g.take(server)
 	return true
 }
 
-// Leave frees a place.
+// Leave frees a place of the gate.
 func (g *Gate) Leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -189,6 +259,15 @@
 	g.admitWaiting()
 }
 
+// LeaveServer frees a place of the server.
+func (g *Gate) LeaveServer(server *Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	server.underWay--
+	g.refill(server)
+	g.admitWaiting()
+}
+
 // Observe notes that an answer has come after the given time, or that none had come by then when the call was given up.
 func (g *Gate) Observe(now monotime.Instant, took time.Duration) {
 	g.mu.Lock()
@@ -232,59 +311,66 @@
 	if changed := g.bound*logFactor <= g.loggedAt || g.bound >= g.loggedAt*logFactor; changed {
 		g.loggedAt = g.bound
 		if g.OnBoundChange != nil {
-			g.OnBoundChange(g.bound, g.typical.value, g.countWaiting())
+			g.OnBoundChange(g.bound, g.typical.value, g.waiting.count())
 		}
 	}
 }
 
-// admit takes a place for a first call.
-func (g *Gate) admit() {
+// hasPlace reports whether the server has a free place.
+func (g *Gate) hasPlace(server *Server) bool { return server.underWay < g.options.MaxPerServer }
+
+// admit takes the places for a first call.
+func (g *Gate) admit(server *Server) {
 	g.budget = min(maxRepeatBudget, g.budget+g.options.RepeatRatio)
-	g.take()
+	g.take(server)
 }
 
-func (g *Gate) take() {
+func (g *Gate) take(server *Server) {
 	g.underWay++
 	g.peak = max(g.peak, g.underWay)
+	server.underWay++
 }
 
-// admitWaiting admits waiting calls to free places.
+// admitWaiting admits waiting calls to free places. Calls whose server has none left go back to the server's list.
 func (g *Gate) admitWaiting() {
 	for g.underWay < g.bound {
-		class := g.firstWaiting()
-		if class < 0 {
+		call := g.waiting.takeFirst()
+		if call == nil {
 			return
 		}
-		w := g.waiting[class][0]
-		g.waiting[class] = g.waiting[class][1:]
-		g.admit()
-		close(w.admitted)
-	}
-}
-
-// firstWaiting returns the class of the call that is admitted next; -1 if none waits.
-func (g *Gate) firstWaiting() Class {
-	for class := range classes {
-		if len(g.waiting[class]) > 0 {
-			return class
+		call.server.inGate--
+		if !g.hasPlace(call.server) {
+			call.waitedForServer = true
+			call.server.waiting.add(call)
+			g.waitingForServers++
+			continue
 		}
+		g.admit(call.server)
+		close(call.admitted)
 	}
-	return -1
 }
 
-func (g *Gate) countWaiting() int {
-	n := 0
-	for _, waiting := range g.waiting {
-		n += len(waiting)
+// refill moves calls from the server's list to the gate's, one for each free place of the server.
+func (g *Gate) refill(server *Server) {
+	for server.underWay+server.inGate < g.options.MaxPerServer {
+		call := server.waiting.takeFirst()
+		if call == nil {
+			return
+		}
+		g.waitingForServers--
+		server.inGate++
+		g.waiting.add(call)
 	}
-	return n
 }
 
-func (g *Gate) removeWaiter(class Class, w *waiter) {
-	for i, other := range g.waiting[class] {
-		if other == w {
-			g.waiting[class] = append(g.waiting[class][:i], g.waiting[class][i+1:]...)
-			return
-		}
+// remove removes a waiting call.
+func (g *Gate) remove(c *Call) {
+	if c.server.waiting.remove(c) {
+		g.waitingForServers--
+		return
 	}
+	g.waiting.remove(c)
+	c.server.inGate--
+	g.refill(c.server)
+	g.admitWaiting()
 }
--- a/internal/flowcontrol/gate_test.go
+++ b/internal/flowcontrol/gate_test.go
@@ -16,6 +16,11 @@
 	return o
 }
 
+// enter takes the places for a call to a server of its own.
+func enter(ctx context.Context, g *Gate, class Class) error {
+	return g.Join(class, NewServer()).Wait(ctx)
+}
+
 // observe notes n answers after the given time each, one every 10 ms from the start, and returns the time after the last.
 func observe(g *Gate, start monotime.Instant, n int, took time.Duration) monotime.Instant {
 	for range n {
@@ -81,13 +86,13 @@
 	g := NewGate(testOptions())
 	calls, repeats := 0, 0
 	for range 10_000 {
-		if err := g.Enter(t.Context(), Normal); err != nil {
+		if err := enter(t.Context(), g, Normal); err != nil {
 			t.Fatal(err)
 		}
 		g.Leave()
 		calls++
 		for range 3 {
-			if g.EnterRepeat() {
+			if g.EnterRepeat(NewServer()) {
 				g.Leave()
 				repeats++
 			}
@@ -105,11 +110,11 @@
 func TestRepeatsDoNotWait(t *testing.T) {
 	g := NewGate(testOptions())
 	for range testOptions().MaxUnderWay {
-		if err := g.Enter(t.Context(), Normal); err != nil {
+		if err := enter(t.Context(), g, Normal); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if g.EnterRepeat() {
+	if g.EnterRepeat(NewServer()) {
 		t.Error("a repeat was admitted beyond the bound")
 	}
 }
@@ -120,7 +125,7 @@
 	var reported []int
 	g.OnBoundChange = func(bound int, _ time.Duration, _ int) { reported = append(reported, bound) }
 	for range 10 {
-		if err := g.Enter(t.Context(), Normal); err != nil {
+		if err := enter(t.Context(), g, Normal); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -143,7 +148,7 @@
 		o := testOptions()
 		o.MinUnderWay, o.MaxUnderWay = 1, 1
 		g := NewGate(o)
-		if err := g.Enter(t.Context(), Normal); err != nil {
+		if err := enter(t.Context(), g, Normal); err != nil {
 			t.Fatal(err)
 		}
 		var order []string
@@ -152,7 +157,7 @@
 			class Class
 		}{{"start 1", Normal}, {"start 2", Normal}, {"gang", Urgent}, {"stop", Stop}} {
 			go func() {
-				if g.Enter(t.Context(), c.class) == nil {
+				if enter(t.Context(), g, c.class) == nil {
 					order = append(order, c.name)
 					g.Leave()
 				}
@@ -175,12 +180,12 @@
 		o := testOptions()
 		o.MinUnderWay, o.MaxUnderWay = 1, 1
 		g := NewGate(o)
-		if err := g.Enter(t.Context(), Normal); err != nil {
+		if err := enter(t.Context(), g, Normal); err != nil {
 			t.Fatal(err)
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		if err := g.Enter(ctx, Normal); err != ErrNoPlace {
+		if err := enter(ctx, g, Normal); err != ErrNoPlace {
 			t.Errorf("error %v, want %v", err, ErrNoPlace)
 		}
 		g.Leave()
--- a/internal/owner/contracts.go
+++ b/internal/owner/contracts.go
@@ -22,6 +22,8 @@
 	ErrOtherIncarnation = errors.New("worker: another incarnation answers at its address")
 	// ErrNoAnswer means that no answer came; the call may have been carried out, or may yet be.
 	ErrNoAnswer = errors.New("worker: no answer to the call")
+	// ErrNoConnection means that the call was not sent: its time was over before it had a connection. It says nothing about the worker.
+	ErrNoConnection = errors.New("worker: no free connection")
 )
 
 // StartCall orders a worker to start a run.
@@ -47,11 +49,11 @@
 
 // WorkerClient calls workers. Every method returns at the latest when its context ends.
 type WorkerClient interface {
-	// Start returns the outcome of the order. Errors: ErrSuperseded, ErrOtherIncarnation; the run then does not exist.
+	// Start returns the outcome of the order; dispatch.StartNotSent if there was no free connection. Errors: ErrSuperseded, ErrOtherIncarnation; the run then does not exist.
 	Start(ctx context.Context, w dispatch.Worker, call StartCall) (dispatch.StartOutcome, error)
-	// Stop ends a run, or keeps it from ever starting. Errors: ErrSuperseded, ErrOtherIncarnation, ErrNoAnswer.
+	// Stop ends a run, or keeps it from ever starting. Errors: ErrSuperseded, ErrOtherIncarnation, ErrNoAnswer, ErrNoConnection.
 	Stop(ctx context.Context, w dispatch.Worker, key dispatch.RunKey, epoch uint64) error
-	// Hold returns the worker's report and its clock. Errors: ErrSuperseded, ErrOtherIncarnation, ErrNoAnswer.
+	// Hold returns the worker's report and its clock. Errors: ErrSuperseded, ErrOtherIncarnation, ErrNoAnswer, ErrNoConnection.
 	Hold(ctx context.Context, w dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error)
 }
 
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -383,11 +383,11 @@
 	switch o := order.(type) {
 	case dispatch.Start:
 		if wc := c.workerConns[o.Worker]; wc != nil {
-			go wc.start(wc.newStartCall(o))
+			wc.executeStart(o)
 		}
 	case dispatch.Stop:
 		if wc := c.workerConns[o.Worker]; wc != nil {
-			go wc.stop(o)
+			wc.executeStop(o)
 		}
 	case dispatch.PermitRequest:
 		c.permits.add(o)
--- a/internal/owner/cutoff_test.go
+++ b/internal/owner/cutoff_test.go
@@ -219,14 +219,15 @@
 		if len(orders) != 1 {
 			t.Fatalf("%d orders, want a start", len(orders))
 		}
-		call := c.workerConns["w"].newStartCall(orders[0].(dispatch.Start))
+		order := orders[0].(dispatch.Start)
+		call := c.workerConns["w"].newStartCall(order)
 		client.disconnect(false)
 		runLoop(c, 8*time.Second, func() {})
 		if c.engine.HasRuns("w") {
 			t.Fatal("the run is not given up")
 		}
 		client.reconnect()
-		c.workerConns["w"].start(call)
+		c.workerConns["w"].start(call, c.workerConns["w"].queue(startClass(order)))
 		if left := client.leaseRemaining(); left > 0 {
 			t.Errorf("the order of a run that was given up extends the lease by %s", left)
 		}
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -15,7 +15,10 @@
 	workerCrashes, tasksGivenUp         *metrics.Counter
 	startTime, permitTime, roundTime    *metrics.Histogram
 	takeoverTime                        *metrics.Histogram
-	locality                            localityCounters
+	// workerWaits counts the orders that waited for a place of their worker, workerWaitTime sums their waits in seconds.
+	workerWaits    *metrics.Counter
+	workerWaitTime *metrics.FloatCounter
+	locality       localityCounters
 }
 
 // newInstruments registers the daemon's metrics. The gauges are 0 while it does not own the cell.
@@ -43,6 +46,7 @@
 	}
 	gateGauge("laburnumpoint_orders_under_way", func(s flowcontrol.Stats) float64 { return float64(s.UnderWay) })
 	gateGauge("laburnumpoint_orders_waiting", func(s flowcontrol.Stats) float64 { return float64(s.Waiting) })
+	gateGauge("laburnumpoint_orders_waiting_for_workers", func(s flowcontrol.Stats) float64 { return float64(s.WaitingForServers) })
 	gateGauge("laburnumpoint_orders_bound", func(s flowcontrol.Stats) float64 { return float64(s.Bound) })
 	gateGauge("laburnumpoint_order_answer_seconds", func(s flowcontrol.Stats) float64 { return s.AnswerTime.Seconds() })
 	gateGauge("laburnumpoint_order_retries_withheld", func(s flowcontrol.Stats) float64 { return float64(s.Withheld) })
@@ -56,6 +60,8 @@
 		permitFailures: set.NewCounter("laburnumpoint_permit_failures_total"),
 		helloFailures:  set.NewCounter("laburnumpoint_hello_failures_total"),
 		orderRetries:   set.NewCounter("laburnumpoint_order_retries_total"),
+		workerWaits:    set.NewCounter("laburnumpoint_order_worker_waits_total"),
+		workerWaitTime: set.NewFloatCounter("laburnumpoint_order_worker_wait_seconds_total"),
 		processesEnded: set.NewCounter("laburnumpoint_worker_processes_ended_total"),
 		workerCrashes:  set.NewCounter("laburnumpoint_worker_crashes_total"),
 		tasksGivenUp:   set.NewCounter("laburnumpoint_tasks_given_up_total"),
--- a/internal/owner/order_attempts.go
+++ b/internal/owner/order_attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -22,6 +23,11 @@
 	answered bool
 }
 
+// notSent means that the attempt found no connection. That says nothing about the worker.
+func (a orderAnswer) notSent() bool {
+	return a.outcome == dispatch.StartNotSent || errors.Is(a.err, ErrNoConnection)
+}
+
 // orderAttempts are the attempts of one order.
 type orderAttempts struct {
 	wc   *workerConn
@@ -41,7 +47,7 @@
 // always is the condition of orders that may be sent at any time.
 func always() bool { return true }
 
-// sendOrder sends an order, for which a place has been taken, until one attempt is answered or the order is given up. An attempt
+// sendOrder sends an order, for which places have been taken, until one attempt is answered or the order is given up. An attempt
 // goes on when the next is sent: its answer may only be late. sendOrder returns the answer and the number of attempts.
 func (wc *workerConn) sendOrder(mayRepeat func() bool, send func(context.Context) orderAnswer) (orderAnswer, int) {
 	c := wc.controller
@@ -83,7 +89,7 @@
 // repeat frees the place of the latest attempt, which may be lost, and sends another one if there is a place and budget for it.
 func (o *orderAttempts) repeat() {
 	o.leave()
-	if o.attempts == maxAttempts || !o.mayRepeat() || !o.wc.controller.gate.EnterRepeat() {
+	if o.attempts == maxAttempts || !o.mayRepeat() || !o.wc.controller.gate.EnterRepeat(o.wc.places) {
 		return
 	}
 	c := o.wc.controller
@@ -94,7 +100,7 @@
 	o.sendAttempt()
 }
 
-// sendAttempt sends the order, for which a place has been taken.
+// sendAttempt sends the order, for which places have been taken. The worker's is kept until the call ends, since it keeps a connection.
 func (o *orderAttempts) sendAttempt() {
 	c := o.wc.controller
 	o.attempts++
@@ -105,7 +111,8 @@
 		defer cancel()
 		sentAt := c.now()
 		answer := o.send(ctx)
-		if c.ctx.Err() == nil {
+		c.gate.LeaveServer(o.wc.places)
+		if c.ctx.Err() == nil && !answer.notSent() {
 			o.wc.observeAnswer(c.now().Sub(sentAt), answer.answered, time.Now().Before(o.deadline))
 		}
 		o.answers <- answer
--- a/internal/owner/order_retry_test.go
+++ b/internal/owner/order_retry_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/flowcontrol"
 )
 
 // singleThreadedClient is the worker client of an owner whose processor does one thing at a time: each request and each answer
@@ -109,17 +110,17 @@
 		waits := make([]time.Duration, slots) // how long each slot has been free at the end
 		var done sync.WaitGroup
 		for i := range slots {
+			conn := newTestConn(c, "")
 			done.Go(func() {
-				conn := &workerConn{controller: c}
 				time.Sleep(time.Duration(i) * runTime / slots)
 				freeSince := c.now()
 				for c.now() < end {
-					if outcome, _ := conn.sendStart(StartCall{}); outcome == dispatch.Started {
+					if outcome, _ := conn.sendStart(StartCall{}, conn.queue(flowcontrol.Normal)); outcome == dispatch.Started {
 						time.Sleep(runTime)
 						freeSince = c.now()
 						continue
 					}
-					for c.now() < end && conn.sendStop(dispatch.RunKey{}) != nil {
+					for c.now() < end && conn.sendStop(dispatch.RunKey{}, conn.queue(flowcontrol.Stop)) != nil {
 						time.Sleep(500 * time.Millisecond) // until the engine orders the stop again
 					}
 				}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"laburnumpoint/internal/dispatch"
@@ -14,8 +13,8 @@
 const (
 	// orderRetryDelay is the delay after a failed attempt, for a worker whose calls fail at once.
 	orderRetryDelay = 20 * time.Millisecond
-	// maxPlaceWait bounds how long an order waits for a place among those under way. After that the engine decides anew.
-	maxPlaceWait = 1 * time.Second
+	// maxStartWait bounds how long a start waits for its places. After that the engine decides anew.
+	maxStartWait = 1 * time.Second
 )
 
 // newStartCall returns the call for a start order. Its lease deadline is set when the control loop decides: the control loop gives
@@ -29,24 +28,34 @@
 	return call
 }
 
-// start sends a start order and posts its outcome. An order without a deadline is not sent and counts as refused.
-func (wc *workerConn) start(order StartCall) {
+// refuseStart posts the outcome of a start order that can't be sent.
+func (wc *workerConn) refuseStart(order dispatch.Start) {
+	wc.finishStart(order, 0, orderAnswer{outcome: dispatch.StartRefused}, &queuedOrder{})
+}
+
+// start sends a start order and posts its outcome.
+func (wc *workerConn) start(order StartCall, queued *queuedOrder) {
+	orderedAt := wc.controller.now()
+	outcome, err := wc.sendStart(order, queued)
+	wc.finishStart(order.Start, wc.controller.now().Sub(orderedAt), orderAnswer{outcome: outcome, err: err}, queued)
+}
+
+// finishStart logs and posts the outcome of a start order.
+func (wc *workerConn) finishStart(order dispatch.Start, took time.Duration, answer orderAnswer, queued *queuedOrder) {
 	c := wc.controller
-	outcome, err := dispatch.StartRefused, error(nil)
-	orderedAt := c.now()
-	if order.Deadline > 0 {
-		outcome, err = wc.sendStart(order)
-	}
-	took := c.now().Sub(orderedAt)
 	c.instruments.startTime.Update(took.Seconds())
 	entry := c.Log.Info()
-	if outcome != dispatch.Started {
+	if answer.outcome != dispatch.Started {
 		entry = c.Log.Warn()
 	}
-	entry.Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Uint64("epoch", c.ownership.Epoch()).Str("worker", string(order.Worker)).Bool("copy", order.Copy).Str("outcome", outcome.String()).Dur("took", took).Err(err).Msg("run start")
+	if queued.waited > 0 {
+		entry.Dur("waited", queued.waited)
+	}
+	entry.Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Uint64("epoch", c.ownership.Epoch()).Str("worker", string(order.Worker)).Bool("copy", order.Copy).Str("outcome", answer.outcome.String()).Dur("took", took).Err(answer.err).Msg("run start")
 	c.post(func() {
-		c.engine.HandleStartOutcome(wc.worker.ID, order.RunKey, outcome)
-		c.handleOrderFailure(wc, err)
+		wc.forgetOrder(wc.queuedStarts, order.RunKey, queued)
+		c.engine.HandleStartOutcome(wc.worker.ID, order.RunKey, answer.outcome)
+		c.handleOrderFailure(wc, answer.err)
 	})
 }
 
@@ -61,15 +70,16 @@
 
 // sendStart sends a start order until it is answered or given up; a worker that has the run already answers that it has started.
 // After several attempts only that answer is conclusive: an earlier attempt may yet be carried out, or its run may have ended. An
-// order that finds no place before its permit or the ownership's validity ends is not sent.
-func (wc *workerConn) sendStart(call StartCall) (dispatch.StartOutcome, error) {
+// order is not sent if it finds no place in time, or if what allowed it has ended by then: its permit, the ownership's validity or the
+// extension of the worker's lease.
+func (wc *workerConn) sendStart(call StartCall, queued *queuedOrder) (dispatch.StartOutcome, error) {
 	c := wc.controller
-	if !wc.enterGate(startClass(call.Start)) {
+	if !queued.await(maxStartWait) {
 		return dispatch.StartNotSent, nil
 	}
 	expired := call.PermitUntil > 0 && c.now() >= call.PermitUntil
-	if expired || !c.ownershipValid() {
-		c.gate.Leave()
+	if expired || !c.ownershipValid() || wc.leaseHeldBack.Load() {
+		wc.leavePlaces()
 		return dispatch.StartNotSent, nil
 	}
 	mayRepeat := func() bool { return c.ownershipValid() && !wc.replaced.Load() }
@@ -86,31 +96,41 @@
 	return last.outcome, last.err
 }
 
+// errWithdrawn means that a stop was not sent since its run ended, or its worker was given up, while it waited for its places.
+var errWithdrawn = errors.New("owner: the run ended before the stop was sent")
+
 // sendStop sends a stop order until it is answered or given up; the worker may carry it out more than once.
-func (wc *workerConn) sendStop(key dispatch.RunKey) error {
-	if !wc.enterGate(flowcontrol.Stop) {
-		return fmt.Errorf("%w: %w", ErrNoAnswer, flowcontrol.ErrNoPlace)
+func (wc *workerConn) sendStop(key dispatch.RunKey, queued *queuedOrder) error {
+	c := wc.controller
+	waits := queued.call.Waits()
+	if !queued.await(0) {
+		return errWithdrawn
+	}
+	if waits {
+		c.post(func() { c.engine.HandleStopSent(wc.worker.ID, key) })
 	}
 	last, _ := wc.sendOrder(always, func(ctx context.Context) orderAnswer {
-		err := wc.controller.Workers.Stop(ctx, wc.worker, key, wc.fencingToken)
+		err := c.Workers.Stop(ctx, wc.worker, key, wc.fencingToken)
 		return orderAnswer{err: err, answered: !errors.Is(err, ErrNoAnswer)}
 	})
 	return last.err
 }
 
-// enterGate waits for a place among the orders under way, and reports whether the order may still be sent then.
-func (wc *workerConn) enterGate(class flowcontrol.Class) bool {
-	ctx, cancel := context.WithTimeout(wc.controller.ctx, maxPlaceWait)
-	defer cancel()
-	return wc.controller.gate.Enter(ctx, class) == nil
-}
-
 // stop sends a stop order and posts its outcome.
-func (wc *workerConn) stop(order dispatch.Stop) {
+func (wc *workerConn) stop(order dispatch.Stop, queued *queuedOrder) {
 	c := wc.controller
-	err := wc.sendStop(order.RunKey)
-	c.Log.Info().Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Str("worker", string(order.Worker)).Str("why", order.Reason).Err(err).Msg("run stop")
+	err := wc.sendStop(order.RunKey, queued)
+	entry := c.Log.Info()
+	if queued.waited > 0 {
+		entry.Dur("waited", queued.waited)
+	}
+	entry.Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Str("worker", string(order.Worker)).Str("why", order.Reason).Err(err).Msg("run stop")
 	c.post(func() {
+		wc.forgetOrder(wc.queuedStops, order.RunKey, queued)
+		if errors.Is(err, ErrNoConnection) {
+			c.engine.HandleStopNotSent(wc.worker.ID, order.RunKey)
+			return
+		}
 		// What an ended process acknowledged does not bind the next one.
 		c.engine.HandleStopAnswer(wc.worker.ID, order.RunKey, err == nil && !wc.replaced.Load())
 		c.handleOrderFailure(wc, err)
--- a/internal/owner/slow_answers_test.go
+++ b/internal/owner/slow_answers_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/flowcontrol"
 )
 
 // slowClient answers orders after a fixed time, whether or not their caller still waits. A share of the answers gets lost, and
@@ -81,7 +82,7 @@
 				c.validUntil.Store(int64(c.now().Add(time.Hour)))
 				conns := make([]*workerConn, workers)
 				for i := range conns {
-					conns[i] = &workerConn{controller: c, worker: dispatch.Worker{ID: dispatch.WorkerID(rune('0' + i))}}
+					conns[i] = newTestConn(c, dispatch.WorkerID(rune('0'+i)))
 				}
 				var mu sync.Mutex
 				var done sync.WaitGroup
@@ -89,7 +90,7 @@
 				for i := range starts {
 					done.Go(func() {
 						sentAt := c.now()
-						outcome, _ := conns[i%workers].sendStart(StartCall{})
+						outcome, _ := conns[i%workers].sendStart(StartCall{}, conns[i%workers].queue(flowcontrol.Normal))
 						mu.Lock()
 						defer mu.Unlock()
 						if outcome != dispatch.Started {
@@ -123,19 +124,19 @@
 		c := newTestController(t.Context(), client)
 		c.validUntil.Store(int64(c.now().Add(time.Hour)))
 		for range c.Orders.MaxUnderWay {
-			if err := c.gate.Enter(t.Context(), 0); err != nil {
+			if err := c.gate.Join(0, flowcontrol.NewServer()).Wait(t.Context()); err != nil {
 				t.Fatal(err)
 			}
 		}
 		const wait = 100 * time.Millisecond
 		time.AfterFunc(wait, c.gate.Leave)
-		conn := &workerConn{controller: c}
+		conn := newTestConn(c, "")
 		expired := StartCall{Start: dispatch.Start{PermitUntil: c.now().Add(wait / 2)}}
-		if outcome, _ := conn.sendStart(expired); outcome != dispatch.StartNotSent || client.attempts.Load() > 0 {
+		if outcome, _ := conn.sendStart(expired, conn.queue(flowcontrol.Normal)); outcome != dispatch.StartNotSent || client.attempts.Load() > 0 {
 			t.Errorf("start with an expired permit: %s after %d attempts, want it not sent", outcome, client.attempts.Load())
 		}
 		valid := StartCall{Start: dispatch.Start{PermitUntil: c.now().Add(wait)}}
-		if outcome, _ := conn.sendStart(valid); outcome != dispatch.Started {
+		if outcome, _ := conn.sendStart(valid, conn.queue(flowcontrol.Normal)); outcome != dispatch.Started {
 			t.Errorf("start with a valid permit: %s, want started", outcome)
 		}
 	})
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -63,6 +63,14 @@
 	// recordedDraining means that the ledger records the worker as draining, or may soon: it gets no new runs until a row that does
 	// not is committed, since a later owner relies on it.
 	recordedDraining bool
+	// places are the calls that the worker may get at once. A connection that replaces this one has the same: calls of this one may still be
+	// under way.
+	places *flowcontrol.Server
+	// ordersCtx ends when the worker is removed or its process has ended: orders that wait are not sent then.
+	ordersCtx    context.Context
+	cancelOrders context.CancelFunc
+	// queuedStarts and queuedStops are the orders without an outcome. Only the control loop uses them.
+	queuedStarts, queuedStops map[dispatch.RunKey]*queuedOrder
 
 	mu sync.Mutex
 	// recordedSequence is the sequence up to which the worker's ends are recorded; recordedAdvanced signals that it grew.
@@ -84,10 +92,8 @@
 	if c.workerConns[w.ID] != nil {
 		return
 	}
-	wc := &workerConn{
-		controller: c, worker: w, listing: w, recordedAdvanced: make(chan struct{}, 1),
-		fencingToken: c.nextFencingToken(w.ID), recordedDraining: w.Draining,
-	}
+	wc := c.newWorkerConn(w, flowcontrol.NewServer())
+	wc.listing, wc.recordedDraining = w, w.Draining
 	c.workerConns[w.ID] = wc
 	if usedBefore {
 		wc.lease.extendUntil(c.earlierOrdersUntil.Add(monotime.OnSlowestClock(c.workerLeaseDuration()) + earlierOrderMargin))
@@ -99,6 +105,16 @@
 	wc.startHoldLoop()
 }
 
+// newWorkerConn returns a connection to a worker that may get as many calls at once as places has.
+func (c *controller) newWorkerConn(w dispatch.Worker, places *flowcontrol.Server) *workerConn {
+	wc := &workerConn{
+		controller: c, worker: w, recordedAdvanced: make(chan struct{}, 1), fencingToken: c.nextFencingToken(w.ID), places: places,
+		queuedStarts: make(map[dispatch.RunKey]*queuedOrder), queuedStops: make(map[dispatch.RunKey]*queuedOrder),
+	}
+	wc.ordersCtx, wc.cancelOrders = context.WithCancel(c.ctx)
+	return wc
+}
+
 // nextFencingToken returns the fencing token of a new connection to a worker: the owner's epoch, plus one for each earlier connection.
 func (c *controller) nextFencingToken(id dispatch.WorkerID) uint64 {
 	n := c.connsOpened[id]
@@ -235,7 +251,7 @@
 	wc.controller.instruments.holds.Inc()
 	report, clock, err := wc.controller.Workers.Hold(ctx, wc.worker, call)
 	answeredAt := wc.controller.now()
-	lost := err != nil && answeredAt.Sub(sentAt) >= timeout
+	lost := err != nil && !errors.Is(err, ErrNoConnection) && answeredAt.Sub(sentAt) >= timeout
 	if extend {
 		wc.controller.holdLosses.Observe(answeredAt, lost)
 	}
@@ -285,16 +301,18 @@
 	}
 	for _, e := range report.Ended {
 		c.Log.Info().Str("job", string(e.Task.Job)).Str("task", e.Task.String()).Uint64("run", e.Number).Str("worker", string(wc.worker.ID)).Str("end", e.End.String()).Msg("run ended")
+		wc.withdrawStop(e.RunKey)
 	}
-	c.logRunsLost(wc, c.engine.HandleReport(wc.worker.ID, sentAt, report), "worker does not report the run")
+	c.handleRunsLost(wc, c.engine.HandleReport(wc.worker.ID, sentAt, report), "worker does not report the run")
 }
 
-// logRunsLost logs runs that the owner counts as lost because their worker has not reported an end of them.
-func (c *controller) logRunsLost(wc *workerConn, runs []dispatch.RunKey, why string) {
+// handleRunsLost logs runs that the owner counts as lost because their worker has not reported an end of them, and withdraws their stops.
+func (c *controller) handleRunsLost(wc *workerConn, runs []dispatch.RunKey, why string) {
 	left := wc.lease.remaining(c.now())
 	heard := c.engine.LastEndSequence(wc.worker.ID)
 	c.instruments.runsLost.Add(len(runs))
 	for _, run := range runs {
+		wc.withdrawStop(run)
 		c.Log.Warn().Str("job", string(run.Task.Job)).Str("task", run.Task.String()).Uint64("run", run.Number).Str("worker", string(wc.worker.ID)).Str("why", why).Dur("lease_left", left).Uint64("recorded", wc.recorded()).Uint64("heard", heard).Msg("run lost")
 	}
 }
@@ -329,18 +347,17 @@
 	c.Log.Info().Str("worker", string(id)).Str("why", why).Dur("lease_left", wc.lease.remaining(c.now())).Msg("worker process ended")
 	wc.replaced.Store(true)
 	wc.cancel()
+	wc.cancelOrders()
 	c.instruments.processesEnded.Inc()
-	c.logRunsLost(wc, c.engine.HandleRestart(id, wc.endUnlessDraining(dispatch.WorkerCrashed), aliveAt), why)
+	c.handleRunsLost(wc, c.engine.HandleRestart(id, wc.endUnlessDraining(dispatch.WorkerCrashed), aliveAt), why)
 	if c.committing {
 		c.restartedDuringCommit[id] = struct{}{}
 	}
 	if c.endsBarrier != nil {
 		delete(c.endsBarrier.sequences, id)
 	}
-	next := &workerConn{
-		controller: c, worker: wc.worker, listing: wc.listing, unresponsive: wc.unresponsive, unregistered: wc.unregistered,
-		recordedAdvanced: make(chan struct{}, 1), fencingToken: c.nextFencingToken(id), recordedDraining: wc.recordedDraining,
-	}
+	next := c.newWorkerConn(wc.worker, wc.places)
+	next.listing, next.unresponsive, next.unregistered, next.recordedDraining = wc.listing, wc.unresponsive, wc.unregistered, wc.recordedDraining
 	next.lease.extendUntil(c.now().Add(wc.lease.remaining(c.now())))
 	if aliveAt < c.now() && c.engine.HasRuns(id) {
 		// The next process runs already, and may carry out a start in doubt late. The start's deadline is on the clock of the ended
@@ -373,7 +390,7 @@
 		}
 		if c.engine.HasRuns(wc.worker.ID) || !c.engine.ReportsComplete() {
 			c.Log.Warn().Str("worker", string(wc.worker.ID)).Msg("lease of unresponsive worker expired, its runs are given up")
-			c.logRunsLost(wc, c.engine.RemoveWorker(wc.worker.ID, wc.endUnlessDraining(dispatch.WorkerSilent)), "lease expired")
+			c.handleRunsLost(wc, c.engine.RemoveWorker(wc.worker.ID, wc.endUnlessDraining(dispatch.WorkerSilent)), "lease expired")
 			c.putListing(wc)
 		}
 	}
@@ -406,11 +423,12 @@
 	if wc.cancel != nil {
 		wc.cancel()
 	}
+	wc.cancelOrders()
 	delete(c.workerConns, id)
 	if end != dispatch.WorkerSilent {
 		c.instruments.processesEnded.Inc()
 	}
-	c.logRunsLost(wc, c.engine.RemoveWorker(id, end), why)
+	c.handleRunsLost(wc, c.engine.RemoveWorker(id, end), why)
 	c.pendingWorkerRows[id] = nil
 }
 
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -109,17 +109,17 @@
 			synctest.Test(t, func(t *testing.T) {
 				controller := newTestController(t.Context(), &lossyClient{unanswered: c.unanswered, outcome: c.outcome})
 				controller.validUntil.Store(int64(controller.now().Add(time.Hour)))
-				conn := &workerConn{controller: controller}
+				conn := newTestConn(controller, "")
 				sentAt := time.Now()
-				outcome, _ := conn.sendStart(StartCall{})
+				outcome, _ := conn.sendStart(StartCall{}, conn.queue(flowcontrol.Normal))
 				if took := time.Since(sentAt); outcome != c.want || took > c.within {
 					t.Errorf("start: %s after %s, want %s within %s", outcome, took, c.want, c.within)
 				}
 			})
 			synctest.Test(t, func(t *testing.T) {
-				conn := &workerConn{controller: newTestController(t.Context(), &lossyClient{unanswered: c.unanswered})}
+				conn := newTestConn(newTestController(t.Context(), &lossyClient{unanswered: c.unanswered}), "")
 				sentAt := time.Now()
-				err := conn.sendStop(dispatch.RunKey{})
+				err := conn.sendStop(dispatch.RunKey{}, conn.queue(flowcontrol.Stop))
 				if took := time.Since(sentAt); took > c.within || (err == nil) != (c.unanswered < 1000) {
 					t.Errorf("stop: error %v after %s, want an end within %s", err, took, c.within)
 				}
@@ -128,6 +128,11 @@
 	}
 }
 
+// newTestConn returns a connection to a worker that the control loop doesn't know.
+func newTestConn(c *controller, id dispatch.WorkerID) *workerConn {
+	return c.newWorkerConn(dispatch.Worker{ID: id}, flowcontrol.NewServer())
+}
+
 func newTestController(ctx context.Context, client WorkerClient) *controller {
 	d := New(Options{
 		Workers: client, Clock: monotimetest.Clock{Start: time.Now()}, MaxLease: 10 * time.Second, Metrics: metrics.NewSet(),
--- a/internal/settings/graphs.go
+++ b/internal/settings/graphs.go
@@ -33,6 +33,7 @@
 	flagBalancerDelay = "balancer-delay"
 	flagMinOrders     = "min-orders"
 	flagMaxOrders     = "max-orders"
+	flagWorkerOrders  = "max-orders-per-worker"
 	flagOrderRepeats  = "order-repeats"
 	flagRepeatDelay   = "order-repeat-delay"
 	flagOrderTimeout  = "order-timeout"
@@ -79,6 +80,7 @@
 		durationFlag(flagBalancerDelay, "`TIME` that the balancer takes to notice that a daemon isn't ready", 2*time.Second),
 		&cli.IntFlag{Name: flagMinOrders, Usage: "`NUMBER` of starts and stops that may be under way however slow their answers are", Value: flow.MinUnderWay, Sources: env(flagMinOrders)},
 		&cli.IntFlag{Name: flagMaxOrders, Usage: "greatest `NUMBER` of starts and stops under way", Value: flow.MaxUnderWay, Sources: env(flagMaxOrders)},
+		&cli.IntFlag{Name: flagWorkerOrders, Usage: "greatest `NUMBER` of starts and stops under way to one worker; further ones wait in order", Value: flow.MaxPerServer, Sources: env(flagWorkerOrders)},
 		&cli.FloatFlag{Name: flagOrderRepeats, Usage: "`NUMBER` of times that an order without an answer is sent again, in the mean of all orders", Value: flow.RepeatRatio, Sources: env(flagOrderRepeats)},
 		durationFlag(flagRepeatDelay, "least `TIME` after which an order without an answer is sent again", flow.MinRepeatDelay),
 		durationFlag(flagOrderTimeout, "least `TIME` after which an order without an answer is given up", flow.MinTimeout),
@@ -141,6 +143,7 @@
 		Orders: flowcontrol.Options{
 			MinUnderWay:    cmd.Int(flagMinOrders),
 			MaxUnderWay:    cmd.Int(flagMaxOrders),
+			MaxPerServer:   cmd.Int(flagWorkerOrders),
 			RepeatRatio:    cmd.Float(flagOrderRepeats),
 			MinRepeatDelay: cmd.Duration(flagRepeatDelay),
 			MinTimeout:     cmd.Duration(flagOrderTimeout),
@@ -177,6 +180,7 @@
 	require(s.BalancerDelay >= 0, flagBalancerDelay, "0 or more")
 	require(s.Orders.MinUnderWay > 0, flagMinOrders, "a positive number")
 	require(s.Orders.MaxUnderWay >= s.Orders.MinUnderWay, flagMaxOrders, "at least --"+flagMinOrders)
+	require(s.Orders.MaxPerServer > 0, flagWorkerOrders, "a positive number")
 	require(s.Orders.RepeatRatio >= 0, flagOrderRepeats, "0 or more")
 	require(s.Orders.MinRepeatDelay > 0, flagRepeatDelay, "a positive time")
 	require(s.Orders.MinTimeout >= s.Orders.MinRepeatDelay, flagOrderTimeout, "at least --"+flagRepeatDelay)
