Store calls that were never sent say nothing of the store

Callers could see: jobs refused or relayed although the store answers, and an owner that resigns.

Cause: a call to the store that found no free connection, or whose time was over before it was sent, counted as a failure of the store, after which the store is no longer up for this daemon.

Change: such a call returns rowstore.ErrNoConnection, which the monitor ignores.

--- a/internal/rowstore/monitor.go
+++ b/internal/rowstore/monitor.go
@@ -113,8 +113,8 @@
 		if histogram := m.durations[call]; histogram != nil {
 			histogram.Update(now.Sub(sent).Seconds())
 		}
-	case errors.Is(err, context.Canceled):
-		// The call was cancelled, which says nothing about the store.
+	case errors.Is(err, context.Canceled), errors.Is(err, ErrNoConnection):
+		// The call was cancelled or never sent, which says nothing about the store.
 	default:
 		m.lastFailure = now
 		m.failures[call].Inc()
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -18,6 +18,8 @@
 	ErrUnavailable = errors.New("store: unavailable")
 	// ErrRejected is an ErrUnavailable that lasts: the store never applies the transaction as it is, for example since a row is too large.
 	ErrRejected = fmt.Errorf("%w: transaction rejected", ErrUnavailable)
+	// ErrNoConnection is an ErrUnavailable that says nothing about the store: the call's time was over before it had a connection.
+	ErrNoConnection = fmt.Errorf("%w: no free connection", ErrUnavailable)
 	// ErrUncertain means that the operation may have been applied, or may be applied later while its conditions hold.
 	ErrUncertain = errors.New("store: outcome uncertain")
 	// ErrHistoryLost means that the feed can't be continued; the table must be read again.
