--- a/internal/graph/graph.go
+++ b/internal/graph/graph.go
@@ -57,6 +57,16 @@
 	return Resources{r.MilliCPU * k, r.MemoryMB * k, r.Accelerators * k}
 }
 
+// CheckRange returns an error unless each resource is from 0 to MaxClaim, so that sums over all workers don't overflow.
+func (r Resources) CheckRange() error {
+	for _, amount := range []int64{r.MilliCPU, r.MemoryMB, r.Accelerators} {
+		if amount < 0 || amount > MaxClaim {
+			return fmt.Errorf("%d of one resource, want 0 to %d", amount, int64(MaxClaim))
+		}
+	}
+	return nil
+}
+
 // Scale returns r times a factor, rounded down.
 func (r Resources) Scale(factor float64) Resources {
 	scale := func(n int64) int64 { return int64(float64(n) * factor) }
@@ -187,10 +197,8 @@
 	if s.Count < 1 || s.Count > MaxTasks {
 		return fmt.Errorf("%d tasks, want 1 to %d", s.Count, MaxTasks)
 	}
-	for _, amount := range []int64{s.Claim.MilliCPU, s.Claim.MemoryMB, s.Claim.Accelerators} {
-		if amount < 0 || amount > MaxClaim {
-			return fmt.Errorf("claim of %d for one resource, want 0 to %d", amount, int64(MaxClaim))
-		}
+	if err := s.Claim.CheckRange(); err != nil {
+		return fmt.Errorf("claim: %w", err)
 	}
 	if s.Estimate < 0 || s.TailTarget < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
 		return fmt.Errorf("negative value: estimate %s, tail target %s, %d tasks per worker, %d unavailable", s.Estimate, s.TailTarget, s.MaxPerWorker, s.MaxUnavailable)
@@ -229,6 +237,31 @@
 	Permit *PermitLatency `json:"permit,omitempty"`
 }
 
+// Bounds of queues and organisations, so that times and shares that are computed from them don't overflow.
+const (
+	MaxPriority = 1 << 20
+	MaxAttempts = 1 << 20
+	MaxStretch  = 1e6
+	MaxTarget   = 30 * 24 * time.Hour
+	// MaxPermitLatency bounds each part of the policy service's latency.
+	MaxPermitLatency = time.Hour
+	MaxWeight        = 1e9
+)
+
+// CheckRange returns the first number of the policy that is out of range as an error, or nil.
+func (q *Queue) CheckRange() error {
+	if q.Priority < -MaxPriority || q.Priority > MaxPriority || q.MaxAttempts > MaxAttempts {
+		return fmt.Errorf("priority %d or %d attempts out of range", q.Priority, q.MaxAttempts)
+	}
+	if !(q.Stretch >= 0 && q.Stretch <= MaxStretch) || q.Target < 0 || q.Target > MaxTarget {
+		return fmt.Errorf("stretch %g, want 0 to %g, or target %s, want 0 to %s", q.Stretch, MaxStretch, q.Target, MaxTarget)
+	}
+	if l := q.Permit; l != nil && (min(l.Base, l.PerWorker) < 0 || max(l.Base, l.PerWorker) > MaxPermitLatency) {
+		return fmt.Errorf("latency of the policy service %s and %s for each worker, want 0 to %s", l.Base, l.PerWorker, MaxPermitLatency)
+	}
+	return nil
+}
+
 // Organisation is an organisation's policy in the configuration in force.
 type Organisation struct {
 	Name string
@@ -239,6 +272,17 @@
 	Limit Resources
 }
 
+// CheckRange returns the first number of the policy that is out of range as an error, or nil.
+func (o *Organisation) CheckRange() error {
+	if !(o.Weight >= 0 && o.Weight <= MaxWeight) {
+		return fmt.Errorf("weight %g, want 0 to %g", o.Weight, float64(MaxWeight))
+	}
+	if err := o.Limit.CheckRange(); err != nil {
+		return fmt.Errorf("limit: %w", err)
+	}
+	return nil
+}
+
 // objectiveWorkers is the number of workers in a permit request that objectives count with, as the users define it.
 const objectiveWorkers = 30
 
