The product's own registry and queues check their ranges

Cause: internal/graphproto decoded entries of workers without any check but the id, and bounded the numbers of queues and organisations on one side only: a target of 2^63-1 ms, a weight of 1e300 or a limit of 2^63-1 came into force, and times and shares computed from them overflow.

Change: the registry uses owner.RegistryDecoder; queues and organisations have ranges, and a version outside them is not put in force, as before for other mistakes.

TestRegistryEntriesAreChecked and TestNumbersOutOfRangeAreRejected pass; the code before has no such checks.

--- a/internal/graphd/product.go
+++ b/internal/graphd/product.go
@@ -22,7 +22,7 @@
 		Workers:       &graphproto.WorkerClient{Client: client},
 		PolicyService: graphproto.NoPolicyService{},
 		NewRegistry: func(store rowstore.Store, clock monotime.Clock, logger *log.Logger) owner.WorkerRegistry {
-			return &graphproto.WorkerRegistry{Store: store, Clock: clock, Log: logger}
+			return graphproto.NewWorkerRegistry(store, clock, logger)
 		},
 		FollowConfig: graphproto.FollowQueueConfig,
 		DecodeConfig: func(document []byte, _ *log.Logger) (*entry.Config, error) {
--- a/internal/graphproto/config.go
+++ b/internal/graphproto/config.go
@@ -56,6 +56,13 @@
 	Public bool `json:"public,omitempty"`
 }
 
+func (q *Queue) policy() graph.Queue {
+	return graph.Queue{
+		Name: q.Name, Pool: q.Pool, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
+		Stretch: q.Stretch, Target: time.Duration(q.TargetMS) * time.Millisecond,
+	}
+}
+
 // Organisation is an organisation's policy as operators write it. The fields are those of graph.Organisation.
 type Organisation struct {
 	Name string `json:"name"`
@@ -66,6 +73,11 @@
 	Limit Limit `json:"limit,omitzero"`
 }
 
+func (o *Organisation) policy() graph.Organisation {
+	limit := graph.Resources{MilliCPU: o.Limit.MilliCPU, MemoryMB: o.Limit.MemoryMB, Accelerators: o.Limit.Accelerators}
+	return graph.Organisation{Name: o.Name, Weight: o.Weight, Limit: limit}
+}
+
 // Limit is a limit in the units of a step's claim.
 type Limit struct {
 	MilliCPU     int64 `json:"milli_cpu,omitempty"`
@@ -75,18 +87,25 @@
 
 // Errors of organisations. They don't contain a key.
 var (
-	errInvalidOrganisation = errors.New("each organisation needs a name of its own, a weight above 0 and limits of 0 or more")
+	errInvalidOrganisation = errors.New("each organisation needs a name of its own and a weight above 0")
 	errUnusableKey         = errors.New("a key must consist of visible ASCII characters, since it is sent in a header")
 )
 
-var errInvalidQueueConfig = errors.New("queue configuration: the version must be above 0 and each queue needs a name, a pool, at least one attempt, and a stretch and a target of 0 or more")
+var errInvalidQueueConfig = errors.New("queue configuration: the version must be above 0 and each queue needs a name, a pool, at least one attempt, and a target within its range")
+
+// maxTargetMS is the longest target in milliseconds.
+const maxTargetMS = int64(graph.MaxTarget / time.Millisecond)
 
 // Validate returns an error if the configuration can't be put in force.
 func (c *QueueConfig) Validate() error {
 	for _, queue := range c.Queues {
-		if queue.Name == "" || queue.Pool == "" || queue.MaxAttempts < 1 || queue.Stretch < 0 || queue.TargetMS < 0 {
+		if queue.Name == "" || queue.Pool == "" || queue.MaxAttempts < 1 || queue.TargetMS > maxTargetMS {
 			return errInvalidQueueConfig
 		}
+		policy := queue.policy()
+		if err := policy.CheckRange(); err != nil {
+			return fmt.Errorf("queue %q: %w", queue.Name, err)
+		}
 	}
 	if c.Version == 0 {
 		return errInvalidQueueConfig
@@ -97,9 +116,13 @@
 func (c *QueueConfig) validateOrganisations() error {
 	names := make(map[string]bool)
 	for _, o := range c.Organisations {
-		if o.Name == "" || names[o.Name] || o.Weight <= 0 || min(o.Limit.MilliCPU, o.Limit.MemoryMB, o.Limit.Accelerators) < 0 {
+		if o.Name == "" || names[o.Name] || o.Weight <= 0 {
 			return fmt.Errorf("organisation %q: %w", o.Name, errInvalidOrganisation)
 		}
+		policy := o.policy()
+		if err := policy.CheckRange(); err != nil {
+			return fmt.Errorf("organisation %q: %w", o.Name, err)
+		}
 		names[o.Name] = true
 		for _, key := range o.Keys {
 			if strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r > '~' }) {
@@ -134,15 +157,10 @@
 	}
 	config := &entry.Config{Version: c.Version, Keys: keys}
 	for _, queue := range c.Queues {
-		policy := graph.Queue{
-			Name: queue.Name, Pool: queue.Pool, Priority: queue.Priority, MaxAttempts: queue.MaxAttempts,
-			Stretch: queue.Stretch, Target: time.Duration(queue.TargetMS) * time.Millisecond,
-		}
-		config.Routes = append(config.Routes, entry.Route{Prefix: "/" + queue.Name + "/", Queue: policy, Public: queue.Public})
+		config.Routes = append(config.Routes, entry.Route{Prefix: "/" + queue.Name + "/", Queue: queue.policy(), Public: queue.Public})
 	}
 	for _, o := range c.Organisations {
-		limit := graph.Resources{MilliCPU: o.Limit.MilliCPU, MemoryMB: o.Limit.MemoryMB, Accelerators: o.Limit.Accelerators}
-		config.Organisations = append(config.Organisations, graph.Organisation{Name: o.Name, Weight: o.Weight, Limit: limit})
+		config.Organisations = append(config.Organisations, o.policy())
 	}
 	return config, nil
 }
@@ -187,31 +205,26 @@
 
 // WorkerRegistry reads the registry of workers in the row store.
 type WorkerRegistry struct {
-	Store rowstore.Store
-	Clock monotime.Clock
-	Log   *log.Logger
+	store   rowstore.Store
+	clock   monotime.Clock
+	decoder owner.RegistryDecoder
+}
+
+// NewWorkerRegistry returns the registry that the store holds.
+func NewWorkerRegistry(store rowstore.Store, clock monotime.Clock, logger *log.Logger) *WorkerRegistry {
+	return &WorkerRegistry{store: store, clock: clock, decoder: owner.RegistryDecoder{Log: logger, DecodeRow: decodeWorker}}
 }
 
 // Follow implements owner.WorkerRegistry.
 func (r *WorkerRegistry) Follow(ctx context.Context, changed func(owner.RegistryChange)) {
-	follower := rowstore.Follower{Store: r.Store, Clock: r.Clock, Log: r.Log, Table: workersTable, Parts: []string{""}, FeedWait: feedWait}
-	follower.OnUpdate = func(u rowstore.Update) { changed(r.decode(u.Changes, u.Full)) }
+	follower := rowstore.Follower{Store: r.store, Clock: r.clock, Log: r.decoder.Log, Table: workersTable, Parts: []string{""}, FeedWait: feedWait}
+	follower.OnUpdate = func(u rowstore.Update) { changed(r.decoder.Decode(u)) }
 	follower.Run(ctx)
 }
 
-func (r *WorkerRegistry) decode(changes []rowstore.Change, full bool) owner.RegistryChange {
-	out := owner.RegistryChange{Full: full}
-	for _, change := range changes {
-		var w dispatch.Worker
-		if change.Removed {
-			out.Removed = append(out.Removed, dispatch.WorkerID(change.Name))
-		} else if err := json.Unmarshal(change.Value, &w); err != nil || string(w.ID) != change.Name {
-			r.Log.Warn().Str("worker", change.Name).Uint64("version", change.Version).Err(err).Msg("invalid entry of the worker registry skipped")
-		} else {
-			out.Put = append(out.Put, w)
-		}
-	}
-	return out
+func decodeWorker(_ string, value []byte) (w dispatch.Worker, err error) {
+	err = json.Unmarshal(value, &w)
+	return w, err
 }
 
 // errNoPolicy is the answer to a permit request in a cell without a policy service.
--- a/internal/graphproto/config_test.go
+++ b/internal/graphproto/config_test.go
@@ -1,12 +1,19 @@
 package graphproto
 
 import (
+	"context"
+	"io"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"laburnumpoint/internal/access"
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime"
+	"laburnumpoint/internal/owner"
+	"laburnumpoint/internal/rowstore"
 )
 
 // A configuration with organisations and a public queue. The failure is a part of it that does not come into force.
@@ -54,3 +61,50 @@
 		}
 	}
 }
+
+// Guards against numbers of a configuration whose times, shares or sums overflow.
+func TestNumbersOutOfRangeAreRejected(t *testing.T) {
+	for _, queue := range []string{
+		`"stretch":1e300`, `"stretch":-1`, `"target_ms":9223372036854775807`, `"target_ms":9000000000000000`, `"target_ms":-1`, `"priority":9223372036854775807`, `"attempts":9223372036854775807`,
+		`"target_ms":99999999999999999999`,
+	} {
+		if _, err := DecodeQueueConfig([]byte(`{"version":3,"queues":[{"name":"q","pool":"p","attempts":1,` + queue + `}]}`)); err == nil {
+			t.Errorf("queue with %s comes into force", queue)
+		}
+	}
+	for _, organisation := range []string{`"weight":1e300`, `"weight":1,"limit":{"milli_cpu":9223372036854775807}`} {
+		if _, err := DecodeQueueConfig([]byte(`{"version":3,"queues":[],"organisations":[{"name":"a","keys":["k"],` + organisation + `}]}`)); err == nil {
+			t.Errorf("organisation with %s comes into force", organisation)
+		}
+	}
+}
+
+// Guards against entries of the product's own registry that stand for workers although they are out of range.
+func TestRegistryEntriesAreChecked(t *testing.T) {
+	var changes []owner.RegistryChange
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	store := rowstore.NewMemoryStore()
+	const depth = 200_000
+	for id, value := range map[string]string{
+		"valid":  `{"ID":"valid","Pool":"p","Address":"10.0.0.1:80","Capacity":{"cpu":1}}`,
+		"port":   `{"ID":"port","Pool":"p","Address":"10.0.0.1:99999"}`,
+		"start":  `{"ID":"start","Pool":"p","Address":"10.0.0.1:80","ProcessStart":9223372036854775807}`,
+		"large":  `{"ID":"large","Pool":"p","Address":"10.0.0.1:80","ProcessStart":1e300}`,
+		"nested": strings.Repeat("[", depth) + strings.Repeat("]", depth),
+		"other":  `{"ID":"valid","Pool":"p","Address":"10.0.0.2:80"}`,
+	} {
+		row := rowstore.Row{Key: rowstore.Key{Table: workersTable, Name: id}, Value: []byte(value)}
+		if _, _, err := store.Apply(ctx, rowstore.Tx{Put: []rowstore.Row{row}}); err != nil && id != "nested" {
+			t.Fatal(err)
+		}
+	}
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	NewWorkerRegistry(store, monotime.BootClock{}, logger).Follow(ctx, func(change owner.RegistryChange) {
+		changes = append(changes, change)
+		cancel()
+	})
+	if len(changes) != 1 || len(changes[0].Put) != 1 || changes[0].Put[0].Address != "10.0.0.1:80" {
+		t.Errorf("changes %+v, want one with the valid worker", changes)
+	}
+}
