Ledger: records of jobs that could not have been accepted are skipped

Cause: a record was used as it was read. One with 2^63-1 tasks or a dependency on a later step would have ended each process that reads it. The ledger is written by the daemons alone, so nothing is known to have written such a row.

Change: a record is checked like a submission when it is read; a recorded worker whose capacity is out of range has none until the registry lists it. A test's record without steps, which could not have been accepted, has one now.

--- a/internal/ledger/intake.go
+++ b/internal/ledger/intake.go
@@ -117,7 +117,11 @@
 	if err != nil || len(records) == 0 {
 		return Job{}, false, err
 	}
-	if err := json.Unmarshal(records[0].Value, &found.JobRecord); err != nil {
+	err = json.Unmarshal(records[0].Value, &found.JobRecord)
+	if err == nil {
+		err = found.check()
+	}
+	if err != nil {
 		r.log.Error().Str("job", string(id)).Err(err).Msg("job record could not be decoded, skipped")
 		return Job{}, false, nil
 	}
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -44,6 +45,16 @@
 	AcceptedMS int64 `json:"at"`
 }
 
+var errNoSpec = errors.New("job record without a spec")
+
+// check returns an error unless the record describes a job that could have been accepted.
+func (r *JobRecord) check() error {
+	if r.Spec == nil {
+		return errNoSpec
+	}
+	return r.Spec.Validate()
+}
+
 // OwnerRecord is the content of the ownership row.
 type OwnerRecord struct {
 	Node string `json:"node"`
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -408,8 +407,8 @@
 	if err := json.Unmarshal(change.Value, &record); err != nil {
 		return "", err
 	}
-	if record.Spec == nil {
-		return "", errors.New("job record without a spec")
+	if err := record.check(); err != nil {
+		return "", err
 	}
 	j := r.ensureJob(id)
 	j.JobRecord = record
@@ -487,6 +486,9 @@
 		return err
 	}
 	record.ID = id
+	if record.Capacity.CheckRange() != nil {
+		record.Capacity = graph.Resources{} // the worker's report is awaited; the registry tells its capacity
+	}
 	r.workers[id] = RecordedWorker{record.Worker, change.Version}
 	return nil
 }
--- a/internal/ledger/wide_progress_test.go
+++ b/internal/ledger/wide_progress_test.go
@@ -172,7 +172,7 @@
 		}
 		encoded := encodeProgress(wideJob, p, maxRow)
 		replica := newQuietReplica(rowstore.NewMemoryStore(), "a")
-		replica.apply(rowstore.Change{Row: rowstore.Row{Key: jobKey(wideJob), Value: encode(JobRecord{Spec: &graph.Spec{}}), Version: 1}})
+		replica.apply(rowstore.Change{Row: rowstore.Row{Key: jobKey(wideJob), Value: encode(JobRecord{Spec: &graph.Spec{Steps: []graph.Step{{Count: 1}}}}), Version: 1}})
 		replica.apply(rowstore.Change{Row: rowstore.Row{Key: progressKey(wideJob), Value: encoded.progress, Version: 1}})
 		if len(encoded.progress) > maxRow {
 			t.Fatalf("progress row of %d bytes, want at most %d", len(encoded.progress), maxRow)
