One odd entry of the VM list hides no other

Cause: the list of the product's own engine was decoded as a whole: one entry with a number out of range, or nested too deeply, kept all daemons from reading it. Ports and capacities were not checked.

Change: entries are decoded one by one and checked. A worker that is not listed has ended, with all that ran on it; an invalid entry doesn't say that, so a worker that it may stand for is kept from the last list, without new work. Each is logged once.

--- a/cmd/laburnumpointd/main.go
+++ b/cmd/laburnumpointd/main.go
@@ -123,7 +123,12 @@
 
 func nodeOptions(s settings.Settings, logger *log.Logger, set *metrics.Set) node.Options {
 	id := cell.MemberID(uuid.NewString())
-	backend := httpplatform.NewPlatformClient(httpplatform.PlatformOptions{Addr: s.Platform.String(), Member: id})
+	backend := httpplatform.NewPlatformClient(httpplatform.PlatformOptions{
+		Addr: s.Platform.String(), Member: id,
+		OnInvalidWorker: func(name string, err error) {
+			logger.Warn().Str("worker", name).Err(err).Msg("invalid entry of the VM list skipped")
+		},
+	})
 	return node.Options{
 		ID:              id,
 		PeerListen:      s.PeerListen.String(),
--- a/internal/httpplatform/platform.go
+++ b/internal/httpplatform/platform.go
@@ -35,6 +35,8 @@
 	MaxConns int
 	// MaxBytes is the maximum length of one answer, also after decompression.
 	MaxBytes int64
+	// OnInvalidWorker is called for each entry of the VM list that becomes invalid; nil for none.
+	OnInvalidWorker func(name string, err error)
 }
 
 // PlatformClient calls the table service, the object store and the VM list at one address.
--- a/internal/httpplatform/vmlist.go
+++ b/internal/httpplatform/vmlist.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"sync"
 
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/rawjson"
 )
 
 // workerListCache holds the VM list as last read and its entity tag.
@@ -17,6 +20,8 @@
 	mu      sync.Mutex
 	etag    string
 	workers []cell.Worker
+	// invalid holds the invalid entries of the last list.
+	invalid map[string]error
 }
 
 func (l *workerListCache) get() (string, []cell.Worker) {
@@ -62,12 +67,81 @@
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	var list WorkerList
-	if err := decodeJSON(body, &list); err != nil {
+	list, err := rawjson.Fields(body)
+	if err != nil {
 		return nil, unavailable(err)
 	}
-	p.workerList.set(ETag(body), list.Workers)
-	return list.Workers, nil
+	entries, err := rawjson.Elements(list[workersField])
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	workers, invalid := decodeWorkers(entries, cached)
+	p.workerList.reportInvalid(invalid, p.options.OnInvalidWorker)
+	p.workerList.set(ETag(body), workers)
+	return workers, nil
+}
+
+// workersField is the name of the list in a WorkerList.
+const workersField = "workers"
+
+// decodeWorkers decodes the entries of a list one by one, so that an invalid one hides no other, and returns the reasons by the invalid
+// entries. A worker that is not listed has ended, with all that ran on it. An invalid entry doesn't say that: a worker of the last list that
+// it may stand for is kept, and gets no new work.
+func decodeWorkers(entries []json.RawMessage, last []cell.Worker) (workers []cell.Worker, invalid map[string]error) {
+	listed := make(map[cell.WorkerID]bool, len(entries))
+	invalid = make(map[string]error)
+	hidden := make(map[cell.WorkerID]bool) // ids of invalid entries; "" for entries whose id can't be read
+	for _, entry := range entries {
+		var w cell.Worker
+		err := json.Unmarshal(entry, &w)
+		if err == nil {
+			err = w.Validate()
+		}
+		if err == nil && listed[w.ID] {
+			err = errDuplicateWorker
+		}
+		if err != nil {
+			invalid[invalidName(w.ID, entry)] = err
+			hidden[w.ID] = true
+			continue
+		}
+		listed[w.ID] = true
+		workers = append(workers, w)
+	}
+	for _, w := range last {
+		if !listed[w.ID] && (hidden[w.ID] || hidden[""]) && w.State != cell.WorkerGone {
+			w.State = cell.WorkerLeaving
+			workers = append(workers, w)
+		}
+	}
+	return workers, invalid
+}
+
+var errDuplicateWorker = errors.New("an earlier entry has the same id")
+
+// maxInvalidName bounds the text by which an invalid entry without an id is named.
+const maxInvalidName = 40
+
+// invalidName returns the name of an invalid entry: its id, or the beginning of its text.
+func invalidName(id cell.WorkerID, entry []byte) string {
+	name := string(id)
+	if name == "" {
+		name = string(entry)
+	}
+	return name[:min(len(name), maxInvalidName)]
+}
+
+// reportInvalid calls report for each invalid entry that was not in the last list.
+func (l *workerListCache) reportInvalid(invalid map[string]error, report func(name string, err error)) {
+	l.mu.Lock()
+	last := l.invalid
+	l.invalid = invalid
+	l.mu.Unlock()
+	for name, err := range invalid {
+		if _, known := last[name]; !known && report != nil {
+			report(name, err)
+		}
+	}
 }
 
 // gzipMagic is the prefix of every gzip stream. No JSON text starts with it.
