A later start in the registry ends no run of a worker that answers

Callers could see: tasks that run in two places. The table's other writers can put a later birth over a live worker's entry; within its range nothing tells it from the worker's own.

Cause: a later start of the process in the registry was taken for a proof that the runs had ended, also while the worker answered.

Change: a worker that answers is asked at once whether its process has restarted, and the registry alone decides only while the worker doesn't answer. Until then the entry gives it no new runs.

TestLaterStartInTheRegistryEndsTheRuns asked that the registry decides at once while a hold call is still waited for; now it asks so once that call has failed, and TestRestartListedInTheRegistryIsConfirmedAtOnce asks for 50 ms where the next process answers.

--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -312,12 +312,55 @@
 		runLoop(c, 100*time.Millisecond, func() {})
 		worker.restart()
 		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{worker.entry()}})
+		runLoop(c, holdWait, func() {}) // the hold call under way fails
 		if c.engine.HasRuns(testWorker.ID) {
 			t.Error("the run of the ended process is still counted")
 		}
 	})
 }
 
+// Guards against a task that runs twice: others may write a later start of its process over the entry of a worker that runs on.
+func TestLaterStartInTheRegistryIsConfirmedByAWorkerThatAnswers(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		c, worker := newRebornFixture(ctx)
+		addOneTask(c, "j")
+		runLoop(c, 3*time.Second, func() {})
+		entry := worker.entry()
+		entry.ProcessStart += time.Millisecond
+		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{entry}})
+		addOneTask(c, "other")
+		runLoop(c, 3*holdWait, func() {
+			if !c.engine.HasRuns(testWorker.ID) {
+				t.Fatal("the run of a process that answers was given up")
+			}
+		})
+		if len(worker.starts) != 1 {
+			t.Errorf("%d starts by an entry that the worker has not confirmed, want the one before", len(worker.starts))
+		}
+		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{worker.entry()}})
+		runLoop(c, time.Second, func() {})
+		if len(worker.starts) != 2 {
+			t.Errorf("%d starts once the worker's own entry is back, want 2", len(worker.starts))
+		}
+	})
+}
+
+// Guards against runs of an ended process that are waited for until the hold call under way ends: its connection may have gone silent.
+func TestRestartListedInTheRegistryIsConfirmedAtOnce(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		c, worker := newRebornFixture(ctx)
+		addOneTask(c, "j")
+		runLoop(c, 3*time.Second, func() {})
+		worker.restart()
+		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{worker.entry()}})
+		lost := c.instruments.runsLost.Get()
+		runLoop(c, 50*time.Millisecond, func() {})
+		if c.instruments.runsLost.Get() == lost {
+			t.Error("the run of the ended process is still counted")
+		}
+	})
+}
+
 // Guards against a task running in two places: a start in doubt that the next process of its worker carries out late has a deadline on
 // the clock of the ended one, which may lie far ahead on the new clock.
 func TestStartInDoubtIsWaitedForAfterARestart(t *testing.T) {
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -331,13 +331,17 @@
 		c.Log.Warn().Str("worker", string(wc.worker.ID)).Err(err).Msg("worker does not answer")
 	}
 	c.engine.SetReachable(wc.worker.ID, false)
-	if errors.Is(err, ErrOtherIncarnation) {
+	switch {
+	case errors.Is(err, ErrOtherIncarnation):
 		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), "another incarnation answers at its address")
+	case wc.listsLaterStart():
+		c.replaceWorkerConn(wc, wc.aliveAt, laterStartListed)
 	}
 }
 
 // replaceWorkerConn gives up the runs of a worker whose process, last known to live at aliveAt, has certainly ended, and connects anew: its
-// next process runs under its id. Only a later start of the process proves that. Connections that are refused or reset don't: a firewall
+// next process runs under its id. Only a later start of the process proves that, which the process reports, or which the registry lists
+// while the worker doesn't answer. Connections that are refused or reset don't: a firewall
 // refuses them too, while the worker runs on.
 func (c *controller) replaceWorkerConn(wc *workerConn, aliveAt monotime.Instant, why string) {
 	id := wc.worker.ID
@@ -477,18 +481,49 @@
 		wc.recordedDraining = true
 		c.pendingWorkerRows[w.ID] = &w
 	}
-	if wc.reportedStart != 0 && w.ProcessStart > wc.reportedStart {
-		c.replaceWorkerConn(wc, wc.aliveAt, "the registry lists a later start of its process")
+	switch {
+	case !wc.listsLaterStart():
+	case wc.unresponsive:
+		c.replaceWorkerConn(wc, wc.aliveAt, laterStartListed)
 		wc = c.workerConns[w.ID]
+	default:
+		go wc.confirmRestart(wc.reportedStart, wc.aliveAt)
 	}
 	c.putListing(wc)
 }
 
+// laterStartListed is why the process of a worker that doesn't answer has ended.
+const laterStartListed = "the registry lists a later start of its process"
+
+// listsLaterStart reports whether the worker's entry in the registry names a later start of its process than its reports. Others may have
+// written the entry, so this doesn't end the runs of a worker that answers.
+func (wc *workerConn) listsLaterStart() bool {
+	return !wc.unregistered && wc.reportedStart != 0 && wc.listing.ProcessStart > wc.reportedStart
+}
+
+// confirmRestart asks the worker at once whether its process has restarted since the given start. The hold call under way may wait on a
+// connection of the ended process.
+func (wc *workerConn) confirmRestart(start time.Duration, aliveAt monotime.Instant) {
+	c := wc.controller
+	ctx, cancel := context.WithTimeout(c.ctx, c.holdTimeout(c.now()))
+	defer cancel()
+	c.instruments.holds.Inc()
+	report, _, err := c.Workers.Hold(ctx, wc.worker, HoldCall{Token: wc.fencingToken})
+	if err != nil {
+		c.instruments.holdFailures.Inc()
+		return // the hold loop finds out
+	}
+	if report.ProcessStart != start {
+		c.post(func() { c.replaceWorkerConn(wc, aliveAt, "its process has restarted") })
+	}
+}
+
 // putListing updates a worker in the engine by its entry in the registry. An entry that an earlier process wrote says nothing of the
-// capacity and the labels that the worker has now: it gets no new runs until its present process has written one.
+// capacity and the labels that the worker has now: it gets no new runs until its present process has written one. The same holds for an
+// entry of a process that has not reported yet.
 func (c *controller) putListing(wc *workerConn) {
 	outdated := wc.listing.ProcessStart != 0 && wc.listing.ProcessStart < wc.reportedStart
-	if wc.unregistered || outdated || wc.recordedDraining {
+	if wc.unregistered || outdated || wc.listsLaterStart() || wc.recordedDraining {
 		c.putWithoutNewRuns(wc.listing)
 		return
 	}
