Log lines of orders say whether they waited for their worker

Cause: `waited` of `run start` and `run stop` sums both waits, so plays could not be told apart. Change: `for_worker`.

--- a/internal/owner/order_queue.go
+++ b/internal/owner/order_queue.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/flowcontrol"
 )
@@ -25,6 +27,8 @@
 	joinedAt time.Time
 	// waited is how long the order has waited for its places; 0 if it had them at once. Only the order's goroutine uses it.
 	waited time.Duration
+	// waitedForWorker means that a part of the wait was for a place of the worker.
+	waitedForWorker bool
 }
 
 // States of a queued order.
@@ -55,7 +59,7 @@
 	if o.call.Waited() {
 		o.waited = time.Since(o.joinedAt)
 	}
-	if o.call.WaitedForServer() {
+	if o.waitedForWorker = o.call.WaitedForServer(); o.waitedForWorker {
 		c.instruments.workerWaits.Inc()
 		c.instruments.workerWaitTime.Add(o.waited.Seconds())
 	}
@@ -70,6 +74,13 @@
 	return true
 }
 
+// logWait adds the order's wait to a log line, if it has waited.
+func (o *queuedOrder) logWait(entry *log.Entry) {
+	if o.waited > 0 {
+		entry.Dur("waited", o.waited).Bool("for_worker", o.waitedForWorker)
+	}
+}
+
 // drop withdraws the order and reports whether nothing of it has been or will be sent.
 func (o *queuedOrder) drop() bool {
 	dropped := o.state.CompareAndSwap(orderQueued, orderDropped)
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -48,9 +48,7 @@
 	if answer.outcome != dispatch.Started {
 		entry = c.Log.Warn()
 	}
-	if queued.waited > 0 {
-		entry.Dur("waited", queued.waited)
-	}
+	queued.logWait(entry)
 	entry.Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Uint64("epoch", c.ownership.Epoch()).Str("worker", string(order.Worker)).Bool("copy", order.Copy).Str("outcome", answer.outcome.String()).Dur("took", took).Err(answer.err).Msg("run start")
 	c.post(func() {
 		wc.forgetOrder(wc.queuedStarts, order.RunKey, queued)
@@ -121,9 +119,7 @@
 	c := wc.controller
 	err := wc.sendStop(order.RunKey, queued)
 	entry := c.Log.Info()
-	if queued.waited > 0 {
-		entry.Dur("waited", queued.waited)
-	}
+	queued.logWait(entry)
 	entry.Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Str("worker", string(order.Worker)).Str("why", order.Reason).Err(err).Msg("run stop")
 	c.post(func() {
 		wc.forgetOrder(wc.queuedStops, order.RunKey, queued)
