--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -513,7 +513,7 @@
 		c.instruments.holdFailures.Inc()
 		return // the hold loop finds out
 	}
-	if report.ProcessStart != start {
+	if report.ProcessStart != 0 && report.ProcessStart != start {
 		c.post(func() { c.replaceWorkerConn(wc, aliveAt, "its process has restarted") })
 	}
 }
