A stop that gets its places early counts as sent

Cause: whether a stop had waited was asked twice, by the control loop and by the order itself. One that got its places between the two was taken for one that still waits: it was never overdue and its lease never held back, if its worker stayed silent. Found by reading.

Change: both ask whether the stop had its places at once, which doesn't change.

TestStopThatGetsItsPlacesEarlyCountsAsSent fails before (no event says that the stop was sent).

--- a/internal/owner/order_queue.go
+++ b/internal/owner/order_queue.go
@@ -118,7 +118,7 @@
 	}
 	queued := wc.queue(flowcontrol.Stop)
 	wc.queuedStops[order.RunKey] = queued
-	if queued.call.Waits() {
+	if queued.call.Waited() {
 		wc.controller.engine.HandleStopWaiting(wc.worker.ID, order.RunKey)
 	}
 	go wc.stop(order, queued)
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -100,11 +100,10 @@
 // sendStop sends a stop order until it is answered or given up; the worker may carry it out more than once.
 func (wc *workerConn) sendStop(key dispatch.RunKey, queued *queuedOrder) error {
 	c := wc.controller
-	waits := queued.call.Waits()
 	if !queued.await(0) {
 		return errWithdrawn
 	}
-	if waits {
+	if queued.call.Waited() {
 		c.post(func() { c.engine.HandleStopSent(wc.worker.ID, key) })
 	}
 	last, _ := wc.sendOrder(always, func(ctx context.Context) orderAnswer {
--- a/internal/owner/worker_places_test.go
+++ b/internal/owner/worker_places_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/graph"
 )
 
@@ -253,3 +256,33 @@
 		}
 	})
 }
+
+// Guards against runs that outlive their job: a stop that got its places just before its turn was taken for one that still waits, so that it
+// never counted as overdue.
+func TestStopThatGetsItsPlacesEarlyCountsAsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestController(t.Context(), &lossyClient{unanswered: math.MaxInt})
+		conn := newTestConn(c, "w")
+		var before []*queuedOrder
+		for range c.Orders.MaxPerServer {
+			before = append(before, conn.queue(flowcontrol.Normal))
+		}
+		stop := conn.queue(flowcontrol.Stop)
+		if !stop.call.Waits() {
+			t.Fatal("the stop has places beyond those of its worker")
+		}
+		if !before[0].await(0) {
+			t.Fatal("the first order has no places")
+		}
+		conn.leavePlaces()
+		if stop.call.Waits() {
+			t.Fatal("the stop has no places although one is free")
+		}
+		go func() { _ = conn.sendStop(dispatch.RunKey{}, stop) }()
+		synctest.Wait()
+		if n := len(c.events); n != 1 {
+			t.Errorf("%d events for the engine, want one that says that the stop was sent", n)
+		}
+		time.Sleep(time.Minute) // lets the order end
+	})
+}
