--- a/internal/standin/httpserver/vmlist_test.go
+++ b/internal/standin/httpserver/vmlist_test.go
@@ -25,7 +25,7 @@
 	}))
 	defer server.Close()
 	client := httpplatform.NewPlatformClient(httpplatform.PlatformOptions{Addr: strings.TrimPrefix(server.URL, "http://"), Timeout: 10 * time.Second})
-	workers := []cell.Worker{{ID: "a", State: cell.WorkerLive}}
+	workers := []cell.Worker{{ID: "a", Addr: "10.0.0.1:7000", Pool: "callsheet", State: cell.WorkerLive}}
 	for _, state := range []cell.WorkerState{cell.WorkerLive, cell.WorkerLive, cell.WorkerLeaving, cell.WorkerLeaving} {
 		workers[0].State = state
 		p.VMList.Set(workers[0])
