Orders that have their places at once need no context

Cause: each order had a context of its own, which only an order that waits uses. Change: made for those that wait.

Measured: the tests of orders, stops, starts and leases pass with the race detector.

--- a/internal/owner/order_queue.go
+++ b/internal/owner/order_queue.go
@@ -20,7 +20,7 @@
 type queuedOrder struct {
 	wc   *workerConn
 	call *flowcontrol.Call
-	// ctx ends when the order is withdrawn or its connection ends.
+	// ctx ends when the order is withdrawn or its connection ends. It and withdraw are nil for an order that had its places at once.
 	ctx      context.Context
 	withdraw context.CancelFunc
 	state    atomic.Int32
@@ -41,37 +41,43 @@
 // queue puts an order in line for the places that it needs. It is called by the control loop, so that orders of a class are sent in the
 // order of the engine's decisions.
 func (wc *workerConn) queue(class flowcontrol.Class) *queuedOrder {
-	o := &queuedOrder{wc: wc, call: wc.controller.gate.Join(class, wc.places), joinedAt: time.Now()}
-	o.ctx, o.withdraw = context.WithCancel(wc.ordersCtx)
+	o := &queuedOrder{wc: wc, call: wc.controller.gate.Join(class, wc.places)}
+	if o.call.Waited() {
+		o.joinedAt = time.Now()
+		o.ctx, o.withdraw = context.WithCancel(wc.ordersCtx)
+	}
 	return o
 }
 
 // await waits for the order's places, for the given time at most unless it is 0, and reports whether the order is to be sent.
 func (o *queuedOrder) await(limit time.Duration) bool {
+	if o.call.Waited() && !o.awaitPlaces(limit) {
+		o.state.CompareAndSwap(orderQueued, orderDropped)
+		return false
+	}
+	if !o.state.CompareAndSwap(orderQueued, orderSent) {
+		o.wc.leavePlaces()
+		return false
+	}
+	return true
+}
+
+// awaitPlaces waits for the order's places and reports whether it has them.
+func (o *queuedOrder) awaitPlaces(limit time.Duration) bool {
 	defer o.withdraw()
 	ctx, cancel := o.ctx, context.CancelFunc(func() {})
-	if limit > 0 && o.call.Waits() {
+	if limit > 0 {
 		ctx, cancel = context.WithTimeout(o.ctx, limit)
 	}
 	defer cancel()
 	err := o.call.Wait(ctx)
 	c := o.wc.controller
-	if o.call.Waited() {
-		o.waited = time.Since(o.joinedAt)
-	}
+	o.waited = time.Since(o.joinedAt)
 	if o.waitedForWorker = o.call.WaitedForServer(); o.waitedForWorker {
 		c.instruments.workerWaits.Inc()
 		c.instruments.workerWaitTime.Add(o.waited.Seconds())
 	}
-	if err != nil {
-		o.state.CompareAndSwap(orderQueued, orderDropped)
-		return false
-	}
-	if !o.state.CompareAndSwap(orderQueued, orderSent) {
-		o.wc.leavePlaces()
-		return false
-	}
-	return true
+	return err == nil
 }
 
 // logWait adds the order's wait to a log line, if it has waited.
@@ -84,7 +90,7 @@
 // drop withdraws the order and reports whether nothing of it has been or will be sent.
 func (o *queuedOrder) drop() bool {
 	dropped := o.state.CompareAndSwap(orderQueued, orderDropped)
-	if dropped {
+	if dropped && o.withdraw != nil {
 		o.withdraw()
 	}
 	return dropped
