The owner logs which job it ended as failed, and on what evidence

The owner logged that a task was given up after a number of crashes, not which ends counted, and nothing at all where attempts were used up.

Each job that is ended as failed has a line with its cause (attempts, crashes, record) and the ends that counted, each crash that counts for a task has one, and jobs are counted by cause. The lines no longer wait for a valid ownership. No decision changes.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -78,11 +78,23 @@
 	// Runs is how many runs ended with the worker; Likely are the tasks that may have caused it.
 	Runs   int
 	Likely []graph.TaskID
+	// Counted are the tasks that count the crash.
+	Counted []CountedCrash
 	// GivenUp is the task that was given up for it, nil for none; Crashes is how many crashes were counted for it.
 	GivenUp *graph.TaskID
 	Crashes int
 }
 
+// CountedCrash is a crash as one task counts it.
+type CountedCrash struct {
+	Task graph.TaskID
+	Run  uint64
+	// Proven, Likely and Sole are those of CrashProgress.
+	Proven, Likely, Sole bool
+	// Crashes is how many crashes count for the task with this one.
+	Crashes int
+}
+
 // SetMaxCrashes sets after how many crashes of its workers a task is given up, whatever their likely cause.
 func (e *Engine) SetMaxCrashes(n int) { e.maxCrashes = n }
 
@@ -144,6 +156,7 @@
 	}
 	e.markDirty(t.step.job)
 	tc.crash.tasks = append(tc.crash.tasks, t)
+	tc.crash.report.Counted = append(tc.crash.report.Counted, CountedCrash{r.Task, tc.run, tc.proven, tc.likely, tc.sole, len(t.crashes)})
 	if tc.likely {
 		tc.crash.report.Likely = append(tc.crash.report.Likely, r.Task)
 	}
@@ -220,9 +233,9 @@
 	crashes := cause.crashes
 	j, id := cause.step.job, cause.id()
 	c.report.GivenUp, c.report.Crashes = &id, len(crashes)
-	j.failure = fmt.Sprintf("task %s was given up after %d crashes of its workers", id, len(crashes))
 	e.stats.GivenUp++
-	e.endJob(j, graph.Failed, "a task of the job crashes its workers")
+	reason := fmt.Sprintf("task %s was given up after %d crashes of its workers", id, len(crashes))
+	e.failJob(j, FailedByCrashes, reason, cause.crashEvidence(), "a task of the job crashes its workers")
 	for _, tc := range crashes {
 		e.exonerate(tc.crash)
 	}
@@ -251,6 +264,19 @@
 	return !t.step.job.state.Ended() && ((t.likelyCrashes() >= maxLikelyCrashes && sole > 0) || enough)
 }
 
+// crashEvidence describes the crashes that count for the task, for logs.
+func (t *task) crashEvidence() []string {
+	var lines []string
+	for _, c := range t.crashes {
+		worker := "recorded by an earlier owner"
+		if c.crash != nil {
+			worker = fmt.Sprintf("worker %s %s", c.crash.report.Worker, c.crash.report.End)
+		}
+		lines = append(lines, fmt.Sprintf("run %d: %s, proven %t, likely cause %t, sole %t", c.run, worker, c.proven, c.likely, c.sole))
+	}
+	return lines
+}
+
 // compareBlame orders tasks by how likely they are to crash their workers.
 func compareBlame(a, b *task) int {
 	return cmp.Or(a.likelyCrashes()-b.likelyCrashes(), len(a.crashes)-len(b.crashes), strings.Compare(b.id().String(), a.id().String()))
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -81,6 +81,7 @@
 	maxCrashes       int
 	crashedAddresses map[string]monotime.Instant
 	crashReports     []CrashReport
+	jobFailures      []JobFailure
 	// silences holds when workers stopped to answer, in order.
 	silences []monotime.Instant
 	stats    Stats
@@ -395,11 +396,10 @@
 	return ids
 }
 
-// Fail ends a job as failed. reason is for operators.
-func (e *Engine) Fail(id graph.JobID, reason string) {
+// Fail ends a job as failed since its progress can't be recorded. reason and evidence are for operators.
+func (e *Engine) Fail(id graph.JobID, reason, evidence string) {
 	if j := e.jobs[id]; j != nil && !j.state.Ended() {
-		j.failure = reason
-		e.endJob(j, graph.Failed, reason)
+		e.failJob(j, FailedByRecord, reason, []string{evidence}, reason)
 	}
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -403,7 +404,8 @@
 	}
 	e.markDirty(s.job)
 	if len(*failed) >= s.job.queue.MaxAttempts && !t.done && !s.job.state.Ended() {
-		e.endJob(s.job, graph.Failed, "job failed")
+		reason := fmt.Sprintf("task %s has failed %d times", t.id(), len(*failed))
+		e.failJob(s.job, FailedByAttempts, reason, []string{fmt.Sprintf("failed runs %v", *failed)}, "job failed")
 	}
 }
 
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -173,7 +173,7 @@
 	c.Log.Warn().Uint64("epoch", c.ownership.Epoch()).Int("rows", batch.RowCount()).Err(err).Msg("commit failed, trying again")
 	if errors.Is(err, rowstore.ErrRejected) {
 		if batch.RowCount() == 1 {
-			c.dropRejected(batch)
+			c.dropRejected(batch, err)
 			return
 		}
 		c.maxBatchRows = max(1, min(c.maxBatchRows, batch.RowCount())/2)
@@ -194,11 +194,11 @@
 
 // dropRejected drops the only change of a batch, which the store never accepts: repeated, it would keep all others from being recorded. A
 // job whose progress can't be recorded fails.
-func (c *controller) dropRejected(batch ledger.Batch) {
+func (c *controller) dropRejected(batch ledger.Batch, err error) {
 	for id := range batch.Progress {
-		c.Log.Error().Str("job", string(id)).Msg("the store rejects the job's progress, the job fails")
+		c.Log.Error().Str("job", string(id)).Err(err).Msg("the store rejects the job's progress, the job fails")
 		c.engine.MarkDirty(id)
-		c.engine.Fail(id, "the store rejects the job's progress")
+		c.engine.Fail(id, "the store rejects the job's progress", err.Error())
 	}
 	for _, w := range batch.Workers {
 		c.Log.Error().Str("worker", string(w.ID)).Msg("the store rejects the worker's row, the worker is not used")
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -365,11 +365,11 @@
 			c.execute(order)
 		}
 		c.sendPermitRequests()
-		c.recordWorkerHealth()
 		c.recordLocality()
 		c.tasksWaiting.Store(int64(c.engine.WaitingTasks()))
 		c.permitRequestsWaiting.Store(int64(len(c.permits.waiting)))
 	}
+	c.recordWorkerHealth()
 	if !c.reportsComplete && c.engine.ReportsComplete() {
 		c.markReportsComplete()
 		c.Log.Info().Uint64("epoch", c.ownership.Epoch()).Dur("after", c.now().Sub(c.takeoverStartedAt)).Msg("workers settled after takeover")
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/VictoriaMetrics/metrics"
 
+	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/flowcontrol"
 )
 
@@ -13,8 +14,10 @@
 	helloFailures, orderRetries         *metrics.Counter
 	processesEnded, runsLost            *metrics.Counter
 	workerCrashes, tasksGivenUp         *metrics.Counter
-	startTime, permitTime, roundTime    *metrics.Histogram
-	takeoverTime                        *metrics.Histogram
+	// jobsFailed counts the jobs that this daemon has ended as failed.
+	jobsFailed                       map[dispatch.FailureCause]*metrics.Counter
+	startTime, permitTime, roundTime *metrics.Histogram
+	takeoverTime                     *metrics.Histogram
 	// workerWaits counts the orders that waited for a place of their worker, workerWaitTime sums their waits in seconds.
 	workerWaits    *metrics.Counter
 	workerWaitTime *metrics.FloatCounter
@@ -50,7 +53,12 @@
 	gateGauge("laburnumpoint_orders_bound", func(s flowcontrol.Stats) float64 { return float64(s.Bound) })
 	gateGauge("laburnumpoint_order_answer_seconds", func(s flowcontrol.Stats) float64 { return s.AnswerTime.Seconds() })
 	gateGauge("laburnumpoint_order_retries_withheld", func(s flowcontrol.Stats) float64 { return float64(s.Withheld) })
+	jobsFailed := make(map[dispatch.FailureCause]*metrics.Counter)
+	for _, cause := range dispatch.FailureCauses() {
+		jobsFailed[cause] = set.NewCounter(`laburnumpoint_jobs_failed_total{cause="` + cause.String() + `"}`)
+	}
 	return instruments{
+		jobsFailed:     jobsFailed,
 		locality:       newLocalityCounters(set),
 		takeovers:      set.NewCounter("laburnumpoint_takeovers_total"),
 		commits:        set.NewCounter("laburnumpoint_records_total"),
--- a/internal/owner/worker_health.go
+++ b/internal/owner/worker_health.go
@@ -22,6 +22,7 @@
 		}
 	}
 	c.recordCrashes()
+	c.recordJobFailures()
 	c.workerHealth.ejected.Store(int64(c.engine.EjectedWorkers()))
 	stats := c.engine.Stats()
 	c.workerHealth.trialRuns.Store(int64(stats.TrialRuns))
@@ -39,9 +40,20 @@
 		}
 		c.instruments.workerCrashes.Inc()
 		c.Log.Warn().Str("worker", string(r.Worker)).Str("end", r.End.String()).Int("runs", r.Runs).Strs("suspects", suspects).Msg("worker ended with runs")
+		for _, counted := range r.Counted {
+			c.Log.Warn().Str("job", string(counted.Task.Job)).Str("task", counted.Task.String()).Uint64("run", counted.Run).Str("worker", string(r.Worker)).Str("end", r.End.String()).Bool("proven", counted.Proven).Bool("likely", counted.Likely).Bool("sole", counted.Sole).Int("crashes", counted.Crashes).Msg("crash counted for a task")
+		}
 		if r.GivenUp != nil {
 			c.instruments.tasksGivenUp.Inc()
 			c.Log.Warn().Str("job", string(r.GivenUp.Job)).Str("task", r.GivenUp.String()).Int("crashes", r.Crashes).Msg("task given up, it crashes its workers")
 		}
 	}
 }
+
+// recordJobFailures logs and counts the jobs that were ended as failed, each with what it was ended for.
+func (c *controller) recordJobFailures() {
+	for _, f := range c.engine.TakeJobFailures() {
+		c.instruments.jobsFailed[f.Cause].Inc()
+		c.Log.Warn().Str("job", string(f.Job)).Str("cause", f.Cause.String()).Str("why", f.Reason).Strs("evidence", f.Evidence).Uint64("epoch", c.ownership.Epoch()).Msg("job failed")
+	}
+}
