A start without an answer may be the cause of its worker's crash

What callers may see: a job is shown as failed for the crashes of another job's task. Cause: of the runs that were started shortly before a crash only those with an answered start counted as possible causes. A task that crashes its worker before the start is answered was none, so that the one beside it counted as the only one, and was given up after two crashes.

A run of another job whose start has no answer yet now keeps a crash from having a sole cause.

TestRunBesideAnUnansweredStartIsNotTheSoleCause fails on the code before (job b is failed, want running).

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -65,7 +65,7 @@
 type taskCrash struct {
 	// run is the number of the task's run on the worker.
 	run uint64
-	// proven means that the worker's process has certainly ended and had the run; sole that only runs of the job are likely causes.
+	// proven means that the worker's process has certainly ended and had the run; sole that only runs of the job may be the cause.
 	proven, likely, sole bool
 	// crash is nil for one that an earlier owner recorded.
 	crash *crash
@@ -116,7 +116,7 @@
 	for key, r := range w.runs {
 		tc := taskCrash{run: key.Number, proven: end == WorkerCrashed && r.confirmedAt > 0, crash: c}
 		tc.likely = slices.Contains(likely, r)
-		tc.sole = tc.likely && !slices.ContainsFunc(likely, func(other *run) bool { return other.Task.Job != r.Task.Job })
+		tc.sole = tc.likely && !otherJobMayBeCause(w, r.Task.Job, likely)
 		if r.maybeOfNextProcess(aliveAt) {
 			r.pendingCrash = &tc
 			continue
@@ -148,6 +148,17 @@
 	return likely
 }
 
+// otherJobMayBeCause reports whether a run of another job is as likely a cause of the worker's end, or was ordered there without an answer
+// so far: the worker may have carried the order out just before it ended.
+func otherJobMayBeCause(w *worker, id graph.JobID, likely []*run) bool {
+	for _, r := range w.runs {
+		if r.Task.Job != id && (r.confirmedAt == 0 || slices.Contains(likely, r)) {
+			return true
+		}
+	}
+	return false
+}
+
 // countCrash counts a crash for the task of a run that ended with its worker.
 func (e *Engine) countCrash(r *run, tc taskCrash) {
 	t := e.task(r.Task)
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -303,3 +303,27 @@
 		c.wantState(j, graph.Running)
 	}
 }
+
+// Guards against a job being failed for the crashes of another one's task whose start was not answered before its worker crashed: what is
+// known to have run there is not the only possible cause.
+func TestRunBesideAnUnansweredStartIsNotTheSoleCause(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	crashing := c.addJob("a", false, plainStep(1))
+	beside := c.addJob("b", false, plainStep(1))
+	for i := range maxLikelyCrashes {
+		w := c.addWorker(fmt.Sprint("w", i), 200)
+		for _, j := range []graph.JobID{crashing, beside} {
+			task := c.task(runKey(j, 0, 0, 0).Task)
+			c.startRun(task, c.workers[w], c.nextRunNumber(task.lastRunNumber))
+		}
+		for key := range c.workers[w].runs {
+			if key.Task.Job == beside {
+				c.HandleStartOutcome(w, key, Started)
+			}
+		}
+		c.advance(10 * time.Millisecond)
+		c.RemoveWorker(w, WorkerCrashed)
+	}
+	c.wantState(beside, graph.Running)
+}
--- a/internal/graphd/graphd_test.go
+++ b/internal/graphd/graphd_test.go
@@ -1,13 +1,14 @@
 package graphd
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -46,10 +47,30 @@
 	// retention and refuseOverload are the daemons' settings Retention and RefuseOverload.
 	retention      time.Duration
 	refuseOverload bool
+	// daemonLog is what the daemons write; it is printed if the test fails.
+	daemonLog *logBuffer
 	// otherQueues are queues beside the one of most tests.
 	otherQueues []graphproto.Queue
 }
 
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+func (b *logBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.String()
+}
+
 type testDaemon struct {
 	*Daemon
 	stop  context.CancelFunc
@@ -71,6 +92,12 @@
 func (c *testCell) startCluster() {
 	t := c.T
 	t.Helper()
+	c.daemonLog = &logBuffer{}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("log of the daemons:\n%s", c.daemonLog.text())
+		}
+	})
 	pools := []graphwork.Pool{{Name: "sheets", Workers: poolWorkers, Capacity: poolCapacity, Labels: []string{"fast"}}}
 	queues := graphproto.QueueConfig{Version: 1, Queues: []graphproto.Queue{{Name: queue, Pool: "sheets", MaxAttempts: 2, Stretch: 2, TargetMS: 500}}}
 	queues.Queues = append(queues.Queues, c.otherQueues...)
@@ -89,7 +116,7 @@
 		Cores: 1, MaxLease: 10 * time.Second, MaxConfigDelay: 2 * time.Second, StopGrace: 3 * time.Second, Retention: c.retention, BalancerDelay: 100 * time.Millisecond,
 		Orders: flowcontrol.DefaultOptions(), RefuseOverload: c.refuseOverload,
 	}
-	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: c.daemonLog}}
 	d, err := New(settings, NativeBackends(c.cluster.StoreAddr), logger, metrics.NewSet())
 	if err != nil {
 		c.Fatal(err)
@@ -126,12 +153,19 @@
 
 func (c *testCell) eventually(what string, ok func() bool) {
 	c.Helper()
+	if !c.isSoon(ok) {
+		c.Fatalf("timed out waiting for: %s", what)
+	}
+}
+
+// isSoon reports whether ok returns true within testTimeout.
+func (c *testCell) isSoon(ok func() bool) bool {
 	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
 		if ok() {
-			return
+			return true
 		}
 	}
-	c.Fatalf("timed out waiting for: %s", what)
+	return false
 }
 
 func (c *testCell) submit(id string, job *graphapi.Job) {
@@ -143,10 +177,15 @@
 
 func (c *testCell) waitForState(id string, want graph.JobState) {
 	c.Helper()
-	c.eventually(fmt.Sprint("job ", id, " ", want), func() bool {
+	var last string
+	ok := c.isSoon(func() bool {
 		answer, err := c.caller.State(c.Context(), queue, id)
+		last = fmt.Sprintf("%s, error %v", answer.State, err)
 		return err == nil && answer.State == want
 	})
+	if !ok {
+		c.Fatalf("timed out waiting for job %s %s, last state %s", id, want, last)
+	}
 }
 
 // checkRuns checks that the workers completed the given number of the job's tasks and ran no task twice.
