Crashes that count for several jobs' tasks alike fail none of them

What callers may see: a job is shown as failed for the crashes of another job's task. Where a crash is noticed later than a second after the start, no run is a likely cause, and only the bound on all crashes decides. It failed whichever task reached it first, also one that was merely beside the crashing one each time: the two were started again together on the same worker.

The bound decides only where no task of another job was present at each of these crashes. A task with two crashes counts as a suspect: its next run begins with a probation, as that of a likely cause does, so that the next crash tells the two apart.

TestTaskBesideLateCrashesOfAnotherIsNotGivenUp fails on the code before: job a is failed, the crashing task was started 6 times for at most 5.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -14,9 +15,9 @@
 // A task may crash each worker that starts it, together with all other runs there. The engine counts for each task the crashes of
 // workers that ran it, across owners. A run is a likely cause if the crash came soon after its start, no other was started after it and
 // few other workers ended at that moment; a task that was that twice, once with no other job's run as likely, is given up, which fails its
-// job, and its crashes no longer count against the other tasks that ran beside it. The next run of a likely cause begins with a probation, in which no other job's task is
-// started on its worker, so that a second crash tells which task it was. A crash that comes later, a worker that fell silent and a start
-// in doubt on a worker that crashed only count towards a bound on all crashes.
+// job, and its crashes no longer count against the other tasks that ran beside it. The next run of a likely cause, or of a task with several
+// crashes, begins with a probation, in which no other job's task is started on its worker, so that a further crash tells which task it was.
+// A crash that comes later, a worker that fell silent and a start in doubt on a worker that crashed only count towards a bound on all crashes.
 const (
 	// maxLikelyCrashes is how often a task may be the likely cause of a crash until it is given up.
 	maxLikelyCrashes = 2
@@ -54,8 +55,9 @@
 
 // crash is the end of a worker that had runs.
 type crash struct {
-	// tasks are those of the runs that count it.
-	tasks  []*task
+	// tasks are those of the runs that count it; present are those of all runs that the worker had, or may have had.
+	tasks   []*task
+	present map[graph.TaskID]struct{}
 	report CrashReport
 	// reported means that the report has been made.
 	reported bool
@@ -112,7 +114,10 @@
 		return nil
 	}
 	likely := e.likelyCauses(w, end)
-	c := &crash{report: CrashReport{Worker: w.ID, End: end, Runs: len(w.runs)}}
+	c := &crash{report: CrashReport{Worker: w.ID, End: end, Runs: len(w.runs)}, present: make(map[graph.TaskID]struct{}, len(w.runs))}
+	for key := range w.runs {
+		c.present[key.Task] = struct{}{}
+	}
 	for key, r := range w.runs {
 		tc := taskCrash{run: key.Number, proven: end == WorkerCrashed && r.confirmedAt > 0, crash: c}
 		tc.likely = slices.Contains(likely, r)
@@ -260,7 +265,8 @@
 	}
 }
 
-// mustGiveUp reports whether the crashes that count for a task suffice to give it up. Where hardly any is proven, one more is needed.
+// mustGiveUp reports whether the crashes that count for a task suffice to give it up. Where hardly any is proven, one more is needed. The
+// bound on all crashes decides only where no other job's task had a run at each of them.
 func (e *Engine) mustGiveUp(t *task) bool {
 	proven, sole := 0, 0
 	for _, c := range t.crashes {
@@ -272,7 +278,28 @@
 		}
 	}
 	enough := len(t.crashes) > e.maxCrashes || (len(t.crashes) == e.maxCrashes && proven >= MinMaxCrashes)
-	return !t.step.job.state.Ended() && ((t.likelyCrashes() >= maxLikelyCrashes && sole > 0) || enough)
+	return !t.step.job.state.Ended() && ((t.likelyCrashes() >= maxLikelyCrashes && sole > 0) || (enough && !e.mayBeAnothersFault(t)))
+}
+
+// mayBeAnothersFault reports whether a task of another job was present at each crash that this owner has counted for the task. Such tasks
+// can't be told apart until they are started on different workers, see isSuspect.
+func (e *Engine) mayBeAnothersFault(t *task) bool {
+	var others map[graph.TaskID]struct{}
+	for _, c := range t.crashes {
+		switch {
+		case c.crash == nil:
+		case others == nil:
+			others = maps.Clone(c.crash.present)
+		default:
+			maps.DeleteFunc(others, func(id graph.TaskID, _ struct{}) bool { _, present := c.crash.present[id]; return !present })
+		}
+	}
+	for id := range others {
+		if other := e.task(id); id.Job != t.step.job.id && (other == nil || !other.done) {
+			return true
+		}
+	}
+	return false
 }
 
 // crashEvidence describes the crashes that count for the task, for logs.
@@ -316,11 +343,19 @@
 	return n
 }
 
-// countSuspects counts the step's open tasks that are likely causes of a crash.
+// minSuspectCrashes is the number of crashes from which a task that is no likely cause of any is kept apart from other suspects.
+const minSuspectCrashes = 2
+
+// isSuspect reports whether the next run of the task begins with a probation, so that a further crash tells whether the task is its cause.
+func (t *task) isSuspect() bool {
+	return len(t.crashes) >= minSuspectCrashes || t.likelyCrashes() > 0
+}
+
+// countSuspects counts the step's open tasks that are suspects.
 func (s *step) countSuspects() {
 	s.suspects = 0
 	for _, t := range s.tasks {
-		if !t.done && t.likelyCrashes() > 0 {
+		if !t.done && t.isSuspect() {
 			s.suspects++
 		}
 	}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -327,3 +327,40 @@
 	}
 	c.wantState(beside, graph.Running)
 }
+
+// Guards against a job being failed for the crashes of another one's task: where crashes are noticed too late for a likely cause, all tasks
+// that were beside it each time count as many of them.
+func TestTaskBesideLateCrashesOfAnotherIsNotGivenUp(t *testing.T) {
+	const maxStarts = 5
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	for i := range 4 {
+		c.addWorker(fmt.Sprintf("w%d", i), 400)
+	}
+	beside := c.addJob("a", false, plainStep(2))
+	crashing := c.addJob("b", false, plainStep(1))
+	task := c.task(runKey(crashing, 0, 0, 0).Task)
+	starts := 0
+	for range 20 {
+		ordered, _, _ := c.planByKind()
+		for _, s := range ordered {
+			c.HandleStartOutcome(s.Worker, s.RunKey, Started)
+			if s.Task.Job == crashing {
+				starts++
+			}
+		}
+		if task.run != nil {
+			w := task.run.worker.ID
+			c.advance(2 * promptCrashTime)
+			c.HandleRestart(w, WorkerCrashed, c.virtualTime)
+			c.SetReachable(w, true)
+		} else {
+			c.advance(probationTime)
+		}
+	}
+	c.wantState(crashing, graph.Failed)
+	c.wantState(beside, graph.Running)
+	if starts > maxStarts {
+		t.Errorf("the crashing task was started %d times, want at most %d", starts, maxStarts)
+	}
+}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -396,7 +396,7 @@
 	limitHoldFrom monotime.Instant
 	// wantedCopies counts the copies that lack only a permit.
 	wantedCopies int
-	// suspects counts the open tasks that are likely causes of a crash.
+	// suspects counts the open tasks that are suspects, see task.isSuspect.
 	suspects int
 	// avoidances holds the workers on which runs of the step have failed lately.
 	avoidances map[*worker]avoidance
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -6,15 +6,15 @@
 	"laburnumpoint/internal/monotime"
 )
 
-// Bounds of the probation with which the next run of a likely cause of a crash begins.
+// Bounds of the probation with which the next run of a suspect begins.
 const (
-	// probationTime is how long the start of a likely cause keeps tasks of other jobs from its worker.
+	// probationTime is how long the start of a suspect keeps tasks of other jobs from its worker.
 	probationTime = 250 * time.Millisecond
-	// crashedAddressTime is how long likely causes avoid the address of a worker that has crashed, which may be at fault itself.
+	// crashedAddressTime is how long suspects avoid the address of a worker that has crashed, which may be at fault itself.
 	crashedAddressTime = 10 * time.Second
 )
 
-// probation keeps tasks of other jobs from a worker while it starts a likely cause of a crash.
+// probation keeps tasks of other jobs from a worker while it starts a suspect.
 type probation struct {
 	job   *job
 	until monotime.Instant
@@ -23,7 +23,7 @@
 // noteStart notes that a run of the task is started on the worker.
 func (e *Engine) noteStart(w *worker, t *task) {
 	w.lastStartAt, w.lastStartJob = e.now, t.step.job
-	if t.step.suspects > 0 && t.likelyCrashes() > 0 {
+	if t.step.suspects > 0 && t.isSuspect() {
 		w.probation = probation{t.step.job, e.now.Add(probationTime)}
 		w.updateImpaired()
 	}
@@ -42,7 +42,7 @@
 	return w.probation.job != s.job
 }
 
-// crashScore is the part of a worker's score that counts for a step with a likely cause of a crash: a second crash tells most on a worker
+// crashScore is the part of a worker's score that counts for a step with a suspect: a further crash tells most on a worker
 // that has not crashed lately and on which no other job's task was just started.
 func (e *Engine) crashScore(s *step, w *worker) float64 {
 	score := 0.0
@@ -55,7 +55,7 @@
 	return score
 }
 
-// forgetCrashes drops the addresses that likely causes no longer avoid, and the times of old silences.
+// forgetCrashes drops the addresses that suspects no longer avoid, and the times of old silences.
 func (e *Engine) forgetCrashes() {
 	for len(e.silences) > 0 && e.now.Sub(e.silences[0]) >= crashedAddressTime {
 		e.silences = e.silences[1:]
--- a/internal/standin/graphwork/worker.go
+++ b/internal/standin/graphwork/worker.go
@@ -38,7 +38,7 @@
 	Key       dispatch.RunKey
 	StartedAt time.Time
 	EndedAt   time.Time
-	// Outcome is the text of a dispatch.RunOutcome, or lostOutcome; empty while the run lasts.
+	// Outcome is the text of a dispatch.RunOutcome, lostOutcome or UnconfirmedDone; empty while the run lasts.
 	Outcome string
 }
 
@@ -72,6 +72,10 @@
 // lostOutcome is the outcome of a run that ended with its worker's process.
 const lostOutcome = "lost"
 
+// UnconfirmedDone is the outcome of a run that was done and whose end was not confirmed before its worker's process ended: the owner may
+// have heard of it or not.
+const UnconfirmedDone = "done_unconfirmed"
+
 // Worker is a worker whose process may restart under its id. The group's mutex guards all its fields, since gangs span workers.
 type Worker struct {
 	group       *WorkerGroup
@@ -136,6 +140,9 @@
 		for _, recorded := range w.group.runs {
 			if recorded.Worker == w.incarnation && recorded.Key == e.RunKey {
 				recorded.Outcome = lostOutcome
+				if e.End == dispatch.RunDone {
+					recorded.Outcome = UnconfirmedDone
+				}
 			}
 		}
 	}
