A worker that falls silent fails no job

Cause: the end of a worker that the owner had not heard for a whole lease counted against each of its tasks like the end of its process, and five of them failed the job. Such a worker may be cut off, or the owner may be; it ends its runs itself and lives on. The same held for a run that a living worker no longer listed. Nothing took these counts back.

Only the proven end of a worker's process counts now. Crashes that an older version recorded without proof count for nothing; the field that tells them apart is left unread by older versions.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -17,7 +17,8 @@
 // few other workers ended at that moment; a task that was that twice, once with no other job's run as likely, is given up, which fails its
 // job, and its crashes no longer count against the other tasks that ran beside it. The next run of a likely cause, or of a task with several
 // crashes, begins with a probation, in which no other job's task is started on its worker, so that a further crash tells which task it was.
-// A crash that comes later, a worker that fell silent and a start in doubt on a worker that crashed only count towards a bound on all crashes.
+// A crash that comes later and a start in doubt on a worker that crashed only count towards a bound on all crashes. A worker that fell silent
+// counts for nothing until it is known to have ended, see silence.
 const (
 	// maxLikelyCrashes is how often a task may be the likely cause of a crash until it is given up.
 	maxLikelyCrashes = 2
@@ -58,25 +59,24 @@
 	// tasks are those of the runs that count it; present are those of all runs that the worker had, or may have had.
 	tasks   []*task
 	present map[graph.TaskID]struct{}
-	report CrashReport
+	report  CrashReport
 	// reported means that the report has been made.
 	reported bool
 }
 
-// taskCrash is a crash as one of its tasks counts it.
+// taskCrash is a crash as one of its tasks counts it: the worker's process has certainly ended.
 type taskCrash struct {
 	// run is the number of the task's run on the worker.
 	run uint64
-	// proven means that the worker's process has certainly ended and had the run; sole that only runs of the job may be the cause.
+	// proven means that the worker had the run, which a start in doubt does not tell; sole that only runs of the job may be the cause.
 	proven, likely, sole bool
 	// crash is nil for one that an earlier owner recorded.
 	crash *crash
 }
 
-// CrashReport describes the end of a worker that had runs, for the log.
+// CrashReport describes the crash of a worker that had runs, for the log.
 type CrashReport struct {
 	Worker WorkerID
-	End    WorkerEnd
 	// Runs is how many runs ended with the worker; Likely are the tasks that may have caused it.
 	Runs   int
 	Likely []graph.TaskID
@@ -107,36 +107,45 @@
 	return reports
 }
 
-// recordCrash counts the end of a worker, last known to live at aliveAt, for the tasks that it runs, or may run. Runs that the next process
-// may have are counted once its report lacks them. It returns nil if the worker has no runs.
-func (e *Engine) recordCrash(w *worker, end WorkerEnd, aliveAt monotime.Instant) *crash {
-	if end == WorkerLeft || len(w.runs) == 0 {
+// recordEnd notes how a worker, last known to live at aliveAt, has ended. It counts a crash for the tasks that the worker runs, or may run, and
+// returns it; nil if there is none to count. Runs that the next process may have are counted once its report lacks them.
+func (e *Engine) recordEnd(w *worker, end WorkerEnd, aliveAt monotime.Instant) *crash {
+	if end == WorkerSilent {
+		e.recordSilence(w)
 		return nil
 	}
-	likely := e.likelyCauses(w, end)
-	c := &crash{report: CrashReport{Worker: w.ID, End: end, Runs: len(w.runs)}, present: make(map[graph.TaskID]struct{}, len(w.runs))}
-	for key := range w.runs {
-		c.present[key.Task] = struct{}{}
+	e.settleSilence(w.Address, end == WorkerCrashed)
+	if end == WorkerLeft || len(w.runs) == 0 {
+		return nil
 	}
+	likely := e.likelyCauses(w)
+	c := newCrash(w.ID, slices.Collect(maps.Keys(w.runs)))
 	for key, r := range w.runs {
-		tc := taskCrash{run: key.Number, proven: end == WorkerCrashed && r.confirmedAt > 0, crash: c}
+		tc := taskCrash{run: key.Number, proven: r.confirmedAt > 0, crash: c}
 		tc.likely = slices.Contains(likely, r)
 		tc.sole = tc.likely && !otherJobMayBeCause(w, r.Task.Job, likely)
 		if r.maybeOfNextProcess(aliveAt) {
 			r.pendingCrash = &tc
 			continue
 		}
-		e.countCrash(r, tc)
+		e.countCrash(r.Task, tc, r.lastedStable(e.now))
 	}
-	if end == WorkerCrashed {
-		e.crashedAddresses[w.Address] = e.now
+	e.crashedAddresses[w.Address] = e.now
+	return c
+}
+
+// newCrash returns a crash of a worker that had the runs, or may have had them.
+func newCrash(w WorkerID, runs []RunKey) *crash {
+	c := &crash{report: CrashReport{Worker: w, Runs: len(runs)}, present: make(map[graph.TaskID]struct{}, len(runs))}
+	for _, key := range runs {
+		c.present[key.Task] = struct{}{}
 	}
 	return c
 }
 
 // likelyCauses returns the runs that are likely causes of their worker's end.
-func (e *Engine) likelyCauses(w *worker, end WorkerEnd) []*run {
-	if end != WorkerCrashed || e.isCommonCrash(w) {
+func (e *Engine) likelyCauses(w *worker) []*run {
+	if e.isCommonCrash(w) {
 		return nil
 	}
 	var lastStart monotime.Instant
@@ -164,17 +173,17 @@
 	return false
 }
 
-// countCrash counts a crash for the task of a run that ended with its worker.
-func (e *Engine) countCrash(r *run, tc taskCrash) {
-	t := e.task(r.Task)
-	if t == nil || !t.addCrash(e.now, r, tc) {
+// countCrash counts a crash for a task, one of whose runs ended with its worker. stable means that the run had lasted stableRunTime.
+func (e *Engine) countCrash(id graph.TaskID, tc taskCrash, stable bool) {
+	t := e.task(id)
+	if t == nil || !t.addCrash(tc, stable) {
 		return
 	}
 	e.markDirty(t.step.job)
 	tc.crash.tasks = append(tc.crash.tasks, t)
-	tc.crash.report.Counted = append(tc.crash.report.Counted, CountedCrash{r.Task, tc.run, tc.proven, tc.likely, tc.sole, len(t.crashes)})
+	tc.crash.report.Counted = append(tc.crash.report.Counted, CountedCrash{id, tc.run, tc.proven, tc.likely, tc.sole, len(t.crashes)})
 	if tc.likely {
-		tc.crash.report.Likely = append(tc.crash.report.Likely, r.Task)
+		tc.crash.report.Likely = append(tc.crash.report.Likely, id)
 	}
 }
 
@@ -197,13 +206,18 @@
 	return others > commonCrashWorkers // the worker itself is one of them
 }
 
+// lastedStable reports whether the run is known to have lasted stableRunTime.
+func (r *run) lastedStable(now monotime.Instant) bool {
+	return r.confirmedAt > 0 && now.Sub(r.confirmedAt) >= stableRunTime
+}
+
 // addCrash counts a crash that ended a run of the task, unless it has been counted or the task needs no more runs.
-func (t *task) addCrash(now monotime.Instant, r *run, c taskCrash) bool {
+func (t *task) addCrash(c taskCrash, stable bool) bool {
 	counted := slices.ContainsFunc(t.crashes, func(other taskCrash) bool { return other.run == c.run })
 	if counted || t.done || t.step.job.state.Ended() {
 		return false
 	}
-	if t.step.def.LongRunning && r.confirmedAt > 0 && now.Sub(r.confirmedAt) >= stableRunTime {
+	if t.step.def.LongRunning && stable {
 		t.crashes = nil
 	}
 	t.crashes = append(t.crashes, c)
@@ -211,20 +225,18 @@
 	return true
 }
 
-// recordLostRuns counts runs whose worker answers and no longer knows them: those of a process that crashed before, and others like those
-// on a worker that fell silent.
-func (e *Engine) recordLostRuns(w *worker, runs []*run) {
-	silent := &crash{report: CrashReport{Worker: w.ID, End: WorkerSilent, Runs: len(runs)}}
-	crashes := []*crash{silent}
+// countPendingCrashes counts the crash of a worker's earlier process for runs that its next process does not have. That a worker answers
+// and does not know a run tells nothing of a crash by itself.
+func (e *Engine) countPendingCrashes(runs []*run) {
+	var crashes []*crash
 	for _, r := range runs {
-		tc := taskCrash{run: r.Number, crash: silent}
-		if r.pendingCrash != nil {
-			tc = *r.pendingCrash
-			if !slices.Contains(crashes, tc.crash) {
-				crashes = append(crashes, tc.crash)
-			}
+		if r.pendingCrash == nil {
+			continue
 		}
-		e.countCrash(r, tc)
+		if !slices.Contains(crashes, r.pendingCrash.crash) {
+			crashes = append(crashes, r.pendingCrash.crash)
+		}
+		e.countCrash(r.Task, *r.pendingCrash, r.lastedStable(e.now))
 	}
 	for _, c := range crashes {
 		e.giveUpCause(c)
@@ -308,7 +320,7 @@
 	for _, c := range t.crashes {
 		worker := "recorded by an earlier owner"
 		if c.crash != nil {
-			worker = fmt.Sprintf("worker %s %s", c.crash.report.Worker, c.crash.report.End)
+			worker = fmt.Sprintf("worker %s crashed", c.crash.report.Worker)
 		}
 		lines = append(lines, fmt.Sprintf("run %d: %s, proven %t, likely cause %t, sole %t", c.run, worker, c.proven, c.likely, c.sole))
 	}
@@ -365,15 +377,18 @@
 func (t *task) recordedCrashes() []CrashProgress {
 	var recorded []CrashProgress
 	for _, c := range t.crashes {
-		recorded = append(recorded, CrashProgress{c.run, c.proven, c.likely, c.sole})
+		recorded = append(recorded, CrashProgress{Run: c.run, Ended: true, Proven: c.proven, Likely: c.likely, Sole: c.sole})
 	}
 	return recorded
 }
 
-// restoreCrashes applies the recorded crashes of a task.
+// restoreCrashes applies the recorded crashes of a task. One of an older version that may have been a silence counts for nothing.
 func (t *task) restoreCrashes(recorded []CrashProgress) {
 	t.crashes = nil
 	for _, c := range recorded {
+		if !c.Ended && !c.Proven {
+			continue
+		}
 		t.crashes = append(t.crashes, taskCrash{run: c.Run, proven: c.Proven, likely: c.Likely, sole: c.Sole})
 	}
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -82,6 +82,9 @@
 	crashedAddresses map[string]monotime.Instant
 	crashReports     []CrashReport
 	jobFailures      []JobFailure
+	// unsettled holds the silences that are not settled, by address.
+	unsettled      map[string]*silence
+	silenceReports []SilenceReport
 	// silences holds when workers stopped to answer, in order.
 	silences []monotime.Instant
 	stats    Stats
@@ -121,6 +124,7 @@
 
 		maxCrashes:       DefaultMaxCrashes,
 		crashedAddresses: make(map[string]monotime.Instant),
+		unsettled:        make(map[string]*silence),
 	}
 }
 
@@ -475,7 +479,7 @@
 	delete(e.workers, id)
 	delete(e.unconfirmedEnds, id)
 	e.poolsStale = true
-	crashed := e.recordCrash(w, end, e.now)
+	crashed := e.recordEnd(w, end, e.now)
 	for _, r := range w.runs {
 		ended = append(ended, r.RunKey)
 		e.handleEnd(w, r.RunKey, RunInterrupted, "")
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -50,6 +50,8 @@
 		return nil
 	}
 	e.setReachable(w, true)
+	e.settleByReport(w, report.ProcessStart)
+	w.processStart = report.ProcessStart
 	listed := make(map[RunKey]struct{}, len(report.Running))
 	for _, entry := range report.Running {
 		listed[entry.RunKey] = struct{}{}
@@ -90,7 +92,7 @@
 		}
 	}
 	if len(lostRuns) > 0 {
-		e.recordLostRuns(w, lostRuns)
+		e.countPendingCrashes(lostRuns)
 	}
 	return lost
 }
@@ -109,7 +111,7 @@
 	w.lastEndSequence = 0
 	delete(e.unconfirmedEnds, id)
 	e.forgetProcess(w)
-	crashed := e.recordCrash(w, end, aliveAt)
+	crashed := e.recordEnd(w, end, aliveAt)
 	for key, r := range w.runs {
 		if r.maybeOfNextProcess(aliveAt) {
 			continue
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -275,6 +275,8 @@
 	probation probation
 	// fillers keeps fillers from the worker after some were stopped there.
 	fillers fillerPause
+	// processStart is that of the last report; 0 before one, or if it named none.
+	processStart time.Duration
 	// unreachableSince is when the worker stopped to answer; 0 while it answers.
 	unreachableSince monotime.Instant
 	// lastStartAt is when a run was last started on the worker, for lastStartJob.
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -57,6 +57,7 @@
 
 // forgetCrashes drops the addresses that suspects no longer avoid, and the times of old silences.
 func (e *Engine) forgetCrashes() {
+	e.forgetSilences()
 	for len(e.silences) > 0 && e.now.Sub(e.silences[0]) >= crashedAddressTime {
 		e.silences = e.silences[1:]
 	}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -40,9 +40,10 @@
 
 // CrashProgress is a crash of the worker that had a run of the task.
 type CrashProgress struct {
-	// Run is the run's number; Proven means that the worker had it and that its process has ended, Likely that the run is a likely
-	// cause of that, Sole that no other job's run is.
+	// Run is the run's number. Ended means that the worker's process has certainly ended, which older versions record only together with
+	// Proven; Proven that it also had the run, Likely that the run is a likely cause of its end, Sole that no other job's run may be.
 	Run    uint64 `json:"r"`
+	Ended  bool   `json:"e,omitempty"`
 	Proven bool   `json:"p,omitempty"`
 	Likely bool   `json:"l,omitempty"`
 	Sole   bool   `json:"s,omitempty"`
--- /dev/null
+++ b/internal/dispatch/silence_test.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/graph"
+)
+
+// runOnNewWorker starts the job's only task on worker number i, which is new, and lets it run for longer than a prompt crash takes.
+func (c *fixture) runOnNewWorker(j graph.JobID, i int) WorkerID {
+	c.t.Helper()
+	w := c.addWorker(fmt.Sprintf("w%d", i), 100)
+	c.startOn(runKey(j, 0, 0, 0).Task)
+	for key := range c.workers[w].runs {
+		c.HandleStartOutcome(w, key, Started)
+	}
+	c.advance(2 * promptCrashTime)
+	return w
+}
+
+// proofs are what may settle that a silent worker's process has ended.
+var proofs = map[string]func(c *fixture, w WorkerID){
+	"another worker at its address": func(c *fixture, w WorkerID) {
+		next := w + "-next"
+		c.PutWorker(Worker{ID: next, Address: string(w), Pool: "p"})
+		c.HandleReport(next, c.virtualTime, Report{})
+		c.RemoveWorker(next, WorkerLeft)
+	},
+	"a later start of its process": func(c *fixture, w WorkerID) {
+		c.PutWorker(Worker{ID: w, Address: string(w), Pool: "p"})
+		c.HandleReport(w, c.virtualTime, Report{ProcessStart: time.Duration(c.virtualTime) + time.Hour})
+		c.RemoveWorker(w, WorkerLeft)
+	},
+	"another incarnation answers": func(c *fixture, w WorkerID) {
+		c.PutWorker(Worker{ID: w, Address: string(w), Pool: "p"})
+		c.RemoveWorker(w, WorkerCrashed)
+	},
+}
+
+// Guards against a job being failed for workers that fell silent: a worker that is cut off, or whose owner is, ends its runs as their lease
+// expires and lives on.
+func TestSilentWorkersFailNoJob(t *testing.T) {
+	for _, longRunning := range []bool{false, true} {
+		t.Run(fmt.Sprint("long-running ", longRunning), func(t *testing.T) {
+			c := newFixture(t, 1)
+			c.advance(time.Second)
+			s := plainStep(1)
+			s.LongRunning = longRunning
+			j := c.addJob("j", false, s)
+			for i := range 3 * DefaultMaxCrashes {
+				w := c.runOnNewWorker(j, i)
+				c.RemoveWorker(w, WorkerSilent)
+				if i%2 == 0 { // the others are never heard of again
+					c.PutWorker(Worker{ID: w, Address: string(w), Pool: "p"})
+					c.HandleReport(w, c.virtualTime, Report{})
+					c.RemoveWorker(w, WorkerLeft)
+				}
+				c.wantState(j, graph.Running)
+			}
+			if n := len(c.task(runKey(j, 0, 0, 0).Task).crashes); n != 0 {
+				t.Errorf("%d crashes count for the task, want none", n)
+			}
+		})
+	}
+}
+
+// Guards against a task that crashes its workers being started without end where the owner notices only that they fell silent.
+func TestSilentWorkersThatHadEndedCount(t *testing.T) {
+	for name, prove := range proofs {
+		t.Run(name, func(t *testing.T) {
+			c := newFixture(t, 1)
+			c.advance(time.Second)
+			j := c.addJob("j", false, plainStep(1))
+			for i := range DefaultMaxCrashes {
+				c.wantState(j, []graph.JobState{graph.Queued, graph.Running}[min(i, 1)])
+				w := c.workers[c.runOnNewWorker(j, i)]
+				c.HandleReport(w.ID, c.virtualTime, Report{Running: []RunningEntry{{RunKey: c.task(runKey(j, 0, 0, 0).Task).run.RunKey}}, ProcessStart: 1})
+				c.RemoveWorker(w.ID, WorkerSilent)
+				c.advance(time.Second)
+				prove(c, w.ID)
+			}
+			c.wantState(j, graph.Failed)
+		})
+	}
+}
+
+// Guards against a count that grows with what a worker no longer knows though its process lives.
+func TestRunThatItsWorkerNoLongerKnowsIsNoCrash(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	j := c.addJob("j", false, plainStep(1))
+	for i := range 3 * DefaultMaxCrashes {
+		w := c.runOnNewWorker(j, i)
+		c.HandleReport(w, c.virtualTime, Report{})
+		c.RemoveWorker(w, WorkerLeft)
+		c.wantState(j, graph.Running)
+	}
+}
+
+// Guards against a job being failed for silences that an owner of an older version has recorded as crashes.
+func TestRecordedSilencesOfOlderVersionsDoNotCount(t *testing.T) {
+	c := newFixture(t, 2)
+	c.advance(time.Second)
+	var recorded []CrashProgress
+	for run := range uint64(DefaultMaxCrashes) {
+		recorded = append(recorded, CrashProgress{Run: run + 1})
+	}
+	progress := Progress{State: graph.Running, Started: true, Steps: []StepProgress{{Tasks: []TaskProgress{{Crashes: recorded}}}}}
+	j := graph.JobID("j")
+	c.AddJob(JobInput{ID: j, Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(1)}}, ArrivedAt: c.virtualTime, Progress: &progress})
+	c.RemoveWorker(c.runOnNewWorker(j, 0), WorkerCrashed)
+	c.wantState(j, graph.Running)
+}
+
+// Guards against memory that grows with workers that are never heard of again.
+func TestSilencesAreForgotten(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	j := c.addJob("j", false, plainStep(1))
+	c.RemoveWorker(c.runOnNewWorker(j, 0), WorkerSilent)
+	c.advance(silenceMemory)
+	c.planByKind()
+	if n := len(c.unsettled); n != 0 {
+		t.Errorf("%d silences are kept, want none", n)
+	}
+}
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -14,6 +14,8 @@
 	helloFailures, orderRetries         *metrics.Counter
 	processesEnded, runsLost            *metrics.Counter
 	workerCrashes, tasksGivenUp         *metrics.Counter
+	// silencesAnswered and silencesEnded count the silent workers that answered again, and those whose process had ended.
+	silencesAnswered, silencesEnded *metrics.Counter
 	// jobsFailed counts the jobs that this daemon has ended as failed.
 	jobsFailed                       map[dispatch.FailureCause]*metrics.Counter
 	startTime, permitTime, roundTime *metrics.Histogram
@@ -58,7 +60,11 @@
 		jobsFailed[cause] = set.NewCounter(`laburnumpoint_jobs_failed_total{cause="` + cause.String() + `"}`)
 	}
 	return instruments{
-		jobsFailed:     jobsFailed,
+		jobsFailed: jobsFailed,
+
+		silencesAnswered: set.NewCounter(`laburnumpoint_worker_silences_total{settled="answered"}`),
+		silencesEnded:    set.NewCounter(`laburnumpoint_worker_silences_total{settled="ended"}`),
+
 		locality:       newLocalityCounters(set),
 		takeovers:      set.NewCounter("laburnumpoint_takeovers_total"),
 		commits:        set.NewCounter("laburnumpoint_records_total"),
--- a/internal/owner/worker_health.go
+++ b/internal/owner/worker_health.go
@@ -22,6 +22,7 @@
 		}
 	}
 	c.recordCrashes()
+	c.recordSilences()
 	c.recordJobFailures()
 	c.workerHealth.ejected.Store(int64(c.engine.EjectedWorkers()))
 	stats := c.engine.Stats()
@@ -31,6 +32,18 @@
 	c.workerHealth.slow.Store(int64(c.engine.SlowWorkers()))
 }
 
+// recordSilences logs and counts the workers whose runs were given up unheard and of which it is known now whether they had ended.
+func (c *controller) recordSilences() {
+	for _, r := range c.engine.TakeSilenceReports() {
+		settled := c.instruments.silencesAnswered
+		if r.Ended {
+			settled = c.instruments.silencesEnded
+		}
+		settled.Inc()
+		c.Log.Info().Str("worker", string(r.Worker)).Bool("ended", r.Ended).Int("runs", r.Runs).Dur("after", r.Lasted).Msg("silence of a worker settled")
+	}
+}
+
 // recordCrashes logs and counts the workers that ended with runs, and the tasks that were given up for it.
 func (c *controller) recordCrashes() {
 	for _, r := range c.engine.TakeCrashReports() {
@@ -39,9 +52,9 @@
 			suspects[i] = id.String()
 		}
 		c.instruments.workerCrashes.Inc()
-		c.Log.Warn().Str("worker", string(r.Worker)).Str("end", r.End.String()).Int("runs", r.Runs).Strs("suspects", suspects).Msg("worker ended with runs")
+		c.Log.Warn().Str("worker", string(r.Worker)).Int("runs", r.Runs).Strs("suspects", suspects).Msg("worker ended with runs")
 		for _, counted := range r.Counted {
-			c.Log.Warn().Str("job", string(counted.Task.Job)).Str("task", counted.Task.String()).Uint64("run", counted.Run).Str("worker", string(r.Worker)).Str("end", r.End.String()).Bool("proven", counted.Proven).Bool("likely", counted.Likely).Bool("sole", counted.Sole).Int("crashes", counted.Crashes).Msg("crash counted for a task")
+			c.Log.Warn().Str("job", string(counted.Task.Job)).Str("task", counted.Task.String()).Uint64("run", counted.Run).Str("worker", string(r.Worker)).Bool("proven", counted.Proven).Bool("likely", counted.Likely).Bool("sole", counted.Sole).Int("crashes", counted.Crashes).Msg("crash counted for a task")
 		}
 		if r.GivenUp != nil {
 			c.instruments.tasksGivenUp.Inc()
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -423,7 +423,7 @@
 // removeEndedWorker removes a worker that has certainly ended, and its row from the ledger.
 func (c *controller) removeEndedWorker(wc *workerConn, end dispatch.WorkerEnd, why string) {
 	id := wc.worker.ID
-	c.Log.Info().Str("worker", string(id)).Str("why", why).Dur("lease_left", wc.lease.remaining(c.now())).Msg("worker gone")
+	c.Log.Info().Str("worker", string(id)).Str("end", end.String()).Str("why", why).Dur("lease_left", wc.lease.remaining(c.now())).Msg("worker gone")
 	if wc.cancel != nil {
 		wc.cancel()
 	}
