An attempt that ended on a living worker gives no task up

Only a runner that has restarted, or a VM that is gone, counts now. Attempts that end otherwise are repeated as before, within the caller's deadline and the retry budget; those of a batch without a caller no longer have a bound but the pace of resubmission.

TestLostAnswersOfLivingWorkersGiveUpNoTask fails on the code before: unknown (given_up: 3 workers ended while they ran it).

--- a/internal/shard/attempt.go
+++ b/internal/shard/attempt.go
@@ -213,7 +213,7 @@
 // attemptLost handles an attempt that has ended without an answer.
 func (c *controlLoop) attemptLost(e *taskEntry, detail string) {
 	e.maybeRan = true
-	if !e.stopConfirmed {
+	if e.workerEnded && !e.stopConfirmed {
 		e.lostAttempts++
 	}
 	out := e.unknownOutcome(cell.ReasonWorkerLost, detail)
@@ -268,7 +268,7 @@
 	requeuesTotal.Inc()
 	wasAdopted := e.adopted
 	e.retries++
-	e.adopted, e.accepted, e.attemptEnded, e.resolving, e.callOpen = false, false, false, false, false
+	e.adopted, e.accepted, e.attemptEnded, e.workerEnded, e.resolving, e.callOpen = false, false, false, false, false, false
 	e.awaitingGang = e.requeueAfterStop
 	e.stopping, e.stopConfirmed, e.requeueAfterStop = false, false, false
 	e.endedReports = 0
@@ -300,10 +300,10 @@
 	}
 }
 
-// leaseEnded handles a running entry whose lease is known to have ended. A call that is still open is cancelled; its reply,
+// leaseEnded handles a running entry whose lease is known to have ended with its worker. A call that is still open is cancelled; its reply,
 // which may still be the answer, is waited for.
 func (c *controlLoop) leaseEnded(e *taskEntry, detail string) {
-	e.attemptEnded = true
+	e.attemptEnded, e.workerEnded = true, true
 	c.releaseCapacity(e)
 	if e.callOpen {
 		e.cancelCall()
--- a/internal/shard/entry.go
+++ b/internal/shard/entry.go
@@ -95,6 +95,8 @@
 	endedReports int
 	// attemptEnded means that the attempt is known to have ended, while a call that is still open may bring its answer.
 	attemptEnded bool
+	// workerEnded means that the attempt has ended with its worker: the runner has restarted, or the VM is gone.
+	workerEnded bool
 
 	stopReason cell.ReasonCode
 	stopping   bool
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -34,6 +34,8 @@
 	failing, refusing bool
 	// answersNoStart makes the worker run tasks but never answer a start.
 	answersNoStart bool
+	// forgetsAnswers makes the worker keep no answers of tasks that have ended.
+	forgetsAnswers bool
 }
 
 // fakeLease is a lease with the answer of its task.
@@ -198,6 +200,8 @@
 	defer r.mu.Unlock()
 	if fw := r.workers[l.Worker]; fw.down || fw.leases[l.Attempt] != l {
 		return platformapi.StartReply{Result: platformapi.StartInDoubt}
+	} else if fw.forgetsAnswers {
+		return platformapi.StartReply{Result: platformapi.StartRefused}
 	}
 	return platformapi.StartReply{Result: platformapi.StartFinished, Failed: l.fail, Answer: []byte(l.answer)}
 }
--- a/internal/shard/faults_test.go
+++ b/internal/shard/faults_test.go
@@ -22,11 +22,15 @@
 }
 
 // expectStarts fails the test unless so many attempts of a task were started.
-func (r *fixture) expectStarts(id string, want int) {
-	r.t.Helper()
+func (r *fixture) startsOf(id string) int {
 	r.runner.mu.Lock()
 	defer r.runner.mu.Unlock()
-	if got := r.runner.starts[cell.TaskID(id)]; got != want {
+	return r.runner.starts[cell.TaskID(id)]
+}
+
+func (r *fixture) expectStarts(id string, want int) {
+	r.t.Helper()
+	if got := r.startsOf(id); got != want {
 		r.t.Errorf("task %s started %d times, want %d", id, got, want)
 	}
 }
@@ -359,3 +363,38 @@
 		r.expectStarts("a", poisonThreshold)
 	})
 }
+
+// Guards against a task being given up for attempts that ended on workers that live on: answers were lost, not workers.
+func TestLostAnswersOfLivingWorkersGiveUpNoTask(t *testing.T) {
+	runWithFakeClock(t, 4, time.Second, func(t *testing.T, r *fixture) {
+		const lost = 2 * poisonThreshold
+		o := r.startOwner(1)
+		setForgetful := func(forgetful bool) {
+			for _, w := range r.workers {
+				r.runner.update(w.ID, func(fw *fakeWorker) {
+					fw.forgetsAnswers, fw.lostAnswers = forgetful, 0
+					if forgetful {
+						fw.lostAnswers = lost
+					}
+				})
+			}
+		}
+		setForgetful(true)
+		var answered atomic.Bool
+		var watching sync.WaitGroup
+		watching.Go(func() {
+			for !answered.Load() {
+				time.Sleep(100 * time.Millisecond)
+				if r.startsOf("a") >= lost {
+					setForgetful(false)
+				}
+			}
+		})
+		long := request("a")
+		long.Deadline = time.Now().Add(10 * time.Minute)
+		out := o.Run(t.Context(), long)
+		answered.Store(true)
+		watching.Wait()
+		expectOutcome(t, out, cell.ResultCompleted, cell.ReasonNone)
+	})
+}
--- a/internal/shard/resolve.go
+++ b/internal/shard/resolve.go
@@ -28,6 +28,8 @@
 	resultNotStarted
 	// resultEnded means that the attempt does not run any more, if it ever ran, and that its answer is not known.
 	resultEnded
+	// resultWorkerEnded means the same, and that the runner has restarted since.
+	resultWorkerEnded
 	// resultFenced means that the worker has seen a higher epoch.
 	resultFenced
 )
@@ -86,7 +88,8 @@
 		c.attemptFinished(e, ev.reply)
 	case resultNotStarted:
 		c.handleTombstone(e)
-	case resultEnded:
+	case resultEnded, resultWorkerEnded:
+		e.workerEnded = e.workerEnded || ev.result == resultWorkerEnded
 		c.attemptLost(e, "the lease is over and its answer is lost")
 	case resultFenced:
 		superseded{detail: "a worker rejected an inquiry: it has seen a higher epoch"}.apply(c)
@@ -141,7 +144,7 @@
 	case err != nil:
 		return resultUnreachable, platformapi.StartReply{}
 	case !report.Claimed:
-		return resultEnded, platformapi.StartReply{}
+		return resultWorkerEnded, platformapi.StartReply{}
 	}
 	for _, l := range report.Leases {
 		if l.Attempt != q.attempt {
@@ -194,7 +197,7 @@
 	case err != nil:
 		return resultUnreachable
 	case report.BootID != q.bootID:
-		return resultEnded
+		return resultWorkerEnded
 	}
 	return q.resultIfAbsent()
 }
--- a/internal/shard/stop.go
+++ b/internal/shard/stop.go
@@ -46,7 +46,7 @@
 	switch ev.result {
 	case resultNotStarted:
 		c.handleTombstone(e)
-	case resultEnded:
+	case resultEnded, resultWorkerEnded:
 		c.handleStopConfirmed(e)
 	case resultFenced:
 		superseded{detail: "a worker rejected a stop: it has seen a higher epoch"}.apply(c)
