Tests: an outage of the store fails no job

The second hypothesis of the incident, that the store rejected the job's progress, needs a lasting refusal.

--- a/internal/owner/rejected_commit_test.go
+++ b/internal/owner/rejected_commit_test.go
@@ -103,3 +103,32 @@
 		time.Sleep(3 * time.Second)
 	})
 }
+
+// Guards against a job being failed since the store does not answer, or refuses for lack of time or room: only a lasting rejection of the
+// job's own progress ends it.
+func TestUnavailableStoreFailsNoJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &failingStore{MemoryStore: rowstore.NewMemoryStore()}
+		c, awaitCommit := newCommitController(ctx, t, store)
+		addOneTask(c, "j")
+		store.unavailable.Store(true)
+		for range 100 {
+			c.engine.MarkDirty("j")
+			time.Sleep(commitRetryDelay)
+			c.commitChanges()
+			awaitCommit()
+		}
+		if state, _ := c.engine.JobState("j"); state.Ended() {
+			t.Errorf("the job is %s after 10 s without the store", state)
+		}
+		store.unavailable.Store(false)
+		time.Sleep(commitRetryDelay)
+		c.commitChanges()
+		awaitCommit()
+		if len(progressRows(t, store)) != 1 {
+			t.Error("the job's progress is not recorded though the store answers again")
+		}
+	})
+}
