A neighbour excuses a crashing task only for a time

The excuse takes two crashes that the owner has seen itself, and ends with the fifth crash: the bound decides then, as before.

TestNeighboursExcuseACrashingTaskOnlyForATime fails without the bounds on the excuse, TestTasksThatWereTogetherAtEachCrashAreNotToldApartAtOnce without the excuse, which no test guarded. Two fields are renamed, so that times of workers that stop to answer and silences differ.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -198,7 +198,7 @@
 // isCommonCrash reports whether the worker stopped to answer together with several others.
 func (e *Engine) isCommonCrash(w *worker) bool {
 	others := 0
-	for _, at := range e.silences {
+	for _, at := range e.unreachableTimes {
 		if d := at.Sub(w.unansweredFrom(e.now)); -commonCrashTime <= d && d <= commonCrashTime {
 			others++
 		}
@@ -277,8 +277,8 @@
 	}
 }
 
-// mustGiveUp reports whether the crashes that count for a task suffice to give it up. Where hardly any is proven, one more is needed. The
-// bound on all crashes decides only where no other job's task had a run at each of them.
+// mustGiveUp reports whether the crashes that count for a task suffice to give it up. Where hardly any is proven, one more is needed, as
+// where another job's task had a run at each of them.
 func (e *Engine) mustGiveUp(t *task) bool {
 	proven, sole := 0, 0
 	for _, c := range t.crashes {
@@ -293,11 +293,19 @@
 	return !t.step.job.state.Ended() && ((t.likelyCrashes() >= maxLikelyCrashes && sole > 0) || (enough && !e.mayBeAnothersFault(t)))
 }
 
-// mayBeAnothersFault reports whether a task of another job was present at each crash that this owner has counted for the task. Such tasks
-// can't be told apart until they are started on different workers, see isSuspect.
+// mayBeAnothersFault reports whether a task of another job was present at each crash that this owner has counted for the task, of which it
+// takes two to say so. Such tasks can't be told apart until they are started on different workers, see isSuspect. Where they never are, as in
+// a pool of one worker, the bound decides in the end.
 func (e *Engine) mayBeAnothersFault(t *task) bool {
+	if len(t.crashes) > e.maxCrashes {
+		return false
+	}
 	var others map[graph.TaskID]struct{}
+	seen := 0
 	for _, c := range t.crashes {
+		if c.crash != nil {
+			seen++
+		}
 		switch {
 		case c.crash == nil:
 		case others == nil:
@@ -308,7 +316,7 @@
 	}
 	for id := range others {
 		if other := e.task(id); id.Job != t.step.job.id && (other == nil || !other.done) {
-			return true
+			return seen >= minSuspectCrashes
 		}
 	}
 	return false
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -354,3 +354,81 @@
 		t.Errorf("the crashing task was started %d times, want at most %d", starts, maxStarts)
 	}
 }
+
+// Guards against a job being failed at once for crashes that count alike for a task of another one, which was there each time.
+func TestTasksThatWereTogetherAtEachCrashAreNotToldApartAtOnce(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	var jobs []graph.JobID
+	for _, id := range []string{"a", "b"} {
+		jobs = append(jobs, c.addJob(id, false, plainStep(1)))
+	}
+	failed := func() (n int) {
+		for _, j := range jobs {
+			if state, _ := c.JobState(j); state == graph.Failed {
+				n++
+			}
+		}
+		return n
+	}
+	for i := range DefaultMaxCrashes + 1 {
+		if n := failed(); n != 0 {
+			t.Fatalf("%d jobs failed after %d crashes", n, i)
+		}
+		w := c.addWorker(fmt.Sprint("w", i), 200)
+		for _, j := range jobs {
+			task := c.task(runKey(j, 0, 0, 0).Task)
+			c.startRun(task, c.workers[w], c.nextRunNumber(task.lastRunNumber))
+		}
+		for key := range c.workers[w].runs {
+			c.HandleStartOutcome(w, key, Started)
+		}
+		c.advance(2 * promptCrashTime)
+		c.RemoveWorker(w, WorkerCrashed)
+	}
+	if n := failed(); n != 1 {
+		t.Errorf("%d jobs failed after %d crashes, want the one that is blamed more", n, DefaultMaxCrashes+1)
+	}
+}
+
+// Guards against a crashing task being started without end since a neighbour was there each time: on the only worker of a pool, and where
+// each owner sees one crash.
+func TestNeighboursExcuseACrashingTaskOnlyForATime(t *testing.T) {
+	const maxStarts = 5
+	service := plainStep(1)
+	service.LongRunning = true
+	for _, owners := range []int{1, 2 * maxStarts} {
+		t.Run(fmt.Sprint(owners, " owners"), func(t *testing.T) {
+			var progress *Progress
+			starts := 0
+			for owner := range owners {
+				c := newFixture(t, uint64(owner+1))
+				c.advance(time.Second)
+				c.addWorker("w", 400)
+				c.addJob("b", false, service)
+				c.AddJob(JobInput{ID: "a", Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(1)}}, ArrivedAt: c.virtualTime, Progress: progress})
+				for range 2 * maxStarts / owners {
+					w := c.startOn(runKey("a", 0, 0, 0).Task)
+					starts++
+					c.advance(probationTime)
+					c.startOn(runKey("b", 0, 0, 0).Task)
+					for key := range c.workers[w].runs {
+						c.HandleStartOutcome(w, key, Started)
+					}
+					c.advance(2 * promptCrashTime)
+					c.HandleRestart(w, WorkerCrashed, c.virtualTime)
+					c.SetReachable(w, true)
+					if state, _ := c.JobState("a"); state == graph.Failed {
+						if starts > maxStarts {
+							t.Errorf("the task was started %d times, want at most %d", starts, maxStarts)
+						}
+						return
+					}
+				}
+				p := c.TakeDirty(10)["a"]
+				progress = &p
+			}
+			t.Errorf("job is not failed after %d starts", starts)
+		})
+	}
+}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -82,12 +82,12 @@
 	crashedAddresses map[string]monotime.Instant
 	crashReports     []CrashReport
 	jobFailures      []JobFailure
-	// unsettled holds the silences that are not settled, by address.
-	unsettled      map[string]*silence
-	silenceReports []SilenceReport
-	// silences holds when workers stopped to answer, in order.
-	silences []monotime.Instant
-	stats    Stats
+	// unsettledSilences holds the silences that are not settled, by address.
+	unsettledSilences map[string]*silence
+	silenceReports    []SilenceReport
+	// unreachableTimes holds when workers stopped to answer, in order.
+	unreachableTimes []monotime.Instant
+	stats            Stats
 }
 
 // Stats counts decisions and events since the engine was created.
@@ -122,9 +122,9 @@
 		failureRates:    make(map[string]*failureRate),
 		runTimeRatios:   make(map[string]*overload.Ratios),
 
-		maxCrashes:       DefaultMaxCrashes,
-		crashedAddresses: make(map[string]monotime.Instant),
-		unsettled:        make(map[string]*silence),
+		maxCrashes:        DefaultMaxCrashes,
+		crashedAddresses:  make(map[string]monotime.Instant),
+		unsettledSilences: make(map[string]*silence),
 	}
 }
 
@@ -464,7 +464,7 @@
 		w.unreachableSince = 0
 		if !reachable {
 			w.unreachableSince = e.now
-			e.silences = append(e.silences, e.now)
+			e.unreachableTimes = append(e.unreachableTimes, e.now)
 		}
 	}
 }
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -56,12 +56,12 @@
 	for key, r := range w.runs {
 		s.runs = append(s.runs, silentRun{key, r.confirmedAt > 0, r.lastedStable(e.now)})
 	}
-	e.unsettled[w.Address] = s
+	e.unsettledSilences[w.Address] = s
 }
 
 // settleByReport settles the silence at the address of a worker that has answered: its process is the one that fell silent, or another one.
 func (e *Engine) settleByReport(w *worker, processStart time.Duration) {
-	s := e.unsettled[w.Address]
+	s := e.unsettledSilences[w.Address]
 	if s == nil {
 		return
 	}
@@ -71,11 +71,11 @@
 
 // settleSilence settles the silence of the worker at an address, if there is one: its process has ended, or has answered.
 func (e *Engine) settleSilence(address string, ended bool) {
-	s := e.unsettled[address]
+	s := e.unsettledSilences[address]
 	if s == nil {
 		return
 	}
-	delete(e.unsettled, address)
+	delete(e.unsettledSilences, address)
 	e.silenceReports = append(e.silenceReports, SilenceReport{s.worker, ended, len(s.runs), e.now.Sub(s.at)})
 	if !ended {
 		return
@@ -94,9 +94,9 @@
 
 // forgetSilences drops the silences that are too old for proof.
 func (e *Engine) forgetSilences() {
-	for address, s := range e.unsettled {
+	for address, s := range e.unsettledSilences {
 		if e.now.Sub(s.at) >= silenceMemory {
-			delete(e.unsettled, address)
+			delete(e.unsettledSilences, address)
 		}
 	}
 }
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -122,7 +122,7 @@
 	c.RemoveWorker(c.runOnNewWorker(j, 0), WorkerSilent)
 	c.advance(silenceMemory)
 	c.planByKind()
-	if n := len(c.unsettled); n != 0 {
+	if n := len(c.unsettledSilences); n != 0 {
 		t.Errorf("%d silences are kept, want none", n)
 	}
 }
