A long-running job is not failed for workers that ended late or before

That a process has ended proves neither that it ended under the run nor that the run is the cause; the users' pages let a long-running task be restarted however it ends.

The bound on all crashes holds only for tasks that end by themselves; a long-running one is given up only as the likely cause of two prompt crashes. A silence that is settled as ended counts as unproven. A worker that says it leaves while it is not heard settles its silence. A process start that was reported by the process before is not taken for that of the next. Kept crashes are bounded. Silences without proof are counted and logged as forgotten.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -17,7 +17,8 @@
 // few other workers ended at that moment; a task that was that twice, once with no other job's run as likely, is given up, which fails its
 // job, and its crashes no longer count against the other tasks that ran beside it. The next run of a likely cause, or of a task with several
 // crashes, begins with a probation, in which no other job's task is started on its worker, so that a further crash tells which task it was.
-// A crash that comes later and a start in doubt on a worker that crashed only count towards a bound on all crashes. A worker that fell silent
+// A crash that comes later and a start in doubt on a worker that crashed only count towards a bound on all crashes, which long-running tasks
+// don't have. A worker that fell silent
 // counts for nothing until it is known to have ended, see silence.
 const (
 	// maxLikelyCrashes is how often a task may be the likely cause of a crash until it is given up.
@@ -26,6 +27,8 @@
 	DefaultMaxCrashes = 4
 	// MinMaxCrashes is the least such bound.
 	MinMaxCrashes = 2
+	// maxCountedCrashes bounds the crashes that are kept for a task, and recorded, if none of them gives it up.
+	maxCountedCrashes = 16
 	// startSpread is how far apart runs of one worker may be started to count as started together.
 	startSpread = 100 * time.Millisecond
 	// promptCrashTime is how long after a run's start its worker may stop answering for the run to be a likely cause.
@@ -114,8 +117,12 @@
 		e.recordSilence(w)
 		return nil
 	}
-	e.settleSilence(w.Address, end == WorkerCrashed)
-	if end == WorkerLeft || len(w.runs) == 0 {
+	if end == WorkerLeft {
+		e.settleSilence(w.Address, SilenceAnswered)
+		return nil
+	}
+	e.settleSilence(w.Address, SilenceEnded)
+	if len(w.runs) == 0 {
 		return nil
 	}
 	likely := e.likelyCauses(w)
@@ -220,6 +227,9 @@
 	if t.step.def.LongRunning && stable {
 		t.crashes = nil
 	}
+	if len(t.crashes) >= maxCountedCrashes {
+		t.crashes = slices.Delete(t.crashes, 0, 1)
+	}
 	t.crashes = append(t.crashes, c)
 	t.step.countSuspects()
 	return true
@@ -290,6 +300,9 @@
 		}
 	}
 	enough := len(t.crashes) > e.maxCrashes || (len(t.crashes) == e.maxCrashes && proven >= MinMaxCrashes)
+	if t.step.def.LongRunning {
+		enough = false // restarted however it ends: workers of a service end for many reasons in its time
+	}
 	return !t.step.job.state.Ended() && ((t.likelyCrashes() >= maxLikelyCrashes && sole > 0) || (enough && !e.mayBeAnothersFault(t)))
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -108,7 +108,7 @@
 		return nil
 	}
 	e.setReachable(w, false)
-	w.lastEndSequence = 0
+	w.lastEndSequence, w.processStart = 0, 0
 	delete(e.unconfirmedEnds, id)
 	e.forgetProcess(w)
 	crashed := e.recordEnd(w, end, aliveAt)
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -41,7 +41,7 @@
 // CrashProgress is a crash of the worker that had a run of the task.
 type CrashProgress struct {
 	// Run is the run's number. Ended means that the worker's process has certainly ended, which older versions record only together with
-	// Proven; Proven that it also had the run, Likely that the run is a likely cause of its end, Sole that no other job's run may be.
+	// Proven; Proven that it had the run then, Likely that the run is a likely cause of its end, Sole that no other job's run may be.
 	Run    uint64 `json:"r"`
 	Ended  bool   `json:"e,omitempty"`
 	Proven bool   `json:"p,omitempty"`
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -6,12 +6,12 @@
 	"laburnumpoint/internal/monotime"
 )
 
-// silence is a worker whose runs were given up since it has not answered for a whole lease. Either its process has ended, perhaps by one of
-// its runs, or it is cut off and has ended them itself as their lease expired; or this daemon was. A silence fails no job. Later proof
-// settles it:
+// silence is a worker whose runs were given up since it has not answered for a whole lease. Its process may have ended, perhaps by one of
+// its runs. Or the worker, or this daemon, was cut off, and the worker has ended its runs as their lease expired. A silence fails no job.
+// Later proof settles it:
 //
-//	silent ──the same process answers──▶ dropped
-//	   ├──a later start, or another worker at its address──▶ counted as a crash
+//	silent ──the same process answers, or the worker leaves──▶ dropped
+//	   ├──another process of the worker, or another worker at its address──▶ counted as a crash
 //	   └──silenceMemory──▶ dropped
 type silence struct {
 	worker WorkerID
@@ -24,18 +24,41 @@
 // silentRun is a run that a silent worker had, or may have had.
 type silentRun struct {
 	RunKey
-	confirmed, stable bool
+	// stable means that it is known to have lasted stableRunTime.
+	stable bool
 }
 
 // silenceMemory is how long a silence is kept for proof.
 const silenceMemory = 2 * time.Minute
 
+// SilenceOutcome is how a silence was settled.
+type SilenceOutcome int
+
+// The outcomes of silences.
+const (
+	// SilenceAnswered means that the worker has answered again, or leaves.
+	SilenceAnswered SilenceOutcome = iota
+	// SilenceEnded means that the worker's process has ended.
+	SilenceEnded
+	// SilenceForgotten means that there was no proof in silenceMemory.
+	SilenceForgotten
+)
+
+var silenceOutcomeNames = [...]string{"answered", "ended", "forgotten"}
+
+// String returns the outcome's name in logs and metrics.
+func (o SilenceOutcome) String() string { return silenceOutcomeNames[o] }
+
+// SilenceOutcomes returns all outcomes.
+func SilenceOutcomes() []SilenceOutcome {
+	return []SilenceOutcome{SilenceAnswered, SilenceEnded, SilenceForgotten}
+}
+
 // SilenceReport describes a settled silence, for the log.
 type SilenceReport struct {
-	Worker WorkerID
-	// Ended means that the worker's process has ended; otherwise it has answered again.
-	Ended bool
-	Runs  int
+	Worker  WorkerID
+	Outcome SilenceOutcome
+	Runs    int
 	// Lasted is the time since the runs were given up.
 	Lasted time.Duration
 }
@@ -54,40 +77,52 @@
 	}
 	s := &silence{worker: w.ID, processStart: w.processStart, at: e.now}
 	for key, r := range w.runs {
-		s.runs = append(s.runs, silentRun{key, r.confirmedAt > 0, r.lastedStable(e.now)})
+		s.runs = append(s.runs, silentRun{key, r.lastedStable(e.now)})
 	}
 	e.unsettledSilences[w.Address] = s
 }
 
+// HandleLeaving processes that a worker has said that it leaves. A silence of it is then no crash.
+func (e *Engine) HandleLeaving(id WorkerID, address string) {
+	if s := e.unsettledSilences[address]; s != nil && s.worker == id {
+		e.settleSilence(address, SilenceAnswered)
+	}
+}
+
 // settleByReport settles the silence at the address of a worker that has answered: its process is the one that fell silent, or another one.
 func (e *Engine) settleByReport(w *worker, processStart time.Duration) {
 	s := e.unsettledSilences[w.Address]
 	if s == nil {
 		return
 	}
+	// Without process starts a worker that has restarted has another id.
 	sameProcess := s.worker == w.ID && (s.processStart == 0 || processStart == 0 || s.processStart == processStart)
-	e.settleSilence(w.Address, !sameProcess)
+	outcome := SilenceEnded
+	if sameProcess {
+		outcome = SilenceAnswered
+	}
+	e.settleSilence(w.Address, outcome)
 }
 
-// settleSilence settles the silence of the worker at an address, if there is one: its process has ended, or has answered.
-func (e *Engine) settleSilence(address string, ended bool) {
+// settleSilence settles the silence of the worker at an address, if there is one.
+func (e *Engine) settleSilence(address string, outcome SilenceOutcome) {
 	s := e.unsettledSilences[address]
 	if s == nil {
 		return
 	}
 	delete(e.unsettledSilences, address)
-	e.silenceReports = append(e.silenceReports, SilenceReport{s.worker, ended, len(s.runs), e.now.Sub(s.at)})
-	if !ended {
+	e.silenceReports = append(e.silenceReports, SilenceReport{s.worker, outcome, len(s.runs), e.now.Sub(s.at)})
+	if outcome != SilenceEnded {
 		return
 	}
 	keys := make([]RunKey, len(s.runs))
 	for i, r := range s.runs {
 		keys[i] = r.RunKey
 	}
-	// When it ended is not known, so that no run is a likely cause.
+	// When it ended is not known, so that no run is a likely cause, and the worker may have ended the runs before.
 	c := newCrash(s.worker, keys)
 	for _, r := range s.runs {
-		e.countCrash(r.Task, taskCrash{run: r.Number, proven: r.confirmed, crash: c}, r.stable)
+		e.countCrash(r.Task, taskCrash{run: r.Number, crash: c}, r.stable)
 	}
 	e.giveUpCause(c)
 }
@@ -96,7 +131,7 @@
 func (e *Engine) forgetSilences() {
 	for address, s := range e.unsettledSilences {
 		if e.now.Sub(s.at) >= silenceMemory {
-			delete(e.unsettledSilences, address)
+			e.settleSilence(address, SilenceForgotten)
 		}
 	}
 }
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -14,8 +14,8 @@
 	helloFailures, orderRetries         *metrics.Counter
 	processesEnded, runsLost            *metrics.Counter
 	workerCrashes, tasksGivenUp         *metrics.Counter
-	// silencesAnswered and silencesEnded count the silent workers that answered again, and those whose process had ended.
-	silencesAnswered, silencesEnded *metrics.Counter
+	// silences counts the settled silences of workers.
+	silences map[dispatch.SilenceOutcome]*metrics.Counter
 	// jobsFailed counts the jobs that this daemon has ended as failed.
 	jobsFailed                       map[dispatch.FailureCause]*metrics.Counter
 	startTime, permitTime, roundTime *metrics.Histogram
@@ -55,6 +55,10 @@
 	gateGauge("laburnumpoint_orders_bound", func(s flowcontrol.Stats) float64 { return float64(s.Bound) })
 	gateGauge("laburnumpoint_order_answer_seconds", func(s flowcontrol.Stats) float64 { return s.AnswerTime.Seconds() })
 	gateGauge("laburnumpoint_order_retries_withheld", func(s flowcontrol.Stats) float64 { return float64(s.Withheld) })
+	silences := make(map[dispatch.SilenceOutcome]*metrics.Counter)
+	for _, outcome := range dispatch.SilenceOutcomes() {
+		silences[outcome] = set.NewCounter(`laburnumpoint_worker_silences_total{settled="` + outcome.String() + `"}`)
+	}
 	jobsFailed := make(map[dispatch.FailureCause]*metrics.Counter)
 	for _, cause := range dispatch.FailureCauses() {
 		jobsFailed[cause] = set.NewCounter(`laburnumpoint_jobs_failed_total{cause="` + cause.String() + `"}`)
@@ -62,9 +66,7 @@
 	return instruments{
 		jobsFailed: jobsFailed,
 
-		silencesAnswered: set.NewCounter(`laburnumpoint_worker_silences_total{settled="answered"}`),
-		silencesEnded:    set.NewCounter(`laburnumpoint_worker_silences_total{settled="ended"}`),
-
+		silences:       silences,
 		locality:       newLocalityCounters(set),
 		takeovers:      set.NewCounter("laburnumpoint_takeovers_total"),
 		commits:        set.NewCounter("laburnumpoint_records_total"),
--- a/internal/owner/worker_health.go
+++ b/internal/owner/worker_health.go
@@ -35,12 +35,8 @@
 // recordSilences logs and counts the workers whose runs were given up unheard and of which it is known now whether they had ended.
 func (c *controller) recordSilences() {
 	for _, r := range c.engine.TakeSilenceReports() {
-		settled := c.instruments.silencesAnswered
-		if r.Ended {
-			settled = c.instruments.silencesEnded
-		}
-		settled.Inc()
-		c.Log.Info().Str("worker", string(r.Worker)).Bool("ended", r.Ended).Int("runs", r.Runs).Dur("after", r.Lasted).Msg("silence of a worker settled")
+		c.instruments.silences[r.Outcome].Inc()
+		c.Log.Info().Str("worker", string(r.Worker)).Str("settled", r.Outcome.String()).Int("runs", r.Runs).Dur("after", r.Lasted).Msg("silence of a worker settled")
 	}
 }
 
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -467,6 +467,9 @@
 // handleRegistered updates a worker from its entry in the registry. A new worker is used once its row is committed, so that a
 // later owner awaits its report.
 func (c *controller) handleRegistered(w dispatch.Worker) {
+	if w.Draining {
+		c.engine.HandleLeaving(w.ID, w.Address)
+	}
 	wc := c.workerConns[w.ID]
 	if wc == nil {
 		c.pendingWorkerRows[w.ID] = &w
--- a/internal/settings/graphs.go
+++ b/internal/settings/graphs.go
@@ -91,7 +91,7 @@
 		&cli.IntFlag{Name: flagRateSlack, Usage: "`NUMBER` of jobs by which an organisation may exceed its rate in that time besides", Value: 0, Sources: env(flagRateSlack)},
 		&cli.BoolFlag{Name: flagRefuseLoad, Usage: "refuse jobs that can't be completed in time", Sources: env(flagRefuseLoad)},
 		&cli.FloatFlag{Name: flagRemoteFactor, Usage: "`FACTOR` by which a task takes longer away from its data or its group", Value: 1, Sources: env(flagRemoteFactor)},
-		&cli.IntFlag{Name: flagMaxCrashes, Usage: "`NUMBER` of workers that may crash or fall silent under a task until it is given up", Value: dispatch.DefaultMaxCrashes, Sources: env(flagMaxCrashes)},
+		&cli.IntFlag{Name: flagMaxCrashes, Usage: "`NUMBER` of workers that may crash under a task until it is given up", Value: dispatch.DefaultMaxCrashes, Sources: env(flagMaxCrashes)},
 		&cli.IntFlag{Name: flagRowBytes, Usage: "greatest size in `BYTES` of the value of a row in the store", Value: rowstore.MaxRowBytes, Sources: env(flagRowBytes)},
 	}
 }
