A VM that leaves as announced gives no task of the product's engine up

Found by the review: three planned departures under a task counted like three crashes of its workers.

TestAnnouncedDeparturesGiveUpNoTask fails without the change: unknown (given_up).

--- a/internal/shard/attempt.go
+++ b/internal/shard/attempt.go
@@ -301,9 +301,9 @@
 }
 
 // leaseEnded handles a running entry whose lease is known to have ended with its worker. A call that is still open is cancelled; its reply,
-// which may still be the answer, is waited for.
-func (c *controlLoop) leaseEnded(e *taskEntry, detail string) {
-	e.attemptEnded, e.workerEnded = true, true
+// which may still be the answer, is waited for. planned means that the worker was known to leave.
+func (c *controlLoop) leaseEnded(e *taskEntry, detail string, planned bool) {
+	e.attemptEnded, e.workerEnded = true, !planned
 	c.releaseCapacity(e)
 	if e.callOpen {
 		e.cancelCall()
--- a/internal/shard/claim.go
+++ b/internal/shard/claim.go
@@ -132,7 +132,7 @@
 	w.nextClaimAt = time.Now()
 	c.forgetEndedLeases(w)
 	for _, id := range sortedKeys(w.entries) {
-		c.leaseEnded(w.entries[id], "the runner restarted")
+		c.leaseEnded(w.entries[id], "the runner restarted", w.leaving)
 	}
 	c.publishWorker(w)
 	c.claimDueWorkers(w.nextClaimAt)
--- a/internal/shard/entry.go
+++ b/internal/shard/entry.go
@@ -95,7 +95,7 @@
 	endedReports int
 	// attemptEnded means that the attempt is known to have ended, while a call that is still open may bring its answer.
 	attemptEnded bool
-	// workerEnded means that the attempt has ended with its worker: the runner has restarted, or the VM is gone.
+	// workerEnded means that the attempt has ended with its worker, without notice: the runner has restarted, or the VM is gone.
 	workerEnded bool
 
 	stopReason cell.ReasonCode
--- a/internal/shard/faults_test.go
+++ b/internal/shard/faults_test.go
@@ -21,13 +21,13 @@
 	})
 }
 
-// expectStarts fails the test unless so many attempts of a task were started.
 func (r *fixture) startsOf(id string) int {
 	r.runner.mu.Lock()
 	defer r.runner.mu.Unlock()
 	return r.runner.starts[cell.TaskID(id)]
 }
 
+// expectStarts fails the test unless so many attempts of a task were started.
 func (r *fixture) expectStarts(id string, want int) {
 	r.t.Helper()
 	if got := r.startsOf(id); got != want {
@@ -398,3 +398,31 @@
 		expectOutcome(t, out, cell.ResultCompleted, cell.ReasonNone)
 	})
 }
+
+// Guards against a task being given up for VMs that were taken away as announced.
+func TestAnnouncedDeparturesGiveUpNoTask(t *testing.T) {
+	runWithFakeClock(t, poisonThreshold+1, time.Minute, func(t *testing.T, r *fixture) {
+		o := r.startOwner(1)
+		var leaving sync.WaitGroup
+		leaving.Go(func() {
+			for range poisonThreshold {
+				time.Sleep(10 * time.Second)
+				for _, w := range r.workers {
+					if r.runner.running(w.ID) > 0 {
+						o.MarkLeaving([]cell.WorkerID{w.ID})
+						time.Sleep(time.Second)
+						r.removeWorker(w.ID)
+						o.SetWorkers(r.workers)
+						break
+					}
+				}
+			}
+		})
+		long := request("a")
+		long.Deadline = time.Now().Add(10 * time.Minute)
+		out := o.Run(t.Context(), long)
+		leaving.Wait()
+		expectOutcome(t, out, cell.ResultCompleted, cell.ReasonNone)
+		r.expectStarts("a", poisonThreshold+1)
+	})
+}
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -91,7 +91,7 @@
 	c.sched.RemoveWorker(w.ID)
 	c.health.forget(w.ID)
 	for _, id := range sortedKeys(w.entries) {
-		c.leaseEnded(w.entries[id], "the worker VM is gone")
+		c.leaseEnded(w.entries[id], "the worker VM is gone", w.leaving)
 	}
 	c.schedulingNeeded = true
 }
