A task whose workers fall silent one after the other is kept apart, and slowed

From the second unsettled silence on a task is a suspect: its next run begins with a probation, in which no other job's task is started on its worker, and 2 s later unless the task is long-running, which has to be back soon. An answer of one of the silent workers ends that. It fails no job; a task whose workers are never heard of again still has no bound on its starts.

TestTaskOfSilentWorkersIsDelayedAndKeptApart; dispatch, owner, graphd and ledger pass whole.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -376,12 +376,12 @@
 	return n
 }
 
-// minSuspectCrashes is the number of crashes from which a task that is no likely cause of any is kept apart from other suspects.
+// minSuspectCrashes is the number of crashes and unsettled silences from which a task that is no likely cause of any is kept apart from other suspects.
 const minSuspectCrashes = 2
 
 // isSuspect reports whether the next run of the task begins with a probation, so that a further crash tells whether the task is its cause.
 func (t *task) isSuspect() bool {
-	return len(t.crashes) >= minSuspectCrashes || t.likelyCrashes() > 0
+	return len(t.crashes)+t.silences >= minSuspectCrashes || t.likelyCrashes() > 0
 }
 
 // countSuspects counts the step's open tasks that are suspects.
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -310,7 +310,10 @@
 	// failedRuns are the numbers of the runs that failed.
 	failedRuns runNumbers
 	// crashes are the crashes of the task's workers that count for it.
-	crashes       []taskCrash
+	crashes []taskCrash
+	// silences counts the task's runs whose worker fell silent, as long as that is not settled. The next run is not started before notBefore.
+	silences      int
+	notBefore     monotime.Instant
 	lastRunNumber uint64
 	checkpoint    string
 	run           *run
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime"
 )
 
 // Plan places what tasks it can and returns the resulting orders, together with those from events since the last call. wall is
@@ -166,7 +167,7 @@
 			workers, wholePool = p.workers, true
 		}
 	}
-	open := s.unplacedTasks()
+	open := s.unplacedTasks(e.now)
 	open = open[:min(len(open), admitted)]
 	if s.def.Gang {
 		if len(open) < len(s.tasks) {
@@ -231,11 +232,11 @@
 // unplacedCount counts the tasks that are not done and have no run.
 func (s *step) unplacedCount() int { return s.openTasks - s.placedTasks }
 
-// unplacedTasks returns the tasks that may be started: neither done nor with a run, current or surplus.
-func (s *step) unplacedTasks() []*task {
+// unplacedTasks returns the tasks that may be started now: neither done nor with a run, current or surplus.
+func (s *step) unplacedTasks(now monotime.Instant) []*task {
 	var open []*task
 	for _, t := range s.tasks {
-		if !t.done && t.run == nil && t.surplusRuns == 0 {
+		if !t.done && t.run == nil && t.surplusRuns == 0 && now >= t.notBefore {
 			open = append(open, t)
 		}
 	}
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -28,8 +28,12 @@
 	stable bool
 }
 
-// silenceMemory is how long a silence is kept for proof.
-const silenceMemory = 2 * time.Minute
+const (
+	// silenceMemory is how long a silence is kept for proof.
+	silenceMemory = 2 * time.Minute
+	// silenceDelay is how long the next run of a task waits after the second and further silences in a row.
+	silenceDelay = 2 * time.Second
+)
 
 // SilenceOutcome is how a silence was settled.
 type SilenceOutcome int
@@ -78,10 +82,32 @@
 	s := &silence{worker: w.ID, processStart: w.processStart, at: e.now}
 	for key, r := range w.runs {
 		s.runs = append(s.runs, silentRun{key, r.lastedStable(e.now)})
+		if t := e.task(key.Task); t != nil {
+			t.addSilence(e.now)
+		}
 	}
 	e.unsettledSilences[w.Address] = s
 }
 
+// addSilence counts a run whose worker fell silent. One after the other may be the task's doing: its next runs are then kept apart from
+// other suspects, and those of a task that is not long-running begin later.
+func (t *task) addSilence(now monotime.Instant) {
+	t.silences++
+	if t.silences >= minSuspectCrashes && !t.step.def.LongRunning {
+		t.notBefore = now.Add(silenceDelay)
+	}
+	t.step.countSuspects()
+}
+
+// removeSilence takes a settled silence off the count.
+func (t *task) removeSilence() {
+	t.silences = max(0, t.silences-1)
+	if t.silences < minSuspectCrashes {
+		t.notBefore = 0
+	}
+	t.step.countSuspects()
+}
+
 // HandleLeaving processes that a worker has said that it leaves. A silence of it is then no crash.
 func (e *Engine) HandleLeaving(id WorkerID, address string) {
 	if s := e.unsettledSilences[address]; s != nil && s.worker == id {
@@ -112,6 +138,11 @@
 	}
 	delete(e.unsettledSilences, address)
 	e.silenceReports = append(e.silenceReports, SilenceReport{s.worker, outcome, len(s.runs), e.now.Sub(s.at)})
+	for _, r := range s.runs {
+		if t := e.task(r.Task); t != nil {
+			t.removeSilence()
+		}
+	}
 	if outcome != SilenceEnded {
 		return
 	}
--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -182,6 +182,42 @@
 	}
 }
 
+// Guards against a task that takes down one worker after the other, none of which is heard of again, as fast as leases expire and together
+// with other jobs' tasks. A long-running task, which has to be back soon, is only kept apart.
+func TestTaskOfSilentWorkersIsDelayedAndKeptApart(t *testing.T) {
+	for _, longRunning := range []bool{false, true} {
+		t.Run(fmt.Sprint("long-running ", longRunning), func(t *testing.T) {
+			c := newFixture(t, 1)
+			c.advance(time.Second)
+			s := plainStep(1)
+			s.LongRunning = longRunning
+			j := c.addJob("j", false, s)
+			task := c.task(runKey(j, 0, 0, 0).Task)
+			for i := range minSuspectCrashes {
+				c.RemoveWorker(c.runOnNewWorker(j, i), WorkerSilent)
+			}
+			if !task.isSuspect() {
+				t.Error("the task is no suspect")
+			}
+			w := c.addWorker("next", 100)
+			c.planByKind()
+			if started := task.run != nil; started != longRunning {
+				t.Errorf("the next run is started at once: %t, want %t", started, longRunning)
+			}
+			c.advance(silenceDelay)
+			c.planByKind()
+			if task.run == nil || task.run.worker.ID != w {
+				t.Error("the next run is not started after its delay")
+			}
+			c.PutWorker(Worker{ID: "w0", Address: "w0", Pool: "p"})
+			c.HandleReport("w0", c.virtualTime, Report{})
+			if task.isSuspect() {
+				t.Error("the task is still a suspect though one of its workers answers")
+			}
+		})
+	}
+}
+
 // Guards against memory that grows with workers that are never heard of again.
 func TestSilencesAreForgotten(t *testing.T) {
 	c := newFixture(t, 1)
