--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -65,8 +65,11 @@
 		err = ErrNoRoom // the connection was closed for others, so nobody would learn what became of the request
 	}
 	if err == nil {
-		if c != nil && c.beyond.Load() <= r.ContentLength {
-			c.aheadLines.Store(0) // what was read belongs to this body
+		if c != nil {
+			c.bodyRead.Store(true)
+			if c.beyond.Load() <= r.ContentLength {
+				c.aheadLines.Store(0) // what was read belongs to this body
+			}
 		}
 		return b, nil
 	}
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -66,6 +66,8 @@
 	// next head, which the server has read ahead.
 	beyond     atomic.Int64
 	aheadLines atomic.Int64
+	// bodyRead means that the request's body has been read to its end.
+	bodyRead atomic.Bool
 }
 
 func newConn(l *Limits, inner net.Conn, role Role) *conn {
@@ -186,6 +188,7 @@
 		l.mu.Lock()
 		c.phase = phaseHandling
 		l.mu.Unlock()
+		c.bodyRead.Store(false)
 	case http.StateIdle:
 		c.requestEnded()
 	case http.StateClosed, http.StateHijacked:
@@ -267,6 +270,20 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
+// endUnreadBodies returns a handler after which package net/http waits only briefly for the rest of a body that next has not read. Without
+// it a client that announces a body and stalls would keep its connection for ever.
+func (l *Limits) endUnreadBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r)
+		if r.ContentLength == 0 {
+			return
+		}
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.bodyRead.Load() {
+			_ = c.Conn.SetReadDeadline(time.Now().Add(refusalTimeout)) // a connection that fails needs none
+		}
+	})
+}
+
 // Configure lets a server keep to the limits. Its listener must come from Listener. Timeouts that are set stay.
 func (l *Limits) Configure(s *http.Server, _ Role) {
 	s.MaxHeaderBytes = l.options.MaxHeaderBytes
@@ -286,6 +303,9 @@
 		}
 		return ctx
 	}
+	if s.Handler != nil {
+		s.Handler = l.endUnreadBodies(s.Handler)
+	}
 	s.ConnState = func(inner net.Conn, state http.ConnState) {
 		if c, ok := inner.(*conn); ok {
 			c.setState(state)
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -253,6 +253,30 @@
 	}
 }
 
+// Guards against a growing body that takes more than is charged for: while it is copied both buffers exist.
+func TestGrowthOfABodyIsCharged(t *testing.T) {
+	l, _ := newTestLimits(Options{BudgetBytes: 100 << 10}) // the last buffer of 64 KiB fits, but not beside the one before
+	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", 50<<10)))
+	r.ContentLength = -1
+	if _, err := l.ReadBody(httptest.NewRecorder(), r, 256<<10); !errors.Is(err, ErrNoRoom) {
+		t.Errorf("error %v, want ErrNoRoom", err)
+	}
+}
+
+// Guards against clients that announce a body to a handler that reads none, stall and keep their connection for ever.
+func TestUnreadBodyDoesNotKeepItsConnection(t *testing.T) {
+	l, _ := newTestLimits(Options{BudgetBytes: 1 << 20})
+	addr := serve(t, l, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
+	if status := send(t, addr, "DELETE / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\nabc"); status != http.StatusNotFound {
+		t.Errorf("status %d, want 404", status)
+	}
+	for deadline := time.Now().Add(30 * time.Second); l.openConns(Callers) != 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the connection is still open")
+		}
+	}
+}
+
 // Guards against heads of very many tiny lines, which take many times their size.
 func TestHeadOfTinyLinesIsChargedByItsLines(t *testing.T) {
 	l, _ := newTestLimits(Options{BudgetBytes: 1 << 20})
