Callers' requests keep to the limits of the process

Cause: bodies were read whole before anyone looked at key, queue, steps or room; the configuration's max_header_bytes was used nowhere. Change: the daemon for graph jobs has one inbound.Limits for callers, readiness and metrics; key and queue are checked before the body is read, and again if it took longer than 0.1 s; without room the answer is Unavailable with a time to come back, before anything is stored or passed on. A configuration's limit of heads is in force for the heads that begin after it.

--- a/internal/entry/preview.go
+++ b/internal/entry/preview.go
@@ -39,12 +39,13 @@
 	if refusal != nil {
 		return s.recordAnswer(labelPreview, admitted, *refusal), nil
 	}
-	spec, err := decode()
-	if err == nil {
-		err = spec.Validate()
+	decodeStart := s.Clock.Now()
+	spec, refusal := decodeValid(decode)
+	if refusal == nil && s.Clock.Now().Sub(decodeStart) > maxAdmissionAge {
+		admitted, refusal = s.admit(req)
 	}
-	if err != nil {
-		return s.recordAnswer(labelPreview, admitted, Answer{Result: Invalid, Detail: err.Error()}), nil
+	if refusal != nil {
+		return s.recordAnswer(labelPreview, admitted, *refusal), nil
 	}
 	outcome, ok := s.askForPreview(ctx, previewQuestion{Queue: admitted.route.Queue, Organisation: admitted.organisation, Spec: spec})
 	switch {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/phuslu/log"
 
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/inbound"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/overload"
@@ -79,11 +81,13 @@
 	// notReadyRetryAfter is the Retry-After of a daemon that is starting or whose replica or configuration is outdated.
 	// It is short because other daemons can answer.
 	notReadyRetryAfter = 1 * time.Second
+	// maxAdmissionAge is how long the key and the queue of a request stay checked while its body arrives.
+	maxAdmissionAge = 100 * time.Millisecond
 	// maxReplicaAge is the greatest age of the replica at which jobs are counted in it.
 	maxReplicaAge = 2500 * time.Millisecond
 )
 
-// Options holds the dependencies of a service. All fields but Backlog are required.
+// Options holds the dependencies of a service. All fields but Backlog and ConfigChanged are required.
 type Options struct {
 	Replica *ledger.Replica
 	Clock   monotime.Clock
@@ -114,7 +118,10 @@
 	// Backlog returns a recent summary of the owner's backlog; ok is false if there is none. It is nil if no job is refused for
 	// overload.
 	Backlog func() (summary *overload.Summary, ok bool)
-	Metrics *metrics.Set
+	// ConfigChanged is called after another configuration has come into force. It may be called by several goroutines at once, and may be
+	// nil.
+	ConfigChanged func()
+	Metrics       *metrics.Set
 }
 
 // Service carries out callers' commands and answers their queries. It is safe for concurrent use.
@@ -164,6 +171,9 @@
 		if s.config.CompareAndSwap(current, config) {
 			s.registerPoolMetrics(config)
 			s.Log.Info().Uint64("version", config.Version).Int("routes", len(config.Routes)).Msg("configuration in force")
+			if s.ConfigChanged != nil {
+				s.ConfigChanged()
+			}
 			return
 		}
 	}
@@ -245,28 +255,50 @@
 	return !s.accessRules().RefusesAllKeys(age)
 }
 
-// Submit accepts a job. decode returns the job's description.
+// Submit accepts a job. decode returns the job's description; it is called only if the key and the queue let the request through, and may
+// take as long as the caller takes to send it.
 func (s *Service) Submit(ctx context.Context, req Request, decode func() (*graph.Spec, error)) Answer {
 	defer s.observeDuration(labelSubmit, s.Clock.Now())
 	admitted, refusal := s.admit(req)
 	if refusal != nil {
 		return s.recordAnswer(labelSubmit, admitted, *refusal)
 	}
-	ctx, cancel := admitted.bound(ctx)
-	defer cancel()
+	bounded, cancel := admitted.bound(ctx)
+	defer func() { cancel() }()
 	id, ok := parseJobID(admitted.rest)
 	if !ok {
 		return s.recordAnswer(labelSubmit, admitted, Answer{Result: Invalid, Detail: "job id is not 16 hexadecimal digits"})
 	}
+	decodeStart := s.Clock.Now()
+	spec, refusal := decodeValid(decode)
+	if refusal == nil && s.Clock.Now().Sub(decodeStart) > maxAdmissionAge {
+		cancel()
+		admitted, refusal = s.admit(req)
+		bounded, cancel = admitted.bound(ctx)
+	}
+	if refusal == nil && admitted.rest != string(id) {
+		refusal = &Answer{Result: NoQueue} // another queue's prefix matches by now
+	}
+	if refusal != nil {
+		return s.recordAnswer(labelSubmit, admitted, *refusal)
+	}
+	record := ledger.NewJobRecord(admitted.route.Queue, admitted.organisation, spec, time.Now())
+	return s.recordAnswer(labelSubmit, admitted, s.accept(bounded, req, id, record))
+}
+
+// decodeValid returns the job that decode returns if it is valid, or else the answer for the caller.
+func decodeValid(decode func() (*graph.Spec, error)) (*graph.Spec, *Answer) {
 	spec, err := decode()
 	if err == nil {
 		err = spec.Validate()
 	}
-	if err != nil {
-		return s.recordAnswer(labelSubmit, admitted, Answer{Result: Invalid, Detail: err.Error()})
+	switch {
+	case err == nil:
+		return spec, nil
+	case errors.Is(err, inbound.ErrNoRoom):
+		return nil, &Answer{Result: Unavailable, RetryAfter: inbound.RetryAfter(), Detail: err.Error()}
 	}
-	record := ledger.NewJobRecord(admitted.route.Queue, admitted.organisation, spec, time.Now())
-	return s.recordAnswer(labelSubmit, admitted, s.accept(ctx, req, id, record))
+	return nil, &Answer{Result: Invalid, Detail: err.Error()}
 }
 
 func (s *Service) accept(ctx context.Context, req Request, id graph.JobID, record ledger.JobRecord) Answer {
--- a/internal/graphapi/handler.go
+++ b/internal/graphapi/handler.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -16,6 +14,7 @@
 	"laburnumpoint/internal/access"
 	"laburnumpoint/internal/entry"
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/inbound"
 )
 
 // Limits of requests.
@@ -37,9 +36,9 @@
 	entry.Overloaded:   http.StatusTooManyRequests,
 }
 
-// Handler returns the handler of the callers' HTTP interface.
-func Handler(service *entry.Service) http.Handler {
-	h := &handler{service}
+// Handler returns the handler of the callers' HTTP interface. Bodies draw on limits.
+func Handler(service *entry.Service, limits *inbound.Limits) http.Handler {
+	h := &handler{service, limits}
 	r := chi.NewRouter()
 	r.Get("/v1/queues/{queue}", h.pending)
 	r.Put("/v1/queues/{queue}/jobs/{id}", h.submit)
@@ -50,7 +49,10 @@
 	return r
 }
 
-type handler struct{ service *entry.Service }
+type handler struct {
+	service *entry.Service
+	limits  *inbound.Limits
+}
 
 // bearerPrefix precedes the key in the header Authorization.
 const bearerPrefix = "Bearer "
@@ -73,34 +75,26 @@
 func (h *handler) submit(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := requestContext(r)
 	defer cancel()
-	decode, ok := readSpec(w, r)
-	if !ok {
-		return
-	}
-	answer := h.service.Submit(ctx, entryRequest(r), decode)
+	reader := inbound.JobReader{Limits: h.limits, Writer: w, Request: r, MaxBytes: maxBodyBytes, Decode: decodeSpec}
+	defer reader.Release()
+	answer := h.service.Submit(ctx, entryRequest(r), reader.Read)
 	if answer.Result == entry.OK {
 		answer.State = graph.Queued
 	}
-	writeAnswer(w, r, httpStatuses[answer.Result], answer)
+	h.writeJobAnswer(&reader, answer)
 }
 
-// readSpec reads the body of a request and returns the function that decodes the job in it; ok is false if the body is too large and the
-// request has been answered.
-func readSpec(w http.ResponseWriter, r *http.Request) (decode func() (*graph.Spec, error), ok bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		writeAnswer(w, r, http.StatusRequestEntityTooLarge, entry.Answer{Result: entry.Invalid, Detail: err.Error()})
-		return nil, false
+// writeJobAnswer answers a request with a job.
+func (h *handler) writeJobAnswer(reader *inbound.JobReader, answer entry.Answer) {
+	status := httpStatuses[answer.Result]
+	if reader.Finish() == inbound.ErrTooLarge {
+		status = http.StatusRequestEntityTooLarge
 	}
-	return func() (*graph.Spec, error) { return decodeSpec(body, err) }, true
+	writeAnswer(reader.Writer, reader.Request, status, answer)
 }
 
 // decodeSpec parses a job. Unknown fields are errors, so that none is silently ignored.
-func decodeSpec(body []byte, readErr error) (*graph.Spec, error) {
-	if readErr != nil {
-		return nil, readErr
-	}
+func decodeSpec(body []byte) (*graph.Spec, error) {
 	job, err := ParseJob(body)
 	if err != nil {
 		return nil, err
--- a/internal/graphapi/handler_test.go
+++ b/internal/graphapi/handler_test.go
@@ -16,6 +16,7 @@
 	"laburnumpoint/internal/access"
 	"laburnumpoint/internal/entry"
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/inbound"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/rowstore"
@@ -41,7 +42,7 @@
 	}
 	service.SetConfig(config)
 	service.MarkConfigCurrent(clock.Now())
-	return Handler(service)
+	return Handler(service, inbound.New(inbound.Options{}, quiet, metrics.NewSet()))
 }
 
 const testJobBody = `{"payload":"","steps":[{"count":1}]}`
--- a/internal/graphapi/preview.go
+++ b/internal/graphapi/preview.go
@@ -10,6 +10,7 @@
 
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/entry"
+	"laburnumpoint/internal/inbound"
 )
 
 // PreviewAnswer is the JSON of the answer to the question where the tasks of a job would go now.
@@ -22,13 +23,11 @@
 func (h *handler) preview(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := requestContext(r)
 	defer cancel()
-	decode, ok := readSpec(w, r)
-	if !ok {
-		return
-	}
-	answer, preview := h.service.Preview(ctx, entryRequest(r), decode)
+	reader := inbound.JobReader{Limits: h.limits, Writer: w, Request: r, MaxBytes: maxBodyBytes, Decode: decodeSpec}
+	defer reader.Release()
+	answer, preview := h.service.Preview(ctx, entryRequest(r), reader.Read)
 	if answer.Result != entry.OK {
-		writeAnswer(w, r, httpStatuses[answer.Result], answer)
+		h.writeJobAnswer(&reader, answer)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -18,6 +18,7 @@
 	"laburnumpoint/internal/entry"
 	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/inbound"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/overload"
@@ -79,6 +80,8 @@
 	// MaxCrashes is after how many crashes of its workers a task is given up, whatever their likely cause; 0 for
 	// dispatch.DefaultMaxCrashes.
 	MaxCrashes int
+	// Input bounds what the daemon holds of what others send.
+	Input inbound.Options
 }
 
 // Backends are a platform's implementations of what the daemon depends on. The functions are called with the daemon's
@@ -94,7 +97,7 @@
 	// DecodeConfig decodes the document of a configuration.
 	DecodeConfig func(document []byte, logger *log.Logger) (*entry.Config, error)
 	// NewCallerHandler returns the handler of callers' requests.
-	NewCallerHandler func(*entry.Service) http.Handler
+	NewCallerHandler func(*entry.Service, *inbound.Limits) http.Handler
 }
 
 // Daemon holds the components of the process.
@@ -102,6 +105,8 @@
 	Settings
 	Service *entry.Service
 	Owner   *owner.Daemon
+	// Limits bounds the input of the process.
+	Limits *inbound.Limits
 
 	backends Backends
 	log      *log.Logger
@@ -126,7 +131,7 @@
 	if settings.MaxRowBytes > 0 {
 		replica.SetMaxRowBytes(settings.MaxRowBytes)
 	}
-	d := &Daemon{Settings: settings, backends: backends, log: logger, set: set, clock: clock, server: server}
+	d := &Daemon{Settings: settings, backends: backends, log: logger, set: set, clock: clock, server: server, Limits: inbound.New(settings.Input, logger, set)}
 	var backlog func() (*overload.Summary, bool)
 	if settings.RefuseOverload {
 		backlog = func() (*overload.Summary, bool) { return d.Owner.Backlog() }
@@ -137,7 +142,8 @@
 		SinceStoreFailure: store.SinceLastFailure, Backlog: backlog,
 		OtherDaemons: func() []string { return d.Owner.OtherDaemons() },
 		MaxConfigAge: settings.MaxConfigDelay - configMargin, Metrics: set,
-		RequireKeys: settings.RequireKeys, MaxKeyUse: settings.MaxKeyUse,
+		ConfigChanged: d.limitHeads,
+		RequireKeys:   settings.RequireKeys, MaxKeyUse: settings.MaxKeyUse,
 		DecodeConfig: func(document []byte) (*entry.Config, error) { return backends.DecodeConfig(document, logger) },
 	})
 	ownerOptions := owner.Options{
@@ -175,6 +181,18 @@
 	return d, nil
 }
 
+// limitHeads puts the configuration's limit of heads in force. It looks again afterwards, so that a goroutine that is late does not put an
+// earlier one back.
+func (d *Daemon) limitHeads() {
+	for {
+		config := d.Service.Config()
+		d.Limits.SetMaxHeaderBytes(config.Limits.HeaderBytes)
+		if d.Service.Config() == config {
+			return
+		}
+	}
+}
+
 // explain returns the reasons for a job's state. It reports false if this daemon can't tell, since it is not the owner.
 func (d *Daemon) explain(ctx context.Context, id graph.JobID) ([]string, bool) {
 	return d.Owner.Explain(ctx, id)
@@ -215,25 +233,27 @@
 		d.Owner.Run(ownerCtx)
 	}()
 	callerServer := &http.Server{
-		Handler:           d.backends.NewCallerHandler(d.Service),
+		Handler:           d.backends.NewCallerHandler(d.Service, d.Limits),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdleTimeout,
 	}
 	serverErrors := make(chan error, 3)
 	for _, s := range []struct {
-		name, addr string
-		server     *http.Server
+		role   inbound.Role
+		addr   string
+		server *http.Server
 	}{
-		{"callers", d.CallerAddr, callerServer},
-		{"readiness", d.ReadyAddr, &http.Server{Handler: http.HandlerFunc(d.handleReady), ReadHeaderTimeout: headerTimeout}},
-		{"metrics", d.MetricsAddr, &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: headerTimeout}},
+		{inbound.Callers, d.CallerAddr, callerServer},
+		{inbound.Readiness, d.ReadyAddr, &http.Server{Handler: http.HandlerFunc(d.handleReady), ReadHeaderTimeout: headerTimeout}},
+		{inbound.Metrics, d.MetricsAddr, &http.Server{Handler: d.metricsHandler(), ReadHeaderTimeout: headerTimeout}},
 	} {
 		listener, err := net.Listen("tcp", s.addr)
 		if err != nil {
 			return err
 		}
-		d.log.Info().Str("what", s.name).Str("listen", listener.Addr().String()).Msg("serving")
-		go func() { serverErrors <- s.server.Serve(listener) }()
+		d.log.Info().Str("what", s.role.String()).Str("listen", listener.Addr().String()).Msg("serving")
+		d.Limits.Configure(s.server, s.role)
+		go func() { serverErrors <- s.server.Serve(d.Limits.Listener(listener, s.role)) }()
 	}
 	select {
 	case err := <-serverErrors:
--- a/internal/graphd/product.go
+++ b/internal/graphd/product.go
@@ -1,8 +1,6 @@
 package graphd
 
 import (
-	"net/http"
-
 	"github.com/phuslu/log"
 
 	"laburnumpoint/internal/entry"
@@ -28,6 +26,6 @@
 		DecodeConfig: func(document []byte, _ *log.Logger) (*entry.Config, error) {
 			return graphproto.DecodeQueueConfig(document)
 		},
-		NewCallerHandler: func(service *entry.Service) http.Handler { return graphapi.Handler(service) },
+		NewCallerHandler: graphapi.Handler,
 	}
 }
