--- a/cmd/laburnumpointd/main.go
+++ b/cmd/laburnumpointd/main.go
@@ -71,6 +71,7 @@
 }
 
 func serveGraphs(ctx context.Context, s settings.GraphSettings) error {
+	s.Input.SetMemoryLimit()
 	set := metrics.NewSet()
 	writer := logs.NewWriter(os.Stdout, set)
 	defer writer.Start()()
@@ -90,6 +91,7 @@
 
 // serve runs the daemon until ctx ends and then stops it gracefully.
 func serve(ctx context.Context, s settings.Settings) error {
+	s.Input.SetMemoryLimit()
 	d, listener, err := start(s)
 	if err != nil {
 		return err
--- a/internal/settings/graphs.go
+++ b/internal/settings/graphs.go
@@ -13,6 +13,7 @@
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/graphd"
+	"laburnumpoint/internal/inbound"
 	"laburnumpoint/internal/rowstore"
 )
 
@@ -92,6 +93,11 @@
 		&cli.BoolFlag{Name: flagRefuseLoad, Usage: "refuse jobs that can't be completed in time", Sources: env(flagRefuseLoad)},
 		&cli.FloatFlag{Name: flagRemoteFactor, Usage: "`FACTOR` by which a task takes longer away from its data or its group", Value: 1, Sources: env(flagRemoteFactor)},
 		&cli.IntFlag{Name: flagMaxCrashes, Usage: "`NUMBER` of workers that may crash or fall silent under a task until it is given up", Value: dispatch.DefaultMaxCrashes, Sources: env(flagMaxCrashes)},
+		&cli.IntFlag{Name: flagMemory, Usage: usageMemory + ", in `MIB`", Sources: env(flagMemory)},
+		&cli.IntFlag{Name: flagMaxDescriptors, Usage: usageMaxDescriptors + ", a `NUMBER`", Sources: env(flagMaxDescriptors)},
+		&cli.IntFlag{Name: flagMaxConnections, Usage: usageMaxConnections + ", a `NUMBER`", Sources: env(flagMaxConnections)},
+		&cli.IntFlag{Name: flagInputMemory, Usage: usageInputMemory + ", in `MIB`", Sources: env(flagInputMemory)},
+		&cli.IntFlag{Name: flagMaxHeaderBytes, Usage: usageMaxHeaderBytes + ", in `BYTES`", Value: inbound.DefaultMaxHeaderBytes, Sources: env(flagMaxHeaderBytes)},
 		&cli.IntFlag{Name: flagRowBytes, Usage: "greatest size in `BYTES` of the value of a row in the store", Value: rowstore.MaxRowBytes, Sources: env(flagRowBytes)},
 	}
 }
@@ -157,6 +163,10 @@
 		RemoteFactor:   cmd.Float(flagRemoteFactor),
 		MaxCrashes:     cmd.Int(flagMaxCrashes),
 		MaxRowBytes:    cmd.Int(flagRowBytes),
+		Input: inbound.Options{
+			MemoryBytes: int64(cmd.Int(flagMemory)) << 20, Descriptors: cmd.Int(flagMaxDescriptors), MaxConns: cmd.Int(flagMaxConnections),
+			BudgetBytes: int64(cmd.Int(flagInputMemory)) << 20, MaxHeaderBytes: cmd.Int(flagMaxHeaderBytes),
+		},
 	}}
 	var problems []error
 	require := func(ok bool, flag, want string) {
@@ -191,6 +201,9 @@
 	require(s.RemoteFactor >= 1, flagRemoteFactor, "1 or more")
 	require(s.MaxRowBytes >= rowstore.MinRowBytes, flagRowBytes, fmt.Sprintf("%d or more", rowstore.MinRowBytes))
 	require(s.MaxCrashes >= dispatch.MinMaxCrashes, flagMaxCrashes, fmt.Sprintf("%d or more", dispatch.MinMaxCrashes))
+	if flag, want := inputProblem(s.Input); flag != "" {
+		require(false, flag, want)
+	}
 	if cmd.NArg() > 0 {
 		problems = append(problems, fmt.Errorf("unexpected argument %q", cmd.Args().First()))
 	}
--- a/internal/settings/graphs_test.go
+++ b/internal/settings/graphs_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"laburnumpoint/internal/inbound"
 )
 
 func graphArgsWith(more ...string) []string {
@@ -23,6 +25,19 @@
 	}
 }
 
+// Guards against limits of input that are read and not used, or in another unit.
+func TestGraphInputSettings(t *testing.T) {
+	t.Setenv("LABURNUMPOINT_MEMORY_MB", "144")
+	t.Setenv("LABURNUMPOINT_MAX_DESCRIPTORS", "3075")
+	s, err := ParseGraphSettings(graphArgsWith("--max-connections", "100", "--input-memory-mb", "30"), &bytes.Buffer{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := (inbound.Options{MemoryBytes: 144 << 20, Descriptors: 3075, MaxConns: 100, BudgetBytes: 30 << 20, MaxHeaderBytes: 64 << 10}); s.Input != want {
+		t.Errorf("%+v, want %+v", s.Input, want)
+	}
+}
+
 func TestGraphSettingsMistakes(t *testing.T) {
 	cases := map[string]struct {
 		args []string
@@ -37,6 +52,12 @@
 		"repeats":       {graphArgsWith("--order-repeats", "-1"), "--order-repeats"},
 		"no delay":      {graphArgsWith("--order-repeat-delay", "0s"), "--order-repeat-delay"},
 		"order timeout": {graphArgsWith("--order-timeout", "1ms"), "--order-timeout"},
+		"memory":        {graphArgsWith("--memory-mb", "1"), "--memory-mb"},
+		"descriptors":   {graphArgsWith("--max-descriptors", "-1"), "--max-descriptors"},
+		"connections":   {graphArgsWith("--max-connections", "1"), "--max-connections"},
+		"input memory":  {graphArgsWith("--input-memory-mb", "1"), "--input-memory-mb"},
+		"input bounds":  {graphArgsWith("--memory-mb", "100", "--input-memory-mb", "101"), "--input-memory-mb"},
+		"no headers":    {graphArgsWith("--max-header-bytes", "0"), "--max-header-bytes"},
 		"argument":      {graphArgsWith("more"), `"more"`},
 		"unknown flag":  {graphArgsWith("--colour", "red"), "colour"},
 	}
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -88,6 +88,16 @@
 			durationSetter(func(s *Settings) *time.Duration { return &s.RequestTimeout }, time.Millisecond, time.Hour)},
 		{flagMaxRequestTimeout, unitDuration, "10m", false, "longest timeout that a caller may ask for",
 			durationSetter(func(s *Settings) *time.Duration { return &s.MaxRequestTimeout }, time.Millisecond, time.Hour)},
+		{flagMemory, "MiB", "0", false, usageMemory,
+			countSetter(func(s *Settings, n int64) { s.Input.MemoryBytes = n << 20 }, 0, maxMemoryMB)},
+		{flagMaxDescriptors, "count", "0", false, usageMaxDescriptors,
+			countSetter(func(s *Settings, n int64) { s.Input.Descriptors = int(n) }, 0, maxDescriptors)},
+		{flagMaxConnections, "count", "0", false, usageMaxConnections,
+			countSetter(func(s *Settings, n int64) { s.Input.MaxConns = int(n) }, 0, maxConnections)},
+		{flagInputMemory, "MiB", "0", false, usageInputMemory,
+			countSetter(func(s *Settings, n int64) { s.Input.BudgetBytes = n << 20 }, 0, maxMemoryMB)},
+		{flagMaxHeaderBytes, "bytes", "16384", false, usageMaxHeaderBytes,
+			countSetter(func(s *Settings, n int64) { s.Input.MaxHeaderBytes = int(n) }, minMaxHeaderBytes, maxMaxHeaderBytes)},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"laburnumpoint/internal/config"
+	"laburnumpoint/internal/inbound"
 )
 
 // Settings are the validated settings of one daemon.
@@ -44,6 +45,9 @@
 	// set.
 	RequestTimeout    time.Duration
 	MaxRequestTimeout time.Duration
+
+	// Input bounds what the daemon holds of what others send.
+	Input inbound.Options
 }
 
 // minClaimsPerLease is how many claim intervals a lease must cover, so that one lost claim doesn't end it.
@@ -64,5 +68,8 @@
 	if s.RequestTimeout > s.MaxRequestTimeout {
 		problems = append(problems, Problem{flagRequestTimeout, "is longer than --" + flagMaxRequestTimeout})
 	}
+	if flag, want := inputProblem(s.Input); flag != "" {
+		problems = append(problems, Problem{flag, "is not " + want})
+	}
 	return problems
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -62,6 +62,8 @@
 		{"same addresses", argsWith("--listen", "10.0.0.1:7000"), []string{flagPeerListen}},
 		{"contradicting values", argsWith("--claim-interval", "11s", "--stop-timeout", "5s", "--request-timeout", "11m"),
 			[]string{flagLeaseTTL, flagStopTimeout, flagRequestTimeout}},
+		{"input out of range", argsWith("--memory-mb", "-1", "--max-header-bytes", "1"), []string{flagMemory, flagMaxHeaderBytes}},
+		{"more input than memory", argsWith("--memory-mb", "100", "--input-memory-mb", "101"), []string{flagInputMemory}},
 		{"unknown flag", argsWith("--lisen", "10.0.0.1:80"), []string{""}},
 		{"unexpected argument", argsWith("start"), []string{""}},
 	}
