--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -14,6 +14,7 @@
 
 	"laburnumpoint/internal/access"
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/inbound"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime/monotimetest"
 	"laburnumpoint/internal/rowstore"
@@ -241,3 +242,39 @@
 		}
 	})
 }
+
+// Guards against a body that arrives slowly and is accepted with a key that was removed in the meantime.
+func TestKeyIsCheckedAgainAfterASlowBody(t *testing.T) {
+	runKeyTest(t, func(ctx context.Context, t *testing.T, k *keyTest) {
+		slow := func() (*graph.Spec, error) {
+			k.putKey(t, "k2")
+			time.Sleep(time.Second)
+			return oneTask()
+		}
+		job := Request{Path: testJob, Key: access.NewKey("k1")}
+		if a := k.Submit(ctx, job, slow); a.Result != Unauthorized {
+			t.Errorf("%s, want unauthorized", a.Result)
+		}
+		job.Key = access.NewKey("k2")
+		if a := k.State(ctx, job); a.Result != NoJob {
+			t.Errorf("state %s, want that there is no job", a.Result)
+		}
+	})
+}
+
+// Guards against a refusal for want of room that is told as a mistake of the caller, or without a time to come back.
+func TestNoRoomIsUnavailable(t *testing.T) {
+	runKeyTest(t, func(ctx context.Context, t *testing.T, k *keyTest) {
+		job := Request{Path: testJob, Key: access.NewKey("k1")}
+		full := func() (*graph.Spec, error) { return nil, inbound.ErrNoRoom }
+		if a := k.Submit(ctx, job, full); a.Result != Unavailable || a.RetryAfter != inbound.RetryAfter() {
+			t.Errorf("submit: %s, Retry-After %s", a.Result, a.RetryAfter)
+		}
+		if a, _ := k.Preview(ctx, job, full); a.Result != Unavailable || a.RetryAfter != inbound.RetryAfter() {
+			t.Errorf("preview: %s, Retry-After %s", a.Result, a.RetryAfter)
+		}
+		if a := k.State(ctx, job); a.Result != NoJob {
+			t.Errorf("state %s, want that there is no job", a.Result)
+		}
+	})
+}
--- a/internal/graphapi/handler_test.go
+++ b/internal/graphapi/handler_test.go
@@ -24,6 +24,12 @@
 
 // newTestHandler serves a queue and a public one to callers with the key k1, over a store in memory.
 func newTestHandler(t *testing.T) http.Handler {
+	t.Helper()
+	return newTestHandlerWithInput(t, inbound.Options{})
+}
+
+// newTestHandlerWithInput is newTestHandler with other limits of input.
+func newTestHandlerWithInput(t *testing.T, input inbound.Options) http.Handler {
 	t.Helper()
 	clock, quiet := monotime.BootClock{}, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	replica := ledger.NewReplica(rowstore.NewMemoryStore(), clock, quiet, ledger.DaemonInfo{Incarnation: "a"})
@@ -42,7 +48,7 @@
 	}
 	service.SetConfig(config)
 	service.MarkConfigCurrent(clock.Now())
-	return Handler(service, inbound.New(inbound.Options{}, quiet, metrics.NewSet()))
+	return Handler(service, inbound.New(input, quiet, metrics.NewSet()))
 }
 
 const testJobBody = `{"payload":"","steps":[{"count":1}]}`
@@ -108,3 +114,55 @@
 		t.Errorf("unknown key: error %v after %d calls, want 401 after one", err, calls)
 	}
 }
+
+// countingReader counts the bytes that are read from it.
+type countingReader struct {
+	io.Reader
+	n int
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.n += n
+	return n, err
+}
+
+// Guards against bodies that are read and decoded for callers without a key or for queues that don't exist, against a document of many
+// empty steps that is decoded, and against a refusal for want of room that isn't told as one.
+func TestBodiesThatAreRefused(t *testing.T) {
+	const job, unknownQueue, badID = "/v1/queues/q/jobs/00000000000000aa", "/v1/queues/none/jobs/00000000000000aa", "/v1/queues/q/jobs/aa"
+	steps := func(n int) string {
+		return `{"payload":"","steps":[` + strings.Repeat(`{"count":1},`, n-1) + `{"count":1}]}`
+	}
+	for _, c := range []struct {
+		name, path, key, body string
+		input                 inbound.Options
+		status                int
+		read                  bool
+	}{
+		{"no key", job, "", testJobBody, inbound.Options{}, http.StatusUnauthorized, false},
+		{"unknown queue", unknownQueue, "k1", testJobBody, inbound.Options{}, http.StatusNotFound, false},
+		{"invalid id", badID, "k1", testJobBody, inbound.Options{}, http.StatusBadRequest, false},
+		{"most steps", job, "k1", steps(graph.MaxSteps), inbound.Options{}, http.StatusOK, true},
+		{"too many steps", job, "k1", steps(graph.MaxSteps + 1), inbound.Options{}, http.StatusBadRequest, true},
+		{"very many steps", job, "k1", `{"steps":[` + strings.Repeat("{},", 80_000) + `{}]}`, inbound.Options{}, http.StatusBadRequest, true},
+		{"the largest body", job, "k1", testJobBody + strings.Repeat(" ", maxBodyBytes-len(testJobBody)), inbound.Options{}, http.StatusOK, true},
+		{"too large", job, "k1", strings.Repeat(" ", maxBodyBytes+1), inbound.Options{}, http.StatusRequestEntityTooLarge, false},
+		{"no room for the body", job, "k1", testJobBody, inbound.Options{BudgetBytes: 1}, http.StatusServiceUnavailable, false},
+		{"no room for the decoded form", job, "k1", testJobBody, inbound.Options{BudgetBytes: 60}, http.StatusServiceUnavailable, true},
+		{"the largest body on a small machine", job, "k1", testJobBody + strings.Repeat(" ", maxBodyBytes-len(testJobBody)), inbound.Options{MemoryBytes: 64 << 20, Descriptors: 1024}, http.StatusOK, true},
+	} {
+		body := &countingReader{Reader: strings.NewReader(c.body)}
+		req := httptest.NewRequest(http.MethodPut, c.path, body)
+		req.ContentLength = int64(len(c.body))
+		req.Header.Set(HeaderKey, c.key)
+		w := httptest.NewRecorder()
+		newTestHandlerWithInput(t, c.input).ServeHTTP(w, req)
+		if w.Code != c.status || (body.n > 0) != c.read {
+			t.Errorf("%s: status %d %s after %d bytes, want %d", c.name, w.Code, w.Body, body.n, c.status)
+		}
+		if (w.Header().Get("Retry-After") != "") != (c.status == http.StatusServiceUnavailable) {
+			t.Errorf("%s: Retry-After %q", c.name, w.Header().Get("Retry-After"))
+		}
+	}
+}
