Tests that guard the count of steps, the decode charge and the second look at a queue

Cause: trials on a scratch copy with one protection taken out at a time: without the count of steps, SkipBody, the lower edge of the count, strings and escapes in it, and the second admission no test failed. Change: tests for each; for the second admission in a cell without keys, since with keys recheckKey looks again before each try anyway.

--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -262,6 +262,23 @@
 	})
 }
 
+// Guards against a body that arrives slowly and is accepted for a queue that was removed in the meantime.
+func TestQueueIsLookedUpAgainAfterASlowBody(t *testing.T) {
+	runKeyTest(t, func(ctx context.Context, t *testing.T, k *keyTest) {
+		k.RequireKeys = false // with keys the whole admission is looked at again before each try
+		slow := func() (*graph.Spec, error) {
+			config := *k.Config()
+			config.Version, config.Routes = 1000, nil
+			k.SetConfig(&config)
+			time.Sleep(time.Second)
+			return oneTask()
+		}
+		if a := k.Submit(ctx, Request{Path: testJob, Key: access.NewKey("k1")}, slow); a.Result != NoQueue {
+			t.Errorf("%s, want no_queue", a.Result)
+		}
+	})
+}
+
 // Guards against a refusal for want of room that is told as a mistake of the caller, or without a time to come back.
 func TestNoRoomIsUnavailable(t *testing.T) {
 	runKeyTest(t, func(ctx context.Context, t *testing.T, k *keyTest) {
--- a/internal/graph/document_test.go
+++ b/internal/graph/document_test.go
@@ -68,13 +68,15 @@
 
 // Guards against a bound that is off by one, and against a small document of very many steps that is decoded.
 func TestStepsAreCountedBeforeTheyAreDecoded(t *testing.T) {
-	for n, want := range map[int]error{1: nil, MaxSteps: nil, MaxSteps + 1: ErrTooManySteps, 87_000: ErrTooManySteps} {
-		text := []byte(`{"steps":[` + strings.TrimSuffix(strings.Repeat("{},", n), ",") + `]}`)
-		if err := CheckDocument(text); !errors.Is(err, want) {
-			t.Errorf("%d steps: error %v, want %v", n, err, want)
-		}
-		if err := CheckDocument(append(text, `}`...)); !errors.Is(err, want) {
-			t.Errorf("%d steps and a rest: error %v, want %v", n, err, want)
+	for _, step := range []string{`{}`, `{"count":1,"after":[1,2]}`, `{"label":"]"}`, `{"label":"},{"}`, `{"label":"\"},,,,{"}`, `{"label":"\\"}`} {
+		for n, want := range map[int]error{1: nil, MaxSteps: nil, MaxSteps + 1: ErrTooManySteps, 87_000: ErrTooManySteps} {
+			text := []byte(`{"steps":[` + strings.TrimSuffix(strings.Repeat(step+",", n), ",") + `]}`)
+			if err := CheckDocument(text); !errors.Is(err, want) {
+				t.Errorf("%d steps %s: error %v, want %v", n, step, err, want)
+			}
+			if err := CheckDocument(append(text, `}`...)); !errors.Is(err, want) {
+				t.Errorf("%d steps %s and a rest: error %v, want %v", n, step, err, want)
+			}
 		}
 	}
 }
