inbound: refuse a head once

Cause: package net/http reads again after the end that it is told in a head; each read took more of the head in and refused it anew. Change: a connection whose head was refused reads nothing more.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -66,6 +66,8 @@
 	// next head, which the server has read ahead.
 	beyond     atomic.Int64
 	aheadLines atomic.Int64
+	// refused means that a head has been refused: package net/http may read again after the end that it is told.
+	refused atomic.Bool
 	// bodyRead means that the request's body has been read to its end.
 	bodyRead atomic.Bool
 }
@@ -89,6 +91,9 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.refused.Load() {
+		return 0, io.EOF
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -99,6 +104,7 @@
 	}
 	c.got.Add(int64(n))
 	if refusal := c.arrived(p[:n]); refusal != "" {
+		c.refused.Store(true)
 		c.refuse(refusal)
 		return 0, io.EOF // package net/http answers other errors itself
 	}
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -577,6 +577,21 @@
 	}
 }
 
+// Guards against a head that is refused, counted and answered again for each further read.
+func TestHeadIsRefusedOnce(t *testing.T) {
+	l, _ := newTestLimits(Options{BudgetBytes: 1 << 20, MaxHeaderBytes: 4 << 10})
+	addr := serve(t, l, func(http.ResponseWriter, *http.Request) {})
+	text := "GET / HTTP/1.1\r\n" + strings.Repeat("X: "+strings.Repeat("x", 1000)+"\r\n", 600)
+	if status := send(t, addr, text); status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d, want 431", status)
+	}
+	for deadline := time.Now().Add(30 * time.Second); l.openConns(Callers) != 0 && time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+	}
+	if n := l.refused[refusalKey("callers", reasonHeadTooLarge)].Get(); n != 1 {
+		t.Errorf("%d refusals were counted, want 1", n)
+	}
+}
+
 // Guards against an answer that waits for the rest of a body that stalls.
 func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
 	l, _ := newTestLimits(Options{BudgetBytes: 1 << 20})
