peer: what the server holds for other daemons is bounded

Cause: the port between daemons had no bound in bytes. Relayed commands of many daemons were read and handled 8,192 at once, of up to 4 MB each, and left no room for hellos and permit requests; any connection, also a silent one, cost a yamux session with 16 KB for its backlog, and one that answers pings stayed.

Change: a request takes its share of the process's budget as it arrives, until its reply is written: 8 KB for the stream, four times the message. Without room the rest of the message is read past and the request is refused, which senders take for not done, whereas a closed stream would be in doubt. Coordination is known by the message's first byte and has 2 MB of its own. A connection gets a session only with the first frame of a daemon, within 5 s, and is closed if no whole request has come in 10 s. At most 256 streams of a session are read at once. Nothing changes on the wire: the client is as before.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -56,6 +56,9 @@
 	maxOpenAttempts = 2
 	// requestReadTimeout limits the time from the opening of a stream to the end of its request.
 	requestReadTimeout = 10 * time.Second
+	// firstFrameTimeout limits the time to the first frame of a connection. A daemon that has nothing to send pings every
+	// keepAliveInterval.
+	firstFrameTimeout = 5 * time.Second
 	// replyWriteTimeout limits the time to write a reply.
 	replyWriteTimeout = 10 * time.Second
 	// replyReadTimeout is how long a server that shuts down waits for its peers to read the last replies.
@@ -67,6 +70,8 @@
 	maxRequestCallsPerPeer = 1024
 	maxControlCallsPerPeer = 64
 	maxHandledRequests     = 8192
+	// maxStreamsReading limits the streams of a session whose request is being read; further ones wait.
+	maxStreamsReading = 256
 )
 
 // Handler answers requests. Its context ends when the calling daemon closes the stream, the session is lost or the server
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -24,6 +25,11 @@
 	cancel   context.CancelFunc
 	// requestSlots limits the requests of kind TrafficRequest that are handled at once; control traffic is not limited.
 	requestSlots chan struct{}
+	room         *room
+	// firstFrameTimeout and requestReadTimeout are the constants of these names; tests shorten them.
+	firstFrameTimeout, requestReadTimeout time.Duration
+	// refused counts requests for which there was no room; strangers counts connections without a whole request.
+	refused, strangers *metrics.Counter
 
 	mu       sync.Mutex
 	stopping bool
@@ -58,12 +64,23 @@
 		base:         base,
 		cancel:       cancel,
 		requestSlots: make(chan struct{}, maxHandledRequests),
-		idle:         make(chan struct{}),
-		sessions:     make(map[*yamux.Session]struct{}),
+		room:         newRoom(nil),
+
+		firstFrameTimeout: firstFrameTimeout, requestReadTimeout: requestReadTimeout,
+
+		refused:   set.GetOrCreateCounter("laburnumpoint_peer_refused_total"),
+		strangers: set.GetOrCreateCounter("laburnumpoint_peer_strangers_total"),
+		idle:      make(chan struct{}),
+		sessions:  make(map[*yamux.Session]struct{}),
 	}
 	return s, nil
 }
 
+// SetBudget makes requests draw on the budget of the process. It is called before Serve.
+func (s *Server) SetBudget(budget Budget) {
+	s.room = newRoom(budget)
+}
+
 // Serve starts answering calls with h and returns immediately. It must be called only once.
 func (s *Server) Serve(h Handler) {
 	s.handler = h
@@ -163,7 +180,13 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	mux, err := yamux.Server(&frameConn{Conn: conn}, serverMuxConfig())
+	opened, err := awaitFirstFrame(conn, s.firstFrameTimeout)
+	if err != nil {
+		s.strangers.Inc()
+		conn.Close()
+		return
+	}
+	mux, err := yamux.Server(&frameConn{Conn: opened}, serverMuxConfig())
 	if err != nil {
 		conn.Close()
 		return
@@ -173,14 +196,30 @@
 		return
 	}
 	defer s.removeSession(mux)
+	stranger := time.AfterFunc(s.requestReadTimeout, func() {
+		s.strangers.Inc()
+		mux.Close()
+	})
+	defer stranger.Stop()
 	ctx, cancel := context.WithCancel(s.base)
 	defer cancel()
+	reading := make(chan struct{}, maxStreamsReading)
 	for {
 		stream, err := mux.AcceptStream()
 		if err != nil {
 			return
 		}
-		go s.serveStream(ctx, stream)
+		select {
+		case reading <- struct{}{}:
+		case <-mux.CloseChan():
+			return
+		}
+		go s.serveStream(ctx, stream, func(whole bool) {
+			<-reading
+			if whole {
+				stranger.Stop()
+			}
+		})
 	}
 }
 
@@ -200,16 +239,26 @@
 	delete(s.sessions, mux)
 }
 
-func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream) {
+// serveStream reads one request and answers it. It calls arrived once the request was read or given up.
+func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream, arrived func(whole bool)) {
 	defer stream.Close()
-	_ = stream.SetReadDeadline(time.Now().Add(requestReadTimeout)) // fails only on a closed stream
+	_ = stream.SetReadDeadline(time.Now().Add(s.requestReadTimeout)) // fails only on a closed stream
 	in := &countingReader{r: stream}
 	reader := newReader(in)
-	req := new(wire.Request)
-	if err := decode(reader, req); err != nil {
+	held := share{room: s.room}
+	defer held.release()
+	req, err := s.readRequest(reader, &held)
+	arrived(err == nil)
+	if errors.Is(err, errNoRoom) {
+		s.refused.Inc()
+		s.reply(stream, s.traffic.of(TrafficRequest), refusal(cell.ReasonQueueFull))
+		return
+	}
+	if err != nil {
 		return
 	}
 	_ = stream.SetReadDeadline(time.Time{})
+	stream.Shrink()
 	counts := s.traffic.of(TrafficOf(req))
 	counts.calls.Inc()
 	counts.received.Add(in.n)
@@ -219,6 +268,35 @@
 	s.answer(ctx, stream, counts, req)
 }
 
+// readRequest reads a request whose bytes are charged to held as they arrive.
+// Errors: errNoRoom, after the whole request has been read past, since its sender reads a reply only then.
+func (s *Server) readRequest(reader *bufio.Reader, held *share) (*wire.Request, error) {
+	size, err := readSize(reader)
+	if err != nil {
+		return nil, err
+	}
+	if size > 0 {
+		tag, err := reader.Peek(1)
+		if err != nil {
+			return nil, err
+		}
+		held.control = coordinates(tag[0])
+	}
+	req := new(wire.Request)
+	unread := size
+	err = held.grow(streamBytes)
+	if err == nil {
+		unread, err = decodeBody(reader, size, req, func(n int) error { return held.grow(int64(n) * heldPerByte) })
+	}
+	if errors.Is(err, errNoRoom) {
+		held.release()
+		if _, err := io.CopyN(io.Discard, reader, int64(unread)); err != nil {
+			return nil, err
+		}
+	}
+	return req, err
+}
+
 // cancelAtEOF calls cancel when the peer closes the stream or the session is lost.
 func cancelAtEOF(reader *bufio.Reader, cancel context.CancelFunc) {
 	defer cancel()
