peer: the port between daemons draws on the limits of the process

Cause: the server could be given a budget, but not the limits that callers' requests draw on.

Change: Server.SetLimits wraps the listener (role Peers) and takes the budget; node.Options.Limits passes them on.

Measured: TestServerDrawsOnTheLimitsOfTheProcess fails without SetBudget in SetLimits; with it a message of 4 MB, the largest, is handled in a process of 128 MB in calm.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/config"
 	"laburnumpoint/internal/edge"
+	"laburnumpoint/internal/inbound"
 	"laburnumpoint/internal/intent"
 	"laburnumpoint/internal/job"
 	"laburnumpoint/internal/membership"
@@ -44,6 +45,8 @@
 	ClaimInterval time.Duration
 	Log           *log.Logger
 	Metrics       *metrics.Set
+	// Limits bounds what other daemons send; nil for no bound.
+	Limits *inbound.Limits
 }
 
 // Node is a running daemon without its HTTP server.
@@ -97,6 +100,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if opts.Limits != nil {
+		server.SetLimits(opts.Limits)
+	}
 	n.server = server
 	n.members = membership.New(membership.Options{
 		ID:          opts.ID,
--- a/internal/peer/crowd_test.go
+++ b/internal/peer/crowd_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/yamux"
+	"github.com/phuslu/log"
 
+	"laburnumpoint/internal/inbound"
 	"laburnumpoint/internal/wire"
 )
 
@@ -134,6 +136,38 @@
 	awaitHeld(t, budget, 0)
 }
 
+// Guards against a port between daemons that is left out of the limits of its process.
+func TestServerDrawsOnTheLimitsOfTheProcess(t *testing.T) {
+	limits := inbound.New(inbound.Options{MemoryBytes: 128 << 20}, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, metrics.NewSet())
+	held := make(chan int64, 1)
+	s, err := Bind("127.0.0.1:0", metrics.NewSet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	s.SetLimits(limits)
+	s.Serve(handlerFunc(func(context.Context, *wire.Request) *wire.Reply {
+		held <- limits.Held()
+		return &wire.Reply{Body: &wire.Reply_Intake{Intake: &wire.IntakeReply{Result: "ok"}}}
+	}))
+	c, _ := newTestClient(t)
+	for _, bytes := range []int{100, 64 << 10, MaxMessageBytes - 100} {
+		ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
+		defer cancel()
+		if reply, err := c.Call(ctx, s.Addr(), intake(bytes)); err != nil || reply.GetIntake().GetResult() != "ok" {
+			t.Fatalf("%d bytes: reply %v, error %v", bytes, reply, err)
+		}
+		if got, want := <-held, int64(streamBytes+heldPerByte*bytes); got < want {
+			t.Errorf("%d bytes: %d held by the handler, want at least %d", bytes, got, want)
+		}
+	}
+	for start := time.Now(); limits.Held() > 0; time.Sleep(time.Millisecond) {
+		if time.Since(start) > hangLimit {
+			t.Fatalf("%d bytes held after the last reply", limits.Held())
+		}
+	}
+}
+
 // Guards against streams that stop in the middle of a request and keep their memory.
 func TestStalledRequestsAreEndedAndReturnTheirRoom(t *testing.T) {
 	const streams, announced, sent = 16, 1 << 20, 64 << 10
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/yamux"
 
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/inbound"
 	"laburnumpoint/internal/wire"
 )
 
@@ -81,6 +82,12 @@
 	s.room = newRoom(budget)
 }
 
+// SetLimits makes connections and requests draw on the limits of the process. It is called before Serve.
+func (s *Server) SetLimits(limits *inbound.Limits) {
+	s.listener = limits.Listener(s.listener, inbound.Peers)
+	s.SetBudget(limits)
+}
+
 // Serve starts answering calls with h and returns immediately. It must be called only once.
 func (s *Server) Serve(h Handler) {
 	s.handler = h
