Relayed jobs are refused before they are decoded if none may be so large

Cause: a daemon decoded what another one relayed whatever its size and its steps: 16,000 empty steps in 48 KB take some 40 times that.

Change: a relayed job that is larger than a row of the store, which its sender refuses itself, or that has more steps than a job may have, is unavailable.

--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"laburnumpoint/internal/cell"
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime/monotimetest"
@@ -161,6 +162,8 @@
 	// lost means that calls to the daemon are not sent, frozen that they are not answered, losesReplies that they are carried
 	// out but not answered.
 	lost, frozen, losesReplies atomic.Bool
+	// full means that the daemon has no room for relayed commands.
+	full atomic.Bool
 	// received counts the commands relayed to the daemon, without notices.
 	received atomic.Int64
 }
@@ -226,6 +229,9 @@
 	if !req.GetIntake().Stored {
 		d.received.Add(1)
 	}
+	if d.full.Load() {
+		return &wire.Reply{Body: &wire.Reply_Refused{Refused: &wire.Reason{Code: string(cell.ReasonQueueFull)}}}, nil
+	}
 	reply := d.HandleIntake(ctx, req.GetIntake())
 	if d.losesReplies.Load() {
 		return nil, fmt.Errorf("%w: session lost", peer.ErrInDoubt)
--- a/internal/entry/preview.go
+++ b/internal/entry/preview.go
@@ -82,7 +82,7 @@
 func (s *Service) previewRelayed(ctx context.Context, req *wire.IntakeRequest) *wire.IntakeReply {
 	unavailable := &wire.IntakeReply{Result: resultUnavailable}
 	var question previewQuestion
-	if err := json.Unmarshal(req.Record, &question); err != nil || question.Spec == nil || question.Spec.Validate() != nil {
+	if err := decodeRelayed(req.Record, &question); err != nil || question.Spec == nil || question.Spec.Validate() != nil {
 		return unavailable
 	}
 	outcome, owns := s.PreviewIfOwner(ctx, question.Queue, question.Organisation, question.Spec)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -127,9 +127,23 @@
 	return err == nil
 }
 
+// decodeRelayed decodes what another daemon relays. Like a caller's job it is refused, before it is decoded, if it has too many steps.
+func decodeRelayed(record []byte, v any) error {
+	var job struct {
+		Spec json.RawMessage `json:"spec"`
+	}
+	if err := json.Unmarshal(record, &job); err != nil {
+		return err
+	}
+	if err := graph.CheckDocument(job.Spec); err != nil {
+		return err
+	}
+	return json.Unmarshal(record, v)
+}
+
 func (s *Service) acceptRelayed(ctx context.Context, id graph.JobID, req *wire.IntakeRequest) string {
 	var record ledger.JobRecord
-	if err := json.Unmarshal(req.Record, &record); err != nil || record.Spec == nil {
+	if len(req.Record) > s.Replica.MaxRowBytes() || decodeRelayed(req.Record, &record) != nil || record.Spec == nil {
 		return resultUnavailable
 	}
 	if req.Stored {
