A cancellation that an owner has refused is not reported as done

Cause: a refused call counted as an answer of nothing cancelled, and the owner of a shard that had not answered counted as none, as long as another one answered. The caller was told that its tasks are cancelled. Refusals for want of room make this more likely.

Change: a refusal is an error like not_owner and is tried again; a cancellation that not each shard has answered is in doubt.

--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -219,11 +219,26 @@
 	replies, err := n.callOwners(ctx, doc.Shards(), func(s cell.ShardID) *wire.Request {
 		return &wire.Request{Body: &wire.Request_Cancel{Cancel: &wire.CancelRequest{Shard: string(s), Tasks: tasks}}}
 	})
-	total := 0
+	if err != nil {
+		return 0, err
+	}
+	return sumCancelled(replies)
+}
+
+// sumCancelled returns how many tasks the owners of all shards have cancelled. It returns an error if one has not answered, since its tasks
+// may run on.
+func sumCancelled(replies []*wire.Reply) (int, error) {
+	total, missing := 0, 0
 	for _, r := range replies {
+		if r.GetCancel() == nil {
+			missing++
+		}
 		total += int(r.GetCancel().GetCancelled())
 	}
-	return total, err
+	if missing > 0 {
+		return total, fmt.Errorf("%d of %d shards have not answered", missing, len(replies))
+	}
+	return total, nil
 }
 
 // Patch implements edge.Commands.
--- a/internal/node/ownercalls.go
+++ b/internal/node/ownercalls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -50,12 +51,29 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, moved := reply.GetBody().(*wire.Reply_NotOwner); moved {
-		return nil, fmt.Errorf("the daemon at %s does not own shard %s", location.addr, shard)
+	if err := refusalError(reply); err != nil {
+		return nil, fmt.Errorf("the daemon at %s for shard %s: %w", location.addr, shard, err)
 	}
 	return reply, nil
 }
 
+// Errors of an answer by which the receiver did nothing.
+var (
+	errNotOwner = errors.New("it does not own the shard")
+	errRefused  = errors.New("it has refused the call")
+)
+
+// refusalError returns why the receiver did nothing, nil if it carried out the request.
+func refusalError(reply *wire.Reply) error {
+	switch body := reply.GetBody().(type) {
+	case *wire.Reply_NotOwner:
+		return errNotOwner
+	case *wire.Reply_Refused:
+		return fmt.Errorf("%w: %s", errRefused, wire.ToReason(body.Refused))
+	}
+	return nil
+}
+
 // callOwners calls the owner of every shard and returns the replies in the order of shards, nil for an owner that did
 // not answer. It returns an error if no owner answered.
 func (n *Node) callOwners(ctx context.Context, shards []cell.ShardID, req func(cell.ShardID) *wire.Request) ([]*wire.Reply, error) {
