--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -402,9 +402,9 @@
 	for _, c := range late {
 		l.forget(c)
 	}
-	counts := l.unlogged
-	if len(counts) > 0 {
-		l.unlogged = make(map[string]int)
+	var counts map[string]int // l.unlogged must not be read without the lock
+	if len(l.unlogged) > 0 {
+		counts, l.unlogged = l.unlogged, make(map[string]int)
 	}
 	if open > 0 {
 		l.sweepLater()
