The HTTP interface of the sharded cell keeps to the limits of the process

Cause: up to 2,048 requests at once held bodies of 1 MB, and cancellations of 16 MB, whose length nobody counted; bodies grew by doubling, decoding took several times their size (a list of very many ids 16 bytes and more for each four), and payloads stayed while requests waited for up to ten minutes. An answer of more than 2 KB to a request whose body no route reads waited for that body for ever.

Change: connections, heads, bodies and decoded forms draw on inbound.Limits: five times the body while it is decoded, twice until the answer. Without room a request is refused with 503 and not_run before anything is passed on. The bounds of bodies are at most what finds room in calm (three eighths of the input memory; 413 above). Ids of a cancellation are counted before they are decoded. The daemon gives its limits to the port between daemons, and sets the Go memory limit.

TestOpenConnectionsAreBounded asked that an idle connection keeps a new one out. At the bound the one that is idle longest now gives its place, which TestIdleConnectionGivesItsPlace asks for; the old test holds the connection with a request in flight and asks that a further one gets no answer, and that the request is answered. Its old form passed without any bound, after 10 s, as the server closes a connection without a request then.

--- a/cmd/laburnumpointd/main.go
+++ b/cmd/laburnumpointd/main.go
@@ -18,6 +18,7 @@
 	"laburnumpoint/internal/edge"
 	"laburnumpoint/internal/graphd"
 	"laburnumpoint/internal/httpplatform"
+	"laburnumpoint/internal/inbound"
 	"laburnumpoint/internal/logs"
 	"laburnumpoint/internal/node"
 	"laburnumpoint/internal/settings"
@@ -110,20 +111,21 @@
 func start(s settings.Settings) (*daemon, net.Listener, error) {
 	logger := &log.Logger{Level: s.LogLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
 	set := metrics.NewSet()
+	s.Input.SetMemoryLimit()
+	limits := inbound.New(s.Input, logger, set)
 	listener, err := net.Listen("tcp", s.Listen.String())
 	if err != nil {
 		return nil, nil, err
 	}
-	n, err := node.Start(nodeOptions(s, logger, set))
+	n, err := node.Start(nodeOptions(s, limits, logger, set))
 	if err != nil {
 		return nil, nil, err
 	}
-	limits := edge.ServerOptions{DrainDelay: s.DrainDelay}
-	server := edge.NewServer(n, n, edgeOptions(s, logger, set), limits)
+	server := edge.NewServer(n, n, edgeOptions(s, limits, logger, set), edge.ServerOptions{DrainDelay: s.DrainDelay})
 	return &daemon{node: n, server: server, log: logger}, listener, nil
 }
 
-func nodeOptions(s settings.Settings, logger *log.Logger, set *metrics.Set) node.Options {
+func nodeOptions(s settings.Settings, limits *inbound.Limits, logger *log.Logger, set *metrics.Set) node.Options {
 	id := cell.MemberID(uuid.NewString())
 	backend := httpplatform.NewPlatformClient(httpplatform.PlatformOptions{
 		Addr: s.Platform.String(), Member: id,
@@ -143,13 +145,15 @@
 		ClaimInterval:   s.ClaimInterval,
 		Log:             logger,
 		Metrics:         set,
+		Limits:          limits,
 	}
 }
 
-func edgeOptions(s settings.Settings, logger *log.Logger, set *metrics.Set) edge.Options {
+func edgeOptions(s settings.Settings, limits *inbound.Limits, logger *log.Logger, set *metrics.Set) edge.Options {
 	return edge.Options{
 		Log:            logger,
 		Metrics:        set,
+		Limits:         limits,
 		MaxRequests:    s.MaxRequests,
 		MaxBodyBytes:   s.MaxBodyBytes,
 		DefaultTimeout: s.RequestTimeout,
--- a/internal/edge/errors.go
+++ b/internal/edge/errors.go
@@ -7,6 +7,7 @@
 
 	"laburnumpoint/internal/api"
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/inbound"
 )
 
 // overloadRetryAfter is the Retry-After of a request refused because a limit of concurrent requests is reached.
@@ -25,6 +26,12 @@
 	return requestError{status: http.StatusTooManyRequests, reason: reason, retryAfter: overloadRetryAfter}
 }
 
+// noRoomError refuses a request that the process has no memory for now.
+func noRoomError() *requestError {
+	reason := cell.Reason{Code: cell.ReasonQueueFull, Detail: "this entry VM has no room for the request"}
+	return &requestError{status: http.StatusServiceUnavailable, reason: reason, retryAfter: inbound.RetryAfter()}
+}
+
 // badRequest returns the error of a request that has problems; it lists all of them.
 func badRequest(problems []api.Problem) requestError {
 	texts := make([]string, len(problems))
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -26,6 +26,7 @@
 
 func (h *handler) routes() http.Handler {
 	r := chi.NewRouter()
+	r.Use(h.endInput)
 	r.NotFound(h.notFound)
 	r.MethodNotAllowed(h.methodNotAllowed)
 	r.Get("/healthz", h.healthz)
--- a/internal/edge/input.go
+++ b/internal/edge/input.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,6 +15,7 @@
 
 	"laburnumpoint/internal/api"
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/inbound"
 	"laburnumpoint/internal/job"
 )
 
@@ -31,12 +33,34 @@
 	}
 }
 
+// What a decoded body holds of the budget for each of its bytes: while it is decoded, and until the request is answered, since a payload
+// is kept for as long.
+const (
+	decodingPerByte = 5
+	keptPerByte     = 2
+)
+
+// heldKey is the key of the function that gives back what a request holds of the budget, a *func() in its context.
+type heldKey struct{}
+
+// endInput gives back what a decoded request holds once it is answered. A long answer doesn't wait for a body that no route reads.
+func (h *handler) endInput(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		release := func() {}
+		defer func() { release() }()
+		if r.Method != http.MethodPost {
+			h.opts.Limits.SkipBody(w, r)
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), heldKey{}, &release)))
+	})
+}
+
 // readJSON decodes the whole body, of at most limit bytes, into v. Unknown fields are errors.
 func (h *handler) readJSON(w http.ResponseWriter, r *http.Request, limit int64, v any) *requestError {
-	body, reqErr := h.readBody(w, r, limit)
-	if reqErr != nil {
-		return reqErr
-	}
+	return h.decodeBody(w, r, limit, func(body []byte) *requestError { return decodeJSON(body, v) })
+}
+
+func decodeJSON(body []byte, v any) *requestError {
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
@@ -48,13 +72,39 @@
 	return nil
 }
 
+// decodeBody reads the whole body and decodes it with decode, within the limits.
+func (h *handler) decodeBody(w http.ResponseWriter, r *http.Request, limit int64, decode func(body []byte) *requestError) *requestError {
+	body, reqErr := h.readBody(w, r, limit)
+	if reqErr != nil {
+		return reqErr
+	}
+	size := int64(len(body.Bytes))
+	decoding, err := h.opts.Limits.Reserve(decodingPerByte * size)
+	if err != nil {
+		body.Release()
+		return noRoomError()
+	}
+	reqErr = decode(body.Bytes)
+	body.Release()
+	decoding()
+	if reqErr != nil {
+		return reqErr
+	}
+	kept, err := h.opts.Limits.Reserve(keptPerByte * size)
+	if err != nil {
+		return noRoomError()
+	}
+	*r.Context().Value(heldKey{}).(*func()) = kept
+	return nil
+}
+
 // readBody reads the whole body within the body timeout. It first clears the write deadline that the connection's
 // previous answer has set; net/http clears the read deadline at the end of the body.
-func (h *handler) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *requestError) {
+func (h *handler) readBody(w http.ResponseWriter, r *http.Request, limit int64) (*inbound.Body, *requestError) {
 	conn := http.NewResponseController(w)
 	_ = conn.SetWriteDeadline(time.Time{}) // fails only for the recorder of a test
 	_ = conn.SetReadDeadline(time.Now().Add(h.opts.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := h.opts.Limits.ReadBody(w, r, limit)
 	if err != nil {
 		return nil, bodyReadError(err, limit)
 	}
@@ -62,11 +112,13 @@
 }
 
 func bodyReadError(err error, limit int64) *requestError {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	if errors.Is(err, inbound.ErrTooLarge) {
 		reason := invalid(fmt.Sprintf("the body is larger than %d bytes", limit))
 		return &requestError{status: http.StatusRequestEntityTooLarge, reason: reason}
 	}
+	if errors.Is(err, inbound.ErrNoRoom) {
+		return noRoomError()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return &requestError{status: http.StatusRequestTimeout, reason: invalid("the body was not received in time")}
 	}
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -1,11 +1,15 @@
 package edge
 
 import (
+	"cmp"
+	"io"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
+
+	"laburnumpoint/internal/inbound"
 )
 
 // Options sets the limits of the HTTP interface. A zero field takes its default.
@@ -14,6 +18,8 @@
 	Log *log.Logger
 	// Metrics is the set in which the metrics are registered; nil means a new set.
 	Metrics *metrics.Set
+	// Limits bounds what the process holds of requests; nil means bounds of its own.
+	Limits *inbound.Limits
 
 	// The limits of concurrent requests: MaxRequests for requests that run a task, MaxCommands for job submissions and
 	// patches, MaxQueries for queries, MaxWatches for queries of a job's status, which may wait, and MaxCancels for
@@ -24,7 +30,8 @@
 	MaxWatches  int
 	MaxCancels  int
 
-	// MaxBodyBytes bounds a request's body; MaxCancelBodyBytes bounds the body of a cancellation of tasks.
+	// MaxBodyBytes bounds a request's body; MaxCancelBodyBytes bounds the body of a cancellation of tasks. Both are at most
+	// Limits.MaxBody, so that a body that is let in finds room in calm.
 	MaxBodyBytes       int64
 	MaxCancelBodyBytes int64
 
@@ -74,12 +81,20 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
+	if o.Limits == nil {
+		o.Limits = inbound.New(inbound.Options{MaxHeaderBytes: DefaultMaxHeaderBytes}, cmp.Or(o.Log, silent), o.Metrics)
+	}
+	o.MaxBodyBytes = min(o.MaxBodyBytes, o.Limits.MaxBody())
+	o.MaxCancelBodyBytes = min(o.MaxCancelBodyBytes, o.Limits.MaxBody())
 	if o.NewID == nil {
 		o.NewID = uuid.NewString
 	}
 	return o
 }
 
+// silent writes nothing.
+var silent = &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+
 func setDefault[T int | int64 | time.Duration](field *T, value T) {
 	if *field == 0 {
 		*field = value
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -9,14 +9,11 @@
 	"time"
 
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/inbound"
 )
 
 // ServerOptions sets the limits of the HTTP server. A zero field takes its default.
 type ServerOptions struct {
-	// MaxConns bounds the open connections.
-	MaxConns int
-	// MaxHeaderBytes bounds a request's headers.
-	MaxHeaderBytes int
 	// ReadHeaderTimeout bounds the time to read a request's headers; IdleTimeout is how long an unused connection stays
 	// open.
 	ReadHeaderTimeout time.Duration
@@ -27,9 +24,8 @@
 	DrainDelay time.Duration
 }
 
-// The defaults of ServerOptions.
+// The defaults of ServerOptions, and the bound on a request's headers.
 const (
-	DefaultMaxConns          = 8_192
 	DefaultMaxHeaderBytes    = 16 << 10
 	DefaultReadHeaderTimeout = 10 * time.Second
 	DefaultIdleTimeout       = 2 * time.Minute
@@ -42,7 +38,7 @@
 type Server struct {
 	http       *http.Server
 	drainDelay time.Duration
-	maxConns   int
+	limits     *inbound.Limits
 	draining   atomic.Bool
 	conns      activeConns
 	// stopAccepting closes the listener. It is set by Serve.
@@ -51,25 +47,24 @@
 
 // NewServer returns a server of the HTTP interface to commands and queries.
 func NewServer(commands Commands, queries Queries, opts Options, serverOpts ServerOptions) *Server {
-	setDefault(&serverOpts.MaxConns, DefaultMaxConns)
-	setDefault(&serverOpts.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&serverOpts.ReadHeaderTimeout, DefaultReadHeaderTimeout)
 	setDefault(&serverOpts.IdleTimeout, DefaultIdleTimeout)
-	s := &Server{drainDelay: serverOpts.DrainDelay, maxConns: serverOpts.MaxConns}
+	opts = opts.withDefaults()
+	s := &Server{drainDelay: serverOpts.DrainDelay, limits: opts.Limits}
 	handler := NewHandler(commands, drainingQueries{Queries: queries, draining: &s.draining}, opts)
 	s.http = &http.Server{
 		Handler:           s.closeWhileDraining(handler),
-		MaxHeaderBytes:    serverOpts.MaxHeaderBytes,
 		ReadHeaderTimeout: serverOpts.ReadHeaderTimeout,
 		IdleTimeout:       serverOpts.IdleTimeout,
 		ConnState:         s.conns.onStateChange,
 	}
+	opts.Limits.Configure(s.http, inbound.Callers)
 	return s
 }
 
 // Serve serves the connections of listener until Shutdown, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
-	bounded := newLimitListener(listener, s.maxConns)
+	bounded := s.limits.Listener(newOnceListener(listener), inbound.Callers)
 	stopAccepting := bounded.Close
 	s.stopAccepting.Store(&stopAccepting)
 	err := s.http.Serve(bounded)
--- a/internal/edge/server_test.go
+++ b/internal/edge/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,7 +12,10 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"laburnumpoint/internal/cell"
+	"laburnumpoint/internal/inbound"
 )
 
 func startServer(t *testing.T, f *fakeCell, opts Options, serverOpts ServerOptions) (*Server, string) {
@@ -69,18 +73,34 @@
 	}
 }
 
-// A connection beyond the bound is closed at once, and a closed connection frees its slot.
+// Guards against more open connections than the bound. While the ones that are open are in use, a further one is closed at once; a closed
+// connection frees its slot.
 func TestOpenConnectionsAreBounded(t *testing.T) {
-	f := &fakeCell{ready: true}
-	_, addr := startServer(t, f, Options{}, ServerOptions{MaxConns: 1})
-	first := dialReady(t, addr)
+	entered, leave := make(chan struct{}), make(chan struct{})
+	f := &fakeCell{ready: true, run: func(context.Context, RunRequest) cell.Outcome {
+		close(entered)
+		<-leave
+		return cell.Outcome{Result: cell.ResultCompleted}
+	}}
+	_, addr := startServer(t, f, Options{Limits: testLimits(inbound.Options{MaxConns: 1})}, ServerOptions{})
+	first, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	fmt.Fprintf(first, "POST /v1/requests HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(validTask), validTask)
+	<-entered
 	second, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer second.Close()
-	if n, err := second.Read(make([]byte, 1)); err == nil {
-		t.Errorf("read %d bytes from a connection beyond the bound", n)
+	if requestReady(second) == nil {
+		t.Error("a connection beyond the bound was answered")
+	}
+	close(leave)
+	if resp, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("the request in flight got %v, %v", resp, err)
 	}
 	first.Close()
 	for range 1000 {
@@ -93,12 +113,36 @@
 	t.Error("the slot of a closed connection is not free")
 }
 
+// Guards against idle connections that keep callers out: at the bound a new connection takes the place of an idle one.
+func TestIdleConnectionGivesItsPlace(t *testing.T) {
+	f := &fakeCell{ready: true}
+	_, addr := startServer(t, f, Options{Limits: testLimits(inbound.Options{MaxConns: 1})}, ServerOptions{})
+	first := dialReady(t, addr)
+	defer first.Close()
+	for range 5000 { // the first connection becomes idle a moment after its answer
+		if conn, err := net.Dial("tcp", addr); err == nil && requestReady(conn) == nil {
+			defer conn.Close()
+			if err := first.SetReadDeadline(time.Now().Add(hangLimit)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := first.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+				t.Errorf("the connection that gave its place: error %v, want its end", err)
+			}
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Error("an idle connection keeps its place")
+}
+
+func testLimits(o inbound.Options) *inbound.Limits { return inbound.New(o, silent, metrics.NewSet()) }
+
 func TestListenerMayBeClosedTwice(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	bounded := newLimitListener(listener, 1)
+	bounded := newOnceListener(listener)
 	if first, second := bounded.Close(), bounded.Close(); first != nil || second != nil {
 		t.Errorf("Close returned %v, then %v", first, second)
 	}
--- a/internal/edge/spec.go
+++ b/internal/edge/spec.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"bytes"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -176,7 +178,15 @@
 // readCancel reads the ids of the tasks to cancel.
 func (h *handler) readCancel(w http.ResponseWriter, r *http.Request) ([]cell.TaskID, *requestError) {
 	var spec api.CancelSpec
-	if reqErr := h.readJSON(w, r, h.opts.MaxCancelBodyBytes, &spec); reqErr != nil {
+	reqErr := h.decodeBody(w, r, h.opts.MaxCancelBodyBytes, func(body []byte) *requestError {
+		// Ids have no commas. A list of very many short ones would take far more than the body.
+		if bytes.Count(body, []byte{','}) >= maxCancelTasks {
+			reqErr := badRequest([]api.Problem{{Field: "tasks", Message: fmt.Sprintf("has more than %d ids", maxCancelTasks)}})
+			return &reqErr
+		}
+		return decodeJSON(body, &spec)
+	})
+	if reqErr != nil {
 		return nil, reqErr
 	}
 	var p problems
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -173,3 +173,7 @@
 		closeWithAnswer(w)
 	}
 }
+
+// MaxBody returns the size of the largest body that can be read and decoded while nothing else is held: half of the part of the budget for
+// large bodies, since the decoded form takes up to the other half.
+func (l *Limits) MaxBody() int64 { return l.maxLarge() / 2 }
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -82,7 +82,7 @@
 			durationSetter(func(s *Settings) *time.Duration { return &s.ClaimInterval }, 100*time.Millisecond, 2*time.Minute)},
 		{flagMaxRequests, "count", "2048", false, "maximum number of concurrent requests that run a task; any further one is refused immediately",
 			countSetter(func(s *Settings, n int64) { s.MaxRequests = int(n) }, 1, 100_000)},
-		{flagMaxBodyBytes, "bytes", "1048576", false, "maximum size of a request's body; 16 MiB for a cancellation of tasks",
+		{flagMaxBodyBytes, "bytes", "1048576", false, "maximum size of a request's body; 16 MiB for a cancellation of tasks; both at most three eighths of the input memory",
 			countSetter(func(s *Settings, n int64) { s.MaxBodyBytes = n }, 1<<10, 64<<20)},
 		{flagRequestTimeout, unitDuration, "30s", false, "timeout of a request whose caller gives none",
 			durationSetter(func(s *Settings) *time.Duration { return &s.RequestTimeout }, time.Millisecond, time.Hour)},
