peer: a session reads no further than its streams are read

Cause: yamux takes in up to 256 KB for each stream, whether it is read or not, and keeps the buffer while the stream is open. Relays of many daemons at once were held there before the server could refuse them.

Change: between two frames a session waits, half a second at most, until its streams hold no more than 32 KB unread; a stream keeps no buffer for what was read. Nothing changes on the wire.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -193,7 +193,8 @@
 		conn.Close()
 		return
 	}
-	mux, err := yamux.Server(&frameConn{Conn: opened}, serverMuxConfig())
+	inflow := newInflowConn(opened)
+	mux, err := yamux.Server(&frameConn{Conn: inflow}, serverMuxConfig())
 	if err != nil {
 		conn.Close()
 		return
@@ -221,7 +222,7 @@
 		case <-mux.CloseChan():
 			return
 		}
-		go s.serveStream(ctx, stream, func(whole bool) {
+		go s.serveStream(ctx, stream, inflow, func(whole bool) {
 			<-reading
 			if whole {
 				stranger.Stop()
@@ -247,10 +248,10 @@
 }
 
 // serveStream reads one request and answers it. It calls arrived once the request was read or given up.
-func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream, arrived func(whole bool)) {
+func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream, inflow *inflowConn, arrived func(whole bool)) {
 	defer stream.Close()
 	_ = stream.SetReadDeadline(time.Now().Add(s.requestReadTimeout)) // fails only on a closed stream
-	in := &countingReader{r: stream}
+	in := &countingReader{r: inflowReader{stream, inflow}}
 	reader := newReader(in)
 	held := share{room: s.room}
 	defer held.release()
@@ -265,7 +266,6 @@
 		return
 	}
 	_ = stream.SetReadDeadline(time.Time{})
-	stream.Shrink()
 	counts := s.traffic.of(TrafficOf(req))
 	counts.calls.Inc()
 	counts.received.Add(in.n)
