--- a/internal/edge/input.go
+++ b/internal/edge/input.go
@@ -36,8 +36,8 @@
 // What a decoded body holds of the budget for each of its bytes: while it is decoded, and until the request is answered, since a payload
 // is kept for as long.
 const (
-	decodingPerByte = 5
-	keptPerByte     = 2
+	decodingPerByte = 10
+	keptPerByte     = 5
 )
 
 // heldKey is the key of the function that gives back what a request holds of the budget, a *func() in its context.
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -177,6 +177,7 @@
 	}
 	d.Owner = owner.New(ownerOptions)
 	replica.OnJobChange(d.Owner.JobChanged)
+	server.SetLimits(d.Limits)
 	server.Serve(d)
 	return d, nil
 }
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -40,8 +40,12 @@
 	// reservedDescriptors are kept for files.
 	reservedDescriptors = 200
 	minConns            = 16
-	maxReadinessConns   = 64
-	maxMetricsConns     = 16
+	// A small number of descriptors lowers the bounds of the other listeners, so that they leave some for workers and the store.
+	maxReadinessConns = 64
+	maxMetricsConns   = 16
+	otherConnsShare   = 16
+	peerConnsShare    = 4
+	minOtherConns     = 4
 	// maxPeerConns leaves a few sessions for each of 300 other daemons.
 	maxPeerConns = 1200
 
@@ -163,7 +167,13 @@
 func New(o Options, logger *log.Logger, set *metrics.Set) *Limits {
 	l := &Limits{options: o.withDefaults(), log: logger, now: time.Now, refused: make(map[string]*metrics.Counter), unlogged: make(map[string]int)}
 	l.maxHeaderBytes.Store(int64(l.options.MaxHeaderBytes))
-	l.maxConns = [roles]int{Callers: l.options.MaxConns, Readiness: maxReadinessConns, Metrics: maxMetricsConns, Peers: maxPeerConns}
+	free := max(0, l.options.Descriptors-reservedDescriptors)
+	l.maxConns = [roles]int{
+		Callers:   l.options.MaxConns,
+		Readiness: max(minOtherConns, min(maxReadinessConns, free/otherConnsShare)),
+		Metrics:   max(minOtherConns, min(maxMetricsConns, free/otherConnsShare)),
+		Peers:     max(minOtherConns, min(maxPeerConns, free/peerConnsShare)),
+	}
 	for role := range roles {
 		l.conns[role] = make(map[*conn]struct{})
 		set.GetOrCreateGauge(fmt.Sprintf(`laburnumpoint_inbound_connections{listener=%q}`, role), func() float64 { return float64(l.openConns(role)) })
--- a/internal/settings/input.go
+++ b/internal/settings/input.go
@@ -15,7 +15,7 @@
 const (
 	minMemoryMB       = 64
 	maxMemoryMB       = 1 << 24
-	minDescriptors    = 512
+	minDescriptors    = 256
 	maxDescriptors    = 1 << 24
 	minConnections    = 16
 	maxConnections    = 1 << 20
@@ -40,7 +40,7 @@
 	case !within(o.MemoryBytes>>20, minMemoryMB, maxMemoryMB):
 		return flagMemory, "0, or 64 and more"
 	case !within(int64(o.Descriptors), minDescriptors, maxDescriptors):
-		return flagMaxDescriptors, "0, or 512 and more"
+		return flagMaxDescriptors, "0, or 256 and more"
 	case !within(int64(o.MaxConns), minConnections, maxConnections):
 		return flagMaxConnections, "0, or 16 to 1048576"
 	case !within(o.BudgetBytes>>20, minInputMemoryMB, maxMemoryMB):
