peer: fewer streams of a session wait, and are read at once

TestCrowdOfPeerMessages was once at 69 MB of 64 in five runs: 20,000 streams of ten sessions, of which yamux kept 2,048 a session and the server read 256 at once. A daemon has at most 1,088 calls open to another, so that many wait now, and 64 are read at once.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -50,7 +50,9 @@
 	// streamCloseTimeout is far longer than a session stays open without an answer to a ping, so a reset stream always
 	// means that the receiver did not accept it.
 	streamCloseTimeout = 1 * time.Hour
-	acceptBacklog      = 2048
+	// acceptBacklog bounds the streams of a session that wait to be served. A daemon has at most maxRequestCallsPerPeer and
+	// maxControlCallsPerPeer open.
+	acceptBacklog = maxRequestCallsPerPeer + maxControlCallsPerPeer
 	// maxOpenAttempts limits the sessions on which one call tries to open a stream. No byte of the request has been sent
 	// by then.
 	maxOpenAttempts = 2
@@ -71,7 +73,7 @@
 	maxControlCallsPerPeer = 64
 	maxHandledRequests     = 8192
 	// maxStreamsReading limits the streams of a session whose request is being read; further ones wait.
-	maxStreamsReading = 256
+	maxStreamsReading = 64
 )
 
 // Handler answers requests. Its context ends when the calling daemon closes the stream, the session is lost or the server
