Findings of the review of the limits of input

- A session between daemons stood still under a burst of relays: of 1,000 commands at once up to 938 failed.
- A crowd of silent connections pushed out those in use, such as the balancer's checks: connections on which nothing has arrived go first (TestNewConnectionsDoNotPushOutOneInUse).
- Sixteen tiny requests that announce a body closed the metrics for good: listeners that read no body refuse it at once (TestListenersWithoutBodiesDoNotWaitForThem), and have a bound on the time for answers, as callers have one of three minutes.
- Reads were closed for a charge that found no room all the same (TestNoReadIsClosedInVain).
- Callers' connections may take a fifth of the memory instead of an eighth: 1,884 on a VM of 184 MB.
A log line has 64 bytes of a path at most.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -462,10 +462,13 @@
 	s.answerSeconds[command].Update(s.Clock.Now().Sub(start).Seconds())
 }
 
+// maxLoggedPath bounds what a log line has of a path that may be any text, in bytes.
+const maxLoggedPath = 64
+
 // recordAnswer counts an answer and logs it, except for the OK answers of State.
 func (s *Service) recordAnswer(command string, admitted admission, a Answer) Answer {
 	if a.Result != OK || command != labelState {
-		line := s.Log.Info().Str("job", admitted.rest).Str("command", command).Str("result", a.Result.String()).Str("detail", a.Detail).Dur("retry_after", a.RetryAfter).Uint64("config", s.configVersion()).Dur("ledger_age", s.Replica.Age())
+		line := s.Log.Info().Str("job", admitted.rest[:min(len(admitted.rest), maxLoggedPath)]).Str("command", command).Str("result", a.Result.String()).Str("detail", a.Detail).Dur("retry_after", a.RetryAfter).Uint64("config", s.configVersion()).Dur("ledger_age", s.Replica.Age())
 		if admitted.organisation != "" {
 			line = line.Str("organisation", admitted.organisation)
 		}
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -36,6 +36,9 @@
 	configMargin      = 100 * time.Millisecond
 	headerTimeout     = 3 * time.Second
 	callerIdleTimeout = 15 * time.Second
+	// callerWriteTimeout bounds a request from its head to the end of its answer: a body, the longest time that a caller may wait, and as
+	// long for a slow reader of the answer.
+	callerWriteTimeout = 3 * inbound.DefaultBodyTimeout
 )
 
 // Settings are the settings of a daemon.
@@ -237,6 +240,7 @@
 		Handler:           d.backends.NewCallerHandler(d.Service, d.Limits),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdleTimeout,
+		WriteTimeout:      callerWriteTimeout,
 	}
 	serverErrors := make(chan error, 3)
 	for _, s := range []struct {
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -290,8 +290,26 @@
 	})
 }
 
+// refuseBodies refuses requests with a body, for listeners that read none: package net/http would wait for it before a long answer.
+func refuseBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			closeWithAnswer(w)
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// shortWriteTimeout bounds the time for answers of listeners that read no body.
+const shortWriteTimeout = 10 * time.Second
+
 // Configure lets a server keep to the limits. Its listener must come from Listener. Timeouts that are set stay.
-func (l *Limits) Configure(s *http.Server, _ Role) {
+func (l *Limits) Configure(s *http.Server, role Role) {
+	if s.WriteTimeout == 0 && role != Callers {
+		s.WriteTimeout = shortWriteTimeout
+	}
 	s.MaxHeaderBytes = l.options.MaxHeaderBytes
 	if s.ReadHeaderTimeout == 0 {
 		s.ReadHeaderTimeout = DefaultHeaderTimeout
@@ -311,6 +329,9 @@
 	}
 	if s.Handler != nil {
 		s.Handler = l.endUnreadBodies(s.Handler)
+		if role != Callers {
+			s.Handler = refuseBodies(s.Handler)
+		}
 	}
 	s.ConnState = func(inner net.Conn, state http.ConnState) {
 		if c, ok := inner.(*conn); ok {
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -34,7 +34,7 @@
 
 	// budgetShare and connectionShare are the parts of the memory, as divisors, that input and callers' connections may take.
 	budgetShare     = 4
-	connectionShare = 8
+	connectionShare = 5
 	// connectionBytes is what an idle connection takes: a stack, two buffers and the kernel's part.
 	connectionBytes = 20 << 10
 	// reservedDescriptors are kept for files.
@@ -258,6 +258,9 @@
 	if c != nil && c.gone {
 		return nil, ErrNoRoom
 	}
+	if !l.canMakeRoom(c, small, large) {
+		return nil, ErrNoRoom
+	}
 	for {
 		noLarge := large > 0 && l.large+large > l.maxLarge()
 		if !noLarge && l.small+l.large+small+large <= l.options.BudgetBytes {
@@ -279,6 +282,24 @@
 	return victims, nil
 }
 
+// canMakeRoom reports whether there is room, or would be without the reads that may be closed, so that none is closed in vain.
+func (l *Limits) canMakeRoom(c *conn, small, large int64) bool {
+	allSmall, allLarge := l.small+small, l.large+large
+	if allLarge <= l.maxLarge() && allSmall+allLarge <= l.options.BudgetBytes {
+		return true
+	}
+	now := l.now()
+	for _, conns := range l.conns {
+		for v := range conns {
+			if v != c && v.reading() && now.Sub(v.since) >= evictionGrace {
+				allSmall -= v.small
+				allLarge -= v.large
+			}
+		}
+	}
+	return (large == 0 || allLarge <= l.maxLarge()) && allSmall+allLarge <= l.options.BudgetBytes
+}
+
 // refund gives back bytes that charge has taken. What a closed connection had is already given back.
 func (l *Limits) refund(c *conn, small, large int64) {
 	l.mu.Lock()
@@ -337,16 +358,19 @@
 	}
 }
 
-// admit adds a connection. At the role's bound it closes another one for it: the one that is idle longest, or else the read with the
-// least progress. It reports false if there is none.
+// admit adds a connection. At the role's bound it closes another one for it: the oldest on which nothing has arrived, or else the read with
+// the least progress, or else the one that is idle longest. It reports false if there is none.
 func (l *Limits) admit(c *conn) bool {
 	l.mu.Lock()
 	var victims []*conn
 	if len(l.conns[c.role]) >= l.maxConns[c.role] {
-		victim := l.longestIdle(c.role)
+		victim := l.oldestFresh(c.role)
 		if victim == nil {
 			victim = l.leastProgress(func(v *conn) bool { return v.role == c.role })
 		}
+		if victim == nil {
+			victim = l.longestIdle(c.role)
+		}
 		if victim == nil {
 			l.mu.Unlock()
 			l.count(c.role.String(), reasonConnections)
@@ -362,15 +386,23 @@
 	return true
 }
 
-// longestIdle returns the connection that is idle longest. One that has only just been opened counts as a read that may still come.
+// oldestFresh returns the oldest connection on which nothing has arrived yet. It goes before those that have been used, such as that of
+// the balancer's checks: a crowd of new connections can't push these out.
+func (l *Limits) oldestFresh(role Role) *conn {
+	var oldest *conn
+	for c := range l.conns[role] {
+		if c.fresh && (oldest == nil || c.since.Before(oldest.since)) {
+			oldest = c
+		}
+	}
+	return oldest
+}
+
+// longestIdle returns the connection that is idle longest, nil if none is idle.
 func (l *Limits) longestIdle(role Role) *conn {
 	var longest *conn
-	now := l.now()
 	for c := range l.conns[role] {
-		if c.phase != phaseIdle || (c.fresh && now.Sub(c.since) < evictionGrace) {
-			continue
-		}
-		if longest == nil || c.idleSince().Before(longest.idleSince()) {
+		if c.phase == phaseIdle && (longest == nil || c.idleSince().Before(longest.idleSince())) {
 			longest = c
 		}
 	}
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -653,3 +653,80 @@
 		}
 	}
 }
+
+// Guards against the balancer's checks, and other clients that have been served, being pushed out by a crowd of connections that send nothing.
+func TestNewConnectionsDoNotPushOutOneInUse(t *testing.T) {
+	l, clock := newTestLimits(Options{MaxConns: 16})
+	used, inner := open(t, l, "GET / HTTP/1.1\r\n\r\n")
+	used.setState(http.StateActive)
+	used.setState(http.StateIdle)
+	for range 100 {
+		clock.pass(10 * time.Millisecond)
+		if !l.admit(newConn(l, &nopConn{}, Callers)) {
+			t.Error("a new connection finds no place beside silent ones")
+		}
+	}
+	if inner.closed {
+		t.Error("the connection in use is closed for new ones that send nothing")
+	}
+}
+
+// Guards against reads that are closed for a charge that finds no room all the same.
+func TestNoReadIsClosedInVain(t *testing.T) {
+	l, clock := newTestLimits(Options{BudgetBytes: 1 << 20})
+	taken, err := l.Reserve(l.maxLarge() / 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken()
+	var reads []*nopConn
+	for range 4 {
+		c, inner := open(t, l, "POST / HTTP/1.1\r\n")
+		c.setState(http.StateActive)
+		c.beginBody()
+		if err := l.charge(c, 0, 1<<10); err != nil {
+			t.Fatal(err)
+		}
+		reads = append(reads, inner)
+	}
+	clock.pass(2 * evictionGrace)
+	if err := l.charge(nil, 0, l.maxLarge()); err != ErrNoRoom {
+		t.Errorf("%v, want no room", err)
+	}
+	for _, inner := range reads {
+		if inner.closed {
+			t.Error("a read is closed though that makes no room")
+		}
+	}
+}
+
+// Guards against metrics and readiness being taken by a few requests that announce a body: package net/http waits for it before a long answer.
+func TestListenersWithoutBodiesDoNotWaitForThem(t *testing.T) {
+	l, _ := newTestLimits(Options{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 16<<10))
+	})}
+	l.Configure(s, Metrics)
+	go func() { _ = s.Serve(l.Listener(listener, Metrics)) }()
+	defer s.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\nx"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("status %s, want 400 at once", resp.Status)
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -72,8 +72,11 @@
 	maxRequestCallsPerPeer = 1024
 	maxControlCallsPerPeer = 64
 	maxHandledRequests     = 8192
-	// maxStreamsReading limits the streams of a session whose request is being read; further ones wait.
-	maxStreamsReading = 64
+	// maxStreamsReading limits the streams of all sessions whose request is being read; further ones wait. A process with less than
+	// streamMemory for each reads fewer, but minStreamsReading.
+	maxStreamsReading = 4096
+	minStreamsReading = 256
+	streamMemory      = 128 << 10
 )
 
 // Handler answers requests. Its context ends when the calling daemon closes the stream, the session is lost or the server
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -32,6 +32,9 @@
 	// refused counts requests for which there was no room; strangers counts connections without a whole request.
 	refused, strangers *metrics.Counter
 
+	// reading limits the streams whose request is being read.
+	reading chan struct{}
+
 	mu       sync.Mutex
 	stopping bool
 	// handling counts the requests being handled.
@@ -65,6 +68,7 @@
 		base:         base,
 		cancel:       cancel,
 		requestSlots: make(chan struct{}, maxHandledRequests),
+		reading:      make(chan struct{}, maxStreamsReading),
 		room:         newRoom(nil),
 
 		firstFrameTimeout: firstFrameTimeout, requestReadTimeout: requestReadTimeout,
@@ -85,6 +89,7 @@
 // SetLimits makes connections and requests draw on the limits of the process. It is called before Serve.
 func (s *Server) SetLimits(limits *inbound.Limits) {
 	s.listener = limits.Listener(s.listener, inbound.Peers)
+	s.reading = make(chan struct{}, min(maxStreamsReading, max(minStreamsReading, limits.Options().MemoryBytes/streamMemory)))
 	s.SetBudget(limits)
 }
 
@@ -211,19 +216,18 @@
 	defer stranger.Stop()
 	ctx, cancel := context.WithCancel(s.base)
 	defer cancel()
-	reading := make(chan struct{}, maxStreamsReading)
 	for {
 		stream, err := mux.AcceptStream()
 		if err != nil {
 			return
 		}
 		select {
-		case reading <- struct{}{}:
+		case s.reading <- struct{}{}:
 		case <-mux.CloseChan():
 			return
 		}
 		go s.serveStream(ctx, stream, inflow, func(whole bool) {
-			<-reading
+			<-s.reading
 			if whole {
 				stranger.Stop()
 			}
--- a/internal/settings/input.go
+++ b/internal/settings/input.go
@@ -28,7 +28,7 @@
 const (
 	usageMemory         = "memory that the process may use; 0 for that of the VM"
 	usageMaxDescriptors = "descriptors that the process may have open; 0 for the process's limit"
-	usageMaxConnections = "maximum number of callers' connections; at it the one that is idle longest, or the one that makes least progress, is closed for a new one; 0 for the least of half of the descriptors, less 200 for files, and one for each 160 KiB of memory"
+	usageMaxConnections = "maximum number of callers' connections; at it one that has sent nothing, makes least progress or is idle longest is closed for a new one; 0 for the least of half of the descriptors, less 200 for files, and one for each 100 KiB of memory"
 	usageInputMemory    = "memory for what is read from others and decoded, a quarter of it for small requests only; 0 for a quarter of the memory"
 	usageMaxHeaderBytes = "maximum size of a request's headers; larger ones are refused with 431"
 )
