--- a/internal/dispatch/uneven_test.go
+++ b/internal/dispatch/uneven_test.go
@@ -495,14 +495,16 @@
 	for range 10 {
 		var siblings workerspeed.Siblings
 		open := len(c.workers)
-		for name, w := range c.workers {
-			takes := time.Second
-			if name == id {
-				takes = 2 * time.Second
-			}
-			siblings.Add(pool, c.now, workerspeed.Run{Worker: &w.speed, Time: takes}, len(c.workers), open-1)
+		end := func(name WorkerID, takes time.Duration) {
 			open--
+			siblings.Add(pool, c.now, workerspeed.Run{Worker: &c.workers[name].speed, Time: takes}, len(c.workers), open)
+		}
+		for _, name := range slices.Sorted(maps.Keys(c.workers)) { // runs end in order of their times
+			if name != id {
+				end(name, time.Second)
+			}
 		}
+		end(id, 2*time.Second)
 	}
 	c.speedsRefreshedAt = 0
 	c.planByKind()
