A suspect's next run waits until its last crash is recorded

Change: after a crash that makes or keeps a task a suspect, its next run waits for the commit of its job's progress. Other tasks of the job, and long-running tasks, which have no bound, don't wait. Each owner can now lose at most the last crash. Explain says what waits.

Tests that drive the engine without a store confirm the records themselves.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -231,6 +231,9 @@
 		t.crashes = slices.Delete(t.crashes, 0, 1)
 	}
 	t.crashes = append(t.crashes, c)
+	if t.isSuspect() && !t.step.def.LongRunning {
+		t.awaitsRecord = t.step.job.recordsTaken + 1 // the next owner must know of this crash before another one can follow
+	}
 	t.step.countSuspects()
 	return true
 }
@@ -384,6 +387,20 @@
 	return len(t.crashes)+t.silences >= minSuspectCrashes || t.likelyCrashes() > 0
 }
 
+// isAwaitingRecord reports whether a crash that counts for the task is not durable yet, so that its next run has to wait.
+func (t *task) isAwaitingRecord() bool { return t.step.job.recorded < t.awaitsRecord }
+
+// countAwaitingRecord counts the step's open tasks whose next run waits for a record.
+func (s *step) countAwaitingRecord() int {
+	n := 0
+	for _, t := range s.tasks {
+		if !t.done && t.isAwaitingRecord() {
+			n++
+		}
+	}
+	return n
+}
+
 // countSuspects counts the step's open tasks that are suspects.
 func (s *step) countSuspects() {
 	s.suspects = 0
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -63,6 +63,7 @@
 			}
 		}
 	}
+	c.record()
 	c.advance(100 * time.Millisecond)
 	for id, w := range c.workers {
 		var report Report
@@ -88,6 +89,7 @@
 func (c *fixture) startOn(task graph.TaskID) WorkerID {
 	c.t.Helper()
 	for range 300 {
+		c.record()
 		c.planByKind()
 		if r := c.task(task).run; r != nil {
 			return r.worker.ID
@@ -147,6 +149,41 @@
 	}
 }
 
+// Guards against a task that crashes its workers being started more often than its bound by owners that are lost one after the other before
+// the store has their counts.
+func TestCrashThatIsNotRecordedKeepsTheTaskFromItsNextRun(t *testing.T) {
+	const maxStarts = 5 // three crashes and two more starts
+	var progress *Progress
+	starts := 0
+	for owner := range 10 {
+		c := newFixture(t, uint64(owner+1))
+		c.advance(time.Second)
+		for i := range 5 {
+			c.addWorker(fmt.Sprint("w", i), 100)
+		}
+		c.AddJob(JobInput{ID: "j", Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(1)}}, ArrivedAt: c.virtualTime, Progress: progress})
+		for range 5 { // without an answer of the store
+			ordered, _, _ := c.planByKind()
+			for _, s := range ordered {
+				starts++
+				c.crashOne(s)
+			}
+		}
+		if starts > 1 && owner == 0 {
+			t.Fatalf("%d starts while the first crash was not recorded, want one", starts)
+		}
+		// The store has it when the owner is lost.
+		p := c.TakeDirty(10)["j"]
+		progress = &p
+		if p.State == graph.Failed {
+			break
+		}
+	}
+	if starts > maxStarts || progress.State != graph.Failed {
+		t.Errorf("the task was started %d times, want at most %d; the job is %s, want failed", starts, maxStarts, progress.State)
+	}
+}
+
 // Guards against a task being restarted without end whose workers crash late in its runs: no such crash tells that the task is its cause.
 func TestTaskOfManyCrashedWorkersIsGivenUp(t *testing.T) {
 	c := newFixture(t, 1)
@@ -332,6 +369,7 @@
 	task := c.task(runKey(crashing, 0, 0, 0).Task)
 	starts := 0
 	for range 20 {
+		c.record()
 		ordered, _, _ := c.planByKind()
 		for _, s := range ordered {
 			c.HandleStartOutcome(s.Worker, s.RunKey, Started)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -386,11 +386,19 @@
 		e.dirty = e.dirty[1:]
 		rows += j.progressRows()
 		j.dirty, j.endTaken = false, j.state.Ended()
+		j.recordsTaken++
 		changed[j.id] = j.progress()
 	}
 	return changed
 }
 
+// ConfirmRecorded notes that the progress of a job that TakeDirty returned last is durable.
+func (e *Engine) ConfirmRecorded(id graph.JobID) {
+	if j := e.jobs[id]; j != nil {
+		j.recorded = j.recordsTaken
+	}
+}
+
 // DirtyJobs returns the jobs whose progress has to be recorded.
 func (e *Engine) DirtyJobs() []graph.JobID {
 	ids := make([]graph.JobID, len(e.dirty))
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -45,6 +45,13 @@
 	return graph.Step{Count: n, Claim: graph.Resources{MilliCPU: 100, MemoryMB: 10}, Estimate: time.Second, After: after}
 }
 
+// record makes the progress of all jobs durable.
+func (c *fixture) record() {
+	for id := range c.TakeDirty(1000) {
+		c.ConfirmRecorded(id)
+	}
+}
+
 // planByKind returns the orders of a plan by their kind.
 func (c *fixture) planByKind() (starts []Start, stops []Stop, requests []PermitRequest) {
 	for _, order := range c.Plan(0) {
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -54,6 +54,9 @@
 	if s.suspects > 0 {
 		line += fmt.Sprintf(", %d may have crashed their worker", s.suspects)
 	}
+	if n := s.countAwaitingRecord(); n > 0 {
+		line += fmt.Sprintf(", %d wait until the crash of a worker is recorded", n)
+	}
 	if s.unplacedCount() == 0 {
 		return line
 	}
--- a/internal/dispatch/history_test.go
+++ b/internal/dispatch/history_test.go
@@ -826,6 +826,9 @@
 		}
 		return
 	}
+	for id := range r.progress {
+		h.engine.ConfirmRecorded(id)
+	}
 	h.validUntil = r.sent.Add(historyOwnershipTTL)
 	for _, id := range slices.Sorted(slices.Values(r.newWorkers)) {
 		h.addWorkerView(id, false)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -312,8 +312,10 @@
 	// crashes are the crashes of the task's workers that count for it.
 	crashes []taskCrash
 	// silences counts the task's runs whose worker fell silent, as long as that is not settled. The next run is not started before notBefore.
-	silences      int
-	notBefore     monotime.Instant
+	silences  int
+	notBefore monotime.Instant
+	// awaitsRecord is which record of the job's progress, in the order of TakeDirty, has the task's last crash; 0 if no run waits for one.
+	awaitsRecord  uint64
 	lastRunNumber uint64
 	checkpoint    string
 	run           *run
@@ -452,6 +454,8 @@
 	dirty            bool
 	// endTaken means that TakeDirty has returned the job's final progress, or that it is recorded already.
 	endTaken bool
+	// recordsTaken counts the records that TakeDirty has returned; recorded is the last of them that is durable.
+	recordsTaken, recorded uint64
 	// failure is why the job has failed, for operators; empty if this owner doesn't know.
 	failure string
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -232,11 +232,11 @@
 // unplacedCount counts the tasks that are not done and have no run.
 func (s *step) unplacedCount() int { return s.openTasks - s.placedTasks }
 
-// unplacedTasks returns the tasks that may be started now: neither done nor with a run, current or surplus.
+// unplacedTasks returns the tasks that may be started now: neither done nor with a run, current or surplus, nor kept from their next run.
 func (s *step) unplacedTasks(now monotime.Instant) []*task {
 	var open []*task
 	for _, t := range s.tasks {
-		if !t.done && t.run == nil && t.surplusRuns == 0 && now >= t.notBefore {
+		if !t.done && t.run == nil && t.surplusRuns == 0 && now >= t.notBefore && !t.isAwaitingRecord() {
 			open = append(open, t)
 		}
 	}
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -177,6 +177,7 @@
 func (w *simulation) recordProgress() {
 	for id, p := range w.engine.TakeDirty(1000) {
 		w.records[id] = p
+		w.engine.ConfirmRecorded(id)
 	}
 	for id, sequence := range w.engine.LastEndSequences() {
 		worker := w.workers[id]
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -22,6 +22,7 @@
 		t.Fatalf("runs %v ended with the worker's process, want %v", ended, first)
 	}
 	c.SetReachable(w, true)
+	c.record()
 	starts, _, _ := c.planByKind()
 	if len(starts) != 1 || starts[0].Number != 2 {
 		t.Fatalf("starts %v after the restart, want run 2", starts)
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -140,6 +140,7 @@
 		c.startUsingWorker(w)
 	}
 	for id, p := range batch.Progress {
+		c.engine.ConfirmRecorded(id)
 		if p.State.Ended() {
 			c.Log.Info().Str("job", string(id)).Str("state", string(p.State)).Uint64("epoch", c.ownership.Epoch()).Msg("job ended")
 			c.scheduleRemoval(id, true)
--- a/internal/owner/failure_log_test.go
+++ b/internal/owner/failure_log_test.go
@@ -35,6 +35,9 @@
 					c.engine.HandleStartOutcome("w", order.(dispatch.Start).RunKey, dispatch.Started)
 				}
 				c.engine.RemoveWorker("w", dispatch.WorkerCrashed)
+				for id := range c.engine.TakeDirty(10) {
+					c.engine.ConfirmRecorded(id)
+				}
 			}
 		}, []string{`"cause":"crashes"`, "worker w crashed, proven true, likely cause true, sole true", `"message":"crash counted for a task"`}},
 	}
