All crashes of a task that is given up are taken off the others

Cause: the crashes of the task that is given up were read while exonerate deleted them from the same slice, so that every other one was skipped and went on counting against the tasks that had run beside it: a step towards the failure of jobs that had done nothing.

Change: a copy is read. The new test counts one crash for the task beside on the code before, none now.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -271,7 +271,7 @@
 	if cause == nil {
 		return
 	}
-	crashes := cause.crashes
+	crashes := slices.Clone(cause.crashes) // exonerate shortens the original
 	j, id := cause.step.job, cause.id()
 	c.report.GivenUp, c.report.Crashes = &id, len(crashes)
 	e.stats.GivenUp++
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -130,6 +130,26 @@
 	}
 }
 
+// Guards against crashes whose cause has been found counting on against the tasks that ran beside it: only every other one was taken off.
+func TestAllCrashesOfATaskThatIsGivenUpAreTakenOffTheOthers(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	c.addWorker("w", 200)
+	beside := c.addJob("b", false, plainStep(1))
+	crashing := c.addJob("a", false, plainStep(1))
+	for range maxLikelyCrashes {
+		c.startRun(c.task(runKey(beside, 0, 0, 0).Task), c.workers["w"], c.nextRunNumber(c.task(runKey(beside, 0, 0, 0).Task).lastRunNumber))
+		c.advance(2 * startSpread)
+		c.startRun(c.task(runKey(crashing, 0, 0, 0).Task), c.workers["w"], c.nextRunNumber(c.task(runKey(crashing, 0, 0, 0).Task).lastRunNumber))
+		c.crash("w")
+		c.SetReachable("w", true)
+	}
+	c.wantState(crashing, graph.Failed)
+	if n := len(c.task(runKey(beside, 0, 0, 0).Task).crashes); n != 0 {
+		t.Errorf("%d crashes count for the task beside the one that was given up, want none", n)
+	}
+}
+
 // Guards against the crashes of a task being forgotten when another daemon takes over.
 func TestCrashesCountAcrossTakeovers(t *testing.T) {
 	c := newFixture(t, 1)
