A suspect starts where no other job's task was just started

Cause: the probation of a suspect's next run kept other jobs' tasks from its worker from then on, but not those that had been started within the 100 ms before, which are as likely a cause.

Change: where the best worker for a suspect is not quiet, its probation begins before the start, and the suspect waits, for at most 1 s.

Measured: the new test has the suspect not given up after its second crash on the code before.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -257,6 +257,65 @@
 	c.startOn(runKey(other, 0, 0, 0).Task)
 }
 
+// Guards against a task that crashes its workers being started again and again just after other jobs' tasks, so that no crash tells which task
+// is the cause.
+func TestSuspectStartsOnAQuietWorker(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	c.addWorker("w1", 100)
+	suspect := c.addJob("a", false, plainStep(1))
+	c.crash(c.startOn(runKey(suspect, 0, 0, 0).Task))
+	c.RemoveWorker("w1", WorkerCrashed)
+	c.record()
+	c.addWorker("w2", 300)
+	other := c.addJob("b", false, plainStep(1))
+	task := c.task(runKey(other, 0, 0, 0).Task)
+	c.startRun(task, c.workers["w2"], c.nextRunNumber(0))
+	c.HandleStartOutcome("w2", runKey(other, 0, 0, 1), Started)
+	c.addJob("c", false, plainStep(1))
+	for c.task(runKey(suspect, 0, 0, 0).Task).run == nil {
+		starts, _, _ := c.planByKind()
+		for _, s := range starts {
+			if s.Task.Job != other && s.Task.Job != suspect {
+				t.Errorf("%v is started on the worker that the suspect waits for", s.RunKey)
+			}
+		}
+		c.advance(10 * time.Millisecond)
+		if c.virtualTime.Sub(c.workers["w2"].lastStartAt) > maxQuietWait {
+			t.Fatal("the suspect is not started")
+		}
+	}
+	c.crash("w2")
+	if crash := c.task(runKey(suspect, 0, 0, 0).Task).crashes; len(crash) != 0 {
+		t.Errorf("crashes %+v, want the task given up", crash)
+	}
+	c.wantState(suspect, graph.Failed)
+}
+
+// Guards against a suspect that is never started, since other jobs' tasks are started everywhere all the time.
+func TestSuspectWaitsForAQuietWorkerOnlyForATime(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	c.addWorker("w1", 100)
+	suspect := c.addJob("a", false, plainStep(1))
+	c.crash(c.startOn(runKey(suspect, 0, 0, 0).Task))
+	c.RemoveWorker("w1", WorkerCrashed)
+	c.record()
+	c.addWorker("w2", 10_000)
+	other := c.addJob("b", false, plainStep(90))
+	began := c.virtualTime
+	for i := 0; c.task(runKey(suspect, 0, 0, 0).Task).run == nil; i++ {
+		if c.virtualTime.Sub(began) > 2*maxQuietWait {
+			t.Fatal("the suspect is not started")
+		}
+		task := c.task(runKey(other, 0, i, 0).Task)
+		c.startRun(task, c.workers["w2"], c.nextRunNumber(0))
+		c.HandleStartOutcome("w2", runKey(other, 0, i, 1), Started)
+		c.planByKind()
+		c.advance(startSpread / 2)
+	}
+}
+
 // Guards against a job being failed for crashes of workers that may never have had its task: a start without an answer is no proof.
 func TestStartsInDoubtAreNoProofOfACrash(t *testing.T) {
 	c := newFixture(t, 1)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -315,7 +315,9 @@
 	silences  int
 	notBefore monotime.Instant
 	// awaitsRecord is which record of the job's progress, in the order of TakeDirty, has the task's last crash; 0 if no run waits for one.
-	awaitsRecord  uint64
+	awaitsRecord uint64
+	// quietWaitFrom is since when the suspect waits for a quiet worker; 0 if it doesn't.
+	quietWaitFrom monotime.Instant
 	lastRunNumber uint64
 	checkpoint    string
 	run           *run
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -181,8 +181,9 @@
 		open = notWaiting(open)
 	} else {
 		waiting := len(open)
-		open = e.placeTasks(s, p, workers, open)
-		p.notePlaced(s, waiting-len(open))
+		rest, kept := e.placeSuspects(s, workers, open)
+		open = e.placeTasks(s, p, workers, rest)
+		p.notePlaced(s, waiting-kept-len(open))
 	}
 	if len(open) == 0 && len(s.locality.waits) == 0 {
 		return
