A neighbour of fewer crashes excuses no task

Change: the other task must count about as many crashes.

Measured: the new test has the job running after the fourth crash on the code before, failed now.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -331,13 +331,20 @@
 		}
 	}
 	for id := range others {
-		if other := e.task(id); id.Job != t.step.job.id && (other == nil || !other.done) {
+		if id.Job != t.step.job.id && e.countsAsOften(id, t) {
 			return seen >= minSuspectCrashes
 		}
 	}
 	return false
 }
 
+// countsAsOften reports whether a task that was present at the crashes of t that this owner has seen may have been at those of earlier
+// owners too: it counts about as many. One that it counts late, since its start was in doubt, may be missing.
+func (e *Engine) countsAsOften(id graph.TaskID, t *task) bool {
+	other := e.task(id)
+	return other == nil || (!other.done && len(other.crashes)+1 >= len(t.crashes))
+}
+
 // crashEvidence describes the crashes that count for the task, for logs.
 func (t *task) crashEvidence() []string {
 	var lines []string
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -508,6 +508,35 @@
 	}
 }
 
+// Guards against a task that crashed workers under earlier owners being excused by one that has been beside it only since.
+func TestNeighbourOfFewerCrashesExcusesNoTask(t *testing.T) {
+	const recorded = 2
+	c := newFixture(t, 2)
+	c.advance(time.Second)
+	c.addWorker("w", 400)
+	p := Progress{State: graph.Running, Started: true, Steps: []StepProgress{{Tasks: []TaskProgress{{}}}}}
+	for run := range recorded {
+		p.Steps[0].Tasks[0].Crashes = append(p.Steps[0].Tasks[0].Crashes, CrashProgress{Run: uint64(run + 1), Ended: true, Proven: true})
+	}
+	c.AddJob(JobInput{ID: "a", Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(1)}}, ArrivedAt: c.virtualTime, Progress: &p})
+	c.addJob("b", false, plainStep(1))
+	for range DefaultMaxCrashes - recorded {
+		c.wantState("a", graph.Running)
+		for _, id := range []graph.JobID{"b", "a"} {
+			task := c.task(runKey(id, 0, 0, 0).Task)
+			c.startRun(task, c.workers["w"], c.nextRunNumber(task.lastRunNumber))
+		}
+		for key := range c.workers["w"].runs {
+			c.HandleStartOutcome("w", key, Started)
+		}
+		c.advance(2 * promptCrashTime)
+		c.HandleRestart("w", WorkerCrashed, c.virtualTime)
+		c.SetReachable("w", true)
+	}
+	c.wantState("a", graph.Failed)
+	c.wantState("b", graph.Running)
+}
+
 // Guards against a crashing task being started without end since a neighbour was there each time: on the only worker of a pool, and where
 // each owner sees one crash.
 func TestNeighboursExcuseACrashingTaskOnlyForATime(t *testing.T) {
