An owner that resigns hands over the crashes it could not record

Change: the message that asks the successor to take over has the crashes that wait for a record, and the jobs that were failed for them: at most 256 jobs and 32 KiB, dropped beyond that. Only the next owner adopts them, and records them before the tasks' next runs. Older daemons ignore the field.

Measured: the new tests start the task at once without the handover.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -204,6 +204,43 @@
 	}
 }
 
+// Guards against the next owner not knowing the crashes that an owner which resigns could not record, or that it has failed a job for them.
+func TestUnrecordedCrashesReachTheNextOwner(t *testing.T) {
+	for crashes := 1; crashes <= maxLikelyCrashes; crashes++ {
+		t.Run(fmt.Sprint(crashes), func(t *testing.T) {
+			c := newFixture(t, 1)
+			c.advance(time.Second)
+			c.addWorker("w1", 100)
+			j := c.addJob("j", false, plainStep(1))
+			for range crashes {
+				c.crash(c.startOn(runKey(j, 0, 0, 0).Task))
+				c.SetReachable("w1", true)
+			}
+			next := newFixture(t, 2)
+			next.advance(time.Second)
+			next.addJob("j", false, plainStep(1))
+			for id, p := range c.UnrecordedCrashes(10) {
+				next.AdoptCrashes(id, p)
+			}
+			next.addWorker("w2", 100)
+			if starts, _, _ := next.planByKind(); len(starts) != 0 {
+				t.Error("the task is started before the crashes are recorded")
+			}
+			if crashes == maxLikelyCrashes {
+				next.wantState(j, graph.Failed)
+				return
+			}
+			next.startOn(runKey(j, 0, 0, 0).Task)
+			if n := len(next.task(runKey(j, 0, 0, 0).Task).crashes); n != crashes {
+				t.Errorf("%d crashes count for the task, want %d", n, crashes)
+			}
+			if left := next.UnrecordedCrashes(10); len(left) != 0 {
+				t.Errorf("%v are not recorded, want none", left)
+			}
+		})
+	}
+}
+
 // Guards against a task being restarted without end whose workers crash late in its runs: no such crash tells that the task is its cause.
 func TestTaskOfManyCrashedWorkersIsGivenUp(t *testing.T) {
 	c := newFixture(t, 1)
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -36,7 +36,7 @@
 
 // failJob ends a job as failed. stopReason is that of the stops of its runs.
 func (e *Engine) failJob(j *job, cause FailureCause, reason string, evidence []string, stopReason string) {
-	j.failure = reason
+	j.failure, j.failedByCrashes = reason, cause == FailedByCrashes
 	e.jobFailures = append(e.jobFailures, JobFailure{j.id, cause, reason, evidence})
 	e.endJob(j, graph.Failed, stopReason)
 }
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -460,6 +460,8 @@
 	recordsTaken, recorded uint64
 	// failure is why the job has failed, for operators; empty if this owner doesn't know.
 	failure string
+	// failedByCrashes means that this owner has ended the job for the crashes of a task.
+	failedByCrashes bool
 }
 
 func (j *job) eachTask(visit func(*task)) {
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -185,6 +185,7 @@
 			c.scheduleRemoval(id, true)
 		}
 	}
+	c.adoptHandover()
 	for _, id := range c.Replica.OrphanedProgress() {
 		c.scheduleRemoval(id, false)
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -109,6 +109,8 @@
 	policyCallSlot chan struct{}
 	// invitedEpoch is the epoch of an owner that has asked this daemon to take over.
 	invitedEpoch atomic.Uint64
+	// handover is what that owner could not record; nil for nothing.
+	handover atomic.Pointer[handover]
 	// peerAddrs are the addresses of the daemons that the owner last listed.
 	peerAddrs atomic.Pointer[[]string]
 	// backlog is the latest summary of the owner's backlog, nil before the first.
@@ -254,6 +256,7 @@
 	if err := d.Replica.ReadOwner(ctx); err != nil {
 		d.Log.Warn().Err(err).Msg("ownership row could not be read before taking over")
 	}
+	d.keepHandover(resign)
 	d.invitedEpoch.Store(resign.Epoch)
 	return &wire.Reply{Body: &wire.Reply_Done{Done: &wire.Empty{}}}
 }
--- a/internal/owner/resign.go
+++ b/internal/owner/resign.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
+	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/wire"
 )
 
@@ -17,6 +21,9 @@
 	// storeAnswerMargin is how much later than the renewal that should have succeeded the store must have answered the
 	// successor.
 	storeAnswerMargin = 200 * time.Millisecond
+	// maxHandedOverJobs and maxHandedOverBytes bound what the message to the successor holds of jobs.
+	maxHandedOverJobs  = 256
+	maxHandedOverBytes = 32 << 10
 	// minStrongerRatio is how many times the owner's cores a successor must have for a weak owner to hand over. VMs whose
 	// cores differ by less count as about as strong.
 	minStrongerRatio = 1.5
@@ -52,7 +59,7 @@
 func (c *controller) handOver() {
 	if successor := c.permits.lastStartedSuccessor(c.now(), c.Cores); successor != nil {
 		c.Log.Info().Uint64("epoch", c.ownership.Epoch()).Str("successor", successor.addr).Str("why", "planned stop").Msg("resigning")
-		if c.inviteSuccessor(successor.addr) {
+		if c.inviteSuccessor(successor.addr, c.resignation()) {
 			return
 		}
 	}
@@ -64,14 +71,65 @@
 	c.Log.Warn().Uint64("epoch", c.ownership.Epoch()).Str("successor", successor.addr).Str("why", why).Float64("cores", c.Cores).Float64("successor_cores", successor.cores).Dur("since_renewal", c.now().Sub(c.lastRenewalAt)).Msg("resigning")
 	// No order may be given after this: the successor relies on it.
 	c.loseOwnership("resigned")
-	go c.inviteSuccessor(successor.addr)
+	go c.inviteSuccessor(successor.addr, c.resignation())
+}
+
+// resignation returns the message to the successor.
+func (c *controller) resignation() *wire.Resign {
+	body := &wire.Resign{Epoch: c.ownership.Epoch()}
+	size := 0
+	for id, p := range c.engine.UnrecordedCrashes(maxHandedOverJobs) {
+		data, err := json.Marshal(p)
+		if err != nil || size+len(data) > maxHandedOverBytes {
+			c.Log.Warn().Str("job", string(id)).Err(err).Msg("crashes of a job's tasks are not handed over")
+			continue
+		}
+		size += len(data)
+		body.Unrecorded = append(body.Unrecorded, &wire.UnrecordedCrashes{Job: string(id), Progress: data})
+	}
+	return body
+}
+
+// handover is what an owner that has resigned could not record.
+type handover struct {
+	epoch   uint64
+	crashes []*wire.UnrecordedCrashes
+}
+
+// keepHandover keeps what the owner that resigns has handed over, within the bounds of the message.
+func (d *Daemon) keepHandover(resign *wire.Resign) {
+	size := 0
+	for _, unrecorded := range resign.Unrecorded {
+		size += len(unrecorded.Progress)
+	}
+	if size > maxHandedOverBytes || len(resign.Unrecorded) > maxHandedOverJobs {
+		d.Log.Warn().Int("jobs", len(resign.Unrecorded)).Int("bytes", size).Msg("handover too large, dropped")
+		return
+	}
+	d.handover.Store(&handover{resign.Epoch, resign.Unrecorded})
+}
+
+// adoptHandover applies what the owner just before this one has handed over.
+func (c *controller) adoptHandover() {
+	h := c.handover.Swap(nil)
+	if h == nil || len(h.crashes) == 0 || h.epoch+ledger.EpochStride != c.ownership.Epoch() {
+		return
+	}
+	for _, unrecorded := range h.crashes {
+		var p dispatch.Progress
+		if err := json.Unmarshal(unrecorded.Progress, &p); err != nil {
+			c.Log.Warn().Str("job", unrecorded.Job).Err(err).Msg("crashes of a job's tasks that were handed over could not be decoded")
+			continue
+		}
+		c.engine.AdoptCrashes(graph.JobID(unrecorded.Job), p)
+	}
+	c.Log.Info().Uint64("epoch", c.ownership.Epoch()).Int("jobs", len(h.crashes)).Msg("crashes adopted that the owner before could not record")
 }
 
 // inviteSuccessor asks the daemon at addr to take over, and reports whether the call succeeded.
-func (c *controller) inviteSuccessor(addr string) bool {
+func (c *controller) inviteSuccessor(addr string, body *wire.Resign) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
-	body := &wire.Resign{Epoch: c.ownership.Epoch()}
 	if _, err := c.Peers.Call(ctx, addr, &wire.Request{Body: &wire.Request_Resign{Resign: body}}); err != nil {
 		c.Log.Warn().Str("successor", addr).Err(err).Msg("successor did not answer the request to take over, ownership has to expire first")
 		return false
--- a/internal/owner/resign_test.go
+++ b/internal/owner/resign_test.go
@@ -7,6 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/rowstore"
 	"laburnumpoint/internal/wire"
@@ -108,6 +111,57 @@
 	}
 }
 
+// Guards against an owner that resigns in an outage of the store and takes the crashes of a task with it, so that its successor starts the
+// task at once; a handover counts only for the owner that follows.
+func TestSuccessorAdoptsUnrecordedCrashes(t *testing.T) {
+	for name, epochsBehind := range map[string]uint64{"next owner": 0, "later owner": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := rowstore.NewMemoryStore()
+				earlier, _ := newCommitController(ctx, t, store)
+				if n := crashOnce(t, earlier); n != 1 {
+					t.Fatalf("%d starts, want one", n)
+				}
+				body := earlier.resignation()
+				body.Epoch -= epochsBehind * ledger.EpochStride
+
+				d := newTestDaemon(store, &fakeClient{startedAt: time.Now()})
+				d.HandleResign(ctx, body)
+				ownership, err := d.Replica.Acquire(ctx, d.Replica.Owner(), ledger.OwnerRecord{Node: "b", Incarnation: "b"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				successor := newController(ctx, d, ownership, d.Clock.Now(), d.Clock.Now())
+				addOneTask(successor, "j")
+				successor.adoptHandover()
+				if got, want := crashOnce(t, successor), int(epochsBehind); got != want {
+					t.Errorf("%d starts before the crash is recorded, want %d", got, want)
+				}
+			})
+		})
+	}
+}
+
+// crashOnce lets the worker crash that starts the task of job "j", if one does, and returns the number of starts.
+func crashOnce(t *testing.T, c *controller) (starts int) {
+	t.Helper()
+	time.Sleep(time.Second)
+	c.engine.SetNow(c.now())
+	if _, known := c.engine.JobState("j"); !known {
+		addOneTask(c, "j")
+	}
+	c.engine.PutWorker(dispatch.Worker{ID: "w", Pool: "p", Capacity: graph.Resources{MilliCPU: 100}})
+	c.engine.SetReachable("w", true)
+	for _, order := range c.engine.Plan(0) {
+		c.engine.HandleStartOutcome("w", order.(dispatch.Start).RunKey, dispatch.Started)
+		starts++
+	}
+	c.engine.RemoveWorker("w", dispatch.WorkerCrashed)
+	return starts
+}
+
 // deafPeers are daemons that don't answer.
 type deafPeers struct{}
 
