Suspects that crash together are no common cause

Change: a worker on which a suspect has just started is not counted for a common cause, since its end has one.

Measured: the new test leaves all five jobs running after their second crash on the code before, and fails them now.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -14,7 +14,7 @@
 
 // A task may crash each worker that starts it, together with all other runs there. The engine counts for each task the crashes of
 // workers that ran it, across owners. A run is a likely cause if the crash came soon after its start, no other was started after it and
-// few other workers ended at that moment; a task that was that twice, once with no other job's run as likely, is given up, which fails its
+// few other workers ended at that moment for no known cause; a task that was that twice, once with no other job's run as likely, is given up, which fails its
 // job, and its crashes no longer count against the other tasks that ran beside it. The next run of a likely cause, or of a task with several
 // crashes, begins with a probation, in which no other job's task is started on its worker, so that a further crash tells which task it was.
 // A crash that comes later and a start in doubt on a worker that crashed only count towards a bound on all crashes, which long-running tasks
@@ -202,15 +202,32 @@
 	return now
 }
 
+// unreachableWorker is a worker that has stopped to answer for no cause that is known.
+type unreachableWorker struct {
+	worker WorkerID
+	at     monotime.Instant
+}
+
 // isCommonCrash reports whether the worker stopped to answer together with several others.
 func (e *Engine) isCommonCrash(w *worker) bool {
 	others := 0
-	for _, at := range e.unreachableTimes {
-		if d := at.Sub(w.unansweredFrom(e.now)); -commonCrashTime <= d && d <= commonCrashTime {
+	for _, u := range e.unreachable {
+		if d := u.at.Sub(w.unansweredFrom(e.now)); u.worker != w.ID && -commonCrashTime <= d && d <= commonCrashTime {
 			others++
 		}
 	}
-	return others > commonCrashWorkers // the worker itself is one of them
+	return others >= commonCrashWorkers
+}
+
+// hasYoungSuspect reports whether the worker started a suspect just before, which would be the cause of its end: suspects that crashed their
+// workers at the same time are started again at the same time.
+func (w *worker) hasYoungSuspect(now monotime.Instant) bool {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.isSuspect() && r.confirmedAt > 0 && now.Sub(r.orderedAt) <= startSpread {
+			return true
+		}
+	}
+	return false
 }
 
 // lastedStable reports whether the run is known to have lasted stableRunTime.
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -366,6 +366,39 @@
 	c.wantState(j, graph.Queued)
 }
 
+// Guards against tasks that crash their workers at the same moment, since their earlier workers did, passing for a common cause of these ends.
+func TestSuspectsThatCrashTogetherAreNoCommonCause(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	var jobs []graph.JobID
+	start := func(i int) {
+		task := c.task(runKey(jobs[i], 0, 0, 0).Task)
+		c.startRun(task, c.workers[WorkerID(fmt.Sprint("w", i))], c.nextRunNumber(task.lastRunNumber))
+	}
+	for i := range commonCrashWorkers + 1 {
+		jobs = append(jobs, c.addJob(fmt.Sprint("j", i), false, plainStep(1)))
+		w := c.addWorker(fmt.Sprint("w", i), 100)
+		start(i)
+		c.crash(w)
+		c.SetReachable(w, true)
+	}
+	for i := range jobs {
+		start(i)
+	}
+	for id, w := range c.workers {
+		for key := range w.runs {
+			c.HandleStartOutcome(id, key, Started)
+		}
+		c.SetReachable(id, false)
+	}
+	for id := range c.workers {
+		c.HandleRestart(id, WorkerCrashed, c.virtualTime)
+	}
+	for _, j := range jobs {
+		c.wantState(j, graph.Failed)
+	}
+}
+
 // Guards against jobs being failed for workers that fail together, for which no task can be the cause.
 func TestCommonCrashHasNoLikelyCause(t *testing.T) {
 	c := newFixture(t, 1)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -85,9 +85,9 @@
 	// unsettledSilences holds the silences that are not settled, by address.
 	unsettledSilences map[string]*silence
 	silenceReports    []SilenceReport
-	// unreachableTimes holds when workers stopped to answer, in order.
-	unreachableTimes []monotime.Instant
-	stats            Stats
+	// unreachable holds the workers that stopped to answer lately, in order.
+	unreachable []unreachableWorker
+	stats       Stats
 }
 
 // Stats counts decisions and events since the engine was created.
@@ -472,7 +472,9 @@
 		w.unreachableSince = 0
 		if !reachable {
 			w.unreachableSince = e.now
-			e.unreachableTimes = append(e.unreachableTimes, e.now)
+			if !w.hasYoungSuspect(e.now) {
+				e.unreachable = append(e.unreachable, unreachableWorker{w.ID, e.now})
+			}
 		}
 	}
 }
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -111,8 +111,8 @@
 // forgetCrashes drops the addresses that suspects no longer avoid, and the times of old silences.
 func (e *Engine) forgetCrashes() {
 	e.forgetSilences()
-	for len(e.unreachableTimes) > 0 && e.now.Sub(e.unreachableTimes[0]) >= crashedAddressTime {
-		e.unreachableTimes = e.unreachableTimes[1:]
+	for len(e.unreachable) > 0 && e.now.Sub(e.unreachable[0].at) >= crashedAddressTime {
+		e.unreachable = e.unreachable[1:]
 	}
 	for address, at := range e.crashedAddresses {
 		if e.now.Sub(at) >= crashedAddressTime {
