Every crash is recorded before the task's next run

Cause: only suspects waited for the record, so that a first crash without a likely cause, or the first one left after another task was given up for the others, was neither recorded before the next run nor handed over by an owner that resigned (the same play: two crashes of one task lost).

Change: the next run of any task but a long-running one waits for the commit that has its last crash. A crash is known some seconds after it happens, a commit takes some 30 ms.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -248,7 +248,7 @@
 		t.crashes = slices.Delete(t.crashes, 0, 1)
 	}
 	t.crashes = append(t.crashes, c)
-	if t.isSuspect() && !t.step.def.LongRunning {
+	if !t.step.def.LongRunning {
 		t.awaitsRecord = t.step.job.recordsTaken + 1 // the next owner must know of this crash before another one can follow
 	}
 	t.step.countSuspects()
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -59,6 +59,7 @@
 	c.HandleStopAnswer(w, runKey(j, 0, 0, 1), true)
 	c.advance(time.Millisecond)
 	c.HandleReport(w, c.virtualTime, Report{})
+	c.record()
 	if starts, _, _ := c.planByKind(); len(starts) != 1 || starts[0].Number != 2 {
 		t.Errorf("starts %v once the run is ruled out, want run 2", starts)
 	}
