A suspect keeps one worker while it waits for quiet

Cause, found in review: each plan chose the best worker for a waiting suspect afresh and put it on probation, so that one suspect kept several workers and a few the whole pool; each ranked the pool in every plan; it waited though another worker was quiet; and it passed by the waits for a rack or a fast worker.

Change: a suspect keeps one worker until that is quiet, for at most 1 s, looks at no other meanwhile, and at most a quarter of a pool is kept so. The score tells quiet workers exactly, so that one comes first where there is any. Steps that are placed by racks don't wait.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -329,6 +329,41 @@
 	c.wantState(suspect, graph.Failed)
 }
 
+// Guards against suspects that wait for quiet workers keeping these from other jobs' tasks: each of them one after the other, or all of them
+// the pool.
+func TestSuspectsThatWaitKeepFewWorkers(t *testing.T) {
+	const workers, suspects = 20, 10
+	c := newFixture(t, 2)
+	c.advance(time.Second)
+	for i := range workers {
+		c.addWorker(fmt.Sprint("w", i), 100_000)
+	}
+	crashed := &Progress{State: graph.Running, Started: true, Steps: []StepProgress{{Tasks: []TaskProgress{{Crashes: []CrashProgress{{Run: 1, Ended: true, Proven: true, Likely: true}}}}}}}
+	kept := make(map[WorkerID]bool)
+	for i := range 20 {
+		for w := range workers {
+			other := runKey(c.addJob(fmt.Sprintf("b%d-%d", i, w), false, plainStep(1)), 0, 0, 1)
+			c.startRun(c.task(other.Task), c.workers[WorkerID(fmt.Sprint("w", w))], other.Number)
+			c.HandleStartOutcome(WorkerID(fmt.Sprint("w", w)), other, Started)
+		}
+		if i == 0 {
+			for j := range suspects {
+				c.AddJob(JobInput{ID: graph.JobID(fmt.Sprint("s", j)), Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(1)}}, ArrivedAt: c.virtualTime, Progress: crashed})
+			}
+		}
+		c.planByKind()
+		for id, w := range c.workers {
+			if w.probation.announced {
+				kept[id] = true
+			}
+		}
+		c.advance(startSpread / 4)
+	}
+	if len(kept) > workers/announcedShare {
+		t.Errorf("%d of %d workers are kept for suspects that wait, want at most one in %d", len(kept), workers, announcedShare)
+	}
+}
+
 // Guards against a suspect that is never started, since other jobs' tasks are started everywhere all the time.
 func TestSuspectWaitsForAQuietWorkerOnlyForATime(t *testing.T) {
 	c := newFixture(t, 1)
@@ -339,15 +374,14 @@
 	c.RemoveWorker("w1", WorkerCrashed)
 	c.record()
 	c.addWorker("w2", 10_000)
-	other := c.addJob("b", false, plainStep(90))
 	began := c.virtualTime
 	for i := 0; c.task(runKey(suspect, 0, 0, 0).Task).run == nil; i++ {
 		if c.virtualTime.Sub(began) > 2*maxQuietWait {
 			t.Fatal("the suspect is not started")
 		}
-		task := c.task(runKey(other, 0, i, 0).Task)
-		c.startRun(task, c.workers["w2"], c.nextRunNumber(0))
-		c.HandleStartOutcome("w2", runKey(other, 0, i, 1), Started)
+		other := runKey(c.addJob(fmt.Sprint("b", i), false, plainStep(1)), 0, 0, 1)
+		c.startRun(c.task(other.Task), c.workers["w2"], other.Number)
+		c.HandleStartOutcome("w2", other, Started)
 		c.planByKind()
 		c.advance(startSpread / 2)
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -279,9 +279,9 @@
 	processStart time.Duration
 	// unreachableSince is when the worker stopped to answer; 0 while it answers.
 	unreachableSince monotime.Instant
-	// lastStartAt is when a run was last started on the worker, for lastStartJob.
-	lastStartAt  monotime.Instant
-	lastStartJob *job
+	// lastStartAt is when a run was last started on the worker, for lastStartJob; earlierStartAt when the last one of another job was.
+	lastStartAt, earlierStartAt monotime.Instant
+	lastStartJob                *job
 }
 
 func (w *worker) free() graph.Resources { return w.Capacity.Sub(w.used) }
@@ -315,9 +315,7 @@
 	silences  int
 	notBefore monotime.Instant
 	// awaitsRecord is which record of the job's progress, in the order of TakeDirty, has the task's last crash; 0 if no run waits for one.
-	awaitsRecord uint64
-	// quietWaitFrom is since when the suspect waits for a quiet worker; 0 if it doesn't.
-	quietWaitFrom monotime.Instant
+	awaitsRecord  uint64
 	lastRunNumber uint64
 	checkpoint    string
 	run           *run
@@ -328,6 +326,7 @@
 	// preemptions counts how often the task was preempted.
 	preemptions int
 	locality    taskLocality
+	quietWait   quietWait
 	// unreported is how many runs of the task are counted among its organisation's unreported ones.
 	unreported int
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -157,6 +157,13 @@
 	if admitted == 0 {
 		return
 	}
+	open := s.unplacedTasks(e.now)
+	open = open[:min(len(open), admitted)]
+	if !s.def.Gang {
+		if open = e.startAwaited(s, p, open); len(open) == 0 {
+			return
+		}
+	}
 	workers, wholePool := e.candidateWorkers(s, p)
 	if !wholePool {
 		if !e.mayPlaceOn(s, p, workers) {
@@ -167,8 +174,6 @@
 			workers, wholePool = p.workers, true
 		}
 	}
-	open := s.unplacedTasks(e.now)
-	open = open[:min(len(open), admitted)]
 	if s.def.Gang {
 		if len(open) < len(s.tasks) {
 			return // members of the gang's earlier run have not been removed yet
@@ -180,10 +185,9 @@
 		}
 		open = notWaiting(open)
 	} else {
-		waiting := len(open)
-		rest, kept := e.placeSuspects(s, workers, open)
-		open = e.placeTasks(s, p, workers, rest)
-		p.notePlaced(s, waiting-kept-len(open))
+		waiting := open
+		open = e.placeTasks(s, p, workers, open)
+		p.notePlaced(s, len(waiting)-len(open)-countAwaiting(waiting))
 	}
 	if len(open) == 0 && len(s.locality.waits) == 0 {
 		return
@@ -244,7 +248,8 @@
 	return open
 }
 
-// placeTasks starts what open tasks it can on the workers and returns the others, except those that wait for room on a rack.
+// placeTasks starts what open tasks it can on the workers and returns the others, except those that wait for room on a rack or for a quiet
+// worker.
 func (e *Engine) placeTasks(s *step, p *pool, workers []*worker, open []*task) []*task {
 	if e.placesMatter(s) {
 		return e.placeNear(s, p, workers, open)
@@ -256,6 +261,9 @@
 		if w == nil || e.waitsForFast(s, w, len(open)-i) {
 			return open[i:]
 		}
+		if s.suspects > 0 && t.isSuspect() && !w.isQuietFor(s.job, e.now) && e.awaitQuiet(t, w, p) {
+			continue
+		}
 		e.startRun(t, w, e.nextRunNumber(t.lastRunNumber))
 		counts[w.ID]++
 		if s.def.TailTarget > 0 {
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -13,6 +13,8 @@
 	probationTime = 250 * time.Millisecond
 	// maxQuietWait is how long a suspect that has found room waits for a worker on which no other job's task was started just before.
 	maxQuietWait = 1 * time.Second
+	// announcedShare is which part of a pool's workers may be kept for suspects that wait: one in that many.
+	announcedShare = 4
 	// crashedAddressTime is how long suspects avoid the address of a worker that has crashed, which may be at fault itself.
 	crashedAddressTime = 10 * time.Second
 )
@@ -21,52 +23,110 @@
 type probation struct {
 	job   *job
 	until monotime.Instant
+	// announced means that the suspect has not started yet.
+	announced bool
 }
 
-// placeSuspects starts the suspects among the open tasks on quiet workers. Where the best worker is not quiet, its probation begins before
-// the start and the suspect is kept waiting. It returns the open tasks that are neither started nor kept, and how many are kept.
-func (e *Engine) placeSuspects(s *step, workers []*worker, open []*task) (rest []*task, kept int) {
+// quietWait is a suspect's wait for a worker to be quiet. It ends at the start of the task.
+type quietWait struct {
+	// worker is the one that is kept for it; nil if it waits no longer.
+	worker *worker
+	since  monotime.Instant
+}
+
+// startAwaited starts the suspects whose worker is quiet now, and returns the open tasks that wait for none.
+func (e *Engine) startAwaited(s *step, p *pool, open []*task) []*task {
 	if s.suspects == 0 {
-		return open, 0
+		return open
 	}
 	counts := s.runsPerWorker()
-	ranked := e.rank(s, workers, nil, counts)
+	var rest []*task
 	for _, t := range open {
-		w := ranked.best()
+		w := t.quietWait.worker
 		switch {
-		case w == nil || !t.isSuspect() || t.locality.wait != nil:
+		case w == nil:
 			rest = append(rest, t)
-		case !w.isQuietFor(s.job.id, e.now) && e.mayWaitForQuiet(t):
-			w.probation = probation{s.job, e.now.Add(startSpread + probationTime)}
-			w.updateImpaired()
-			kept++
-		default:
+		case e.workers[w.ID] != w || !e.hasCapacity(s, w, graph.Resources{}, counts) || !s.hasPermit(w, e.now):
+			t.quietWait = quietWait{}
+			rest = append(rest, t)
+		case w.isQuietFor(s.job, e.now):
 			e.startRun(t, w, e.nextRunNumber(t.lastRunNumber))
-			t.run.away = e.placesMatter(s) && !s.isNear(w)
-			t.quietWaitFrom = 0
 			counts[w.ID]++
-			if s.def.TailTarget > 0 {
-				ranked = e.rank(s, workers, nil, counts) // as in placeTasks
-			} else {
-				ranked.placed()
-			}
+			p.notePlaced(s, 1)
+		case e.now.Sub(t.quietWait.since) >= maxQuietWait:
+			t.quietWait.worker = nil
+			w.endAnnouncement(s.job)
+			rest = append(rest, t)
+		}
+	}
+	return rest
+}
+
+// countAwaiting counts the tasks that wait for a worker to be quiet.
+func countAwaiting(tasks []*task) int {
+	n := 0
+	for _, t := range tasks {
+		if t.quietWait.worker != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// awaitQuiet lets a suspect wait until the worker is quiet, and keeps other jobs' tasks from it. It reports false if the task has waited
+// long enough, or too many of the pool's workers are kept so.
+func (e *Engine) awaitQuiet(t *task, w *worker, p *pool) bool {
+	since := t.quietWait.since
+	switch {
+	case since == 0:
+		since = e.now
+	case e.now.Sub(since) >= maxQuietWait:
+		return false
+	}
+	if w.probation.job != t.step.job {
+		if e.announcedProbations(p) >= max(1, len(p.workers)/announcedShare) {
+			return false
+		}
+		w.probation = probation{job: t.step.job, until: e.now.Add(startSpread + probationTime), announced: true}
+		w.updateImpaired()
+	}
+	t.quietWait = quietWait{w, since}
+	return true
+}
+
+// announcedProbations counts the pool's workers that are kept for suspects which have not started there yet.
+func (e *Engine) announcedProbations(p *pool) int {
+	n := 0
+	for _, w := range p.workers {
+		if w.probation.announced && e.now < w.probation.until {
+			n++
 		}
 	}
-	return rest, kept
+	return n
 }
 
-// mayWaitForQuiet reports whether a suspect has not waited too long for a quiet worker, and notes that it waits.
-func (e *Engine) mayWaitForQuiet(t *task) bool {
-	if t.quietWaitFrom == 0 {
-		t.quietWaitFrom = e.now
+// endAnnouncement ends the probation of a worker that was kept for a suspect of the job.
+func (w *worker) endAnnouncement(j *job) {
+	if w.probation.announced && w.probation.job == j {
+		w.probation = probation{}
+		w.updateImpaired()
 	}
-	return e.now.Sub(t.quietWaitFrom) < maxQuietWait
 }
 
 // isQuietFor reports whether no run of another job would be as likely a cause of a crash that follows a start of the job's.
-func (w *worker) isQuietFor(id graph.JobID, now monotime.Instant) bool {
+func (w *worker) isQuietFor(j *job, now monotime.Instant) bool {
+	last := w.lastStartAt
+	if w.lastStartJob == j {
+		last = w.earlierStartAt
+	}
+	if last > 0 && now.Sub(last) <= startSpread {
+		return false
+	}
+	if w.oldestUnansweredStart == 0 {
+		return true
+	}
 	for key, r := range w.runs {
-		if key.Task.Job != id && (r.confirmedAt == 0 || now.Sub(r.orderedAt) <= startSpread) {
+		if key.Task.Job != j.id && r.confirmedAt == 0 {
 			return false
 		}
 	}
@@ -75,9 +135,13 @@
 
 // noteStart notes that a run of the task is started on the worker.
 func (e *Engine) noteStart(w *worker, t *task) {
+	if w.lastStartJob != t.step.job {
+		w.earlierStartAt = w.lastStartAt
+	}
 	w.lastStartAt, w.lastStartJob = e.now, t.step.job
+	t.quietWait = quietWait{}
 	if t.step.suspects > 0 && t.isSuspect() {
-		w.probation = probation{t.step.job, e.now.Add(probationTime)}
+		w.probation = probation{job: t.step.job, until: e.now.Add(probationTime)}
 		w.updateImpaired()
 	}
 }
@@ -102,7 +166,7 @@
 	if at, ok := e.crashedAddresses[w.Address]; ok && e.now.Sub(at) < crashedAddressTime {
 		score -= suspectWeight
 	}
-	if w.lastStartJob != s.job && w.lastStartAt > 0 && e.now.Sub(w.lastStartAt) <= startSpread {
+	if !w.isQuietFor(s.job, e.now) {
 		score -= suspectWeight
 	}
 	return score
