Only likely causes of earlier crashes explain a worker's end

Cause, found in review: any suspect that had just started took its worker's end out of the count for a common cause, also a service that had merely been on workers that lost power together. Six services whose rack lost power 50 ms after each start were failed at the fourth loss.

Change: only a task that was the likely cause of an earlier crash does, and no long-running one.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -219,11 +219,11 @@
 	return others >= commonCrashWorkers
 }
 
-// hasYoungSuspect reports whether the worker started a suspect just before, which would be the cause of its end: suspects that crashed their
-// workers at the same time are started again at the same time.
-func (w *worker) hasYoungSuspect(now monotime.Instant) bool {
+// justStartedCause reports whether the worker has just started a task that is the likely cause of an earlier crash. Such tasks whose workers
+// crashed together restart together, so that their next crashes coincide without a common cause.
+func (w *worker) justStartedCause(now monotime.Instant) bool {
 	for _, r := range w.runs {
-		if r.task != nil && r.task.isSuspect() && r.confirmedAt > 0 && now.Sub(r.orderedAt) <= startSpread {
+		if r.task != nil && !r.task.step.def.LongRunning && r.task.likelyCrashes() > 0 && r.confirmedAt > 0 && now.Sub(r.orderedAt) <= startSpread {
 			return true
 		}
 	}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -400,6 +400,42 @@
 	c.wantState(j, graph.Queued)
 }
 
+// Guards against services being failed since their workers lose power together again and again, soon after each start.
+func TestCommonCrashesFailNoService(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	service := plainStep(1)
+	service.LongRunning = true
+	var jobs []graph.JobID
+	for i := range commonCrashWorkers + 2 {
+		jobs = append(jobs, c.addJob(fmt.Sprint("j", i), false, service))
+		c.addWorker(fmt.Sprint("w", i), 100)
+	}
+	for range 6 {
+		for i, j := range jobs {
+			task := c.task(runKey(j, 0, 0, 0).Task)
+			c.startRun(task, c.workers[WorkerID(fmt.Sprint("w", i))], c.nextRunNumber(task.lastRunNumber))
+		}
+		c.advance(50 * time.Millisecond)
+		for id, w := range c.workers {
+			for key := range w.runs {
+				c.HandleStartOutcome(id, key, Started)
+			}
+		}
+		for id := range c.workers {
+			c.SetReachable(id, false)
+		}
+		c.advance(time.Second)
+		for id := range c.workers {
+			c.HandleRestart(id, WorkerCrashed, c.virtualTime)
+			c.SetReachable(id, true)
+		}
+	}
+	for _, j := range jobs {
+		c.wantState(j, graph.Running)
+	}
+}
+
 // Guards against tasks that crash their workers at the same moment, since their earlier workers did, passing for a common cause of these ends.
 func TestSuspectsThatCrashTogetherAreNoCommonCause(t *testing.T) {
 	c := newFixture(t, 1)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -472,7 +472,7 @@
 		w.unreachableSince = 0
 		if !reachable {
 			w.unreachableSince = e.now
-			if !w.hasYoungSuspect(e.now) {
+			if !w.justStartedCause(e.now) {
 				e.unreachable = append(e.unreachable, unreachableWorker{w.ID, e.now})
 			}
 		}
