Records that a task's next run waits for come first

Cause, found in review: the next run of a task whose worker crashed waits for a commit, and jobs are recorded in the order in which they changed.

Change: such a job's progress goes before the others', also after a failed commit.

Measured: the new test finds the job behind 1,000 others on the code before, first now.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -249,7 +249,7 @@
 	}
 	t.crashes = append(t.crashes, c)
 	if !t.step.def.LongRunning {
-		t.awaitsRecord = t.step.job.recordsTaken + 1 // the next owner must know of this crash before another one can follow
+		t.awaitRecord() // the next owner must know of this crash before another one can follow
 	}
 	t.step.countSuspects()
 	return true
@@ -411,6 +411,13 @@
 	return len(t.crashes)+t.silences >= minSuspectCrashes || t.likelyCrashes() > 0
 }
 
+// awaitRecord keeps the task from its next run until the job's next record is durable.
+func (t *task) awaitRecord() {
+	j := t.step.job
+	t.awaitsRecord = j.recordsTaken + 1
+	j.crashRecord = t.awaitsRecord
+}
+
 // isAwaitingRecord reports whether a crash that counts for the task is not durable yet, so that its next run has to wait.
 func (t *task) isAwaitingRecord() bool { return t.step.job.recorded < t.awaitsRecord }
 
@@ -418,7 +425,7 @@
 func (s *step) countAwaitingRecord() int {
 	n := 0
 	for _, t := range s.tasks {
-		if !t.done && t.isAwaitingRecord() {
+		if !t.done && t.run == nil && t.isAwaitingRecord() {
 			n++
 		}
 	}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"laburnumpoint/internal/graph"
@@ -33,8 +34,10 @@
 	calendar         calendar
 	retired          []*occurrence
 	retiredCheckedAt monotime.Instant
-	// dirty holds the jobs whose progress has to be recorded, in the order in which they became so.
-	dirty []*job
+	// dirty holds the jobs whose progress has to be recorded, in the order in which they became so; the first urgentlyDirty of them come
+	// before the others.
+	dirty         []*job
+	urgentlyDirty int
 	// orders are those that the next Plan returns.
 	orders []Order
 	// awaitedReports holds the workers that may run tasks of earlier owners and have not reported yet.
@@ -352,11 +355,21 @@
 
 // markDirty notes that the job's progress has to be recorded. The record of an ended job holds its state only, and is final.
 func (e *Engine) markDirty(j *job) {
-	if j.endTaken || j.dirty {
-		return
+	urgent := j.recorded < j.crashRecord
+	switch {
+	case j.endTaken || (j.dirty && (j.urgentlyDirty || !urgent)):
+	case !urgent:
+		j.dirty = true
+		e.dirty = append(e.dirty, j)
+	default:
+		if j.dirty {
+			at := slices.Index(e.dirty, j)
+			e.dirty = slices.Delete(e.dirty, at, at+1)
+		}
+		j.dirty, j.urgentlyDirty = true, true
+		e.dirty = slices.Insert(e.dirty, e.urgentlyDirty, j)
+		e.urgentlyDirty++
 	}
-	j.dirty = true
-	e.dirty = append(e.dirty, j)
 }
 
 // Forget removes a job that has ended and reports whether the engine no longer knows it. A job stays while progress has to be
@@ -376,8 +389,8 @@
 	return true
 }
 
-// TakeDirty returns the progress that has to be recorded of the jobs that wait for it longest, as much as takes about limit rows but at
-// least one job's if limit is positive. These jobs are no longer dirty.
+// TakeDirty returns the progress that has to be recorded: first that of jobs with a task whose next run waits for it, then that of the jobs that
+// wait for it longest. It is as much as takes about limit rows but at least one job's if limit is positive. These jobs are no longer dirty.
 func (e *Engine) TakeDirty(limit int) map[graph.JobID]Progress {
 	changed := make(map[graph.JobID]Progress, min(max(0, limit), len(e.dirty)))
 	for rows := 0; len(e.dirty) > 0 && rows < limit; {
@@ -385,6 +398,10 @@
 		e.dirty[0] = nil
 		e.dirty = e.dirty[1:]
 		rows += j.progressRows()
+		if j.urgentlyDirty {
+			j.urgentlyDirty = false
+			e.urgentlyDirty--
+		}
 		j.dirty, j.endTaken = false, j.state.Ended()
 		j.recordsTaken++
 		changed[j.id] = j.progress()
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -73,7 +73,7 @@
 		}
 		t := s.tasks[tp.Index]
 		t.restoreCrashes(tp.Crashes)
-		t.awaitsRecord = s.job.recordsTaken + 1
+		t.awaitRecord()
 	}
 	s.countSuspects()
 }
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -314,7 +314,7 @@
 	// silences counts the task's runs whose worker fell silent, as long as that is not settled. The next run is not started before notBefore.
 	silences  int
 	notBefore monotime.Instant
-	// awaitsRecord is which record of the job's progress, in the order of TakeDirty, has the task's last crash; 0 if no run waits for one.
+	// awaitsRecord is which record of the job's progress, in the order of TakeDirty, has the task's last crash; 0 for none.
 	awaitsRecord  uint64
 	lastRunNumber uint64
 	checkpoint    string
@@ -452,11 +452,14 @@
 	criticalPaths []time.Duration
 	// countsUnreported means that the runs that an earlier owner may have left count for the organisation until they are reported.
 	countsUnreported bool
-	dirty            bool
+	// dirty means that the job is in Engine.dirty, urgentlyDirty that it is in the first part.
+	dirty, urgentlyDirty bool
 	// endTaken means that TakeDirty has returned the job's final progress, or that it is recorded already.
 	endTaken bool
 	// recordsTaken counts the records that TakeDirty has returned; recorded is the last of them that is durable.
 	recordsTaken, recorded uint64
+	// crashRecord is the last record that the next run of a task waits for.
+	crashRecord uint64
 	// failure is why the job has failed, for operators; empty if this owner doesn't know.
 	failure string
 	// failedByCrashes means that this owner has ended the job for the crashes of a task.
--- a/internal/dispatch/record_test.go
+++ b/internal/dispatch/record_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -48,3 +49,29 @@
 		t.Errorf("record %+v, %v, want the cancelled job's", p, ok)
 	}
 }
+
+// Guards against a task whose worker crashed waiting for the records of all jobs that changed before.
+func TestCrashesAreRecordedFirst(t *testing.T) {
+	const others = 1000
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	c.addWorker("w", 200)
+	j := c.addJob("j", false, plainStep(2))
+	c.startOn(runKey(j, 0, 0, 0).Task)
+	for i := range others {
+		c.Cancel(c.addJob(fmt.Sprint("other", i), false, plainStep(1)))
+	}
+	c.MarkDirty(j)
+	c.crash("w")
+	if _, first := c.TakeDirty(1)[j]; !first {
+		t.Fatal("the job with the crash is not recorded first")
+	}
+	c.MarkDirty(j) // the commit failed
+	if _, first := c.TakeDirty(1)[j]; !first {
+		t.Error("the job with the crash is not recorded first after a failed commit")
+	}
+	c.ConfirmRecorded(j)
+	if n := len(c.TakeDirty(2 * others)); n != others || c.HasDirty() {
+		t.Errorf("%d other jobs are recorded, want %d", n, others)
+	}
+}
