A handover sends what matters most first, and nothing is recorded after it

Cause, found in review: the message chose jobs at random where it had no room for all; an older message could replace a newer one; an owner that had resigned went on committing, so that its successor could adopt counts older than the record.

Change: failed jobs first, then likely causes; the newest epoch stays; no commit after the ownership is given up, except the one under way.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -13,13 +13,13 @@
 )
 
 // A task may crash each worker that starts it, together with all other runs there. The engine counts for each task the crashes of
-// workers that ran it, across owners. A run is a likely cause if the crash came soon after its start, no other was started after it and
-// few other workers ended at that moment for no known cause; a task that was that twice, once with no other job's run as likely, is given up, which fails its
-// job, and its crashes no longer count against the other tasks that ran beside it. The next run of a likely cause, or of a task with several
-// crashes, begins with a probation, in which no other job's task is started on its worker, so that a further crash tells which task it was.
-// A crash that comes later and a start in doubt on a worker that crashed only count towards a bound on all crashes, which long-running tasks
-// don't have. A worker that fell silent
-// counts for nothing until it is known to have ended, see silence.
+// workers that ran it, across owners: the next run of a task waits until its last crash is recorded. A run is a likely cause if the crash
+// came soon after its start, no other was started after it and few other workers ended at that moment for no known cause; a task that was
+// that twice, once with no other job's run as likely, is given up, which fails its job, and its crashes no longer count against the other
+// tasks that ran beside it. The next run of a likely cause, or of a task with several crashes, begins with a probation, in which no other
+// job's task is started on its worker, so that a further crash tells which task it was. A crash that comes later and a start in doubt on a
+// worker that crashed only count towards a bound on all crashes, which long-running tasks don't have. A worker that fell silent counts for
+// nothing until it is known to have ended, see silence.
 const (
 	// maxLikelyCrashes is how often a task may be the likely cause of a crash until it is given up.
 	maxLikelyCrashes = 2
@@ -194,7 +194,7 @@
 	}
 }
 
-// unansweredFrom returns when the worker stopped to answer, now if that is not known.
+// unansweredFrom returns when the worker stopped answering, now if that is not known.
 func (w *worker) unansweredFrom(now monotime.Instant) monotime.Instant {
 	if w.unreachableSince > 0 {
 		return w.unreachableSince
@@ -202,13 +202,13 @@
 	return now
 }
 
-// unreachableWorker is a worker that has stopped to answer for no cause that is known.
+// unreachableWorker is a worker that has stopped answering for no cause that is known.
 type unreachableWorker struct {
 	worker WorkerID
 	at     monotime.Instant
 }
 
-// isCommonCrash reports whether the worker stopped to answer together with several others.
+// isCommonCrash reports whether the worker stopped answering together with several others.
 func (e *Engine) isCommonCrash(w *worker) bool {
 	others := 0
 	for _, u := range e.unreachable {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -219,8 +219,8 @@
 			next := newFixture(t, 2)
 			next.advance(time.Second)
 			next.addJob("j", false, plainStep(1))
-			for id, p := range c.UnrecordedCrashes(10) {
-				next.AdoptCrashes(id, p)
+			for _, u := range c.UnrecordedCrashes() {
+				next.AdoptCrashes(u.Job, u.Progress)
 			}
 			next.addWorker("w2", 100)
 			if starts, _, _ := next.planByKind(); len(starts) != 0 {
@@ -234,7 +234,7 @@
 			if n := len(next.task(runKey(j, 0, 0, 0).Task).crashes); n != crashes {
 				t.Errorf("%d crashes count for the task, want %d", n, crashes)
 			}
-			if left := next.UnrecordedCrashes(10); len(left) != 0 {
+			if left := next.UnrecordedCrashes(); len(left) != 0 {
 				t.Errorf("%v are not recorded, want none", left)
 			}
 		})
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -1,32 +1,55 @@
 package dispatch
 
-import "laburnumpoint/internal/graph"
+import (
+	"cmp"
+	"slices"
+	"strings"
 
-// UnrecordedCrashes returns, of at most limit jobs, what the next owner must know and the store does not have: that a job has failed for the
-// crashes of a task, or the crashes that count for tasks which may go on. The rest of the progress is left out.
-func (e *Engine) UnrecordedCrashes(limit int) map[graph.JobID]Progress {
-	unrecorded := make(map[graph.JobID]Progress)
-	for id, j := range e.jobs {
-		if len(unrecorded) >= limit {
-			break
-		}
+	"laburnumpoint/internal/graph"
+)
+
+// UnrecordedCrashes is the part of a job's progress that the next owner must know and the store does not have: that the job has failed for
+// the crashes of a task, or the crashes that count for tasks which may go on.
+type UnrecordedCrashes struct {
+	Job      graph.JobID
+	Progress Progress
+	// likely means that a task is the likely cause of one of its crashes.
+	likely bool
+}
+
+// UnrecordedCrashes returns those of all jobs, the ones that matter most first.
+func (e *Engine) UnrecordedCrashes() []UnrecordedCrashes {
+	var unrecorded []UnrecordedCrashes
+	for _, j := range e.jobs {
 		if j.dirty || j.recorded < j.recordsTaken {
-			if p := j.crashProgress(); p.State == graph.Failed || len(p.Steps) > 0 {
-				unrecorded[id] = p
+			if u := j.unrecordedCrashes(); u.Progress.State == graph.Failed || len(u.Progress.Steps) > 0 {
+				unrecorded = append(unrecorded, u)
 			}
 		}
 	}
+	slices.SortFunc(unrecorded, func(a, b UnrecordedCrashes) int {
+		return cmp.Or(a.rank()-b.rank(), strings.Compare(string(a.Job), string(b.Job)))
+	})
 	return unrecorded
 }
 
-// crashProgress returns the part of the job's progress that tells of crashes which are not recorded.
-func (j *job) crashProgress() Progress {
-	var p Progress
+func (u UnrecordedCrashes) rank() int {
+	switch {
+	case u.Progress.State == graph.Failed:
+		return 0
+	case u.likely:
+		return 1
+	}
+	return 2
+}
+
+func (j *job) unrecordedCrashes() UnrecordedCrashes {
+	u := UnrecordedCrashes{Job: j.id}
 	if j.state.Ended() {
 		if j.failedByCrashes {
-			p.State = j.state
+			u.Progress.State = j.state
 		}
-		return p
+		return u
 	}
 	for _, o := range j.openOccurrences() {
 		for _, s := range o.steps {
@@ -34,17 +57,18 @@
 			for _, t := range s.tasks {
 				if !t.done && t.isAwaitingRecord() {
 					sp.Tasks = append(sp.Tasks, TaskProgress{Index: t.index, Crashes: t.recordedCrashes()})
+					u.likely = u.likely || t.likelyCrashes() > 0
 				}
 			}
 			if len(sp.Tasks) > 0 {
-				p.Steps = append(p.Steps, sp)
+				u.Progress.Steps = append(u.Progress.Steps, sp)
 			}
 		}
 	}
-	return p
+	return u
 }
 
-// AdoptCrashes applies what UnrecordedCrashes of the earlier owner has returned for a job, so that it is recorded now.
+// AdoptCrashes applies what UnrecordedCrashes of the earlier owner has returned for a job, so that it gets recorded.
 func (e *Engine) AdoptCrashes(id graph.JobID, p Progress) {
 	j := e.jobs[id]
 	if j == nil || j.state.Ended() {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -277,7 +277,7 @@
 	fillers fillerPause
 	// processStart is that of the last report; 0 before one, or if it named none.
 	processStart time.Duration
-	// unreachableSince is when the worker stopped to answer; 0 while it answers.
+	// unreachableSince is when the worker stopped answering; 0 while it answers.
 	unreachableSince monotime.Instant
 	// lastStartAt is when a run was last started on the worker, for lastStartJob; earlierStartAt when the last one of another job was.
 	lastStartAt, earlierStartAt monotime.Instant
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -172,7 +172,7 @@
 	return score
 }
 
-// forgetCrashes drops the addresses that suspects no longer avoid, and the times of old silences.
+// forgetCrashes drops the addresses that suspects no longer avoid, and what is too old for proof or for a common cause.
 func (e *Engine) forgetCrashes() {
 	e.forgetSilences()
 	for len(e.unreachable) > 0 && e.now.Sub(e.unreachable[0].at) >= crashedAddressTime {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -25,6 +25,9 @@
 // commitChanges starts a commit if there are changes or the renewal of the ownership is due, unless one is under way or it is too
 // early for the next.
 func (c *controller) commitChanges() {
+	if c.ownershipLost {
+		return // the successor has been told what is not recorded
+	}
 	now := c.now()
 	due := now >= c.renewalDueAt || c.engine.HasDirty() || len(c.pendingWorkerRows) > 0 || len(c.removableProgress) > 0
 	if c.committing || !due || now < c.nextCommitAt {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -251,12 +251,12 @@
 // HandleResign handles an owner's request to take over from it; that owner gives no more orders.
 func (d *Daemon) HandleResign(ctx context.Context, resign *wire.Resign) *wire.Reply {
 	d.Log.Info().Uint64("epoch", resign.Epoch).Msg("asked to take over from an owner that has resigned")
+	d.keepHandover(resign)
 	d.Replica.RequestCopy()
 	// The replica may not have seen the owner's last renewal yet.
 	if err := d.Replica.ReadOwner(ctx); err != nil {
 		d.Log.Warn().Err(err).Msg("ownership row could not be read before taking over")
 	}
-	d.keepHandover(resign)
 	d.invitedEpoch.Store(resign.Epoch)
 	return &wire.Reply{Body: &wire.Reply_Done{Done: &wire.Empty{}}}
 }
--- a/internal/owner/resign.go
+++ b/internal/owner/resign.go
@@ -77,15 +77,18 @@
 // resignation returns the message to the successor.
 func (c *controller) resignation() *wire.Resign {
 	body := &wire.Resign{Epoch: c.ownership.Epoch()}
+	unrecorded := c.engine.UnrecordedCrashes()
 	size := 0
-	for id, p := range c.engine.UnrecordedCrashes(maxHandedOverJobs) {
-		data, err := json.Marshal(p)
-		if err != nil || size+len(data) > maxHandedOverBytes {
-			c.Log.Warn().Str("job", string(id)).Err(err).Msg("crashes of a job's tasks are not handed over")
+	for _, u := range unrecorded {
+		data, err := json.Marshal(u.Progress)
+		if err != nil || size+len(data) > maxHandedOverBytes || len(body.Unrecorded) == maxHandedOverJobs {
 			continue
 		}
 		size += len(data)
-		body.Unrecorded = append(body.Unrecorded, &wire.UnrecordedCrashes{Job: string(id), Progress: data})
+		body.Unrecorded = append(body.Unrecorded, &wire.UnrecordedCrashes{Job: string(u.Job), Progress: data})
+	}
+	if left := len(unrecorded) - len(body.Unrecorded); left > 0 {
+		c.Log.Warn().Uint64("epoch", c.ownership.Epoch()).Int("jobs", left).Msg("handover too large, crashes of jobs left out")
 	}
 	return body
 }
@@ -103,10 +106,12 @@
 		size += len(unrecorded.Progress)
 	}
 	if size > maxHandedOverBytes || len(resign.Unrecorded) > maxHandedOverJobs {
-		d.Log.Warn().Int("jobs", len(resign.Unrecorded)).Int("bytes", size).Msg("handover too large, dropped")
+		d.Log.Warn().Uint64("epoch", resign.Epoch).Int("jobs", len(resign.Unrecorded)).Msg("handover too large, dropped")
 		return
 	}
-	d.handover.Store(&handover{resign.Epoch, resign.Unrecorded})
+	if last := d.handover.Load(); last == nil || last.epoch <= resign.Epoch {
+		d.handover.Store(&handover{resign.Epoch, resign.Unrecorded})
+	}
 }
 
 // adoptHandover applies what the owner just before this one has handed over.
