--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -185,9 +185,9 @@
 		}
 		open = notWaiting(open)
 	} else {
-		waiting := open
-		open = e.placeTasks(s, p, workers, open)
-		p.notePlaced(s, len(waiting)-len(open)-countAwaiting(waiting))
+		waiting, kept := len(open), 0
+		open, kept = e.placeTasks(s, p, workers, open)
+		p.notePlaced(s, waiting-len(open)-kept)
 	}
 	if len(open) == 0 && len(s.locality.waits) == 0 {
 		return
@@ -248,20 +248,21 @@
 	return open
 }
 
-// placeTasks starts what open tasks it can on the workers and returns the others, except those that wait for room on a rack or for a quiet
-// worker.
-func (e *Engine) placeTasks(s *step, p *pool, workers []*worker, open []*task) []*task {
+// placeTasks starts what open tasks it can on the workers and returns the others, except those that wait for room on a rack and the kept ones,
+// which wait for a quiet worker.
+func (e *Engine) placeTasks(s *step, p *pool, workers []*worker, open []*task) (rest []*task, kept int) {
 	if e.placesMatter(s) {
-		return e.placeNear(s, p, workers, open)
+		return e.placeNear(s, p, workers, open), 0
 	}
 	counts := s.runsPerWorker()
 	ranked := e.rank(s, workers, nil, counts)
 	for i, t := range open {
 		w := ranked.best()
 		if w == nil || e.waitsForFast(s, w, len(open)-i) {
-			return open[i:]
+			return open[i:], kept
 		}
 		if s.suspects > 0 && t.isSuspect() && !w.isQuietFor(s.job, e.now) && e.awaitQuiet(t, w, p) {
+			kept++
 			continue
 		}
 		e.startRun(t, w, e.nextRunNumber(t.lastRunNumber))
@@ -272,7 +273,7 @@
 		}
 		ranked.placed()
 	}
-	return nil
+	return nil, kept
 }
 
 // placeGang starts all members of a gang or none, and reports whether it did.
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -62,17 +62,6 @@
 	return rest
 }
 
-// countAwaiting counts the tasks that wait for a worker to be quiet.
-func countAwaiting(tasks []*task) int {
-	n := 0
-	for _, t := range tasks {
-		if t.quietWait.worker != nil {
-			n++
-		}
-	}
-	return n
-}
-
 // awaitQuiet lets a suspect wait until the worker is quiet, and keeps other jobs' tasks from it. It reports false if the task has waited
 // long enough, or too many of the pool's workers are kept so.
 func (e *Engine) awaitQuiet(t *task, w *worker, p *pool) bool {
