Capacity held for a gang is not reserved for another one

Cause: a gang that asks for permits holds capacity until the answer comes. A reservation of another gang, chosen earlier or anew, took the same workers as soon as the bound on reservations allowed it. Neither gang could start there: the one that held the capacity since it was reserved, the other since it was held. Its permits lapsed, it asked again, and a backlog of gangs stood still in a pool that emptied.

Change: a worker on which capacity is held for another step can't be reserved; a reservation that has such a worker is chosen anew.

The test fails without the change.

--- a/internal/dispatch/gang_order_test.go
+++ b/internal/dispatch/gang_order_test.go
@@ -201,3 +201,28 @@
 		t.Errorf("%d starts, want all three members", len(starts))
 	}
 }
+
+// A gang's capacity must not be reserved for another one while its permits are asked for: neither could start there, and the gangs of a
+// backlog waited for each other in a half idle pool.
+func TestCapacityHeldForAGangIsNotReservedForAnother(t *testing.T) {
+	f := newGangFixture(t, 10)
+	f.addGang("asks", 2, time.Minute, "w0")
+	f.advance(searchTime)
+	f.planByKind()
+	request, ok := f.prepare("asks")
+	if !ok {
+		t.Fatal("the gang that fits asks for no permits")
+	}
+	// The more urgent gang needs all of w0 to w3, one of which is busy.
+	f.AddJob(JobInput{ID: "busy", Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{{Count: 1, Claim: graph.Resources{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Second}}}, ArrivedAt: f.virtualTime})
+	starts, _, _ := f.planByKind()
+	if len(starts) != 1 || starts[0].Worker != "w1" {
+		t.Fatalf("starts %v, want the one task on w1", starts)
+	}
+	f.addGang("waits", 8, 30*time.Second, "w0", "w1", "w2", "w3")
+	f.planByKind()
+	f.answer(request, 2*time.Second)
+	if started := f.startedJobs(); started["asks"] != 2 {
+		t.Errorf("started %v, want both members of the gang that has its permits", started)
+	}
+}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -53,6 +53,11 @@
 	return slices.ContainsFunc(w.capacityHolds, func(h capacityHold) bool { return h.inForce(now) })
 }
 
+// isHeldForOthers reports whether a capacity hold for a step other than s is in force on the worker.
+func (w *worker) isHeldForOthers(s *step, now monotime.Instant) bool {
+	return slices.ContainsFunc(w.capacityHolds, func(h capacityHold) bool { return h.step != s && h.inForce(now) })
+}
+
 // hold keeps a part of the worker's capacity for a step, in place of what was kept for it before.
 func (w *worker) hold(h capacityHold, now monotime.Instant) {
 	w.capacityHolds = slices.DeleteFunc(w.capacityHolds, func(old capacityHold) bool { return old.step == h.step || !old.inForce(now) })
