Starts that are not urgent get a share of the places

Cause: calls that wait for a place of the gate went strictly by class. An owner that is behind (answers of 0.1 s and more, a bound of 32 to 64 calls) sent only starts of priority 0 and of gangs; all others waited a second, were given up as not sent, asked for permits again, and waited anew.

Change: after three urgent calls in a row the next place goes to a normal call, if one waits. Stops still go first.

Both tests fail without the change.

--- a/internal/flowcontrol/gate.go
+++ b/internal/flowcontrol/gate.go
@@ -24,7 +24,7 @@
 	"laburnumpoint/internal/monotime"
 )
 
-// Class orders the calls that wait for a place: all of a lower class go first.
+// Class orders the calls that wait for a place: those of a lower class go first, but for a share of the places that Normal calls get.
 type Class int
 
 // The classes of calls.
--- a/internal/flowcontrol/gate_test.go
+++ b/internal/flowcontrol/gate_test.go
@@ -194,3 +194,40 @@
 		}
 	})
 }
+
+// Guards against starts that are never sent: while more urgent ones came than places became free, those of long-running and of wide jobs
+// waited until they were given up, again and again.
+func TestUrgentCallsDoNotStarveNormalOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := testOptions()
+		o.MinUnderWay, o.MaxUnderWay = 1, 1
+		g := NewGate(o)
+		if err := enter(t.Context(), g, Normal); err != nil {
+			t.Fatal(err)
+		}
+		const calls = 40
+		var order []Class
+		for _, class := range []Class{Normal, Urgent} {
+			for range calls {
+				call := g.Join(class, NewServer())
+				go func() {
+					if call.Wait(t.Context()) == nil {
+						order = append(order, class)
+						g.Leave()
+					}
+				}()
+			}
+		}
+		g.Leave()
+		synctest.Wait()
+		normal := 0
+		for _, class := range order[:calls] {
+			if class == Normal {
+				normal++
+			}
+		}
+		if normal < calls/5 || normal > calls/3 {
+			t.Errorf("%d of the first %d calls are normal, want a fifth to a third", normal, calls)
+		}
+	})
+}
--- a/internal/flowcontrol/waitlist.go
+++ b/internal/flowcontrol/waitlist.go
@@ -5,19 +5,27 @@
 	"slices"
 )
 
+// maxUrgentInRow is how many Urgent calls in a row may pass Normal ones that wait. Without it, Normal calls would never be sent while more
+// Urgent ones come than places become free.
+const maxUrgentInRow = 3
+
 // waitList holds waiting calls by class, each class in the order in which they came.
-type waitList [classes][]*Call
+type waitList struct {
+	byClass [classes][]*Call
+	// urgentInRow counts the Urgent calls that were taken since the last Normal one while Normal calls waited.
+	urgentInRow int
+}
 
 // add adds a call. One that was in a list before gets its place among those of its class back.
 func (l *waitList) add(c *Call) {
 	i, _ := l.find(c)
-	l[c.class] = slices.Insert(l[c.class], i, c)
+	l.byClass[c.class] = slices.Insert(l.byClass[c.class], i, c)
 }
 
-// first returns the class of the call that is next; -1 if none waits.
+// first returns the lowest class of which calls wait; -1 if none does.
 func (l *waitList) first() Class {
 	for class := range classes {
-		if len(l[class]) > 0 {
+		if len(l.byClass[class]) > 0 {
 			return class
 		}
 	}
@@ -30,8 +38,18 @@
 	if class < 0 {
 		return nil
 	}
-	c := l[class][0]
-	l[class] = l[class][1:]
+	normalWaits := len(l.byClass[Normal]) > 0
+	if class == Urgent && normalWaits && l.urgentInRow >= maxUrgentInRow {
+		class = Normal
+	}
+	switch {
+	case class == Normal || !normalWaits:
+		l.urgentInRow = 0
+	case class == Urgent:
+		l.urgentInRow++
+	}
+	c := l.byClass[class][0]
+	l.byClass[class] = l.byClass[class][1:]
 	return c
 }
 
@@ -39,19 +57,19 @@
 func (l *waitList) remove(c *Call) bool {
 	i, found := l.find(c)
 	if found {
-		l[c.class] = slices.Delete(l[c.class], i, i+1)
+		l.byClass[c.class] = slices.Delete(l.byClass[c.class], i, i+1)
 	}
 	return found
 }
 
 func (l *waitList) count() int {
 	n := 0
-	for _, calls := range l {
+	for _, calls := range l.byClass {
 		n += len(calls)
 	}
 	return n
 }
 
 func (l *waitList) find(c *Call) (int, bool) {
-	return slices.BinarySearchFunc(l[c.class], c, func(a, b *Call) int { return cmp.Compare(a.sequence, b.sequence) })
+	return slices.BinarySearchFunc(l.byClass[c.class], c, func(a, b *Call) int { return cmp.Compare(a.sequence, b.sequence) })
 }
--- a/internal/owner/worker_places_test.go
+++ b/internal/owner/worker_places_test.go
@@ -286,3 +286,45 @@
 		time.Sleep(time.Minute) // lets the order end
 	})
 }
+
+// Guards against tasks of a long-running job that don't run while there is capacity: an owner that fell behind sent only starts of urgent
+// jobs, and gave up all others after each second of waiting.
+func TestLongRunningTaskStartsBesideMoreUrgentStartsThanAreSent(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		const (
+			overload = 10 * time.Second
+			maxWait  = 3 * time.Second
+			interval = 50 * time.Millisecond
+		)
+		client := newPoolClient()
+		c := newPoolController(ctx, client, 8)
+		orders := flowcontrol.DefaultOptions()
+		orders.MinUnderWay, orders.MaxUnderWay = 1, 1 // about 330 starts a second
+		c.gate = flowcontrol.NewGate(orders)
+		var serviceAdded, serviceStarted, nextJob time.Duration
+		began := c.now()
+		urgent := 0
+		runLoop(c, overload, func() {
+			now := c.now().Sub(began)
+			for ; nextJob <= now; nextJob += interval {
+				addWideJob(c, graph.JobID(fmt.Sprint("urgent-", nextJob)), 30, false)
+				urgent += 30
+			}
+			if serviceAdded == 0 && now > overload/2 {
+				serviceAdded = now
+				spec := &graph.Spec{Steps: []graph.Step{{Count: 1, LongRunning: true, Claim: graph.Resources{MilliCPU: 1}}}}
+				queue := graph.Queue{Name: "long", Pool: "p", Priority: 1, MaxAttempts: 1}
+				c.engine.AddJob(dispatch.JobInput{ID: "service", Queue: queue, Spec: spec, ArrivedAt: c.now()})
+			}
+			if n := len(client.calls); serviceStarted == 0 && n > 0 && client.calls[n-1].key.Task.Job == "service" {
+				serviceStarted = now
+			}
+		})
+		if serviceStarted == 0 || serviceStarted-serviceAdded > maxWait {
+			t.Errorf("a long-running task added at %s is first started at %s, want within %s", serviceAdded, serviceStarted, maxWait)
+		}
+		if sent := client.runs(); sent < urgent/3 || sent > urgent*3/4 {
+			t.Errorf("%d of %d urgent tasks are started, want a third to three quarters", sent, urgent)
+		}
+	})
+}
