The share of places goes to starts of long-running tasks alone

Only long-running tasks must not wait for the urgent load to end.

Change: starts of long-running tasks have a class of their own, Lasting, between Urgent and Normal, which alone gets one of four places. The class Normal waits for the others again, as before.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -140,6 +140,8 @@
 	Checkpoint  string
 	// Urgent means that the job's callers wait for it: its priority is the highest. Gang means that the other members wait.
 	Urgent, Gang bool
+	// LongRunning is that of the step. Workers don't know it.
+	LongRunning bool `json:"-"`
 	// Copy means that the task has another run. Workers don't know it.
 	Copy bool `json:"-"`
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -403,6 +403,7 @@
 		Checkpoint:  t.checkpoint,
 		Urgent:      t.step.job.queue.Priority == 0 && t.step.job.lane == laneWithinRate,
 		Gang:        t.step.def.Gang,
+		LongRunning: t.step.def.LongRunning,
 		Copy:        isCopy,
 	})
 }
--- a/internal/flowcontrol/gate.go
+++ b/internal/flowcontrol/gate.go
@@ -24,7 +24,7 @@
 	"laburnumpoint/internal/monotime"
 )
 
-// Class orders the calls that wait for a place: those of a lower class go first, but for a share of the places that Normal calls get.
+// Class orders the calls that wait for a place: those of a lower class go first, but for a share of the places that Lasting calls get.
 type Class int
 
 // The classes of calls.
@@ -33,6 +33,8 @@
 	Stop Class = iota
 	// Urgent is the class of calls that others wait for.
 	Urgent
+	// Lasting is the class of calls that begin something that is to last: few, each of which ends an interruption.
+	Lasting
 	// Normal is the class of all other calls.
 	Normal
 	classes
--- a/internal/flowcontrol/waitlist.go
+++ b/internal/flowcontrol/waitlist.go
@@ -5,14 +5,14 @@
 	"slices"
 )
 
-// maxUrgentInRow is how many Urgent calls in a row may pass Normal ones that wait. Without it, Normal calls would never be sent while more
-// Urgent ones come than places become free.
+// maxUrgentInRow is how many Urgent calls in a row may pass Lasting ones that wait. Without it, Lasting calls would never be sent while
+// more Urgent ones come than places become free.
 const maxUrgentInRow = 3
 
 // waitList holds waiting calls by class, each class in the order in which they came.
 type waitList struct {
 	byClass [classes][]*Call
-	// urgentInRow counts the Urgent calls that were taken since the last Normal one while Normal calls waited.
+	// urgentInRow counts the Urgent calls that were taken since the last Lasting one while Lasting calls waited.
 	urgentInRow int
 }
 
@@ -38,12 +38,12 @@
 	if class < 0 {
 		return nil
 	}
-	normalWaits := len(l.byClass[Normal]) > 0
-	if class == Urgent && normalWaits && l.urgentInRow >= maxUrgentInRow {
-		class = Normal
+	lastingWaits := len(l.byClass[Lasting]) > 0
+	if class == Urgent && lastingWaits && l.urgentInRow >= maxUrgentInRow {
+		class = Lasting
 	}
 	switch {
-	case class == Normal || !normalWaits:
+	case class == Lasting || !lastingWaits:
 		l.urgentInRow = 0
 	case class == Urgent:
 		l.urgentInRow++
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -57,11 +57,14 @@
 	})
 }
 
-// startClass returns the class in which a start waits for a place: the callers of urgent jobs wait for it, and the members of a
-// gang wait for each other.
+// startClass returns the class in which a start waits for a place: the callers of urgent jobs wait for it, the members of a
+// gang wait for each other, and a long-running task is missing until its start.
 func startClass(order dispatch.Start) flowcontrol.Class {
-	if order.Urgent || order.Gang {
+	switch {
+	case order.Urgent || order.Gang:
 		return flowcontrol.Urgent
+	case order.LongRunning:
+		return flowcontrol.Lasting
 	}
 	return flowcontrol.Normal
 }
