A crowd of silent connections doesn't push out a daemon's session

Cause: at the bound of the port between daemons the oldest connection on which nothing has arrived is closed first. Only callers' connections noted that something had arrived, so every daemon's session counted as new, and the oldest, a daemon in use, went first.

Change: the first bytes of a peer's connection are noted too.

Measured: the new test fails without the change and passes with it.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -100,6 +100,11 @@
 	}
 	if c.role == Peers {
 		c.lastRead.Store(c.limits.now().UnixNano())
+		if c.got.Add(int64(n)) == int64(n) {
+			c.limits.mu.Lock()
+			c.fresh = false
+			c.limits.mu.Unlock()
+		}
 		return n, err
 	}
 	c.got.Add(int64(n))
