Answers that their clients don't read make room for others

Cause: a connection whose answer is not read counted as carried out, and was never closed for others. It held its place and what its head cost until the server's write timeout, up to three minutes, while requests without room were refused.

Change: a write to a caller that has waited for half a second may be closed if there is no room, or no place, once no read and, for a place, no idle connection is left to close. The oldest goes first. A read that would be refused since it is the slowest itself takes their room too.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -46,6 +46,8 @@
 	got atomic.Int64
 	// lastRead is when a peer's connection last received something, in Unix nanoseconds.
 	lastRead atomic.Int64
+	// writeBegan is when the write in progress to a caller began, in Unix nanoseconds; 0 if there is none.
+	writeBegan atomic.Int64
 
 	// The fields below are guarded by the lock of limits.
 
@@ -82,6 +84,12 @@
 // reading reports whether the connection waits for more of a request. The caller holds the lock.
 func (c *conn) reading() bool { return c.phase == phaseHead || c.phase == phaseBody }
 
+// stalledSince returns when the write in progress began, if it has waited for the client to read beyond the grace.
+func (c *conn) stalledSince(now time.Time) (began int64, stalled bool) {
+	began = c.writeBegan.Load()
+	return began, began != 0 && now.UnixNano()-began >= int64(evictionGrace)
+}
+
 // idleSince returns when the connection was last in use. The caller holds the lock.
 func (c *conn) idleSince() time.Time {
 	if c.role == Peers {
@@ -117,6 +125,15 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.role != Peers {
+		c.writeBegan.Store(c.limits.now().UnixNano())
+		defer c.writeBegan.Store(0)
+	}
+	return c.Conn.Write(p)
+}
+
 // arrived takes in what was read. It returns the answer if the head is refused.
 func (c *conn) arrived(data []byte) (refusal string) {
 	l := c.limits
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -266,8 +266,12 @@
 		if !noLarge && l.small+l.large+small+large <= l.options.BudgetBytes {
 			break
 		}
-		victim := l.leastProgress(func(v *conn) bool { return v.large > 0 || (!noLarge && v.small > 0) || v == c })
+		holds := func(v *conn) bool { return v.large > 0 || (!noLarge && v.small > 0) }
+		victim := l.leastProgress(func(v *conn) bool { return holds(v) || v == c })
 		if victim == nil || victim == c {
+			victim = l.longestStalled(func(v *conn) bool { return holds(v) && v != c })
+		}
+		if victim == nil {
 			return victims, ErrNoRoom
 		}
 		l.forget(victim)
@@ -291,7 +295,8 @@
 	now := l.now()
 	for _, conns := range l.conns {
 		for v := range conns {
-			if v != c && v.reading() && now.Sub(v.since) >= evictionGrace {
+			_, stalled := v.stalledSince(now)
+			if v != c && (stalled || v.reading() && now.Sub(v.since) >= evictionGrace) {
 				allSmall -= v.small
 				allLarge -= v.large
 			}
@@ -338,6 +343,23 @@
 	return least
 }
 
+// longestStalled returns the connection among those that match whose client has not read its answer for the longest time, nil if there is
+// none beyond the grace.
+func (l *Limits) longestStalled(match func(*conn) bool) *conn {
+	var longest *conn
+	var longestSince int64
+	now := l.now()
+	for _, conns := range l.conns {
+		for c := range conns {
+			since, stalled := c.stalledSince(now)
+			if stalled && match(c) && (longest == nil || since < longestSince) {
+				longest, longestSince = c, since
+			}
+		}
+	}
+	return longest
+}
+
 // forget gives back all that a connection has taken, its place included.
 func (l *Limits) forget(c *conn) {
 	if c.gone {
@@ -359,7 +381,8 @@
 }
 
 // admit adds a connection. At the role's bound it closes another one for it: the oldest on which nothing has arrived, or else the read with
-// the least progress, or else the one that is idle longest. It reports false if there is none.
+// the least progress, or else the one that is idle longest, or else the one whose client has not read its answer for the longest time. It
+// reports false if there is none.
 func (l *Limits) admit(c *conn) bool {
 	l.mu.Lock()
 	var victims []*conn
@@ -371,6 +394,9 @@
 		if victim == nil {
 			victim = l.longestIdle(c.role)
 		}
+		if victim == nil {
+			victim = l.longestStalled(func(v *conn) bool { return v.role == c.role })
+		}
 		if victim == nil {
 			l.mu.Unlock()
 			l.count(c.role.String(), reasonConnections)
