A suspect isn't started on the worker it waited for once that is out of use

Cause: the worker that is kept for a suspect was only checked for room and a permit, not whether it still takes runs, so that an order could go to one that has begun to drain or does not answer.

Change: the worker must be in use in its pool, and still have the step's label.

Measured: the new test starts the suspect on an unreachable and on a draining worker on the code before, on none now.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -364,6 +364,41 @@
 	}
 }
 
+// Guards against a suspect being started on the worker that it waited for although that no longer takes runs.
+func TestSuspectIsNotStartedOnAWorkerThatIsOutOfUse(t *testing.T) {
+	outOfUse := map[string]func(c *fixture, id WorkerID){
+		"unreachable": func(c *fixture, id WorkerID) { c.SetReachable(id, false) },
+		"draining": func(c *fixture, id WorkerID) {
+			drained := c.workers[id].Worker
+			drained.Draining = true
+			c.PutWorker(drained)
+		},
+		"removed": func(c *fixture, id WorkerID) { c.RemoveWorker(id, WorkerLeft) },
+	}
+	for name, end := range outOfUse {
+		t.Run(name, func(t *testing.T) {
+			c := newFixture(t, 2)
+			c.advance(time.Second)
+			w := c.addWorker("w", 300)
+			c.addWorker("small", 10)
+			crashed := &Progress{State: graph.Running, Started: true, Steps: []StepProgress{{Tasks: []TaskProgress{{Crashes: []CrashProgress{{Run: 1, Ended: true, Proven: true, Likely: true}}}}}}}
+			c.AddJob(JobInput{ID: "a", Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(1)}}, ArrivedAt: c.virtualTime, Progress: crashed})
+			other := runKey(c.addJob("b", false, plainStep(1)), 0, 0, 1)
+			c.startRun(c.task(other.Task), c.workers[w], other.Number)
+			c.HandleStartOutcome(w, other, Started)
+			c.planByKind()
+			if c.task(runKey("a", 0, 0, 0).Task).quietWait.worker == nil {
+				t.Fatal("the suspect does not wait for the worker")
+			}
+			end(c, w)
+			c.advance(2 * startSpread)
+			if starts, _, _ := c.planByKind(); len(starts) != 0 {
+				t.Errorf("%v is started", starts[0].RunKey)
+			}
+		})
+	}
+}
+
 // Guards against a suspect that is never started, since other jobs' tasks are started everywhere all the time.
 func TestSuspectWaitsForAQuietWorkerOnlyForATime(t *testing.T) {
 	c := newFixture(t, 1)
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"laburnumpoint/internal/graph"
@@ -46,7 +47,7 @@
 		switch {
 		case w == nil:
 			rest = append(rest, t)
-		case e.workers[w.ID] != w || !e.hasCapacity(s, w, graph.Resources{}, counts) || !s.hasPermit(w, e.now):
+		case !slices.Contains(p.workers, w) || !e.hasCapacity(s, w, graph.Resources{}, counts) || !s.eligible(w) || !s.hasPermit(w, e.now):
 			t.quietWait = quietWait{}
 			rest = append(rest, t)
 		case w.isQuietFor(s.job, e.now):
