A reservation leaves a gang the capacity that is held for it

Cause, found in review: workers with capacity held for one gang could not be reserved for another, so that a more urgent wide gang found none as long as small gangs kept asking for permits there.

Change: such workers can be reserved again, and the gang for which capacity is held there may still start in it.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -22,7 +22,7 @@
 
 // hasCapacity reports whether a task of the step fits on the worker, beside what is planned, held or reserved there.
 func (e *Engine) hasCapacity(s *step, w *worker, planned graph.Resources, running map[WorkerID]int) bool {
-	if (w.reservedFor != nil && w.reservedFor != s) || (w.impaired && (e.isExcluded(s, w) || e.isOnProbation(w, s))) {
+	if (w.reservedFor != nil && w.reservedFor != s && !w.isHeldFor(s, e.now)) || (w.impaired && (e.isExcluded(s, w) || e.isOnProbation(w, s))) {
 		return false
 	}
 	if s.def.MaxPerWorker > 0 && running[w.ID] >= s.def.MaxPerWorker {
--- a/internal/dispatch/gang_order_test.go
+++ b/internal/dispatch/gang_order_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/monotime"
 )
 
 // gangFixture has workers for two gang members each, and a policy service that allows a gang the workers in its list.
@@ -202,9 +203,9 @@
 	}
 }
 
-// A gang's capacity must not be reserved for another one while its permits are asked for: neither could start there, and the gangs of a
-// backlog waited for each other in a half idle pool.
-func TestCapacityHeldForAGangIsNotReservedForAnother(t *testing.T) {
+// Guards against gangs of a backlog that wait for each other in a half idle pool: workers with capacity that was held for one, while its permits
+// were asked for, were reserved for another, and neither could start.
+func TestReservationLeavesAGangItsHeldCapacity(t *testing.T) {
 	f := newGangFixture(t, 10)
 	f.addGang("asks", 2, time.Minute, "w0")
 	f.advance(searchTime)
@@ -226,3 +227,49 @@
 		t.Errorf("started %v, want both members of the gang that has its permits", started)
 	}
 }
+
+// Guards against a gang that never starts beside less urgent ones: always one of these held some capacity on its workers.
+func TestWideGangStartsBesideGangsThatHoldCapacity(t *testing.T) {
+	const (
+		workers   = 24
+		interval  = 140 * time.Millisecond
+		runTime   = 400 * time.Millisecond
+		wideFrom  = 3 * time.Second
+		maxWait   = 5 * time.Second
+		planEvery = 20 * time.Millisecond
+	)
+	f := newGangFixture(t, workers)
+	began := f.virtualTime
+	later := make(map[monotime.Instant][]func())
+	small := 0
+	for f.virtualTime < began.Add(wideFrom+maxWait) {
+		elapsed := f.virtualTime.Sub(began)
+		if elapsed%interval == 0 {
+			f.addGang(graph.JobID(fmt.Sprint("small", small)), 2, time.Minute, fmt.Sprint("w", small%6))
+			small++
+		}
+		if elapsed == wideFrom {
+			f.addGang("wide", 10, 30*time.Second, "w0", "w1", "w2", "w3", "w4", "w5")
+		}
+		starts, _, requests := f.planByKind()
+		for _, s := range starts {
+			if s.Task.Job == "wide" {
+				return
+			}
+			f.HandleStartOutcome(s.Worker, s.RunKey, Started)
+			at := f.virtualTime.Add(runTime)
+			later[at] = append(later[at], func() { f.handleEnd(f.workers[s.Worker], s.RunKey, RunDone, "") })
+		}
+		for _, r := range requests {
+			if request, ok := f.prepare(r.Step.Job); ok {
+				at := f.virtualTime.Add(request.Latency.Truncate(planEvery) + planEvery)
+				later[at] = append(later[at], func() { f.answer(request, 2*time.Second) })
+			}
+		}
+		f.advance(planEvery)
+		for _, do := range later[f.virtualTime] {
+			do()
+		}
+	}
+	t.Errorf("the gang does not start within %s", maxWait)
+}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -53,9 +53,9 @@
 	return slices.ContainsFunc(w.capacityHolds, func(h capacityHold) bool { return h.inForce(now) })
 }
 
-// isHeldForOthers reports whether a capacity hold for a step other than s is in force on the worker.
-func (w *worker) isHeldForOthers(s *step, now monotime.Instant) bool {
-	return slices.ContainsFunc(w.capacityHolds, func(h capacityHold) bool { return h.step != s && h.inForce(now) })
+// isHeldFor reports whether a capacity hold for the step is in force on the worker.
+func (w *worker) isHeldFor(s *step, now monotime.Instant) bool {
+	return slices.ContainsFunc(w.capacityHolds, func(h capacityHold) bool { return h.step == s && h.inForce(now) })
 }
 
 // hold keeps a part of the worker's capacity for a step, in place of what was kept for it before.
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -50,7 +50,7 @@
 // reserveWorkers reserves workers for a gang: those that are expected to have capacity for it soonest. The choice is kept from
 // plan to plan while possible.
 func (e *Engine) reserveWorkers(s *step, p *pool) {
-	if !e.canKeepReserved(s, p) {
+	if !s.canKeepReserved(p) {
 		s.reservedWorkers = e.workersFreeSoonest(s, p)
 	}
 	if p.reservedCount+len(s.reservedWorkers) > int(maxReservedShare*float64(len(p.workers))) && p.reservedCount > 0 {
@@ -63,9 +63,9 @@
 }
 
 // canKeepReserved reports whether the workers chosen by an earlier plan can still be reserved.
-func (e *Engine) canKeepReserved(s *step, p *pool) bool {
+func (s *step) canKeepReserved(p *pool) bool {
 	for _, w := range s.reservedWorkers {
-		if w.reservedFor != nil || w.health.ejected || w.isHeldForOthers(s, e.now) || !slices.Contains(p.workers, w) {
+		if w.reservedFor != nil || w.health.ejected || !slices.Contains(p.workers, w) {
 			return false
 		}
 	}
@@ -82,7 +82,7 @@
 	}
 	var candidates []candidate
 	for _, w := range p.workers {
-		if w.reservedFor != nil || w.health.ejected || w.isHeldForOthers(s, e.now) || !s.eligible(w) || (s.job.queue.Permit != nil && !s.verdicts[w.ID]) {
+		if w.reservedFor != nil || w.health.ejected || !s.eligible(w) || (s.job.queue.Permit != nil && !s.verdicts[w.ID]) {
 			continue
 		}
 		capacity, freeAt := e.futureCapacity(w)
