A client that reads a large answer steadily counts as reading

Cause, found in review: an answer counted as unread once one write had taken half a second, and a large answer is one write, so that a client which read 20 MB a second lost a 64 MB answer when there was no room.

Change: answers are written in pieces of 64 KiB, each with a time of its own.

Measured: the new test, ten pieces of a quarter of a second each, finds none stalled; tests of inbound pass.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -29,6 +29,8 @@
 	refusalTimeout = 500 * time.Millisecond
 	// serverBufferBytes is the size of the buffer in which package net/http reads ahead.
 	serverBufferBytes = 4 << 10
+	// writePieceBytes bounds what is written at once, so that a client which reads a large answer steadily is seen to do so.
+	writePieceBytes = 64 << 10
 )
 
 // Answers that are written before package net/http has seen a request.
@@ -126,12 +128,19 @@
 }
 
 // Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
-	if c.role != Peers {
+func (c *conn) Write(p []byte) (n int, err error) {
+	if c.role == Peers {
+		return c.Conn.Write(p)
+	}
+	defer c.writeBegan.Store(0)
+	for {
+		piece := p[n:min(n+writePieceBytes, len(p))]
 		c.writeBegan.Store(c.limits.now().UnixNano())
-		defer c.writeBegan.Store(0)
+		written, err := c.Conn.Write(piece)
+		if n += written; err != nil || n >= len(p) {
+			return n, err
+		}
 	}
-	return c.Conn.Write(p)
 }
 
 // arrived takes in what was read. It returns the answer if the head is refused.
--- a/internal/inbound/stalled_test.go
+++ b/internal/inbound/stalled_test.go
@@ -101,3 +101,35 @@
 		t.Errorf("closed: carried out %t, unread %t", inner.closed, isClosed(unread))
 	}
 }
+
+// slowConn is a connection whose client reads slowly, but steadily.
+type slowConn struct {
+	nopConn
+	read func()
+}
+
+func (c *slowConn) Write(p []byte) (int, error) {
+	c.read()
+	return len(p), nil
+}
+
+// Guards against a client that reads a large answer steadily losing it for others.
+func TestSteadyReaderKeepsItsAnswer(t *testing.T) {
+	l, clock := newTestLimits(Options{BudgetBytes: 1 << 20})
+	var c *conn
+	pieces := 0
+	inner := &slowConn{read: func() {
+		pieces++
+		clock.pass(evictionGrace / 2)
+		if _, stalled := c.stalledSince(l.now()); stalled {
+			t.Errorf("piece %d counts as unread", pieces)
+		}
+	}}
+	c = newConn(l, inner, Callers)
+	if n, err := c.Write(make([]byte, 10*writePieceBytes)); n != 10*writePieceBytes || err != nil {
+		t.Errorf("%d bytes written, error %v", n, err)
+	}
+	if pieces != 10 {
+		t.Errorf("%d pieces, want 10", pieces)
+	}
+}
