The wait for a quiet worker is bounded in all, and starts in doubt aren't quiet

Cause, found in review: a suspect began its wait of a second anew each time the worker that was kept for it filled up, and its worker stayed kept for a third of a second more; a worker with a start in doubt counted as quiet, although such a start is a possible cause of a crash; crashes that were handed over made long-running tasks wait for a record.

Change: the wait counts from its first begin; the worker is let go; unconfirmed starts are looked at; long-running tasks don't wait.

Measured: the two new tests fail on the code before and pass.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -329,6 +329,50 @@
 	c.wantState(suspect, graph.Failed)
 }
 
+// Guards against a suspect that begins its wait anew each time the worker that is kept for it fills up.
+func TestWaitForAQuietWorkerIsBoundedInAll(t *testing.T) {
+	c := newFixture(t, 2)
+	c.advance(time.Second)
+	crashed := &Progress{State: graph.Running, Started: true, Steps: []StepProgress{{Tasks: []TaskProgress{{Crashes: []CrashProgress{{Run: 1, Ended: true, Proven: true, Likely: true}}}}}}}
+	c.AddJob(JobInput{ID: "a", Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(1)}}, ArrivedAt: c.virtualTime, Progress: crashed})
+	suspect := c.task(runKey("a", 0, 0, 0).Task)
+	for i := range 100 {
+		c.addWorker(fmt.Sprint("full", i), 10)
+	}
+	began := c.virtualTime
+	// Workers come one after the other, each with a task that was just started and room for one more, which another task takes.
+	for i := 0; suspect.run == nil; i++ {
+		if c.virtualTime.Sub(began) > maxQuietWait+startSpread {
+			t.Fatal("the suspect is not started")
+		}
+		w := c.addWorker(fmt.Sprint("w", i), 200)
+		for _, id := range []string{"noise", "filler"} {
+			other := runKey(c.addJob(fmt.Sprint(id, i), false, plainStep(1)), 0, 0, 1)
+			c.startRun(c.task(other.Task), c.workers[w], other.Number)
+			c.HandleStartOutcome(w, other, Started)
+			if id == "noise" {
+				c.planByKind()
+			}
+		}
+		c.advance(startSpread / 2)
+	}
+}
+
+// Guards against a worker that counts as quiet although another job's start there is in doubt, which is a possible cause of a crash.
+func TestWorkerWithAStartInDoubtIsNotQuiet(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	w := c.addWorker("w", 300)
+	other := runKey(c.addJob("b", false, plainStep(1)), 0, 0, 1)
+	c.startRun(c.task(other.Task), c.workers[w], other.Number)
+	c.HandleStartOutcome(w, other, StartInDoubt)
+	c.advance(2 * startSpread)
+	c.addJob("a", false, plainStep(1))
+	if c.workers[w].isQuietFor(c.jobs["a"], c.now) {
+		t.Error("the worker is quiet, want not")
+	}
+}
+
 // Guards against suspects that wait for quiet workers keeping these from other jobs' tasks: each of them one after the other, or all of them
 // the pool.
 func TestSuspectsThatWaitKeepFewWorkers(t *testing.T) {
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -97,7 +97,9 @@
 		}
 		t := s.tasks[tp.Index]
 		t.restoreCrashes(tp.Crashes)
-		t.awaitRecord()
+		if !s.def.LongRunning {
+			t.awaitRecord()
+		}
 	}
 	s.countSuspects()
 }
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -48,7 +48,8 @@
 		case w == nil:
 			rest = append(rest, t)
 		case !slices.Contains(p.workers, w) || !e.hasCapacity(s, w, graph.Resources{}, counts) || !s.eligible(w) || !s.hasPermit(w, e.now):
-			t.quietWait = quietWait{}
+			t.quietWait.worker = nil
+			w.endAnnouncement(s.job)
 			rest = append(rest, t)
 		case w.isQuietFor(s.job, e.now):
 			e.startRun(t, w, e.nextRunNumber(t.lastRunNumber))
@@ -105,16 +106,9 @@
 
 // isQuietFor reports whether no run of another job would be as likely a cause of a crash that follows a start of the job's.
 func (w *worker) isQuietFor(j *job, now monotime.Instant) bool {
-	last := w.lastStartAt
-	if w.lastStartJob == j {
-		last = w.earlierStartAt
-	}
-	if last > 0 && now.Sub(last) <= startSpread {
+	if w.startedOtherJob(j, now) {
 		return false
 	}
-	if w.oldestUnansweredStart == 0 {
-		return true
-	}
 	for key, r := range w.runs {
 		if key.Task.Job != j.id && r.confirmedAt == 0 {
 			return false
@@ -123,6 +117,15 @@
 	return true
 }
 
+// startedOtherJob reports whether a task of another job was just started on the worker.
+func (w *worker) startedOtherJob(j *job, now monotime.Instant) bool {
+	last := w.lastStartAt
+	if w.lastStartJob == j {
+		last = w.earlierStartAt
+	}
+	return last > 0 && now.Sub(last) <= startSpread
+}
+
 // noteStart notes that a run of the task is started on the worker.
 func (e *Engine) noteStart(w *worker, t *task) {
 	if w.lastStartJob != t.step.job {
@@ -156,7 +159,7 @@
 	if at, ok := e.crashedAddresses[w.Address]; ok && e.now.Sub(at) < crashedAddressTime {
 		score -= suspectWeight
 	}
-	if !w.isQuietFor(s.job, e.now) {
+	if w.startedOtherJob(s.job, e.now) {
 		score -= suspectWeight
 	}
 	return score
