The log says what the end of a worker's lease rests on, and which process the worker runs

Callers see two runs of a task at once where an owner takes a lease for over too early. The log had no line that tells a lease of an earlier owner from one that a restart of the worker's process has prolonged, nor whether the ledger records the process that runs.

Change: lease_basis beside lease_left; recorded_start and process_start in the lines of workers whose process has ended, whose lease has expired or that are gone; a line for a worker that runs another process than recorded. No decision changes.

--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -7,6 +7,20 @@
 	"laburnumpoint/internal/monotime"
 )
 
+// leaseBasis is what the latest end of a worker's lease rests on. It is for the log.
+type leaseBasis string
+
+const (
+	// leaseUnknown means that the worker has no lease that the owner knows of.
+	leaseUnknown leaseBasis = "none"
+	// leaseExtended means the last extension by this owner.
+	leaseExtended leaseBasis = "extension"
+	// leaseOfEarlierOwner means the last extension that an earlier owner may have ordered.
+	leaseOfEarlierOwner leaseBasis = "earlier_owner"
+	// leaseAfterRestart means a call for an earlier process of the worker that its present one may have carried out.
+	leaseAfterRestart leaseBasis = "restart"
+)
+
 // workerLease tracks a worker's clock and the latest time at which its lease can end. It is safe for concurrent use.
 type workerLease struct {
 	mu sync.Mutex
@@ -16,6 +30,7 @@
 	clockKnown   bool
 	// latestEnd is the latest time at which the lease can end, unless it is extended again.
 	latestEnd monotime.Instant
+	basis     leaseBasis
 }
 
 // observeClock sets the reading of the worker's clock from an answer that was received at the given time.
@@ -37,7 +52,7 @@
 		return 0, false
 	}
 	deadline = (l.clockReading + now.Sub(l.readAt) + length).Truncate(time.Millisecond)
-	l.latestEnd = max(l.latestEnd, l.latestAt(deadline))
+	l.setLatestEnd(l.latestAt(deadline), leaseExtended)
 	return deadline, true
 }
 
@@ -47,10 +62,27 @@
 }
 
 // extendUntil counts the lease as lasting until the given time at least.
-func (l *workerLease) extendUntil(end monotime.Instant) {
+func (l *workerLease) extendUntil(end monotime.Instant, basis leaseBasis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.latestEnd = max(l.latestEnd, end)
+	l.setLatestEnd(end, basis)
+}
+
+// setLatestEnd sets the latest end of the lease if it is later than the one before. The caller holds the mutex.
+func (l *workerLease) setLatestEnd(end monotime.Instant, basis leaseBasis) {
+	if end > l.latestEnd {
+		l.latestEnd, l.basis = end, basis
+	}
+}
+
+// latestEndBasis returns what the latest end of the lease rests on.
+func (l *workerLease) latestEndBasis() leaseBasis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.basis == "" {
+		return leaseUnknown
+	}
+	return l.basis
 }
 
 // remaining returns how long runs of the worker can still last; 0 once all of them have certainly ended.
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/flowcontrol"
 	"laburnumpoint/internal/ledger"
@@ -96,7 +98,7 @@
 	wc.listing, wc.recordedDraining = w, w.Draining
 	c.workerConns[w.ID] = wc
 	if usedBefore {
-		wc.lease.extendUntil(c.earlierOrdersUntil.Add(monotime.OnSlowestClock(c.workerLeaseDuration()) + earlierOrderMargin))
+		wc.lease.extendUntil(c.earlierOrdersUntil.Add(monotime.OnSlowestClock(c.workerLeaseDuration())+earlierOrderMargin), leaseOfEarlierOwner)
 		wc.unregistered = true
 		c.putWithoutNewRuns(w)
 	} else {
@@ -285,6 +287,16 @@
 // workerLeaseDuration returns the length of the leases that workers get.
 func (c *controller) workerLeaseDuration() time.Duration { return min(leaseDuration, c.MaxLease) }
 
+// logLease adds to a log line how long the worker may still run what it has, and what that rests on.
+func (wc *workerConn) logLease(entry *log.Entry) *log.Entry {
+	return entry.Dur("lease_left", wc.lease.remaining(wc.controller.now())).Str("lease_basis", string(wc.lease.latestEndBasis()))
+}
+
+// logStarts adds to a log line which start of the worker's process the ledger records, and which one the worker has reported; 0 for none.
+func (wc *workerConn) logStarts(entry *log.Entry) *log.Entry {
+	return entry.Int64("recorded_start", wc.worker.ProcessStart.Milliseconds()).Int64("process_start", wc.reportedStart.Milliseconds())
+}
+
 // handleReport handles the report of a worker that was requested at sentAt.
 func (c *controller) handleReport(wc *workerConn, sentAt monotime.Instant, report dispatch.Report) {
 	if c.workerConns[wc.worker.ID] != wc {
@@ -293,6 +305,9 @@
 	wc.aliveAt = sentAt
 	if wc.reportedStart != report.ProcessStart {
 		wc.reportedStart = report.ProcessStart
+		if wc.reportedStart != wc.worker.ProcessStart {
+			wc.logStarts(wc.logLease(c.Log.Info().Str("worker", string(wc.worker.ID)))).Msg("worker runs another process than recorded")
+		}
 		c.putListing(wc)
 	}
 	if wc.unresponsive {
@@ -308,12 +323,12 @@
 
 // handleRunsLost logs runs that the owner counts as lost because their worker has not reported an end of them, and withdraws their stops.
 func (c *controller) handleRunsLost(wc *workerConn, runs []dispatch.RunKey, why string) {
-	left := wc.lease.remaining(c.now())
 	heard := c.engine.LastEndSequence(wc.worker.ID)
 	c.instruments.runsLost.Add(len(runs))
 	for _, run := range runs {
 		wc.withdrawStop(run)
-		c.Log.Warn().Str("job", string(run.Task.Job)).Str("task", run.Task.String()).Uint64("run", run.Number).Str("worker", string(wc.worker.ID)).Str("why", why).Dur("lease_left", left).Uint64("recorded", wc.recorded()).Uint64("heard", heard).Msg("run lost")
+		entry := c.Log.Warn().Str("job", string(run.Task.Job)).Str("task", run.Task.String()).Uint64("run", run.Number).Str("worker", string(wc.worker.ID)).Str("why", why)
+		wc.logLease(entry).Uint64("recorded", wc.recorded()).Uint64("heard", heard).Msg("run lost")
 	}
 }
 
@@ -348,7 +363,7 @@
 	if c.workerConns[id] != wc {
 		return
 	}
-	c.Log.Info().Str("worker", string(id)).Str("why", why).Dur("lease_left", wc.lease.remaining(c.now())).Msg("worker process ended")
+	wc.logStarts(wc.logLease(c.Log.Info().Str("worker", string(id)).Str("why", why))).Msg("worker process ended")
 	wc.replaced.Store(true)
 	wc.cancel()
 	wc.cancelOrders()
@@ -362,11 +377,11 @@
 	}
 	next := c.newWorkerConn(wc.worker, wc.places)
 	next.listing, next.unresponsive, next.unregistered, next.recordedDraining = wc.listing, wc.unresponsive, wc.unregistered, wc.recordedDraining
-	next.lease.extendUntil(c.now().Add(wc.lease.remaining(c.now())))
+	next.lease.extendUntil(c.now().Add(wc.lease.remaining(c.now())), wc.lease.latestEndBasis())
 	if aliveAt < c.now() && c.engine.HasRuns(id) {
 		// The next process runs already, and may carry out a start in doubt late. The start's deadline is on the clock of the ended
 		// process and may mean the longest lease.
-		next.lease.extendUntil(c.now().Add(monotime.OnSlowestClock(c.MaxLease)))
+		next.lease.extendUntil(c.now().Add(monotime.OnSlowestClock(c.MaxLease)), leaseAfterRestart)
 	}
 	c.workerConns[id] = next
 	next.startHoldLoop()
@@ -393,7 +408,7 @@
 			continue
 		}
 		if c.engine.HasRuns(wc.worker.ID) || !c.engine.ReportsComplete() {
-			c.Log.Warn().Str("worker", string(wc.worker.ID)).Msg("lease of unresponsive worker expired, its runs are given up")
+			wc.logStarts(wc.logLease(c.Log.Warn().Str("worker", string(wc.worker.ID)))).Msg("lease of unresponsive worker expired, its runs are given up")
 			c.handleRunsLost(wc, c.engine.RemoveWorker(wc.worker.ID, wc.endUnlessDraining(dispatch.WorkerSilent)), "lease expired")
 			c.putListing(wc)
 		}
@@ -407,7 +422,7 @@
 	for id, wc := range c.workerConns {
 		_, holdBack := overdue[id]
 		if wc.leaseHeldBack.Swap(holdBack) != holdBack {
-			c.Log.Warn().Str("worker", string(id)).Bool("held_back", holdBack).Dur("lease_left", wc.lease.remaining(c.now())).Msg("extension of a worker's lease")
+			wc.logLease(c.Log.Warn().Str("worker", string(id)).Bool("held_back", holdBack)).Msg("extension of a worker's lease")
 		}
 	}
 }
@@ -423,7 +438,7 @@
 // removeEndedWorker removes a worker that has certainly ended, and its row from the ledger.
 func (c *controller) removeEndedWorker(wc *workerConn, end dispatch.WorkerEnd, why string) {
 	id := wc.worker.ID
-	c.Log.Info().Str("worker", string(id)).Str("end", end.String()).Str("why", why).Dur("lease_left", wc.lease.remaining(c.now())).Msg("worker gone")
+	wc.logStarts(wc.logLease(c.Log.Info().Str("worker", string(id)).Str("end", end.String()).Str("why", why))).Msg("worker gone")
 	if wc.cancel != nil {
 		wc.cancel()
 	}
