An owner that notices the restart of a worker counts on its longest lease

Callers see two runs of a task at once. A worker that starts again under its id takes calls that were meant for its former process. The owner counted on that only while a run was in doubt at the moment of the restart. Without runs it went by its own extensions, 5 s: cut off soon after, the worker's new runs went on when they were started elsewhere.

Change: the lease of the next process always counts as the longest from when the restart is noticed, with the time that a call takes to arrive. Why it works: the connection to the next process has a higher fencing token, so that earlier calls do nothing once it has been answered. Result: TestOwnerAwaitsTheLongestLeaseOfAWorkerThatRestartedWithoutRuns (a worker that takes the hold call under way, in virtual time) failed before: the task was started elsewhere 5.4 s after the cut while it ran on. It passes now, as do the tests of internal/owner.

--- /dev/null
+++ b/internal/owner/restart_lease_test.go
@@ -0,0 +1,199 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/dispatch"
+)
+
+// leasedWorker is the client of testWorker, which keeps the contract of leases, and of other workers, which start everything. The clock of
+// testWorker starts anew with each process. A process takes calls that were meant for an earlier one, unless it has seen a higher token.
+type leasedWorker struct {
+	WorkerClient
+	mu        sync.Mutex
+	startedAt time.Time
+	maxLease  time.Duration
+	// cutOff leaves all calls unanswered.
+	cutOff bool
+	token  uint64
+	// leaseEnd is on the clock of the present process.
+	leaseEnd time.Duration
+	running  map[dispatch.RunKey]bool
+	lastHold HoldCall
+	// elsewhereAt is when a task was first started on another worker.
+	elsewhereAt time.Time
+}
+
+func newLeasedWorker(maxLease time.Duration) *leasedWorker {
+	return &leasedWorker{startedAt: time.Now().Add(-time.Hour), maxLease: maxLease, running: make(map[dispatch.RunKey]bool)}
+}
+
+// entry returns the worker's entry in the registry as its present process writes it.
+func (w *leasedWorker) entry() dispatch.Worker {
+	entry := testWorker
+	entry.ProcessStart = time.Duration(w.startedAt.UnixNano())
+	return entry
+}
+
+func (w *leasedWorker) clock() time.Duration { return time.Since(w.startedAt) }
+
+// restart ends the process. The next one takes the hold call that was under way.
+func (w *leasedWorker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.startedAt = time.Now()
+	w.token, w.leaseEnd, w.running = 0, 0, make(map[dispatch.RunKey]bool)
+	w.accept(w.lastHold.Token, w.lastHold.Deadline)
+}
+
+func (w *leasedWorker) setCutOff(cutOff bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cutOff = cutOff
+}
+
+// accept applies the token and the deadline of a call; false means that it is refused.
+func (w *leasedWorker) accept(token uint64, deadline time.Duration) bool {
+	if token < w.token {
+		return false
+	}
+	w.token = token
+	w.leaseEnd = max(w.leaseEnd, min(deadline, w.clock()+w.maxLease))
+	return true
+}
+
+// runs reports whether the worker runs a task.
+func (w *leasedWorker) runs() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.running) > 0 && w.clock() < w.leaseEnd
+}
+
+func (w *leasedWorker) Hold(ctx context.Context, called dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error) {
+	time.Sleep(max(call.Wait, time.Millisecond))
+	if called.ID != testWorker.ID {
+		return dispatch.Report{}, time.Hour, nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cutOff {
+		return dispatch.Report{}, 0, ErrNoAnswer
+	}
+	if !w.accept(call.Token, call.Deadline) {
+		return dispatch.Report{}, 0, ErrSuperseded
+	}
+	w.lastHold = call
+	report := dispatch.Report{ProcessStart: time.Duration(w.startedAt.UnixNano())}
+	for key := range w.running {
+		report.Running = append(report.Running, dispatch.RunningEntry{RunKey: key})
+	}
+	return report, w.clock(), nil
+}
+
+func (w *leasedWorker) Start(_ context.Context, called dispatch.Worker, call StartCall) (dispatch.StartOutcome, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if called.ID != testWorker.ID {
+		if w.elsewhereAt.IsZero() {
+			w.elsewhereAt = time.Now()
+		}
+		return dispatch.Started, nil
+	}
+	if w.cutOff {
+		return dispatch.StartInDoubt, ErrNoAnswer
+	}
+	if !w.accept(call.Token, call.Deadline) {
+		return dispatch.StartRefused, ErrSuperseded
+	}
+	w.running[call.RunKey] = true
+	return dispatch.Started, nil
+}
+
+func (w *leasedWorker) Stop(context.Context, dispatch.Worker, dispatch.RunKey, uint64) error {
+	return nil
+}
+
+// leaseTest is a task on a worker whose process has restarted under its id, and its owner.
+type leaseTest struct {
+	*controller
+	t      *testing.T
+	worker *leasedWorker
+	// recorded is the worker's row in the ledger.
+	recorded dispatch.Worker
+}
+
+// runLeaseTest runs a test of the leases of a worker that grants them for at most maxLease.
+func runLeaseTest(t *testing.T, maxLease time.Duration, test func(ctx context.Context, l *leaseTest)) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		worker := newLeasedWorker(maxLease)
+		l := &leaseTest{t: t, worker: worker, recorded: worker.entry()}
+		l.controller = l.newOwner(ctx)
+		l.addWorkerConn(l.recorded, false)
+		l.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{l.recorded}})
+		runLoop(l.controller, 3*time.Second, func() {})
+		test(ctx, l)
+	})
+}
+
+func (l *leaseTest) newOwner(ctx context.Context) *controller {
+	c := newTestController(ctx, l.worker)
+	c.MaxLease = l.worker.maxLease
+	c.validUntil.Store(int64(c.now().Add(time.Hour)))
+	return c
+}
+
+// restartWorker restarts the worker's process, which the owner notices.
+func (l *leaseTest) restartWorker() {
+	l.worker.restart()
+	l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{l.worker.entry()}})
+	runLoop(l.controller, 2*holdWait, func() {})
+}
+
+// startTask starts a task on the worker, which is the only one.
+func (l *leaseTest) startTask() {
+	addOneTask(l.controller, "j")
+	runLoop(l.controller, 100*time.Millisecond, func() {})
+	if !l.worker.runs() {
+		l.t.Fatal("the worker doesn't run the task")
+	}
+}
+
+func (l *leaseTest) addOtherWorker() {
+	other := testWorker
+	other.ID = "other"
+	l.addWorkerConn(other, false)
+}
+
+// expectOneRun checks that the task starts elsewhere once the worker's lease has ended, and not before. The worker has been cut off since.
+func (l *leaseTest) expectOneRun(since time.Time, longest time.Duration) {
+	l.t.Helper()
+	runLoop(l.controller, longest, func() {
+		if !l.worker.elsewhereAt.IsZero() && l.worker.runs() {
+			l.t.Fatalf("%s after the cut the task was started elsewhere, while it runs on the worker", time.Since(since))
+		}
+	})
+	if l.worker.elsewhereAt.IsZero() {
+		l.t.Errorf("the task has not been started elsewhere %s after the cut", time.Since(since))
+	}
+}
+
+// longestWait is how long after a restart a task may wait for the longest lease of its worker: the lease on the slowest clock, what an order
+// takes to arrive, what a worker takes to end its runs, and the time until the owner has noticed the restart and the end of the lease.
+func longestWait(maxLease time.Duration) time.Duration {
+	return maxLease*102/100 + earlierOrderMargin + leaseMargin + 2*holdWait + time.Second
+}
+
+// Guards against a task running in two places: an owner noticed the restart of a worker without runs, and did not count on the longest lease
+// that a hold call under way had given the next process.
+func TestOwnerAwaitsTheLongestLeaseOfAWorkerThatRestartedWithoutRuns(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		l.restartWorker()
+		l.startTask()
+		l.addOtherWorker()
+		l.worker.setCutOff(true)
+		l.expectOneRun(time.Now(), longestWait(10*time.Second))
+	})
+}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -378,15 +378,17 @@
 	next := c.newWorkerConn(wc.worker, wc.places)
 	next.listing, next.unresponsive, next.unregistered, next.recordedDraining = wc.listing, wc.unresponsive, wc.unregistered, wc.recordedDraining
 	next.lease.extendUntil(c.now().Add(wc.lease.remaining(c.now())), wc.lease.latestEndBasis())
-	if aliveAt < c.now() && c.engine.HasRuns(id) {
-		// The next process runs already, and may carry out a start in doubt late. The start's deadline is on the clock of the ended
-		// process and may mean the longest lease.
-		next.lease.extendUntil(c.now().Add(monotime.OnSlowestClock(c.MaxLease)), leaseAfterRestart)
-	}
+	c.awaitLongestLease(next)
 	c.workerConns[id] = next
 	next.startHoldLoop()
 }
 
+// awaitLongestLease counts a worker's lease as the longest from now. The present process of a worker that has restarted may have carried
+// out calls for an earlier one, up to the first call of this connection. Their deadlines are on the earlier clock, and it never shortens a lease.
+func (c *controller) awaitLongestLease(wc *workerConn) {
+	wc.lease.extendUntil(c.now().Add(monotime.OnSlowestClock(c.MaxLease)+earlierOrderMargin), leaseAfterRestart)
+}
+
 // expireLeases gives up the runs of unresponsive workers whose lease has expired. A missing entry in the registry doesn't prove
 // that a worker has ended: the registry also drops workers whose heartbeats don't reach it, and those may run on. One without runs is
 // removed without a wait, since a later owner would await its report until the longest lease has expired.
