A later owner counts on the longest lease of a restarted worker

The next one did not know of the restart and waited for the 5 s that owners grant.

Change: the ledger's row of a worker names its process; it stays that of the last process whose leases all owners know. An owner that finds another one, by the worker's first report or by the registry, counts on the longest lease from then, and records the new process once that is over. A worker that comes back after it was given up is recorded without its process. The rows have the form that they had: an older owner ignores the start, and its rows name the first one, which makes an owner of this version wait longer at most. Why it works: a report is the answer to a call with a token above those of all earlier calls, which do nothing from then on.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -159,7 +159,8 @@
 		return // the worker has ended, and a later commit removes its row
 	}
 	c.addWorkerConn(w, false)
-	c.workerConns[w.ID].recordedDraining = w.Draining
+	wc := c.workerConns[w.ID]
+	wc.recordedDraining, wc.recordedStart = w.Draining, w.ProcessStart
 	if listed, ok := c.registered[w.ID]; ok {
 		c.handleRegistered(listed)
 	} else {
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -281,6 +281,7 @@
 			c.logLosses()
 			c.expireLeases()
 			c.holdBackLeases()
+			c.recordStarts()
 			c.resignIfNeeded()
 			c.ownership.SetStandbys(c.permits.countStandbys(c.now(), c.Cores))
 			c.removeEndedJobs()
--- a/internal/owner/cutoff_test.go
+++ b/internal/owner/cutoff_test.go
@@ -108,6 +108,7 @@
 		case <-ticker.C:
 			c.engine.SetNow(c.now())
 			c.expireLeases()
+			c.recordStarts()
 		case <-end:
 			return
 		}
--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/ledger"
 )
 
 // leasedWorker is the client of testWorker, which keeps the contract of leases, and of other workers, which start everything. The clock of
@@ -161,6 +163,19 @@
 	}
 }
 
+// takeOver ends the owner. The next one knows the worker by its row and its entry in the registry, and another worker.
+func (l *leaseTest) takeOver(ctx context.Context, entry dispatch.Worker) {
+	l.cancel()
+	l.controller = l.newOwner(ctx)
+	l.connsOpened[testWorker.ID] = 100 // the tokens of a later epoch
+	l.engine.AwaitReport(testWorker.ID, testWorker.Pool)
+	l.addWorkerConn(l.recorded, true)
+	l.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{entry}})
+	l.addOtherWorker()
+	spec := &graph.Spec{Steps: []graph.Step{{Count: 1, Claim: graph.Resources{MilliCPU: 1}}}}
+	l.engine.AddJob(dispatch.JobInput{ID: "j", Queue: graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, Spec: spec, ArrivedAt: l.now(), Unconfirmed: true})
+}
+
 func (l *leaseTest) addOtherWorker() {
 	other := testWorker
 	other.ID = "other"
@@ -186,6 +201,106 @@
 	return maxLease*102/100 + earlierOrderMargin + leaseMargin + 2*holdWait + time.Second
 }
 
+// Guards against a task running in two places: a hold call that was under way as its worker restarted gave the next process the longest
+// lease, but the next owner waited only for the leases that owners give.
+func TestNextOwnerAwaitsTheLongestLeaseOfARestartedWorker(t *testing.T) {
+	// listed means that the registry lists the present process, reached that the worker answers the next owner before it is cut off.
+	for name, test := range map[string]struct{ listed, reached bool }{
+		"listed": {true, false}, "reached": {false, true}, "listed and reached": {true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, maxLease := range []time.Duration{6 * time.Second, 10 * time.Second} {
+				runLeaseTest(t, maxLease, func(ctx context.Context, l *leaseTest) {
+					l.restartWorker()
+					l.startTask()
+					l.worker.setCutOff(!test.reached)
+					since := time.Now()
+					entry := l.recorded
+					if test.listed {
+						entry = l.worker.entry()
+					}
+					l.takeOver(ctx, entry)
+					if test.reached {
+						runLoop(l.controller, 500*time.Millisecond, func() {})
+						l.worker.setCutOff(true)
+					}
+					l.expectOneRun(since, longestWait(maxLease))
+				})
+			}
+		})
+	}
+}
+
+// commitWorkerRow commits the worker's row, if one is to be, and returns it.
+func (l *leaseTest) commitWorkerRow() (row dispatch.Worker, committed bool) {
+	for _, row := range l.takeBatch().Workers {
+		if row.ID == testWorker.ID {
+			l.handleCommitResult(ledger.Batch{Workers: []dispatch.Worker{row}}, nil, l.now(), nil)
+			return row, true
+		}
+	}
+	return dispatch.Worker{}, false
+}
+
+// Guards against tasks that wait for the longest lease of a worker long after its restart: the next owner must know when it is over. A row that
+// is put for another reason must not say so too early.
+func TestRestartedProcessIsRecordedOnceItsLongestLeaseIsOver(t *testing.T) {
+	const maxLease = 10 * time.Second
+	runLeaseTest(t, maxLease, func(ctx context.Context, l *leaseTest) {
+		l.restartWorker()
+		l.startTask()
+		if row, committed := l.commitWorkerRow(); committed {
+			t.Fatalf("the row %+v is put while the worker may hold the longest lease", row)
+		}
+		draining := l.worker.entry()
+		draining.Draining = true
+		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{draining}})
+		if row, committed := l.commitWorkerRow(); !committed || !row.Draining || row.ProcessStart != l.recorded.ProcessStart {
+			t.Fatalf("the row is %+v (put: %t) when the worker begins to drain, want that of the earlier process, draining", row, committed)
+		}
+		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{l.worker.entry()}})
+		if row, committed := l.commitWorkerRow(); !committed || row.Draining || row.ProcessStart != l.recorded.ProcessStart {
+			t.Fatalf("the row is %+v (put: %t) when the worker no longer drains, want that of the earlier process", row, committed)
+		}
+		runLoop(l.controller, longestWait(maxLease), func() {})
+		row, committed := l.commitWorkerRow()
+		if !committed || row.ProcessStart != l.worker.entry().ProcessStart {
+			t.Fatalf("the row is %+v (put: %t) after the longest lease, want that of the present process", row, committed)
+		}
+		l.recorded = row
+		l.worker.setCutOff(true)
+		since := time.Now()
+		l.takeOver(ctx, l.worker.entry())
+		l.expectOneRun(since, leaseDuration*102/100+2*earlierOrderMargin+leaseMargin+time.Second)
+	})
+}
+
+// Guards against a task running in two places: a worker that was given up without runs comes back under its id, restarted, and may have
+// taken calls for its former process. Its new row must not vouch for its leases.
+func TestWorkerThatComesBackIsRecordedWithoutItsProcess(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		l.worker.setCutOff(true)
+		l.handleRegistryChange(RegistryChange{Removed: []dispatch.WorkerID{testWorker.ID}})
+		runLoop(l.controller, 2*holdWait+holdTimeout, func() {})
+		if l.workerConns[testWorker.ID] != nil {
+			t.Fatal("the worker is still in use")
+		}
+		l.pendingWorkerRows = make(map[dispatch.WorkerID]*dispatch.Worker) // the removal of its row is committed
+		l.worker.restart()
+		l.worker.setCutOff(false)
+		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{l.worker.entry()}})
+		row, committed := l.commitWorkerRow()
+		if !committed || row.ProcessStart != 0 {
+			t.Fatalf("the row is %+v (put: %t), want one without the start of the process", row, committed)
+		}
+		runLoop(l.controller, holdWait, func() {})
+		l.startTask()
+		l.addOtherWorker()
+		l.worker.setCutOff(true)
+		l.expectOneRun(time.Now(), longestWait(10*time.Second))
+	})
+}
+
 // Guards against a task running in two places: an owner noticed the restart of a worker without runs, and did not count on the longest lease
 // that a hold call under way had given the next process.
 func TestOwnerAwaitsTheLongestLeaseOfAWorkerThatRestartedWithoutRuns(t *testing.T) {
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -60,6 +60,12 @@
 	// when the last hold call was sent that the process answered.
 	processStart, reportedStart time.Duration
 	aliveAt                     monotime.Instant
+	// reported means that the worker has answered a hold call of this connection.
+	reported bool
+	// recordedStart is the start of the worker's process in the ledger, 0 if it is not known. All leases of that process were extended on its
+	// own clock. Another one may hold the longest lease until longestLeaseUntil; after that its start is recorded.
+	recordedStart     time.Duration
+	longestLeaseUntil monotime.Instant
 	// unregistered means that the registry does not list the worker, or has not been read yet.
 	unregistered bool
 	// recordedDraining means that the ledger records the worker as draining, or may soon: it gets no new runs until a row that does
@@ -95,7 +101,7 @@
 		return
 	}
 	wc := c.newWorkerConn(w, flowcontrol.NewServer())
-	wc.listing, wc.recordedDraining = w, w.Draining
+	wc.listing, wc.recordedDraining, wc.recordedStart = w, w.Draining, w.ProcessStart
 	c.workerConns[w.ID] = wc
 	if usedBefore {
 		wc.lease.extendUntil(c.earlierOrdersUntil.Add(monotime.OnSlowestClock(c.workerLeaseDuration())+earlierOrderMargin), leaseOfEarlierOwner)
@@ -294,7 +300,7 @@
 
 // logStarts adds to a log line which start of the worker's process the ledger records, and which one the worker has reported; 0 for none.
 func (wc *workerConn) logStarts(entry *log.Entry) *log.Entry {
-	return entry.Int64("recorded_start", wc.worker.ProcessStart.Milliseconds()).Int64("process_start", wc.reportedStart.Milliseconds())
+	return entry.Int64("recorded_start", wc.recordedStart.Milliseconds()).Int64("process_start", wc.reportedStart.Milliseconds())
 }
 
 // handleReport handles the report of a worker that was requested at sentAt.
@@ -303,12 +309,8 @@
 		return
 	}
 	wc.aliveAt = sentAt
-	if wc.reportedStart != report.ProcessStart {
-		wc.reportedStart = report.ProcessStart
-		if wc.reportedStart != wc.worker.ProcessStart {
-			wc.logStarts(wc.logLease(c.Log.Info().Str("worker", string(wc.worker.ID)))).Msg("worker runs another process than recorded")
-		}
-		c.putListing(wc)
+	if !wc.reported || wc.reportedStart != report.ProcessStart {
+		c.handleReportedStart(wc, report.ProcessStart)
 	}
 	if wc.unresponsive {
 		wc.unresponsive = false
@@ -321,6 +323,17 @@
 	c.handleRunsLost(wc, c.engine.HandleReport(wc.worker.ID, sentAt, report), "worker does not report the run")
 }
 
+// handleReportedStart handles the start of the worker's process in the first report on a connection. Up to then the process may have carried
+// out calls of earlier connections, also those for an earlier process.
+func (c *controller) handleReportedStart(wc *workerConn, start time.Duration) {
+	wc.reported, wc.reportedStart = true, start
+	if start != wc.recordedStart {
+		c.awaitLongestLease(wc)
+		wc.logStarts(wc.logLease(c.Log.Info().Str("worker", string(wc.worker.ID)))).Msg("worker runs another process than recorded")
+	}
+	c.putListing(wc)
+}
+
 // handleRunsLost logs runs that the owner counts as lost because their worker has not reported an end of them, and withdraws their stops.
 func (c *controller) handleRunsLost(wc *workerConn, runs []dispatch.RunKey, why string) {
 	heard := c.engine.LastEndSequence(wc.worker.ID)
@@ -376,7 +389,8 @@
 		delete(c.endsBarrier.sequences, id)
 	}
 	next := c.newWorkerConn(wc.worker, wc.places)
-	next.listing, next.unresponsive, next.unregistered, next.recordedDraining = wc.listing, wc.unresponsive, wc.unregistered, wc.recordedDraining
+	next.listing, next.unresponsive, next.unregistered = wc.listing, wc.unresponsive, wc.unregistered
+	next.recordedDraining, next.recordedStart = wc.recordedDraining, wc.recordedStart
 	next.lease.extendUntil(c.now().Add(wc.lease.remaining(c.now())), wc.lease.latestEndBasis())
 	c.awaitLongestLease(next)
 	c.workerConns[id] = next
@@ -386,7 +400,26 @@
 // awaitLongestLease counts a worker's lease as the longest from now. The present process of a worker that has restarted may have carried
 // out calls for an earlier one, up to the first call of this connection. Their deadlines are on the earlier clock, and it never shortens a lease.
 func (c *controller) awaitLongestLease(wc *workerConn) {
-	wc.lease.extendUntil(c.now().Add(monotime.OnSlowestClock(c.MaxLease)+earlierOrderMargin), leaseAfterRestart)
+	wc.longestLeaseUntil = c.now().Add(monotime.OnSlowestClock(c.MaxLease) + earlierOrderMargin)
+	wc.lease.extendUntil(wc.longestLeaseUntil, leaseAfterRestart)
+}
+
+// recordStarts records the processes of workers that no longer hold a longest lease, so that a later owner doesn't await it.
+func (c *controller) recordStarts() {
+	if c.committing {
+		return
+	}
+	now := c.now()
+	for id, wc := range c.workerConns {
+		if !wc.reported || wc.reportedStart == wc.recordedStart || wc.unresponsive || wc.recordedDraining || now < wc.longestLeaseUntil {
+			continue
+		}
+		if _, pending := c.pendingWorkerRows[id]; !pending {
+			row := wc.worker
+			row.Draining, row.ProcessStart = false, wc.reportedStart
+			c.pendingWorkerRows[id] = &row
+		}
+	}
 }
 
 // expireLeases gives up the runs of unresponsive workers whose lease has expired. A missing entry in the registry doesn't prove
@@ -489,9 +522,16 @@
 	}
 	wc := c.workerConns[w.ID]
 	if wc == nil {
-		c.pendingWorkerRows[w.ID] = &w
+		row := w
+		if c.connsOpened[w.ID] > 0 {
+			row.ProcessStart = 0 // calls for an earlier process may be under way
+		}
+		c.pendingWorkerRows[w.ID] = &row
 		return
 	}
+	if !wc.reported && w.ProcessStart > max(wc.recordedStart, wc.listing.ProcessStart) {
+		c.awaitLongestLease(wc)
+	}
 	if wc.listing.Draining != w.Draining {
 		c.Log.Info().Str("worker", string(w.ID)).Bool("draining", w.Draining).Msg("worker state")
 	}
@@ -499,7 +539,9 @@
 	wc.unregistered = false
 	if w.Draining != wc.recordedDraining {
 		wc.recordedDraining = true
-		c.pendingWorkerRows[w.ID] = &w
+		row := w
+		row.ProcessStart = wc.recordedStart
+		c.pendingWorkerRows[w.ID] = &row
 	}
 	switch {
 	case !wc.listsLaterStart():
