A run whose start has an attempt in doubt is stopped on the next process of its worker

A start without an answer is sent again; when the second attempt is answered, the first may still be carried out, seconds later. The worker refuses it then, but a process that starts under its id in between knows nothing of the run: callers would see their task in two places. The owner took the run for ended with the process and started the task again; a long-running task at once, others once the crash is recorded.

Cause: a confirmed run counted as one that the next process can't have, whatever attempts of its start were still without an answer. Same class as the leases: calls for a former process that the next one carries out. Change: such a run is stopped on the next process first, like a start without any answer. The stop carries a higher token, after which the attempt does nothing.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -99,7 +99,8 @@
 
 // HandleRestart processes that a worker's process has ended, which was last known to live at aliveAt. Another one may run under the
 // worker's id; it has none of the runs of the ended one. A run that was confirmed since aliveAt may be one of the next process: its report
-// tells. A start without an answer may still reach the next process, so its run is stopped there before the task is started again.
+// tells. A start, or an attempt of one, without an answer may still reach the next process, so its run is stopped there before the task is
+// started again.
 // HandleRestart returns the runs that have ended.
 func (e *Engine) HandleRestart(id WorkerID, end WorkerEnd, aliveAt monotime.Instant) (ended []RunKey) {
 	delete(e.awaitedReports, id)
@@ -116,7 +117,7 @@
 		if r.maybeOfNextProcess(aliveAt) {
 			continue
 		}
-		if r.confirmedAt == 0 || !r.startAnswered || r.confirmedAt > aliveAt {
+		if r.confirmedAt == 0 || !r.startAnswered || r.attemptInDoubt || r.confirmedAt > aliveAt {
 			e.stopAfterRestart(r)
 			continue
 		}
@@ -150,7 +151,7 @@
 // keep the new one from starting the run.
 func (e *Engine) stopAfterRestart(r *run) {
 	if r.state != runStopping {
-		e.stop(r, "worker restarted before it answered the start")
+		e.stop(r, "a start without an answer may reach the restarted worker")
 		return
 	}
 	r.stopAnsweredAt = 0
@@ -420,6 +421,14 @@
 	}
 }
 
+// HandleAttemptInDoubt notes that an attempt of a start order has no answer although another one has. The worker refuses it, but its next
+// process under its id may not.
+func (e *Engine) HandleAttemptInDoubt(id WorkerID, key RunKey) {
+	if w := e.workers[id]; w != nil && w.runs[key] != nil {
+		w.runs[key].attemptInDoubt = true
+	}
+}
+
 // HandleStartOutcome processes the outcome of a start order.
 func (e *Engine) HandleStartOutcome(id WorkerID, key RunKey, outcome StartOutcome) {
 	w := e.workers[id]
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -231,6 +231,8 @@
 	// startAnswered means that the start order has ended, or that the engine did not order the run. Until then the order may be carried
 	// out, also again.
 	startAnswered bool
+	// attemptInDoubt means that an attempt of the start has no answer although another one has: it may be carried out late.
+	attemptInDoubt bool
 
 	progress          int
 	progressChangedAt monotime.Instant
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -65,6 +65,34 @@
 	}
 }
 
+// Guards against a task running in two places: a start was sent twice and answered once. The next process under its worker's id may carry out
+// the other attempt late, so that the task must not start elsewhere before that process has acknowledged a stop.
+func TestRunWithAnAttemptInDoubtIsStoppedOnTheRestartedWorker(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	w := c.addWorker("w", 100)
+	j := c.addJob("j", false, plainStep(1))
+	c.planByKind()
+	c.addWorker("w2", 100)
+	c.HandleAttemptInDoubt(w, runKey(j, 0, 0, 1))
+	c.HandleStartOutcome(w, runKey(j, 0, 0, 1), Started)
+	c.advance(time.Millisecond)
+	if ended := c.HandleRestart(w, WorkerCrashed, c.virtualTime); len(ended) != 0 {
+		t.Fatalf("runs %v ended, want none: an attempt of the start is in doubt", ended)
+	}
+	c.record()
+	if starts, stops, _ := c.planByKind(); len(starts) != 0 || len(stops) != 1 {
+		t.Fatalf("%d starts and %d stops after the restart, want one stop", len(starts), len(stops))
+	}
+	c.HandleStopAnswer(w, runKey(j, 0, 0, 1), true)
+	c.advance(time.Millisecond)
+	c.HandleReport(w, c.virtualTime, Report{})
+	c.record()
+	if starts, _, _ := c.planByKind(); len(starts) != 1 || starts[0].Number != 2 {
+		t.Errorf("starts %v once the run is ruled out, want run 2", starts)
+	}
+}
+
 // A worker that an earlier owner used has crashed. Its jobs must not wait for its report.
 func TestRestartedWorkerIsNotAwaited(t *testing.T) {
 	c := newFixture(t, 2)
--- a/internal/owner/order_queue.go
+++ b/internal/owner/order_queue.go
@@ -29,6 +29,8 @@
 	waited time.Duration
 	// waitedForWorker means that a part of the wait was for a place of the worker.
 	waitedForWorker bool
+	// repeated means that the order was sent more than once. Only the order's goroutine uses it.
+	repeated bool
 }
 
 // States of a queued order.
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -52,6 +52,9 @@
 	entry.Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Uint64("epoch", c.ownership.Epoch()).Str("worker", string(order.Worker)).Bool("copy", order.Copy).Str("outcome", answer.outcome.String()).Dur("took", took).Err(answer.err).Msg("run start")
 	c.post(func() {
 		wc.forgetOrder(wc.queuedStarts, order.RunKey, queued)
+		if queued.repeated {
+			c.engine.HandleAttemptInDoubt(wc.worker.ID, order.RunKey)
+		}
 		c.engine.HandleStartOutcome(wc.worker.ID, order.RunKey, answer.outcome)
 		c.handleOrderFailure(wc, answer.err)
 	})
@@ -88,6 +91,7 @@
 		outcome, err := c.Workers.Start(ctx, wc.worker, call)
 		return orderAnswer{outcome: outcome, err: err, answered: outcome != dispatch.StartInDoubt}
 	})
+	queued.repeated = attempts > 1
 	// A worker that restarted refuses this connection's token, after which it carries out none of the attempts. It may have before.
 	superseded := errors.Is(last.err, ErrSuperseded) && !wc.replaced.Load()
 	conclusive := last.outcome == dispatch.Started || errors.Is(last.err, ErrOtherIncarnation) || superseded
--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -25,6 +25,9 @@
 	leaseEnd time.Duration
 	running  map[dispatch.RunKey]bool
 	lastHold HoldCall
+	// unanswered is how many of the next starts get no answer; late are those that got none.
+	unanswered int
+	late       []StartCall
 	// elsewhereAt is when a task was first started on another worker.
 	elsewhereAt time.Time
 }
@@ -42,13 +45,19 @@
 
 func (w *leasedWorker) clock() time.Duration { return time.Since(w.startedAt) }
 
-// restart ends the process. The next one takes the hold call that was under way.
+// restart ends the process. The next one takes the hold call that was under way, and the starts that got no answer.
 func (w *leasedWorker) restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.startedAt = time.Now()
 	w.token, w.leaseEnd, w.running = 0, 0, make(map[dispatch.RunKey]bool)
 	w.accept(w.lastHold.Token, w.lastHold.Deadline)
+	for _, call := range w.late {
+		if w.accept(call.Token, call.Deadline) {
+			w.running[call.RunKey] = true
+		}
+	}
+	w.late = nil
 }
 
 func (w *leasedWorker) setCutOff(cutOff bool) {
@@ -95,7 +104,23 @@
 	return report, w.clock(), nil
 }
 
-func (w *leasedWorker) Start(_ context.Context, called dispatch.Worker, call StartCall) (dispatch.StartOutcome, error) {
+// leaveUnanswered reports whether a start gets no answer.
+func (w *leasedWorker) leaveUnanswered(id dispatch.WorkerID, call StartCall) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if id != testWorker.ID || w.unanswered == 0 {
+		return false
+	}
+	w.unanswered--
+	w.late = append(w.late, call)
+	return true
+}
+
+func (w *leasedWorker) Start(ctx context.Context, called dispatch.Worker, call StartCall) (dispatch.StartOutcome, error) {
+	if w.leaveUnanswered(called.ID, call) {
+		<-ctx.Done()
+		return dispatch.StartInDoubt, ErrNoAnswer
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if called.ID != testWorker.ID {
@@ -114,7 +139,16 @@
 	return dispatch.Started, nil
 }
 
-func (w *leasedWorker) Stop(context.Context, dispatch.Worker, dispatch.RunKey, uint64) error {
+func (w *leasedWorker) Stop(_ context.Context, _ dispatch.Worker, key dispatch.RunKey, token uint64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cutOff {
+		return ErrNoAnswer
+	}
+	if !w.accept(token, 0) {
+		return ErrSuperseded
+	}
+	delete(w.running, key)
 	return nil
 }
 
@@ -250,22 +284,22 @@
 		l.restartWorker()
 		l.startTask()
 		if row, committed := l.commitWorkerRow(); committed {
-			t.Fatalf("the row %+v is put while the worker may hold the longest lease", row)
+			l.t.Fatalf("the row %+v is put while the worker may hold the longest lease", row)
 		}
 		draining := l.worker.entry()
 		draining.Draining = true
 		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{draining}})
 		if row, committed := l.commitWorkerRow(); !committed || !row.Draining || row.ProcessStart != l.recorded.ProcessStart {
-			t.Fatalf("the row is %+v (put: %t) when the worker begins to drain, want that of the earlier process, draining", row, committed)
+			l.t.Fatalf("the row is %+v (put: %t) when the worker begins to drain, want that of the earlier process, draining", row, committed)
 		}
 		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{l.worker.entry()}})
 		if row, committed := l.commitWorkerRow(); !committed || row.Draining || row.ProcessStart != l.recorded.ProcessStart {
-			t.Fatalf("the row is %+v (put: %t) when the worker no longer drains, want that of the earlier process", row, committed)
+			l.t.Fatalf("the row is %+v (put: %t) when the worker no longer drains, want that of the earlier process", row, committed)
 		}
 		runLoop(l.controller, longestWait(maxLease), func() {})
 		row, committed := l.commitWorkerRow()
 		if !committed || row.ProcessStart != l.worker.entry().ProcessStart {
-			t.Fatalf("the row is %+v (put: %t) after the longest lease, want that of the present process", row, committed)
+			l.t.Fatalf("the row is %+v (put: %t) after the longest lease, want that of the present process", row, committed)
 		}
 		l.recorded = row
 		l.worker.setCutOff(true)
@@ -283,7 +317,7 @@
 		l.handleRegistryChange(RegistryChange{Removed: []dispatch.WorkerID{testWorker.ID}})
 		runLoop(l.controller, 2*holdWait+holdTimeout, func() {})
 		if l.workerConns[testWorker.ID] != nil {
-			t.Fatal("the worker is still in use")
+			l.t.Fatal("the worker is still in use")
 		}
 		l.pendingWorkerRows = make(map[dispatch.WorkerID]*dispatch.Worker) // the removal of its row is committed
 		l.worker.restart()
@@ -291,7 +325,7 @@
 		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{l.worker.entry()}})
 		row, committed := l.commitWorkerRow()
 		if !committed || row.ProcessStart != 0 {
-			t.Fatalf("the row is %+v (put: %t), want one without the start of the process", row, committed)
+			l.t.Fatalf("the row is %+v (put: %t), want one without the start of the process", row, committed)
 		}
 		runLoop(l.controller, holdWait, func() {})
 		l.startTask()
@@ -312,3 +346,27 @@
 		l.expectOneRun(time.Now(), longestWait(10*time.Second))
 	})
 }
+
+// Guards against a task running in two places: a start was sent twice and answered once, and the next process of its worker carried out the
+// other attempt. A long-running task starts again at once.
+func TestAttemptOfAStartInDoubtIsStoppedOnTheNextProcess(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		l.worker.unanswered = 1
+		spec := &graph.Spec{Steps: []graph.Step{{Count: 1, LongRunning: true, Claim: graph.Resources{MilliCPU: 1}}}}
+		l.engine.AddJob(dispatch.JobInput{ID: "j", Queue: graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, Spec: spec, ArrivedAt: l.now()})
+		runLoop(l.controller, 3*holdWait, func() {})
+		if !l.worker.runs() || len(l.worker.late) != 1 {
+			l.t.Fatalf("the worker runs the task: %t, %d attempts without an answer, want one", l.worker.runs(), len(l.worker.late))
+		}
+		l.addOtherWorker()
+		l.worker.restart()
+		runLoop(l.controller, 4*holdWait, func() {
+			if !l.worker.elsewhereAt.IsZero() && l.worker.runs() {
+				l.t.Fatal("the task was started elsewhere, while it runs on the worker")
+			}
+		})
+		if l.worker.elsewhereAt.IsZero() && !l.worker.runs() {
+			l.t.Error("the task has not been started again")
+		}
+	})
+}
