Stand-in: a worker's next process takes the hold call under way, and grants at most the longest lease

Cause: like the stand-in of the users' platform, the product's own broke the call off and granted any lease. TestCrashingTaskFailsItsJobAndNoOther and the others that restart workers now play against it.

--- a/internal/standin/graphwork/worker.go
+++ b/internal/standin/graphwork/worker.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"slices"
 	"strconv"
 	"sync"
@@ -154,8 +153,12 @@
 	}
 }
 
-// restartTime is how long no process answers when a worker restarts.
-const restartTime = 600 * time.Millisecond
+const (
+	// restartTime is how long no process answers when a worker restarts.
+	restartTime = 600 * time.Millisecond
+	// maxLease is the longest lease that a worker grants.
+	maxLease = 10 * time.Second
+)
 
 // isDown reports whether no process answers.
 func (w *Worker) isDown() bool {
@@ -164,6 +167,14 @@
 	return time.Now().Before(w.downUntil)
 }
 
+// awaitProcess waits until a process answers.
+func (w *Worker) awaitProcess() {
+	w.group.mu.Lock()
+	until := w.downUntil
+	w.group.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 // processStart returns when the worker's process started, by the time of day since the Unix epoch.
 func (w *Worker) processStart() time.Duration {
 	w.group.mu.Lock()
@@ -186,8 +197,9 @@
 	return nil
 }
 
-// extendLease extends the lease to deadline on the worker's clock and never shortens it. The caller holds the group's mutex.
+// extendLease extends the lease to deadline on the worker's clock, or by maxLease, and never shortens it. The caller holds the group's mutex.
 func (w *Worker) extendLease(deadline time.Duration) {
+	deadline = min(deadline, w.Clock()+maxLease)
 	if deadline <= w.leaseDeadline {
 		return
 	}
@@ -364,10 +376,15 @@
 		case <-ctx.Done():
 		}
 	}
+	w.awaitProcess()
 	w.group.mu.Lock()
 	defer w.group.mu.Unlock()
 	if w.started != process {
-		panic(http.ErrAbortHandler) // the process that was called has ended
+		// The next process takes the call.
+		if err := w.acceptEpoch(call.Token); err != nil {
+			return dispatch.Report{}, err
+		}
+		w.extendLease(call.Deadline)
 	}
 	report := dispatch.Report{Ended: slices.Clone(w.ended), ProcessStart: time.Duration(w.started.UnixNano())}
 	for _, r := range w.running {
