The lease of a silent worker expires once, also while another report is awaited

Cause: a worker without runs whose lease had expired was given up again at each tick, 100 ms, as long as any report of an earlier owner's worker was awaited, with a warning each time. The condition is not needed: a worker whose report is awaited counts as one with runs. Change: only a worker that may have runs is given up.

--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -23,7 +23,7 @@
 	// leaseDuration is the length of a worker's lease from each extension. It is longer than a takeover. It also bounds how
 	// long the tasks of a worker that is cut off wait before they are started elsewhere.
 	leaseDuration = 5 * time.Second
-	// earlierOrderMargin covers the time that an earlier owner's last order takes to reach a worker.
+	// earlierOrderMargin covers the time that the last order of an earlier owner, or of an earlier connection, takes to reach a worker.
 	earlierOrderMargin = 300 * time.Millisecond
 )
 
--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -1,11 +1,15 @@
 package owner
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
@@ -32,6 +36,9 @@
 	elsewhereAt time.Time
 }
 
+// unansweringWorker never answers.
+const unansweringWorker dispatch.WorkerID = "unanswering"
+
 func newLeasedWorker(maxLease time.Duration) *leasedWorker {
 	return &leasedWorker{startedAt: time.Now().Add(-time.Hour), maxLease: maxLease, running: make(map[dispatch.RunKey]bool)}
 }
@@ -85,7 +92,11 @@
 
 func (w *leasedWorker) Hold(ctx context.Context, called dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error) {
 	time.Sleep(max(call.Wait, time.Millisecond))
-	if called.ID != testWorker.ID {
+	switch called.ID {
+	case testWorker.ID:
+	case unansweringWorker:
+		return dispatch.Report{}, 0, ErrNoAnswer
+	default:
 		return dispatch.Report{}, time.Hour, nil
 	}
 	w.mu.Lock()
@@ -347,6 +358,29 @@
 	})
 }
 
+// Guards against the lease of a worker that doesn't answer expiring again at each tick while the report of another one is awaited for longer.
+func TestLeaseExpiresOnceWhileAnotherReportIsAwaited(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(ctx context.Context, l *leaseTest) {
+		l.restartWorker()
+		l.worker.setCutOff(true)
+		l.takeOver(ctx, l.worker.entry())
+		var lines bytes.Buffer
+		l.Log = &log.Logger{Writer: &log.IOWriter{Writer: &lines}}
+		silent := testWorker
+		silent.ID = unansweringWorker
+		l.engine.AwaitReport(silent.ID, silent.Pool)
+		l.addWorkerConn(silent, true)
+		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{silent}})
+		runLoop(l.controller, 9*time.Second, func() {})
+		if l.engine.ReportsComplete() {
+			l.t.Fatal("no report is awaited after 9 s, want that of the restarted worker")
+		}
+		if n := strings.Count(lines.String(), "lease of unresponsive worker expired"); n != 1 {
+			l.t.Errorf("the lease of the other worker expires %d times, want once", n)
+		}
+	})
+}
+
 // Guards against a task running in two places: a start was sent twice and answered once, and the next process of its worker carried out the
 // other attempt. A long-running task starts again at once.
 func TestAttemptOfAStartInDoubtIsStoppedOnTheNextProcess(t *testing.T) {
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -442,7 +442,7 @@
 			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), "lease expired, worker not registered")
 			continue
 		}
-		if c.engine.HasRuns(wc.worker.ID) || !c.engine.ReportsComplete() {
+		if c.engine.HasRuns(wc.worker.ID) {
 			wc.logStarts(wc.logLease(c.Log.Warn().Str("worker", string(wc.worker.ID)))).Msg("lease of unresponsive worker expired, its runs are given up")
 			c.handleRunsLost(wc, c.engine.RemoveWorker(wc.worker.ID, wc.endUnlessDraining(dispatch.WorkerSilent)), "lease expired")
 			c.putListing(wc)
