Log why a run is given up, on what evidence and how old that is

The three hypotheses of docs/incidents/runs-given-up.md can't be told apart by the log: the reason was a free text, the age of a report or an entry was not logged, and a run that a stop had ended without a listed end had no line at all.

Each run that is given up now has one line, 'run lost': the reason, the evidence's age, when the worker was last heard, what the owner knew of the run, the lease's basis and the three starts of the worker's process. The reasons are one list of constants. Nothing is decided otherwise.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -520,7 +520,7 @@
 }
 
 // RemoveWorker removes a worker whose runs have certainly ended, with these. It returns them.
-func (e *Engine) RemoveWorker(id WorkerID, end WorkerEnd) (ended []RunKey) {
+func (e *Engine) RemoveWorker(id WorkerID, end WorkerEnd) (given []GivenUpRun) {
 	delete(e.awaitedReports, id)
 	w := e.workers[id]
 	if w == nil {
@@ -531,7 +531,7 @@
 	e.poolsStale = true
 	crashed := e.recordEnd(w, end, e.now)
 	for _, r := range w.runs {
-		ended = append(ended, r.RunKey)
+		given = append(given, e.giveUp(r))
 		r.startAnswered = r.startAnswered || end == WorkerCrashed // another incarnation refuses the start
 		e.handleEnd(w, r.RunKey, RunInterrupted, "")
 	}
@@ -539,7 +539,7 @@
 		e.settleLateStarts(id, math.MaxInt64)
 	}
 	e.giveUpCause(crashed)
-	return ended
+	return given
 }
 
 // HasRuns reports whether the worker has, or may have, any runs.
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -42,9 +42,9 @@
 	}
 }
 
-// HandleReport processes the report with which a worker answered a call sent at the given time. It returns the confirmed runs
+// HandleReport processes the report with which a worker answered a call sent at the given time. It returns the runs
 // that are given up because a complete report should have listed them.
-func (e *Engine) HandleReport(id WorkerID, sent monotime.Instant, report Report) (lost []RunKey) {
+func (e *Engine) HandleReport(id WorkerID, sent monotime.Instant, report Report) (given []GivenUpRun) {
 	w := e.workers[id]
 	if w == nil {
 		return nil
@@ -76,9 +76,8 @@
 	return e.endUnlistedRuns(w, sent, listed)
 }
 
-// endUnlistedRuns ends the runs that a complete report should have listed and did not. It returns those that the worker had
-// confirmed.
-func (e *Engine) endUnlistedRuns(w *worker, sent monotime.Instant, listed map[RunKey]struct{}) (lost []RunKey) {
+// endUnlistedRuns ends the runs that a complete report should have listed and did not, and returns them.
+func (e *Engine) endUnlistedRuns(w *worker, sent monotime.Instant, listed map[RunKey]struct{}) (given []GivenUpRun) {
 	var lostRuns []*run
 	for key, r := range w.runs {
 		if _, ok := listed[key]; ok {
@@ -88,25 +87,25 @@
 		missing := r.state == runRunning && r.confirmedAt < sent
 		stopConfirmed := r.state == runStopping && r.stopAnsweredAt > 0 && r.stopAnsweredAt < sent
 		if missing || stopConfirmed {
+			given = append(given, e.giveUp(r))
 			e.handleEnd(w, key, RunInterrupted, "")
 		}
 		if missing {
-			lost = append(lost, key)
 			lostRuns = append(lostRuns, r)
 		}
 	}
 	if len(lostRuns) > 0 {
 		e.countPendingCrashes(lostRuns)
 	}
-	return lost
+	return given
 }
 
 // HandleRestart processes that a worker's process has ended, which was last known to live at aliveAt. Another one may run under the
 // worker's id; it has none of the runs of the ended one. A run that was confirmed since aliveAt may be one of the next process: its report
 // tells. A start, or an attempt of one, without an answer may still reach the next process, so its run is stopped there before the task is
 // started again.
-// HandleRestart returns the runs that have ended.
-func (e *Engine) HandleRestart(id WorkerID, end WorkerEnd, aliveAt monotime.Instant) (ended []RunKey) {
+// HandleRestart returns the runs that are given up.
+func (e *Engine) HandleRestart(id WorkerID, end WorkerEnd, aliveAt monotime.Instant) (given []GivenUpRun) {
 	delete(e.awaitedReports, id)
 	w := e.workers[id]
 	if w == nil {
@@ -125,11 +124,11 @@
 			e.stopAfterRestart(r)
 			continue
 		}
-		ended = append(ended, key)
+		given = append(given, e.giveUp(r))
 		e.handleEnd(w, key, RunInterrupted, "")
 	}
 	e.giveUpCause(crashed)
-	return ended
+	return given
 }
 
 // maybeOfNextProcess reports whether a run may be one of the worker's next process, and goes on if that lists it. aliveAt is when the
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -189,6 +189,9 @@
 	runStopping
 )
 
+// String returns the state's name in logs.
+func (s runState) String() string { return [...]string{"starting", "running", "stopping"}[s] }
+
 type run struct {
 	RunKey
 	worker *worker
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -19,7 +19,7 @@
 	first := runKey(j, 0, 0, 1)
 	c.HandleStartOutcome(w, first, Started)
 	c.HandleReport(w, c.virtualTime, endedReport(7, runKey("other", 0, 0, 1), RunDone))
-	if ended := c.HandleRestart(w, WorkerCrashed, c.virtualTime); len(ended) != 1 || ended[0] != first {
+	if ended := c.HandleRestart(w, WorkerCrashed, c.virtualTime); len(ended) != 1 || ended[0].RunKey != first {
 		t.Fatalf("runs %v ended with the worker's process, want %v", ended, first)
 	}
 	c.SetReachable(w, true)
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -161,6 +161,6 @@
 	case errors.Is(err, ErrOtherProcess):
 		c.replaceWorkerConn(wc, wc.aliveAt, processRestarted)
 	case errors.Is(err, ErrOtherIncarnation):
-		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), "another incarnation answers at its address")
+		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), otherIncarnation)
 	}
 }
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -59,6 +59,8 @@
 	// listing is the worker's last entry in the registry. Only the control loop uses listing and the fields down to
 	// unregistered.
 	listing dispatch.Worker
+	// listingReadAt is when the entry was read.
+	listingReadAt monotime.Instant
 	// unresponsive means that the last hold call failed.
 	unresponsive bool
 	// replaced means that the worker's process has ended and another connection has taken this one's place.
@@ -380,7 +382,7 @@
 		c.Log.Info().Str("job", string(e.Task.Job)).Str("task", e.Task.String()).Uint64("run", e.Number).Str("worker", string(wc.worker.ID)).Str("end", e.End.String()).Msg("run ended")
 		wc.withdrawStop(e.RunKey)
 	}
-	c.handleRunsLost(wc, c.engine.HandleReport(wc.worker.ID, sentAt, report), "worker does not report the run")
+	c.handleRunsLost(wc, c.engine.HandleReport(wc.worker.ID, sentAt, report), notReported, sentAt)
 }
 
 // handleReportedStart handles the start of the worker's process in the first report on a connection. Up to then the process may have carried
@@ -409,17 +411,6 @@
 	}
 }
 
-// handleRunsLost logs runs that the owner counts as lost because their worker has not reported an end of them, and withdraws their stops.
-func (c *controller) handleRunsLost(wc *workerConn, runs []dispatch.RunKey, why string) {
-	heard := c.engine.LastEndSequence(wc.worker.ID)
-	c.instruments.runsLost.Add(len(runs))
-	for _, run := range runs {
-		wc.withdrawStop(run)
-		entry := c.Log.Warn().Str("job", string(run.Task.Job)).Str("task", run.Task.String()).Uint64("run", run.Number).Str("worker", string(wc.worker.ID)).Str("why", why)
-		wc.logLease(entry).Uint64("recorded", wc.recorded()).Uint64("heard", heard).Msg("run lost")
-	}
-}
-
 // handleHoldFailure handles a hold call that failed or got no answer.
 func (c *controller) handleHoldFailure(wc *workerConn, err error) {
 	if c.workerConns[wc.worker.ID] != wc {
@@ -436,7 +427,7 @@
 	c.engine.SetReachable(wc.worker.ID, false)
 	switch {
 	case errors.Is(err, ErrOtherIncarnation):
-		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), "another incarnation answers at its address")
+		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), otherIncarnation)
 	case wc.listsLaterStart():
 		c.replaceWorkerConn(wc, wc.aliveAt, laterStartListed)
 	}
@@ -446,17 +437,18 @@
 // next process runs under its id. Only a later start of the process proves that, which the process reports, or which the registry lists
 // while the worker doesn't answer. Connections that are refused or reset don't: a firewall
 // refuses them too, while the worker runs on.
-func (c *controller) replaceWorkerConn(wc *workerConn, aliveAt monotime.Instant, why string) {
+func (c *controller) replaceWorkerConn(wc *workerConn, aliveAt monotime.Instant, why giveUpReason) {
 	id := wc.worker.ID
 	if c.workerConns[id] != wc {
 		return
 	}
-	wc.logStarts(wc.logLease(c.Log.Info().Str("worker", string(id)).Str("why", why))).Msg("worker process ended")
+	evidenceAt := wc.evidenceTime(why)
+	wc.logEvidence(c.Log.Info().Str("worker", string(id)), why, evidenceAt).Msg("worker process ended")
 	wc.replaced.Store(true)
 	wc.cancel()
 	wc.cancelOrders()
 	c.instruments.processesEnded.Inc()
-	c.handleRunsLost(wc, c.engine.HandleRestart(id, wc.endUnlessDraining(dispatch.WorkerCrashed), aliveAt), why)
+	c.handleRunsLost(wc, c.engine.HandleRestart(id, wc.endUnlessDraining(dispatch.WorkerCrashed), aliveAt), why, evidenceAt)
 	if c.committing {
 		c.restartedDuringCommit[id] = struct{}{}
 	}
@@ -464,7 +456,7 @@
 		delete(c.endsBarrier.sequences, id)
 	}
 	next := c.newWorkerConn(wc.worker, wc.places)
-	next.listing, next.unresponsive, next.unregistered = wc.listing, wc.unresponsive, wc.unregistered
+	next.listing, next.listingReadAt, next.unresponsive, next.unregistered = wc.listing, wc.listingReadAt, wc.unresponsive, wc.unregistered
 	next.unanswered = wc.unanswered
 	next.recordedDraining, next.recordedStart = wc.recordedDraining, wc.recordedStart
 	next.recordedLongestLease, next.recordedLateCalls, next.restartUnrecorded = wc.recordedLongestLease, wc.recordedLateCalls, wc.restartUnrecorded
@@ -555,19 +547,20 @@
 			continue
 		}
 		if wc.unregistered && !c.engine.HasRuns(wc.worker.ID) {
-			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), "not registered and without runs")
+			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), unregisteredWithoutRuns)
 			continue
 		}
 		if !wc.lease.expired(now) {
 			continue
 		}
 		if _, listed := c.registered[wc.worker.ID]; !listed {
-			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), "lease expired, worker not registered")
+			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), leaseOverUnregistered)
 			continue
 		}
 		if c.engine.HasRuns(wc.worker.ID) {
-			wc.logStarts(wc.logLease(c.Log.Warn().Str("worker", string(wc.worker.ID)))).Msg("lease of unresponsive worker expired, its runs are given up")
-			c.handleRunsLost(wc, c.engine.RemoveWorker(wc.worker.ID, wc.endUnlessDraining(dispatch.WorkerSilent)), "lease expired")
+			evidenceAt := wc.evidenceTime(leaseOver)
+			wc.logEvidence(c.Log.Warn().Str("worker", string(wc.worker.ID)), leaseOver, evidenceAt).Msg("lease of unresponsive worker expired, its runs are given up")
+			c.handleRunsLost(wc, c.engine.RemoveWorker(wc.worker.ID, wc.endUnlessDraining(dispatch.WorkerSilent)), leaseOver, evidenceAt)
 			c.putListing(wc)
 		}
 	}
@@ -594,9 +587,10 @@
 }
 
 // removeEndedWorker removes a worker that has certainly ended, and its row from the ledger.
-func (c *controller) removeEndedWorker(wc *workerConn, end dispatch.WorkerEnd, why string) {
+func (c *controller) removeEndedWorker(wc *workerConn, end dispatch.WorkerEnd, why giveUpReason) {
 	id := wc.worker.ID
-	wc.logStarts(wc.logLease(c.Log.Info().Str("worker", string(id)).Str("end", end.String()).Str("why", why))).Msg("worker gone")
+	evidenceAt := wc.evidenceTime(why)
+	wc.logEvidence(c.Log.Info().Str("worker", string(id)).Str("end", end.String()), why, evidenceAt).Msg("worker gone")
 	if wc.cancel != nil {
 		wc.cancel()
 	}
@@ -605,7 +599,7 @@
 	if end != dispatch.WorkerSilent {
 		c.instruments.processesEnded.Inc()
 	}
-	c.handleRunsLost(wc, c.engine.RemoveWorker(id, end), why)
+	c.handleRunsLost(wc, c.engine.RemoveWorker(id, end), why, evidenceAt)
 	c.pendingWorkerRows[id] = nil
 }
 
@@ -661,7 +655,7 @@
 	if wc.listing.Draining != w.Draining {
 		c.Log.Info().Str("worker", string(w.ID)).Bool("draining", w.Draining).Msg("worker state")
 	}
-	wc.listing = w
+	wc.listing, wc.listingReadAt = w, c.now()
 	wc.unregistered = false
 	if w.Draining != wc.recordedDraining {
 		wc.recordedDraining = true
@@ -684,12 +678,6 @@
 	return c.tokensGiven[id] > 0 || c.hadEarlierOwner && c.now() < c.earlierOrdersUntil.Add(dispatch.MaxCallDelay)
 }
 
-// Why the process of a worker has ended: by its own word, or while it doesn't answer.
-const (
-	processRestarted = "its process has restarted"
-	laterStartListed = "the registry lists a later start of its process"
-)
-
 // listsLaterStart reports whether the worker's entry in the registry names a later start of its process than its reports. Others may have
 // written the entry, so this doesn't end the runs of a worker that answers.
 func (wc *workerConn) listsLaterStart() bool {
