Known red: an entry's later start ends the runs of a worker that is cut off

One way to two runs of one task at once, with one owner and no late order: a worker is cut off and runs on; its entry in the registry, which others may write, names a later start of its process; the owner takes that for the end of the process and starts its tasks elsewhere at once, whatever is left of the lease.

--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -294,6 +294,9 @@
 func (l *leaseTest) expectOneRun(since time.Time, longest time.Duration) {
 	l.t.Helper()
 	runLoop(l.controller, longest, func() {
+		for id := range l.engine.TakeDirty(10) {
+			l.engine.ConfirmRecorded(id) // a task doesn't start again before a crash of its worker is recorded
+		}
 		if !l.worker.startedElsewhere().IsZero() && l.worker.runs() {
 			l.t.Fatalf("%s after the cut the task was started elsewhere, while it runs on the worker", time.Since(since))
 		}
@@ -715,3 +718,33 @@
 		}
 	})
 }
+
+// Guards against a task running in two places: others may write a later start of its process over the entry of a worker that is cut off and
+// runs on.
+func TestLaterStartInTheRegistryEndsNoRunOfACutOffWorker(t *testing.T) {
+	// after is when the entry is written, from the cut, lasts how long until the worker's own is back, and how long until it is written again.
+	for name, test := range map[string]struct{ after, lasts time.Duration }{
+		"at once": {time.Millisecond, time.Minute}, "once calls fail": {2500 * time.Millisecond, 1500 * time.Millisecond}, "again and again": {time.Second, 100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+				l.startTask()
+				l.addOtherWorker()
+				runLoop(l.controller, 2*holdWait, func() {}) // the worker lists the run
+				l.worker.setCutOff(true)
+				since := time.Now()
+				later := l.worker.entry()
+				later.ProcessStart += time.Hour
+				for _, change := range []struct {
+					at    time.Duration
+					entry dispatch.Worker
+				}{{test.after, later}, {test.after + test.lasts, l.worker.entry()}, {test.after + 2*test.lasts, later}} {
+					time.AfterFunc(change.at, func() {
+						l.post(func() { l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{change.entry}}) })
+					})
+				}
+				l.expectOneRun(since, longestWait(leaseDuration))
+			})
+		})
+	}
+}
