An entry's later start ends no run of a worker that doesn't answer

Cause: while a worker didn't answer, a later start of its process in its registry entry was taken for the end of that process, and its tasks started elsewhere at once. Others may write entries, and the worker may only be cut off: it runs on until its lease ends.

Now an entry ends nothing. It keeps new runs from the worker, has it asked at once by a call of its own, also while it doesn't answer, and lets this owner and, by the ledger, the next one count on the longest lease for the runs that the worker's next process may have. The others end with the lease of the process that listed them, as a silence, which is settled by the next answer; no crash counts for their tasks before.

TestLaterStartInTheRegistryEndsTheRuns asked for the fault: it is replaced by TestLaterStartInTheRegistryEndsRunsWithTheLease (not before the lease is over, and then at once) and by TestRestartListedWhileTheWorkerDoesNotAnswerIsConfirmedAtOnce. The test of late hold calls has one more way: an entry that vanishes after it told of the restart.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -114,7 +114,7 @@
 // returns it; nil if there is none to count. Runs that the next process may have are counted once its report lacks them.
 func (e *Engine) recordEnd(w *worker, end WorkerEnd, aliveAt monotime.Instant) *crash {
 	if end == WorkerSilent {
-		e.recordSilence(w)
+		e.recordSilence(w, aliveAt)
 		return nil
 	}
 	if end == WorkerLeft {
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -100,8 +100,8 @@
 	return given
 }
 
-// HandleRestart processes that a worker's process has ended, which was last known to live at aliveAt. Another one may run under the
-// worker's id; it has none of the runs of the ended one. A run that was confirmed since aliveAt may be one of the next process: its report
+// HandleRestart processes that a worker's process has ended, or that all its runs have, which was last known to live at aliveAt. Another one
+// may run under the worker's id; it has none of the runs of the ended one. A run that was confirmed since aliveAt may be one of the next process: its report
 // tells. A start, or an attempt of one, without an answer may still reach the next process, so its run is stopped there before the task is
 // started again.
 // HandleRestart returns the runs that are given up.
@@ -112,10 +112,10 @@
 		return nil
 	}
 	e.setReachable(w, false)
+	crashed := e.recordEnd(w, end, aliveAt)
 	w.lastEndSequence, w.processStart = 0, 0
 	delete(e.unconfirmedEnds, id)
 	e.forgetProcess(w)
-	crashed := e.recordEnd(w, end, aliveAt)
 	for key, r := range w.runs {
 		if r.maybeOfNextProcess(aliveAt) {
 			continue
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -74,18 +74,21 @@
 	return reports
 }
 
-// recordSilence notes that a worker's runs are given up without proof that its process has ended.
-func (e *Engine) recordSilence(w *worker) {
-	if len(w.runs) == 0 {
-		return
-	}
+// recordSilence notes that the runs of a worker's process, last known to live at aliveAt, are given up without proof that it has ended.
+func (e *Engine) recordSilence(w *worker, aliveAt monotime.Instant) {
 	s := &silence{worker: w.ID, processStart: w.processStart, at: e.now}
 	for key, r := range w.runs {
+		if r.maybeOfNextProcess(aliveAt) {
+			continue
+		}
 		s.runs = append(s.runs, silentRun{key, r.lastedStable(e.now)})
 		if t := e.task(key.Task); t != nil {
 			t.addSilence(e.now)
 		}
 	}
+	if len(s.runs) == 0 {
+		return
+	}
 	e.unsettledSilences[w.Address] = s
 }
 
--- a/internal/owner/given_up.go
+++ b/internal/owner/given_up.go
@@ -17,8 +17,6 @@
 	notReported giveUpReason = "worker does not report the run"
 	// processRestarted means that another process of the worker has answered.
 	processRestarted giveUpReason = "its process has restarted"
-	// laterStartListed means that the worker's entry names a later start of its process while the worker doesn't answer.
-	laterStartListed giveUpReason = "the registry lists a later start of its process"
 	// otherIncarnation means that the address has refused a call as another incarnation.
 	otherIncarnation giveUpReason = "another incarnation answers at its address"
 	// leaseOver means that the worker doesn't answer and that its lease has ended on the slowest clock.
@@ -29,11 +27,12 @@
 	unregisteredWithoutRuns giveUpReason = "not registered and without runs"
 )
 
-// evidenceTime returns when the present state of what a reason rests on was obtained; the time of an answer is now.
+// evidenceTime returns when what a reason rests on was obtained: when the report was asked for or the lease was extended last. The time of any
+// other answer is now.
 func (wc *workerConn) evidenceTime(why giveUpReason) monotime.Instant {
 	switch why {
-	case laterStartListed:
-		return wc.listingReadAt
+	case notReported:
+		return wc.aliveAt
 	case leaseOver, leaseOverUnregistered, unregisteredWithoutRuns:
 		return wc.lease.lastExtension()
 	}
@@ -42,9 +41,9 @@
 
 // logEvidence adds to a log line why runs are given up, how old the evidence is, when the worker was last heard, and what the owner knows of
 // its lease, its process and its entry.
-func (wc *workerConn) logEvidence(entry *log.Entry, why giveUpReason, evidenceAt monotime.Instant) *log.Entry {
+func (wc *workerConn) logEvidence(entry *log.Entry, why giveUpReason) *log.Entry {
 	c := wc.controller
-	entry.Str("why", string(why)).Dur("evidence_age", c.since(evidenceAt)).Dur("unheard", c.since(wc.aliveAt)).Bool("reported", wc.reported)
+	entry.Str("why", string(why)).Dur("evidence_age", c.since(wc.evidenceTime(why))).Dur("unheard", c.since(wc.aliveAt)).Bool("reported", wc.reported)
 	entry.Int64("listed_start", wc.listing.ProcessStart.Milliseconds()).Bool("registered", !wc.unregistered)
 	return wc.logStarts(wc.logLease(entry))
 }
@@ -59,7 +58,7 @@
 
 // handleRunsLost logs runs that the owner takes for over although their worker has not reported an end of them, and withdraws their stops.
 // Those that were being stopped are as expected: a start without an answer was then never carried out.
-func (c *controller) handleRunsLost(wc *workerConn, runs []dispatch.GivenUpRun, why giveUpReason, evidenceAt monotime.Instant) {
+func (c *controller) handleRunsLost(wc *workerConn, runs []dispatch.GivenUpRun, why giveUpReason) {
 	heard := c.engine.LastEndSequence(wc.worker.ID)
 	for _, run := range runs {
 		wc.withdrawStop(run.RunKey)
@@ -70,6 +69,6 @@
 		}
 		entry.Str("job", string(run.Task.Job)).Str("task", run.Task.String()).Uint64("run", run.Number).Str("worker", string(wc.worker.ID))
 		entry.Str("state", run.State).Dur("ordered", run.Ordered).Dur("confirmed", run.Confirmed).Dur("listed", run.Listed).Dur("stop_answered", run.StopAnswered)
-		wc.logEvidence(entry, why, evidenceAt).Uint64("recorded", wc.recorded()).Uint64("heard", heard).Msg("run lost")
+		wc.logEvidence(entry, why).Uint64("recorded", wc.recorded()).Uint64("heard", heard).Msg("run lost")
 	}
 }
--- a/internal/owner/given_up_test.go
+++ b/internal/owner/given_up_test.go
@@ -71,7 +71,7 @@
 // newWorkerConnWithRun returns a connection without a hold loop to a worker that has just confirmed the run of the job j.
 func newWorkerConnWithRun(c *controller) (wc *workerConn, run dispatch.RunKey) {
 	wc = c.newWorkerConn(testWorker, nil)
-	wc.cancel, wc.listing, wc.listingReadAt = func() {}, testWorker, c.now()
+	wc.cancel, wc.listing = func() {}, testWorker
 	wc.reported, wc.reportedStart, wc.aliveAt = true, 7*time.Millisecond, c.now()
 	wc.lease.observeClock(time.Minute, c.now())
 	c.workerConns[testWorker.ID] = wc
--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -286,7 +286,7 @@
 
 func (l *leaseTest) addOtherWorker() {
 	other := testWorker
-	other.ID = "other"
+	other.ID, other.Address = "other", "other"
 	l.addWorkerConn(other, false)
 }
 
@@ -455,13 +455,15 @@
 // Guards against a task running in two places: a hold call for the former process got no answer and reached the next one seconds after the
 // registry had told of the restart. From then on that process held the longest lease.
 func TestOwnerAwaitsTheLongestLeaseOfALateHoldCall(t *testing.T) {
-	for name, takeover := range map[string]bool{"same owner": false, "next owner": true} {
+	for name, test := range map[string]struct{ takeover, dropped bool }{
+		"same owner": {}, "same owner, dropped from the registry": {dropped: true}, "next owner": {takeover: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			runLeaseTest(t, 10*time.Second, func(ctx context.Context, l *leaseTest) {
 				l.worker.loseHolds(true)
 				l.worker.restart()
 				l.startTask()
-				if takeover {
+				if test.takeover {
 					l.worker.setCutOff(true)
 					l.takeOver(ctx, l.worker.entry())
 				} else {
@@ -470,6 +472,9 @@
 					l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{l.worker.entry()}})
 					l.addOtherWorker()
 				}
+				if test.dropped {
+					l.handleRegistryChange(RegistryChange{Removed: []dispatch.WorkerID{testWorker.ID}})
+				}
 				since := time.Now()
 				check := func() {
 					if !l.worker.startedElsewhere().IsZero() && l.worker.runs() {
@@ -744,6 +749,9 @@
 					})
 				}
 				l.expectOneRun(since, longestWait(leaseDuration))
+				if reports := l.engine.TakeCrashReports(); len(reports) > 0 {
+					l.t.Errorf("%d crashes counted by an entry, want none: %+v", len(reports), reports)
+				}
 			})
 		})
 	}
--- a/internal/owner/restart_record_test.go
+++ b/internal/owner/restart_record_test.go
@@ -42,7 +42,7 @@
 		l.takeOver(ctx, l.recorded)
 		wc := l.workerConns[testWorker.ID]
 		until := wc.earlierCallsUntil
-		l.replaceWorkerConn(wc, l.now(), laterStartListed)
+		l.replaceWorkerConn(wc, l.now(), processRestarted)
 		if next := l.workerConns[testWorker.ID]; until <= l.now() || next.earlierCallsUntil < until {
 			l.t.Errorf("earlier calls are awaited until %d after %d before, at %d", next.earlierCallsUntil, until, l.now())
 		}
--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -305,8 +305,9 @@
 	})
 }
 
-// Guards against runs of a process that the registry shows to have ended being waited for while its worker can't be reached.
-func TestLaterStartInTheRegistryEndsTheRuns(t *testing.T) {
+// Guards against a task that runs twice, and against runs that are waited for without end: an entry that names a later start of the process of a
+// worker that doesn't answer ends its runs neither before its lease is over nor after.
+func TestLaterStartInTheRegistryEndsRunsWithTheLease(t *testing.T) {
 	runHoldTest(t, func(ctx context.Context, t *testing.T) {
 		c, worker := newRebornFixture(ctx)
 		addOneTask(c, "j")
@@ -315,8 +316,37 @@
 		runLoop(c, 100*time.Millisecond, func() {})
 		worker.restart()
 		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{worker.entry()}})
-		runLoop(c, holdWait, func() {}) // the hold call under way fails
+		left := c.workerConns[testWorker.ID].lease.remaining(c.now())
+		runLoop(c, left-tickInterval, func() {
+			if !c.engine.HasRuns(testWorker.ID) {
+				t.Fatal("the run was given up while the worker's lease ran on")
+			}
+		})
+		runLoop(c, 3*tickInterval, func() {})
 		if c.engine.HasRuns(testWorker.ID) {
+			t.Error("the run is still counted, although the worker's lease is over")
+		}
+	})
+}
+
+// Guards against runs of an ended process that are waited for until their lease is over, or the next hold call answered: the worker doesn't answer,
+// and the registry lists its next process as soon as that can be reached.
+func TestRestartListedWhileTheWorkerDoesNotAnswerIsConfirmedAtOnce(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		c, worker := newRebornFixture(ctx)
+		addOneTask(c, "j")
+		runLoop(c, 3*time.Second, func() {})
+		worker.setDown(true)
+		runLoop(c, 2*holdWait, func() {})
+		if !c.workerConns[testWorker.ID].unresponsive {
+			t.Fatal("the worker answers")
+		}
+		worker.restart()
+		worker.setDown(false)
+		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{worker.entry()}})
+		lost := c.instruments.runsLost.Get()
+		runLoop(c, 20*time.Millisecond, func() {})
+		if c.instruments.runsLost.Get() == lost {
 			t.Error("the run of the ended process is still counted")
 		}
 	})
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -59,8 +59,9 @@
 	// listing is the worker's last entry in the registry. Only the control loop uses listing and the fields down to
 	// unregistered.
 	listing dispatch.Worker
-	// listingReadAt is when the entry was read.
-	listingReadAt monotime.Instant
+	// laterStartListedAt is when an entry was read that names a later start of the worker's process than its reports; 0 if there was none, or if
+	// the process has answered since.
+	laterStartListedAt monotime.Instant
 	// unresponsive means that the last hold call failed.
 	unresponsive bool
 	// replaced means that the worker's process has ended and another connection has taken this one's place.
@@ -364,6 +365,9 @@
 		return
 	}
 	wc.aliveAt = sentAt
+	if sentAt > wc.laterStartListedAt {
+		wc.laterStartListedAt = 0
+	}
 	if wc.reported || c.tokensGiven[wc.worker.ID] > 1 { // the first report lists the runs of earlier owners
 		c.logUnknownRuns(wc, report)
 	}
@@ -382,7 +386,7 @@
 		c.Log.Info().Str("job", string(e.Task.Job)).Str("task", e.Task.String()).Uint64("run", e.Number).Str("worker", string(wc.worker.ID)).Str("end", e.End.String()).Msg("run ended")
 		wc.withdrawStop(e.RunKey)
 	}
-	c.handleRunsLost(wc, c.engine.HandleReport(wc.worker.ID, sentAt, report), notReported, sentAt)
+	c.handleRunsLost(wc, c.engine.HandleReport(wc.worker.ID, sentAt, report), notReported)
 }
 
 // handleReportedStart handles the start of the worker's process in the first report on a connection. Up to then the process may have carried
@@ -428,27 +432,32 @@
 	switch {
 	case errors.Is(err, ErrOtherIncarnation):
 		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), otherIncarnation)
-	case wc.listsLaterStart():
-		c.replaceWorkerConn(wc, wc.aliveAt, laterStartListed)
+	case wc.mayHaveRestarted():
+		c.recordRestart(wc)
 	}
 }
 
 // replaceWorkerConn gives up the runs of a worker whose process, last known to live at aliveAt, has certainly ended, and connects anew: its
-// next process runs under its id. Only a later start of the process proves that, which the process reports, or which the registry lists
-// while the worker doesn't answer. Connections that are refused or reset don't: a firewall
-// refuses them too, while the worker runs on.
+// next process runs under its id. Only an answer of that process proves it. The worker's entry in the registry doesn't, since others may
+// have written it, nor do connections that are refused or reset: a firewall refuses them too, while the worker runs on.
 func (c *controller) replaceWorkerConn(wc *workerConn, aliveAt monotime.Instant, why giveUpReason) {
 	id := wc.worker.ID
 	if c.workerConns[id] != wc {
 		return
 	}
-	evidenceAt := wc.evidenceTime(why)
-	wc.logEvidence(c.Log.Info().Str("worker", string(id)), why, evidenceAt).Msg("worker process ended")
+	wc.logEvidence(c.Log.Info().Str("worker", string(id)), why).Msg("worker process ended")
+	c.instruments.processesEnded.Inc()
+	c.connectAnew(wc, aliveAt, dispatch.WorkerCrashed, why)
+}
+
+// connectAnew gives up the runs of the process that a connection is to, which was last known to live at aliveAt, and replaces the connection:
+// another process may run under the worker's id.
+func (c *controller) connectAnew(wc *workerConn, aliveAt monotime.Instant, end dispatch.WorkerEnd, why giveUpReason) {
+	id := wc.worker.ID
 	wc.replaced.Store(true)
 	wc.cancel()
 	wc.cancelOrders()
-	c.instruments.processesEnded.Inc()
-	c.handleRunsLost(wc, c.engine.HandleRestart(id, wc.endUnlessDraining(dispatch.WorkerCrashed), aliveAt), why, evidenceAt)
+	c.handleRunsLost(wc, c.engine.HandleRestart(id, wc.endUnlessDraining(end), aliveAt), why)
 	if c.committing {
 		c.restartedDuringCommit[id] = struct{}{}
 	}
@@ -456,7 +465,7 @@
 		delete(c.endsBarrier.sequences, id)
 	}
 	next := c.newWorkerConn(wc.worker, wc.places)
-	next.listing, next.listingReadAt, next.unresponsive, next.unregistered = wc.listing, wc.listingReadAt, wc.unresponsive, wc.unregistered
+	next.listing, next.unresponsive, next.unregistered = wc.listing, wc.unresponsive, wc.unregistered
 	next.unanswered = wc.unanswered
 	next.recordedDraining, next.recordedStart = wc.recordedDraining, wc.recordedStart
 	next.recordedLongestLease, next.recordedLateCalls, next.restartUnrecorded = wc.recordedLongestLease, wc.recordedLateCalls, wc.restartUnrecorded
@@ -488,12 +497,12 @@
 	wc.lease.extendUntil(wc.longestLeaseUntil, leaseAfterRestart)
 }
 
-// recordRestart records that a worker's process is not the one in the ledger. Until that is committed the worker gets no new runs: a later
+// recordRestart records that a worker's process is not, or may not be, the one in the ledger. Until that is committed the worker gets no new runs: a later
 // owner that hears of the restart from neither the worker nor the registry would count on too short a lease for them.
 func (c *controller) recordRestart(wc *workerConn) {
 	_, pending := c.pendingWorkerRows[wc.worker.ID]
 	told := wc.recordedLongestLease && !c.committing && !pending
-	if told && wc.recordedLateCalls == !wc.reported {
+	if told && wc.recordedLateCalls == wc.mayCarryOutLateCalls() {
 		return
 	}
 	if !told && !wc.restartUnrecorded {
@@ -503,11 +512,15 @@
 	c.pendingWorkerRows[wc.worker.ID] = wc.row(wc.listing)
 }
 
+// mayCarryOutLateCalls reports whether calls of earlier connections may still be carried out: the worker's present process has not answered on
+// this one, as far as is known.
+func (wc *workerConn) mayCarryOutLateCalls() bool { return !wc.reported || wc.mayHaveRestarted() }
+
 // row returns the row of the worker with the given entry in the registry. It vouches for no other process than the ledger does.
 func (wc *workerConn) row(w dispatch.Worker) *dispatch.Worker {
 	w.ProcessStart, w.LongestLease, w.LateCalls = wc.recordedStart, false, false
 	if wc.restartUnrecorded || wc.recordedLongestLease {
-		w.ProcessStart, w.LongestLease, w.LateCalls = 0, true, !wc.reported
+		w.ProcessStart, w.LongestLease, w.LateCalls = 0, true, wc.mayCarryOutLateCalls()
 	}
 	return &w
 }
@@ -553,14 +566,17 @@
 		if !wc.lease.expired(now) {
 			continue
 		}
-		if _, listed := c.registered[wc.worker.ID]; !listed {
+		if _, listed := c.registered[wc.worker.ID]; !listed && !wc.mayHaveRestarted() {
 			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), leaseOverUnregistered)
 			continue
 		}
 		if c.engine.HasRuns(wc.worker.ID) {
-			evidenceAt := wc.evidenceTime(leaseOver)
-			wc.logEvidence(c.Log.Warn().Str("worker", string(wc.worker.ID)), leaseOver, evidenceAt).Msg("lease of unresponsive worker expired, its runs are given up")
-			c.handleRunsLost(wc, c.engine.RemoveWorker(wc.worker.ID, wc.endUnlessDraining(dispatch.WorkerSilent)), leaseOver, evidenceAt)
+			wc.logEvidence(c.Log.Warn().Str("worker", string(wc.worker.ID)), leaseOver).Msg("lease of unresponsive worker expired, its runs are given up")
+			if wc.mayHaveRestarted() {
+				c.connectAnew(wc, wc.aliveAt, dispatch.WorkerSilent, leaseOver) // runs that the next process may have go on
+				continue
+			}
+			c.handleRunsLost(wc, c.engine.RemoveWorker(wc.worker.ID, wc.endUnlessDraining(dispatch.WorkerSilent)), leaseOver)
 			c.putListing(wc)
 		}
 	}
@@ -589,8 +605,7 @@
 // removeEndedWorker removes a worker that has certainly ended, and its row from the ledger.
 func (c *controller) removeEndedWorker(wc *workerConn, end dispatch.WorkerEnd, why giveUpReason) {
 	id := wc.worker.ID
-	evidenceAt := wc.evidenceTime(why)
-	wc.logEvidence(c.Log.Info().Str("worker", string(id)).Str("end", end.String()), why, evidenceAt).Msg("worker gone")
+	wc.logEvidence(c.Log.Info().Str("worker", string(id)).Str("end", end.String()), why).Msg("worker gone")
 	if wc.cancel != nil {
 		wc.cancel()
 	}
@@ -599,7 +614,7 @@
 	if end != dispatch.WorkerSilent {
 		c.instruments.processesEnded.Inc()
 	}
-	c.handleRunsLost(wc, c.engine.RemoveWorker(id, end), why, evidenceAt)
+	c.handleRunsLost(wc, c.engine.RemoveWorker(id, end), why)
 	c.pendingWorkerRows[id] = nil
 }
 
@@ -655,20 +670,19 @@
 	if wc.listing.Draining != w.Draining {
 		c.Log.Info().Str("worker", string(w.ID)).Bool("draining", w.Draining).Msg("worker state")
 	}
-	wc.listing, wc.listingReadAt = w, c.now()
+	wc.listing = w
 	wc.unregistered = false
 	if w.Draining != wc.recordedDraining {
 		wc.recordedDraining = true
 		c.pendingWorkerRows[w.ID] = wc.row(w)
 	}
-	switch {
-	case !wc.listsLaterStart():
-	case wc.unresponsive:
-		c.replaceWorkerConn(wc, wc.aliveAt, laterStartListed)
-		wc = c.workerConns[w.ID]
-	default:
+	if wc.listsLaterStart() {
+		wc.laterStartListedAt = c.now()
 		go wc.confirmRestart(wc.reportedStart, wc.aliveAt)
 	}
+	if wc.mayHaveRestarted() {
+		c.recordRestart(wc)
+	}
 	c.putListing(wc)
 }
 
@@ -679,11 +693,14 @@
 }
 
 // listsLaterStart reports whether the worker's entry in the registry names a later start of its process than its reports. Others may have
-// written the entry, so this doesn't end the runs of a worker that answers.
+// written the entry: it keeps new runs from the worker, and ends none.
 func (wc *workerConn) listsLaterStart() bool {
 	return !wc.unregistered && wc.reportedStart != 0 && wc.listing.ProcessStart > wc.reportedStart
 }
 
+// mayHaveRestarted reports whether another process may run under the worker's id that can't be asked: its lease may be the longest.
+func (wc *workerConn) mayHaveRestarted() bool { return wc.unresponsive && wc.laterStartListedAt > 0 }
+
 // confirmRestart asks the worker at once whether its process has restarted since the given start. The hold call under way may wait on a
 // connection of the ended process.
 func (wc *workerConn) confirmRestart(start time.Duration, aliveAt monotime.Instant) {
