Take no report that names no process once the worker has named one

A report without its process start, from a worker that had named one before, reset what the connection knew: the next report passed whichever process it was of. After a restart the connection went on with the former process's recorded sequence, so the next process forgot ends that nobody had heard of, and their tasks ran again after they were done; its runs were matched against those of the process before.

Change: such a report is no answer. The lease decides, and the next named report tells of the restart.

TestReportThatNamesNoProcessHidesNoRestart failed before: the connection was kept, and its calls confirmed 40 ends to the next process.

--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -91,6 +91,30 @@
 	})
 }
 
+// Guards against a task that runs again after it was done: a report that names no process made the connection forget which one it had heard,
+// so that the next process passed for it, and forgot ends that only the one before had had recorded.
+func TestReportThatNamesNoProcessHidesNoRestart(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		client := &restartingClient{processStart: time.Second, listening: true}
+		c := newRestartFixture(ctx, client)
+		former := c.workerConns[testWorker.ID]
+		c.setRecorded(map[dispatch.WorkerID]uint64{testWorker.ID: 40})
+		client.set(0, true)
+		runLoop(c, 2*holdWait, func() {})
+		client.set(2*time.Second, true)
+		restartedAt := len(client.holds)
+		runLoop(c, 4*holdWait, func() {})
+		if c.workerConns[testWorker.ID] == former {
+			t.Error("the connection to the former process is still used")
+		}
+		for i, call := range client.holds[restartedAt+1:] {
+			if call.Recorded != 0 {
+				t.Fatalf("hold call %d after the restart confirms the sequence %d, want 0", i+1, call.Recorded)
+			}
+		}
+	})
+}
+
 // A hold call that follows a failed one may meet a new process. It must not confirm ends of the earlier one.
 func TestHoldAfterAFailureConfirmsNothing(t *testing.T) {
 	runHoldTest(t, func(ctx context.Context, t *testing.T) {
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -324,9 +324,13 @@
 		}
 		return 0, err
 	}
+	known := time.Duration(wc.processStart.Load())
+	if known != 0 && report.ProcessStart == 0 {
+		return 0, errUnnamedProcess
+	}
 	wc.idle = len(report.Running) == 0 && wc.starts.Load() == startsBefore
 	wc.unconfirmed = call.Recorded == 0 && recorded > 0 && len(report.Ended) > 0 && report.Ended[0].Sequence <= recorded
-	if known := time.Duration(wc.processStart.Load()); known != 0 && report.ProcessStart != 0 && report.ProcessStart != known {
+	if known != 0 && report.ProcessStart != known {
 		return 0, errRestarted
 	}
 	wc.processStart.Store(int64(report.ProcessStart))
@@ -342,6 +346,9 @@
 // errAnswerLost means that a worker that had answered before gave no answer while those of many workers get lost.
 var errAnswerLost = errors.New("owner: answer lost")
 
+// errUnnamedProcess means that a report doesn't say which process it is of although earlier ones did. It may be of any.
+var errUnnamedProcess = fmt.Errorf("%w: the report names no process", ErrNoAnswer)
+
 // errRestarted means that the worker's process is not the one that answered before.
 var errRestarted = errors.New("owner: the worker's process has restarted")
 
