A worker's address and pool are those that it was used by, not those of a later entry

What callers would see: a task runs in two places after a takeover. An entry of the registry that another writer wrote over a worker's was copied into the worker's row in the ledger: at once if it said that the worker drains, with the next row after a restart, and while the worker's first row was being committed. The next owner then called another worker, which answers that it is not the one that is meant, and gave up all runs of the worker at once; or it awaited the worker's report for the jobs of another pool only.

Cause: rows were put from the entry, although calls and runs go by the connection's address and pool.

Change: an entry with another address or pool than the worker is used by is as good as none: it changes no row and no pool, and brings no new runs. A worker that really starts elsewhere is used there once it has no runs: at once if the process that answers lists itself so, or else when its lease is over; before, it was called at its former address for good. A refusal as another incarnation thus comes from the address where the worker has answered whenever it has runs, and still ends them without a wait.

--- /dev/null
+++ b/internal/owner/foreign_entry_test.go
@@ -0,0 +1,113 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/ledger"
+)
+
+// otherAddress is the address of another worker than testWorker.
+const otherAddress = "10.0.0.9:80"
+
+// foreignEntries are entries of testWorker that another writer may have written.
+func foreignEntries(entry dispatch.Worker) map[string]dispatch.Worker {
+	address, pool, draining := entry, entry, entry
+	address.Address = otherAddress
+	pool.Pool = "other"
+	draining.Pool, draining.Address, draining.Draining = "other", otherAddress, true
+	return map[string]dispatch.Worker{"another address": address, "another pool": pool, "both, draining": draining}
+}
+
+// Guards against a task running in two places: an entry that another writer had written was copied to the ledger, so that the next owner
+// called another worker, which refused the calls, or awaited the worker's report for the jobs of another pool. The entry comes while the
+// worker runs a task, at a restart, or before the first row is committed.
+func TestNextOwnerFindsTheWorkerByTheRowThatItWasUsedBy(t *testing.T) {
+	for name := range foreignEntries(testWorker) {
+		t.Run(name, func(t *testing.T) {
+			runLeaseTest(t, 6*time.Second, func(ctx context.Context, l *leaseTest) {
+				l.startTask()
+				l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{foreignEntries(l.worker.entry())[name]}})
+				runLoop(l.controller, 2*tickInterval, func() {})
+				l.commitWorkerRow()
+				l.expectOneRunAfterTakeover(ctx)
+			})
+		})
+		t.Run(name+" at a restart", func(t *testing.T) {
+			runLeaseTest(t, 6*time.Second, func(ctx context.Context, l *leaseTest) {
+				l.worker.restart()
+				l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{foreignEntries(l.worker.entry())[name]}})
+				runLoop(l.controller, 2*holdWait, func() {})
+				l.commitWorkerRow()
+				for range 3 { // heartbeats
+					l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{l.worker.entry()}})
+					l.commitWorkerRow()
+					runLoop(l.controller, 2*holdWait, func() {})
+				}
+				l.startTask()
+				l.expectOneRunAfterTakeover(ctx)
+			})
+		})
+		t.Run(name+" before its row is committed", func(t *testing.T) {
+			runHoldTest(t, func(ctx context.Context, t *testing.T) {
+				worker := newLeasedWorker(6 * time.Second)
+				l := &leaseTest{t: t, worker: worker}
+				l.controller = l.newOwner(ctx)
+				l.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{worker.entry()}})
+				batch := l.takeBatch()
+				l.committing = true
+				l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{foreignEntries(worker.entry())[name]}})
+				l.handleCommitResult(ledger.Batch{Workers: batch.Workers}, nil, l.now(), nil)
+				l.recorded = batch.Workers[0]
+				l.commitWorkerRow()
+				l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{worker.entry()}})
+				l.commitWorkerRow()
+				runLoop(l.controller, 3*time.Second, func() {})
+				l.startTask()
+				l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{foreignEntries(worker.entry())[name]}})
+				l.commitWorkerRow()
+				l.expectOneRunAfterTakeover(ctx)
+			})
+		})
+	}
+}
+
+// expectOneRunAfterTakeover checks that the next owner, which knows the worker by its row, doesn't start the worker's task elsewhere.
+func (l *leaseTest) expectOneRunAfterTakeover(ctx context.Context) {
+	l.t.Helper()
+	l.worker.setCutOff(true)
+	time.AfterFunc(holdWait, func() { l.worker.setCutOff(false) })
+	l.takeOver(ctx, l.worker.entry())
+	runLoop(l.controller, 4*holdWait, func() {
+		if !l.worker.startedElsewhere().IsZero() {
+			l.t.Fatalf("the next owner, by the row %+v, starts the task elsewhere while the worker runs it", l.recorded)
+		}
+	})
+}
+
+// A worker that starts again at another address, or in another pool, is used there once its former process has certainly ended.
+func TestWorkerWithANewAddressIsUsedOnceItsLeaseIsOver(t *testing.T) {
+	for name, moved := range foreignEntries(testWorker) {
+		if moved.Draining {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			runLeaseTest(t, 6*time.Second, func(_ context.Context, l *leaseTest) {
+				l.startTask()
+				l.worker.setCutOff(true)
+				l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{foreignEntries(l.worker.entry())[name]}})
+				runLoop(l.controller, longestWait(6*time.Second), func() {
+					if l.worker.runs() && !l.engine.HasRuns(testWorker.ID) {
+						l.t.Fatal("the run is given up while it goes on")
+					}
+				})
+				row, committed := l.commitWorkerRow()
+				if wc := l.workerConns[testWorker.ID]; !committed || wc == nil || wc.worker.Address != moved.Address || wc.worker.Pool != moved.Pool || row.Pool != moved.Pool {
+					l.t.Errorf("the row is %+v (put: %t) after the lease, want the address %s and the pool %s in use", row, committed, moved.Address, moved.Pool)
+				}
+			})
+		})
+	}
+}
--- a/internal/owner/given_up.go
+++ b/internal/owner/given_up.go
@@ -27,6 +27,8 @@
 	leaseOverUnregistered giveUpReason = "lease expired, worker not registered"
 	// unregisteredWithoutRuns means that the worker doesn't answer, isn't listed and has no runs.
 	unregisteredWithoutRuns giveUpReason = "not registered and without runs"
+	// listedElsewhere means that the worker, which has no runs, lists itself with another address or pool.
+	listedElsewhere giveUpReason = "listed elsewhere and without runs"
 )
 
 // evidenceTime returns when the present state of what a reason rests on was obtained; the time of an answer is now.
--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -151,6 +151,9 @@
 }
 
 func (w *leasedWorker) Hold(ctx context.Context, called dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error) {
+	if called.Address == otherAddress {
+		return dispatch.Report{}, 0, ErrOtherIncarnation
+	}
 	time.Sleep(max(call.Wait, time.Millisecond))
 	switch called.ID {
 	case testWorker.ID:
@@ -276,7 +279,7 @@
 	l.cancel()
 	l.controller = l.newOwner(ctx)
 	l.tokensGiven[testWorker.ID] = 100 // the tokens of a later epoch
-	l.engine.AwaitReport(testWorker.ID, testWorker.Pool)
+	l.engine.AwaitReport(testWorker.ID, l.recorded.Pool)
 	l.addWorkerConn(l.recorded, true)
 	l.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{entry}})
 	l.addOtherWorker()
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -42,7 +42,7 @@
 // workerConn is the owner's connection to one worker: it extends the worker's lease, fetches its reports and sends it orders.
 type workerConn struct {
 	controller *controller
-	// worker never changes; calls go to its address.
+	// worker never changes; calls go to its address, and its runs are of jobs of its pool. A later owner finds it by the same.
 	worker dispatch.Worker
 	lease  workerLease
 	// fencingToken is that of the next call on this connection. It is higher than those of earlier connections to the worker, so that its
@@ -510,6 +510,12 @@
 	c.pendingWorkerRows[wc.worker.ID] = wc.row(wc.listing)
 }
 
+// isNamedBy reports whether an entry in the registry names the worker as it is used. One that doesn't is another writer's, or that of a later
+// process that started elsewhere.
+func (wc *workerConn) isNamedBy(entry dispatch.Worker) bool {
+	return entry.Address == wc.worker.Address && entry.Pool == wc.worker.Pool
+}
+
 // row returns the row of the worker with the given entry in the registry. It vouches for no other process than the ledger does.
 func (wc *workerConn) row(w dispatch.Worker) *dispatch.Worker {
 	w.ProcessStart, w.LongestLease, w.LateCalls = wc.recordedStart, false, false
@@ -550,6 +556,10 @@
 func (c *controller) expireLeases() {
 	now := c.now()
 	for _, wc := range c.workerConns {
+		if c.startedElsewhere(wc) && !c.engine.HasRuns(wc.worker.ID) {
+			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), listedElsewhere)
+			continue
+		}
 		if !wc.unresponsive {
 			continue
 		}
@@ -573,6 +583,15 @@
 	}
 }
 
+// startedElsewhere reports whether the process that answers the worker's calls lists itself with another address or pool.
+func (c *controller) startedElsewhere(wc *workerConn) bool {
+	if !wc.unregistered || !wc.reported {
+		return false
+	}
+	listed, ok := c.registered[wc.worker.ID]
+	return ok && !wc.isNamedBy(listed) && listed.ProcessStart == wc.reportedStart
+}
+
 // holdBackLeases stops extending the leases of workers that can't be got to stop a run whose job has ended, and extends the others'
 // again.
 func (c *controller) holdBackLeases() {
@@ -608,6 +627,9 @@
 	}
 	c.handleRunsLost(wc, c.engine.RemoveWorker(id, end), why, evidenceAt)
 	c.pendingWorkerRows[id] = nil
+	if listed, ok := c.registered[id]; ok && !wc.isNamedBy(listed) {
+		c.handleRegistered(listed)
+	}
 }
 
 // handleRegistryChange applies a change of the worker registry.
@@ -630,7 +652,7 @@
 	}
 	for _, w := range change.Put {
 		c.registered[w.ID] = w
-		c.handleRegistered(w)
+		c.handleEntry(w)
 	}
 	for _, id := range change.Removed {
 		delete(c.registered, id)
@@ -638,6 +660,16 @@
 	}
 }
 
+// handleEntry handles a worker's entry in the registry. To a worker in use one that names another address or pool is as good as none: its
+// calls, its runs and its row go by the former ones until it has no runs.
+func (c *controller) handleEntry(w dispatch.Worker) {
+	if wc := c.workerConns[w.ID]; wc != nil && !wc.isNamedBy(w) {
+		c.handleUnregistered(w.ID)
+		return
+	}
+	c.handleRegistered(w)
+}
+
 // handleRegistered updates a worker from its entry in the registry. A new worker is used once its row is committed, so that a
 // later owner awaits its report.
 func (c *controller) handleRegistered(w dispatch.Worker) {
