Wait for the time of a stop after the end of a silent worker's lease

What callers would see: a task runs in two places for some tenths of a second. A worker that is cut off ends its runs as its lease ends; a stop takes it up to 400 ms on one deployment and 900 ms on the other, during which the run still counts, and it may notice the end late. The owner took the runs for over 300 ms after the end of the lease on the slowest clock.

Cause: the margin covered either of the two, and not the platform's time of a stop, which was not read.

Change: the time that a worker takes to end a run is a setting (--run-stop-time, 0 by default; `stop_grace_ms` of the users' platform). Runs of a silent worker are over that much and 300 ms, for a late timer, after the end of its lease: of this owner's leases, of an earlier owner's, of a restarted worker's and of starts that may be carried out late.

What it doesn't protect from is a worker that notices the end of its lease more than 300 ms late and then takes the whole time of a stop.

--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -134,13 +134,21 @@
 	if _, ok := d.Workers.(ProcessNamer); ok {
 		c.engine.SetStartsNameProcess()
 	}
-	c.engine.SetLongestLease(monotime.OnSlowestClock(d.MaxLease) + earlierOrderMargin + leaseMargin)
+	c.engine.SetLongestLease(c.longestLease())
 	if d.MaxCrashes > 0 {
 		c.engine.SetMaxCrashes(d.MaxCrashes)
 	}
 	return c
 }
 
+// longestLease is how long a run may go on on a worker that doesn't answer.
+func (c *controller) longestLease() time.Duration {
+	return monotime.OnSlowestClock(c.MaxLease) + earlierOrderMargin + c.runEndMargin()
+}
+
+// runEndMargin is how long after the end of a worker's lease its runs may go on.
+func (c *controller) runEndMargin() time.Duration { return c.RunStopTime + leaseMargin }
+
 func (c *controller) now() monotime.Instant { return c.Clock.Now() }
 
 // ownershipValid reports whether this daemon may still give orders: no other daemon can own the cell yet.
--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -33,6 +33,8 @@
 	// latestEnd is the latest time at which the lease can end, unless it is extended again.
 	latestEnd monotime.Instant
 	basis     leaseBasis
+	// endMargin is how long after the end of the lease the worker's runs may go on. It never changes.
+	endMargin time.Duration
 }
 
 // observeClock sets the reading of the worker's clock from an answer that was received at the given time.
@@ -106,11 +108,11 @@
 func (l *workerLease) remaining(now monotime.Instant) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(0, l.latestEnd.Add(leaseMargin).Sub(now))
+	return max(0, l.latestEnd.Add(l.endMargin).Sub(now))
 }
 
 // expired reports whether all runs of the worker have certainly ended.
 func (l *workerLease) expired(now monotime.Instant) bool { return l.remaining(now) == 0 }
 
-// leaseMargin covers the time that a worker takes to end its runs after the end of its lease.
+// leaseMargin is how late a worker may notice the end of its lease. Ending its runs takes it up to Daemon.RunStopTime more.
 const leaseMargin = 300 * time.Millisecond
--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -23,6 +23,9 @@
 	mu        sync.Mutex
 	startedAt time.Time
 	maxLease  time.Duration
+	slow      bool
+	// stopTime is how long the worker takes to end its runs once its lease has ended.
+	stopTime time.Duration
 	// cutOff leaves all calls unanswered, holdsLost hold calls only.
 	cutOff, holdsLost bool
 	token             uint64
@@ -54,7 +57,13 @@
 	return entry
 }
 
-func (w *leasedWorker) clock() time.Duration { return time.Since(w.startedAt) }
+// clock returns the reading of the worker's clock, which is as slow as a worker's may be if slow is set.
+func (w *leasedWorker) clock() time.Duration {
+	if w.slow {
+		return time.Since(w.startedAt) * 98 / 100
+	}
+	return time.Since(w.startedAt)
+}
 
 // restart ends the process. The next one takes the hold call that was under way, and the starts that got no answer.
 func (w *leasedWorker) restart() {
@@ -133,6 +142,13 @@
 	w.leaseEnd = w.clock() + w.maxLease
 }
 
+// noticeLate makes the worker notice the end of its lease late.
+func (w *leasedWorker) noticeLate(by time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopTime += by
+}
+
 // accept applies the token and the deadline of a call; false means that it is refused.
 func (w *leasedWorker) accept(token uint64, deadline time.Duration) bool {
 	if token < w.token {
@@ -147,7 +163,7 @@
 func (w *leasedWorker) runs() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.running) > 0 && w.clock() < w.leaseEnd
+	return len(w.running) > 0 && w.clock() < w.leaseEnd+w.stopTime
 }
 
 func (w *leasedWorker) Hold(ctx context.Context, called dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error) {
@@ -239,8 +255,14 @@
 
 // runLeaseTest runs a test of the leases of a worker that grants them for at most maxLease.
 func runLeaseTest(t *testing.T, maxLease time.Duration, test func(ctx context.Context, l *leaseTest)) {
+	runSlowStopTest(t, maxLease, 0, test)
+}
+
+// runSlowStopTest is runLeaseTest with a worker that takes stopTime to end its runs once its lease has ended.
+func runSlowStopTest(t *testing.T, maxLease, stopTime time.Duration, test func(ctx context.Context, l *leaseTest)) {
 	runHoldTest(t, func(ctx context.Context, t *testing.T) {
 		worker := newLeasedWorker(maxLease)
+		worker.stopTime, worker.slow = stopTime, stopTime > 0
 		l := &leaseTest{t: t, worker: worker, recorded: worker.entry()}
 		l.controller = l.newOwner(ctx)
 		l.addWorkerConn(l.recorded, false)
@@ -252,7 +274,8 @@
 
 func (l *leaseTest) newOwner(ctx context.Context) *controller {
 	c := newTestController(ctx, l.worker)
-	c.MaxLease = l.worker.maxLease
+	c.MaxLease, c.RunStopTime = l.worker.maxLease, l.worker.stopTime
+	c.engine.SetLongestLease(c.longestLease())
 	c.validUntil.Store(int64(c.now().Add(time.Hour)))
 	return c
 }
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -149,6 +149,7 @@
 		controller: c, worker: w, recordedAdvanced: make(chan struct{}, 1), places: places, unanswered: newUnansweredStarts(),
 		queuedStarts: make(map[dispatch.RunKey]*queuedOrder), queuedStops: make(map[dispatch.RunKey]*queuedOrder),
 	}
+	wc.lease.endMargin = c.runEndMargin()
 	wc.fencingToken.Store(c.nextFencingToken(w.ID))
 	wc.ordersCtx, wc.cancelOrders = context.WithCancel(c.ctx)
 	return wc
