A single report without a run ends no run of a worker that answers

What callers would see: a task runs in two places though its worker answers, with one owner and no late order. A complete report that lacked a confirmed run, asked for as little as a moment after the start was answered, ended the run at once. That rests on lists which a worker composes at the moment of the answer, both at once. A list from a little before, or one read while the run moves between the two, breaks it.

Change: a confirmed run counts as over once complete reports have lacked it for half a second, from the handling of the first to the request of the last, and none listed it. A run that the worker's former process may have had is over with the first report of the next one, as before. Unchanged too: a run in doubt is over with the first report that was asked for after its stop was acknowledged.

The case "not reported" of TestRunThatIsGivenUpIsLoggedWithItsEvidence asked for the end by the first report; it now checks that this ends nothing and that the second is logged as before.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -76,7 +76,23 @@
 	return e.endUnlistedRuns(w, sent, listed)
 }
 
-// endUnlistedRuns ends the runs that a complete report should have listed and did not, and returns them.
+// minUnlistedTime is how long complete reports must lack a confirmed run before it counts as over. A worker may compose its lists a little
+// before it answers, or move a run from one list to the other between the two.
+const minUnlistedTime = 500 * time.Millisecond
+
+// isLost reports whether a running run is over, by a complete report without it that was requested at the given time. One that its worker's
+// former process may have had is over with the first such report of the next.
+func (e *Engine) isLost(r *run, sent monotime.Instant) bool {
+	if r.state != runRunning || r.confirmedAt >= sent {
+		return false
+	}
+	if r.unlistedSince == 0 {
+		r.unlistedSince = e.now
+	}
+	return r.pendingCrash != nil || sent.Sub(r.unlistedSince) >= minUnlistedTime
+}
+
+// endUnlistedRuns ends the runs that complete reports should have listed and did not, and returns them.
 func (e *Engine) endUnlistedRuns(w *worker, sent monotime.Instant, listed map[RunKey]struct{}) (given []GivenUpRun) {
 	var lostRuns []*run
 	for key, r := range w.runs {
@@ -84,7 +100,7 @@
 			r.pendingCrash = nil
 			continue
 		}
-		missing := r.state == runRunning && r.confirmedAt < sent
+		missing := e.isLost(r, sent)
 		stopConfirmed := r.state == runStopping && r.stopAnsweredAt > 0 && r.stopAnsweredAt < sent
 		if missing || stopConfirmed {
 			given = append(given, e.giveUp(r))
@@ -171,7 +187,7 @@
 	if r.confirmedAt == 0 {
 		r.confirmedAt = e.now
 	}
-	r.listedAt = e.now
+	r.listedAt, r.unlistedSince = e.now, 0
 	r.noteListed()
 	e.observeTail(r, entry)
 	if entry.Progress != r.progress || r.progressChangedAt == 0 {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -250,8 +250,9 @@
 	progressChangedAt monotime.Instant
 	// tail is what the worker reported of a task with a tail latency target.
 	tail tailLatency
-	// listedAt is when the worker last listed the run as running.
-	listedAt monotime.Instant
+	// listedAt is when the worker last listed the run as running. unlistedSince is when it gave the first of the complete reports since then that
+	// should have listed the run and did not; 0 if there was none.
+	listedAt, unlistedSince monotime.Instant
 }
 
 type worker struct {
--- a/internal/owner/given_up_test.go
+++ b/internal/owner/given_up_test.go
@@ -22,6 +22,12 @@
 	}{
 		"not reported": {func(c *controller, wc *workerConn, run dispatch.RunKey) {
 			c.handleReport(wc, c.now().Add(-unheard/2), dispatch.Report{})
+			if !c.engine.HasRun("w", run) {
+				panic("the first report without the run ends it")
+			}
+			time.Sleep(time.Second)
+			c.engine.SetNow(c.now())
+			c.handleReport(wc, c.now().Add(-unheard/2), dispatch.Report{})
 		}, []string{`"why":"worker does not report the run"`, `"evidence_age":50`, `"unheard":50`}},
 		"stopped and not reported": {func(c *controller, wc *workerConn, run dispatch.RunKey) {
 			c.engine.Cancel("j")
