--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -42,7 +42,7 @@
 // workerConn is the owner's connection to one worker: it extends the worker's lease, fetches its reports and sends it orders.
 type workerConn struct {
 	controller *controller
-	// worker never changes; calls go to its address.
+	// worker never changes; calls go to its address, and its runs are of jobs of its pool. A later owner finds it by the same.
 	worker dispatch.Worker
 	lease  workerLease
 	// fencingToken is that of the next call on this connection. It is higher than those of earlier connections to the worker, so that its
@@ -150,6 +150,7 @@
 		controller: c, worker: w, recordedAdvanced: make(chan struct{}, 1), places: places, unanswered: newUnansweredStarts(),
 		queuedStarts: make(map[dispatch.RunKey]*queuedOrder), queuedStops: make(map[dispatch.RunKey]*queuedOrder),
 	}
+	wc.lease.endMargin = c.runEndMargin()
 	wc.fencingToken.Store(c.nextFencingToken(w.ID))
 	wc.ordersCtx, wc.cancelOrders = context.WithCancel(c.ctx)
 	return wc
@@ -325,9 +326,13 @@
 		}
 		return 0, err
 	}
+	known := time.Duration(wc.processStart.Load())
+	if known != 0 && report.ProcessStart == 0 {
+		return 0, errUnnamedProcess
+	}
 	wc.idle = len(report.Running) == 0 && wc.starts.Load() == startsBefore
 	wc.unconfirmed = call.Recorded == 0 && recorded > 0 && len(report.Ended) > 0 && report.Ended[0].Sequence <= recorded
-	if known := time.Duration(wc.processStart.Load()); known != 0 && report.ProcessStart != 0 && report.ProcessStart != known {
+	if known != 0 && report.ProcessStart != known {
 		return 0, errRestarted
 	}
 	wc.processStart.Store(int64(report.ProcessStart))
@@ -343,6 +348,9 @@
 // errAnswerLost means that a worker that had answered before gave no answer while those of many workers get lost.
 var errAnswerLost = errors.New("owner: answer lost")
 
+// errUnnamedProcess means that a report doesn't say which process it is of although earlier ones did. It may be of any.
+var errUnnamedProcess = fmt.Errorf("%w: the report names no process", ErrNoAnswer)
+
 // errRestarted means that the worker's process is not the one that answered before.
 var errRestarted = errors.New("owner: the worker's process has restarted")
 
@@ -512,6 +520,12 @@
 	c.pendingWorkerRows[wc.worker.ID] = wc.row(wc.listing)
 }
 
+// isNamedBy reports whether an entry in the registry names the worker as it is used. One that doesn't is another writer's, or that of a later
+// process that started elsewhere.
+func (wc *workerConn) isNamedBy(entry dispatch.Worker) bool {
+	return entry.Address == wc.worker.Address && entry.Pool == wc.worker.Pool
+}
+
 // mayCarryOutLateCalls reports whether calls of earlier connections may still be carried out: the worker's present process has not answered on
 // this one, as far as is known.
 func (wc *workerConn) mayCarryOutLateCalls() bool { return !wc.reported || wc.mayHaveRestarted() }
@@ -556,6 +570,10 @@
 func (c *controller) expireLeases() {
 	now := c.now()
 	for _, wc := range c.workerConns {
+		if c.startedElsewhere(wc) && !c.engine.HasRuns(wc.worker.ID) {
+			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), listedElsewhere)
+			continue
+		}
 		if !wc.unresponsive {
 			continue
 		}
@@ -582,6 +600,15 @@
 	}
 }
 
+// startedElsewhere reports whether the process that answers the worker's calls lists itself with another address or pool.
+func (c *controller) startedElsewhere(wc *workerConn) bool {
+	if !wc.unregistered || !wc.reported {
+		return false
+	}
+	listed, ok := c.registered[wc.worker.ID]
+	return ok && !wc.isNamedBy(listed) && listed.ProcessStart == wc.reportedStart
+}
+
 // holdBackLeases stops extending the leases of workers that can't be got to stop a run whose job has ended, and extends the others'
 // again.
 func (c *controller) holdBackLeases() {
@@ -616,6 +643,9 @@
 	}
 	c.handleRunsLost(wc, c.engine.RemoveWorker(id, end), why)
 	c.pendingWorkerRows[id] = nil
+	if listed, ok := c.registered[id]; ok && !wc.isNamedBy(listed) {
+		c.handleRegistered(listed)
+	}
 }
 
 // handleRegistryChange applies a change of the worker registry.
@@ -638,7 +668,7 @@
 	}
 	for _, w := range change.Put {
 		c.registered[w.ID] = w
-		c.handleRegistered(w)
+		c.handleEntry(w)
 	}
 	for _, id := range change.Removed {
 		delete(c.registered, id)
@@ -646,6 +676,16 @@
 	}
 }
 
+// handleEntry handles a worker's entry in the registry. To a worker in use one that names another address or pool is as good as none: its
+// calls, its runs and its row go by the former ones until it has no runs.
+func (c *controller) handleEntry(w dispatch.Worker) {
+	if wc := c.workerConns[w.ID]; wc != nil && !wc.isNamedBy(w) {
+		c.handleUnregistered(w.ID)
+		return
+	}
+	c.handleRegistered(w)
+}
+
 // handleRegistered updates a worker from its entry in the registry. A new worker is used once its row is committed, so that a
 // later owner awaits its report.
 func (c *controller) handleRegistered(w dispatch.Worker) {
