The ownership is renewed while the store rejects rows

What callers see: nothing starts for seconds, and the cell may change its owner, while the store answers. With 80 jobs whose progress the store never takes, the owner renewed nothing for 8.6 s; it may give orders for 0.9 s, and another daemon takes over after 1.2 s. Cause: the ownership is renewed by the transactions that write rows. Each of them held a rejected row again, for as long as there were any. Change: after a rejected commit the ownership is renewed without rows, if that is due. A former owner learns by it that another one owns the cell; before, it went on searching for the row and failed the job. Measured: TestOwnershipIsRenewedWhileManyRowsAreRejected failed before (8.6 s without a renewal, no orders after 0.9 s); now 275 ms at most, and the jobs have failed after 8.8 s as before. TestRejectedCommitTellsThatAnotherDaemonOwnsTheCell failed before (ownership kept, the job failed). Both pass 200 times with the other tests of rejected commits. Mutants killed: no condition on the due time, renewal after any failure (by a count added to TestUnavailableStoreFailsNoJob), the renewal not noted, another owner not noticed, the rejection dropped. The package's tests pass but for the known red TestNextOwnerAwaitsLateStartsOfTheEarlierOne.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -46,13 +46,36 @@
 		c.endsBarrier = newEndsBarrier(c.engine, batch)
 	}
 	c.committing = true
-	sentAt := now
+	sentAt, renewalDueAt := now, c.renewalDueAt
 	go func() {
-		err := c.ownership.Commit(context.WithoutCancel(c.ctx), batch)
+		ctx := context.WithoutCancel(c.ctx)
+		err := c.ownership.Commit(ctx, batch)
+		if errors.Is(err, rowstore.ErrRejected) && c.now() >= renewalDueAt {
+			err = c.renewAfterRejection(ctx, err)
+		}
 		c.events <- func() { c.handleCommitResult(batch, recordedEnds, sentAt, err) }
 	}()
 }
 
+// renewAfterRejection renews the ownership without the rows of a rejected commit: those of the next one may be rejected too, as may many after
+// it. It returns the commit's error, or the renewal's if another daemon owns the cell.
+func (c *controller) renewAfterRejection(ctx context.Context, rejection error) error {
+	sentAt := c.now()
+	switch err := c.ownership.Commit(ctx, ledger.Batch{}); {
+	case err == nil:
+		c.events <- func() { c.noteRenewal(sentAt) }
+	case errors.Is(err, ledger.ErrNotOwner):
+		return err
+	}
+	return rejection
+}
+
+// noteRenewal notes a commit that was sent at the given time and has renewed the ownership.
+func (c *controller) noteRenewal(sentAt monotime.Instant) {
+	c.lastRenewalAt, c.renewalDueAt = sentAt, sentAt.Add(renewInterval)
+	c.extendValidity(sentAt)
+}
+
 // endsBarrier are ends that are recorded once the progress of all jobs that waited for a commit at that time is. Without it workers could
 // not forget any end as long as each commit leaves some progress.
 type endsBarrier struct {
@@ -137,10 +160,9 @@
 		return
 	}
 	c.instruments.commits.Inc()
-	c.lastRenewalAt, c.commitTime = sentAt, now.Sub(sentAt)
+	c.noteRenewal(sentAt)
+	c.commitTime = now.Sub(sentAt)
 	c.nextCommitAt = sentAt.Add(commitDelay)
-	c.renewalDueAt = sentAt.Add(renewInterval)
-	c.extendValidity(sentAt)
 	c.maxBatchRows = min(maxCommitRows, 2*c.maxBatchRows)
 	for _, w := range batch.Workers {
 		c.startUsingWorker(w)
--- a/internal/owner/ownership_test.go
+++ b/internal/owner/ownership_test.go
@@ -26,6 +26,8 @@
 	writes           atomic.Int64
 	unavailable      atomic.Bool
 	answering        atomic.Bool
+	// refused counts the transactions that came while it was unavailable.
+	refused atomic.Int64
 }
 
 func (s *failingStore) Range(ctx context.Context, table, part, from, to string) ([]rowstore.Row, string, uint64, error) {
@@ -38,6 +40,7 @@
 func (s *failingStore) Apply(ctx context.Context, tx rowstore.Tx) (uint64, []rowstore.Row, error) {
 	time.Sleep(time.Millisecond)
 	if s.unavailable.Load() {
+		s.refused.Add(1)
 		return 0, nil, rowstore.ErrUnavailable
 	}
 	version, rows, err := s.MemoryStore.Apply(ctx, tx)
--- a/internal/owner/rejected_commit_test.go
+++ b/internal/owner/rejected_commit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/bits"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,14 +20,22 @@
 type rejectingStore struct {
 	*rowstore.MemoryStore
 	job string
+	// allJobs means that it does so for every job.
+	allJobs bool
+	// renewals counts the transactions that write one row, which is the ownership's.
+	renewals atomic.Int64
 }
 
 func (s *rejectingStore) Apply(ctx context.Context, tx rowstore.Tx) (uint64, []rowstore.Row, error) {
 	for _, row := range tx.Put {
-		if strings.HasSuffix(row.Name, "/"+s.job) && !strings.Contains(string(row.Value), `"failed"`) {
+		rejects := strings.HasSuffix(row.Name, "/"+s.job) || s.allJobs && strings.HasPrefix(row.Name, "progress/")
+		if rejects && !strings.Contains(string(row.Value), `"failed"`) {
 			return 0, nil, rowstore.ErrRejected
 		}
 	}
+	if len(tx.Put) == 1 {
+		s.renewals.Add(1)
+	}
 	return s.MemoryStore.Apply(ctx, tx)
 }
 
@@ -51,7 +60,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		const jobs = 50
-		store := &rejectingStore{rowstore.NewMemoryStore(), "17"}
+		store := &rejectingStore{MemoryStore: rowstore.NewMemoryStore(), job: "17"}
 		c, awaitCommit := newCommitController(ctx, t, store)
 		for n := range jobs {
 			addOneTask(c, graph.JobID(fmt.Sprint(n)))
@@ -116,12 +125,16 @@
 		c, awaitCommit := newCommitController(ctx, t, store)
 		addOneTask(c, "j")
 		store.unavailable.Store(true)
-		for range 100 {
+		const commits = 100
+		for range commits {
 			c.engine.MarkDirty("j")
 			time.Sleep(commitRetryDelay)
 			c.commitChanges()
 			awaitCommit()
 		}
+		if n := store.refused.Load(); n != commits {
+			t.Errorf("the store got %d transactions for %d commits while it was unavailable", n, commits)
+		}
 		if state, _ := c.engine.JobState("j"); state.Ended() {
 			t.Errorf("the job is %s after 10 s without the store", state)
 		}
@@ -209,3 +222,59 @@
 		}
 	})
 }
+
+// Guards against an owner that gives no orders and loses the cell while the store answers: the rows of many jobs were rejected, and each commit
+// that renews the ownership had one of them.
+func TestOwnershipIsRenewedWhileManyRowsAreRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &rejectingStore{MemoryStore: rowstore.NewMemoryStore(), allJobs: true}
+		c, awaitCommit := newCommitController(ctx, t, store)
+		c.validUntil.Store(int64(c.now().Add(ownershipValidity)))
+		for n := range maxCommitRows {
+			addOneTask(c, graph.JobID(fmt.Sprint(n)))
+			c.engine.MarkDirty(graph.JobID(fmt.Sprint(n)))
+		}
+		began, longest := time.Now(), time.Duration(0)
+		for c.engine.HasDirty() && time.Since(began) < time.Minute {
+			time.Sleep(commitDelay)
+			c.commitChanges()
+			awaitCommit()
+			longest = max(longest, c.now().Sub(c.lastRenewalAt))
+			if !c.ownershipValid() {
+				t.Fatalf("the owner may give no orders after %s, %s without a renewal", time.Since(began), c.now().Sub(c.lastRenewalAt))
+			}
+		}
+		if most := int64(time.Since(began)/renewInterval) + 2; store.renewals.Load() > most {
+			t.Errorf("%d transactions renew the ownership alone in %s, want %d at most", store.renewals.Load(), time.Since(began), most)
+		}
+		for n := range maxCommitRows {
+			if state, _ := c.engine.JobState(graph.JobID(fmt.Sprint(n))); state != graph.Failed {
+				t.Fatalf("job %d, whose progress can't be recorded, is %s after %s, want failed", n, state, time.Since(began))
+			}
+		}
+		t.Logf("%d jobs failed after %s, %s without a renewal at most", maxCommitRows, time.Since(began), longest)
+	})
+}
+
+// Guards against a former owner that goes on searching for a rejected row: the store rejects the commit before it looks at the ownership row.
+func TestRejectedCommitTellsThatAnotherDaemonOwnsTheCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &rejectingStore{MemoryStore: rowstore.NewMemoryStore(), allJobs: true}
+		c, awaitCommit := newCommitController(ctx, t, store)
+		addOneTask(c, "j")
+		c.engine.MarkDirty("j")
+		if _, err := c.Replica.Acquire(ctx, c.Replica.Owner(), ledger.OwnerRecord{Node: "b", Incarnation: "b"}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(renewInterval)
+		c.commitChanges()
+		awaitCommit()
+		if state, _ := c.engine.JobState("j"); !c.ownershipLost || state.Ended() {
+			t.Errorf("ownership lost: %t, the job is %s; want it lost and the job left to the next owner", c.ownershipLost, state)
+		}
+	})
+}
