Workers' rows are searched for rejected ones too, and don't hold up the search for jobs'

What callers see: a job whose progress the store never takes stays queued, the progress of others isn't recorded and new workers aren't used, for minutes, if workers register in numbers meanwhile; and a worker's row that the store never takes keeps other workers from being used. Workers' rows were no suspects: a rejected one came up again in the random order of a map, among as many as before. Change: the workers of a rejected batch are suspects as well. Suspects are recorded alone and in halves, jobs first; while workers are searched, every second commit has progress that waits. Workers' rows have half of any other commit, whatever jobs have been rejected.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -115,18 +115,49 @@
 	c.setRecorded(recordedEnds)
 }
 
-// takeBatch takes up to maxBatchRows of the changes that wait for a commit, and no more than half of the suspects, which come first.
+// takeBatch takes up to maxCommitRows of the changes that wait for a commit. While there are suspects it takes half of them alone, jobs first; every
+// second batch is of other changes if the suspects are workers and progress waits.
 func (c *controller) takeBatch() ledger.Batch {
 	batch := ledger.Batch{}
-	limit := c.maxBatchRows
-	if n := len(c.suspects); n > 0 {
-		limit = min(limit, max(1, n/2))
+	for id := range c.suspectWorkers {
+		if _, pending := c.pendingWorkerRows[id]; !pending {
+			delete(c.suspectWorkers, id)
+		}
+	}
+	jobs, workers := len(c.suspects), len(c.suspectWorkers)
+	progressWaits := jobs == 0 && c.engine.HasDirty()
+	c.searching = jobs+workers > 0 && (!c.searching || !progressWaits)
+	if c.searching && jobs > 0 {
+		batch.Progress = c.engine.TakeDirty(max(1, jobs/2))
+		return batch
+	}
+	if c.searching {
+		c.takeWorkerRows(&batch, max(1, workers/2))
+		return batch
 	}
 	// Workers come first, since progress alone may fill one commit after the other.
-	for id, w := range c.pendingWorkerRows {
-		if batch.RowCount() >= (limit+1)/2 {
+	c.takeWorkerRows(&batch, maxCommitRows/2)
+	left := min(c.maxBatchRows, maxCommitRows-batch.RowCount())
+	batch.Progress = c.engine.TakeDirty(left)
+	for id := range c.removableProgress {
+		if len(batch.Progress)+len(batch.RemovedJobs) >= left {
 			break
 		}
+		batch.RemovedJobs = append(batch.RemovedJobs, id)
+		delete(c.removableProgress, id)
+	}
+	return batch
+}
+
+// takeWorkerRows adds up to limit changes of workers' rows to an empty batch: of suspects if they are searched, else of others.
+func (c *controller) takeWorkerRows(batch *ledger.Batch, limit int) {
+	for id, w := range c.pendingWorkerRows {
+		if batch.RowCount() >= limit {
+			return
+		}
+		if _, suspect := c.suspectWorkers[id]; suspect != c.searching {
+			continue
+		}
 		if w != nil {
 			batch.Workers = append(batch.Workers, *w)
 		} else {
@@ -134,15 +165,6 @@
 		}
 		delete(c.pendingWorkerRows, id)
 	}
-	batch.Progress = c.engine.TakeDirty(limit - batch.RowCount())
-	for id := range c.removableProgress {
-		if batch.RowCount() >= limit {
-			break
-		}
-		batch.RemovedJobs = append(batch.RemovedJobs, id)
-		delete(c.removableProgress, id)
-	}
-	return batch
 }
 
 // handleCommitResult handles the result of a commit. recordedEnds holds, for each worker, the sequence up to which its ends are
@@ -203,15 +225,12 @@
 	}
 	c.Log.Warn().Uint64("epoch", c.ownership.Epoch()).Int("rows", batch.RowCount()).Err(err).Msg("commit failed, trying again")
 	if errors.Is(err, rowstore.ErrRejected) {
-		clear(c.suspects)
+		c.maxBatchRows = max(1, min(c.maxBatchRows, batch.RowCount())/2)
+		c.suspect(batch)
 		if batch.RowCount() == 1 {
 			c.dropRejected(batch, err)
 			return
 		}
-		c.maxBatchRows = max(1, min(c.maxBatchRows, batch.RowCount())/2)
-		for id := range batch.Progress {
-			c.suspects[id] = struct{}{}
-		}
 	}
 	for id := range batch.Progress {
 		if _, suspect := c.suspects[id]; !suspect {
@@ -231,6 +250,27 @@
 	}
 }
 
+// suspect makes the changes of a rejected batch suspects, instead of those of the same kind that were. A batch without progress is rejected only
+// when no jobs are.
+func (c *controller) suspect(batch ledger.Batch) {
+	clear(c.suspects)
+	if len(batch.Workers)+len(batch.RemovedWorkers) > 0 {
+		clear(c.suspectWorkers)
+	}
+	if batch.RowCount() == 1 {
+		return // it is found
+	}
+	for id := range batch.Progress {
+		c.suspects[id] = struct{}{}
+	}
+	for _, w := range batch.Workers {
+		c.suspectWorkers[w.ID] = struct{}{}
+	}
+	for _, id := range batch.RemovedWorkers {
+		c.suspectWorkers[id] = struct{}{}
+	}
+}
+
 // dropRejected drops the only change of a batch, which the store never accepts: repeated, it would keep all others from being recorded. A
 // job whose progress can't be recorded fails.
 func (c *controller) dropRejected(batch ledger.Batch, err error) {
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -61,11 +61,14 @@
 	pendingWorkerRows map[dispatch.WorkerID]*dispatch.Worker
 	// endsBarrier is set while progress is left after each commit.
 	endsBarrier *endsBarrier
-	// maxBatchRows bounds the rows of the next commit. It is below maxCommitRows after the store has rejected one.
+	// maxBatchRows bounds the rows of jobs in the next commit. It is below maxCommitRows after the store has rejected one.
 	maxBatchRows int
-	// suspects are the jobs of the last rejected batch whose progress has not been recorded since. It is recorded before that of others and in
-	// halves, so that a rejected row is told from the rest however many changes wait.
-	suspects map[graph.JobID]struct{}
+	// suspects are the jobs of the last rejected batch whose progress has not been recorded since, suspectWorkers the workers whose rows have
+	// not. They are recorded apart from other changes and in halves, so that a rejected row is told from the rest however many changes wait.
+	suspects       map[graph.JobID]struct{}
+	suspectWorkers map[dispatch.WorkerID]struct{}
+	// searching means that the last batch was one of suspects.
+	searching bool
 	// restartedDuringCommit holds the workers whose process ended while the current commit was under way. The sequences that the
 	// commit records are those of the ended process.
 	restartedDuringCommit map[dispatch.WorkerID]struct{}
@@ -124,6 +127,7 @@
 		restartedDuringCommit: make(map[dispatch.WorkerID]struct{}),
 		maxBatchRows:          maxCommitRows,
 		suspects:              make(map[graph.JobID]struct{}),
+		suspectWorkers:        make(map[dispatch.WorkerID]struct{}),
 	}
 	if c.Organisations != nil {
 		c.engine.AwaitOrganisations()
--- a/internal/owner/rejected_commit_test.go
+++ b/internal/owner/rejected_commit_test.go
@@ -16,7 +16,8 @@
 	"laburnumpoint/internal/rowstore"
 )
 
-// rejectingStore rejects transactions that write a row of the job, unless it says that the job has failed. It rejects none if job is empty.
+// rejectingStore rejects transactions that write a row of the job, unless it says that the job has failed, or remove one. It does the same for the
+// worker of that name.
 type rejectingStore struct {
 	*rowstore.MemoryStore
 	job string
@@ -33,6 +34,11 @@
 			return 0, nil, rowstore.ErrRejected
 		}
 	}
+	for _, key := range tx.Delete {
+		if strings.HasSuffix(key.Name, "/"+s.job) {
+			return 0, nil, rowstore.ErrRejected
+		}
+	}
 	if len(tx.Put) == 1 {
 		s.renewals.Add(1)
 	}
@@ -223,6 +229,117 @@
 	})
 }
 
+// registerWorkers registers n new workers, w0 and so on.
+func registerWorkers(c *controller, n int) {
+	registered := RegistryChange{Full: true}
+	for i := range n {
+		w := testWorker
+		w.ID = dispatch.WorkerID(fmt.Sprint("w", i))
+		registered.Put = append(registered.Put, w)
+	}
+	c.handleRegistryChange(registered)
+}
+
+// Guards against new workers that wait for the search for a rejected row, and against a search that waits for them: each commit had one worker's
+// row and nothing else. A row of either kind is rejected.
+func TestRejectedRowIsFoundWhileManyWorkersAreNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		const (
+			workers = 10 * maxCommitRows
+			jobs    = maxCommitRows
+			// workerCommits are enough for the workers if they get half of each commit.
+			workerCommits = 2 * workers / maxCommitRows
+		)
+		store := &rejectingStore{MemoryStore: rowstore.NewMemoryStore(), job: "w17"}
+		c, awaitCommit := newCommitController(ctx, t, store)
+		for n := range jobs {
+			addOneTask(c, graph.JobID(fmt.Sprint("w", n)))
+			c.engine.MarkDirty(graph.JobID(fmt.Sprint("w", n)))
+		}
+		registerWorkers(c, workers)
+		searchCommits := 2 * 2 * bits.Len(maxCommitRows)
+		for range workerCommits + searchCommits {
+			time.Sleep(commitRetryDelay)
+			c.commitChanges()
+			awaitCommit()
+		}
+		if state, _ := c.engine.JobState("w17"); state != graph.Failed {
+			t.Errorf("the job whose progress can't be recorded is %s, want failed", state)
+		}
+		if len(c.workerConns) != workers-1 || c.workerConns["w17"] != nil || c.engine.HasDirty() {
+			t.Errorf("%d of %d workers are recorded, want all but the rejected one; the progress of %d jobs is not", len(c.workerConns), workers, len(c.engine.DirtyJobs()))
+		}
+		cancel()
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// Guards against commits without rows for good: a worker of a rejected batch has left the registry meanwhile, so that its row is never recorded.
+func TestUnregisteredSuspectHoldsBackNoWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c, awaitCommit := newCommitController(ctx, t, rowstore.NewMemoryStore())
+		registerWorkers(c, 2)
+		c.handleCommitFailure(c.takeBatch(), rowstore.ErrRejected)
+		c.handleRegistryChange(RegistryChange{Removed: []dispatch.WorkerID{"w0"}})
+		for range 2 * bits.Len(maxCommitRows) {
+			time.Sleep(commitRetryDelay)
+			c.commitChanges()
+			awaitCommit()
+		}
+		registerWorkers(c, maxCommitRows)
+		for range 3 {
+			time.Sleep(commitRetryDelay)
+			c.commitChanges()
+			awaitCommit()
+		}
+		if len(c.workerConns) != maxCommitRows {
+			t.Errorf("%d of %d workers are recorded", len(c.workerConns), maxCommitRows)
+		}
+		cancel()
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// Guards against a worker's row that the store never takes and that keeps other workers from being used.
+func TestRejectedWorkerRowDoesNotHoldBackOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		const workers = 2 * maxCommitRows
+		store := &rejectingStore{MemoryStore: rowstore.NewMemoryStore(), job: "w17"}
+		c, awaitCommit := newCommitController(ctx, t, store)
+		registerWorkers(c, workers)
+		commit := func() {
+			time.Sleep(commitRetryDelay)
+			c.commitChanges()
+			awaitCommit()
+		}
+		commit()
+		addOneTask(c, "j")
+		c.engine.MarkDirty("j")
+		for range 2 * bits.Len(maxCommitRows) {
+			commit()
+			commit()
+			if c.engine.HasDirty() {
+				t.Error("the progress of a job waits for the search of a worker's row")
+			}
+			c.engine.MarkDirty("j")
+		}
+		if len(c.workerConns) != workers-1 || c.workerConns["w17"] != nil {
+			t.Errorf("%d of %d workers are recorded, want all but the rejected one", len(c.workerConns), workers)
+		}
+		if state, _ := c.engine.JobState("j"); state.Ended() {
+			t.Errorf("the job is %s", state)
+		}
+		cancel()
+		time.Sleep(3 * time.Second)
+	})
+}
+
 // Guards against an owner that gives no orders and loses the cell while the store answers: the rows of many jobs were rejected, and each commit
 // that renews the ownership had one of them.
 func TestOwnershipIsRenewedWhileManyRowsAreRejected(t *testing.T) {
@@ -237,13 +354,20 @@
 			c.engine.MarkDirty(graph.JobID(fmt.Sprint(n)))
 		}
 		began, longest := time.Now(), time.Duration(0)
+		const workersAt, workersUsedAt, workers = 3 * time.Second, 6 * time.Second, maxCommitRows / 2
 		for c.engine.HasDirty() && time.Since(began) < time.Minute {
 			time.Sleep(commitDelay)
+			if time.Since(began) >= workersAt && len(c.registered) == 0 {
+				registerWorkers(c, workers)
+			}
 			c.commitChanges()
 			awaitCommit()
+			if time.Since(began) >= workersUsedAt && len(c.workerConns) < workers {
+				t.Errorf("%d of %d new workers are used after %s", len(c.workerConns), workers, workersUsedAt-workersAt)
+			}
 			longest = max(longest, c.now().Sub(c.lastRenewalAt))
 			if !c.ownershipValid() {
-				t.Fatalf("the owner may give no orders after %s, %s without a renewal", time.Since(began), c.now().Sub(c.lastRenewalAt))
+				t.Errorf("the owner may give no orders after %s, %s without a renewal", time.Since(began), c.now().Sub(c.lastRenewalAt))
 			}
 		}
 		if most := int64(time.Since(began)/renewInterval) + 2; store.renewals.Load() > most {
@@ -251,10 +375,12 @@
 		}
 		for n := range maxCommitRows {
 			if state, _ := c.engine.JobState(graph.JobID(fmt.Sprint(n))); state != graph.Failed {
-				t.Fatalf("job %d, whose progress can't be recorded, is %s after %s, want failed", n, state, time.Since(began))
+				t.Errorf("job %d, whose progress can't be recorded, is %s after %s, want failed", n, state, time.Since(began))
 			}
 		}
 		t.Logf("%d jobs failed after %s, %s without a renewal at most", maxCommitRows, time.Since(began), longest)
+		cancel()
+		time.Sleep(3 * time.Second)
 	})
 }
 
@@ -278,3 +404,24 @@
 		}
 	})
 }
+
+// Guards against progress that is removed again and again: one row that can't be kept others from being removed.
+func TestRejectedRemovalDoesNotHoldBackOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &rejectingStore{MemoryStore: rowstore.NewMemoryStore(), job: "17"}
+		c, awaitCommit := newCommitController(ctx, t, store)
+		for n := range maxCommitRows {
+			c.removableProgress[graph.JobID(fmt.Sprint(n))] = struct{}{}
+		}
+		for range 2 * maxCommitRows {
+			time.Sleep(commitRetryDelay)
+			c.commitChanges()
+			awaitCommit()
+		}
+		if left := len(c.removableProgress); left > 0 {
+			t.Errorf("the progress of %d of %d jobs waits to be removed", left, maxCommitRows)
+		}
+	})
+}
