A run whose name this system can't have given doesn't make a report partial

A worker that another system shares lists one for ever (TestWorkerAnswer has such a row): after a takeover its report would never count, and the jobs of its pool would wait for ever. Workers return the names that they were given, so such a row is none of this system's runs; it is skipped, as before.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -90,7 +90,7 @@
 type Report struct {
 	Running []RunningEntry
 	Ended   []EndedEntry
-	// Partial means that the worker has runs that the report does not tell: a run that is missing may go on, or have ended.
+	// Partial means that the worker has more ended runs than the report holds.
 	Partial bool
 	// ProcessStart is when the worker's process started, by its own time of day; 0 if it does not say. A worker whose process
 	// has restarted under its id runs nothing of before, and its counts start anew.
