--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -54,18 +54,23 @@
 	workerConns map[dispatch.WorkerID]*workerConn
 	// tokensGiven counts the fencing tokens of each worker: one for each connection, and those that starts needed.
 	tokensGiven map[dispatch.WorkerID]uint64
-	permits     *permitQueue
+	// unanswered are the starts to each worker that may be carried out late.
+	unanswered map[dispatch.WorkerID]*unansweredStarts
+	permits    *permitQueue
 	// registered holds the workers that the registry lists.
 	registered map[dispatch.WorkerID]dispatch.Worker
 	// pendingWorkerRows are the changes of workers' rows that wait for a commit: the worker to put, or nil to remove its row.
 	pendingWorkerRows map[dispatch.WorkerID]*dispatch.Worker
 	// endsBarrier is set while progress is left after each commit.
 	endsBarrier *endsBarrier
-	// maxBatchRows bounds the rows of the next commit. It is below maxCommitRows after the store has rejected one.
+	// maxBatchRows bounds the rows of jobs in the next commit. It is below maxCommitRows after the store has rejected one.
 	maxBatchRows int
-	// suspects are the jobs of the last rejected batch whose progress has not been recorded since. It is recorded before that of others and in
-	// halves, so that a rejected row is told from the rest however many changes wait.
-	suspects map[graph.JobID]struct{}
+	// suspects are the jobs of the last rejected batch whose progress has not been recorded since, suspectWorkers the workers whose rows have
+	// not. They are recorded apart from other changes and in halves, so that a rejected row is told from the rest however many changes wait.
+	suspects       map[graph.JobID]struct{}
+	suspectWorkers map[dispatch.WorkerID]struct{}
+	// searching means that the last batch was one of suspects.
+	searching bool
 	// restartedDuringCommit holds the workers whose process ended while the current commit was under way. The sequences that the
 	// commit records are those of the ended process.
 	restartedDuringCommit map[dispatch.WorkerID]struct{}
@@ -112,6 +117,7 @@
 		engine:                dispatch.New(ownership.Epoch()),
 		workerConns:           make(map[dispatch.WorkerID]*workerConn),
 		tokensGiven:           make(map[dispatch.WorkerID]uint64),
+		unanswered:            make(map[dispatch.WorkerID]*unansweredStarts),
 		permits:               newPermitQueue(),
 		registered:            make(map[dispatch.WorkerID]dispatch.Worker),
 		pendingWorkerRows:     make(map[dispatch.WorkerID]*dispatch.Worker),
@@ -124,6 +130,7 @@
 		restartedDuringCommit: make(map[dispatch.WorkerID]struct{}),
 		maxBatchRows:          maxCommitRows,
 		suspects:              make(map[graph.JobID]struct{}),
+		suspectWorkers:        make(map[dispatch.WorkerID]struct{}),
 	}
 	if c.Organisations != nil {
 		c.engine.AwaitOrganisations()
