Native protocol: a worker's failure is no answer, and an unknown refusal no success

What callers would see: a task runs in two places. A worker whose Hold, Stop or Start returned any error but "superseded" was answered for as if it had carried out the call: its hold call became a complete report without runs, which ends all of its runs, and its stop was acknowledged. A refusal by a name that the daemon doesn't know, as of a later version, passed for success too; a start then for a run.

Cause: the handler kept one error and dropped the others; the client looked an unknown name up as no error.

Change: such an error is status 500, which the client takes for no answer; an unknown refusal is an error, and the call did nothing.

--- a/internal/graphproto/proto.go
+++ b/internal/graphproto/proto.go
@@ -68,16 +68,26 @@
 	return json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(answer)
 }
 
-// jsonHandler returns a handler that decodes the body, calls handle and encodes its answer. It refuses a body that can't be
-// decoded with status 400, by which the client knows that the call was not executed.
+// jsonHandler returns a fallibleHandler whose handle always has an answer.
 func jsonHandler[Body, Answer any](handle func(ctx context.Context, body Body) Answer) http.HandlerFunc {
+	return fallibleHandler(func(ctx context.Context, body Body) (Answer, error) { return handle(ctx, body), nil })
+}
+
+// fallibleHandler returns a handler that decodes the body, calls handle and encodes its answer. It refuses a body that can't be
+// decoded with status 400, by which the client knows that the call was not executed. An error of handle is status 500, which leaves that open.
+func fallibleHandler[Body, Answer any](handle func(ctx context.Context, body Body) (Answer, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var body Body
 		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&body); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
+		answer, err := handle(r.Context(), body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(handle(r.Context(), body)) // fails only if the client has closed the connection
+		_ = json.NewEncoder(w).Encode(answer) // fails only if the client has closed the connection
 	}
 }
--- a/internal/graphproto/workers.go
+++ b/internal/graphproto/workers.go
@@ -27,13 +27,17 @@
 	refusedOtherProcess     = "other_process"
 )
 
+// errUnknownRefusal means that a worker has refused a call by a name that this daemon doesn't know; the call did nothing.
+var errUnknownRefusal = errors.New("the worker refuses the call for another reason")
+
 var refusalErrors = map[string]error{
 	refusedSuperseded:       owner.ErrSuperseded,
 	refusedOtherIncarnation: owner.ErrOtherIncarnation,
 	refusedOtherProcess:     owner.ErrOtherProcess,
 }
 
-// Worker executes the orders of the cell's owner. A method that returns owner.ErrSuperseded has done nothing.
+// Worker executes the orders of the cell's owner. A method that returns owner.ErrSuperseded has done nothing; what
+// one has done that returns another error is not known.
 type Worker interface {
 	// Incarnation is the id of this incarnation of the worker. Orders to any other incarnation are refused.
 	Incarnation() dispatch.WorkerID
@@ -100,35 +104,39 @@
 // WorkerHandler returns the handler that passes orders to w.
 func WorkerHandler(w Worker) http.Handler {
 	r := chi.NewRouter()
-	r.Post(pathStartRun, jsonHandler(func(_ context.Context, b startBody) workerAnswer {
+	r.Post(pathStartRun, fallibleHandler(func(_ context.Context, b startBody) (workerAnswer, error) {
 		if refused := b.refusal(w); refused != "" {
-			return workerAnswer{Refused: refused}
+			return workerAnswer{Refused: refused}, nil
 		}
 		outcome, err := w.Start(b.Call)
-		return workerAnswer{Refused: refusalName(err), Clock: w.Clock(), Outcome: outcome}
+		refused, err := refusalName(err)
+		return workerAnswer{Refused: refused, Clock: w.Clock(), Outcome: outcome}, err
 	}))
-	r.Post(pathStopRun, jsonHandler(func(_ context.Context, b stopBody) workerAnswer {
+	r.Post(pathStopRun, fallibleHandler(func(_ context.Context, b stopBody) (workerAnswer, error) {
 		if refused := b.refusal(w); refused != "" {
-			return workerAnswer{Refused: refused}
+			return workerAnswer{Refused: refused}, nil
 		}
-		return workerAnswer{Refused: refusalName(w.Stop(b.Run, b.Epoch)), Clock: w.Clock()}
+		refused, err := refusalName(w.Stop(b.Run, b.Epoch))
+		return workerAnswer{Refused: refused, Clock: w.Clock()}, err
 	}))
-	r.Post(pathHold, jsonHandler(func(ctx context.Context, b holdBody) workerAnswer {
+	r.Post(pathHold, fallibleHandler(func(ctx context.Context, b holdBody) (workerAnswer, error) {
 		if refused := b.refusal(w); refused != "" {
-			return workerAnswer{Refused: refused}
+			return workerAnswer{Refused: refused}, nil
 		}
 		report, err := w.Hold(ctx, b.Call)
-		return workerAnswer{Refused: refusalName(err), Clock: w.Clock(), Report: &report}
+		refused, err := refusalName(err)
+		return workerAnswer{Refused: refused, Clock: w.Clock(), Report: &report}, err
 	}))
 	return r
 }
 
-// refusalName returns the name of a worker's refusal; empty for an order that was carried out.
-func refusalName(err error) string {
+// refusalName returns the name of a worker's refusal; empty for an order that was carried out. Any other error is returned: what the worker has
+// done is not known.
+func refusalName(err error) (string, error) {
 	if errors.Is(err, owner.ErrSuperseded) {
-		return refusedSuperseded
+		return refusedSuperseded, nil
 	}
-	return ""
+	return "", err
 }
 
 // WorkerClient calls workers that a WorkerHandler serves.
@@ -178,5 +186,11 @@
 	if err := r.Client.call(ctx, w.Address, path, body, &answer); err != nil {
 		return workerAnswer{}, fmt.Errorf("%w: %w", owner.ErrNoAnswer, err)
 	}
-	return answer, refusalErrors[answer.Refused]
+	if answer.Refused == "" {
+		return answer, nil
+	}
+	if refusal, known := refusalErrors[answer.Refused]; known {
+		return answer, refusal
+	}
+	return answer, fmt.Errorf("%w: %q", errUnknownRefusal, answer.Refused)
 }
