A stopped run that its worker doesn't list is awaited for the time of a stop

What callers would see: a task runs in two places for up to the time of a stop (400 ms on one deployment, 900 ms on the other), with one owner and no late order: a single run, as in the users' record, which gives no reason. Cause: a report without the run, asked for as little as a moment after its stop was acknowledged, counted as its end. The users' page says that a stop takes time and that the capacity is free once the end is listed; it does not say that a run which is being stopped stands among those that run.

Now such a report counts only if it was asked for later than the platform's time of a stop after the acknowledgement. A listed end counts at once, as before. Meanwhile the worker's hold calls wait for 300 ms at most, so that the answer comes soon after.

TestHoldCallsAreShortWhileItIsOpenWhetherARunIsOver guards the wait. TestStopOfAnEndedRunIsNotSent had a worker that went on listing the run that the test said had ended; with shorter calls the owner saw that and stopped it. The worker now ends the run; what the test asks for is unchanged.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -92,6 +92,8 @@
 	// lateStarts holds, by worker, the tasks with late starts there; longestLease is how long a run may go on on a silent worker.
 	lateStarts   map[WorkerID]map[*task]struct{}
 	longestLease time.Duration
+	// runStopTime is how long a run may take to end once its stop is acknowledged.
+	runStopTime time.Duration
 	// startsNameProcess means that a worker refuses a start for another process than its present one.
 	startsNameProcess bool
 	// unreachable holds the workers that stopped answering lately, in order.
@@ -324,6 +326,9 @@
 	e.sendStop(r)
 }
 
+// SetRunStopTime sets how long a run may take to end once its stop is acknowledged.
+func (e *Engine) SetRunStopTime(d time.Duration) { e.runStopTime = d }
+
 func (e *Engine) sendStop(r *run) {
 	r.stopRetryAt = e.now.Add(maxStopTime)
 	r.firstStop = !r.stopSent
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -92,16 +92,23 @@
 	return r.pendingCrash != nil || sent.Sub(r.unlistedSince) >= minUnlistedTime
 }
 
+// isStopped reports whether a run that is being stopped is over, by a complete report without it that was requested at the given time. A worker
+// may list a run no longer once it has acknowledged the stop, while the run takes its time to end.
+func (e *Engine) isStopped(r *run, sent monotime.Instant) bool {
+	return r.state == runStopping && r.stopAnsweredAt > 0 && sent > r.stopAnsweredAt.Add(e.runStopTime)
+}
+
 // endUnlistedRuns ends the runs that complete reports should have listed and did not, and returns them.
 func (e *Engine) endUnlistedRuns(w *worker, sent monotime.Instant, listed map[RunKey]struct{}) (given []GivenUpRun) {
 	var lostRuns []*run
+	w.awaitsReport = false
 	for key, r := range w.runs {
 		if _, ok := listed[key]; ok {
 			r.pendingCrash = nil
 			continue
 		}
 		missing := e.isLost(r, sent)
-		stopConfirmed := r.state == runStopping && r.stopAnsweredAt > 0 && r.stopAnsweredAt < sent
+		stopConfirmed := e.isStopped(r, sent)
 		if missing || stopConfirmed {
 			given = append(given, e.giveUp(r))
 			e.handleEnd(w, key, RunInterrupted, "")
@@ -109,6 +116,8 @@
 		if missing {
 			lostRuns = append(lostRuns, r)
 		}
+		open := r.unlistedSince > 0 || r.state == runStopping && r.stopAnsweredAt > 0
+		w.awaitsReport = w.awaitsReport || open && !missing && !stopConfirmed
 	}
 	if len(lostRuns) > 0 {
 		e.countPendingCrashes(lostRuns)
@@ -504,6 +513,12 @@
 	}
 }
 
+// AwaitsReport reports whether a run of the worker may be over that only further reports tell of.
+func (e *Engine) AwaitsReport(id WorkerID) bool {
+	w := e.workers[id]
+	return w != nil && w.awaitsReport
+}
+
 // HandleStopAnswer processes the outcome of a stop order. A stop that is not acknowledged is sent again.
 func (e *Engine) HandleStopAnswer(id WorkerID, key RunKey, acknowledged bool) {
 	w := e.workers[id]
@@ -516,6 +531,7 @@
 	}
 	if acknowledged {
 		r.stopAnsweredAt = e.now
+		w.awaitsReport = true
 		delete(e.unansweredStops, r)
 		return
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -257,7 +257,9 @@
 
 type worker struct {
 	Worker
-	used graph.Resources
+	// awaitsReport means that a stop was acknowledged since the last complete report, or that it lacked a run that may not be over.
+	awaitsReport bool
+	used         graph.Resources
 	// impaired means that the worker is slow, ejected or on probation. Evaluating a worker for a step reads only this unless it is
 	// set.
 	impaired bool
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -142,6 +142,7 @@
 		c.engine.SetStartsNameProcess()
 	}
 	c.engine.SetLongestLease(c.longestLease())
+	c.engine.SetRunStopTime(c.RunStopTime)
 	if d.MaxCrashes > 0 {
 		c.engine.SetMaxCrashes(d.MaxCrashes)
 	}
--- a/internal/owner/given_up_test.go
+++ b/internal/owner/given_up_test.go
@@ -100,3 +100,27 @@
 	}
 	return ""
 }
+
+// Guards against a task that waits for seconds for a run that is over: only the answer to the next hold call but one tells that.
+func TestHoldCallsAreShortWhileItIsOpenWhetherARunIsOver(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		c := newTestController(ctx, &fakeClient{startedAt: time.Now()})
+		c.RunStopTime = 400 * time.Millisecond
+		c.engine.SetRunStopTime(c.RunStopTime)
+		time.Sleep(time.Second)
+		c.engine.SetNow(c.now())
+		wc, run := newWorkerConnWithRun(c)
+		time.Sleep(time.Millisecond)
+		for _, open := range []bool{true, false} {
+			report := dispatch.Report{}
+			if !open {
+				report.Running = []dispatch.RunningEntry{{RunKey: run}}
+			}
+			c.engine.SetNow(c.now())
+			c.handleReport(wc, c.now(), report)
+			if wait := wc.nextHoldWait(0, c.now()); (wait == holdWaitAfterLoss) != open {
+				t.Errorf("the next hold call waits %s with the run listed: %t", wait, !open)
+			}
+		}
+	})
+}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -146,6 +146,7 @@
 		}
 		// What an ended process acknowledged does not bind the next one.
 		c.engine.HandleStopAnswer(wc.worker.ID, order.RunKey, err == nil && !wc.replaced.Load())
+		wc.awaitsReport.Store(c.engine.AwaitsReport(wc.worker.ID))
 		c.handleOrderFailure(wc, err)
 	})
 }
--- a/internal/owner/worker_places_test.go
+++ b/internal/owner/worker_places_test.go
@@ -108,6 +108,13 @@
 	return report, time.Since(p.began) + time.Second, nil
 }
 
+// end ends a run by itself.
+func (p *poolClient) end(id dispatch.WorkerID, key dispatch.RunKey) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.running[id], key)
+}
+
 func (p *poolClient) runs() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -243,6 +250,7 @@
 		c.engine.Cancel("j")
 		orders := executeOrders(c)
 		last := orders[len(orders)-1].(dispatch.Stop)
+		client.end("w0", last.RunKey)
 		wc := c.workerConns["w0"]
 		c.handleReport(wc, c.now(), dispatch.Report{ProcessStart: 1, Ended: []dispatch.EndedEntry{{Sequence: 1, RunKey: last.RunKey, End: dispatch.RunDone}}})
 		runLoop(c, time.Second, func() {})
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -20,8 +20,8 @@
 const (
 	// holdWait is how long a worker may wait for a run to end before it answers a hold call.
 	holdWait = 1200 * time.Millisecond
-	// holdWaitAfterLoss is used instead while answers get lost: the owner learns of an end in a lost answer only from the next
-	// call.
+	// holdWaitAfterLoss is used instead while answers get lost, or while it is open whether a run is over: the owner learns of an end only from
+	// the next call.
 	holdWaitAfterLoss = 300 * time.Millisecond
 	// lossPeriod is how long after a lost answer more are expected to be lost.
 	lossPeriod = 4 * time.Second
@@ -110,6 +110,8 @@
 	// unconfirmed means that the last report listed ends that could not be confirmed; only the hold loop uses it. The worker answers at once
 	// as long as it has any.
 	unconfirmed bool
+	// awaitsReport means that further reports are to tell whether a run is over.
+	awaitsReport atomic.Bool
 	// answerTime follows the worker's answers to orders.
 	answerTime flowcontrol.AnswerTime
 }
@@ -242,7 +244,7 @@
 // call whose answer gets lost hides the ends of all runs on its worker until the next one. While answers of many workers get lost,
 // the calls to those with runs are therefore short.
 func (wc *workerConn) nextHoldWait(lostAt, now monotime.Instant) time.Duration {
-	if lostAt > 0 && now.Sub(lostAt) < lossPeriod {
+	if lostAt > 0 && now.Sub(lostAt) < lossPeriod || wc.awaitsReport.Load() {
 		return holdWaitAfterLoss
 	}
 	c := wc.controller
@@ -395,6 +397,7 @@
 		wc.withdrawStop(e.RunKey)
 	}
 	c.handleRunsLost(wc, c.engine.HandleReport(wc.worker.ID, sentAt, report), notReported)
+	wc.awaitsReport.Store(c.engine.AwaitsReport(wc.worker.ID))
 }
 
 // handleReportedStart handles the start of the worker's process in the first report on a connection. Up to then the process may have carried
