Keep a silent worker's row until the ends that it reported are recorded

What callers would see: a task that was done runs again. A worker that fell silent while the registry didn't list it, as by an odd entry over its own, was removed at once when it had no runs, and its row with the next commit, which puts workers before progress. If the end that it had reported was not recorded by then and the owner was lost, the next owner knew of neither, started the task again, and heard of the first end when the worker came back.

Change: such a worker stays until its reported ends are recorded, or its lease is over.

TestWorkerStaysInTheLedgerUntilItsEndsAreRecorded failed before in its case "not recorded".

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -478,6 +478,12 @@
 	return 0
 }
 
+// HasUnconfirmedEnds reports whether ConfirmEnds has not been called with the last end of the worker that the engine has processed.
+func (e *Engine) HasUnconfirmedEnds(id WorkerID) bool {
+	_, unconfirmed := e.unconfirmedEnds[id]
+	return unconfirmed
+}
+
 // ConfirmEnds notes that workers were told that their ends are recorded, up to the given sequence numbers.
 func (e *Engine) ConfirmEnds(sequences map[WorkerID]uint64) {
 	for id, sequence := range sequences {
--- a/internal/owner/cutoff_test.go
+++ b/internal/owner/cutoff_test.go
@@ -181,6 +181,41 @@
 	}
 }
 
+// Guards against a task that starts again after it was done: a worker that had fallen silent was removed from the ledger as it had no runs, while
+// the end that it had reported was not recorded yet. An owner that took over then awaited no report of it.
+func TestWorkerStaysInTheLedgerUntilItsEndsAreRecorded(t *testing.T) {
+	for name, recorded := range map[string]bool{"not recorded": false, "recorded": true} {
+		t.Run(name, func(t *testing.T) {
+			runHoldTest(t, func(ctx context.Context, t *testing.T) {
+				c, worker := newRebornFixture(ctx)
+				runLoop(c, 3*time.Second, func() {})
+				commitWorkerRow(c)
+				addOneTask(c, "j")
+				runLoop(c, 2*holdWait, func() {})
+				worker.endRun(worker.starts[0].RunKey)
+				runLoop(c, 2*holdWait, func() {})
+				if c.engine.HasRuns(testWorker.ID) || c.engine.Stats().Done != 1 {
+					t.Fatal("the end of the run has not been heard")
+				}
+				if recorded {
+					c.setRecorded(c.engine.LastEndSequences())
+				}
+				worker.setDown(true)
+				c.handleRegistryChange(RegistryChange{Removed: []dispatch.WorkerID{testWorker.ID}})
+				lease := &c.workerConns[testWorker.ID].lease
+				runLoop(c, 2*holdWait, func() {})
+				if removed := c.workerConns[testWorker.ID] == nil; removed != recorded || lease.expired(c.now()) {
+					t.Errorf("worker removed %t before its lease is over, want %t", removed, recorded)
+				}
+				runLoop(c, longestWait(c.MaxLease), func() {})
+				if c.workerConns[testWorker.ID] != nil {
+					t.Error("the worker is not removed once its lease is over")
+				}
+			})
+		})
+	}
+}
+
 // A new owner has not read the registry yet, and its first hold call to a worker that was recorded as draining fails: the worker's
 // report must still be awaited.
 func TestWorkerIsAwaitedUntilTheRegistryIsRead(t *testing.T) {
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -570,14 +570,14 @@
 func (c *controller) expireLeases() {
 	now := c.now()
 	for _, wc := range c.workerConns {
-		if c.startedElsewhere(wc) && !c.engine.HasRuns(wc.worker.ID) {
+		if c.startedElsewhere(wc) && !c.mayTellOfRuns(wc) {
 			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), listedElsewhere)
 			continue
 		}
 		if !wc.unresponsive {
 			continue
 		}
-		if wc.unregistered && !c.engine.HasRuns(wc.worker.ID) {
+		if wc.unregistered && !c.mayTellOfRuns(wc) {
 			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), unregisteredWithoutRuns)
 			continue
 		}
@@ -600,6 +600,12 @@
 	}
 }
 
+// mayTellOfRuns reports whether a later owner would have to hear the worker: it has, or may have, runs, or it has reported ends that are not
+// recorded yet.
+func (c *controller) mayTellOfRuns(wc *workerConn) bool {
+	return c.engine.HasRuns(wc.worker.ID) || c.engine.HasUnconfirmedEnds(wc.worker.ID)
+}
+
 // startedElsewhere reports whether the process that answers the worker's calls lists itself with another address or pool.
 func (c *controller) startedElsewhere(wc *workerConn) bool {
 	if !wc.unregistered || !wc.reported {
