A refusal of a start ends no run that the worker has listed

The refusal of a start by its only attempt means that nothing was done. If the worker has listed the run meanwhile, the two contradict each other; the run was dropped at once and its task started again, on the word of the weaker evidence. The list counts now: the run goes on, and its end is taken from the worker's lists. No way is known by which the users' workers do so.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -476,6 +476,9 @@
 			e.stop(r, "start was not answered")
 		}
 	default:
+		if r.listedAt > 0 {
+			return // another attempt has begun the run, whose end the worker will list
+		}
 		e.stats.Refused++
 		e.handleStartRefusal(w, r, outcome)
 	}
--- a/internal/dispatch/start_outcome_test.go
+++ b/internal/dispatch/start_outcome_test.go
@@ -40,6 +40,35 @@
 	}
 }
 
+// Guards against a task running in two places: a refusal of a start ended the run although the worker had listed it. Another attempt of the
+// start has begun it, whatever this one was answered.
+func TestRefusalOfAStartEndsNoListedRun(t *testing.T) {
+	for _, outcome := range []StartOutcome{StartNoCapacity, StartOutdated, StartNoPermit, StartRefused, StartNotSent} {
+		for _, stopped := range []bool{false, true} {
+			c := newFixture(t, 1)
+			c.addWorker("a", 1000)
+			c.addWorker("b", 1000)
+			j := c.addJob("j", false, plainStep(1))
+			starts, _, _ := c.planByKind()
+			key, w := starts[0].RunKey, starts[0].Worker
+			c.advance(100 * time.Millisecond)
+			c.HandleReport(w, c.virtualTime, runningReport(key))
+			if stopped {
+				c.stop(c.workers[w].runs[key], "test")
+			}
+			c.HandleStartOutcome(w, key, outcome)
+			c.advance(5 * time.Second)
+			if again, _, _ := c.planByKind(); !c.HasRun(w, key) || len(again) > 0 {
+				t.Errorf("%s, stopped %t: the task %s is started again (%v) while its worker lists it", outcome, stopped, j, again)
+			}
+			c.HandleReport(w, c.virtualTime, Report{Ended: []EndedEntry{{Sequence: 1, RunKey: key, End: RunInterrupted}}})
+			if again, _, _ := c.planByKind(); len(again) != 1 {
+				t.Errorf("%s, stopped %t: starts %v after the run's end, want one", outcome, stopped, again)
+			}
+		}
+	}
+}
+
 // A start that was not sent says nothing about its worker: the task is started again at once, on the same worker if need be.
 func TestStartThatWasNotSentLeavesItsWorkerInUse(t *testing.T) {
 	c := newFixture(t, 1)
