--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -76,16 +76,39 @@
 	return e.endUnlistedRuns(w, sent, listed)
 }
 
-// endUnlistedRuns ends the runs that a complete report should have listed and did not, and returns them.
+// minUnlistedTime is how long complete reports must lack a confirmed run before it counts as over. A worker may compose its lists a little
+// before it answers, or move a run from one list to the other between the two.
+const minUnlistedTime = 500 * time.Millisecond
+
+// isLost reports whether a running run is over, by a complete report without it that was requested at the given time. One that its worker's
+// former process may have had is over with the first such report of the next.
+func (e *Engine) isLost(r *run, sent monotime.Instant) bool {
+	if r.state != runRunning || r.confirmedAt >= sent {
+		return false
+	}
+	if r.unlistedSince == 0 {
+		r.unlistedSince = e.now
+	}
+	return r.pendingCrash != nil || sent.Sub(r.unlistedSince) >= minUnlistedTime
+}
+
+// isStopped reports whether a run that is being stopped is over, by a complete report without it that was requested at the given time. A worker
+// may list a run no longer once it has acknowledged the stop, while the run takes its time to end.
+func (e *Engine) isStopped(r *run, sent monotime.Instant) bool {
+	return r.state == runStopping && r.stopAnsweredAt > 0 && sent > r.stopAnsweredAt.Add(e.runStopTime)
+}
+
+// endUnlistedRuns ends the runs that complete reports should have listed and did not, and returns them.
 func (e *Engine) endUnlistedRuns(w *worker, sent monotime.Instant, listed map[RunKey]struct{}) (given []GivenUpRun) {
 	var lostRuns []*run
+	w.awaitsReport = false
 	for key, r := range w.runs {
 		if _, ok := listed[key]; ok {
 			r.pendingCrash = nil
 			continue
 		}
-		missing := r.state == runRunning && r.confirmedAt < sent
-		stopConfirmed := r.state == runStopping && r.stopAnsweredAt > 0 && r.stopAnsweredAt < sent
+		missing := e.isLost(r, sent)
+		stopConfirmed := e.isStopped(r, sent)
 		if missing || stopConfirmed {
 			given = append(given, e.giveUp(r))
 			e.handleEnd(w, key, RunInterrupted, "")
@@ -93,6 +116,8 @@
 		if missing {
 			lostRuns = append(lostRuns, r)
 		}
+		open := r.unlistedSince > 0 || r.state == runStopping && r.stopAnsweredAt > 0
+		w.awaitsReport = w.awaitsReport || open && !missing && !stopConfirmed
 	}
 	if len(lostRuns) > 0 {
 		e.countPendingCrashes(lostRuns)
@@ -171,7 +196,7 @@
 	if r.confirmedAt == 0 {
 		r.confirmedAt = e.now
 	}
-	r.listedAt = e.now
+	r.listedAt, r.unlistedSince = e.now, 0
 	r.noteListed()
 	e.observeTail(r, entry)
 	if entry.Progress != r.progress || r.progressChangedAt == 0 {
@@ -460,6 +485,9 @@
 			e.stop(r, "start was not answered")
 		}
 	default:
+		if r.listedAt > 0 {
+			return // another attempt has begun the run, whose end the worker will list
+		}
 		e.stats.Refused++
 		e.handleStartRefusal(w, r, outcome)
 	}
@@ -488,6 +516,12 @@
 	}
 }
 
+// AwaitsReport reports whether a run of the worker may be over that only further reports tell of.
+func (e *Engine) AwaitsReport(id WorkerID) bool {
+	w := e.workers[id]
+	return w != nil && w.awaitsReport
+}
+
 // HandleStopAnswer processes the outcome of a stop order. A stop that is not acknowledged is sent again.
 func (e *Engine) HandleStopAnswer(id WorkerID, key RunKey, acknowledged bool) {
 	w := e.workers[id]
@@ -500,6 +534,7 @@
 	}
 	if acknowledged {
 		r.stopAnsweredAt = e.now
+		w.awaitsReport = true
 		delete(e.unansweredStops, r)
 		return
 	}
