Guard starts that are held in the network, and stops that an ended process has acknowledged

TestStopOfTheEndedProcessProvesNothing: the engine kept what an ended process had acknowledged from counting for the next one, but no test failed without it. TestReportOfBeforeTheStartIsNotCounted does the like for a report that was requested before the start was answered.

--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -66,6 +66,33 @@
 	}
 }
 
+// Guards against a task running in two places: what the ended process acknowledged doesn't keep the next one from a start that is under way,
+// so a report of that one ends nothing before it has acknowledged a stop too.
+func TestStopOfTheEndedProcessProvesNothing(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	w := c.addWorker("w", 100)
+	j := c.addJob("j", false, plainStep(1))
+	c.planByKind()
+	c.addWorker("w2", 100)
+	key := runKey(j, 0, 0, 1)
+	c.HandleStartOutcome(w, key, StartInDoubt)
+	c.HandleStopAnswer(w, key, true)
+	c.advance(time.Millisecond)
+	if ended := c.HandleRestart(w, WorkerCrashed, c.virtualTime); len(ended) != 0 {
+		t.Fatalf("runs %v ended, want none: the next process may carry the start out", ended)
+	}
+	c.advance(time.Millisecond)
+	if ended := c.HandleReport(w, c.virtualTime, Report{}); len(ended) != 0 {
+		t.Errorf("runs %v ended by the next process's report before it has acknowledged a stop", ended)
+	}
+	c.HandleStopAnswer(w, key, true)
+	c.advance(time.Millisecond)
+	if ended := c.HandleReport(w, c.virtualTime, Report{}); len(ended) != 1 {
+		t.Errorf("runs %v ended by a report since, want the run", ended)
+	}
+}
+
 // Guards against a task running in two places: a start was sent twice and answered once. The next process under its worker's id may carry out
 // the other attempt late, so that the task must not start elsewhere before that process has acknowledged a stop.
 func TestRunWithAnAttemptInDoubtIsStoppedOnTheRestartedWorker(t *testing.T) {
--- a/internal/dispatch/unlisted_test.go
+++ b/internal/dispatch/unlisted_test.go
@@ -52,6 +52,22 @@
 	}
 }
 
+// Guards against a report that was requested before the start was answered being the first of those that lack the run: it proves nothing.
+func TestReportOfBeforeTheStartIsNotCounted(t *testing.T) {
+	c := newFixture(t, 1)
+	w := c.addWorker("w", 100)
+	c.advance(time.Second)
+	c.addJob("j", false, plainStep(1))
+	requested := c.virtualTime
+	c.advance(time.Millisecond)
+	c.startConfirmed(w)
+	c.HandleReport(w, requested, Report{})
+	c.advance(minUnlistedTime)
+	if lost := c.HandleReport(w, c.virtualTime, Report{}); len(lost) > 0 {
+		t.Errorf("%v are lost by the only report that should have listed them", lost)
+	}
+}
+
 // Guards against the time between two reports being counted from the answer to the first to the answer to the second: the second may have
 // been composed before the first was handled.
 func TestReportsWithoutARunAreAskedForApart(t *testing.T) {
--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -28,10 +28,14 @@
 	stopTime time.Duration
 	// cutOff leaves all calls unanswered, holdsLost hold calls only.
 	cutOff, holdsLost bool
-	token             uint64
+	// unnamed means that the worker doesn't name its process, which doesn't restart under its id.
+	unnamed bool
+	token   uint64
 	// leaseEnd is on the clock of the present process.
 	leaseEnd time.Duration
 	running  map[dispatch.RunKey]bool
+	// stopped holds, by task, the highest run that was stopped.
+	stopped  map[graph.TaskID]uint64
 	lastHold HoldCall
 	// holds are the hold calls that were carried out, starts the starts.
 	holds  []HoldCall
@@ -47,16 +51,24 @@
 const unansweringWorker dispatch.WorkerID = "unanswering"
 
 func newLeasedWorker(maxLease time.Duration) *leasedWorker {
-	return &leasedWorker{startedAt: time.Now().Add(-time.Hour), maxLease: maxLease, running: make(map[dispatch.RunKey]bool)}
+	return &leasedWorker{startedAt: time.Now().Add(-time.Hour), maxLease: maxLease, running: make(map[dispatch.RunKey]bool), stopped: make(map[graph.TaskID]uint64)}
 }
 
 // entry returns the worker's entry in the registry as its present process writes it.
 func (w *leasedWorker) entry() dispatch.Worker {
 	entry := testWorker
-	entry.ProcessStart = time.Duration(w.startedAt.UnixNano())
+	entry.ProcessStart = w.processStart()
 	return entry
 }
 
+// processStart returns the start of the present process, 0 if the worker doesn't name it.
+func (w *leasedWorker) processStart() time.Duration {
+	if w.unnamed {
+		return 0
+	}
+	return time.Duration(w.startedAt.UnixNano())
+}
+
 // clock returns the reading of the worker's clock, which is as slow as a worker's may be if slow is set.
 func (w *leasedWorker) clock() time.Duration {
 	if w.slow {
@@ -70,7 +82,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.startedAt = time.Now()
-	w.token, w.leaseEnd, w.running = 0, 0, make(map[dispatch.RunKey]bool)
+	w.token, w.leaseEnd, w.running, w.stopped = 0, 0, make(map[dispatch.RunKey]bool), make(map[graph.TaskID]uint64)
 	w.accept(w.lastHold.Token, w.lastHold.Deadline)
 	for _, call := range w.late {
 		if w.accept(call.Token, call.Deadline) {
@@ -188,7 +200,7 @@
 	}
 	w.lastHold = call
 	w.holds = append(w.holds, call)
-	report := dispatch.Report{ProcessStart: time.Duration(w.startedAt.UnixNano())}
+	report := dispatch.Report{ProcessStart: w.processStart()}
 	for key := range w.running {
 		report.Running = append(report.Running, dispatch.RunningEntry{RunKey: key})
 	}
@@ -241,6 +253,7 @@
 		return ErrSuperseded
 	}
 	delete(w.running, key)
+	w.stopped[key.Task] = max(w.stopped[key.Task], key.Number)
 	return nil
 }
 
@@ -255,14 +268,14 @@
 
 // runLeaseTest runs a test of the leases of a worker that grants them for at most maxLease.
 func runLeaseTest(t *testing.T, maxLease time.Duration, test func(ctx context.Context, l *leaseTest)) {
-	runSlowStopTest(t, maxLease, 0, test)
+	runPreparedLeaseTest(t, maxLease, func(*leasedWorker) {}, test)
 }
 
-// runSlowStopTest is runLeaseTest with a worker that takes stopTime to end its runs once its lease has ended.
-func runSlowStopTest(t *testing.T, maxLease, stopTime time.Duration, test func(ctx context.Context, l *leaseTest)) {
+// runPreparedLeaseTest is runLeaseTest with a worker that prepare changes.
+func runPreparedLeaseTest(t *testing.T, maxLease time.Duration, prepare func(*leasedWorker), test func(ctx context.Context, l *leaseTest)) {
 	runHoldTest(t, func(ctx context.Context, t *testing.T) {
 		worker := newLeasedWorker(maxLease)
-		worker.stopTime, worker.slow = stopTime, stopTime > 0
+		prepare(worker)
 		l := &leaseTest{t: t, worker: worker, recorded: worker.entry()}
 		l.controller = l.newOwner(ctx)
 		l.addWorkerConn(l.recorded, false)
--- a/internal/owner/run_stop_time_test.go
+++ b/internal/owner/run_stop_time_test.go
@@ -42,7 +42,8 @@
 	for name, cut := range cases {
 		for _, stopTime := range []time.Duration{0, 400 * time.Millisecond, 2 * time.Second} {
 			t.Run(name+", "+stopTime.String(), func(t *testing.T) {
-				runSlowStopTest(t, maxLease, stopTime, func(ctx context.Context, l *leaseTest) {
+				prepare := func(w *leasedWorker) { w.stopTime, w.slow = stopTime, stopTime > 0 }
+				runPreparedLeaseTest(t, maxLease, prepare, func(ctx context.Context, l *leaseTest) {
 					cut(ctx, l)
 					l.worker.noticeLate(leaseMargin - 50*time.Millisecond)
 					l.expectOneRun(time.Now(), dispatch.MaxCallDelay+longestWait(maxLease)+stopTime)
