Guard stops, reports of replaced connections and runs that are listed beside another start

Each plays, in virtual time, a way by which a run could be given up while it goes on; all hold, and no code but a line that nothing needed is changed. Without its protection each fails: TestRunInDoubtOutlivesReportsUntilAStopIsAcknowledged (a stop without an answer), TestStopAnsweredOnAReplacedConnectionProvesNothing, TestReportOnAReplacedConnectionIsDropped, TestRunListedWhileAnotherStartIsUnderWay (four outcomes of the other start).

A row that waits for a commit as its worker's first row is committed needs no correction: an entry that names another address or pool removes it.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -99,6 +99,38 @@
 	}
 }
 
+// Guards against a task running in two places: a worker lists a run of it, begun late, while another start is under way. The listed one is
+// stopped; whatever becomes of the other, the task is not started a third time before both are over.
+func TestRunListedWhileAnotherStartIsUnderWay(t *testing.T) {
+	for _, outcome := range []StartOutcome{Started, StartRefused, StartNotSent, StartInDoubt} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			c := newFixture(t, 5)
+			a := c.addWorker("a", 1000)
+			j := c.addJob("j", false, plainStep(1))
+			starts, _, _ := c.planByKind()
+			b := c.addWorker("b", 1000)
+			late := runKey(j, 0, 0, 1)
+			late.Number = starts[0].Number + 1
+			c.HandleReport(b, c.virtualTime, runningReport(late))
+			if _, stops, _ := c.planByKind(); len(stops) != 1 || stops[0].Worker != b {
+				t.Fatalf("stops %v, want that of the listed run", stops)
+			}
+			c.HandleStartOutcome(a, starts[0].RunKey, outcome)
+			c.HandleStopAnswer(b, late, true)
+			c.advance(5 * time.Second)
+			if again, _, _ := c.planByKind(); len(again) != 0 {
+				t.Errorf("starts %v while the listed run is being stopped", again)
+			}
+			c.HandleReport(b, c.virtualTime, endedReport(1, late, RunInterrupted))
+			c.advance(5 * time.Second)
+			over := outcome == StartRefused || outcome == StartNotSent
+			if again, _, _ := c.planByKind(); (len(again) == 1) != over {
+				t.Errorf("starts %v after the listed run has ended, the other one over: %t", again, over)
+			}
+		})
+	}
+}
+
 // A task is not started elsewhere while a surplus run of it is being stopped.
 func TestTaskWaitsForItsSurplusRun(t *testing.T) {
 	c := newFixture(t, 2)
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -203,13 +203,9 @@
 // startUsingWorker starts to use a worker whose row has been committed, with its current entry in the registry: it may have begun
 // to drain, have left or have ended since the commit was sent.
 func (c *controller) startUsingWorker(w dispatch.Worker) {
-	row, newer := c.pendingWorkerRows[w.ID]
-	if newer && row == nil {
+	if row, newer := c.pendingWorkerRows[w.ID]; newer && row == nil {
 		return // the worker has ended, and a later commit removes its row
 	}
-	if newer && c.workerConns[w.ID] == nil {
-		row.Address, row.Pool = w.Address, w.Pool // by a later entry
-	}
 	c.addWorkerConn(w, false)
 	wc := c.workerConns[w.ID]
 	wc.setRecordedRow(w)
--- a/internal/owner/held_start_test.go
+++ b/internal/owner/held_start_test.go
@@ -75,3 +75,86 @@
 		}
 	}
 }
+
+// runStopTest runs a test of a start in doubt whose stop is not answered before stopAnswer is closed, on a worker that answers hold calls.
+func runStopTest(t *testing.T, test func(l *leaseTest, run dispatch.RunKey, stopAnswer chan struct{})) {
+	prepare := func(w *leasedWorker) { w.unnamed = true }
+	runPreparedLeaseTest(t, 6*time.Second, prepare, func(_ context.Context, l *leaseTest) {
+		stopAnswer := make(chan struct{})
+		l.worker.holdStops(stopAnswer)
+		l.worker.leaveStartsUnanswered(100)
+		addOneTask(l.controller, "j")
+		runLoop(l.controller, 2*tickInterval, func() {})
+		run := l.worker.firstLateStart()
+		l.engine.HandleStartOutcome(testWorker.ID, run, dispatch.StartInDoubt)
+		l.addOtherWorker()
+		runLoop(l.controller, 2*tickInterval, func() {})
+		test(l, run, stopAnswer)
+	})
+}
+
+func (w *leasedWorker) holdStops(until chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopAnswer = until
+}
+
+// firstLateStart returns the run of the first start that got no answer.
+func (w *leasedWorker) firstLateStart() dispatch.RunKey {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.late[0].RunKey
+}
+
+// Guards against a task running in two places: the start is under way, and no process of the worker has acknowledged a stop of it, so that
+// reports without the run prove nothing.
+func TestRunInDoubtOutlivesReportsUntilAStopIsAcknowledged(t *testing.T) {
+	runStopTest(t, func(l *leaseTest, run dispatch.RunKey, _ chan struct{}) {
+		runLoop(l.controller, 5*holdWait, func() {
+			if !l.engine.HasRun(testWorker.ID, run) {
+				l.t.Fatal("the run is given up while no stop of it is acknowledged")
+			}
+		})
+		l.worker.holdStops(nil)
+		runLoop(l.controller, 5*holdWait, func() {})
+		if l.engine.HasRun(testWorker.ID, run) {
+			l.t.Error("the run is kept although a stop is acknowledged, and a report since lacks it")
+		}
+	})
+}
+
+// Guards against a task running in two places: the stop was answered by the worker's former process, on a connection that has been replaced. The
+// next process may yet carry the start out.
+func TestStopAnsweredOnAReplacedConnectionProvesNothing(t *testing.T) {
+	runStopTest(t, func(l *leaseTest, run dispatch.RunKey, stopAnswer chan struct{}) {
+		former := l.workerConns[testWorker.ID]
+		l.worker.holdStops(make(chan struct{}))
+		l.replaceWorkerConn(former, former.aliveAt, processRestarted)
+		close(stopAnswer)
+		runLoop(l.controller, 3*holdWait, func() {
+			if !l.engine.HasRun(testWorker.ID, run) {
+				l.t.Fatal("the run is given up by the former process's answer")
+			}
+		})
+	})
+}
+
+// Guards against reports of a worker's former process, which a replaced connection has got: its runs and ends are not those of the next one.
+func TestReportOnAReplacedConnectionIsDropped(t *testing.T) {
+	runLeaseTest(t, 6*time.Second, func(_ context.Context, l *leaseTest) {
+		l.startTask()
+		runLoop(l.controller, 2*holdWait, func() {})
+		former := l.workerConns[testWorker.ID]
+		run := l.worker.startCalls()[0].RunKey
+		l.replaceWorkerConn(former, former.aliveAt, processRestarted)
+		for _, report := range []dispatch.Report{
+			{Running: []dispatch.RunningEntry{{RunKey: run}}},
+			{Ended: []dispatch.EndedEntry{{Sequence: 9, RunKey: run, End: dispatch.RunDone}}},
+		} {
+			l.handleReport(former, l.now(), report)
+			if l.engine.HasRun(testWorker.ID, run) || l.engine.LastEndSequence(testWorker.ID) != 0 || l.engine.Stats().Done != 0 {
+				l.t.Errorf("the report %+v of the former process is taken in", report)
+			}
+		}
+	})
+}
--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -28,6 +28,8 @@
 	stopTime time.Duration
 	// cutOff leaves all calls unanswered, holdsLost hold calls only.
 	cutOff, holdsLost bool
+	// stopAnswer leaves stops unanswered until it is closed; nil answers them.
+	stopAnswer chan struct{}
 	// unnamed means that the worker doesn't name its process, which doesn't restart under its id.
 	unnamed bool
 	token   uint64
@@ -243,7 +245,18 @@
 	return dispatch.Started, nil
 }
 
-func (w *leasedWorker) Stop(_ context.Context, _ dispatch.Worker, key dispatch.RunKey, token uint64) error {
+func (w *leasedWorker) Stop(ctx context.Context, _ dispatch.Worker, key dispatch.RunKey, token uint64) error {
+	w.mu.Lock()
+	answer := w.stopAnswer
+	w.mu.Unlock()
+	if answer != nil {
+		select {
+		case <-answer:
+			return nil
+		case <-ctx.Done():
+			return ErrNoAnswer
+		}
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.cutOff {
