--- a/internal/owner/call_order_test.go
+++ b/internal/owner/call_order_test.go
@@ -8,6 +8,7 @@
 
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/ledger"
 )
 
 // confirmed returns up to which sequence the last hold call confirmed ends.
@@ -62,6 +63,7 @@
 		runLoop(l.controller, holdWait/4, func() {}) // the next hold call, which confirms ends, is under way
 		l.worker.restart()
 		l.startTask()
+		l.setRecorded(map[dispatch.WorkerID]uint64{testWorker.ID: 6}) // no call has confirmed these
 		holds := l.worker.holdCount()
 		runLoop(l.controller, 3*holdWait, func() {})
 		if l.worker.holdCount() == holds {
@@ -107,8 +109,12 @@
 				if now := l.worker.holdCount(); l.ownershipLost || now == holds || !l.worker.runs() {
 					l.t.Errorf("ownership lost: %t, %d further hold calls, the worker runs the task: %t; want it owned, held and running", l.ownershipLost, now-holds, l.worker.runs())
 				}
-				l.tokensGiven[testWorker.ID] = maxRaisedTokens
 				wc := l.workerConns[testWorker.ID]
+				raised := wc.fencingToken.Load()
+				if wc.prepareStart(dispatch.Start{Once: !test.permit}); wc.fencingToken.Load() != raised {
+					l.t.Errorf("a further start raises the token from %d to %d", raised, wc.fencingToken.Load())
+				}
+				l.tokensGiven[testWorker.ID] = maxRaisedTokens
 				token := wc.fencingToken.Load()
 				wc.confirmations.begin(token, 6)
 				wc.prepareStart(dispatch.Start{Once: true})
@@ -132,9 +138,15 @@
 			queue := graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}
 			l.engine.AddJob(dispatch.JobInput{ID: graph.JobID(fmt.Sprint("j", i)), Queue: queue, Spec: spec, ArrivedAt: l.now()})
 			runLoop(l.controller, holdWait, func() {})
+			if holds, most := l.worker.holdCount(), 2*(int(time.Since(began)/holdWait)+10); holds > most {
+				l.t.Fatalf("%d hold calls %s after the first start, want %d at most", holds, time.Since(began), most)
+			}
 		}
 		former := l.workerConns[testWorker.ID].fencingToken.Load()
-		l.t.Logf("%d starts in %s: tokens %d to %d", len(l.worker.starts), time.Since(began), before, former)
+		l.t.Logf("%d starts in %s: tokens %d to %d, %d hold calls", len(l.worker.starts), time.Since(began), before, former, l.worker.holdCount())
+		if used := former - before; used > 11 {
+			l.t.Errorf("%d tokens are used up, want one in 100 starts at most", used)
+		}
 		l.restartWorker()
 		next := l.workerConns[testWorker.ID].fencingToken.Load()
 		if next <= former {
@@ -142,3 +154,155 @@
 		}
 	})
 }
+
+// Guards against an owner that gets far more answers than before: hold calls that confirm ends don't wait, on workers too whose starts have
+// permits.
+func TestHoldThatConfirmsEndsWaitsOnWorkersWithPermits(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		l.workerConns[testWorker.ID].prepareStart(dispatch.Start{RunKey: dispatch.RunKey{Number: 1}, Permit: "p"})
+		want := HoldCall{Token: l.workerConns[testWorker.ID].fencingToken.Load(), Recorded: 5, Wait: holdWait}
+		if call := l.workerConns[testWorker.ID].beginHold(5, holdWait); call != want {
+			l.t.Errorf("the hold call is %+v, want %+v", call, want)
+		}
+	})
+}
+
+// overtakingClient refuses a start since a later call with a higher token was carried out before it.
+type overtakingClient struct {
+	*leasedWorker
+	wc *workerConn
+}
+
+func (c overtakingClient) Start(context.Context, dispatch.Worker, StartCall) (dispatch.StartOutcome, error) {
+	c.wc.fencingToken.Add(1)
+	return dispatch.StartRefused, ErrSuperseded
+}
+
+// Guards against a worker that gets no further runs since it refused a start that another one had overtaken.
+func TestOvertakenStartCountsAsNotSent(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		wc := l.workerConns[testWorker.ID]
+		l.Workers = overtakingClient{l.worker, wc}
+		outcome, err := wc.sendStart(StartCall{Start: dispatch.Start{Once: true}}, wc.queue(startClass(dispatch.Start{})))
+		if outcome != dispatch.StartNotSent || err != nil {
+			l.t.Errorf("the outcome is %s (%v), want %s", outcome, err, dispatch.StartNotSent)
+		}
+		l.Workers = l.worker
+	})
+}
+
+// Guards against an owner that is kept busy by workers with ends that can't be confirmed, which answer hold calls at once, and against new ends
+// that are heard late.
+func TestWorkersWithEndsAreAskedAsOftenAsNeeded(t *testing.T) {
+	const (
+		workers = 3000
+		during  = 10 * time.Second
+	)
+	for name, test := range map[string]struct {
+		sequence    uint64 // of the end that the worker lists; ends up to 5 are recorded
+		least, most int
+	}{
+		"can't be confirmed": {5, 2, int(during * maxLossyHolds / workers / time.Second)},
+		"not recorded":       {6, int(during / (commitWait + holdRetryDelay)), int(during/commitWait) + 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+				l.setRecorded(map[dispatch.WorkerID]uint64{testWorker.ID: 5})
+				runLoop(l.controller, 3*holdWait, func() {})
+				wc := l.workerConns[testWorker.ID]
+				wc.confirmations.begin(0, 0) // none was answered
+				wc.confirmations.end(0, nil)
+				l.workersInUse.Store(workers)
+				wc.prepareStart(dispatch.Start{RunKey: dispatch.RunKey{Number: 1}, Once: true})
+				l.worker.listEnd(dispatch.EndedEntry{Sequence: test.sequence, End: dispatch.RunInterrupted})
+				runLoop(l.controller, 2*holdWait, func() {})
+				holds := l.worker.holdCount()
+				runLoop(l.controller, during, func() {})
+				if n := l.worker.holdCount() - holds; n < test.least || n > test.most {
+					l.t.Errorf("%d hold calls in %s, want %d to %d", n, during, test.least, test.most)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a worker that does not refuse calls for its former process after a restart: starts had used up the owner's tokens.
+func TestStartsLeaveTokensForRestarts(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		wc := l.workerConns[testWorker.ID]
+		for range 2 * ledger.EpochStride {
+			wc.confirmations.begin(wc.fencingToken.Load(), 5)
+			wc.prepareStart(dispatch.Start{Once: true})
+		}
+		former := wc.fencingToken.Load()
+		for range 100 {
+			l.replaceWorkerConn(l.workerConns[testWorker.ID], l.now(), processRestarted)
+			next := l.workerConns[testWorker.ID].fencingToken.Load()
+			if next <= former || next >= l.ownership.Epoch()+ledger.EpochStride {
+				l.t.Fatalf("the next connection has the token %d, want one between the former one's %d and those of the next owner", next, former)
+			}
+			former = next
+		}
+	})
+}
+
+// Guards against a token for each start during one hold call.
+func TestStartsDuringOneHoldCallUseOneToken(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		wc := l.workerConns[testWorker.ID]
+		before := wc.fencingToken.Load()
+		wc.confirmations.begin(before, 5)
+		for range 10 {
+			wc.prepareStart(dispatch.Start{Once: true})
+		}
+		if used := wc.fencingToken.Load() - before; used != 1 {
+			l.t.Errorf("10 starts use %d tokens, want one", used)
+		}
+	})
+}
+
+// Guards against workers that can't forget their ends: hold calls confirmed none for 15 s after each start, though it was carried out.
+func TestHoldConfirmsEndsOnceStartsAreCarriedOut(t *testing.T) {
+	key := dispatch.RunKey{Number: 1}
+	for name, carryOut := range map[string]func(l *leaseTest, wc *workerConn){
+		"answered": func(l *leaseTest, wc *workerConn) {
+			wc.finishStart(dispatch.Start{RunKey: key}, 0, orderAnswer{outcome: dispatch.Started}, &queuedOrder{})
+		},
+		"running": func(l *leaseTest, wc *workerConn) {
+			running := []dispatch.RunningEntry{{RunKey: key}}
+			l.handleReport(wc, l.now(), dispatch.Report{ProcessStart: wc.reportedStart, Running: running})
+		},
+		"ended": func(l *leaseTest, wc *workerConn) {
+			ended := []dispatch.EndedEntry{{RunKey: key, Sequence: 6, End: dispatch.RunInterrupted}}
+			l.handleReport(wc, l.now(), dispatch.Report{ProcessStart: wc.reportedStart, Ended: ended})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+				wc := l.workerConns[testWorker.ID]
+				wc.prepareStart(dispatch.Start{RunKey: key, Once: true})
+				if call := wc.beginHold(5, holdWait); call.Recorded != 0 {
+					l.t.Errorf("a hold call confirms ends up to %d before the start is carried out, want none", call.Recorded)
+				}
+				carryOut(l, wc)
+				if call := wc.beginHold(5, holdWait); call.Recorded != 5 {
+					l.t.Errorf("a hold call confirms ends up to %d once the start is carried out, want 5", call.Recorded)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an owner that goes on after another one has taken over: a refusal by a worker passed for that of a call which a later one of
+// the same owner has overtaken.
+func TestRefusalByAWorkerThatHasSeenAHigherEpochEndsTheOwnership(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		l.worker.mu.Lock()
+		l.worker.token = l.ownership.Epoch() + ledger.EpochStride
+		l.worker.mu.Unlock()
+		runLoop(l.controller, 2*holdWait, func() {})
+		if !l.ownershipLost {
+			l.t.Error("the ownership goes on")
+		}
+	})
+}
--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -33,6 +33,8 @@
 	// holds are the hold calls that were carried out, starts the starts.
 	holds  []HoldCall
 	starts []StartCall
+	// ended are the ends that it lists; it answers at once as long as it has any.
+	ended []dispatch.EndedEntry
 	// unanswered is how many of the next starts get no answer; late are those that got none.
 	unanswered int
 	late       []StartCall
@@ -126,6 +128,19 @@
 	w.holdsLost = lost
 }
 
+// listEnd lets the worker list the end, for good.
+func (w *leasedWorker) listEnd(end dispatch.EndedEntry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = append(w.ended, end)
+}
+
+func (w *leasedWorker) listsEnds() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.ended) > 0
+}
+
 // holdLongestLease extends the lease as a late call does, whose deadline is on the clock of an earlier process.
 func (w *leasedWorker) holdLongestLease() {
 	w.mu.Lock()
@@ -151,7 +166,11 @@
 }
 
 func (w *leasedWorker) Hold(ctx context.Context, called dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error) {
-	time.Sleep(max(call.Wait, time.Millisecond))
+	wait := call.Wait
+	if w.listsEnds() {
+		wait = 0
+	}
+	time.Sleep(max(wait, time.Millisecond))
 	switch called.ID {
 	case testWorker.ID:
 	case unansweringWorker:
@@ -169,7 +188,7 @@
 	}
 	w.lastHold = call
 	w.holds = append(w.holds, call)
-	report := dispatch.Report{ProcessStart: time.Duration(w.startedAt.UnixNano())}
+	report := dispatch.Report{ProcessStart: time.Duration(w.startedAt.UnixNano()), Ended: w.ended}
 	for key := range w.running {
 		report.Running = append(report.Running, dispatch.RunningEntry{RunKey: key})
 	}
