Owner's tests: the hold calls of a restarting worker are read under their lock

Cause: TestRecordedSequenceEndsWithTheProcess read the fixture's calls while the hold loop added one; so did TestHoldAfterAFailureConfirmsNothing. The race is one of the tests only.

--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -48,6 +48,13 @@
 	return dispatch.Report{ProcessStart: f.processStart, Ended: slices.Clone(f.ended)}, time.Minute, nil
 }
 
+// holdCalls returns the hold calls so far.
+func (f *restartingClient) holdCalls() []HoldCall {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.holds)
+}
+
 // runHoldTest runs a test of hold calls in virtual time, with a context that ends with it.
 func runHoldTest(t *testing.T, test func(ctx context.Context, t *testing.T)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -85,7 +92,8 @@
 		if got := c.workerConns[testWorker.ID].recorded(); got != 0 {
 			t.Errorf("sequence %d counts as recorded after the restart, want 0", got)
 		}
-		if last := client.holds[len(client.holds)-1]; last.Recorded != 0 {
+		holds := client.holdCalls()
+		if last := holds[len(holds)-1]; last.Recorded != 0 {
 			t.Errorf("the last hold call confirms the sequence %d, want 0", last.Recorded)
 		}
 	})
@@ -98,10 +106,10 @@
 		c := newRestartFixture(ctx, client)
 		c.setRecorded(map[dispatch.WorkerID]uint64{testWorker.ID: 40})
 		runLoop(c, 3*time.Second, func() {})
-		failedFrom := len(client.holds)
+		failedFrom := len(client.holdCalls())
 		client.set(time.Second, false)
 		runLoop(c, 2*time.Second, func() {})
-		for i, call := range client.holds[failedFrom+1:] {
+		for i, call := range client.holdCalls()[failedFrom+1:] {
 			if call.Recorded != 0 {
 				t.Fatalf("hold call %d after the first failure confirms the sequence %d, want 0", i, call.Recorded)
 			}
