--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -92,6 +92,8 @@
 	// lateStarts holds, by worker, the tasks with late starts there; longestLease is how long a run may go on on a silent worker.
 	lateStarts   map[WorkerID]map[*task]struct{}
 	longestLease time.Duration
+	// runStopTime is how long a run may take to end once its stop is acknowledged.
+	runStopTime time.Duration
 	// startsNameProcess means that a worker refuses a start for another process than its present one.
 	startsNameProcess bool
 	// unreachable holds the workers that stopped answering lately, in order.
@@ -324,6 +326,9 @@
 	e.sendStop(r)
 }
 
+// SetRunStopTime sets how long a run may take to end once its stop is acknowledged.
+func (e *Engine) SetRunStopTime(d time.Duration) { e.runStopTime = d }
+
 func (e *Engine) sendStop(r *run) {
 	r.stopRetryAt = e.now.Add(maxStopTime)
 	r.firstStop = !r.stopSent
@@ -478,6 +483,12 @@
 	return 0
 }
 
+// HasUnconfirmedEnds reports whether ConfirmEnds has not been called with the last end of the worker that the engine has processed.
+func (e *Engine) HasUnconfirmedEnds(id WorkerID) bool {
+	_, unconfirmed := e.unconfirmedEnds[id]
+	return unconfirmed
+}
+
 // ConfirmEnds notes that workers were told that their ends are recorded, up to the given sequence numbers.
 func (e *Engine) ConfirmEnds(sequences map[WorkerID]uint64) {
 	for id, sequence := range sequences {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -250,13 +250,16 @@
 	progressChangedAt monotime.Instant
 	// tail is what the worker reported of a task with a tail latency target.
 	tail tailLatency
-	// listedAt is when the worker last listed the run as running.
-	listedAt monotime.Instant
+	// listedAt is when the worker last listed the run as running. unlistedSince is when it gave the first of the complete reports since then that
+	// should have listed the run and did not; 0 if there was none.
+	listedAt, unlistedSince monotime.Instant
 }
 
 type worker struct {
 	Worker
-	used graph.Resources
+	// awaitsReport means that a stop was acknowledged since the last complete report, or that it lacked a run that may not be over.
+	awaitsReport bool
+	used         graph.Resources
 	// impaired means that the worker is slow, ejected or on probation. Evaluating a worker for a step reads only this unless it is
 	// set.
 	impaired bool
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -20,8 +20,8 @@
 const (
 	// holdWait is how long a worker may wait for a run to end before it answers a hold call.
 	holdWait = 1200 * time.Millisecond
-	// holdWaitAfterLoss is used instead while answers get lost: the owner learns of an end in a lost answer only from the next
-	// call.
+	// holdWaitAfterLoss is used instead while answers get lost, or while it is open whether a run is over: the owner learns of an end only from
+	// the next call.
 	holdWaitAfterLoss = 300 * time.Millisecond
 	// lossPeriod is how long after a lost answer more are expected to be lost.
 	lossPeriod = 4 * time.Second
@@ -42,7 +42,7 @@
 // workerConn is the owner's connection to one worker: it extends the worker's lease, fetches its reports and sends it orders.
 type workerConn struct {
 	controller *controller
-	// worker never changes; calls go to its address.
+	// worker never changes; calls go to its address, and its runs are of jobs of its pool. A later owner finds it by the same.
 	worker dispatch.Worker
 	lease  workerLease
 	// fencingToken is that of the next call on this connection. It is higher than those of earlier connections to the worker, so that its
@@ -53,7 +53,7 @@
 	startsOnce atomic.Bool
 	// tokensUsedUp means that starts can't raise the token any more. Only the control loop uses it.
 	tokensUsedUp bool
-	// unanswered are shared by all connections to the worker.
+	// unanswered are shared by all connections to the worker, also after it was given up.
 	unanswered *unansweredStarts
 	cancel     context.CancelFunc
 	// listing is the worker's last entry in the registry. Only the control loop uses listing and the fields down to
@@ -110,6 +110,8 @@
 	// unconfirmed means that the last report listed ends that could not be confirmed; only the hold loop uses it. The worker answers at once
 	// as long as it has any.
 	unconfirmed bool
+	// awaitsReport means that further reports are to tell whether a run is over.
+	awaitsReport atomic.Bool
 	// answerTime follows the worker's answers to orders.
 	answerTime flowcontrol.AnswerTime
 }
@@ -147,9 +149,10 @@
 // newWorkerConn returns a connection to a worker that may get as many calls at once as places has.
 func (c *controller) newWorkerConn(w dispatch.Worker, places *flowcontrol.Server) *workerConn {
 	wc := &workerConn{
-		controller: c, worker: w, recordedAdvanced: make(chan struct{}, 1), places: places, unanswered: newUnansweredStarts(),
+		controller: c, worker: w, recordedAdvanced: make(chan struct{}, 1), places: places, unanswered: c.unansweredStarts(w.ID),
 		queuedStarts: make(map[dispatch.RunKey]*queuedOrder), queuedStops: make(map[dispatch.RunKey]*queuedOrder),
 	}
+	wc.lease.endMargin = c.runEndMargin()
 	wc.fencingToken.Store(c.nextFencingToken(w.ID))
 	wc.ordersCtx, wc.cancelOrders = context.WithCancel(c.ctx)
 	return wc
@@ -241,7 +244,7 @@
 // call whose answer gets lost hides the ends of all runs on its worker until the next one. While answers of many workers get lost,
 // the calls to those with runs are therefore short.
 func (wc *workerConn) nextHoldWait(lostAt, now monotime.Instant) time.Duration {
-	if lostAt > 0 && now.Sub(lostAt) < lossPeriod {
+	if lostAt > 0 && now.Sub(lostAt) < lossPeriod || wc.awaitsReport.Load() {
 		return holdWaitAfterLoss
 	}
 	c := wc.controller
@@ -325,9 +328,13 @@
 		}
 		return 0, err
 	}
+	known := time.Duration(wc.processStart.Load())
+	if known != 0 && report.ProcessStart == 0 {
+		return 0, errUnnamedProcess
+	}
 	wc.idle = len(report.Running) == 0 && wc.starts.Load() == startsBefore
 	wc.unconfirmed = call.Recorded == 0 && recorded > 0 && len(report.Ended) > 0 && report.Ended[0].Sequence <= recorded
-	if known := time.Duration(wc.processStart.Load()); known != 0 && report.ProcessStart != 0 && report.ProcessStart != known {
+	if known != 0 && report.ProcessStart != known {
 		return 0, errRestarted
 	}
 	wc.processStart.Store(int64(report.ProcessStart))
@@ -343,6 +350,9 @@
 // errAnswerLost means that a worker that had answered before gave no answer while those of many workers get lost.
 var errAnswerLost = errors.New("owner: answer lost")
 
+// errUnnamedProcess means that a report doesn't say which process it is of although earlier ones did. It may be of any.
+var errUnnamedProcess = fmt.Errorf("%w: the report names no process", ErrNoAnswer)
+
 // errRestarted means that the worker's process is not the one that answered before.
 var errRestarted = errors.New("owner: the worker's process has restarted")
 
@@ -387,6 +397,7 @@
 		wc.withdrawStop(e.RunKey)
 	}
 	c.handleRunsLost(wc, c.engine.HandleReport(wc.worker.ID, sentAt, report), notReported)
+	wc.awaitsReport.Store(c.engine.AwaitsReport(wc.worker.ID))
 }
 
 // handleReportedStart handles the start of the worker's process in the first report on a connection. Up to then the process may have carried
@@ -512,6 +523,12 @@
 	c.pendingWorkerRows[wc.worker.ID] = wc.row(wc.listing)
 }
 
+// isNamedBy reports whether an entry in the registry names the worker as it is used. One that doesn't is another writer's, or that of a later
+// process that started elsewhere.
+func (wc *workerConn) isNamedBy(entry dispatch.Worker) bool {
+	return entry.Address == wc.worker.Address && entry.Pool == wc.worker.Pool
+}
+
 // mayCarryOutLateCalls reports whether calls of earlier connections may still be carried out: the worker's present process has not answered on
 // this one, as far as is known.
 func (wc *workerConn) mayCarryOutLateCalls() bool { return !wc.reported || wc.mayHaveRestarted() }
@@ -556,10 +573,14 @@
 func (c *controller) expireLeases() {
 	now := c.now()
 	for _, wc := range c.workerConns {
+		if c.startedElsewhere(wc) && !c.mayTellOfRuns(wc) {
+			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), listedElsewhere)
+			continue
+		}
 		if !wc.unresponsive {
 			continue
 		}
-		if wc.unregistered && !c.engine.HasRuns(wc.worker.ID) {
+		if wc.unregistered && !c.mayTellOfRuns(wc) {
 			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), unregisteredWithoutRuns)
 			continue
 		}
@@ -582,6 +603,21 @@
 	}
 }
 
+// mayTellOfRuns reports whether a later owner would have to hear the worker: it has, or may have, runs, or it has reported ends that are not
+// recorded yet.
+func (c *controller) mayTellOfRuns(wc *workerConn) bool {
+	return c.engine.HasRuns(wc.worker.ID) || c.engine.HasUnconfirmedEnds(wc.worker.ID)
+}
+
+// startedElsewhere reports whether the process that answers the worker's calls lists itself with another address or pool.
+func (c *controller) startedElsewhere(wc *workerConn) bool {
+	if !wc.unregistered || !wc.reported {
+		return false
+	}
+	listed, ok := c.registered[wc.worker.ID]
+	return ok && !wc.isNamedBy(listed) && listed.ProcessStart == wc.reportedStart
+}
+
 // holdBackLeases stops extending the leases of workers that can't be got to stop a run whose job has ended, and extends the others'
 // again.
 func (c *controller) holdBackLeases() {
@@ -616,6 +652,9 @@
 	}
 	c.handleRunsLost(wc, c.engine.RemoveWorker(id, end), why)
 	c.pendingWorkerRows[id] = nil
+	if listed, ok := c.registered[id]; ok && !wc.isNamedBy(listed) {
+		c.handleRegistered(listed)
+	}
 }
 
 // handleRegistryChange applies a change of the worker registry.
@@ -638,7 +677,7 @@
 	}
 	for _, w := range change.Put {
 		c.registered[w.ID] = w
-		c.handleRegistered(w)
+		c.handleEntry(w)
 	}
 	for _, id := range change.Removed {
 		delete(c.registered, id)
@@ -646,6 +685,16 @@
 	}
 }
 
+// handleEntry handles a worker's entry in the registry. To a worker in use one that names another address or pool is as good as none: its
+// calls, its runs and its row go by the former ones until it has no runs.
+func (c *controller) handleEntry(w dispatch.Worker) {
+	if wc := c.workerConns[w.ID]; wc != nil && !wc.isNamedBy(w) {
+		c.handleUnregistered(w.ID)
+		return
+	}
+	c.handleRegistered(w)
+}
+
 // handleRegistered updates a worker from its entry in the registry. A new worker is used once its row is committed, so that a
 // later owner awaits its report.
 func (c *controller) handleRegistered(w dispatch.Worker) {
