--- a/internal/owner/given_up.go
+++ b/internal/owner/given_up.go
@@ -13,7 +13,7 @@
 type giveUpReason string
 
 const (
-	// notReported means that a complete report, asked for after the run was confirmed or its stop acknowledged, lacks it.
+	// notReported means that complete reports, asked for after the run was confirmed, or one after its stop was acknowledged, lack it.
 	notReported giveUpReason = "worker does not report the run"
 	// processRestarted means that another process of the worker has answered.
 	processRestarted giveUpReason = "its process has restarted"
