A start that may be carried out late keeps its room on the worker

What callers see: a worker over its capacity, on queues without a policy service. A start got no answer, its worker restarted under its id and acknowledged the stop; other tasks were started in the room of the run, and the next process carried the start out beside them. Cause: the task is held for such a start, its room was not. Starts with permits are never held, so nothing changes on queues with a policy service.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -92,6 +92,8 @@
 	// lateStarts holds, by worker, the tasks with late starts there; longestLease is how long a run may go on on a silent worker.
 	lateStarts   map[WorkerID]map[*task]struct{}
 	longestLease time.Duration
+	// lateRooms holds, by worker, the rooms of runs that may start late there.
+	lateRooms map[WorkerID][]lateRoom
 	// startsNameProcess means that a worker refuses a start for another process than its present one.
 	startsNameProcess bool
 	// unreachable holds the workers that stopped answering lately, in order.
@@ -135,6 +137,7 @@
 		crashedAddresses:  make(map[string]monotime.Instant),
 		unsettledSilences: make(map[string]*silence),
 		lateStarts:        make(map[WorkerID]map[*task]struct{}),
+		lateRooms:         make(map[WorkerID][]lateRoom),
 	}
 }
 
@@ -493,6 +496,9 @@
 	if w == nil {
 		w = &worker{runs: make(map[RunKey]*run), workerCondition: &workerCondition{}}
 		e.workers[registered.ID] = w
+		for _, room := range e.lateRooms[registered.ID] {
+			w.used = w.used.Add(room.allocation)
+		}
 	}
 	w.Worker = registered
 	e.poolsStale = true
@@ -537,6 +543,7 @@
 	}
 	if end == WorkerCrashed {
 		e.settleLateStarts(id, math.MaxInt64)
+		delete(e.lateRooms, id)
 	}
 	e.giveUpCause(crashed)
 	return given
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -55,10 +55,12 @@
 	listed := make(map[RunKey]struct{}, len(report.Running))
 	for _, entry := range report.Running {
 		listed[entry.RunKey] = struct{}{}
+		e.freeRoomOf(w, entry.RunKey)
 		e.handleRunningEntry(w, entry)
 	}
 	for _, ended := range report.Ended {
 		listed[ended.RunKey] = struct{}{}
+		e.freeRoomOf(w, ended.RunKey)
 		if r := w.runs[ended.RunKey]; r != nil {
 			r.noteListed()
 		}
@@ -73,6 +75,7 @@
 	}
 	delete(e.awaitedReports, id)
 	e.settleLateStarts(id, sent)
+	e.freeRooms(w, func(room lateRoom) bool { return sent >= room.over })
 	return e.endUnlistedRuns(w, sent, listed)
 }
 
@@ -236,10 +239,13 @@
 		return
 	}
 	delete(r.worker.runs, r.RunKey)
-	if r.mayStartLate() {
+	mayStartLate := r.mayStartLate()
+	if mayStartLate {
 		e.holdForLateStart(r)
+		e.keepRoom(r)
+	} else {
+		r.worker.used = r.worker.used.Sub(r.allocation)
 	}
-	r.worker.used = r.worker.used.Sub(r.allocation)
 	r.organisation.releaseRun(r)
 	if r.surplusOf != nil {
 		r.surplusOf.surplusRuns--
@@ -256,7 +262,7 @@
 		e.removeTaskRun(r)
 	}
 	r.task = nil
-	if p := e.pools[r.worker.Pool]; p != nil && r.worker.takesNewRuns() {
+	if p := e.pools[r.worker.Pool]; p != nil && r.worker.takesNewRuns() && !mayStartLate {
 		p.capacityGrew(r.worker)
 		if r.state != runStopping {
 			p.recordFreed(r.allocation, e.now)
--- a/internal/dispatch/late_start.go
+++ b/internal/dispatch/late_start.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/monotime"
 )
 
@@ -106,3 +107,46 @@
 	}
 	return at
 }
+
+// lateRoom is the room on its worker of a run that may start late, until over. Nobody else gets it: a worker doesn't guard its capacity.
+type lateRoom struct {
+	run        RunKey
+	allocation graph.Resources
+	over       monotime.Instant
+}
+
+// keepRoom keeps the room of a run that may start late.
+func (e *Engine) keepRoom(r *run) {
+	id := r.worker.ID
+	e.lateRooms[id] = append(e.lateRooms[id], lateRoom{r.RunKey, r.allocation, r.orderedAt.Add(MaxCallDelay)})
+}
+
+// freeRooms frees the worker's rooms that are over.
+func (e *Engine) freeRooms(w *worker, over func(lateRoom) bool) {
+	rooms := e.lateRooms[w.ID]
+	if len(rooms) == 0 {
+		return
+	}
+	kept := slices.DeleteFunc(rooms, func(room lateRoom) bool {
+		if !over(room) {
+			return false
+		}
+		w.used = w.used.Sub(room.allocation)
+		return true
+	})
+	if len(kept) == len(rooms) {
+		return
+	}
+	e.lateRooms[w.ID] = kept
+	if len(kept) == 0 {
+		delete(e.lateRooms, w.ID)
+	}
+	if p := e.pools[w.Pool]; p != nil && w.takesNewRuns() {
+		p.capacityGrew(w)
+	}
+}
+
+// freeRoomOf frees the room of a run that the worker lists: its start has been carried out.
+func (e *Engine) freeRoomOf(w *worker, key RunKey) {
+	e.freeRooms(w, func(room lateRoom) bool { return room.run == key })
+}
--- a/internal/dispatch/late_start_test.go
+++ b/internal/dispatch/late_start_test.go
@@ -41,3 +41,67 @@
 		t.Errorf("held tasks %+v, want none", held)
 	}
 }
+
+// Guards against a worker over its capacity: its next process carries a late start out beside the tasks that were started there meanwhile. Nor is
+// the room kept for good.
+func TestLateStartKeepsItsRoomOnTheWorker(t *testing.T) {
+	const second = 2 * time.Hour // start of the worker's second process
+	for name, test := range map[string]struct {
+		happens func(c *fixture, w WorkerID, key RunKey)
+		room    int64 // what is left for others of 100
+	}{
+		"silent": {func(*fixture, WorkerID, RunKey) {}, 0},
+		"reports nothing": {func(c *fixture, w WorkerID, _ RunKey) {
+			c.HandleReport(w, c.virtualTime, Report{ProcessStart: second})
+		}, 0},
+		"reports nothing once the start is over": {func(c *fixture, w WorkerID, _ RunKey) {
+			c.advance(MaxCallDelay)
+			c.HandleReport(w, c.virtualTime, Report{ProcessStart: second})
+		}, 100},
+		"lists the run": {func(c *fixture, w WorkerID, key RunKey) {
+			c.HandleReport(w, c.virtualTime, Report{ProcessStart: second, Running: []RunningEntry{{RunKey: key}}})
+		}, 0},
+		"lists the run's end": {func(c *fixture, w WorkerID, key RunKey) {
+			ended := endedReport(1, key, RunInterrupted)
+			ended.ProcessStart = second
+			c.HandleReport(w, c.virtualTime, ended)
+		}, 100},
+		"is given up and comes back": {func(c *fixture, w WorkerID, _ RunKey) {
+			c.RemoveWorker(w, WorkerSilent)
+			c.addWorker(string(w), 100)
+		}, 0},
+		"has crashed and comes back": {func(c *fixture, w WorkerID, _ RunKey) {
+			c.RemoveWorker(w, WorkerCrashed)
+			c.addWorker(string(w), 100)
+		}, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, w, key := startOnceInDoubt(t)
+			c.HandleRestart(w, WorkerCrashed, c.virtualTime)
+			c.planByKind()
+			c.HandleStopAnswer(w, key, true)
+			c.advance(time.Second)
+			c.HandleReport(w, c.virtualTime, Report{ProcessStart: second})
+			if held := c.TakeHeldTasks(); len(held) != 1 {
+				t.Fatalf("held tasks %+v, want one", held)
+			}
+			c.addJob("other", false, plainStep(1))
+			if starts, _, _ := c.planByKind(); len(starts) > 0 {
+				t.Errorf("starts %+v beside one that may be carried out late, on a worker with room for one", starts)
+			}
+			test.happens(c, w, key)
+			if room := c.workers[w].free().MilliCPU; room != test.room {
+				t.Errorf("room for %d on the worker, want %d", room, test.room)
+			}
+			starts := 0
+			for _, start := range c.Plan(0) {
+				if start, ok := start.(Start); ok && start.Task.Job == "other" {
+					starts++
+				}
+			}
+			if starts != int(test.room/100) || test.room > 0 && len(c.lateRooms) > 0 {
+				t.Errorf("%d starts, %d workers with rooms of late starts; room was for %d", starts, len(c.lateRooms), test.room/100)
+			}
+		})
+	}
+}
