--- a/internal/dispatch/late_start_test.go
+++ b/internal/dispatch/late_start_test.go
@@ -105,3 +105,68 @@
 		})
 	}
 }
+
+// Guards against a task in two places, and against one that waits for longer than its late starts may run.
+func TestHeldTaskIsStartedOnceItsLateStartsAreOver(t *testing.T) {
+	const lease = 10 * time.Second
+	report := Report{ProcessStart: 2 * time.Hour}
+	for name, test := range map[string]struct {
+		happens func(c *fixture, w, other WorkerID, key RunKey)
+		started bool
+	}{
+		"nothing": {func(c *fixture, _, _ WorkerID, _ RunKey) { c.advance(MaxCallDelay) }, false},
+		"the worker reports": {func(c *fixture, w, _ WorkerID, _ RunKey) {
+			c.advance(MaxCallDelay)
+			c.HandleReport(w, c.virtualTime, report)
+		}, true},
+		"its lease passes":       {func(c *fixture, _, _ WorkerID, _ RunKey) { c.advance(MaxCallDelay + lease) }, true},
+		"the worker has crashed": {func(c *fixture, w, _ WorkerID, _ RunKey) { c.RemoveWorker(w, WorkerCrashed) }, true},
+		"another worker reports, which may start it late too": {func(c *fixture, _, other WorkerID, key RunKey) {
+			c.holdForLateStart(&run{RunKey: key, worker: c.workers[other], orderedAt: c.now})
+			c.advance(MaxCallDelay)
+			c.HandleReport(other, c.virtualTime, report)
+		}, false},
+		"the worker reports between two late starts": {func(c *fixture, w, _ WorkerID, key RunKey) {
+			c.holdForLateStart(&run{RunKey: key, worker: c.workers[w], orderedAt: c.now})
+			c.advance(MaxCallDelay - time.Millisecond)
+			c.HandleReport(w, c.virtualTime, report)
+		}, false},
+		"the worker reports between two late starts and after them": {func(c *fixture, w, _ WorkerID, key RunKey) {
+			c.holdForLateStart(&run{RunKey: key, worker: c.workers[w], orderedAt: c.now})
+			for _, after := range []time.Duration{MaxCallDelay - time.Millisecond, 2 * time.Millisecond} {
+				c.advance(after)
+				c.HandleReport(w, c.virtualTime, report)
+			}
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, w, key := startOnceInDoubt(t)
+			c.SetLongestLease(lease)
+			c.HandleRestart(w, WorkerCrashed, c.virtualTime)
+			c.planByKind()
+			c.HandleStopAnswer(w, key, true)
+			c.advance(time.Second)
+			c.HandleReport(w, c.virtualTime, report)
+			other := c.addWorker("other", 100)
+			test.happens(c, w, other, key)
+			c.record()
+			starts, _, _ := c.planByKind()
+			if started := len(starts) > 0; started != test.started {
+				t.Errorf("started: %t, want %t", started, test.started)
+			}
+		})
+	}
+}
+
+// Guards against a task in two places: its run was removed after its start could be carried out, while a late run of it might go on.
+func TestTaskIsHeldForTheLeaseOfAStartThatIsRemovedLate(t *testing.T) {
+	c, w, _ := startOnceInDoubt(t)
+	c.SetLongestLease(10 * time.Second)
+	c.advance(MaxCallDelay + time.Second)
+	c.RemoveWorker(w, WorkerSilent)
+	c.addWorker("other", 100)
+	c.record()
+	if starts, _, _ := c.planByKind(); len(starts) > 0 {
+		t.Errorf("starts %+v, while a late run may go on", starts)
+	}
+}
