A start that waited before it was sent may be carried out that much later

What callers see: a task in two places, or one that is done and runs again, on queues without a policy service: a start had waited up to 1 s for its place, got no answer, and was carried out by its worker's next process 14 to 15 s after it was sent. Cause: the 15 s in which a call may be carried out counted from the order, for the task and its room as for hold calls that confirm ends. Change: the engine counts from the latest time at which a start may be sent; hold calls from the time at which it got its place. A task whose start is lost waits 1 s longer.

--- a/internal/dispatch/late_start.go
+++ b/internal/dispatch/late_start.go
@@ -15,12 +15,16 @@
 //
 //	ordered ──answered, or run listed──▶ carried out or refused
 //	    │
-//	    └──neither, until the run is removed──▶ may be late ──MaxCallDelay after the order──▶ may run ──listed, absent from a report that
-//	                                                                                                  was requested since, or its lease over──▶ over
+//	    └──neither, until the run is removed──▶ may be late ──MaxStartWait and MaxCallDelay after the order──▶ may run
+//
+//	may run ──listed, absent from a report that was requested since, or its lease over──▶ over
 
 // MaxCallDelay is how long after it was sent a call that got no answer may be carried out at most. The users' protocol says: seconds.
 const MaxCallDelay = 15 * time.Second
 
+// MaxStartWait is how long after its order a start is sent at most.
+const MaxStartWait = 1 * time.Second
+
 // HeldTask is a task that is not started again since an earlier start of it may be carried out late, for the log.
 type HeldTask struct {
 	// RunKey is the run that may start late, on Worker.
@@ -49,6 +53,9 @@
 // mayStartLate reports whether the start may be carried out after the run is removed.
 func (r *run) mayStartLate() bool { return r.once && !r.startAnswered }
 
+// lateUntil returns until when the start may be carried out.
+func (r *run) lateUntil() monotime.Instant { return r.orderedAt.Add(MaxStartWait + MaxCallDelay) }
+
 // lateStart is a start that may be carried out late, until over. The run that it begins may go on for as long as a lease lasts.
 type lateStart struct {
 	worker WorkerID
@@ -64,7 +71,7 @@
 	if t == nil || t.done || t.step.job.state.Ended() {
 		return
 	}
-	late := lateStart{r.worker.ID, r.orderedAt.Add(MaxCallDelay)}
+	late := lateStart{r.worker.ID, r.lateUntil()}
 	if e.now >= late.over.Add(e.longestLease) {
 		return
 	}
@@ -118,7 +125,7 @@
 // keepRoom keeps the room of a run that may start late.
 func (e *Engine) keepRoom(r *run) {
 	id := r.worker.ID
-	e.lateRooms[id] = append(e.lateRooms[id], lateRoom{r.RunKey, r.allocation, r.orderedAt.Add(MaxCallDelay)})
+	e.lateRooms[id] = append(e.lateRooms[id], lateRoom{r.RunKey, r.allocation, r.lateUntil()})
 }
 
 // freeRooms frees the worker's rooms that are over.
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -14,7 +14,7 @@
 	// orderRetryDelay is the delay after a failed attempt, for a worker whose calls fail at once.
 	orderRetryDelay = 20 * time.Millisecond
 	// maxStartWait bounds how long a start waits for its places. After that the engine decides anew.
-	maxStartWait = 1 * time.Second
+	maxStartWait = dispatch.MaxStartWait
 )
 
 // newStartCall returns the call for a start order. Its lease deadline is set when the control loop decides: the control loop gives
@@ -90,6 +90,9 @@
 		wc.leavePlaces()
 		return dispatch.StartNotSent, nil
 	}
+	if call.Once && queued.call.Waited() {
+		wc.unanswered.add(call.RunKey, c.now())
+	}
 	mayRepeat := func() bool { return !call.Once && c.ownershipValid() && !wc.replaced.Load() }
 	last, attempts := wc.sendOrder(mayRepeat, func(ctx context.Context) orderAnswer {
 		attempt := call
--- a/internal/owner/restart_record_test.go
+++ b/internal/owner/restart_record_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/flowcontrol"
 )
 
 // Guards against a later owner that counts on too short a lease: the registry told this owner of a restart before the worker had answered it,
@@ -79,3 +80,46 @@
 		}
 	})
 }
+
+// Guards against a task that runs again after it was done, or in two places: a start had waited for its place before it was sent, and counted as over
+// 15 s after its order.
+func TestStartThatWaitedMayBeCarriedOutLaterToo(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(ctx context.Context, l *leaseTest) {
+		const waits = maxStartWait - 2*tickInterval
+		wc := l.workerConns[testWorker.ID]
+		taken := 0
+		for ; ; taken++ {
+			if call := l.gate.Join(flowcontrol.Normal, wc.places); call.Waited() {
+				gone, cancel := context.WithCancel(ctx)
+				cancel()
+				if call.Wait(gone) == nil {
+					l.t.Fatal("a call has a place after all are taken")
+				}
+				break
+			}
+		}
+		l.worker.leaveStartsUnanswered(1)
+		addOneTask(l.controller, "j")
+		runLoop(l.controller, waits, func() {})
+		if l.worker.lateStarts() != 0 {
+			l.t.Fatal("the start is sent without a place")
+		}
+		for range taken {
+			wc.leavePlaces()
+		}
+		runLoop(l.controller, 2*tickInterval, func() {})
+		if l.worker.lateStarts() != 1 {
+			l.t.Fatalf("%d starts without an answer, want one", l.worker.lateStarts())
+		}
+		sent := time.Now()
+		for time.Since(sent) < dispatch.MaxCallDelay-3*tickInterval {
+			runLoop(l.controller, tickInterval, func() {})
+		}
+		if l.worker.runs() {
+			l.t.Fatal("the task has been started again")
+		}
+		if call := wc.beginHold(5, holdWait); call.Recorded != 0 {
+			l.t.Errorf("%s after the start was sent a hold call confirms ends up to %d, want none", time.Since(sent), call.Recorded)
+		}
+	})
+}
