--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -94,6 +94,8 @@
 	longestLease time.Duration
 	// runStopTime is how long a run may take to end once its stop is acknowledged.
 	runStopTime time.Duration
+	// lateRooms holds, by worker, the rooms of runs that may start late there.
+	lateRooms map[WorkerID][]lateRoom
 	// startsNameProcess means that a worker refuses a start for another process than its present one.
 	startsNameProcess bool
 	// unreachable holds the workers that stopped answering lately, in order.
@@ -137,6 +139,7 @@
 		crashedAddresses:  make(map[string]monotime.Instant),
 		unsettledSilences: make(map[string]*silence),
 		lateStarts:        make(map[WorkerID]map[*task]struct{}),
+		lateRooms:         make(map[WorkerID][]lateRoom),
 	}
 }
 
@@ -504,6 +507,9 @@
 	if w == nil {
 		w = &worker{runs: make(map[RunKey]*run), workerCondition: &workerCondition{}}
 		e.workers[registered.ID] = w
+		for _, room := range e.lateRooms[registered.ID] {
+			w.used = w.used.Add(room.allocation)
+		}
 	}
 	w.Worker = registered
 	e.poolsStale = true
@@ -548,6 +554,7 @@
 	}
 	if end == WorkerCrashed {
 		e.settleLateStarts(id, math.MaxInt64)
+		delete(e.lateRooms, id)
 	}
 	e.giveUpCause(crashed)
 	return given
