The row of a silent worker that may have restarted is put twice at most

What callers would see: nothing but cost; a cell whose workers are cut off while the registry lists later starts of them makes commit after commit, as long as they are away, and their rows take up to half of each.

Cause: since each failed hold call records the restart, and recordRestart takes any commit under way for one that may vouch for the process: a failure during a commit puts the row once more, whose commit is then under way at the next failure.

Change: a possible restart is recorded only while the ledger doesn't tell of it, or a change of the row waits. If a row that vouches for the process is being committed just then, its result handles the worker's entry again, which records it.

TestRestartOfAWorkerThatDoesNotAnswerIsRecordedOnce failed before: 100 rows in 100 commits of 200 ms. It passes on.

--- a/internal/owner/restart_record_test.go
+++ b/internal/owner/restart_record_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/ledger"
 )
 
 // Guards against a later owner that counts on too short a lease: the registry told this owner of a restart before the worker had answered it,
@@ -79,3 +80,25 @@
 		}
 	})
 }
+
+// Guards against a commit after each failed hold call: while one was under way, the row of a worker that may have restarted was put again.
+func TestRestartOfAWorkerThatDoesNotAnswerIsRecordedOnce(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		l.worker.setCutOff(true)
+		runLoop(l.controller, 3*time.Second, func() {})
+		later := l.worker.entry()
+		later.ProcessStart += time.Hour
+		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{later}})
+		rows := 0
+		for range 100 { // commits that take 200 ms each, one after the other
+			batch := l.takeBatch()
+			l.committing = true
+			rows += len(batch.Workers)
+			runLoop(l.controller, 200*time.Millisecond, func() {})
+			l.handleCommitResult(ledger.Batch{Workers: batch.Workers}, nil, l.now(), nil)
+		}
+		if rows > 2 {
+			l.t.Errorf("the row of the worker is put %d times in 20 s, want twice at most", rows)
+		}
+	})
+}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -440,12 +440,11 @@
 		c.Log.Warn().Str("worker", string(wc.worker.ID)).Err(err).Msg("worker does not answer")
 	}
 	c.engine.SetReachable(wc.worker.ID, false)
-	switch {
-	case errors.Is(err, ErrOtherIncarnation):
+	if errors.Is(err, ErrOtherIncarnation) {
 		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), otherIncarnation)
-	case wc.mayHaveRestarted():
-		c.recordRestart(wc)
+		return
 	}
+	c.recordPossibleRestart(wc)
 }
 
 // replaceWorkerConn gives up the runs of a worker whose process, last known to live at aliveAt, has certainly ended, and connects anew: its
@@ -523,6 +522,16 @@
 	c.pendingWorkerRows[wc.worker.ID] = wc.row(wc.listing)
 }
 
+// recordPossibleRestart is recordRestart for a worker that may have restarted, unless the ledger tells of it. A commit under way that vouches for the
+// process again is followed by another call.
+func (c *controller) recordPossibleRestart(wc *workerConn) {
+	_, pending := c.pendingWorkerRows[wc.worker.ID]
+	if !wc.mayHaveRestarted() || wc.recordedLongestLease && wc.recordedLateCalls && !pending {
+		return
+	}
+	c.recordRestart(wc)
+}
+
 // isNamedBy reports whether an entry in the registry names the worker as it is used. One that doesn't is another writer's, or that of a later
 // process that started elsewhere.
 func (wc *workerConn) isNamedBy(entry dispatch.Worker) bool {
@@ -729,9 +738,7 @@
 		wc.laterStartListedAt = c.now()
 		go wc.confirmRestart(wc.reportedStart, wc.aliveAt)
 	}
-	if wc.mayHaveRestarted() {
-		c.recordRestart(wc)
-	}
+	c.recordPossibleRestart(wc)
 	c.putListing(wc)
 }
 
