A worker whose next process names no start is used again once its lease is over

What callers would see: a worker that answers every call gets no run any more, until it leaves the registry or the owner changes: its process has restarted under its id as an older version, which doesn't name its start. In a pool of such workers tasks wait for good.

Cause: since a report without a process counts as no answer once the worker has named one, and the connection never forgets that it has.

Change: when the lease is over, so that no run of the former process goes on, such a worker is connected to anew, as one whose process may have ended. The new connection takes reports without a process.

TestWorkerWhoseNextProcessNamesNoStartIsUsedAgain failed before. It passes on.

--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -468,3 +468,18 @@
 		})
 	}
 }
+
+// Guards against a worker that stays without new runs for good: its next process names no start of itself, as one of an older version.
+func TestWorkerWhoseNextProcessNamesNoStartIsUsedAgain(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		client := &restartingClient{processStart: time.Second, listening: true}
+		c := newRestartFixture(ctx, client)
+		client.set(0, true)
+		runLoop(c, longestWait(leaseDuration), func() { commitWorkerRow(c) })
+		addOneTask(c, "j")
+		runLoop(c, 2*tickInterval, func() {})
+		if wc := c.workerConns[testWorker.ID]; wc == nil || wc.unresponsive || !c.engine.HasRuns(testWorker.ID) {
+			t.Errorf("the worker, which has answered each call for %s, is not used", longestWait(leaseDuration))
+		}
+	})
+}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -62,8 +62,8 @@
 	// laterStartListedAt is when an entry was read that names a later start of the worker's process than its reports; 0 if there was none, or if
 	// the process has answered since.
 	laterStartListedAt monotime.Instant
-	// unresponsive means that the last hold call failed.
-	unresponsive bool
+	// unresponsive means that the last hold call failed; unnamed means that its report named no process although earlier ones did.
+	unresponsive, unnamed bool
 	// replaced means that the worker's process has ended and another connection has taken this one's place.
 	replaced atomic.Bool
 	// processStart is that of the first report. The hold loop sets it before the worker's clock is known, without which no start is sent.
@@ -439,6 +439,7 @@
 		wc.unresponsive = true
 		c.Log.Warn().Str("worker", string(wc.worker.ID)).Err(err).Msg("worker does not answer")
 	}
+	wc.unnamed = errors.Is(err, errUnnamedProcess)
 	c.engine.SetReachable(wc.worker.ID, false)
 	if errors.Is(err, ErrOtherIncarnation) {
 		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), otherIncarnation)
@@ -600,6 +601,10 @@
 			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), leaseOverUnregistered)
 			continue
 		}
+		if wc.unnamed && !c.engine.HasRuns(wc.worker.ID) {
+			c.connectAnew(wc, wc.aliveAt, dispatch.WorkerSilent, leaseOver) // its next process may be one that names no start
+			continue
+		}
 		if c.engine.HasRuns(wc.worker.ID) {
 			wc.logEvidence(c.Log.Warn().Str("worker", string(wc.worker.ID)), leaseOver).Msg("lease of unresponsive worker expired, its runs are given up")
 			if wc.mayHaveRestarted() {
