A refusal as another incarnation ends runs only at the worker's own address

What callers would see: a task runs in two places. After a takeover from an owner of the version before, whose row of the worker has the address that another writer had written to the registry, another worker answers at that address, and all runs of the worker are given up at once. The same happens without a takeover if the worker's process has said in its entry that it is at another address by now, and another worker answers at the former one.

Change: while the registry lists the worker at another address, or before it has been read at an address that only the ledger vouches for, a refusal counts as no answer: the lease decides, and after it the worker is used where it is listed.

--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -57,8 +57,9 @@
 	// unanswered are the starts to each worker that may be carried out late.
 	unanswered map[dispatch.WorkerID]*unansweredStarts
 	permits    *permitQueue
-	// registered holds the workers that the registry lists.
-	registered map[dispatch.WorkerID]dispatch.Worker
+	// registered holds the workers that the registry lists. registryRead means that it holds all.
+	registered   map[dispatch.WorkerID]dispatch.Worker
+	registryRead bool
 	// pendingWorkerRows are the changes of workers' rows that wait for a commit: the worker to put, or nil to remove its row.
 	pendingWorkerRows map[dispatch.WorkerID]*dispatch.Worker
 	// endsBarrier is set while progress is left after each commit.
--- a/internal/owner/foreign_entry_test.go
+++ b/internal/owner/foreign_entry_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 )
 
@@ -111,3 +112,51 @@
 		})
 	}
 }
+
+// Guards against a task running in two places: the process that runs it has said that it is at another address by now, and another worker answers
+// at the former one.
+func TestOtherIncarnationAtAnAddressThatTheWorkerHasLeftEndsNoRuns(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		l.startTask()
+		l.addOtherWorker()
+		runLoop(l.controller, 2*holdWait, func() {})
+		moved := l.worker.entry()
+		moved.Address = otherAddress
+		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{moved}})
+		l.worker.setCutOff(true)
+		since := time.Now()
+		l.handleHoldFailure(l.workerConns[testWorker.ID], ErrOtherIncarnation)
+		l.expectOneRun(since, longestWait(10*time.Second))
+	})
+}
+
+// Guards against a task running in two places: an earlier owner, of the version before, had recorded an address that another writer had written.
+// Another worker answers there, before or after the next owner has read the registry.
+func TestOtherIncarnationAtARecordedAddressOfAnotherWriterEndsNoRuns(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"registry read at once": 0, "registry read later": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runLeaseTest(t, 6*time.Second, func(ctx context.Context, l *leaseTest) {
+				l.startTask()
+				l.recorded.Address = otherAddress
+				since := time.Now()
+				l.cancel()
+				l.controller = l.newOwner(ctx)
+				l.tokensGiven[testWorker.ID] = 100
+				l.engine.AwaitReport(testWorker.ID, l.recorded.Pool)
+				l.earlierOrdersUntil = l.now()
+				l.addWorkerConn(l.recorded, true)
+				l.addOtherWorker()
+				other := l.workerConns["other"].worker
+				spec := &graph.Spec{Steps: []graph.Step{{Count: 1, Claim: graph.Resources{MilliCPU: 1}}}}
+				l.engine.AddJob(dispatch.JobInput{ID: "j", Queue: graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, Spec: spec, ArrivedAt: l.now(), Unconfirmed: true})
+				time.AfterFunc(delay, func() {
+					l.post(func() { l.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{l.worker.entry(), other}}) })
+				})
+				l.expectOneRun(since, longestWait(10*time.Second))
+				if row, committed := l.commitWorkerRow(); !committed || row.Address != testWorker.Address {
+					l.t.Errorf("the row is %+v (put: %t) after the lease, want the worker's address", row, committed)
+				}
+			})
+		})
+	}
+}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -161,7 +161,7 @@
 		c.loseOwnership("worker has seen a higher epoch")
 	case errors.Is(err, ErrOtherProcess):
 		c.replaceWorkerConn(wc, wc.aliveAt, processRestarted)
-	case errors.Is(err, ErrOtherIncarnation):
+	case errors.Is(err, ErrOtherIncarnation) && c.wasCalledAtItsAddress(wc):
 		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), otherIncarnation)
 	}
 }
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -441,13 +441,22 @@
 	}
 	wc.unnamed = errors.Is(err, errUnnamedProcess)
 	c.engine.SetReachable(wc.worker.ID, false)
-	if errors.Is(err, ErrOtherIncarnation) {
+	if errors.Is(err, ErrOtherIncarnation) && c.wasCalledAtItsAddress(wc) {
 		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), otherIncarnation)
 		return
 	}
 	c.recordPossibleRestart(wc)
 }
 
+// wasCalledAtItsAddress reports whether the address of a worker's connection is the worker's, as far as is known: a refusal as another incarnation
+// proves that the worker has ended only then. An earlier owner may have recorded an address that others had written to the registry.
+func (c *controller) wasCalledAtItsAddress(wc *workerConn) bool {
+	if listed, ok := c.registered[wc.worker.ID]; ok {
+		return listed.Address == wc.worker.Address
+	}
+	return wc.reported || c.registryRead
+}
+
 // replaceWorkerConn gives up the runs of a worker whose process, last known to live at aliveAt, has certainly ended, and connects anew: its
 // next process runs under its id. Only an answer of that process proves it. The worker's entry in the registry doesn't, since others may
 // have written it, nor do connections that are refused or reset: a firewall refuses them too, while the worker runs on.
@@ -674,6 +683,7 @@
 // handleRegistryChange applies a change of the worker registry.
 func (c *controller) handleRegistryChange(change RegistryChange) {
 	if change.Full {
+		c.registryRead = true
 		c.registered = make(map[dispatch.WorkerID]dispatch.Worker, len(change.Put))
 		for _, w := range change.Put {
 			c.registered[w.ID] = w
