--- a/internal/owner/restart_record_test.go
+++ b/internal/owner/restart_record_test.go
@@ -102,3 +102,40 @@
 		}
 	})
 }
+
+// Guards against a later owner that counts on too short a lease: a report that was asked for before the registry listed a later start came after
+// it, and passed for an answer of the former process since.
+func TestReportOfBeforeALaterStartWasListedIsNoAnswerToIt(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		requested, former := l.now(), l.worker.entry()
+		runLoop(l.controller, tickInterval, func() {})
+		l.worker.setCutOff(true)
+		later := former
+		later.ProcessStart += time.Hour
+		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{later}})
+		l.handleReport(l.workerConns[testWorker.ID], requested, dispatch.Report{ProcessStart: former.ProcessStart})
+		runLoop(l.controller, 2*holdWait, func() {})
+		if row, committed := l.commitWorkerRow(); !committed || !row.LongestLease || !row.LateCalls {
+			l.t.Errorf("the row is %+v (put: %t), want the longest lease and late calls", row, committed)
+		}
+	})
+}
+
+// Guards against runs that wait for the longest lease of no process: others had written a later start over the entry of a worker, which answered
+// after that, and is cut off later.
+func TestLaterStartThatTheWorkerHasRefutedIsNotRecorded(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		later := l.worker.entry()
+		later.ProcessStart += time.Hour
+		for _, entry := range []dispatch.Worker{later, l.worker.entry()} {
+			l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{entry}})
+			runLoop(l.controller, 3*holdWait, func() {})
+		}
+		l.commitWorkerRow()
+		l.worker.setCutOff(true)
+		runLoop(l.controller, 2*holdWait, func() {})
+		if row, committed := l.commitWorkerRow(); committed {
+			l.t.Errorf("the row %+v is put, want none", row)
+		}
+	})
+}
