--- a/internal/owner/foreign_entry_test.go
+++ b/internal/owner/foreign_entry_test.go
@@ -150,7 +150,9 @@
 				spec := &graph.Spec{Steps: []graph.Step{{Count: 1, Claim: graph.Resources{MilliCPU: 1}}}}
 				l.engine.AddJob(dispatch.JobInput{ID: "j", Queue: graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, Spec: spec, ArrivedAt: l.now(), Unconfirmed: true})
 				time.AfterFunc(delay, func() {
-					l.post(func() { l.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{l.worker.entry(), other}}) })
+					l.post(func() {
+						l.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{l.worker.entry(), other}})
+					})
 				})
 				l.expectOneRun(since, longestWait(10*time.Second))
 				if row, committed := l.commitWorkerRow(); !committed || row.Address != testWorker.Address {
@@ -160,3 +162,28 @@
 		})
 	}
 }
+
+// A worker without runs whose process lists itself elsewhere is used there at once, although it still answers at its former address. An entry that
+// names another process leaves it where it answers.
+func TestIdleWorkerIsUsedWhereItsProcessListsItself(t *testing.T) {
+	for name := range foreignEntries(testWorker) {
+		for start, moves := range map[time.Duration]bool{0: true, time.Hour: false} {
+			t.Run(name+", later start: "+start.String(), func(t *testing.T) {
+				runLeaseTest(t, 6*time.Second, func(_ context.Context, l *leaseTest) {
+					moved := foreignEntries(l.worker.entry())[name]
+					moved.ProcessStart += start
+					l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{moved}})
+					runLoop(l.controller, 2*tickInterval, func() {})
+					row, committed := l.commitWorkerRow()
+					if committed != moves || moves && (row.Address != moved.Address || row.Pool != moved.Pool) {
+						l.t.Errorf("the row is %+v (put: %t) after the entry %+v, want it to be put: %t", row, committed, moved, moves)
+					}
+					if !moves {
+						l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{l.worker.entry()}})
+						l.startTask()
+					}
+				})
+			})
+		}
+	}
+}
