--- a/internal/owner/cutoff_test.go
+++ b/internal/owner/cutoff_test.go
@@ -216,6 +216,31 @@
 	}
 }
 
+// Guards against the same of a worker that answers and lists itself elsewhere: its row was put anew, with an address that others may have written.
+func TestWorkerKeepsItsAddressUntilItsEndsAreRecorded(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		c, worker := newRebornFixture(ctx)
+		runLoop(c, 3*time.Second, func() {})
+		commitWorkerRow(c)
+		addOneTask(c, "j")
+		runLoop(c, 2*holdWait, func() {})
+		worker.endRun(worker.starts[0].RunKey)
+		runLoop(c, 2*holdWait, func() {})
+		moved := worker.entry()
+		moved.Address = otherAddress
+		c.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{moved}})
+		runLoop(c, 2*holdWait, func() {})
+		if row, committed := commitWorkerRow(c); committed {
+			t.Errorf("the row %+v is put while an end that the worker has reported is not recorded", row)
+		}
+		c.setRecorded(c.engine.LastEndSequences())
+		runLoop(c, 2*tickInterval, func() {})
+		if row, committed := commitWorkerRow(c); !committed || row.Address != otherAddress {
+			t.Errorf("the row is %+v (put: %t) once the end is recorded, want the new address", row, committed)
+		}
+	})
+}
+
 // A new owner has not read the registry yet, and its first hold call to a worker that was recorded as draining fails: the worker's
 // report must still be awaited.
 func TestWorkerIsAwaitedUntilTheRegistryIsRead(t *testing.T) {
