--- a/internal/owner/restart_record_test.go
+++ b/internal/owner/restart_record_test.go
@@ -7,6 +7,7 @@
 
 	"laburnumpoint/internal/dispatch"
 	"laburnumpoint/internal/flowcontrol"
+	"laburnumpoint/internal/ledger"
 )
 
 // Guards against a later owner that counts on too short a lease: the registry told this owner of a restart before the worker had answered it,
@@ -123,3 +124,62 @@
 		}
 	})
 }
+
+// Guards against a commit after each failed hold call: while one was under way, the row of a worker that may have restarted was put again.
+func TestRestartOfAWorkerThatDoesNotAnswerIsRecordedOnce(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		l.worker.setCutOff(true)
+		runLoop(l.controller, 3*time.Second, func() {})
+		later := l.worker.entry()
+		later.ProcessStart += time.Hour
+		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{later}})
+		rows := 0
+		for range 100 { // commits that take 200 ms each, one after the other
+			batch := l.takeBatch()
+			l.committing = true
+			rows += len(batch.Workers)
+			runLoop(l.controller, 200*time.Millisecond, func() {})
+			l.handleCommitResult(ledger.Batch{Workers: batch.Workers}, nil, l.now(), nil)
+		}
+		if rows > 2 {
+			l.t.Errorf("the row of the worker is put %d times in 20 s, want twice at most", rows)
+		}
+	})
+}
+
+// Guards against a later owner that counts on too short a lease: a report that was asked for before the registry listed a later start came after
+// it, and passed for an answer of the former process since.
+func TestReportOfBeforeALaterStartWasListedIsNoAnswerToIt(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		requested, former := l.now(), l.worker.entry()
+		runLoop(l.controller, tickInterval, func() {})
+		l.worker.setCutOff(true)
+		later := former
+		later.ProcessStart += time.Hour
+		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{later}})
+		l.handleReport(l.workerConns[testWorker.ID], requested, dispatch.Report{ProcessStart: former.ProcessStart})
+		runLoop(l.controller, 2*holdWait, func() {})
+		if row, committed := l.commitWorkerRow(); !committed || !row.LongestLease || !row.LateCalls {
+			l.t.Errorf("the row is %+v (put: %t), want the longest lease and late calls", row, committed)
+		}
+	})
+}
+
+// Guards against runs that wait for the longest lease of no process: others had written a later start over the entry of a worker, which answered
+// after that, and is cut off later.
+func TestLaterStartThatTheWorkerHasRefutedIsNotRecorded(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		later := l.worker.entry()
+		later.ProcessStart += time.Hour
+		for _, entry := range []dispatch.Worker{later, l.worker.entry()} {
+			l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{entry}})
+			runLoop(l.controller, 3*holdWait, func() {})
+		}
+		l.commitWorkerRow()
+		l.worker.setCutOff(true)
+		runLoop(l.controller, 2*holdWait, func() {})
+		if row, committed := l.commitWorkerRow(); committed {
+			l.t.Errorf("the row %+v is put, want none", row)
+		}
+	})
+}
