Tests of the record of a restart, for mutants that survived

TestSecondRestartIsRecordedBeforeTheWorkerAnswers and TestAnswerAfterARestartIsRecorded: each fails without the comparison of late calls in recordRestart, the latter also without that in handleReportedStart; both survived.

--- a/internal/owner/restart_record_test.go
+++ b/internal/owner/restart_record_test.go
@@ -123,3 +123,37 @@
 		}
 	})
 }
+
+// Guards against a later owner that counts on too short a lease: the ledger told that the process of the first restart had answered, and not
+// that the one of the second has not.
+func TestSecondRestartIsRecordedBeforeTheWorkerAnswers(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		l.restartWorker()
+		if !l.recorded.LongestLease || l.recorded.LateCalls {
+			l.t.Fatalf("the row is %+v after the first restart, want the longest lease and no late calls", l.recorded)
+		}
+		l.worker.setCutOff(true)
+		l.worker.restart()
+		runLoop(l.controller, 2*holdWait+holdTimeout, func() {})
+		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{l.worker.entry()}})
+		if row, committed := l.commitWorkerRow(); !committed || !row.LongestLease || !row.LateCalls {
+			l.t.Errorf("the row is %+v (put: %t) after the second restart, want the longest lease and late calls", row, committed)
+		}
+	})
+}
+
+// Guards against a later owner that waits for late calls to a process which has answered since.
+func TestAnswerAfterARestartIsRecorded(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		l.removeEndedWorker(l.workerConns[testWorker.ID], dispatch.WorkerSilent, leaseOverUnregistered)
+		l.pendingWorkerRows = make(map[dispatch.WorkerID]*dispatch.Worker) // the removal of its row is committed
+		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{l.worker.entry()}})
+		if row, committed := l.commitWorkerRow(); !committed || !row.LateCalls {
+			l.t.Fatalf("the row is %+v (put: %t) when the worker comes back, want late calls", row, committed)
+		}
+		runLoop(l.controller, holdWait, func() {})
+		if row, committed := l.commitWorkerRow(); !committed || !row.LongestLease || row.LateCalls {
+			l.t.Errorf("the row is %+v (put: %t) after the worker's answer, want the longest lease and no late calls", row, committed)
+		}
+	})
+}
