--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,6 +116,44 @@
 	})
 }
 
+// namelessWorker is a leasedWorker whose reports name no process while nameless is set.
+type namelessWorker struct {
+	*leasedWorker
+	nameless atomic.Bool
+}
+
+func (w *namelessWorker) Hold(ctx context.Context, called dispatch.Worker, call HoldCall) (dispatch.Report, time.Duration, error) {
+	report, clock, err := w.leasedWorker.Hold(ctx, called, call)
+	if w.nameless.Load() {
+		report.ProcessStart = 0
+	}
+	return report, clock, err
+}
+
+// Guards against a task running in two places: a report that names no process passed for one of another process than the one that runs the task.
+func TestReportThatNamesNoProcessEndsNoRuns(t *testing.T) {
+	runHoldTest(t, func(ctx context.Context, t *testing.T) {
+		worker := &namelessWorker{leasedWorker: newLeasedWorker(6 * time.Second)}
+		c := newTestController(ctx, worker)
+		c.MaxLease = worker.maxLease
+		c.validUntil.Store(int64(c.now().Add(time.Hour)))
+		c.addWorkerConn(worker.entry(), false)
+		c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{worker.entry()}})
+		runLoop(c, 3*time.Second, func() {})
+		addOneTask(c, "j")
+		runLoop(c, 2*holdWait, func() {})
+		if !worker.runs() {
+			t.Fatal("the worker doesn't run the task")
+		}
+		worker.nameless.Store(true)
+		runLoop(c, longestWait(c.MaxLease), func() {
+			if worker.runs() && !c.engine.HasRuns(testWorker.ID) {
+				t.Fatal("the run is given up while it goes on")
+			}
+		})
+	})
+}
+
 // A hold call that follows a failed one may meet a new process. It must not confirm ends of the earlier one.
 func TestHoldAfterAFailureConfirmsNothing(t *testing.T) {
 	runHoldTest(t, func(ctx context.Context, t *testing.T) {
