--- a/internal/owner/foreign_entry_test.go
+++ b/internal/owner/foreign_entry_test.go
@@ -163,6 +163,33 @@
 	}
 }
 
+// Guards against runs of jobs of another pool, and against rows with another address: an entry that another writer had written before the worker's first
+// row was committed was taken for the worker's.
+func TestEntryOfAnotherWriterBeforeTheFirstRowIsCommittedBringsNoRuns(t *testing.T) {
+	for name := range foreignEntries(testWorker) {
+		t.Run(name, func(t *testing.T) {
+			runHoldTest(t, func(ctx context.Context, t *testing.T) {
+				worker := newLeasedWorker(6 * time.Second)
+				l := &leaseTest{t: t, worker: worker}
+				l.controller = l.newOwner(ctx)
+				l.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{worker.entry()}})
+				batch := l.takeBatch()
+				l.committing = true
+				l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{foreignEntries(worker.entry())[name]}})
+				l.handleCommitResult(ledger.Batch{Workers: batch.Workers}, nil, l.now(), nil)
+				if row, committed := l.commitWorkerRow(); committed {
+					t.Errorf("the row %+v is put by the entry of another writer", row)
+				}
+				addOneTask(l.controller, "j")
+				runLoop(l.controller, 100*time.Millisecond, func() {})
+				if worker.runs() {
+					t.Error("the worker gets a run while its own entry is not there")
+				}
+			})
+		})
+	}
+}
+
 // A worker without runs whose process lists itself elsewhere is used there at once, although it still answers at its former address. An entry that
 // names another process leaves it where it answers.
 func TestIdleWorkerIsUsedWhereItsProcessListsItself(t *testing.T) {
