--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -230,3 +230,50 @@
 		t.Errorf("%d silences are kept, want none", n)
 	}
 }
+
+// Guards against crashes that nobody has proven, or that are never counted: a worker that may have restarted falls silent, and its next answer tells
+// whether its process has ended. A run that was confirmed since that process was last heard may be one of the next, and isn't part of the silence.
+func TestSilenceOfAWorkerThatMayHaveRestartedIsSettledByItsProcess(t *testing.T) {
+	for start, want := range map[time.Duration]SilenceOutcome{1: SilenceAnswered, 2: SilenceEnded} {
+		t.Run(want.String(), func(t *testing.T) {
+			c := newFixture(t, 1)
+			w := c.addWorker("w", 1000)
+			c.advance(time.Second)
+			c.addJob("a", false, plainStep(1))
+			first := c.startConfirmed(w)
+			c.advance(time.Second)
+			report := runningReport(first)
+			report.ProcessStart = 1
+			c.HandleReport(w, c.virtualTime, report)
+			aliveAt := c.virtualTime
+			c.advance(time.Millisecond)
+			c.addJob("b", false, plainStep(1))
+			second := c.startConfirmed(w)
+			c.advance(6 * time.Second)
+			if given := c.HandleRestart(w, WorkerSilent, aliveAt); len(given) != 1 || given[0].RunKey != first {
+				t.Fatalf("%v given up, want the run that the former process had", given)
+			}
+			c.advance(time.Second)
+			report = runningReport(second)
+			report.ProcessStart = start
+			c.HandleReport(w, c.virtualTime, report)
+			if reports := c.TakeSilenceReports(); len(reports) != 1 || reports[0].Outcome != want || reports[0].Runs != 1 {
+				t.Errorf("silences %+v, want one run, %s", reports, want)
+			}
+		})
+	}
+}
+
+// A silence in which no run is given up tells nothing: another process at the worker's address settles none.
+func TestSilenceWithoutRunsIsNone(t *testing.T) {
+	c := newFixture(t, 1)
+	w := c.addWorker("w", 1000)
+	c.advance(time.Second)
+	c.HandleReport(w, c.virtualTime, Report{ProcessStart: 1})
+	c.advance(6 * time.Second)
+	c.HandleRestart(w, WorkerSilent, c.virtualTime)
+	c.HandleReport(w, c.virtualTime, Report{ProcessStart: 2})
+	if reports := c.TakeSilenceReports(); len(reports) != 0 {
+		t.Errorf("silences %+v, want none", reports)
+	}
+}
