--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -62,8 +62,8 @@
 	// laterStartListedAt is when an entry was read that names a later start of the worker's process than its reports; 0 if there was none, or if
 	// the process has answered since.
 	laterStartListedAt monotime.Instant
-	// unresponsive means that the last hold call failed.
-	unresponsive bool
+	// unresponsive means that the last hold call failed; unnamed means that its report named no process although earlier ones did.
+	unresponsive, unnamed bool
 	// replaced means that the worker's process has ended and another connection has taken this one's place.
 	replaced atomic.Bool
 	// processStart is that of the first report. The hold loop sets it before the worker's clock is known, without which no start is sent.
@@ -439,13 +439,22 @@
 		wc.unresponsive = true
 		c.Log.Warn().Str("worker", string(wc.worker.ID)).Err(err).Msg("worker does not answer")
 	}
+	wc.unnamed = errors.Is(err, errUnnamedProcess)
 	c.engine.SetReachable(wc.worker.ID, false)
-	switch {
-	case errors.Is(err, ErrOtherIncarnation):
+	if errors.Is(err, ErrOtherIncarnation) && c.wasCalledAtItsAddress(wc) {
 		c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerCrashed), otherIncarnation)
-	case wc.mayHaveRestarted():
-		c.recordRestart(wc)
+		return
+	}
+	c.recordPossibleRestart(wc)
+}
+
+// wasCalledAtItsAddress reports whether the address of a worker's connection is the worker's, as far as is known: a refusal as another incarnation
+// proves that the worker has ended only then. An earlier owner may have recorded an address that others had written to the registry.
+func (c *controller) wasCalledAtItsAddress(wc *workerConn) bool {
+	if listed, ok := c.registered[wc.worker.ID]; ok {
+		return listed.Address == wc.worker.Address
 	}
+	return wc.reported || c.registryRead
 }
 
 // replaceWorkerConn gives up the runs of a worker whose process, last known to live at aliveAt, has certainly ended, and connects anew: its
@@ -523,6 +532,16 @@
 	c.pendingWorkerRows[wc.worker.ID] = wc.row(wc.listing)
 }
 
+// recordPossibleRestart is recordRestart for a worker that may have restarted, unless the ledger tells of it. A commit under way that vouches for the
+// process again is followed by another call.
+func (c *controller) recordPossibleRestart(wc *workerConn) {
+	_, pending := c.pendingWorkerRows[wc.worker.ID]
+	if !wc.mayHaveRestarted() || wc.recordedLongestLease && wc.recordedLateCalls && !pending {
+		return
+	}
+	c.recordRestart(wc)
+}
+
 // isNamedBy reports whether an entry in the registry names the worker as it is used. One that doesn't is another writer's, or that of a later
 // process that started elsewhere.
 func (wc *workerConn) isNamedBy(entry dispatch.Worker) bool {
@@ -591,6 +610,10 @@
 			c.removeEndedWorker(wc, wc.endUnlessDraining(dispatch.WorkerSilent), leaseOverUnregistered)
 			continue
 		}
+		if wc.unnamed && !c.engine.HasRuns(wc.worker.ID) {
+			c.connectAnew(wc, wc.aliveAt, dispatch.WorkerSilent, leaseOver) // its next process may be one that names no start
+			continue
+		}
 		if c.engine.HasRuns(wc.worker.ID) {
 			wc.logEvidence(c.Log.Warn().Str("worker", string(wc.worker.ID)), leaseOver).Msg("lease of unresponsive worker expired, its runs are given up")
 			if wc.mayHaveRestarted() {
@@ -660,6 +683,7 @@
 // handleRegistryChange applies a change of the worker registry.
 func (c *controller) handleRegistryChange(change RegistryChange) {
 	if change.Full {
+		c.registryRead = true
 		c.registered = make(map[dispatch.WorkerID]dispatch.Worker, len(change.Put))
 		for _, w := range change.Put {
 			c.registered[w.ID] = w
@@ -729,9 +753,7 @@
 		wc.laterStartListedAt = c.now()
 		go wc.confirmRestart(wc.reportedStart, wc.aliveAt)
 	}
-	if wc.mayHaveRestarted() {
-		c.recordRestart(wc)
-	}
+	c.recordPossibleRestart(wc)
 	c.putListing(wc)
 }
 
