--- a/internal/owner/foreign_entry_test.go
+++ b/internal/owner/foreign_entry_test.go
@@ -116,18 +116,50 @@
 // Guards against a task running in two places: the process that runs it has said that it is at another address by now, and another worker answers
 // at the former one.
 func TestOtherIncarnationAtAnAddressThatTheWorkerHasLeftEndsNoRuns(t *testing.T) {
-	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
-		l.startTask()
-		l.addOtherWorker()
-		runLoop(l.controller, 2*holdWait, func() {})
-		moved := l.worker.entry()
-		moved.Address = otherAddress
-		l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{moved}})
-		l.worker.setCutOff(true)
-		since := time.Now()
-		l.handleHoldFailure(l.workerConns[testWorker.ID], ErrOtherIncarnation)
-		l.expectOneRun(since, longestWait(10*time.Second))
-	})
+	for name, refuse := range map[string]func(l *leaseTest, wc *workerConn){
+		"a hold call": func(l *leaseTest, wc *workerConn) { l.handleHoldFailure(wc, ErrOtherIncarnation) },
+		"an order":    func(l *leaseTest, wc *workerConn) { l.handleOrderFailure(wc, ErrOtherIncarnation) },
+	} {
+		t.Run(name+" is refused", func(t *testing.T) {
+			runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+				l.startTask()
+				l.addOtherWorker()
+				runLoop(l.controller, 2*holdWait, func() {})
+				moved := l.worker.entry()
+				moved.Address = otherAddress
+				l.handleRegistryChange(RegistryChange{Put: []dispatch.Worker{moved}})
+				l.worker.setCutOff(true)
+				since := time.Now()
+				refuse(l, l.workerConns[testWorker.ID])
+				l.expectOneRun(since, longestWait(10*time.Second))
+			})
+		})
+	}
+}
+
+// Guards against a takeover that awaits the lease of a worker that has ended: another one answers at its address, and the registry has been read and
+// lists it there, or no longer.
+func TestOtherIncarnationAtTheAddressOfAnAwaitedWorkerEndsItsRuns(t *testing.T) {
+	for name, listed := range map[string]bool{"listed": true, "not listed": false} {
+		t.Run(name, func(t *testing.T) {
+			runHoldTest(t, func(ctx context.Context, t *testing.T) {
+				row := testWorker
+				row.Address = otherAddress
+				c := newTestController(ctx, newLeasedWorker(6*time.Second))
+				c.engine.AwaitReport(row.ID, row.Pool)
+				c.addWorkerConn(row, true)
+				change := RegistryChange{Full: true}
+				if listed {
+					change.Put = []dispatch.Worker{row}
+				}
+				c.handleRegistryChange(change)
+				runLoop(c, 3*holdRetryDelay, func() {})
+				if !c.engine.ReportsComplete() {
+					t.Error("the worker's report is awaited although another one answers at its address")
+				}
+			})
+		})
+	}
 }
 
 // Guards against a task running in two places: an earlier owner, of the version before, had recorded an address that another writer had written.
