An idle worker that answers moves only when it goes on being listed elsewhere

What callers would see: first only cost, later the loss of a guard. While another writer's entry with another address or pool, and the worker's own process start, and the worker's own entry replace each other, an idle worker that answers all the while is removed and used anew with each of them: 2 fencing tokens and 4 rows each time. After 768 tokens starts get no higher ones any more, and after 1,023 connections don't, so that late calls aren't told from others; tasks wait meanwhile.

Cause: since such an entry moves an idle worker at the next tick.

Change: it moves once it has been listed elsewhere for 10 s. A worker that writes its own entry again before keeps its connection. One that doesn't answer at its former address moves as before.

TestIdleWorkerStaysWhereItAnswersWhileEntriesAlternate failed before: 120 tokens used in two minutes in each of its three cases.

--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -83,8 +83,9 @@
 	longestLeaseUntil                       monotime.Instant
 	// earlierCallsUntil is when no call of an earlier connection can be carried out any more, unless the worker answers this one before.
 	earlierCallsUntil monotime.Instant
-	// unregistered means that the registry does not list the worker, or has not been read yet.
-	unregistered bool
+	// unregistered means that the registry does not list the worker as it is used, or has not been read yet, unregisteredAt since when.
+	unregistered   bool
+	unregisteredAt monotime.Instant
 	// recordedDraining means that the ledger records the worker as draining, or may soon: it gets no new runs until a row that does
 	// not is committed, since a later owner relies on it.
 	recordedDraining bool
@@ -485,7 +486,8 @@
 		delete(c.endsBarrier.sequences, id)
 	}
 	next := c.newWorkerConn(wc.worker, wc.places)
-	next.listing, next.unresponsive, next.unregistered = wc.listing, wc.unresponsive, wc.unregistered
+	next.listing, next.unresponsive = wc.listing, wc.unresponsive
+	next.unregistered, next.unregisteredAt = wc.unregistered, wc.unregisteredAt
 	next.unanswered = wc.unanswered
 	next.recordedDraining, next.recordedStart = wc.recordedDraining, wc.recordedStart
 	next.recordedLongestLease, next.recordedLateCalls, next.restartUnrecorded = wc.recordedLongestLease, wc.recordedLateCalls, wc.restartUnrecorded
@@ -632,9 +634,13 @@
 	return c.engine.HasRuns(wc.worker.ID) || c.engine.HasUnconfirmedEnds(wc.worker.ID)
 }
 
-// startedElsewhere reports whether the process that answers the worker's calls lists itself with another address or pool.
+// elsewhereDelay is how long a worker that answers must be listed elsewhere to be used there: several heartbeats, with each of which it writes its
+// entry again over another writer's. Each move costs two commits, and fencing tokens, of which an owner has few for a worker.
+const elsewhereDelay = 10 * time.Second
+
+// startedElsewhere reports whether the process that answers the worker's calls lists itself with another address or pool, and goes on to.
 func (c *controller) startedElsewhere(wc *workerConn) bool {
-	if !wc.unregistered || !wc.reported {
+	if !wc.unregistered || !wc.reported || c.since(wc.unregisteredAt) < elsewhereDelay {
 		return false
 	}
 	listed, ok := c.registered[wc.worker.ID]
@@ -810,7 +816,7 @@
 	if wc == nil || wc.unregistered {
 		return
 	}
-	wc.unregistered = true
+	wc.unregistered, wc.unregisteredAt = true, c.now()
 	c.Log.Info().Str("worker", string(id)).Msg("worker no longer registered")
 	c.putWithoutNewRuns(wc.listing)
 }
