--- a/internal/owner/call_order_test.go
+++ b/internal/owner/call_order_test.go
@@ -167,27 +167,15 @@
 	})
 }
 
-// overtakingClient refuses a start since a later call with a higher token was carried out before it.
-type overtakingClient struct {
-	*leasedWorker
-	wc *workerConn
-}
-
-func (c overtakingClient) Start(context.Context, dispatch.Worker, StartCall) (dispatch.StartOutcome, error) {
-	c.wc.fencingToken.Add(1)
-	return dispatch.StartRefused, ErrSuperseded
-}
-
 // Guards against a worker that gets no further runs since it refused a start that another one had overtaken.
 func TestOvertakenStartCountsAsNotSent(t *testing.T) {
 	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
 		wc := l.workerConns[testWorker.ID]
-		l.Workers = overtakingClient{l.worker, wc}
+		l.worker.overtakeStarts(func() { wc.fencingToken.Add(1) })
 		outcome, err := wc.sendStart(StartCall{Start: dispatch.Start{Once: true}}, wc.queue(startClass(dispatch.Start{})))
 		if outcome != dispatch.StartNotSent || err != nil {
 			l.t.Errorf("the outcome is %s (%v), want %s", outcome, err, dispatch.StartNotSent)
 		}
-		l.Workers = l.worker
 	})
 }
 
--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -35,6 +35,8 @@
 	starts []StartCall
 	// ended are the ends that it lists; it answers at once as long as it has any.
 	ended []dispatch.EndedEntry
+	// overtake is called for each start, which is refused then, unless it is nil.
+	overtake func()
 	// unanswered is how many of the next starts get no answer; late are those that got none.
 	unanswered int
 	late       []StartCall
@@ -128,6 +130,13 @@
 	w.holdsLost = lost
 }
 
+// overtakeStarts calls overtake for each start from now on, and refuses it since another call was carried out before.
+func (w *leasedWorker) overtakeStarts(overtake func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.overtake = overtake
+}
+
 // listEnd lets the worker list the end, for good.
 func (w *leasedWorker) listEnd(end dispatch.EndedEntry) {
 	w.mu.Lock()
@@ -223,6 +232,10 @@
 	if w.cutOff {
 		return dispatch.StartInDoubt, ErrNoAnswer
 	}
+	if w.overtake != nil {
+		w.overtake()
+		return dispatch.StartRefused, ErrSuperseded
+	}
 	if !w.accept(call.Token, call.Deadline) {
 		return dispatch.StartRefused, ErrSuperseded
 	}
