--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -28,14 +28,24 @@
 	stopTime time.Duration
 	// cutOff leaves all calls unanswered, holdsLost hold calls only.
 	cutOff, holdsLost bool
-	token             uint64
+	// stopAnswer leaves stops unanswered until it is closed; nil answers them.
+	stopAnswer chan struct{}
+	// unnamed means that the worker doesn't name its process, which doesn't restart under its id.
+	unnamed bool
+	token   uint64
 	// leaseEnd is on the clock of the present process.
 	leaseEnd time.Duration
 	running  map[dispatch.RunKey]bool
+	// stopped holds, by task, the highest run that was stopped.
+	stopped  map[graph.TaskID]uint64
 	lastHold HoldCall
 	// holds are the hold calls that were carried out, starts the starts.
 	holds  []HoldCall
 	starts []StartCall
+	// ended are the ends that it lists; it answers at once as long as it has any.
+	ended []dispatch.EndedEntry
+	// overtake is called for each start, which is refused then, unless it is nil.
+	overtake func()
 	// unanswered is how many of the next starts get no answer; late are those that got none.
 	unanswered int
 	late       []StartCall
@@ -47,16 +57,24 @@
 const unansweringWorker dispatch.WorkerID = "unanswering"
 
 func newLeasedWorker(maxLease time.Duration) *leasedWorker {
-	return &leasedWorker{startedAt: time.Now().Add(-time.Hour), maxLease: maxLease, running: make(map[dispatch.RunKey]bool)}
+	return &leasedWorker{startedAt: time.Now().Add(-time.Hour), maxLease: maxLease, running: make(map[dispatch.RunKey]bool), stopped: make(map[graph.TaskID]uint64)}
 }
 
 // entry returns the worker's entry in the registry as its present process writes it.
 func (w *leasedWorker) entry() dispatch.Worker {
 	entry := testWorker
-	entry.ProcessStart = time.Duration(w.startedAt.UnixNano())
+	entry.ProcessStart = w.processStart()
 	return entry
 }
 
+// processStart returns the start of the present process, 0 if the worker doesn't name it.
+func (w *leasedWorker) processStart() time.Duration {
+	if w.unnamed {
+		return 0
+	}
+	return time.Duration(w.startedAt.UnixNano())
+}
+
 // clock returns the reading of the worker's clock, which is as slow as a worker's may be if slow is set.
 func (w *leasedWorker) clock() time.Duration {
 	if w.slow {
@@ -70,7 +88,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.startedAt = time.Now()
-	w.token, w.leaseEnd, w.running = 0, 0, make(map[dispatch.RunKey]bool)
+	w.token, w.leaseEnd, w.running, w.stopped = 0, 0, make(map[dispatch.RunKey]bool), make(map[graph.TaskID]uint64)
 	w.accept(w.lastHold.Token, w.lastHold.Deadline)
 	for _, call := range w.late {
 		if w.accept(call.Token, call.Deadline) {
@@ -135,6 +153,26 @@
 	w.holdsLost = lost
 }
 
+// overtakeStarts calls overtake for each start from now on, and refuses it since another call was carried out before.
+func (w *leasedWorker) overtakeStarts(overtake func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.overtake = overtake
+}
+
+// listEnd lets the worker list the end, for good.
+func (w *leasedWorker) listEnd(end dispatch.EndedEntry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = append(w.ended, end)
+}
+
+func (w *leasedWorker) listsEnds() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.ended) > 0
+}
+
 // holdLongestLease extends the lease as a late call does, whose deadline is on the clock of an earlier process.
 func (w *leasedWorker) holdLongestLease() {
 	w.mu.Lock()
@@ -170,7 +208,11 @@
 	if called.Address == otherAddress {
 		return dispatch.Report{}, 0, ErrOtherIncarnation
 	}
-	time.Sleep(max(call.Wait, time.Millisecond))
+	wait := call.Wait
+	if w.listsEnds() {
+		wait = 0
+	}
+	time.Sleep(max(wait, time.Millisecond))
 	switch called.ID {
 	case testWorker.ID:
 	case unansweringWorker:
@@ -188,7 +230,7 @@
 	}
 	w.lastHold = call
 	w.holds = append(w.holds, call)
-	report := dispatch.Report{ProcessStart: time.Duration(w.startedAt.UnixNano())}
+	report := dispatch.Report{ProcessStart: w.processStart(), Ended: w.ended}
 	for key := range w.running {
 		report.Running = append(report.Running, dispatch.RunningEntry{RunKey: key})
 	}
@@ -223,6 +265,10 @@
 	if w.cutOff {
 		return dispatch.StartInDoubt, ErrNoAnswer
 	}
+	if w.overtake != nil {
+		w.overtake()
+		return dispatch.StartRefused, ErrSuperseded
+	}
 	if !w.accept(call.Token, call.Deadline) {
 		return dispatch.StartRefused, ErrSuperseded
 	}
@@ -231,7 +277,18 @@
 	return dispatch.Started, nil
 }
 
-func (w *leasedWorker) Stop(_ context.Context, _ dispatch.Worker, key dispatch.RunKey, token uint64) error {
+func (w *leasedWorker) Stop(ctx context.Context, _ dispatch.Worker, key dispatch.RunKey, token uint64) error {
+	w.mu.Lock()
+	answer := w.stopAnswer
+	w.mu.Unlock()
+	if answer != nil {
+		select {
+		case <-answer:
+			return nil
+		case <-ctx.Done():
+			return ErrNoAnswer
+		}
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.cutOff {
@@ -241,6 +298,7 @@
 		return ErrSuperseded
 	}
 	delete(w.running, key)
+	w.stopped[key.Task] = max(w.stopped[key.Task], key.Number)
 	return nil
 }
 
@@ -255,14 +313,14 @@
 
 // runLeaseTest runs a test of the leases of a worker that grants them for at most maxLease.
 func runLeaseTest(t *testing.T, maxLease time.Duration, test func(ctx context.Context, l *leaseTest)) {
-	runSlowStopTest(t, maxLease, 0, test)
+	runPreparedLeaseTest(t, maxLease, func(*leasedWorker) {}, test)
 }
 
-// runSlowStopTest is runLeaseTest with a worker that takes stopTime to end its runs once its lease has ended.
-func runSlowStopTest(t *testing.T, maxLease, stopTime time.Duration, test func(ctx context.Context, l *leaseTest)) {
+// runPreparedLeaseTest is runLeaseTest with a worker that prepare changes.
+func runPreparedLeaseTest(t *testing.T, maxLease time.Duration, prepare func(*leasedWorker), test func(ctx context.Context, l *leaseTest)) {
 	runHoldTest(t, func(ctx context.Context, t *testing.T) {
 		worker := newLeasedWorker(maxLease)
-		worker.stopTime, worker.slow = stopTime, stopTime > 0
+		prepare(worker)
 		l := &leaseTest{t: t, worker: worker, recorded: worker.entry()}
 		l.controller = l.newOwner(ctx)
 		l.addWorkerConn(l.recorded, false)
