Tests: ports that no other test process gets

Cause: graphd's tests took ports of the range that the system gives to outgoing connections, closed them and used them later; the platform's tests took ports from a place by their process id, and the ranges of two processes overlap where one takes many. A port whose daemon is down for a moment was then another's.

Each test process now locks one of 36 blocks of 500 ports until it ends (internal/loopbacktest).

--- a/internal/graphd/graphd_test.go
+++ b/internal/graphd/graphd_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -20,6 +19,7 @@
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/graphapi"
 	"laburnumpoint/internal/graphproto"
+	"laburnumpoint/internal/loopbacktest"
 	"laburnumpoint/internal/owner"
 	"laburnumpoint/internal/standin/graphwork"
 )
@@ -149,14 +149,7 @@
 	})
 }
 
-func (c *testCell) freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		c.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
+func (c *testCell) freeAddr() string { return fmt.Sprintf("127.0.0.1:%d", loopbacktest.Port(c.T)) }
 
 func (c *testCell) eventually(what string, ok func() bool) {
 	c.Helper()
