--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -92,8 +92,8 @@
 	// lateStarts holds, by worker, the tasks with late starts there; longestLease is how long a run may go on on a silent worker.
 	lateStarts   map[WorkerID]map[*task]struct{}
 	longestLease time.Duration
-	// runStopTime is how long a run may take to end once its stop is acknowledged.
-	runStopTime time.Duration
+	// runEndTime is how long a run may take to end once its stop is acknowledged.
+	runEndTime time.Duration
 	// lateRooms holds, by worker, the rooms of runs that may start late there.
 	lateRooms map[WorkerID][]lateRoom
 	// startsNameProcess means that a worker refuses a start for another process than its present one.
@@ -329,8 +329,8 @@
 	e.sendStop(r)
 }
 
-// SetRunStopTime sets how long a run may take to end once its stop is acknowledged.
-func (e *Engine) SetRunStopTime(d time.Duration) { e.runStopTime = d }
+// SetRunEndTime sets how long a run may take to end once its stop is acknowledged.
+func (e *Engine) SetRunEndTime(d time.Duration) { e.runEndTime = d }
 
 func (e *Engine) sendStop(r *run) {
 	r.stopRetryAt = e.now.Add(maxStopTime)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -98,7 +98,7 @@
 // isStopped reports whether a run that is being stopped is over, by a complete report without it that was requested at the given time. A worker
 // may list a run no longer once it has acknowledged the stop, while the run takes its time to end.
 func (e *Engine) isStopped(r *run, sent monotime.Instant) bool {
-	return r.state == runStopping && r.stopAnsweredAt > 0 && sent > r.stopAnsweredAt.Add(e.runStopTime)
+	return r.state == runStopping && r.stopAnsweredAt > 0 && sent > r.stopAnsweredAt.Add(e.runEndTime)
 }
 
 // endUnlistedRuns ends the runs that complete reports should have listed and did not, and returns them.
--- a/internal/dispatch/stopped_test.go
+++ b/internal/dispatch/stopped_test.go
@@ -11,7 +11,7 @@
 	for name, confirmed := range map[string]bool{"confirmed": true, "start in doubt": false} {
 		t.Run(name, func(t *testing.T) {
 			c := newFixture(t, 1)
-			c.SetRunStopTime(stopTime)
+			c.SetRunEndTime(stopTime)
 			a := c.addWorker("a", 1000)
 			c.addJob("j", false, plainStep(1))
 			c.advance(time.Second)
--- a/internal/graphd/daemon.go
+++ b/internal/graphd/daemon.go
@@ -57,8 +57,8 @@
 	Cores float64
 	// MaxLease limits the lease that a worker grants.
 	MaxLease time.Duration
-	// RunStopTime is how long a worker may take to end a run that is stopped or whose lease has ended.
-	RunStopTime time.Duration
+	// RunEndTime is how long a worker may take to end a run that is stopped or whose lease has ended.
+	RunEndTime time.Duration
 	// MaxConfigDelay is the time within which a new configuration must be in force.
 	MaxConfigDelay time.Duration
 	// StopGrace is the time from the request to stop the daemon until its process is killed.
@@ -164,7 +164,7 @@
 		Clock:         clock,
 		Log:           logger,
 		Metrics:       set,
-		MaxLease:      settings.MaxLease, RunStopTime: settings.RunStopTime, Retention: settings.Retention,
+		MaxLease:      settings.MaxLease, RunEndTime: settings.RunEndTime, Retention: settings.Retention,
 		Queue:         d.Service.Queue,
 		Organisations: d.Service.Organisations,
 		StoreUp:       store.Up,
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -143,7 +143,7 @@
 		c.engine.SetStartsNameProcess()
 	}
 	c.engine.SetLongestLease(c.longestLease())
-	c.engine.SetRunStopTime(c.RunStopTime)
+	c.engine.SetRunEndTime(c.RunEndTime)
 	if d.MaxCrashes > 0 {
 		c.engine.SetMaxCrashes(d.MaxCrashes)
 	}
@@ -156,7 +156,7 @@
 }
 
 // runEndMargin is how long after the end of a worker's lease its runs may go on.
-func (c *controller) runEndMargin() time.Duration { return c.RunStopTime + leaseMargin }
+func (c *controller) runEndMargin() time.Duration { return c.RunEndTime + leaseMargin }
 
 func (c *controller) now() monotime.Instant { return c.Clock.Now() }
 
--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -114,5 +114,5 @@
 // expired reports whether all runs of the worker have certainly ended.
 func (l *workerLease) expired(now monotime.Instant) bool { return l.remaining(now) == 0 }
 
-// leaseMargin is how late a worker may notice the end of its lease. Ending its runs takes it up to Daemon.RunStopTime more.
+// leaseMargin is how late a worker may notice the end of its lease. Ending its runs takes it up to Daemon.RunEndTime more.
 const leaseMargin = 300 * time.Millisecond
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -68,8 +68,8 @@
 	Metrics       *metrics.Set
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
-	// RunStopTime is how long a worker may take to end a run that is stopped or whose lease has ended.
-	RunStopTime time.Duration
+	// RunEndTime is how long a worker may take to end a run that is stopped or whose lease has ended.
+	RunEndTime time.Duration
 	// Retention is how long callers can ask for a job that has ended.
 	Retention time.Duration
 	// Queue returns the current settings of a queue; the second result reports whether there are any.
--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -332,7 +332,7 @@
 
 func (l *leaseTest) newOwner(ctx context.Context) *controller {
 	c := newTestController(ctx, l.worker)
-	c.MaxLease, c.RunStopTime = l.worker.maxLease, l.worker.stopTime
+	c.MaxLease, c.RunEndTime = l.worker.maxLease, l.worker.stopTime
 	c.engine.SetLongestLease(c.longestLease())
 	c.validUntil.Store(int64(c.now().Add(time.Hour)))
 	return c
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -494,7 +494,6 @@
 	next := c.newWorkerConn(wc.worker, wc.places)
 	next.listing, next.unresponsive = wc.listing, wc.unresponsive
 	next.unregistered, next.unregisteredAt = wc.unregistered, wc.unregisteredAt
-	next.unanswered = wc.unanswered
 	next.recordedDraining, next.recordedStart = wc.recordedDraining, wc.recordedStart
 	next.recordedLongestLease, next.recordedLateCalls, next.restartUnrecorded = wc.recordedLongestLease, wc.recordedLateCalls, wc.restartUnrecorded
 	next.lease.extendUntil(c.now().Add(wc.lease.remaining(c.now())), wc.lease.latestEndBasis())
--- a/internal/settings/graphs.go
+++ b/internal/settings/graphs.go
@@ -28,7 +28,7 @@
 	flagStore         = "store"
 	flagCores         = "cores"
 	flagMaxLease      = "max-lease"
-	flagRunStopTime   = "run-stop-time"
+	flagRunEndTime    = "run-end-time"
 	flagConfigBound   = "config-bound"
 	flagRetention     = "retention"
 	flagStopGrace     = "stop-grace"
@@ -76,7 +76,7 @@
 		stringFlag(flagStore, "`ADDRESS` of the store of rows", ""),
 		&cli.FloatFlag{Name: flagCores, Usage: "processor time that the VM has, in `CORES`; daemons on VMs with more cores are preferred as owner of the cell", Value: 1, Sources: env(flagCores)},
 		durationFlag(flagMaxLease, "longest `TIME` for which a worker grants a lease", 10*time.Second),
-		durationFlag(flagRunStopTime, "longest `TIME` that a worker takes to end a run that is stopped or whose lease has ended", 0),
+		durationFlag(flagRunEndTime, "longest `TIME` that a worker takes to end a run that is stopped or whose lease has ended", 0),
 		durationFlag(flagConfigBound, "`TIME` within which a new configuration must be in force", 3*time.Second),
 		durationFlag(flagRetention, "`TIME` for which callers can query a job after its end", time.Hour),
 		durationFlag(flagStopGrace, "`TIME` from the request to stop until the process is killed", 20*time.Second),
@@ -144,7 +144,7 @@
 		PeerAddr:       cmd.String(flagPeerListen),
 		Cores:          cmd.Float(flagCores),
 		MaxLease:       cmd.Duration(flagMaxLease),
-		RunStopTime:    cmd.Duration(flagRunStopTime),
+		RunEndTime:     cmd.Duration(flagRunEndTime),
 		MaxConfigDelay: cmd.Duration(flagConfigBound),
 		Retention:      cmd.Duration(flagRetention),
 		StopGrace:      cmd.Duration(flagStopGrace),
@@ -187,7 +187,7 @@
 	}
 	require(s.Cores > 0, flagCores, "a positive number")
 	require(s.MaxLease >= time.Second, flagMaxLease, "a second or more")
-	require(s.RunStopTime >= 0, flagRunStopTime, "0 or more")
+	require(s.RunEndTime >= 0, flagRunEndTime, "0 or more")
 	require(s.MaxConfigDelay >= time.Second, flagConfigBound, "a second or more")
 	require(s.Retention >= time.Minute, flagRetention, "a minute or more")
 	require(s.StopGrace >= time.Second, flagStopGrace, "a second or more")
--- a/internal/settings/graphs_test.go
+++ b/internal/settings/graphs_test.go
@@ -16,11 +16,11 @@
 
 func TestGraphSettings(t *testing.T) {
 	t.Setenv("LABURNUMPOINT_MAX_LEASE", "7s")
-	s, err := ParseGraphSettings(graphArgsWith("--cores", "0.4", "--max-orders", "100", "--run-stop-time", "400ms"), &bytes.Buffer{})
+	s, err := ParseGraphSettings(graphArgsWith("--cores", "0.4", "--max-orders", "100", "--run-end-time", "400ms"), &bytes.Buffer{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Node != "vm-1" || s.StoreAddr != "127.0.0.1:7000" || s.Cores != 0.4 || s.MaxLease != 7*time.Second || s.RunStopTime != 400*time.Millisecond || s.Orders.MaxUnderWay != 100 || s.Orders.MinTimeout == 0 {
+	if s.Node != "vm-1" || s.StoreAddr != "127.0.0.1:7000" || s.Cores != 0.4 || s.MaxLease != 7*time.Second || s.RunEndTime != 400*time.Millisecond || s.Orders.MaxUnderWay != 100 || s.Orders.MinTimeout == 0 {
 		t.Errorf("settings %+v", s)
 	}
 }
@@ -47,7 +47,7 @@
 		"store by name": {graphArgsWith("--store", "store:1"), "--store"},
 		"no cores":      {graphArgsWith("--cores", "0"), "--cores"},
 		"short lease":   {graphArgsWith("--max-lease", "1ms"), "--max-lease"},
-		"stop time":     {graphArgsWith("--run-stop-time", "-1ms"), "--run-stop-time"},
+		"stop time":     {graphArgsWith("--run-end-time", "-1ms"), "--run-end-time"},
 		"no orders":     {graphArgsWith("--min-orders", "0"), "--min-orders"},
 		"order bounds":  {graphArgsWith("--min-orders", "9", "--max-orders", "8"), "--max-orders"},
 		"repeats":       {graphArgsWith("--order-repeats", "-1"), "--order-repeats"},
