--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -128,11 +128,10 @@
 	return given
 }
 
-// HandleRestart processes that a worker's process has ended, or that all its runs have, which was last known to live at aliveAt. Another one
-// may run under the worker's id; it has none of the runs of the ended one. A run that was confirmed since aliveAt may be one of the next process: its report
-// tells. A start, or an attempt of one, without an answer may still reach the next process, so its run is stopped there before the task is
-// started again.
-// HandleRestart returns the runs that are given up.
+// HandleRestart processes that a worker's process has ended, or that all its runs have, which was last known to live at aliveAt. Another
+// one may run under the worker's id; it has none of the runs of the ended one. A run that was confirmed since aliveAt may be one of the
+// next process: its report tells. A start, or an attempt of one, without an answer may still reach the next process, so its run is stopped
+// there before the task is started again. HandleRestart returns the runs that are given up.
 func (e *Engine) HandleRestart(id WorkerID, end WorkerEnd, aliveAt monotime.Instant) (given []GivenUpRun) {
 	delete(e.awaitedReports, id)
 	w := e.workers[id]
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -533,8 +533,8 @@
 	return max(wc.earlierCallsUntil, c.earlierOrdersUntil.Add(dispatch.MaxCallDelay))
 }
 
-// recordRestart records that a worker's process is not, or may not be, the one in the ledger. Until that is committed the worker gets no new runs: a later
-// owner that hears of the restart from neither the worker nor the registry would count on too short a lease for them.
+// recordRestart records that a worker's process is not, or may not be, the one in the ledger. Until that is committed the worker gets no
+// new runs: a later owner that hears of the restart from neither the worker nor the registry would count on too short a lease for them.
 func (c *controller) recordRestart(wc *workerConn) {
 	_, pending := c.pendingWorkerRows[wc.worker.ID]
 	told := wc.recordedLongestLease && !c.committing && !pending
