--- a/review/8/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/laburnumpointd ] && [ -x target/review/standin-2 ] || exit 2
-exec timeout 115 target/review/standin-2 cancelled-then-stored target/laburnumpointd review/8
+exec timeout 115 target/review/standin-2 cancelled-then-stored target/laburnumpointd review/9
