Review case 6: a task in two places, after its runner restarted under its id and was cut off (TWICE)

The script takes the power of one of eight runners for 0.6 s, hands a job in once it is back, and cuts it off for 9 s. The task is started elsewhere 5.7 s after the cut, while the first run goes on for 9 s.

--- a/review/standin-2/cancelled_then_stored.go
+++ b/review/standin-2/cancelled_then_stored.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// The case of review/8: the store's answers to the writes of one job get lost, and the writes are performed late. The job's client gets 504,
+// The case of review/9: the store's answers to the writes of one job get lost, and the writes are performed late. The job's client gets 504,
 // and cancels the job, which is answered. Other clients hand in short jobs all the while.
 const (
 	lossFor = 4500 * time.Millisecond
@@ -28,7 +28,7 @@
 
 // runCancelledThenStored returns the exit status of the case.
 func runCancelledThenStored(program, folder string) int {
-	c, err := newCell(program, folder, 3, 8)
+	c, err := newCell(program, folder, 3, 8, false)
 	if c != nil {
 		defer c.close()
 	}
@@ -36,7 +36,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return notRun
 	}
-	go c.sendOtherJobs()
+	go c.sendOtherJobs(2000)
 	time.Sleep(time.Second)
 	job := map[string]any{"spec": longTask, "steps": []any{map[string]any{"count": 2, "cpu": 13000, "mem_mb": 19000, "estimate_ms": 9000}}}
 	begun := time.Now()
@@ -93,10 +93,10 @@
 	return result
 }
 
-// sendOtherJobs hands in short jobs at all daemons. It never returns.
-func (c *cell) sendOtherJobs() {
+// sendOtherJobs hands in short jobs of two tasks at all daemons. It never returns.
+func (c *cell) sendOtherJobs(cpu int) {
 	for n := 0; ; n++ {
-		job := map[string]any{"spec": "300ms", "steps": []any{map[string]any{"count": 2, "cpu": 2000, "mem_mb": 1000, "estimate_ms": 300}}}
+		job := map[string]any{"spec": "300ms", "steps": []any{map[string]any{"count": 2, "cpu": cpu, "mem_mb": 1000, "estimate_ms": 300}}}
 		go c.call(c.daemons[n%len(c.daemons)], http.MethodPost, fmt.Sprintf("%s%016x", queuePrefix, rand.Uint64()), job)
 		time.Sleep(otherJobDelay)
 	}
--- a/review/standin-2/cell.go
+++ b/review/standin-2/cell.go
@@ -22,8 +22,13 @@
 	queuePrefix = "/revision/"
 	// attempts is how many failed runs of a task the queue allows.
 	attempts = 2
+	// jobID is the id of the job that a case is about.
+	jobID = "5c0e7a21d94b36f8"
 )
 
+// kinds are the kinds of the runners, in turn.
+var kinds = []string{"b", "a", "a", "a"}
+
 // cell is a small deployment: a store, runners and daemons, each runner and daemon a process of its own on a loopback address.
 type cell struct {
 	begun    time.Time
@@ -42,19 +47,24 @@
 }
 
 type daemon struct {
-	front, ready string
-	cmd          *exec.Cmd
+	name, front, ready string
+	// settings is the path of its settings file.
+	settings string
+	cmd      *exec.Cmd
 }
 
 // runnerProcess is a runner's machine; it has one life after the other at the same address.
 type runnerProcess struct {
-	address, rack, id string
-	cmd               *exec.Cmd
-	stdin             io.Closer
+	// address is the one at which it listens, public the one at which the daemons reach it.
+	address, public, kind, rack, id string
+	// link and platform are the ways from the daemons to it and from it to the platform; nil if they are direct.
+	link, platform *link
+	cmd            *exec.Cmd
+	stdin          io.WriteCloser
 }
 
-// newCell starts a cell and waits until its daemons are ready.
-func newCell(program, folder string, daemons, runners int) (*cell, error) {
+// newCell starts a cell and waits until its daemons are ready. With links the daemons reach each runner by a proxy.
+func newCell(program, folder string, daemons, runners int, links bool) (*cell, error) {
 	recorded, err := os.Create(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		return nil, err
@@ -88,8 +98,17 @@
 		if err != nil {
 			return c, err
 		}
-		r := &runnerProcess{address: address, rack: fmt.Sprintf("r-%d", i/4)}
+		r := &runnerProcess{address: address, public: address, kind: kinds[i%len(kinds)], rack: fmt.Sprintf("r-%d", i/4)}
 		c.runners = append(c.runners, r)
+		if links {
+			if r.link, err = newLink(address); err != nil {
+				return c, err
+			}
+			if r.platform, err = newLink(c.control); err != nil {
+				return c, err
+			}
+			r.public = r.link.listener.Addr().String()
+		}
 		if err := c.startRunner(r); err != nil {
 			return c, err
 		}
@@ -153,11 +172,20 @@
 	fmt.Fprintf(c.recorded, "%8.3f s  %s\n", time.Since(c.begun).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// startRunner begins a new life of a runner.
+// startRunner begins a new life of a runner, under a new id.
 func (c *cell) startRunner(r *runnerProcess) error {
 	c.lives++
 	r.id = fmt.Sprintf("i-%04d", c.lives)
-	r.cmd = exec.Command(os.Args[0], "runner", r.id, r.address, c.control, r.rack)
+	return c.startProcess(r, 0)
+}
+
+// startProcess starts a process of a runner under the id that it has. The process first writes its entry of the registry after firstBeat.
+func (c *cell) startProcess(r *runnerProcess, firstBeat time.Duration) error {
+	control := c.control
+	if r.platform != nil {
+		control = r.platform.listener.Addr().String()
+	}
+	r.cmd = exec.Command(os.Args[0], "runner", r.id, r.public, r.address, control, r.kind, r.rack, firstBeat.String())
 	stdin, err := r.cmd.StdinPipe()
 	if err != nil {
 		return err
@@ -184,6 +212,7 @@
 			continue
 		}
 		c.record("runner %s: %s run %d %s %s", e.Runner, e.Task, e.Run, e.What, e.How)
+		e.at = time.Now()
 		c.mu.Lock()
 		c.events = append(c.events, e)
 		c.mu.Unlock()
@@ -245,23 +274,38 @@
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(c.folder, name+".log"))
+	d := &daemon{name: name, front: front, ready: ready, settings: path}
+	c.daemons = append(c.daemons, d)
+	return c.startDaemonProcess(d)
+}
+
+// startDaemonProcess starts a process of a daemon, with the daemon's settings.
+func (c *cell) startDaemonProcess(d *daemon) error {
+	log, err := os.OpenFile(filepath.Join(c.folder, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
 	cmd := exec.Command(c.daemon)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LABURNUMPOINT_SETTINGS=" + path}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LABURNUMPOINT_SETTINGS=" + d.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = endsWithParent()
-	c.record("daemon %s starts, for clients at %s", name, front)
+	c.record("daemon %s starts, for clients at %s", d.name, d.front)
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	c.daemons = append(c.daemons, &daemon{front, ready, cmd})
+	d.cmd = cmd
 	return nil
 }
 
+// stopDaemon stops a daemon's process in an orderly way and waits for its end.
+func (c *cell) stopDaemon(d *daemon) {
+	c.record("daemon %s gets SIGTERM", d.name)
+	_ = d.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
+	_ = d.cmd.Wait()                          // its status doesn't matter
+	c.record("daemon %s has ended", d.name)
+}
+
 // awaitReady waits until all daemons are ready and a little longer, for the owner to know the runners.
 func (c *cell) awaitReady() error {
 	for _, d := range c.daemons {
@@ -294,8 +338,10 @@
 // close ends all processes and removes the temporary folder.
 func (c *cell) close() {
 	for _, d := range c.daemons {
-		_ = d.cmd.Process.Kill() // it may have ended
-		_ = d.cmd.Wait()         // it was killed
+		if d.cmd != nil {
+			_ = d.cmd.Process.Kill() // it may have ended
+			_ = d.cmd.Wait()         // it was killed
+		}
 	}
 	for _, r := range c.runners {
 		if r.cmd != nil && r.cmd.Process != nil {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -1,13 +1,15 @@
 // Command standin-2 plays the users' platform, its runners and its clients for the scripts of the review.
 //
-//	standin-2 runner ID ADDRESS CONTROL RACK      one life of a runner
-//	standin-2 crashed-runners DAEMON FOLDER       the case of review/7
-//	standin-2 cancelled-then-stored DAEMON FOLDER the case of review/8
+//	standin-2 runner ID PUBLIC ADDRESS CONTROL KIND RACK FIRST-BEAT   one process of a runner
+//	standin-2 cut-after-restart DAEMON FOLDER                         the case of review/6
+//	standin-2 late-start DAEMON FOLDER                                the case of review/7
+//	standin-2 cancelled-then-stored DAEMON FOLDER                     the case of review/9
 package main
 
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 // Exit statuses of a case.
@@ -20,14 +22,20 @@
 func main() {
 	args := os.Args[1:]
 	switch {
-	case len(args) == 5 && args[0] == "runner":
-		fmt.Fprintln(os.Stderr, serveRunner(runnerConfig{args[1], args[2], args[3], args[4]}))
+	case len(args) == 8 && args[0] == "runner":
+		firstBeat, err := time.ParseDuration(args[7])
+		if err == nil {
+			err = serveRunner(runnerConfig{args[1], args[2], args[3], args[4], args[5], args[6], firstBeat})
+		}
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(notRun)
-	case len(args) == 3 && args[0] == "crashed-runners":
-		os.Exit(runCrashedRunners(args[1], args[2]))
+	case len(args) == 3 && args[0] == "cut-after-restart":
+		os.Exit(runCutAfterRestart(args[1], args[2]))
+	case len(args) == 3 && args[0] == "late-start":
+		os.Exit(runLateStart(args[1], args[2]))
 	case len(args) == 3 && args[0] == "cancelled-then-stored":
 		os.Exit(runCancelledThenStored(args[1], args[2]))
 	}
-	fmt.Fprintln(os.Stderr, "usage: standin-2 runner ID ADDRESS CONTROL RACK | crashed-runners DAEMON FOLDER | cancelled-then-stored DAEMON FOLDER")
+	fmt.Fprintln(os.Stderr, "usage: standin-2 CASE DAEMON FOLDER, with the case cut-after-restart, late-start or cancelled-then-stored")
 	os.Exit(notRun)
 }
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -20,15 +20,23 @@
 	maxListed = 500
 )
 
+// startLost is the event of a start that gets no answer; its How is the call.
+const startLost = "start lost"
+
 // runnerConfig is what a runner's process is started with.
 type runnerConfig struct {
-	ID, Address, Control, Rack string
+	// Public is the address at which the daemons reach it, Address the one at which it listens.
+	ID, Public, Address, Control, Kind, Rack string
+	// FirstBeat is when the process first writes its entry of the registry, after its start.
+	FirstBeat time.Duration
 }
 
 // event is something that a runner did; its process writes it to its standard output.
 type event struct {
 	Runner, What, Task, How string
 	Run                     uint64
+	// at is when it was heard of.
+	at time.Time
 }
 
 // run is a run of a task on a runner.
@@ -63,6 +71,8 @@
 	deadline time.Duration
 	lease    *time.Timer
 	changed  chan struct{}
+	// lost names the job whose next start gets no answer, empty for none; the network carries it out later.
+	lost string
 }
 
 // serveRunner runs a runner's process until it is killed.
@@ -76,18 +86,23 @@
 	}
 	go r.beat()
 	go func() {
-		_, _ = bufio.NewReader(os.Stdin).ReadByte() // its parent has ended
-		os.Exit(1)
+		for lines := bufio.NewScanner(os.Stdin); lines.Scan(); {
+			r.mu.Lock()
+			r.lost = lines.Text()
+			r.mu.Unlock()
+		}
+		os.Exit(1) // its parent has ended
 	}()
 	return http.Serve(listener, r)
 }
 
 // beat writes the runner's entry of the registry at each heartbeat.
 func (r *runner) beat() {
+	time.Sleep(r.FirstBeat)
 	for n := 1; ; n++ {
 		body, err := json.Marshal(map[string]any{"id": r.ID, "entry": map[string]any{
-			"service": "sheets", "address": r.Address, "zone": "north", "version": "1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq": n,
-			"capacity": map[string]int{"cpu": 64000, "mem_mb": 131072, "gpu": 0}, "labels": []string{"a", r.Rack},
+			"service": "sheets", "address": r.Public, "zone": "north", "version": "1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq": n,
+			"capacity": map[string]int{"cpu": 64000, "mem_mb": 131072, "gpu": 0}, "labels": []string{r.Kind, r.Rack}, "born": r.begun.UnixMilli(),
 		}})
 		if err != nil {
 			panic(err)
@@ -110,9 +125,9 @@
 func (r *runner) clock() time.Duration { return time.Since(r.begun) }
 
 type runnerCall struct {
-	Task       string
-	Run        uint64
-	Spec       string
+	Task       string `json:"task"`
+	Run        uint64 `json:"run"`
+	Spec       string `json:"spec"`
 	DeadlineMS int64  `json:"deadline_ms"`
 	FenceToken uint64 `json:"fence_token"`
 	LastSeen   uint64 `json:"last_seen"`
@@ -131,6 +146,10 @@
 	}
 	switch req.URL.Path {
 	case "/api/run-start":
+		if r.isLost(call) {
+			<-req.Context().Done()
+			return
+		}
 		r.answer(w, r.start(call))
 	case "/api/run-stop":
 		r.answer(w, r.stop(call))
@@ -141,6 +160,22 @@
 	}
 }
 
+// isLost reports whether a start gets no answer, and tells the network of it, which carries it out later.
+func (r *runner) isLost(call runnerCall) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lost == "" || !strings.HasPrefix(call.Task, r.lost) {
+		return false
+	}
+	r.lost = ""
+	body, err := json.Marshal(call)
+	if err != nil {
+		panic(err)
+	}
+	r.record(startLost, call.Task, call.Run, string(body))
+	return true
+}
+
 // answer writes 200, or 409 if there is a reason.
 func (r *runner) answer(w http.ResponseWriter, reason string) {
 	if reason != "" {
@@ -280,5 +315,5 @@
 	for _, e := range r.finished[:min(len(r.finished), maxListed)] {
 		finished = append(finished, []any{e.sequence, e.task, e.number, e.how, ""})
 	}
-	answerJSON(w, http.StatusOK, map[string]any{"clock_ms": r.clock().Milliseconds(), "running": running, "finished": finished})
+	answerJSON(w, http.StatusOK, map[string]any{"clock_ms": r.clock().Milliseconds(), "running": running, "finished": finished, "born": r.begun.UnixMilli()})
 }
