--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -4,6 +4,7 @@
 //	standin-2 cut-after-restart DAEMON FOLDER                         the case of review/6
 //	standin-2 late-start DAEMON FOLDER                                the case of review/7
 //	standin-2 cancelled-then-stored DAEMON FOLDER                     the case of review/9
+//	standin-2 large-jobs DAEMON FOLDER                                the case of review/10
 package main
 
 import (
@@ -33,9 +34,11 @@
 		os.Exit(runCutAfterRestart(args[1], args[2]))
 	case len(args) == 3 && args[0] == "late-start":
 		os.Exit(runLateStart(args[1], args[2]))
+	case len(args) == 3 && args[0] == "large-jobs":
+		os.Exit(runLargeJobs(args[1], args[2]))
 	case len(args) == 3 && args[0] == "cancelled-then-stored":
 		os.Exit(runCancelledThenStored(args[1], args[2]))
 	}
-	fmt.Fprintln(os.Stderr, "usage: standin-2 CASE DAEMON FOLDER, with the case cut-after-restart, late-start or cancelled-then-stored")
+	fmt.Fprintln(os.Stderr, "usage: standin-2 CASE DAEMON FOLDER, with the case cut-after-restart, late-start, cancelled-then-stored or large-jobs")
 	os.Exit(notRun)
 }
