Owner: a log line for each start without an answer as the ownership ends

The log of the first owner told that the start was given up ("run start", in_doubt) but not that it was under way when the ownership ended, and the next owner has no line about it at all.

Now each start that is open at the end of an ownership has a line, with whether it may have been sent.

--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -297,6 +297,7 @@
 		select {
 		case <-ctx.Done():
 			c.awaitCommit()
+			c.logStartsInDoubt()
 			return
 		case f := <-c.events:
 			c.handleEvent(f)
@@ -385,6 +386,15 @@
 	}
 }
 
+// logStartsInDoubt logs the starts that have no answer as the ownership ends: they may be carried out while the next owner decides.
+func (c *controller) logStartsInDoubt() {
+	for id, wc := range c.workerConns {
+		for key, order := range wc.queuedStarts {
+			c.Log.Warn().Str("job", string(key.Task.Job)).Str("task", key.Task.String()).Uint64("run", key.Number).Str("worker", string(id)).Bool("sent", order.sent()).Uint64("epoch", c.ownership.Epoch()).Msg("start without an answer as the ownership ends")
+		}
+	}
+}
+
 // runRound lets the engine decide, carries out its orders and commits changes.
 func (c *controller) runRound() {
 	c.updateOrganisations()
--- a/internal/owner/order_queue.go
+++ b/internal/owner/order_queue.go
@@ -89,6 +89,9 @@
 	}
 }
 
+// sent reports whether the order had its places and may have been sent.
+func (o *queuedOrder) sent() bool { return o.state.Load() == orderSent }
+
 // drop withdraws the order and reports whether nothing of it has been or will be sent.
 func (o *queuedOrder) drop() bool {
 	dropped := o.state.CompareAndSwap(orderQueued, orderDropped)
