--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -415,7 +415,7 @@
 func (t *task) awaitRecord() {
 	j := t.step.job
 	t.awaitsRecord = j.recordsTaken + 1
-	j.crashRecord = t.awaitsRecord
+	j.urgentRecord = t.awaitsRecord
 }
 
 // isAwaitingRecord reports whether a crash that counts for the task is not durable yet, so that its next run has to wait.
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -38,6 +38,8 @@
 	// before the others.
 	dirty         []*job
 	urgentlyDirty int
+	// outdated holds the jobs whose record may have starts that can't be carried out any more.
+	outdated []*job
 	// orders are those that the next Plan returns.
 	orders []Order
 	// awaitedReports holds the workers that may run tasks of earlier owners and have not reported yet.
@@ -89,6 +91,11 @@
 	unsettledSilences map[string]*silence
 	silenceReports    []SilenceReport
 	heldTasks         []HeldTask
+	// unsentStarts are the starts that wait for their record. usesOpenStarts means that a task may have open starts.
+	unsentStarts   []unsentStart
+	usesOpenStarts bool
+	// earlierOrdersUntil is the latest time at which an earlier owner may have given orders.
+	earlierOrdersUntil monotime.Instant
 	// lateStarts holds, by worker, the tasks with late starts there; longestLease is how long a run may go on on a silent worker.
 	lateStarts   map[WorkerID]map[*task]struct{}
 	longestLease time.Duration
@@ -217,6 +224,7 @@
 	if j.state.Ended() {
 		return
 	}
+	e.adoptOpenStarts(j)
 	for _, o := range j.openOccurrences() {
 		for _, s := range o.steps {
 			e.countUnfinishedDependencies(s)
@@ -325,6 +333,9 @@
 	}
 	r.state = runStopping
 	r.stopReason = reason
+	if r.isUnsent() {
+		return // the next Plan withdraws the start
+	}
 	e.unansweredStops[r] = struct{}{}
 	e.sendStop(r)
 }
@@ -370,7 +381,7 @@
 
 // markDirty notes that the job's progress has to be recorded. The record of an ended job holds its state only, and is final.
 func (e *Engine) markDirty(j *job) {
-	urgent := j.recorded < j.crashRecord
+	urgent := j.recorded < j.urgentRecord
 	switch {
 	case j.endTaken || (j.dirty && (j.urgentlyDirty || !urgent)):
 	case !urgent:
@@ -404,11 +415,13 @@
 	return true
 }
 
-// TakeDirty returns the progress that has to be recorded: first that of jobs with a task whose next run waits for it, then that of the jobs that
-// wait for it longest. It is as much as takes about limit rows but at least one job's if limit is positive. These jobs are no longer dirty.
+// TakeDirty returns the progress that has to be recorded: first that of jobs with a start that waits for it, then that of the jobs that wait
+// for it longest, and in the room that is left that of jobs whose record is only outdated. It is as much as takes about limit rows but at least
+// one job's if limit is positive. These jobs are no longer dirty.
 func (e *Engine) TakeDirty(limit int) map[graph.JobID]Progress {
 	changed := make(map[graph.JobID]Progress, min(max(0, limit), len(e.dirty)))
-	for rows := 0; len(e.dirty) > 0 && rows < limit; {
+	rows := 0
+	for len(e.dirty) > 0 && rows < limit {
 		j := e.dirty[0]
 		e.dirty[0] = nil
 		e.dirty = e.dirty[1:]
@@ -417,13 +430,35 @@
 			j.urgentlyDirty = false
 			e.urgentlyDirty--
 		}
-		j.dirty, j.endTaken = false, j.state.Ended()
-		j.recordsTaken++
-		changed[j.id] = j.progress()
+		j.dirty = false
+		changed[j.id] = j.takeProgress()
+	}
+	maps.Copy(changed, e.TakeOutdated(limit-rows))
+	return changed
+}
+
+// TakeOutdated returns the progress of jobs whose record is only outdated, about limit rows at most. These jobs are no longer so.
+func (e *Engine) TakeOutdated(limit int) map[graph.JobID]Progress {
+	changed := make(map[graph.JobID]Progress)
+	for rows := 0; len(e.outdated) > 0 && rows < limit; {
+		j := e.outdated[0]
+		e.outdated[0] = nil
+		e.outdated = e.outdated[1:]
+		if j.outdated && !j.endTaken {
+			rows += j.progressRows()
+			changed[j.id] = j.takeProgress()
+		}
 	}
 	return changed
 }
 
+// takeProgress returns the job's progress to record.
+func (j *job) takeProgress() Progress {
+	j.outdated, j.endTaken = false, j.state.Ended()
+	j.recordsTaken++
+	return j.progress()
+}
+
 // ConfirmRecorded notes that the progress of a job that TakeDirty returned last is durable.
 func (e *Engine) ConfirmRecorded(id graph.JobID) {
 	if j := e.jobs[id]; j != nil {
@@ -546,6 +581,7 @@
 	delete(e.workers, id)
 	delete(e.unconfirmedEnds, id)
 	e.poolsStale = true
+	e.withdrawUnsentStartsOn(w)
 	crashed := e.recordEnd(w, end, e.now)
 	for _, r := range w.runs {
 		given = append(given, e.giveUp(r))
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -52,9 +53,21 @@
 	}
 }
 
+// planRecorded returns the orders of a plan, with those that wait for a record once that is durable.
+func (c *fixture) planRecorded() []Order {
+	orders := c.Plan(0)
+	if c.UnsentStarts() == 0 {
+		return orders
+	}
+	for id := range c.TakeDirty(math.MaxInt) {
+		c.ConfirmRecorded(id)
+	}
+	return append(orders, c.Plan(0)...)
+}
+
 // planByKind returns the orders of a plan by their kind.
 func (c *fixture) planByKind() (starts []Start, stops []Stop, requests []PermitRequest) {
-	for _, order := range c.Plan(0) {
+	for _, order := range c.planRecorded() {
 		switch o := order.(type) {
 		case Start:
 			starts = append(starts, o)
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -64,6 +64,7 @@
 		if r := w.runs[ended.RunKey]; r != nil {
 			r.noteListed()
 		}
+		e.settleStart(ended.RunKey)
 		if ended.Sequence > w.lastEndSequence {
 			w.lastEndSequence = ended.Sequence
 			e.unconfirmedEnds[id] = ended.Sequence
@@ -139,6 +140,7 @@
 		return nil
 	}
 	e.setReachable(w, false)
+	e.withdrawUnsentStartsOn(w)
 	crashed := e.recordEnd(w, end, aliveAt)
 	w.lastEndSequence, w.processStart = 0, 0
 	delete(e.unconfirmedEnds, id)
@@ -200,6 +202,7 @@
 	}
 	r.listedAt, r.unlistedSince = e.now, 0
 	r.noteListed()
+	e.settleStart(r.RunKey)
 	e.observeTail(r, entry)
 	if entry.Progress != r.progress || r.progressChangedAt == 0 {
 		e.noteProgress(r)
@@ -266,9 +269,12 @@
 	mayStartLate := r.mayStartLate()
 	if mayStartLate {
 		e.holdForLateStart(r)
-		e.keepRoom(r)
+		e.keepRoom(r.worker.ID, lateRoom{r.RunKey, r.allocation, r.lateUntil()})
 	} else {
 		r.worker.used = r.worker.used.Sub(r.allocation)
+		if r.once {
+			e.settleStart(r.RunKey)
+		}
 	}
 	r.organisation.releaseRun(r)
 	if r.surplusOf != nil {
@@ -479,6 +485,9 @@
 	}
 	listed := r.startAnswered
 	r.startAnswered = listed || outcome != StartInDoubt
+	if r.startAnswered && r.once {
+		e.settleStart(key)
+	}
 	switch outcome {
 	case Started:
 		e.confirmRunning(r)
--- a/internal/dispatch/late_start_test.go
+++ b/internal/dispatch/late_start_test.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
+
+	"laburnumpoint/internal/graph"
 )
 
 // startOnceInDoubt starts a task on the only worker, which may restart under its id and gives no answer.
@@ -94,7 +97,7 @@
 				t.Errorf("room for %d on the worker, want %d", room, test.room)
 			}
 			starts := 0
-			for _, start := range c.Plan(0) {
+			for _, start := range c.planRecorded() {
 				if start, ok := start.(Start); ok && start.Task.Job == "other" {
 					starts++
 				}
@@ -174,3 +177,102 @@
 		t.Errorf("starts %+v, while a late run may go on", starts)
 	}
 }
+
+// drain lets a worker say that it leaves.
+func drain(c *fixture, id WorkerID) {
+	w := c.workers[id].Worker
+	w.Draining = true
+	c.PutWorker(w)
+}
+
+// Guards against a start that the next owner doesn't know of: it was sent before the ledger had it.
+func TestStartThatIsSentOnceIsRecordedFirst(t *testing.T) {
+	for name, test := range map[string]struct {
+		happens func(c *fixture, w WorkerID, j graph.JobID)
+		starts  int
+	}{
+		"recorded":        {func(*fixture, WorkerID, graph.JobID) {}, 1},
+		"cancelled":       {func(c *fixture, _ WorkerID, j graph.JobID) { c.Cancel(j) }, 0},
+		"worker draining": {func(c *fixture, w WorkerID, _ graph.JobID) { drain(c, w) }, 0},
+		"worker restarts": {func(c *fixture, w WorkerID, _ graph.JobID) { c.HandleRestart(w, WorkerCrashed, c.virtualTime) }, 0},
+		"withdrawn":       {func(c *fixture, _ WorkerID, _ graph.JobID) { c.WithdrawUnsentStarts(); drain(c, "w") }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newFixture(t, 1)
+			c.advance(time.Second)
+			w := c.addWorker("w", 100)
+			c.HandleReport(w, c.virtualTime, Report{ProcessStart: time.Hour})
+			j := c.addJob("j", false, plainStep(1))
+			c.TakeDirty(10)
+			if orders := c.Plan(0); len(orders) > 0 || c.UnsentStarts() != 1 {
+				t.Fatalf("orders %+v and %d unsent starts before the record, want one that waits", orders, c.UnsentStarts())
+			}
+			record, taken := c.TakeDirty(10)[j]
+			if !taken || len(record.Steps) != 1 || len(record.Steps[0].Tasks) != 1 || !slices.Equal(record.Steps[0].Tasks[0].Starts, []StartProgress{{1, w}}) {
+				t.Fatalf("record %+v, want the start", record)
+			}
+			test.happens(c, w, j)
+			c.ConfirmRecorded(j)
+			orders := c.Plan(0)
+			if len(orders) != test.starts || c.UnsentStarts() != 0 {
+				t.Errorf("orders %+v and %d unsent starts after the record, want %d starts", orders, c.UnsentStarts(), test.starts)
+			}
+			if test.starts > 0 {
+				return
+			}
+			if free := c.workers[w].free().MilliCPU; free != 100 {
+				t.Errorf("room for %d on the worker after the start was withdrawn, want 100", free)
+			}
+			if again, taken := c.TakeDirty(10)[j]; !taken || len(again.Steps) > 0 {
+				t.Errorf("record %+v (%t) after the start was withdrawn, want one without it", again, taken)
+			}
+		})
+	}
+}
+
+// Guards against tasks of a later owner that wait for starts which were answered: the record of those is never brought up to date.
+func TestAnsweredStartIsTakenOutOfTheRecord(t *testing.T) {
+	c := newFixture(t, 1)
+	c.advance(time.Second)
+	w := c.addWorker("w", 100)
+	c.HandleReport(w, c.virtualTime, Report{ProcessStart: time.Hour})
+	j := c.addJob("j", false, plainStep(1))
+	starts, _, _ := c.planByKind()
+	c.HandleStartOutcome(w, starts[0].RunKey, Started)
+	record, taken := c.TakeDirty(10)[j]
+	if !taken || len(record.Steps) > 0 || c.HasDirty() {
+		t.Errorf("record %+v (%t) after the start was answered, want one without it", record, taken)
+	}
+}
+
+// Guards against a task in two places under a third owner: the second one's records lacked the start of the first.
+func TestAdoptedStartStaysInTheRecordUntilItIsOver(t *testing.T) {
+	c := newFixture(t, 2)
+	c.advance(time.Second)
+	c.SetEarlierOrdersUntil(c.virtualTime)
+	start := StartProgress{1, "w"}
+	progress := &Progress{State: graph.Running, Started: true, Steps: []StepProgress{{Tasks: []TaskProgress{{Starts: []StartProgress{start}}}}}}
+	c.AddJob(JobInput{ID: "j", Queue: plainQueue, Spec: &graph.Spec{Steps: []graph.Step{plainStep(1)}}, ArrivedAt: c.virtualTime, Progress: progress})
+	w := c.addWorker("w", 200)
+	other := c.addWorker("other", 100)
+	if late := c.LateStarts(); len(late) != 1 || late[0].Worker != w || late[0].Wait != MaxCallDelay {
+		t.Fatalf("late starts %+v, want the recorded one", late)
+	}
+	c.MarkDirty("j")
+	if tasks := c.TakeDirty(10)["j"].Steps[0].Tasks; len(tasks) != 1 || !slices.Equal(tasks[0].Starts, []StartProgress{start}) {
+		t.Errorf("recorded tasks %+v, want the start", tasks)
+	}
+	if free := c.workers[w].free().MilliCPU; free != 100 {
+		t.Errorf("room for %d on the worker, want 100 of 200", free)
+	}
+	c.HandleReport(other, c.virtualTime, Report{ProcessStart: time.Hour})
+	c.HandleReport(w, c.virtualTime, Report{ProcessStart: time.Hour})
+	if starts, _, _ := c.planByKind(); len(starts) > 0 {
+		t.Fatalf("starts %+v while the earlier one may be carried out", starts)
+	}
+	c.advance(MaxCallDelay)
+	c.HandleReport(w, c.virtualTime, Report{ProcessStart: time.Hour})
+	if starts, _, _ := c.planByKind(); len(starts) != 1 || starts[0].Number <= start.Run {
+		t.Errorf("starts %+v once the earlier one is over, want one with a higher number", starts)
+	}
+}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -245,6 +245,8 @@
 	attemptInDoubt bool
 	// once means that the start is sent only once, as in Start: a worker that lists the run has carried it out.
 	once bool
+	// ordered means that the start order has been given.
+	ordered bool
 
 	progress          int
 	progressChangedAt monotime.Instant
@@ -333,8 +335,8 @@
 	// silences counts the task's runs whose worker fell silent, as long as that is not settled. The next run is not started before notBefore.
 	silences  int
 	notBefore monotime.Instant
-	// lateStarts are earlier starts that may be carried out late.
-	lateStarts []lateStart
+	// openStarts are the starts of the task that are sent once and that may still be carried out, as far as is known.
+	openStarts []openStart
 	// awaitsRecord is which record of the job's progress, in the order of TakeDirty, has the task's last crash; 0 for none.
 	awaitsRecord  uint64
 	lastRunNumber uint64
@@ -482,8 +484,10 @@
 	endTaken bool
 	// recordsTaken counts the records that TakeDirty has returned; recorded is the last of them that is durable.
 	recordsTaken, recorded uint64
-	// crashRecord is the last record that the next run of a task waits for.
-	crashRecord uint64
+	// urgentRecord is the last record that a start waits for.
+	urgentRecord uint64
+	// outdated means that starts in the job's record can't be carried out any more: the next commit has room for the job.
+	outdated bool
 	// failure is why the job has failed, for operators; empty if this owner doesn't know.
 	failure string
 	// failedByCrashes means that this owner has ended the job for the crashes of a task.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -15,6 +15,7 @@
 func (e *Engine) Plan(wall time.Duration) []Order {
 	e.dropRetired()
 	e.activateDue(wall)
+	e.sendRecordedStarts()
 	e.retryStops()
 	e.refreshPools()
 	e.refreshSpeeds()
@@ -379,10 +380,6 @@
 	r := &run{RunKey: RunKey{t.id(), number}, worker: w, task: t, orderedAt: e.now, fullRun: t.isFullRun()}
 	r.once = permit.ticket == "" && w.mayRestartUnderID() && !e.startsNameProcess
 	w.runs[r.RunKey] = r
-	w.lastStarted = append(w.lastStarted, r)
-	if w.oldestUnansweredStart == 0 {
-		w.oldestUnansweredStart = e.now
-	}
 	e.allocate(r, t.step)
 	e.noteStart(w, t)
 	if t.step.def.TailTarget > 0 && w.mayStopFillers() {
@@ -394,8 +391,7 @@
 	} else {
 		t.setRun(r)
 	}
-	e.stats.Starts++
-	e.orders = append(e.orders, Start{
+	start := Start{
 		RunKey:      r.RunKey,
 		Worker:      w.ID,
 		Payload:     t.step.job.spec.Payload,
@@ -407,7 +403,24 @@
 		LongRunning: t.step.def.LongRunning,
 		Copy:        isCopy,
 		Once:        r.once,
-	})
+	}
+	if r.once {
+		e.awaitStartRecord(r, start)
+		return
+	}
+	e.orderStart(r, start)
+}
+
+// orderStart gives the start order of a run.
+func (e *Engine) orderStart(r *run, start Start) {
+	w := r.worker
+	r.ordered, r.orderedAt = true, e.now
+	w.lastStarted = append(w.lastStarted, r)
+	if w.oldestUnansweredStart == 0 {
+		w.oldestUnansweredStart = e.now
+	}
+	e.stats.Starts++
+	e.orders = append(e.orders, start)
 }
 
 // eligible reports whether the worker has the label that the step requires. It ignores permits and capacity.
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -36,6 +36,14 @@
 	Checkpoint string   `json:"c,omitempty"`
 	// Crashes are the crashes of the task's workers that count for it.
 	Crashes []CrashProgress `json:"x,omitempty"`
+	// Starts are those that may be carried out late, by a worker's next process too. Older versions don't know of them.
+	Starts []StartProgress `json:"s,omitempty"`
+}
+
+// StartProgress is a start of a task that may be carried out.
+type StartProgress struct {
+	Run    uint64   `json:"r"`
+	Worker WorkerID `json:"w"`
 }
 
 // CrashProgress is a crash of the worker that had a run of the task.
@@ -115,9 +123,9 @@
 		switch {
 		case t.done:
 			p.Done[t.index/8] |= 1 << (t.index % 8)
-		case len(t.failedRuns) > 0 || t.checkpoint != "" || len(t.crashes) > 0:
+		case len(t.failedRuns) > 0 || t.checkpoint != "" || len(t.crashes) > 0 || len(t.openStarts) > 0:
 			hasProgress = true
-			p.Tasks = append(p.Tasks, TaskProgress{t.index, t.failedRuns, t.checkpoint, t.recordedCrashes()})
+			p.Tasks = append(p.Tasks, TaskProgress{t.index, t.failedRuns, t.checkpoint, t.recordedCrashes(), t.recordedStarts()})
 		}
 	}
 	return p, hasProgress
@@ -184,6 +192,7 @@
 		t := s.tasks[tp.Index]
 		t.failedRuns, t.checkpoint = tp.FailedRuns, tp.Checkpoint
 		t.restoreCrashes(tp.Crashes)
+		t.restoreStarts(tp.Starts)
 	}
 	s.countSuspects()
 	if s.openTasks == 0 {
--- a/internal/owner/call_order.go
+++ b/internal/owner/call_order.go
@@ -38,9 +38,13 @@
 }
 
 func (u *unansweredStarts) add(key dispatch.RunKey, sentAt monotime.Instant) {
+	u.addUntil(key, sentAt.Add(dispatch.MaxCallDelay))
+}
+
+func (u *unansweredStarts) addUntil(key dispatch.RunKey, until monotime.Instant) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.until[key] = sentAt.Add(dispatch.MaxCallDelay)
+	u.until[key] = until
 }
 
 // remove removes a start that can't be carried out any more.
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -27,17 +27,20 @@
 	earlierOrderMargin = 300 * time.Millisecond
 )
 
+// withdrawTimeout bounds the commit at the end of an ownership that takes starts out of the ledger that were not sent.
+const withdrawTimeout = 300 * time.Millisecond
+
 // controller runs the control loop of the owner for one epoch. Only the control loop's goroutine uses the fields below ctx.
 type controller struct {
 	*Daemon
 	ownership *ledger.Ownership
 	// validUntil is the time up to which orders may be given.
 	validUntil atomic.Int64
-	// tasksWaiting and permitRequestsWaiting are for the metrics.
-	tasksWaiting, permitRequestsWaiting atomic.Int64
-	workerHealth                        workerHealth
-	organisationUsages                  atomic.Pointer[[]dispatch.OrganisationUsage]
-	events                              chan func()
+	// tasksWaiting, startsUnrecorded and permitRequestsWaiting are for the metrics.
+	tasksWaiting, startsUnrecorded, permitRequestsWaiting atomic.Int64
+	workerHealth                                          workerHealth
+	organisationUsages                                    atomic.Pointer[[]dispatch.OrganisationUsage]
+	events                                                chan func()
 	// gate admits the orders to workers.
 	gate *flowcontrol.Gate
 	// holdLosses follows how many hold calls get no answer; workersInUse is the number of workerConns.
@@ -202,6 +205,7 @@
 		return errNoLedgerCopy
 	}
 	c.engine.SetNow(c.now())
+	c.engine.SetEarlierOrdersUntil(c.earlierOrdersUntil)
 	c.updateOrganisations()
 	jobs := c.Replica.Jobs()
 	for _, id := range byArrival(jobs) {
@@ -212,6 +216,7 @@
 		}
 	}
 	c.adoptHandover()
+	c.adoptLateStarts()
 	for _, id := range c.Replica.OrphanedProgress() {
 		c.scheduleRemoval(id, false)
 	}
@@ -298,6 +303,7 @@
 		case <-ctx.Done():
 			c.awaitCommit()
 			c.logStartsInDoubt()
+			c.withdrawStarts()
 			return
 		case f := <-c.events:
 			c.handleEvent(f)
@@ -386,6 +392,40 @@
 	}
 }
 
+// adoptLateStarts takes over the starts that earlier owners have recorded and that may be carried out late: their workers' next processes must
+// not be made to forget the ends of the runs that these begin.
+func (c *controller) adoptLateStarts() {
+	for _, late := range c.engine.LateStarts() {
+		c.unansweredStarts(late.Worker).addUntil(late.RunKey, c.now().Add(late.Wait))
+		c.logHeldTask(late, "start of an earlier owner may be carried out late")
+	}
+}
+
+// withdrawStarts withdraws the starts that have not been sent as the ownership ends, and records that. The tasks of those that stay recorded wait
+// under the next owner.
+func (c *controller) withdrawStarts() {
+	if c.ownershipLost {
+		return
+	}
+	for id, wc := range c.workerConns {
+		for key, order := range wc.queuedStarts {
+			if order.drop() {
+				c.engine.HandleStartOutcome(id, key, dispatch.StartNotSent)
+			}
+		}
+	}
+	c.engine.WithdrawUnsentStarts()
+	progress := c.engine.TakeOutdated(maxCommitRows)
+	if len(progress) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), withdrawTimeout)
+	defer cancel()
+	if err := c.ownership.Commit(ctx, ledger.Batch{Progress: progress}); err != nil {
+		c.Log.Warn().Uint64("epoch", c.ownership.Epoch()).Int("jobs", len(progress)).Err(err).Msg("starts that were not sent stay recorded, their tasks wait under the next owner")
+	}
+}
+
 // logStartsInDoubt logs the starts that have no answer as the ownership ends: they may be carried out while the next owner decides.
 func (c *controller) logStartsInDoubt() {
 	for id, wc := range c.workerConns {
@@ -405,6 +445,7 @@
 		c.sendPermitRequests()
 		c.recordLocality()
 		c.tasksWaiting.Store(int64(c.engine.WaitingTasks()))
+		c.startsUnrecorded.Store(int64(c.engine.UnsentStarts()))
 		c.permitRequestsWaiting.Store(int64(len(c.permits.waiting)))
 	}
 	c.recordWorkerHealth()
--- a/internal/owner/cutoff_test.go
+++ b/internal/owner/cutoff_test.go
@@ -109,16 +109,40 @@
 			c.engine.SetNow(c.now())
 			c.expireLeases()
 			c.recordStarts()
+			record(c, c.engine.TakeOutdated(maxCommitRows)) // with a renewal of the ownership
 		case <-end:
 			return
 		}
-		for _, order := range c.engine.Plan(0) {
-			c.execute(order)
-		}
+		executeOrders(c)
 		check()
 	}
 }
 
+// progressRecorder keeps what a ledger has of jobs.
+type progressRecorder interface {
+	recordProgress(id graph.JobID, progress dispatch.Progress)
+}
+
+// record makes the progress of jobs durable.
+func record(c *controller, taken map[graph.JobID]dispatch.Progress) {
+	for id, progress := range taken {
+		if recorder, ok := c.Workers.(progressRecorder); ok {
+			recorder.recordProgress(id, progress)
+		}
+		c.engine.ConfirmRecorded(id)
+	}
+}
+
+// planRecorded returns the orders of a plan, with those that wait for a record once that is durable.
+func planRecorded(c *controller) []dispatch.Order {
+	orders := c.engine.Plan(0)
+	if c.engine.UnsentStarts() == 0 {
+		return orders
+	}
+	record(c, c.engine.TakeDirty(maxCommitRows))
+	return append(orders, c.engine.Plan(0)...)
+}
+
 var testWorker = dispatch.Worker{ID: "w", Pool: "p", Capacity: graph.Resources{MilliCPU: 1000}}
 
 func addOneTask(c *controller, id graph.JobID) {
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -40,6 +40,7 @@
 	ownerGauge("laburnumpoint_owner", func(*controller) float64 { return 1 })
 	ownerGauge("laburnumpoint_events_waiting", func(c *controller) float64 { return float64(len(c.events)) })
 	ownerGauge("laburnumpoint_tasks_waiting", func(c *controller) float64 { return float64(c.tasksWaiting.Load()) })
+	ownerGauge("laburnumpoint_starts_unrecorded", func(c *controller) float64 { return float64(c.startsUnrecorded.Load()) })
 	ownerGauge("laburnumpoint_permit_questions_waiting", func(c *controller) float64 { return float64(c.permitRequestsWaiting.Load()) })
 	ownerGauge("laburnumpoint_workers_slow", func(c *controller) float64 { return float64(c.workerHealth.slow.Load()) })
 	ownerGauge("laburnumpoint_workers_ejected", func(c *controller) float64 { return float64(c.workerHealth.ejected.Load()) })
--- a/internal/owner/resign_test.go
+++ b/internal/owner/resign_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -168,3 +169,35 @@
 func (deafPeers) Call(context.Context, string, *wire.Request) (*wire.Reply, error) {
 	return nil, errors.New("no answer")
 }
+
+// Guards against tasks that wait under the next owner for starts that were recorded and never sent.
+func TestPlannedStopTakesUnsentStartsOutOfTheLedger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := rowstore.NewMemoryStore()
+		c, awaitCommit := newCommitController(ctx, t, store)
+		time.Sleep(time.Second)
+		c.engine.SetNow(c.now())
+		addOneTask(c, "j")
+		c.engine.PutWorker(dispatch.Worker{ID: "w", Pool: "p", Capacity: graph.Resources{MilliCPU: 100}, ProcessStart: time.Hour})
+		c.engine.SetReachable("w", true)
+		c.engine.Plan(0)
+		recordsStart := func() bool {
+			rows, _, _, err := store.Range(ctx, "laburnumpoint-progress", "", "progress/j", "progress/j0")
+			if err != nil || len(rows) != 1 {
+				t.Fatalf("%d rows of the job's progress (%v), want one", len(rows), err)
+			}
+			return strings.Contains(string(rows[0].Value), `"w":"w"`)
+		}
+		c.commitChanges()
+		awaitCommit()
+		if !recordsStart() {
+			t.Fatal("the ledger doesn't have the start")
+		}
+		c.withdrawStarts()
+		if recordsStart() {
+			t.Error("the ledger still has a start that was not sent")
+		}
+	})
+}
--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"slices"
 	"strings"
 	"sync"
@@ -51,13 +52,36 @@
 	late       []StartCall
 	// elsewhereAt is when a task was first started on another worker.
 	elsewhereAt time.Time
+	// ledger holds the progress of jobs as it was recorded.
+	ledger map[graph.JobID][]byte
 }
 
 // unansweringWorker never answers.
 const unansweringWorker dispatch.WorkerID = "unanswering"
 
 func newLeasedWorker(maxLease time.Duration) *leasedWorker {
-	return &leasedWorker{startedAt: time.Now().Add(-time.Hour), maxLease: maxLease, running: make(map[dispatch.RunKey]bool), stopped: make(map[graph.TaskID]uint64)}
+	return &leasedWorker{startedAt: time.Now().Add(-time.Hour), maxLease: maxLease, running: make(map[dispatch.RunKey]bool), stopped: make(map[graph.TaskID]uint64), ledger: make(map[graph.JobID][]byte)}
+}
+
+// recordProgress keeps a job's progress for the next owner.
+func (w *leasedWorker) recordProgress(id graph.JobID, progress dispatch.Progress) {
+	data, err := json.Marshal(progress)
+	if err != nil {
+		panic(err)
+	}
+	w.ledger[id] = data
+}
+
+// recordedProgress returns the recorded progress of a job, nil if there is none.
+func (w *leasedWorker) recordedProgress(id graph.JobID) *dispatch.Progress {
+	if w.ledger[id] == nil {
+		return nil
+	}
+	progress := new(dispatch.Progress)
+	if err := json.Unmarshal(w.ledger[id], progress); err != nil {
+		panic(err)
+	}
+	return progress
 }
 
 // entry returns the worker's entry in the registry as its present process writes it.
@@ -359,13 +383,16 @@
 func (l *leaseTest) takeOver(ctx context.Context, entry dispatch.Worker) {
 	l.cancel()
 	l.controller = l.newOwner(ctx)
+	l.engine.SetNow(l.now())
+	l.engine.SetEarlierOrdersUntil(l.now())
 	l.tokensGiven[testWorker.ID] = 100 // the tokens of a later epoch
 	l.engine.AwaitReport(testWorker.ID, l.recorded.Pool)
 	l.addWorkerConn(l.recorded, true)
 	l.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{entry}})
 	l.addOtherWorker()
 	spec := &graph.Spec{Steps: []graph.Step{{Count: 1, Claim: graph.Resources{MilliCPU: 1}}}}
-	l.engine.AddJob(dispatch.JobInput{ID: "j", Queue: graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, Spec: spec, ArrivedAt: l.now(), Unconfirmed: true})
+	l.engine.AddJob(dispatch.JobInput{ID: "j", Queue: graph.Queue{Name: "q", Pool: "p", MaxAttempts: 1}, Spec: spec, ArrivedAt: l.now(), Unconfirmed: true, Progress: l.worker.recordedProgress("j")})
+	l.adoptLateStarts()
 }
 
 func (l *leaseTest) addOtherWorker() {
@@ -808,6 +835,29 @@
 	})
 }
 
+// Guards against a task that never runs again, or only after the longest lease of a worker that answers: the next owner awaits a start of the
+// earlier one that is never carried out.
+func TestTaskRunsOnceALateStartOfTheEarlierOwnerIsOver(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(ctx context.Context, l *leaseTest) {
+		l.worker.leaveStartsUnanswered(1)
+		addOneTask(l.controller, "j")
+		runLoop(l.controller, 2*tickInterval, func() {})
+		l.takeOver(ctx, l.worker.entry())
+		took := time.Now()
+		if l.workerConns[testWorker.ID].beginHold(5, holdWait).Recorded != 0 {
+			l.t.Error("a hold call confirms ends while a start of the earlier owner may be carried out")
+		}
+		runLoop(l.controller, dispatch.MaxCallDelay+3*holdWait, func() {
+			if started := !l.worker.startedElsewhere().IsZero() || l.worker.runs(); started && time.Since(took) < dispatch.MaxCallDelay {
+				l.t.Fatalf("the task runs %s after the takeover", time.Since(took))
+			}
+		})
+		if l.worker.startedElsewhere().IsZero() && !l.worker.runs() {
+			l.t.Errorf("the task doesn't run %s after the takeover", time.Since(took))
+		}
+	})
+}
+
 // Guards against a task running in two places: others may write a later start of its process over the entry of a worker that is cut off and
 // runs on.
 func TestLaterStartInTheRegistryEndsNoRunOfACutOffWorker(t *testing.T) {
--- a/internal/owner/worker_health.go
+++ b/internal/owner/worker_health.go
@@ -44,11 +44,15 @@
 // logHeldTasks logs and counts the tasks that wait for starts that may be carried out late.
 func (c *controller) logHeldTasks() {
 	for _, t := range c.engine.TakeHeldTasks() {
-		c.instruments.tasksHeld.Inc()
-		c.Log.Warn().Str("job", string(t.Task.Job)).Str("task", t.Task.String()).Uint64("run", t.Number).Str("worker", string(t.Worker)).Dur("wait", t.Wait).Msg("task waits for a start that may be carried out late")
+		c.logHeldTask(t, "task waits for a start that may be carried out late")
 	}
 }
 
+func (c *controller) logHeldTask(t dispatch.HeldTask, message string) {
+	c.instruments.tasksHeld.Inc()
+	c.Log.Warn().Str("job", string(t.Task.Job)).Str("task", t.Task.String()).Uint64("run", t.Number).Str("worker", string(t.Worker)).Dur("wait", t.Wait).Uint64("epoch", c.ownership.Epoch()).Msg(message)
+}
+
 // recordCrashes logs and counts the workers that ended with runs, and the tasks that were given up for it.
 func (c *controller) recordCrashes() {
 	for _, r := range c.engine.TakeCrashReports() {
--- a/internal/owner/worker_places_test.go
+++ b/internal/owner/worker_places_test.go
@@ -142,7 +142,7 @@
 
 // executeOrders carries out the engine's decisions.
 func executeOrders(c *controller) []dispatch.Order {
-	orders := c.engine.Plan(0)
+	orders := planRecorded(c)
 	for _, order := range orders {
 		c.execute(order)
 	}
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -469,7 +469,7 @@
 			t.Fatalf("%d starts before the registry lists the worker, want none", n)
 		}
 		c.handleRegistryChange(RegistryChange{Full: true, Put: []dispatch.Worker{listed}})
-		c.engine.Plan(0)
+		planRecorded(c)
 		if n := c.engine.Stats().Starts; n != 1 {
 			t.Errorf("%d starts on a worker with room for one task", n)
 		}
