--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -45,6 +45,11 @@
 	AcceptedMS int64 `json:"at"`
 }
 
+// Age returns the time since the job was accepted, by the wall clocks of the accepting daemon and of this one.
+func (r *JobRecord) Age() time.Duration {
+	return max(0, time.Duration(time.Now().UnixMilli()-r.AcceptedMS)*time.Millisecond)
+}
+
 var errNoSpec = errors.New("job record without a spec")
 
 // check returns an error unless the record describes a job that could have been accepted.
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -252,8 +252,7 @@
 	if err != nil {
 		c.Log.Error().Str("job", string(id)).Err(err).Msg("details of a job's progress could not be decoded, skipped")
 	}
-	age := max(0, time.Duration(time.Now().UnixMilli()-j.AcceptedMS)*time.Millisecond)
-	c.engine.AddJob(dispatch.JobInput{ID: id, Queue: queue, Organisation: j.Organisation, Spec: j.Spec, ArrivedAt: c.now().Add(-age), Progress: progress, Unconfirmed: unconfirmed, RecordedAt: j.RecordedAt()})
+	c.engine.AddJob(dispatch.JobInput{ID: id, Queue: queue, Organisation: j.Organisation, Spec: j.Spec, ArrivedAt: c.now().Add(-j.Age()), Progress: progress, Unconfirmed: unconfirmed, RecordedAt: j.RecordedAt()})
 	if j.Cancelled {
 		c.engine.Cancel(id)
 	}
@@ -268,7 +267,7 @@
 	state, known := c.engine.JobState(id)
 	if !known {
 		c.addJob(id, j, false)
-		entry := c.Log.Info().Str("job", string(id)).Str("queue", j.Queue.Name)
+		entry := c.Log.Info().Str("job", string(id)).Str("queue", j.Queue.Name).Dur("since_accepted", j.Age())
 		if j.Organisation != "" {
 			entry.Str("organisation", j.Organisation).Bool("beyond_rate", c.engine.BeyondRate(id))
 		}
