--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"laburnumpoint/internal/graph"
+	"laburnumpoint/internal/ledger"
 	"laburnumpoint/internal/monotime"
 	"laburnumpoint/internal/rowstore"
 	"laburnumpoint/internal/wire"
@@ -30,7 +31,7 @@
 	maxRelays = 3
 )
 
-// attempt is one way to store a command; it returns resultOK, resultUnavailable or resultUncertain.
+// attempt is one way to store a command; it returns a result of those in stored, resultUnavailable or resultUncertain.
 type attempt func(ctx context.Context) string
 
 // forwarding stores one command through this daemon's store, the owner or other daemons. All writes of a command have the
@@ -44,6 +45,13 @@
 	relayedTo []string
 	// uncertain means that an attempt may have stored the command.
 	uncertain bool
+	// result is that of the attempt that has stored the command.
+	result string
+}
+
+// isStored reports whether a result means that the command is stored. resultNoJob does, of a cancellation.
+func isStored(result string) bool {
+	return result == resultOK || result == resultCancelled || result == resultNoJob
 }
 
 // storeOrRelay writes a command to the store, or relays it if the store doesn't answer this daemon: to the owner, then to
@@ -58,7 +66,10 @@
 			}
 			return *refusal
 		}
-		if f.firstOK(ctx, f.attempts()) {
+		if f.firstStored(ctx, f.attempts()) {
+			if f.result == resultNoJob {
+				return Answer{Result: NoJob}
+			}
 			return Answer{Result: OK}
 		}
 		// A command that was certainly not stored is refused at once while the store is down. One that may have been
@@ -107,10 +118,10 @@
 	return chosen
 }
 
-// firstOK reports whether one of the attempts has stored the command. It starts the next attempt when one has failed, or
+// firstStored reports whether one of the attempts has stored the command. It starts the next attempt when one has failed, or
 // when the last one has not been answered within hedgeDelay and the store has not answered this daemon either. A store that
 // answers is only slow: a second write would wait behind the first one and delay those of other commands.
-func (f *forwarding) firstOK(ctx context.Context, attempts []attempt) bool {
+func (f *forwarding) firstStored(ctx context.Context, attempts []attempt) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan string, len(attempts))
@@ -137,7 +148,8 @@
 			startNext()
 		case result := <-results:
 			pending--
-			if result == resultOK {
+			if isStored(result) {
+				f.result = result
 				return true
 			}
 			f.uncertain = f.uncertain || result == resultUncertain
@@ -200,6 +212,10 @@
 	switch {
 	case err == nil:
 		return resultOK
+	case errors.Is(err, ledger.ErrCancelled):
+		return resultCancelled
+	case errors.Is(err, ledger.ErrNoJob):
+		return resultNoJob
 	case errors.Is(err, rowstore.ErrUnavailable):
 		return resultUnavailable
 	}
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -39,6 +39,8 @@
 	losingAnswers
 	// losingWrites means that the store answers reads but no write, which it doesn't apply either.
 	losingWrites
+	// holdingWrites means that the store answers reads but no write, which it applies when performHeld is called.
+	holdingWrites
 )
 
 // testStore is the view of one daemon on a shared store.
@@ -48,6 +50,22 @@
 	delay atomic.Int64
 	// parts serialises the writes of a part over all daemons, each of which takes the delay.
 	parts *partQueues
+	mu    sync.Mutex
+	// held are the writes that performHeld applies.
+	held []rowstore.Tx
+}
+
+// performHeld applies the writes that were held, as far as their conditions hold, and returns how many of these did.
+func (s *testStore) performHeld() (applied int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, tx := range s.held {
+		if _, _, err := s.MemoryStore.Apply(context.Background(), tx); err == nil {
+			applied++
+		}
+	}
+	s.held = nil
+	return applied
 }
 
 func (s *testStore) set(mode storeMode) { s.mode.Store(int32(mode)) }
@@ -60,7 +78,7 @@
 		return rowstore.ErrUnavailable
 	case mode == resetting:
 		return rowstore.ErrUncertain
-	case mode == silent || mode == losingAnswers || (mode == losingWrites && write):
+	case mode == silent || mode == losingAnswers || ((mode == losingWrites || mode == holdingWrites) && write):
 		<-ctx.Done()
 		return fmt.Errorf("%w: %w", rowstore.ErrUncertain, ctx.Err())
 	}
@@ -82,8 +100,13 @@
 }
 
 func (s *testStore) Apply(ctx context.Context, tx rowstore.Tx) (uint64, []rowstore.Row, error) {
-	if storeMode(s.mode.Load()) == losingAnswers {
+	switch storeMode(s.mode.Load()) {
+	case losingAnswers:
 		_, _, _ = s.MemoryStore.Apply(ctx, tx)
+	case holdingWrites:
+		s.mu.Lock()
+		s.held = append(s.held, tx)
+		s.mu.Unlock()
 	}
 	if s.parts != nil && storeMode(s.mode.Load()) == answering {
 		return s.parts.apply(ctx, s, tx)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -23,8 +23,10 @@
 	commandPending = "pending"
 
 	resultOK = "ok"
-	// resultNoJob means that no such job exists.
+	// resultNoJob means that no such job exists. A cancellation of it is stored.
 	resultNoJob = "unknown"
+	// resultCancelled means that the accepted job was cancelled before.
+	resultCancelled = "cancelled"
 	// resultUnavailable means that nothing was stored and nothing will be.
 	resultUnavailable = "unavailable"
 	// resultUncertain means that the command may or may not take effect.
@@ -164,6 +166,13 @@
 	if j, known := s.Replica.Job(id); !(known && j.Cancelled) && !s.mayStoreForOthers(ctx, id) {
 		return resultUnavailable
 	}
+	if len(req.Record) > 0 {
+		var mark ledger.JobRecord
+		if len(req.Record) > s.Replica.MaxRowBytes() || json.Unmarshal(req.Record, &mark) != nil {
+			return resultUnavailable
+		}
+		return storeResult(s.Replica.CancelUnknown(ctx, id, mark))
+	}
 	return storeResult(s.Replica.Cancel(ctx, id))
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 
 	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/inbound"
@@ -83,6 +84,12 @@
 	notReadyRetryAfter = 1 * time.Second
 	// maxAdmissionAge is how long the key and the queue of a request stay checked while its body arrives.
 	maxAdmissionAge = 100 * time.Millisecond
+	// marksPerSecond bounds the cancellations of unknown jobs that all daemons store, marksBurst those that one stores at once. Each takes two of
+	// the store's some hundred writes a second, and a row for some minutes.
+	marksPerSecond = 20
+	marksBurst     = 10
+	// markRetryAfter is the Retry-After of a cancellation beyond these bounds.
+	markRetryAfter = 2 * time.Second
 	// maxReplicaAge is the greatest age of the replica at which jobs are counted in it.
 	maxReplicaAge = 2500 * time.Millisecond
 )
@@ -136,6 +143,8 @@
 	answerSeconds map[string]*metrics.Histogram
 	// organisationAnswers counts the answers of each organisation.
 	organisationAnswers *organisationCounters
+	// marks bounds the cancellations of unknown jobs that are stored.
+	marks *rate.Limiter
 }
 
 // Names of commands and queries in logs and metrics.
@@ -149,7 +158,7 @@
 
 // NewService returns a service without configuration.
 func NewService(o Options) *Service {
-	s := &Service{Options: o, organisationAnswers: newOrganisationCounters(o.Metrics)}
+	s := &Service{Options: o, organisationAnswers: newOrganisationCounters(o.Metrics), marks: rate.NewLimiter(marksPerSecond, marksBurst)}
 	s.answerCounts = make(map[Result]*metrics.Counter)
 	for r, name := range resultNames {
 		s.answerCounts[r] = o.Metrics.NewCounter(`laburnumpoint_answers_total{result="` + name + `"}`)
@@ -318,7 +327,7 @@
 }
 
 // withJob calls op with the id of the job that a request names. It counts, logs and times the answer.
-func (s *Service) withJob(ctx context.Context, command string, req Request, op func(context.Context, graph.JobID) Answer) Answer {
+func (s *Service) withJob(ctx context.Context, command string, req Request, op func(context.Context, admission, graph.JobID) Answer) Answer {
 	defer s.observeDuration(command, s.Clock.Now())
 	admitted, refusal := s.admit(req)
 	if refusal != nil {
@@ -330,21 +339,43 @@
 	}
 	ctx, cancel := admitted.bound(ctx)
 	defer cancel()
-	return s.recordAnswer(command, admitted, op(ctx, id))
+	return s.recordAnswer(command, admitted, op(ctx, admitted, id))
 }
 
-// Cancel cancels a job.
+// Cancel cancels a job. After NoJob a job of the queue with this id that is accepted in the next minutes is cancelled too.
 func (s *Service) Cancel(ctx context.Context, req Request) Answer {
-	return s.withJob(ctx, labelCancel, req, func(ctx context.Context, id graph.JobID) Answer {
-		if found := s.findJob(ctx, id); found.Result != OK {
+	return s.withJob(ctx, labelCancel, req, func(ctx context.Context, admitted admission, id graph.JobID) Answer {
+		found := s.findJob(ctx, id)
+		cancel := func(ctx context.Context) error { return s.Replica.Cancel(ctx, id) }
+		command := &wire.IntakeRequest{Command: commandCancel, Job: string(id)}
+		switch found.Result {
+		case OK:
+		case NoJob:
+			// A write that accepts the job may be under way.
+			if !s.mayMark() {
+				return Answer{Result: Unavailable, RetryAfter: markRetryAfter, Detail: "too many cancellations of unknown jobs"}
+			}
+			mark := ledger.NewCancelMark(admitted.route.Queue.Name, admitted.organisation)
+			data, err := json.Marshal(mark)
+			if err != nil {
+				return Answer{Result: Invalid, Detail: err.Error()}
+			}
+			cancel = func(ctx context.Context) error { return s.Replica.CancelUnknown(ctx, id, mark) }
+			command.Record = data
+		default:
 			return found
 		}
-		return s.storeOrRelay(ctx, req,
-			func(ctx context.Context) error { return s.Replica.Cancel(ctx, id) },
-			&wire.IntakeRequest{Command: commandCancel, Job: string(id)}, timesOfCommand)
+		return s.storeOrRelay(ctx, req, cancel, command, timesOfCommand)
 	})
 }
 
+// mayMark reports whether the cancellation of an unknown job may be stored now.
+func (s *Service) mayMark() bool {
+	daemons := len(s.OtherDaemons()) + 2 // with the owner, which lists them, and this one
+	s.marks.SetLimit(marksPerSecond / rate.Limit(daemons))
+	return s.marks.Allow()
+}
+
 // State returns a job's state, or the number of pending jobs if the path names only a queue.
 func (s *Service) State(ctx context.Context, req Request) Answer {
 	defer s.observeDuration(labelState, s.Clock.Now())
@@ -388,7 +419,7 @@
 	return s.withJob(ctx, labelExplain, req, s.explainJob)
 }
 
-func (s *Service) explainJob(ctx context.Context, id graph.JobID) Answer {
+func (s *Service) explainJob(ctx context.Context, _ admission, id graph.JobID) Answer {
 	answer := s.currentState(ctx, id)
 	if answer.Result != OK || answer.State.Ended() {
 		return answer
--- a/internal/ledger/intake.go
+++ b/internal/ledger/intake.go
@@ -15,7 +15,7 @@
 }
 
 // Accept stores a job. It returns nil if the job is stored already.
-// Errors: ErrUnavailable, ErrUncertain.
+// Errors: ErrCancelled, ErrUnavailable, ErrUncertain.
 func (r *Replica) Accept(ctx context.Context, id graph.JobID, record JobRecord) error {
 	if _, known := r.Job(id); known {
 		return nil
@@ -23,16 +23,25 @@
 	key := jobKey(id)
 	row := rowstore.Row{Key: key, Value: encode(record)}
 	tx := rowstore.Tx{Expect: []rowstore.Condition{{Key: key}}, Put: []rowstore.Row{row}}
-	version, _, err := r.store.Apply(ctx, tx)
-	if errors.Is(err, rowstore.ErrConflict) {
-		return nil // the job is stored already
-	}
-	if err != nil {
-		return err
+	for range maxMarkTries {
+		version, current, err := r.store.Apply(ctx, tx)
+		if err == nil {
+			row.Version = version
+			r.applyIfFollowing(rowstore.Change{Row: row})
+			return nil
+		}
+		if !errors.Is(err, rowstore.ErrConflict) {
+			return err
+		}
+		mark, version, marked := markIn(current, key)
+		if !marked {
+			return nil // the job is stored already
+		}
+		if err := r.acceptMarked(ctx, id, record, mark, version); !errors.Is(err, rowstore.ErrConflict) {
+			return err
+		}
 	}
-	row.Version = version
-	r.applyIfFollowing(rowstore.Change{Row: row})
-	return nil
+	return rowstore.ErrUncertain
 }
 
 // applyIfFollowing applies a change that the daemon learns of before the store's feed reports it, if it has a copy.
@@ -118,6 +127,9 @@
 		return Job{}, false, err
 	}
 	err = json.Unmarshal(records[0].Value, &found.JobRecord)
+	if err == nil && found.isMark() {
+		return Job{}, false, nil
+	}
 	if err == nil {
 		err = found.check()
 	}
@@ -125,6 +137,7 @@
 		r.log.Error().Str("job", string(id)).Err(err).Msg("job record could not be decoded, skipped")
 		return Job{}, false, nil
 	}
+	found.Cancelled = found.CancelledBefore
 	progress, err := r.readRow(ctx, progressKey(id))
 	if err != nil {
 		return Job{}, false, err
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -43,6 +43,8 @@
 	Spec         *graph.Spec `json:"spec"`
 	// AcceptedMS is when the accepting daemon accepted the job by its wall clock, in milliseconds since the Unix epoch.
 	AcceptedMS int64 `json:"at"`
+	// CancelledBefore means that the job was cancelled before it was accepted. Without a spec the record is a mark.
+	CancelledBefore bool `json:"cancelled,omitempty"`
 }
 
 // Age returns the time since the job was accepted, by the wall clocks of the accepting daemon and of this one.
--- a/internal/ledger/replica.go
+++ b/internal/ledger/replica.go
@@ -108,7 +108,9 @@
 	mu      sync.RWMutex
 	jobs    map[graph.JobID]*Job
 	workers map[dispatch.WorkerID]RecordedWorker
-	owner   OwnerRecord
+	// marks are the jobs that were cancelled and are not stored.
+	marks map[graph.JobID]cancelMark
+	owner OwnerRecord
 	// ownerVersion is the version of the ownership row, 0 if there is none; ownerChangedAt is when the row was last seen to
 	// change.
 	ownerVersion   uint64
@@ -129,6 +131,7 @@
 		log:            logger,
 		jobs:           make(map[graph.JobID]*Job),
 		workers:        make(map[dispatch.WorkerID]RecordedWorker),
+		marks:          make(map[graph.JobID]cancelMark),
 		ownerChangedAt: clock.Now(),
 		onJobChange:    func(graph.JobID) {},
 		maxRowBytes:    rowstore.MaxRowBytes,
@@ -237,6 +240,7 @@
 	defer r.mu.Unlock()
 	r.jobs = make(map[graph.JobID]*Job)
 	r.workers = make(map[dispatch.WorkerID]RecordedWorker)
+	r.marks = make(map[graph.JobID]cancelMark)
 	r.ownerReadAt = r.clock.Now()
 }
 
@@ -327,6 +331,11 @@
 				r.dropRecord(id)
 			}
 		}
+		for id, mark := range r.marks {
+			if removed(jobPrefix+string(id), mark.version) {
+				delete(r.marks, id)
+			}
+		}
 	case progressTable:
 		for id, j := range r.jobs {
 			for name, d := range j.details {
@@ -398,6 +407,9 @@
 func (r *Replica) applyJob(id graph.JobID, change rowstore.Change) (graph.JobID, error) {
 	if change.Removed {
 		r.dropRecord(id)
+		if r.marks[id].version <= change.Version {
+			delete(r.marks, id)
+		}
 		return "", nil
 	}
 	if j := r.jobs[id]; j != nil && j.hasRecord {
@@ -407,11 +419,19 @@
 	if err := json.Unmarshal(change.Value, &record); err != nil {
 		return "", err
 	}
+	if record.isMark() {
+		if change.Version > r.marks[id].version {
+			r.marks[id] = cancelMark{change.Version, r.clock.Now()}
+		}
+		return "", nil
+	}
 	if err := record.check(); err != nil {
 		return "", err
 	}
 	j := r.ensureJob(id)
+	delete(r.marks, id)
 	j.JobRecord = record
+	j.Cancelled = j.Cancelled || record.CancelledBefore
 	j.hasRecord, j.recordVersion = true, change.Version
 	return id, nil
 }
--- a/internal/owner/commit_test.go
+++ b/internal/owner/commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -230,3 +231,45 @@
 		time.Sleep(3 * time.Second)
 	})
 }
+
+// Guards against marks of cancelled jobs that no owner removes: their owners come and go, and the store is full of them.
+func TestOwnerRemovesOldMarksOfCancelledJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const marks = 30
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := rowstore.NewMemoryStore()
+		c, _ := newCommitController(ctx, t, store)
+		c.reportsComplete = true
+		following, stop := context.WithCancel(ctx)
+		go c.Replica.Run(following)
+		c.Replica.SetOwning(true)
+		time.Sleep(time.Second)
+		for i := range marks {
+			if err := c.Replica.CancelUnknown(ctx, graph.JobID(fmt.Sprint("j", i)), ledger.NewCancelMark("q", "")); !errors.Is(err, ledger.ErrNoJob) {
+				t.Fatal(err)
+			}
+		}
+		tick := func() {
+			c.engine.SetNow(c.now())
+			c.removeCancelMarks()
+			for c.removingMarks {
+				c.handleEvent(<-c.events)
+			}
+			time.Sleep(tickInterval)
+		}
+		tick()
+		if left := len(c.Replica.CancelMarks(c.now(), marks)); left != marks {
+			t.Errorf("%d marks are left at once, want all", left)
+		}
+		time.Sleep(markRetention)
+		for range marks {
+			tick()
+		}
+		if left := c.Replica.CancelMarks(c.now(), marks); len(left) > 0 {
+			t.Errorf("marks %v are left", left)
+		}
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -83,8 +83,9 @@
 	endedJobs         []endedJob
 	removalScheduled  map[graph.JobID]bool
 	removableProgress map[graph.JobID]struct{}
-	// deletingRecords and committing mean that a call of that kind to the store is under way.
+	// deletingRecords, removingMarks and committing mean that a call of that kind to the store is under way.
 	deletingRecords bool
+	removingMarks   bool
 	committing      bool
 	nextCommitAt    monotime.Instant
 	// nextRoundAt is when the next round may begin.
@@ -317,6 +318,7 @@
 			c.resignIfNeeded()
 			c.ownership.SetStandbys(c.permits.countStandbys(c.now(), c.Cores))
 			c.removeEndedJobs()
+			c.removeCancelMarks()
 			c.publishOrganisationUsages()
 			c.publishBacklog()
 		}
--- a/internal/owner/retention.go
+++ b/internal/owner/retention.go
@@ -25,6 +25,33 @@
 	hasRecord bool
 }
 
+// markRetention is how long the mark of a cancelled job is kept: longer than a write that accepts the job, or a further try of its caller, may
+// be late.
+const markRetention = 2 * time.Minute
+
+// marksPerRemoval bounds the marks of cancelled jobs that are removed at once, one transaction each. It keeps up with marksPerSecond of package
+// entry.
+const marksPerRemoval = 4
+
+// removeCancelMarks starts the removal of old marks.
+func (c *controller) removeCancelMarks() {
+	if c.removingMarks || !c.reportsComplete || !c.ownershipValid() {
+		return
+	}
+	old := c.Replica.CancelMarks(c.now().Add(-markRetention), marksPerRemoval)
+	if len(old) == 0 {
+		return
+	}
+	c.removingMarks = true
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, deletionTimeout)
+		defer cancel()
+		err := c.Replica.RemoveCancelMarks(ctx, old)
+		c.Log.Info().Int("rows", len(old)).Err(err).Msg("finished deleting marks of cancelled jobs")
+		c.post(func() { c.removingMarks = false })
+	}()
+}
+
 // scheduleRemoval schedules the next step of an ended job's removal, unless one is scheduled.
 func (c *controller) scheduleRemoval(id graph.JobID, hasRecord bool) {
 	if c.removalScheduled[id] {
