Owner: log lines for hold calls that confirm ends across a restart

The owner's log says "worker does not report the run", but not whether a hold call that confirms ends was under way as the worker's process changed, nor which process answered it.

"worker process ended", "run lost" and "worker gone" now have confirming and token, and a call that another process has answered has a line of its own.

--- a/internal/owner/call_order.go
+++ b/internal/owner/call_order.go
@@ -75,9 +75,9 @@
 	token    uint64
 	// confirming is up to which sequence it does, confirmed up to which an answered one did.
 	confirming, confirmed uint64
-	// lateToken is the highest token of those that got no answer, which may be carried out until lateUntil.
-	lateToken uint64
-	lateUntil monotime.Instant
+	// lateToken is the highest token of those that got no answer, lateSequence the highest sequence; they may be carried out until lateUntil.
+	lateToken, lateSequence uint64
+	lateUntil               monotime.Instant
 }
 
 // begin notes that a hold call is sent that confirms ends up to a sequence.
@@ -110,11 +110,26 @@
 	case err == nil:
 		f.confirmed = f.confirming
 	case errors.Is(err, ErrNoAnswer):
-		f.lateToken, f.lateUntil = max(f.lateToken, f.token), sentAt.Add(dispatch.MaxCallDelay)
+		f.lateToken, f.lateSequence = max(f.lateToken, f.token), max(f.lateSequence, f.confirming)
+		f.lateUntil = sentAt.Add(dispatch.MaxCallDelay)
 	}
 	f.underWay = false
 }
 
+// open returns up to which sequence a hold call confirms ends that is under way, or got no answer and may still be carried out; 0 for none.
+func (f *confirmations) open(now monotime.Instant) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sequence := uint64(0)
+	if f.underWay {
+		sequence = f.confirming
+	}
+	if now < f.lateUntil {
+		sequence = max(sequence, f.lateSequence)
+	}
+	return sequence
+}
+
 // mayBeLate reports whether one with the token, or a higher one, got no answer and may still be carried out.
 func (f *confirmations) mayBeLate(now monotime.Instant, token uint64) bool {
 	f.mu.Lock()
--- a/internal/owner/given_up.go
+++ b/internal/owner/given_up.go
@@ -47,6 +47,7 @@
 	c := wc.controller
 	entry.Str("why", string(why)).Dur("evidence_age", c.since(wc.evidenceTime(why))).Dur("unheard", c.since(wc.aliveAt)).Bool("reported", wc.reported)
 	entry.Int64("listed_start", wc.listing.ProcessStart.Milliseconds()).Bool("registered", !wc.unregistered)
+	entry.Uint64("confirming", wc.confirmations.open(c.now())).Uint64("token", wc.fencingToken.Load())
 	return wc.logStarts(wc.logLease(entry))
 }
 
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -342,6 +342,9 @@
 	wc.idle = len(report.Running) == 0 && wc.starts.Load() == startsBefore
 	wc.unconfirmed = call.Recorded == 0 && recorded > 0 && len(report.Ended) > 0 && report.Ended[0].Sequence <= recorded
 	if known != 0 && report.ProcessStart != known {
+		if call.Recorded > 0 {
+			wc.logConfirmedToAnother(call, report, answeredAt.Sub(sentAt))
+		}
 		return 0, errRestarted
 	}
 	wc.processStart.Store(int64(report.ProcessStart))
@@ -360,6 +363,13 @@
 // errUnnamedProcess means that a report doesn't say which process it is of although earlier ones did. It may be of any.
 var errUnnamedProcess = fmt.Errorf("%w: the report names no process", ErrNoAnswer)
 
+// logConfirmedToAnother logs a hold call that confirmed ends of a process and was answered by the next one, which has forgotten its own ends up to
+// the same sequence.
+func (wc *workerConn) logConfirmedToAnother(call HoldCall, report dispatch.Report, took time.Duration) {
+	line := wc.controller.Log.Warn().Str("worker", string(wc.worker.ID)).Uint64("confirming", call.Recorded).Uint64("token", call.Token).Dur("took", took)
+	line.Int64("process_start", report.ProcessStart.Milliseconds()).Int("running", len(report.Running)).Int("ended", len(report.Ended)).Msg("ends confirmed to another process of the worker")
+}
+
 // errRestarted means that the worker's process is not the one that answered before.
 var errRestarted = errors.New("owner: the worker's process has restarted")
 
