--- a/internal/owner/call_order.go
+++ b/internal/owner/call_order.go
@@ -1,7 +1,9 @@
 package owner
 
 import (
+	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -10,11 +12,16 @@
 	"laburnumpoint/internal/monotime"
 )
 
-// A hold call that confirms ends makes the worker forget its ends up to a sequence. Carried out late by the next process under the worker's
-// id, it makes that process forget its own first ends, which nobody has heard of, and their tasks would run again. Starts that are sent
-// once may begin a run there before the process answers the owner (see dispatch.Start), and others once the policy service has heard of the
-// restart. A start and a hold call that confirms ends must therefore not both be under way, unless the start has the higher token: a process
-// that has carried it out refuses the hold call.
+// A hold call that confirms ends makes the worker forget its ends up to a sequence. Carried out by the next process under the worker's id, it makes
+// that process forget its own first ends, which nobody has heard of, and their tasks would run again. The next process may have ends by then:
+// starts may begin runs there before it answers the owner, those without a permit in any case, others once the policy service has heard of the
+// restart. A call names no process, so each call that confirms ends is kept apart from the starts to the worker:
+//
+//   - It is sent only if no start is unsettled: each one sent before was carried out by the process that has reported the ends, or can't be
+//     carried out by another one.
+//   - It doesn't wait for an end, so that it is under way for a short time.
+//   - A start that is ordered while one is under way, or may be carried out late, has a higher token: a process that has carried it out refuses
+//     the call.
 
 // maxRaisedTokens bounds the fencing tokens of a worker that starts use up. The others are left for connections.
 const maxRaisedTokens = ledger.EpochStride * 3 / 4
@@ -22,49 +29,93 @@
 // errOvertaken means that the worker has refused a call since it had carried out one of this owner with a higher token. The call did nothing.
 var errOvertaken = errors.New("owner: a later call with a higher token has overtaken the call")
 
-// unansweredStarts are the starts to a worker that are sent once and that it has neither answered nor listed, with the time until which
-// they may be carried out. It is safe for concurrent use.
-type unansweredStarts struct {
-	mu    sync.Mutex
-	until map[dispatch.RunKey]monotime.Instant
+// unsettledStart is a start that another process of its worker than the one which reports may have carried out, or may yet.
+type unsettledStart struct {
+	// until is when it can't be carried out any more by a process that has not been heard.
+	until monotime.Instant
+	// boundAfter is the time of a hold call from which on an answer by the process that has reported shows that no other one carries the start
+	// out; 0 as long as there is none.
+	boundAfter monotime.Instant
 }
 
-// unansweredStarts returns those of the worker.
-func (c *controller) unansweredStarts(id dispatch.WorkerID) *unansweredStarts {
-	if c.unanswered[id] == nil {
-		c.unanswered[id] = &unansweredStarts{until: make(map[dispatch.RunKey]monotime.Instant)}
+// unsettledStarts are those to a worker. They are safe for concurrent use.
+type unsettledStarts struct {
+	mu     sync.Mutex
+	starts map[dispatch.RunKey]unsettledStart
+	// settled signals that none is left.
+	settled chan struct{}
+}
+
+// unsettledStarts returns those of the worker.
+func (c *controller) unsettledStarts(id dispatch.WorkerID) *unsettledStarts {
+	if c.unsettled[id] == nil {
+		c.unsettled[id] = &unsettledStarts{starts: make(map[dispatch.RunKey]unsettledStart), settled: make(chan struct{}, 1)}
 	}
-	return c.unanswered[id]
+	return c.unsettled[id]
 }
 
-func (u *unansweredStarts) add(key dispatch.RunKey, sentAt monotime.Instant) {
-	u.addUntil(key, sentAt.Add(dispatch.MaxCallDelay))
+// add notes a start that is ordered, or sent after a wait. A permit is bound to the process that was up when it was given: another one refuses it
+// if that process answers a later call.
+func (u *unsettledStarts) add(order dispatch.Start, at monotime.Instant) {
+	s := unsettledStart{until: at.Add(dispatch.MaxCallDelay)}
+	if !order.Once {
+		s.boundAfter = at
+		if order.PermitUntil > 0 {
+			s.until = min(s.until, order.PermitUntil)
+		}
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.starts[order.RunKey] = s
 }
 
-func (u *unansweredStarts) addUntil(key dispatch.RunKey, until monotime.Instant) {
+// addLate notes a start of an earlier owner that may be carried out until the given time.
+func (u *unsettledStarts) addLate(key dispatch.RunKey, until monotime.Instant) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.until[key] = until
+	u.starts[key] = unsettledStart{until: until}
 }
 
-// remove removes a start that can't be carried out any more.
-func (u *unansweredStarts) remove(key dispatch.RunKey) {
+// noteStarted notes that a process has carried the start out, by an answer that came at the given time. It is that which has reported if it
+// answers a later hold call.
+func (u *unsettledStarts) noteStarted(key dispatch.RunKey, at monotime.Instant) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	delete(u.until, key)
+	if s, ok := u.starts[key]; ok && s.boundAfter == 0 {
+		s.boundAfter = at
+		u.starts[key] = s
+	}
 }
 
-// any reports whether one of the starts may still be carried out.
-func (u *unansweredStarts) any(now monotime.Instant) bool {
+// remove removes a start that was carried out by the process that has reported, or can't be carried out.
+func (u *unsettledStarts) remove(key dispatch.RunKey) {
+	u.removeIf(func(k dispatch.RunKey, _ unsettledStart) bool { return k == key })
+}
+
+// settle removes the starts that the process which has reported settles by its answer to a hold call sent at the given time.
+func (u *unsettledStarts) settle(sentAt monotime.Instant) {
+	u.removeIf(func(_ dispatch.RunKey, s unsettledStart) bool { return s.boundAfter > 0 && sentAt > s.boundAfter })
+}
+
+func (u *unsettledStarts) removeIf(over func(dispatch.RunKey, unsettledStart) bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for key, until := range u.until {
-		if now < until {
-			return true
+	before := len(u.starts)
+	maps.DeleteFunc(u.starts, over)
+	if before > 0 && len(u.starts) == 0 {
+		select {
+		case u.settled <- struct{}{}:
+		default:
 		}
-		delete(u.until, key)
 	}
-	return false
+}
+
+// any reports whether there is one.
+func (u *unsettledStarts) any(now monotime.Instant) bool {
+	u.removeIf(func(_ dispatch.RunKey, s unsettledStart) bool { return now >= s.until })
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.starts) > 0
 }
 
 // confirmations are the hold calls of a connection that confirm ends and have no answer. They are safe for concurrent use.
@@ -144,54 +195,86 @@
 	return f.underWay && f.token >= token
 }
 
-// prepareStart raises the token if a hold call that confirms ends might be carried out after the start. Of those under way only a start that
-// is sent once is kept apart: for any other one the policy service would have to have heard of the restart within the hold call's time. The
-// control loop calls it.
-func (wc *workerConn) prepareStart(order dispatch.Start) {
+// prepareStart notes a start, and raises the token if a hold call that confirms ends might be carried out after it. false means that the start
+// must not be sent, since no token is left. The control loop calls it.
+func (wc *workerConn) prepareStart(order dispatch.Start) bool {
 	now, token := wc.controller.now(), wc.fencingToken.Load()
-	if order.Once {
-		wc.startsOnce.Store(true)
-		wc.unanswered.add(order.RunKey, now)
+	if wc.controller.callsNameProcess {
+		return true
 	}
-	if wc.confirmations.mayBeLate(now, token) || order.Once && wc.confirmations.isUnderWay(token) {
-		wc.raiseToken()
+	wc.unsettled.add(order, now)
+	if wc.confirmations.mayBeLate(now, token) || wc.confirmations.isUnderWay(token) {
+		return wc.raiseToken()
 	}
+	return true
 }
 
-// raiseToken raises the token unless starts have used up theirs.
-func (wc *workerConn) raiseToken() {
+// raiseToken raises the token and reports whether it has, which it hasn't if starts have used up theirs.
+func (wc *workerConn) raiseToken() bool {
 	c := wc.controller
 	if c.tokensGiven[wc.worker.ID] >= maxRaisedTokens {
 		if !wc.tokensUsedUp {
 			wc.tokensUsedUp = true
 			c.Log.Warn().Str("worker", string(wc.worker.ID)).Msg("no fencing tokens left to keep starts and hold calls apart")
 		}
-		return
+		return false
 	}
 	wc.fencingToken.Store(c.nextFencingToken(wc.worker.ID))
+	return true
 }
 
-// beginHold returns a hold call that may wait for a run to end, and confirms ends up to a sequence, at most recorded: none while a start may
-// begin a run on another process of the worker. On a worker that gets starts which are sent once, a call that confirms ends doesn't
-// wait, and none confirms them again, so that few starts need a higher token.
+// beginHold returns a hold call that may wait for a run to end, or one that confirms ends up to a sequence, at most recorded, unless none is new or
+// a start is unsettled.
 func (wc *workerConn) beginHold(recorded uint64, wait time.Duration) HoldCall {
 	call := HoldCall{Token: wc.fencingToken.Load(), Wait: wait}
-	once := wc.startsOnce.Load()
-	if recorded == 0 || once && wc.confirmations.covers(recorded) {
+	if wc.controller.callsNameProcess {
+		call.Recorded = recorded
+		return call
+	}
+	if recorded == 0 || wc.confirmations.covers(recorded) {
 		return call
 	}
 	wc.confirmations.begin(call.Token, recorded)
-	if wc.unanswered.any(wc.controller.now()) {
+	if wc.unsettled.any(wc.controller.now()) {
 		wc.confirmations.cancel()
 		return call
 	}
-	call.Recorded = recorded
-	if once {
-		call.Wait = 0
-	}
+	call.Recorded, call.Wait = recorded, 0
 	return call
 }
 
+// settleWait is how long a hold loop with ends to confirm waits for the answers to starts, which come within milliseconds as a rule.
+const settleWait = 100 * time.Millisecond
+
+// awaitSettled waits for settleWait at most until no start is unsettled, if there are ends to confirm.
+func (wc *workerConn) awaitSettled(ctx context.Context) {
+	if recorded := wc.recorded(); recorded == 0 || wc.confirmations.covers(recorded) {
+		return
+	}
+	timer := time.NewTimer(settleWait)
+	defer timer.Stop()
+	for wc.unsettled.any(wc.controller.now()) {
+		select {
+		case <-wc.unsettled.settled:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// noteAnsweredStart notes a start that a worker has answered as begun with a reading of its clock, 0 if it gave none. A clock that runs for
+// longer than the process that has reported was last known to live is that of this process.
+func (wc *workerConn) noteAnsweredStart(key dispatch.RunKey, clock time.Duration) {
+	now := wc.controller.now()
+	if alive := monotime.Instant(wc.aliveSentAt.Load()); alive > 0 && clock > now.Sub(alive) {
+		wc.unsettled.remove(key)
+		return
+	}
+	wc.unsettled.noteStarted(key, now)
+}
+
 // unconfirmedDelay is the delay after a report of ends that could not be confirmed: the worker answers at once as long as it has any.
 func (wc *workerConn) unconfirmedDelay() time.Duration {
 	return max(holdRetryDelay, time.Duration(wc.controller.workersInUse.Load())*time.Second/maxLossyHolds)
--- a/internal/owner/call_order_test.go
+++ b/internal/owner/call_order_test.go
@@ -11,9 +11,13 @@
 	"laburnumpoint/internal/ledger"
 )
 
-// confirmed returns up to which sequence the last hold call confirmed ends.
-func (w *leasedWorker) confirmed() uint64 {
-	return w.hold(w.holdCount() - 1).Recorded
+// confirmed returns up to which sequence hold calls confirmed ends, from the call with the given index on.
+func (w *leasedWorker) confirmed(from int) uint64 {
+	sequence := uint64(0)
+	for i := from; i < w.holdCount(); i++ {
+		sequence = max(sequence, w.hold(i).Recorded)
+	}
+	return sequence
 }
 
 // Guards against a task that runs again after it was done: the next process of a worker carried out a start late and, after the run, a hold call
@@ -23,17 +27,17 @@
 		const recorded = 5
 		l.setRecorded(map[dispatch.WorkerID]uint64{testWorker.ID: recorded})
 		runLoop(l.controller, 2*holdWait, func() {})
-		if l.worker.confirmed() != recorded {
-			l.t.Fatalf("a hold call confirms ends up to %d, want %d", l.worker.confirmed(), recorded)
+		if confirmed := l.worker.confirmed(0); confirmed != recorded {
+			l.t.Fatalf("hold calls confirm ends up to %d, want %d", confirmed, recorded)
 		}
 		l.worker.leaveStartsUnanswered(1)
 		addOneTask(l.controller, "j")
-		ordered := time.Now()
+		ordered, before := time.Now(), l.worker.holdCount()
 		l.setRecorded(map[dispatch.WorkerID]uint64{testWorker.ID: recorded + 1})
 		runLoop(l.controller, 2*holdWait, func() {})
 		for time.Since(ordered) < dispatch.MaxCallDelay-holdWait {
-			if l.worker.confirmed() != 0 {
-				l.t.Fatalf("a hold call confirms ends up to %d, %s after a start that got no answer", l.worker.confirmed(), time.Since(ordered))
+			if confirmed := l.worker.confirmed(before); confirmed != 0 {
+				l.t.Fatalf("a hold call confirms ends up to %d, %s after a start that got no answer", confirmed, time.Since(ordered))
 			}
 			runLoop(l.controller, tickInterval, func() {})
 		}
@@ -80,18 +84,23 @@
 func TestStartPassesNoHoldCallThatConfirmsEnds(t *testing.T) {
 	// lost means that the hold call gets no answer, permit that the start has a permit, which the next process refuses unless it is new.
 	for name, test := range map[string]struct{ lost, permit bool }{
-		"under way": {false, false}, "without an answer": {true, false}, "without an answer, with a permit": {true, true},
+		"under way": {false, false}, "under way, with a permit": {false, true}, "without an answer": {true, false}, "without an answer, with a permit": {true, true},
 	} {
 		lost := test.lost
 		t.Run(name, func(t *testing.T) {
 			runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+				l.worker.loseConfirmations(lost)
+				l.worker.mu.Lock()
+				l.worker.confirmationTime = 2 * time.Second // of those that are not lost, one is under way as the task starts
+				l.worker.mu.Unlock()
 				l.setRecorded(map[dispatch.WorkerID]uint64{testWorker.ID: 5})
 				runLoop(l.controller, 2*holdWait, func() {})
 				if lost {
-					l.worker.loseHolds(true)
-					runLoop(l.controller, 2*holdWait, func() {})
-					l.worker.loseHolds(false)
-					runLoop(l.controller, time.Second, func() {})
+					runLoop(l.controller, 3*time.Second, func() {})
+					l.worker.loseConfirmations(false)
+				}
+				if wc := l.workerConns[testWorker.ID]; wc.confirmations.open(l.now()) != 5 {
+					l.t.Fatal("no hold call that confirms ends is open")
 				}
 				before := l.worker.hold(l.worker.holdCount() - 1)
 				if test.permit {
@@ -105,21 +114,21 @@
 				if len(starts) != 1 || starts[0].Token <= before.Token {
 					l.t.Fatalf("the starts are %+v, want one with a higher token than the hold call's %d", starts, before.Token)
 				}
-				runLoop(l.controller, 3*holdWait, func() {})
+				runLoop(l.controller, 6*holdWait, func() {})
 				if now := l.worker.holdCount(); l.ownershipLost || now == holds || !l.worker.runs() {
 					l.t.Errorf("ownership lost: %t, %d further hold calls, the worker runs the task: %t; want it owned, held and running", l.ownershipLost, now-holds, l.worker.runs())
 				}
 				wc := l.workerConns[testWorker.ID]
 				raised := wc.fencingToken.Load()
-				if wc.prepareStart(dispatch.Start{Once: !test.permit}); wc.fencingToken.Load() != raised {
+				if sent := wc.prepareStart(dispatch.Start{Once: !test.permit}); !sent || wc.fencingToken.Load() != raised {
 					l.t.Errorf("a further start raises the token from %d to %d", raised, wc.fencingToken.Load())
 				}
 				l.tokensGiven[testWorker.ID] = maxRaisedTokens
 				token := wc.fencingToken.Load()
 				wc.confirmations.begin(token, 6)
-				wc.prepareStart(dispatch.Start{Once: true})
-				if now := wc.fencingToken.Load(); now != token {
-					l.t.Errorf("the token rises from %d to %d, want the last ones left for restarts", token, now)
+				sent := wc.prepareStart(dispatch.Start{Once: !test.permit})
+				if now := wc.fencingToken.Load(); sent || now != token {
+					l.t.Errorf("a start without a token left is sent: %t, the token rises from %d to %d; want the last ones left for restarts", sent, token, now)
 				}
 			})
 		})
@@ -155,16 +164,105 @@
 	})
 }
 
-// Guards against an owner that gets far more answers than before: hold calls that confirm ends don't wait, on workers too whose starts have
-// permits.
-func TestHoldThatConfirmsEndsWaitsOnWorkersWithPermits(t *testing.T) {
-	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
-		l.workerConns[testWorker.ID].prepareStart(dispatch.Start{RunKey: dispatch.RunKey{Number: 1}, Permit: "p"})
-		want := HoldCall{Token: l.workerConns[testWorker.ID].fencingToken.Load(), Recorded: 5, Wait: holdWait}
-		if call := l.workerConns[testWorker.ID].beginHold(5, holdWait); call != want {
-			l.t.Errorf("the hold call is %+v, want %+v", call, want)
+// Guards against an owner that is kept busy by its workers: ends cost more than two hold calls each, the one that hears of them and one that confirms them.
+// On a process that is too young to be known by its clock a further call asks whether it has carried the starts out.
+func TestHoldCallsForEachEndAreBounded(t *testing.T) {
+	const ends, interval = 20, 5 * time.Second
+	for name, test := range map[string]struct {
+		start dispatch.Start
+		clock time.Duration
+		calls int
+	}{
+		"with permits": {dispatch.Start{Permit: "p"}, time.Hour, 2}, "without permits": {dispatch.Start{Once: true}, time.Hour, 2},
+		"young process": {dispatch.Start{Permit: "p"}, time.Millisecond, 3}, "no starts": {calls: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+				l.worker.forgets = true
+				wc, began, holds := l.workerConns[testWorker.ID], time.Now(), l.worker.holdCount()
+				for n := range uint64(ends) {
+					if test.start != (dispatch.Start{}) {
+						test.start.Number = n + 1
+						wc.prepareStart(test.start)
+						wc.finishStart(test.start, 0, orderAnswer{outcome: dispatch.Started, clock: test.clock}, &queuedOrder{})
+					}
+					l.worker.listEnd(dispatch.EndedEntry{Sequence: n + 1, End: dispatch.RunInterrupted})
+					runLoop(l.controller, interval, func() { l.setRecorded(l.engine.LastEndSequences()) })
+					if l.worker.listsEnds() {
+						l.t.Errorf("end %d is not confirmed after %s", n+1, interval)
+					}
+				}
+				if n, most := l.worker.holdCount()-holds, test.calls*ends+int(time.Since(began)/holdWait)+1; n > most {
+					l.t.Errorf("%d hold calls for %d ends in %s, want %d at most", n, ends, time.Since(began), most)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a task that runs again after it was done: the next process of a worker carried out a start and ended its task before it was
+// heard, and a hold call confirmed the former process's ends to it. No such call is sent before it is known which process has carried out the
+// starts.
+func TestHoldConfirmsNoEndsWhileAnotherProcessMayHaveCarriedOutAStart(t *testing.T) {
+	const lease = 2 * time.Second
+	order := func(l *leaseTest, permit bool) dispatch.Start {
+		start := dispatch.Start{RunKey: dispatch.RunKey{Number: 1}, Once: !permit}
+		if permit {
+			start.Permit, start.PermitUntil = "p", l.now().Add(lease)
 		}
-	})
+		return start
+	}
+	answer := func(outcome dispatch.StartOutcome, clock time.Duration) func(*leaseTest, *workerConn, dispatch.Start) {
+		return func(_ *leaseTest, wc *workerConn, start dispatch.Start) {
+			wc.finishStart(start, 0, orderAnswer{outcome: outcome, clock: clock}, &queuedOrder{})
+		}
+	}
+	wait := func(d time.Duration) func(*leaseTest, *workerConn, dispatch.Start) {
+		return func(l *leaseTest, _ *workerConn, _ dispatch.Start) { runLoop(l.controller, d, func() {}) }
+	}
+	hear := func(l *leaseTest, wc *workerConn, _ dispatch.Start) {
+		time.Sleep(time.Millisecond)
+		wc.unsettled.settle(l.now())
+	}
+	type steps []func(*leaseTest, *workerConn, dispatch.Start)
+	for name, test := range map[string]struct {
+		permit   bool
+		steps    steps
+		confirms bool
+	}{
+		"under way":                      {true, nil, false},
+		"refused":                        {true, steps{answer(dispatch.StartRefused, 0)}, true},
+		"answered by a clock of its age": {true, steps{answer(dispatch.Started, time.Hour)}, true},
+		"answered by a clock that may be another's":  {true, steps{answer(dispatch.Started, time.Millisecond)}, false},
+		"answered without a clock":                   {true, steps{answer(dispatch.Started, 0)}, false},
+		"answered without a clock, heard since":      {true, steps{answer(dispatch.Started, 0), hear}, true},
+		"in doubt, heard since":                      {true, steps{answer(dispatch.StartInDoubt, 0), hear}, true},
+		"in doubt, its permit over":                  {true, steps{answer(dispatch.StartInDoubt, 0), wait(lease)}, true},
+		"no permit, under way, heard since":          {false, steps{hear}, false},
+		"no permit, answered by a clock of its age":  {false, steps{answer(dispatch.Started, time.Hour)}, true},
+		"no permit, answered without a clock":        {false, steps{hear, answer(dispatch.Started, 0)}, false},
+		"no permit, answered, heard since":           {false, steps{answer(dispatch.Started, 0), hear}, true},
+		"no permit, in doubt, heard since":           {false, steps{answer(dispatch.StartInDoubt, 0), hear}, false},
+		"no permit, in doubt, for as long as it may": {false, steps{answer(dispatch.StartInDoubt, 0), wait(dispatch.MaxCallDelay)}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+				wc := l.workerConns[testWorker.ID]
+				l.worker.loseHolds(true) // the hold loop settles nothing
+				runLoop(l.controller, 2*holdWait, func() {})
+				start := order(l, test.permit)
+				wc.aliveSentAt.Store(int64(l.now().Add(-time.Second)))
+				wc.prepareStart(start)
+				for _, step := range test.steps {
+					step(l, wc, start)
+				}
+				call := wc.beginHold(5, holdWait)
+				if (call.Recorded == 5) != test.confirms || call.Recorded > 0 && call.Wait > 0 {
+					l.t.Errorf("the hold call is %+v; want that it confirms ends: %t, and then doesn't wait", call, test.confirms)
+				}
+			})
+		})
+	}
 }
 
 // Guards against a worker that gets no further runs since it refused a start that another one had overtaken.
@@ -172,9 +270,9 @@
 	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
 		wc := l.workerConns[testWorker.ID]
 		l.worker.overtakeStarts(func() { wc.fencingToken.Add(1) })
-		outcome, err := wc.sendStart(StartCall{Start: dispatch.Start{Once: true}}, wc.queue(startClass(dispatch.Start{})))
-		if outcome != dispatch.StartNotSent || err != nil {
-			l.t.Errorf("the outcome is %s (%v), want %s", outcome, err, dispatch.StartNotSent)
+		answer := wc.sendStart(StartCall{Start: dispatch.Start{Once: true}}, wc.queue(startClass(dispatch.Start{})))
+		if answer.outcome != dispatch.StartNotSent || answer.err != nil {
+			l.t.Errorf("the outcome is %s (%v), want %s", answer.outcome, answer.err, dispatch.StartNotSent)
 		}
 	})
 }
@@ -254,7 +352,7 @@
 	key := dispatch.RunKey{Number: 1}
 	for name, carryOut := range map[string]func(l *leaseTest, wc *workerConn){
 		"answered": func(l *leaseTest, wc *workerConn) {
-			wc.finishStart(dispatch.Start{RunKey: key}, 0, orderAnswer{outcome: dispatch.Started}, &queuedOrder{})
+			wc.finishStart(dispatch.Start{RunKey: key}, 0, orderAnswer{outcome: dispatch.Started, clock: time.Hour}, &queuedOrder{})
 		},
 		"running": func(l *leaseTest, wc *workerConn) {
 			running := []dispatch.RunningEntry{{RunKey: key}}
--- a/internal/owner/contracts.go
+++ b/internal/owner/contracts.go
@@ -35,6 +35,8 @@
 	Token uint64 `json:"Epoch"`
 	// Deadline is the time on the worker's clock up to which its lease is extended; a call that arrives later does nothing.
 	Deadline time.Duration
+	// ObserveClock is called with the reading of the worker's clock in the answer, if there is one, before Start returns.
+	ObserveClock func(reading time.Duration) `json:"-"`
 }
 
 // HoldCall extends a worker's lease and fetches its report.
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -57,9 +57,11 @@
 	workerConns map[dispatch.WorkerID]*workerConn
 	// tokensGiven counts the fencing tokens of each worker: one for each connection, and those that starts needed.
 	tokensGiven map[dispatch.WorkerID]uint64
-	// unanswered are the starts to each worker that may be carried out late.
-	unanswered map[dispatch.WorkerID]*unansweredStarts
-	permits    *permitQueue
+	// callsNameProcess means that a worker refuses a call for another process than its present one.
+	callsNameProcess bool
+	// unsettled are the starts to each worker that are unsettled.
+	unsettled map[dispatch.WorkerID]*unsettledStarts
+	permits   *permitQueue
 	// registered holds the workers that the registry lists. registryRead means that it holds all.
 	registered   map[dispatch.WorkerID]dispatch.Worker
 	registryRead bool
@@ -122,7 +124,7 @@
 		engine:                dispatch.New(ownership.Epoch()),
 		workerConns:           make(map[dispatch.WorkerID]*workerConn),
 		tokensGiven:           make(map[dispatch.WorkerID]uint64),
-		unanswered:            make(map[dispatch.WorkerID]*unansweredStarts),
+		unsettled:             make(map[dispatch.WorkerID]*unsettledStarts),
 		permits:               newPermitQueue(),
 		registered:            make(map[dispatch.WorkerID]dispatch.Worker),
 		pendingWorkerRows:     make(map[dispatch.WorkerID]*dispatch.Worker),
@@ -143,7 +145,7 @@
 	c.validUntil.Store(int64(ownership.CommitSentAt().Add(ownershipValidity)))
 	ownership.OnRenewal(c.extendValidity)
 	c.engine.SetRemoteFactor(d.RemoteFactor)
-	if _, ok := d.Workers.(ProcessNamer); ok {
+	if _, c.callsNameProcess = d.Workers.(ProcessNamer); c.callsNameProcess {
 		c.engine.SetStartsNameProcess()
 	}
 	c.engine.SetLongestLease(c.longestLease())
@@ -397,7 +399,7 @@
 // not be made to forget the ends of the runs that these begin.
 func (c *controller) adoptLateStarts() {
 	for _, late := range c.engine.LateStarts() {
-		c.unansweredStarts(late.Worker).addUntil(late.RunKey, c.now().Add(late.Wait))
+		c.unsettledStarts(late.Worker).addLate(late.RunKey, c.now().Add(late.Wait))
 		c.logHeldTask(late, "start of an earlier owner may be carried out late")
 	}
 }
--- a/internal/owner/order_attempts.go
+++ b/internal/owner/order_attempts.go
@@ -18,7 +18,9 @@
 type orderAnswer struct {
 	// outcome is that of a start.
 	outcome dispatch.StartOutcome
-	err     error
+	// clock is the worker's clock in the answer to a start, 0 if it gave none.
+	clock time.Duration
+	err   error
 	// answered means that the worker has answered or was not reached: the attempt leaves nothing in doubt.
 	answered bool
 }
--- a/internal/owner/order_retry_test.go
+++ b/internal/owner/order_retry_test.go
@@ -115,7 +115,7 @@
 				time.Sleep(time.Duration(i) * runTime / slots)
 				freeSince := c.now()
 				for c.now() < end {
-					if outcome, _ := conn.sendStart(StartCall{}, conn.queue(flowcontrol.Normal)); outcome == dispatch.Started {
+					if outcome := conn.sendStart(StartCall{}, conn.queue(flowcontrol.Normal)).outcome; outcome == dispatch.Started {
 						time.Sleep(runTime)
 						freeSince = c.now()
 						continue
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -17,13 +17,13 @@
 	maxStartWait = dispatch.MaxStartWait
 )
 
-// newStartCall returns the call for a start order. Its lease deadline is set when the control loop decides: the control loop gives
+// newStartCall returns the call for a start order, without a deadline if it must not be sent. Its lease deadline is set when the control loop decides: the control loop gives
 // up the run when that lease has expired, and a call that is delayed until then does nothing.
 func (wc *workerConn) newStartCall(order dispatch.Start) StartCall {
 	wc.starts.Add(1)
-	wc.prepareStart(order)
+	mayBeSent := wc.prepareStart(order)
 	call := StartCall{Start: order}
-	if !wc.leaseHeldBack.Load() {
+	if mayBeSent && !wc.leaseHeldBack.Load() {
 		call.Deadline, _ = wc.lease.extend(wc.controller.now(), wc.controller.workerLeaseDuration()) // 0 while the worker's clock is not known
 	}
 	return call
@@ -37,8 +37,8 @@
 // start sends a start order and posts its outcome.
 func (wc *workerConn) start(order StartCall, queued *queuedOrder) {
 	orderedAt := wc.controller.now()
-	outcome, err := wc.sendStart(order, queued)
-	wc.finishStart(order.Start, wc.controller.now().Sub(orderedAt), orderAnswer{outcome: outcome, err: err}, queued)
+	answer := wc.sendStart(order, queued)
+	wc.finishStart(order.Start, wc.controller.now().Sub(orderedAt), answer, queued)
 }
 
 // finishStart logs and posts the outcome of a start order.
@@ -51,8 +51,12 @@
 	}
 	queued.logWait(entry)
 	entry.Str("job", string(order.Task.Job)).Str("task", order.Task.String()).Uint64("run", order.Number).Uint64("epoch", c.ownership.Epoch()).Str("worker", string(order.Worker)).Bool("copy", order.Copy).Str("outcome", answer.outcome.String()).Dur("took", took).Err(answer.err).Msg("run start")
-	if answer.outcome != dispatch.StartInDoubt {
-		wc.unanswered.remove(order.RunKey)
+	switch answer.outcome {
+	case dispatch.StartInDoubt:
+	case dispatch.Started:
+		wc.noteAnsweredStart(order.RunKey, answer.clock)
+	default:
+		wc.unsettled.remove(order.RunKey)
 	}
 	c.post(func() {
 		wc.forgetOrder(wc.queuedStarts, order.RunKey, queued)
@@ -80,26 +84,29 @@
 // After several attempts only that answer is conclusive: an earlier attempt may yet be carried out, or its run may have ended. A start
 // that must be sent once is given up when its attempt has failed. An order is not sent if it finds no place in time, or if what allowed it
 // has ended by then: its permit, the ownership's validity or the extension of the worker's lease.
-func (wc *workerConn) sendStart(call StartCall, queued *queuedOrder) (dispatch.StartOutcome, error) {
+func (wc *workerConn) sendStart(call StartCall, queued *queuedOrder) orderAnswer {
 	c := wc.controller
+	notSent := orderAnswer{outcome: dispatch.StartNotSent}
 	if !queued.await(maxStartWait) {
-		return dispatch.StartNotSent, nil
+		return notSent
 	}
 	expired := call.PermitUntil > 0 && c.now() >= call.PermitUntil
 	if expired || !c.ownershipValid() || wc.leaseHeldBack.Load() {
 		wc.leavePlaces()
-		return dispatch.StartNotSent, nil
+		return notSent
 	}
-	if call.Once && queued.call.Waited() {
-		wc.unanswered.add(call.RunKey, c.now())
+	if queued.call.Waited() {
+		wc.unsettled.add(call.Start, c.now())
 	}
 	mayRepeat := func() bool { return !call.Once && c.ownershipValid() && !wc.replaced.Load() }
 	last, attempts := wc.sendOrder(mayRepeat, func(ctx context.Context) orderAnswer {
 		attempt := call
 		attempt.Token = wc.fencingToken.Load()
+		var clock time.Duration
+		attempt.ObserveClock = func(reading time.Duration) { clock = reading }
 		outcome, err := c.Workers.Start(ctx, wc.target(), attempt)
 		err = wc.overtakenError(err, attempt.Token)
-		return orderAnswer{outcome: outcome, err: err, answered: outcome != dispatch.StartInDoubt}
+		return orderAnswer{outcome: outcome, err: err, answered: outcome != dispatch.StartInDoubt, clock: clock}
 	})
 	queued.repeated = attempts > 1
 	// A worker that restarted refuses this connection's token, after which it carries out none of the attempts. It may have before.
@@ -107,11 +114,11 @@
 	conclusive := last.outcome == dispatch.Started || errors.Is(last.err, ErrOtherIncarnation) || superseded
 	switch {
 	case !conclusive && attempts > 1:
-		return dispatch.StartInDoubt, last.err
+		last.outcome = dispatch.StartInDoubt
 	case errors.Is(last.err, errOvertaken):
-		return dispatch.StartNotSent, nil // the worker is not to blame
+		return notSent // the worker is not to blame
 	}
-	return last.outcome, last.err
+	return last
 }
 
 // errWithdrawn means that a stop was not sent since its run ended, or its worker was given up, while it waited for its places.
--- a/internal/owner/restart_lease_test.go
+++ b/internal/owner/restart_lease_test.go
@@ -27,8 +27,12 @@
 	slow      bool
 	// stopTime is how long the worker takes to end its runs once its lease has ended.
 	stopTime time.Duration
-	// cutOff leaves all calls unanswered, holdsLost hold calls only.
-	cutOff, holdsLost bool
+	// cutOff leaves all calls unanswered, holdsLost hold calls only, confirmationsLost only those that confirm ends.
+	cutOff, holdsLost, confirmationsLost bool
+	// confirmationTime is how long a hold call that confirms ends takes.
+	confirmationTime time.Duration
+	// forgets means that the worker forgets the ends that are confirmed.
+	forgets bool
 	// stopAnswer leaves stops unanswered until it is closed; nil answers them.
 	stopAnswer chan struct{}
 	// unnamed means that the worker doesn't name its process, which doesn't restart under its id.
@@ -170,6 +174,13 @@
 	return slices.Clone(w.starts)
 }
 
+// loseConfirmations sets whether hold calls that confirm ends get no answer.
+func (w *leasedWorker) loseConfirmations(lost bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.confirmationsLost = lost
+}
+
 // loseHolds sets whether hold calls get no answer.
 func (w *leasedWorker) loseHolds(lost bool) {
 	w.mu.Lock()
@@ -236,6 +247,9 @@
 	if w.listsEnds() {
 		wait = 0
 	}
+	if call.Recorded > 0 {
+		wait = max(wait, w.confirmationTime)
+	}
 	time.Sleep(max(wait, time.Millisecond))
 	switch called.ID {
 	case testWorker.ID:
@@ -246,7 +260,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cutOff || w.holdsLost {
+	if w.cutOff || w.holdsLost || w.confirmationsLost && call.Recorded > 0 {
 		return dispatch.Report{}, 0, ErrNoAnswer
 	}
 	if !w.accept(call.Token, call.Deadline) {
@@ -254,6 +268,9 @@
 	}
 	w.lastHold = call
 	w.holds = append(w.holds, call)
+	if w.forgets {
+		w.ended = slices.DeleteFunc(w.ended, func(e dispatch.EndedEntry) bool { return e.Sequence <= call.Recorded })
+	}
 	report := dispatch.Report{ProcessStart: w.processStart(), Ended: w.ended}
 	for key := range w.running {
 		report.Running = append(report.Running, dispatch.RunningEntry{RunKey: key})
--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -215,7 +215,9 @@
 	running       map[dispatch.RunKey]bool
 	ended         []dispatch.EndedEntry
 	lastHold      HoldCall
-	starts        []StartCall
+	// lastConfirming is the last hold call that confirmed ends.
+	lastConfirming HoldCall
+	starts         []StartCall
 }
 
 // newRebornFixture returns an owner with the worker, whose present process the registry lists.
@@ -291,6 +293,9 @@
 		return dispatch.Report{}, 0, ErrSuperseded
 	}
 	w.lastHold = call
+	if call.Recorded > 0 {
+		w.lastConfirming = call
+	}
 	w.confirmed = max(w.confirmed, call.Recorded)
 	report := dispatch.Report{ProcessStart: w.processStart}
 	for key := range w.running {
@@ -330,7 +335,7 @@
 		runLoop(c, 3*time.Second, func() {})
 		c.setRecorded(map[dispatch.WorkerID]uint64{testWorker.ID: 40})
 		runLoop(c, 3*time.Second, func() {})
-		held := worker.lastHold
+		held := worker.lastConfirming
 		if held.Recorded != 40 {
 			t.Fatalf("the worker was told of %d recorded ends, want 40", held.Recorded)
 		}
--- a/internal/owner/slow_answers_test.go
+++ b/internal/owner/slow_answers_test.go
@@ -90,7 +90,7 @@
 				for i := range starts {
 					done.Go(func() {
 						sentAt := c.now()
-						outcome, _ := conns[i%workers].sendStart(StartCall{}, conns[i%workers].queue(flowcontrol.Normal))
+						outcome := conns[i%workers].sendStart(StartCall{}, conns[i%workers].queue(flowcontrol.Normal)).outcome
 						mu.Lock()
 						defer mu.Unlock()
 						if outcome != dispatch.Started {
@@ -132,11 +132,11 @@
 		time.AfterFunc(wait, c.gate.Leave)
 		conn := newTestConn(c, "")
 		expired := StartCall{Start: dispatch.Start{PermitUntil: c.now().Add(wait / 2)}}
-		if outcome, _ := conn.sendStart(expired, conn.queue(flowcontrol.Normal)); outcome != dispatch.StartNotSent || client.attempts.Load() > 0 {
+		if outcome := conn.sendStart(expired, conn.queue(flowcontrol.Normal)).outcome; outcome != dispatch.StartNotSent || client.attempts.Load() > 0 {
 			t.Errorf("start with an expired permit: %s after %d attempts, want it not sent", outcome, client.attempts.Load())
 		}
 		valid := StartCall{Start: dispatch.Start{PermitUntil: c.now().Add(wait)}}
-		if outcome, _ := conn.sendStart(valid, conn.queue(flowcontrol.Normal)); outcome != dispatch.Started {
+		if outcome := conn.sendStart(valid, conn.queue(flowcontrol.Normal)).outcome; outcome != dispatch.Started {
 			t.Errorf("start with a valid permit: %s, want started", outcome)
 		}
 	})
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -49,13 +49,13 @@
 	// process refuses calls of before its start once it has answered one of this connection. The control loop raises it.
 	fencingToken  atomic.Uint64
 	confirmations confirmations
-	// startsOnce means that starts on this connection were sent once.
-	startsOnce atomic.Bool
+	// aliveSentAt is when the last hold call was sent that the process answered which has reported, a monotime.Instant; 0 before the first.
+	aliveSentAt atomic.Int64
 	// tokensUsedUp means that starts can't raise the token any more. Only the control loop uses it.
 	tokensUsedUp bool
-	// unanswered are shared by all connections to the worker, also after it was given up.
-	unanswered *unansweredStarts
-	cancel     context.CancelFunc
+	// unsettled are shared by all connections to the worker, also after it was given up.
+	unsettled *unsettledStarts
+	cancel    context.CancelFunc
 	// listing is the worker's last entry in the registry. Only the control loop uses listing and the fields down to
 	// unregistered.
 	listing dispatch.Worker
@@ -152,7 +152,7 @@
 // newWorkerConn returns a connection to a worker that may get as many calls at once as places has.
 func (c *controller) newWorkerConn(w dispatch.Worker, places *flowcontrol.Server) *workerConn {
 	wc := &workerConn{
-		controller: c, worker: w, recordedAdvanced: make(chan struct{}, 1), places: places, unanswered: c.unansweredStarts(w.ID),
+		controller: c, worker: w, recordedAdvanced: make(chan struct{}, 1), places: places, unsettled: c.unsettledStarts(w.ID),
 		queuedStarts: make(map[dispatch.RunKey]*queuedOrder), queuedStops: make(map[dispatch.RunKey]*queuedOrder),
 	}
 	wc.lease.endMargin = c.runEndMargin()
@@ -237,7 +237,8 @@
 		if !wc.awaitRecorded(ctx, last) {
 			wait = 0
 		}
-		if wc.unconfirmed {
+		wc.awaitSettled(ctx)
+		if wc.unconfirmed && wc.unsettled.any(wc.controller.now()) {
 			monotime.Sleep(ctx, wc.unconfirmedDelay())
 		}
 	}
@@ -348,6 +349,8 @@
 		return 0, errRestarted
 	}
 	wc.processStart.Store(int64(report.ProcessStart))
+	wc.aliveSentAt.Store(int64(sentAt))
+	wc.unsettled.settle(sentAt)
 	wc.lease.observeClock(clock, answeredAt)
 	last := call.Recorded
 	for _, e := range report.Ended {
@@ -406,10 +409,10 @@
 		c.Log.Info().Str("worker", string(wc.worker.ID)).Msg("worker answers again")
 	}
 	for _, r := range report.Running {
-		wc.unanswered.remove(r.RunKey)
+		wc.unsettled.remove(r.RunKey)
 	}
 	for _, e := range report.Ended {
-		wc.unanswered.remove(e.RunKey)
+		wc.unsettled.remove(e.RunKey)
 		c.Log.Info().Str("job", string(e.Task.Job)).Str("task", e.Task.String()).Uint64("run", e.Number).Str("worker", string(wc.worker.ID)).Str("end", e.End.String()).Msg("run ended")
 		wc.withdrawStop(e.RunKey)
 	}
--- a/internal/owner/workers_test.go
+++ b/internal/owner/workers_test.go
@@ -111,7 +111,7 @@
 				controller.validUntil.Store(int64(controller.now().Add(time.Hour)))
 				conn := newTestConn(controller, "")
 				sentAt := time.Now()
-				outcome, _ := conn.sendStart(StartCall{}, conn.queue(flowcontrol.Normal))
+				outcome := conn.sendStart(StartCall{}, conn.queue(flowcontrol.Normal)).outcome
 				if took := time.Since(sentAt); outcome != c.want || took > c.within {
 					t.Errorf("start: %s after %s, want %s within %s", outcome, took, c.want, c.within)
 				}
