Sequences of a worker that was given up confirm nothing to its next process

What callers would see: a done task runs again.

Cause: under a backlog the ends of all workers are recorded once the progress of the jobs that waited is (endsBarrier). A restart takes the worker out of it, the removal of a worker (its lease over, or another incarnation at its address) did not: once the worker is in use again under its id, the barrier confirms the former process's sequence to the next one.

Change: both ways drop the sequences by one function. TestRecordedSequencesOfAWorkerThatWasGivenUpConfirmNothingLater fails without it (40 ends count as recorded).

--- a/internal/owner/restart_test.go
+++ b/internal/owner/restart_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"laburnumpoint/internal/dispatch"
+	"laburnumpoint/internal/graph"
 	"laburnumpoint/internal/ledger"
 )
 
@@ -535,3 +536,18 @@
 		}
 	})
 }
+
+// Guards against a task that runs again after it was done: under a backlog the sequences of a worker's ends were recorded after the worker had been
+// given up and was in use again under its id, and its next process was made to forget as many of its own ends.
+func TestRecordedSequencesOfAWorkerThatWasGivenUpConfirmNothingLater(t *testing.T) {
+	runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
+		l.endsBarrier = &endsBarrier{sequences: map[dispatch.WorkerID]uint64{testWorker.ID: 40}, waiting: map[graph.JobID]struct{}{"j": {}}}
+		l.removeEndedWorker(l.workerConns[testWorker.ID], dispatch.WorkerSilent, leaseOverUnregistered)
+		l.worker.restart()
+		l.addWorkerConn(l.worker.entry(), false)
+		l.noteRecorded(ledger.Batch{Progress: map[graph.JobID]dispatch.Progress{"j": {}}}, nil)
+		if recorded := l.workerConns[testWorker.ID].recorded(); recorded != 0 {
+			l.t.Errorf("ends of the next process up to %d count as recorded, want none", recorded)
+		}
+	})
+}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -498,12 +498,7 @@
 	wc.cancel()
 	wc.cancelOrders()
 	c.handleRunsLost(wc, c.engine.HandleRestart(id, wc.endUnlessDraining(end), aliveAt), why)
-	if c.committing {
-		c.restartedDuringCommit[id] = struct{}{}
-	}
-	if c.endsBarrier != nil {
-		delete(c.endsBarrier.sequences, id)
-	}
+	c.dropSequences(id)
 	next := c.newWorkerConn(wc.worker, wc.places)
 	next.listing, next.unresponsive = wc.listing, wc.unresponsive
 	next.unregistered, next.unregisteredAt = wc.unregistered, wc.unregisteredAt
@@ -521,6 +516,17 @@
 	next.startHoldLoop()
 }
 
+// dropSequences drops the sequences of ends that are being recorded of a worker's process which has ended, or may have: those of the next one under
+// its id begin anew.
+func (c *controller) dropSequences(id dispatch.WorkerID) {
+	if c.committing {
+		c.restartedDuringCommit[id] = struct{}{}
+	}
+	if c.endsBarrier != nil {
+		delete(c.endsBarrier.sequences, id)
+	}
+}
+
 // awaitLongestLease counts a worker's lease as the longest one. The present process of a worker that has restarted may carry out calls for an
 // earlier one until it answers a call of this connection, and none after that. Their deadlines are on the earlier clock, and it never shortens
 // a lease.
@@ -703,6 +709,7 @@
 	}
 	wc.cancelOrders()
 	delete(c.workerConns, id)
+	c.dropSequences(id)
 	if end != dispatch.WorkerSilent {
 		c.instruments.processesEnded.Inc()
 	}
