A start is settled by an answer of the process that reports, not by time

By reading the change before: a start with a permit that had no answer counted as settled once its permit was over. The next process of its worker could have carried it out before that and ended it unheard, within the 0.4 s between an answered hold call and the next one, which then confirmed the former process's ends to it. The same holds for the 15 s of a start without a permit.

Each unsettled start now has one time: an answer to a hold call sent after it settles the start. The rows "in doubt, its permit over" and "in doubt, for as long as it may" of TestHoldConfirmsNoEndsWhileAnotherProcessMayHaveCarriedOutAStart ask for it and failed before; TestHoldOfAWorkerThatComesBackConfirmsNoEndsWhileAStartMayBeCarriedOutLate waits for an answer after the 15 s.

--- a/internal/owner/call_order.go
+++ b/internal/owner/call_order.go
@@ -29,19 +29,12 @@
 // errOvertaken means that the worker has refused a call since it had carried out one of this owner with a higher token. The call did nothing.
 var errOvertaken = errors.New("owner: a later call with a higher token has overtaken the call")
 
-// unsettledStart is a start that another process of its worker than the one which reports may have carried out, or may yet.
-type unsettledStart struct {
-	// until is when it can't be carried out any more by a process that has not been heard.
-	until monotime.Instant
-	// boundAfter is the time of a hold call from which on an answer by the process that has reported shows that no other one carries the start
-	// out; 0 as long as there is none.
-	boundAfter monotime.Instant
-}
-
-// unsettledStarts are those to a worker. They are safe for concurrent use.
+// unsettledStarts are the starts to a worker that another process than the one which reports may have carried out, or may yet. Each has a time: if the
+// process that reports answers a hold call sent after it, no other one has carried the start out unheard, nor will. They are safe for concurrent
+// use.
 type unsettledStarts struct {
 	mu     sync.Mutex
-	starts map[dispatch.RunKey]unsettledStart
+	starts map[dispatch.RunKey]monotime.Instant
 	// settled signals that none is left.
 	settled chan struct{}
 }
@@ -49,55 +42,47 @@
 // unsettledStarts returns those of the worker.
 func (c *controller) unsettledStarts(id dispatch.WorkerID) *unsettledStarts {
 	if c.unsettled[id] == nil {
-		c.unsettled[id] = &unsettledStarts{starts: make(map[dispatch.RunKey]unsettledStart), settled: make(chan struct{}, 1)}
+		c.unsettled[id] = &unsettledStarts{starts: make(map[dispatch.RunKey]monotime.Instant), settled: make(chan struct{}, 1)}
 	}
 	return c.unsettled[id]
 }
 
-// add notes a start that is ordered, or sent after a wait. A permit is bound to the process that was up when it was given: another one refuses it
-// if that process answers a later call.
+// add notes a start that is ordered, or sent after a wait. A permit is bound to the process that was up when it was given, so that the next one
+// refuses it if that process answers a later call. Without a permit the start may be carried out as long as a call may be late.
 func (u *unsettledStarts) add(order dispatch.Start, at monotime.Instant) {
-	s := unsettledStart{until: at.Add(dispatch.MaxCallDelay)}
-	if !order.Once {
-		s.boundAfter = at
-		if order.PermitUntil > 0 {
-			s.until = min(s.until, order.PermitUntil)
-		}
+	if order.Once {
+		at = at.Add(dispatch.MaxCallDelay)
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.starts[order.RunKey] = s
+	u.set(order.RunKey, at)
 }
 
-// addLate notes a start of an earlier owner that may be carried out until the given time.
-func (u *unsettledStarts) addLate(key dispatch.RunKey, until monotime.Instant) {
+// set notes a start that an answer to a hold call sent after the given time settles.
+func (u *unsettledStarts) set(key dispatch.RunKey, settledAfter monotime.Instant) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.starts[key] = unsettledStart{until: until}
+	u.starts[key] = settledAfter
 }
 
-// noteStarted notes that a process has carried the start out, by an answer that came at the given time. It is that which has reported if it
-// answers a later hold call.
+// noteStarted notes that a process has carried the start out, by an answer that came at the given time. A start is not carried out again.
 func (u *unsettledStarts) noteStarted(key dispatch.RunKey, at monotime.Instant) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if s, ok := u.starts[key]; ok && s.boundAfter == 0 {
-		s.boundAfter = at
-		u.starts[key] = s
+	if settledAfter, ok := u.starts[key]; ok {
+		u.starts[key] = min(settledAfter, at)
 	}
 }
 
-// remove removes a start that was carried out by the process that has reported, or can't be carried out.
+// remove removes a start that was carried out by the process that reports, or can't be carried out.
 func (u *unsettledStarts) remove(key dispatch.RunKey) {
-	u.removeIf(func(k dispatch.RunKey, _ unsettledStart) bool { return k == key })
+	u.removeIf(func(k dispatch.RunKey, _ monotime.Instant) bool { return k == key })
 }
 
-// settle removes the starts that the process which has reported settles by its answer to a hold call sent at the given time.
+// settle removes the starts that the process which reports settles by its answer to a hold call sent at the given time.
 func (u *unsettledStarts) settle(sentAt monotime.Instant) {
-	u.removeIf(func(_ dispatch.RunKey, s unsettledStart) bool { return s.boundAfter > 0 && sentAt > s.boundAfter })
+	u.removeIf(func(_ dispatch.RunKey, settledAfter monotime.Instant) bool { return sentAt > settledAfter })
 }
 
-func (u *unsettledStarts) removeIf(over func(dispatch.RunKey, unsettledStart) bool) {
+func (u *unsettledStarts) removeIf(over func(dispatch.RunKey, monotime.Instant) bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	before := len(u.starts)
@@ -111,8 +96,7 @@
 }
 
 // any reports whether there is one.
-func (u *unsettledStarts) any(now monotime.Instant) bool {
-	u.removeIf(func(_ dispatch.RunKey, s unsettledStart) bool { return now >= s.until })
+func (u *unsettledStarts) any() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return len(u.starts) > 0
@@ -235,7 +219,7 @@
 		return call
 	}
 	wc.confirmations.begin(call.Token, recorded)
-	if wc.unsettled.any(wc.controller.now()) {
+	if wc.unsettled.any() {
 		wc.confirmations.cancel()
 		return call
 	}
@@ -253,7 +237,7 @@
 	}
 	timer := time.NewTimer(settleWait)
 	defer timer.Stop()
-	for wc.unsettled.any(wc.controller.now()) {
+	for wc.unsettled.any() {
 		select {
 		case <-wc.unsettled.settled:
 		case <-timer.C:
--- a/internal/owner/call_order_test.go
+++ b/internal/owner/call_order_test.go
@@ -237,13 +237,14 @@
 		"answered without a clock":                   {true, steps{answer(dispatch.Started, 0)}, false},
 		"answered without a clock, heard since":      {true, steps{answer(dispatch.Started, 0), hear}, true},
 		"in doubt, heard since":                      {true, steps{answer(dispatch.StartInDoubt, 0), hear}, true},
-		"in doubt, its permit over":                  {true, steps{answer(dispatch.StartInDoubt, 0), wait(lease)}, true},
+		"in doubt, its permit over":                  {true, steps{answer(dispatch.StartInDoubt, 0), wait(lease)}, false},
 		"no permit, under way, heard since":          {false, steps{hear}, false},
 		"no permit, answered by a clock of its age":  {false, steps{answer(dispatch.Started, time.Hour)}, true},
 		"no permit, answered without a clock":        {false, steps{hear, answer(dispatch.Started, 0)}, false},
 		"no permit, answered, heard since":           {false, steps{answer(dispatch.Started, 0), hear}, true},
 		"no permit, in doubt, heard since":           {false, steps{answer(dispatch.StartInDoubt, 0), hear}, false},
-		"no permit, in doubt, for as long as it may": {false, steps{answer(dispatch.StartInDoubt, 0), wait(dispatch.MaxCallDelay)}, true},
+		"no permit, in doubt, for as long as it may": {false, steps{answer(dispatch.StartInDoubt, 0), wait(dispatch.MaxCallDelay)}, false},
+		"no permit, in doubt, heard after that":      {false, steps{answer(dispatch.StartInDoubt, 0), wait(dispatch.MaxCallDelay), hear}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runLeaseTest(t, 10*time.Second, func(_ context.Context, l *leaseTest) {
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -399,7 +399,7 @@
 // not be made to forget the ends of the runs that these begin.
 func (c *controller) adoptLateStarts() {
 	for _, late := range c.engine.LateStarts() {
-		c.unsettledStarts(late.Worker).addLate(late.RunKey, c.now().Add(late.Wait))
+		c.unsettledStarts(late.Worker).set(late.RunKey, c.now().Add(late.Wait))
 		c.logHeldTask(late, "start of an earlier owner may be carried out late")
 	}
 }
--- a/internal/owner/restart_record_test.go
+++ b/internal/owner/restart_record_test.go
@@ -75,7 +75,7 @@
 		if call := l.workerConns[testWorker.ID].beginHold(5, holdWait); call.Recorded != 0 {
 			l.t.Errorf("a hold call confirms ends up to %d, want none", call.Recorded)
 		}
-		runLoop(l.controller, dispatch.MaxCallDelay, func() {})
+		runLoop(l.controller, dispatch.MaxCallDelay+2*holdWait, func() {}) // the worker answers after that
 		if call := l.workerConns[testWorker.ID].beginHold(5, holdWait); call.Recorded != 5 {
 			l.t.Errorf("a hold call confirms ends up to %d once the start is over, want 5", call.Recorded)
 		}
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -238,7 +238,7 @@
 			wait = 0
 		}
 		wc.awaitSettled(ctx)
-		if wc.unconfirmed && wc.unsettled.any(wc.controller.now()) {
+		if wc.unconfirmed && wc.unsettled.any() {
 			monotime.Sleep(ctx, wc.unconfirmedDelay())
 		}
 	}
