Hold loop: ends are heard while starts are settled

Cause by reading: with ends to confirm and a start in flight the loop waited up to 100 ms without a call, and after one call that could not confirm up to 0.45 s at 540 workers, in which no end on the worker is heard.

The loop now waits for 20 ms, and pauses only after the second such call in a row: the first one settles the starts before it. Bounds on calls as before (TestWorkersWithEndsAreAskedAsOftenAsNeeded, TestHoldCallsForEachEndAreBounded).

--- a/internal/owner/call_order.go
+++ b/internal/owner/call_order.go
@@ -228,7 +228,7 @@
 }
 
 // settleWait is how long a hold loop with ends to confirm waits for the answers to starts, which come within milliseconds as a rule.
-const settleWait = 100 * time.Millisecond
+const settleWait = 20 * time.Millisecond
 
 // awaitSettled waits for settleWait at most until no start is unsettled, if there are ends to confirm.
 func (wc *workerConn) awaitSettled(ctx context.Context) {
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -110,9 +110,9 @@
 	idle   bool
 	// answeredUnnamed means that the last report named no process; only the hold loop uses it.
 	answeredUnnamed bool
-	// unconfirmed means that the last report listed ends that could not be confirmed; only the hold loop uses it. The worker answers at once
-	// as long as it has any.
-	unconfirmed bool
+	// unconfirmed counts the last reports in a row that listed ends which could not be confirmed; only the hold loop uses it. The worker answers at
+	// once as long as it has any.
+	unconfirmed int
 	// awaitsReport means that further reports are to tell whether a run is over.
 	awaitsReport atomic.Bool
 	// answerTime follows the worker's answers to orders.
@@ -238,7 +238,7 @@
 			wait = 0
 		}
 		wc.awaitSettled(ctx)
-		if wc.unconfirmed && wc.unsettled.any() {
+		if wc.unconfirmed > 1 && wc.unsettled.any() { // the first one has settled the starts before it, as a rule
 			monotime.Sleep(ctx, wc.unconfirmedDelay())
 		}
 	}
@@ -341,7 +341,11 @@
 	}
 	wc.answeredUnnamed = report.ProcessStart == 0
 	wc.idle = len(report.Running) == 0 && wc.starts.Load() == startsBefore
-	wc.unconfirmed = call.Recorded == 0 && recorded > 0 && len(report.Ended) > 0 && report.Ended[0].Sequence <= recorded
+	if call.Recorded == 0 && recorded > 0 && len(report.Ended) > 0 && report.Ended[0].Sequence <= recorded {
+		wc.unconfirmed++
+	} else {
+		wc.unconfirmed = 0
+	}
 	if known != 0 && report.ProcessStart != known {
 		if call.Recorded > 0 {
 			wc.logConfirmedToAnother(call, report, answeredAt.Sub(sentAt))
