--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -91,7 +91,8 @@
 	unsettledSilences map[string]*silence
 	silenceReports    []SilenceReport
 	heldTasks         []HeldTask
-	// unsentStarts are the starts that wait for their record. usesOpenStarts means that a task may have open starts.
+	// unsentStarts are the starts that wait for their record. usesOpenStarts means that a task may have open starts: where all starts have
+	// permits, reports are handled without a look at them.
 	unsentStarts   []unsentStart
 	usesOpenStarts bool
 	// earlierOrdersUntil is the latest time at which an earlier owner may have given orders.
--- a/internal/dispatch/late_start.go
+++ b/internal/dispatch/late_start.go
@@ -148,7 +148,7 @@
 	return starts
 }
 
-// restoreStarts applies the recorded starts of earlier owners. AdoptOpenStarts follows.
+// restoreStarts applies the recorded starts of earlier owners, for adoptOpenStarts.
 func (t *task) restoreStarts(starts []StartProgress) {
 	for _, start := range starts {
 		t.openStarts = append(t.openStarts, openStart{worker: start.Worker, number: start.Run})
--- a/internal/owner/controller.go
+++ b/internal/owner/controller.go
@@ -59,7 +59,7 @@
 	tokensGiven map[dispatch.WorkerID]uint64
 	// callsNameProcess means that a worker refuses a call for another process than its present one.
 	callsNameProcess bool
-	// unsettled are the starts to each worker that are unsettled.
+	// unsettled holds, by worker, the starts that another process than the one which reports may have carried out.
 	unsettled map[dispatch.WorkerID]*unsettledStarts
 	permits   *permitQueue
 	// registered holds the workers that the registry lists. registryRead means that it holds all.
